Add workspace, core types, codec, network layer and platform clients

Cause: the project needs a base that all packages share. Measured: an explicit connect() makes the cxxtools HTTP client treat the connection as kept alive, and it then resent a dropped request (2 requests seen); without it the request was sent once. A test guards this. Conclusion: task starts use a connection that the client opens on send.

--- /dev/null
+++ b/cmake/packages.cmake
@@ -0,0 +1,100 @@
+# Each package is a library from src/<name>, with public headers in
+# include/egretspindle/<name> and one test program from tests/<name>.
+
+add_library(egret_options INTERFACE)
+target_include_directories(egret_options INTERFACE ${CMAKE_SOURCE_DIR}/include)
+target_compile_options(egret_options INTERFACE -Wall -Wextra -Wpedantic
+                                               -Wshadow)
+target_compile_definitions(
+  egret_options INTERFACE EGRETSPINDLE_VERSION="${PROJECT_VERSION}")
+
+function(egret_package name)
+  file(GLOB sources CONFIGURE_DEPENDS ${CMAKE_SOURCE_DIR}/src/${name}/*.cpp)
+  if(sources)
+    add_library(egret_${name} STATIC ${sources})
+    target_link_libraries(egret_${name} PUBLIC egret_options ${ARGN})
+  else()
+    add_library(egret_${name} INTERFACE)
+    target_link_libraries(egret_${name} INTERFACE egret_options ${ARGN})
+  endif()
+  file(GLOB tests CONFIGURE_DEPENDS ${CMAKE_SOURCE_DIR}/tests/${name}/*.cpp)
+  if(tests)
+    add_executable(test_${name} ${tests})
+    target_link_libraries(test_${name} PRIVATE egret_${name} Catch2WithMain)
+    add_test(NAME ${name} COMMAND test_${name})
+    set_tests_properties(${name} PROPERTIES TIMEOUT 300)
+  endif()
+endfunction()
+
+# A program from <dir>/<name>/*.cpp.
+function(egret_program dir name)
+  file(GLOB sources CONFIGURE_DEPENDS ${CMAKE_SOURCE_DIR}/${dir}/${name}/*.cpp)
+  if(sources)
+    add_executable(${name} ${sources})
+    target_link_libraries(${name} PRIVATE ${ARGN})
+  endif()
+endfunction()
+
+egret_package(core absl::status absl::statusor absl::span fmt::fmt xxhash)
+egret_package(codec egret_core cxxtools)
+egret_package(logging egret_core fmt::fmt)
+egret_package(metrics egret_core fmt::fmt)
+egret_package(settings egret_core fmt::fmt)
+egret_package(net egret_codec egret_logging cxxtools-http cxxtools-json cxxtools
+              OpenSSL::Crypto Threads::Threads)
+egret_package(protocol egret_net)
+egret_package(adapters egret_protocol)
+egret_package(membership egret_protocol egret_metrics)
+egret_package(ownership egret_membership egret_adapters)
+egret_package(placement egret_protocol)
+egret_package(admission egret_placement)
+egret_package(plan egret_adapters egret_membership)
+egret_package(request_path egret_ownership egret_admission egret_plan
+              egret_metrics)
+egret_package(admin egret_request_path egret_settings)
+egret_package(node egret_admin)
+
+egret_program(apps egretspindle egret_node)
+egret_program(apps egretctl egret_net egret_protocol)
+egret_program(tools standin_target egret_protocol)
+egret_program(tools standin_store egret_protocol)
+egret_program(tools standin_host_list egret_protocol)
+egret_program(tools fault_proxy egret_protocol)
+
+# Helpers for tests and benchmarks that start real processes.
+file(GLOB support_sources CONFIGURE_DEPENDS
+     ${CMAKE_SOURCE_DIR}/tests/support/*.cpp)
+if(support_sources)
+  add_library(egret_test_support STATIC ${support_sources})
+  target_link_libraries(egret_test_support PUBLIC egret_adapters)
+  target_include_directories(egret_test_support
+                             PUBLIC ${CMAKE_SOURCE_DIR}/tests)
+  target_compile_definitions(
+    egret_test_support
+    PUBLIC EGRETSPINDLE_BIN_DIR="${CMAKE_RUNTIME_OUTPUT_DIRECTORY}")
+endif()
+
+file(GLOB integration_tests CONFIGURE_DEPENDS
+     ${CMAKE_SOURCE_DIR}/tests/integration/*.cpp)
+if(integration_tests AND support_sources)
+  add_executable(test_integration ${integration_tests})
+  target_link_libraries(test_integration PRIVATE egret_test_support
+                                                 Catch2WithMain)
+  # The cases of tests/integration/<name>_test.cpp carry the tag [<name>].
+  foreach(source IN LISTS integration_tests)
+    get_filename_component(stem ${source} NAME_WE)
+    if(stem MATCHES "^(.*)_test$")
+      add_test(NAME integration_${CMAKE_MATCH_1} COMMAND test_integration
+                                                         [${CMAKE_MATCH_1}])
+      set_tests_properties(integration_${CMAKE_MATCH_1} PROPERTIES TIMEOUT 600)
+    endif()
+  endforeach()
+endif()
+
+file(GLOB bench_names CONFIGURE_DEPENDS RELATIVE ${CMAKE_SOURCE_DIR}/bench
+     ${CMAKE_SOURCE_DIR}/bench/*)
+foreach(name IN LISTS bench_names)
+  if(IS_DIRECTORY ${CMAKE_SOURCE_DIR}/bench/${name} AND support_sources)
+    egret_program(bench ${name} egret_test_support egret_node)
+  endif()
+endforeach()
--- /dev/null
+++ b/include/egretspindle/adapters/ack_command.hpp
@@ -0,0 +1,29 @@
+/// \file
+/// Acknowledgement of a result.
+
+#ifndef EGRETSPINDLE_ADAPTERS_ACK_COMMAND_HPP
+#define EGRETSPINDLE_ADAPTERS_ACK_COMMAND_HPP
+
+#include <string>
+
+namespace egretspindle
+{
+
+/// Lets a target drop a kept result.
+struct ack_command
+{
+    std::string key;
+    int attempt = 0;
+};
+
+/// Visits the fields of `ack_command` for the codec.
+template <typename Visitor, typename Value>
+void visit_fields(Visitor&& visit, Value& value, const ack_command* /*tag*/)
+{
+    visit("key", value.key);
+    visit("attempt", value.attempt);
+}
+
+} // namespace egretspindle
+
+#endif
--- /dev/null
+++ b/include/egretspindle/adapters/commit_result.hpp
@@ -0,0 +1,32 @@
+/// \file
+/// Result of a transaction.
+
+#ifndef EGRETSPINDLE_ADAPTERS_COMMIT_RESULT_HPP
+#define EGRETSPINDLE_ADAPTERS_COMMIT_RESULT_HPP
+
+#include "egretspindle/adapters/store_row.hpp"
+
+#include <vector>
+
+namespace egretspindle
+{
+
+/// Whether a transaction was committed, and why not.
+struct commit_result
+{
+    bool committed = false;
+    std::vector<store_row>
+        conflicts; ///< rows whose version differed, as they are
+};
+
+/// Visits the fields of `commit_result` for the codec.
+template <typename Visitor, typename Value>
+void visit_fields(Visitor&& visit, Value& value, const commit_result* /*tag*/)
+{
+    visit("committed", value.committed);
+    visit("conflicts", value.conflicts);
+}
+
+} // namespace egretspindle
+
+#endif
--- /dev/null
+++ b/include/egretspindle/adapters/host_list_client.hpp
@@ -0,0 +1,34 @@
+/// \file
+/// Interface to the platform's host list.
+
+#ifndef EGRETSPINDLE_ADAPTERS_HOST_LIST_CLIENT_HPP
+#define EGRETSPINDLE_ADAPTERS_HOST_LIST_CLIENT_HPP
+
+#include "egretspindle/adapters/host_entry.hpp"
+
+#include <absl/status/statusor.h>
+
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace egretspindle
+{
+
+/// Lagging list of live and leaving hosts. Usable from several threads.
+class host_list_client
+{
+public:
+    virtual ~host_list_client() = default;
+
+    /// Returns all hosts.
+    [[nodiscard]] virtual absl::StatusOr<std::vector<host_entry>> hosts() = 0;
+};
+
+/// Makes a client that speaks HTTP with the list at `address` (`ip:port`).
+[[nodiscard]] absl::StatusOr<std::unique_ptr<host_list_client>>
+make_http_host_list_client(const std::string& address);
+
+} // namespace egretspindle
+
+#endif
--- /dev/null
+++ b/include/egretspindle/adapters/task_usage.hpp
@@ -0,0 +1,37 @@
+/// \file
+/// Measured use of a task.
+
+#ifndef EGRETSPINDLE_ADAPTERS_TASK_USAGE_HPP
+#define EGRETSPINDLE_ADAPTERS_TASK_USAGE_HPP
+
+#include <cstdint>
+#include <string>
+
+namespace egretspindle
+{
+
+/// Lagging measurement of what a task uses.
+struct task_usage
+{
+    std::string key;
+    int attempt = 0;
+    double cpu_cores = 0;
+    double memory_mb = 0;
+    double progress =
+        0; ///< work done per second relative to running alone; 0 when not known
+};
+
+/// Visits the fields of `task_usage` for the codec.
+template <typename Visitor, typename Value>
+void visit_fields(Visitor&& visit, Value& value, const task_usage* /*tag*/)
+{
+    visit("key", value.key);
+    visit("attempt", value.attempt);
+    visit("cpu_cores", value.cpu_cores);
+    visit("memory_mb", value.memory_mb);
+    visit("progress", value.progress);
+}
+
+} // namespace egretspindle
+
+#endif
--- /dev/null
+++ b/include/egretspindle/core/outcome.hpp
@@ -0,0 +1,35 @@
+/// \file
+/// Closed set of request outcomes.
+
+#ifndef EGRETSPINDLE_CORE_OUTCOME_HPP
+#define EGRETSPINDLE_CORE_OUTCOME_HPP
+
+#include <string_view>
+
+namespace egretspindle
+{
+
+/// Outcome of a request. Every reply to a caller carries exactly one.
+enum class outcome
+{
+    done,      ///< finished, with the whole answer
+    accepted,  ///< recorded, not started yet
+    running,   ///< an attempt is running
+    cancelled, ///< cancelled before completion
+    failed,    ///< ran and failed, or can never run
+    not_run,   ///< certainly did not run; may be sent again
+    unknown,   ///< may have run; the result is lost
+};
+
+/// Returns the wire name of an outcome, for example `not_run`.
+[[nodiscard]] std::string_view to_string(outcome value) noexcept;
+
+/// Returns the outcome with the given wire name, or `unknown`.
+[[nodiscard]] outcome outcome_from(std::string_view name) noexcept;
+
+/// Returns whether the outcome can no longer change.
+[[nodiscard]] bool is_final(outcome value) noexcept;
+
+} // namespace egretspindle
+
+#endif
--- /dev/null
+++ b/include/egretspindle/net/http_server.hpp
@@ -0,0 +1,62 @@
+/// \file
+/// HTTP server over cxxtools with bounds on size and time.
+
+#ifndef EGRETSPINDLE_NET_HTTP_SERVER_HPP
+#define EGRETSPINDLE_NET_HTTP_SERVER_HPP
+
+#include "egretspindle/net/http_limits.hpp"
+#include "egretspindle/net/http_request.hpp"
+#include "egretspindle/net/http_response.hpp"
+
+#include <absl/status/status.h>
+
+#include <chrono>
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace egretspindle
+{
+
+/// Handles one request; called from several threads at once.
+using http_handler = std::function<http_response(const http_request&)>;
+
+/// Serves HTTP on one address until stopped.
+///
+/// \code
+/// http_server server({}, [](const http_request&) { return http_response{}; });
+/// absl::Status status = server.start("127.0.0.1", 8080);
+/// \endcode
+class http_server
+{
+public:
+    http_server(const http_limits& limits, http_handler handler);
+    ~http_server();
+    http_server(const http_server&) = delete;
+    http_server& operator=(const http_server&) = delete;
+
+    /// Listens on an IP address and serves from threads of its own.
+    ///
+    /// \returns `unavailable` when the address cannot be bound
+    [[nodiscard]] absl::Status start(const std::string& address,
+                                     unsigned short port);
+
+    /// Waits until no request is in service.
+    ///
+    /// \returns whether that happened within the timeout
+    bool wait_idle(std::chrono::milliseconds timeout);
+
+    /// Stops listening and joins the threads.
+    void stop();
+
+    /// Returns the number of requests in service.
+    [[nodiscard]] int in_service() const;
+
+private:
+    struct impl;
+    std::unique_ptr<impl> impl_;
+};
+
+} // namespace egretspindle
+
+#endif
--- /dev/null
+++ b/include/egretspindle/net/rpc_client.hpp
@@ -0,0 +1,52 @@
+/// \file
+/// Client side of the messages between hosts.
+
+#ifndef EGRETSPINDLE_NET_RPC_CLIENT_HPP
+#define EGRETSPINDLE_NET_RPC_CLIENT_HPP
+
+#include "egretspindle/net/endpoint.hpp"
+
+#include <absl/status/statusor.h>
+
+#include <chrono>
+#include <memory>
+#include <string>
+#include <string_view>
+
+namespace egretspindle
+{
+
+/// Sends authenticated messages to any host; usable from several threads.
+class rpc_client
+{
+public:
+    /// \param cluster_key  key that all hosts share
+    /// \param sender       name of this host
+    rpc_client(std::string cluster_key, std::string sender);
+    ~rpc_client();
+    rpc_client(const rpc_client&) = delete;
+    rpc_client& operator=(const rpc_client&) = delete;
+
+    /// Sends a message and waits for its reply.
+    ///
+    /// The library may send a message twice when a connection was closed, so
+    /// every message has to be idempotent at its receiver.
+    ///
+    /// \returns the payload of the reply, the error of the receiver,
+    ///          `unavailable` when nothing was sent, or `deadline_exceeded`
+    ///          when the message may have taken effect
+    [[nodiscard]] absl::StatusOr<std::string>
+    call(const endpoint& server, std::string_view type,
+         std::string_view payload, std::chrono::milliseconds timeout);
+
+    /// Returns the bytes sent and received, without protocol headers.
+    [[nodiscard]] std::uint64_t byte_count() const noexcept;
+
+private:
+    struct impl;
+    std::unique_ptr<impl> impl_;
+};
+
+} // namespace egretspindle
+
+#endif
--- /dev/null
+++ b/src/adapters/json_call.cpp
@@ -0,0 +1,77 @@
+#include "json_call.hpp"
+
+#include "egretspindle/core/error.hpp"
+
+#include <fmt/format.h>
+
+namespace egretspindle
+{
+
+namespace
+{
+
+struct error_detail
+{
+    std::string kind;
+    std::string message;
+};
+
+template <typename Visitor, typename Value>
+void visit_fields(Visitor&& visit, Value& value, const error_detail* /*tag*/)
+{
+    visit("kind", value.kind);
+    visit("message", value.message);
+}
+
+struct error_body
+{
+    error_detail error;
+};
+
+template <typename Visitor, typename Value>
+void visit_fields(Visitor&& visit, Value& value, const error_body* /*tag*/)
+{
+    visit("error", value.error);
+}
+
+error_kind kind_of_status(int status)
+{
+    switch (status)
+    {
+    case 404:
+        return error_kind::not_found;
+    case 409:
+        return error_kind::conflict;
+    case 413:
+        return error_kind::too_large;
+    case 429:
+        return error_kind::overloaded;
+    case 503:
+        return error_kind::unavailable;
+    default:
+        return status < 500 ? error_kind::invalid_argument
+                            : error_kind::internal;
+    }
+}
+
+} // namespace
+
+absl::Status error_of(const http_response& response)
+{
+    if (response.status < 300)
+    {
+        return absl::OkStatus();
+    }
+    const absl::StatusOr<error_body> body =
+        from_json<error_body>(response.body);
+    if (body.ok() && !body->error.kind.empty())
+    {
+        return make_error(error_kind_from(body->error.kind),
+                          body->error.message);
+    }
+    return make_error(
+        kind_of_status(response.status),
+        fmt::format("HTTP status {}; check the server's log", response.status));
+}
+
+} // namespace egretspindle
--- /dev/null
+++ b/tests/core/core_test.cpp
@@ -0,0 +1,52 @@
+#include "egretspindle/core/error.hpp"
+#include "egretspindle/core/rendezvous_hash.hpp"
+#include "egretspindle/core/request_spec.hpp"
+
+#include <catch2/catch.hpp>
+
+#include <string>
+#include <vector>
+
+using namespace egretspindle;
+
+TEST_CASE("an error keeps its kind", "[core]")
+{
+    const absl::Status status =
+        make_error(error_kind::stale_epoch, "reread the ownership row");
+    CHECK(kind_of(status) == error_kind::stale_epoch);
+    CHECK(kind_of(absl::InternalError("x")) == error_kind::internal);
+}
+
+TEST_CASE("removing a candidate moves only its own keys", "[core]")
+{
+    const std::vector<std::string> all{"a1", "a2", "a3", "a4"};
+    const std::vector<std::string> fewer{"a1", "a2", "a4"};
+    int moved = 0;
+    for (int n = 0; n < 1000; ++n)
+    {
+        const std::string key = "key-" + std::to_string(n);
+        const std::string& before = all[rendezvous_choice(key, all)];
+        const std::string& after = fewer[rendezvous_choice(key, fewer)];
+        if (before == "a3")
+        {
+            ++moved;
+        }
+        else
+        {
+            REQUIRE(before == after);
+        }
+    }
+    CHECK(moved > 150);
+    CHECK(moved < 350);
+}
+
+TEST_CASE("the digest tells different requests with one id apart", "[core]")
+{
+    request_spec first;
+    first.id = "r";
+    first.body = "a";
+    request_spec second = first;
+    CHECK(digest_of(first) == digest_of(second));
+    second.body = "b";
+    CHECK(digest_of(first) != digest_of(second));
+}
--- /dev/null
+++ b/tests/net/one_shot_server.hpp
@@ -0,0 +1,42 @@
+/// \file
+/// Server that drops connections after it received a request.
+
+#ifndef EGRETSPINDLE_TESTS_NET_ONE_SHOT_SERVER_HPP
+#define EGRETSPINDLE_TESTS_NET_ONE_SHOT_SERVER_HPP
+
+#include <atomic>
+#include <thread>
+
+namespace egretspindle::test
+{
+
+/// Accepts connections, reads one request on each, counts it and closes the
+/// connection without an answer.
+class one_shot_server
+{
+public:
+    one_shot_server();
+    ~one_shot_server();
+
+    [[nodiscard]] unsigned short port() const
+    {
+        return port_;
+    }
+
+    [[nodiscard]] int request_count() const
+    {
+        return request_count_;
+    }
+
+private:
+    void serve();
+
+    int fd_ = -1;
+    unsigned short port_ = 0;
+    std::atomic<int> request_count_{0};
+    std::thread thread_;
+};
+
+} // namespace egretspindle::test
+
+#endif
