Add failure detector and rack ownership

Cause: hosts have to know which of them are alive, and each rack needs one owner that the others can fence off. Change: pure state machines and runners for membership (probes, incarnations, suspicion, dissemination, join through seeds or rows) and for ownership (rows by compare-and-set, handover, claims during a store outage).

--- /dev/null
+++ b/include/egretspindle/membership/probe_schedule.hpp
@@ -0,0 +1,48 @@
+/// \file
+/// Schedule of the probes and reaction to their results.
+
+#ifndef EGRETSPINDLE_MEMBERSHIP_PROBE_SCHEDULE_HPP
+#define EGRETSPINDLE_MEMBERSHIP_PROBE_SCHEDULE_HPP
+
+#include "egretspindle/membership/membership_state.hpp"
+#include "egretspindle/membership/probe_action.hpp"
+
+#include <string>
+#include <vector>
+
+namespace egretspindle
+{
+
+/// Advances the state to `now` and returns the messages that are due.
+[[nodiscard]] std::vector<probe_action> advance(membership_state& state,
+                                                time_point now);
+
+/// Merges the reply to an action.
+void probe_answered(membership_state& state, const probe_action& action,
+                    const ping_message& reply, time_point now);
+
+/// Notes that an action got no reply.
+///
+/// \returns the indirect probes that follow a failed direct one
+[[nodiscard]] std::vector<probe_action> probe_failed(membership_state& state,
+                                                     const probe_action& action,
+                                                     time_point now);
+
+/// Merges a received ping and returns the reply.
+[[nodiscard]] ping_message answer_ping(membership_state& state,
+                                       const std::string& sender,
+                                       const ping_message& message,
+                                       time_point now);
+
+/// Returns the probe that a received ping request asks for.
+[[nodiscard]] probe_action relay_probe(membership_state& state,
+                                       const ping_message& message,
+                                       time_point now);
+
+/// Returns messages that tell up to `count` members of the latest changes.
+[[nodiscard]] std::vector<probe_action>
+tell_members(membership_state& state, std::size_t count, time_point now);
+
+} // namespace egretspindle
+
+#endif
--- /dev/null
+++ b/include/egretspindle/ownership/owned_rack.hpp
@@ -0,0 +1,46 @@
+/// \file
+/// Rack that this host owns.
+
+#ifndef EGRETSPINDLE_OWNERSHIP_OWNED_RACK_HPP
+#define EGRETSPINDLE_OWNERSHIP_OWNED_RACK_HPP
+
+#include "egretspindle/adapters/fencing_token.hpp"
+#include "egretspindle/adapters/host_entry.hpp"
+#include "egretspindle/core/clock.hpp"
+#include "egretspindle/protocol/rack_release.hpp"
+
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace egretspindle
+{
+
+/// Ownership of a rack as the rack runtime needs it.
+struct owned_rack
+{
+    std::string data_center;
+    std::string rack;
+    fencing_token token; ///< for all targets without a token of their own
+    time_point acquired;
+    std::vector<host_entry> targets; ///< as listed when last updated
+
+    /// True while the store does not hold this ownership yet. Only targets
+    /// with an entry in `claims` may then be commanded.
+    bool claims_only = false;
+    std::map<std::string, fencing_token> claims; ///< target to its token
+
+    std::string previous_owner; ///< empty when there was none
+    /// Earlier owners that neither confirmed that they stopped renewing nor
+    /// left the host list for longer than a lease.
+    std::set<std::string> unreleased;
+    bool previous_released = false; ///< `unreleased` is empty
+    time_point released_at;         ///< when the last confirmation arrived
+    /// Latest renewals by earlier owners; ages as of `released_at`.
+    std::vector<target_renewal> previous_renewals;
+};
+
+} // namespace egretspindle
+
+#endif
--- /dev/null
+++ b/include/egretspindle/ownership/ownership_options.hpp
@@ -0,0 +1,59 @@
+/// \file
+/// Settings of the ownership service.
+
+#ifndef EGRETSPINDLE_OWNERSHIP_OWNERSHIP_OPTIONS_HPP
+#define EGRETSPINDLE_OWNERSHIP_OWNERSHIP_OPTIONS_HPP
+
+#include "egretspindle/core/clock.hpp"
+
+#include <string>
+
+namespace egretspindle
+{
+
+inline constexpr milliseconds default_row_read_period{2000};
+inline constexpr milliseconds default_row_scan_period{30'000};
+inline constexpr milliseconds default_handover_delay{30'000};
+inline constexpr milliseconds default_store_timeout{400};
+inline constexpr milliseconds default_retry_delay{250};
+/// Attempts to reach the store go on for this long before targets are
+/// claimed; shorter than the rest of the previous owner's leases.
+inline constexpr milliseconds default_claim_delay{1000};
+inline constexpr milliseconds default_claim_period{500};
+inline constexpr milliseconds default_release_timeout{300};
+inline constexpr milliseconds default_release_retry{2000};
+inline constexpr milliseconds default_settle_time{1500};
+inline constexpr milliseconds default_rack_removal_delay{60'000};
+inline constexpr milliseconds default_ownership_gap{1000};
+/// One lease of 6 s x 1.01 + 500 ms after a host left the host list.
+inline constexpr milliseconds default_unlisted_release{6560};
+
+/// Identity, periods and time limits of the ownership of racks.
+struct ownership_options
+{
+    std::string name;
+    std::string data_center;
+
+    milliseconds row_read_period = default_row_read_period; ///< own rows
+    milliseconds row_scan_period = default_row_scan_period; ///< all rows
+    milliseconds handover_delay =
+        default_handover_delay; ///< a live owner keeps the rack for so long
+    milliseconds store_timeout = default_store_timeout;
+    milliseconds retry_delay = default_retry_delay;
+    milliseconds claim_delay = default_claim_delay;
+    milliseconds claim_period = default_claim_period;
+    milliseconds release_timeout = default_release_timeout;
+    milliseconds release_retry = default_release_retry;
+    /// Time after the start in which other hosts may still be found alive;
+    /// racks whose owner is not a known member are left alone for so long.
+    milliseconds settle_time = default_settle_time;
+    milliseconds rack_removal_delay =
+        default_rack_removal_delay; ///< after it left the host list
+    milliseconds resume_gap = default_ownership_gap;
+    /// An earlier owner that left the host list counts as released after it.
+    milliseconds unlisted_release = default_unlisted_release;
+};
+
+} // namespace egretspindle
+
+#endif
--- /dev/null
+++ b/include/egretspindle/ownership/rack_record.hpp
@@ -0,0 +1,65 @@
+/// \file
+/// What a host knows of a rack of its data centre.
+
+#ifndef EGRETSPINDLE_OWNERSHIP_RACK_RECORD_HPP
+#define EGRETSPINDLE_OWNERSHIP_RACK_RECORD_HPP
+
+#include "egretspindle/adapters/host_entry.hpp"
+#include "egretspindle/adapters/store_transaction.hpp"
+#include "egretspindle/core/clock.hpp"
+#include "egretspindle/ownership/owned_rack.hpp"
+#include "egretspindle/ownership/owner_row.hpp"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace egretspindle
+{
+
+/// Write of the owner row whose result is not known yet.
+struct pending_take
+{
+    store_transaction transaction;
+    std::int64_t checked_version = 0;
+    std::string previous_owner;
+    owner_row row;
+    bool needs_read = false; ///< the answer was lost
+};
+
+/// Row, ownership and pending operations of a rack.
+struct rack_record
+{
+    std::vector<host_entry> targets;
+    time_point listed_at;
+
+    bool is_row_known = false;
+    std::int64_t row_version = 0;
+    owner_row row;
+    time_point next_read;
+
+    std::optional<owned_rack> owned;
+    /// Token that may be resumed when the row still names this process.
+    std::optional<fencing_token> suspended;
+    std::int64_t fenced_epoch = 0; ///< lower epochs were given up for good
+    std::int64_t seen_epoch = 0;   ///< highest epoch a target reported
+
+    std::optional<pending_take> pending;
+    bool is_busy = false; ///< a row operation is under way
+    /// Epoch of the owner that asked this host to take the rack, or -1.
+    std::int64_t requested_epoch = -1;
+    time_point next_take;
+    time_point preferred_since; ///< of this host, while another one owns it
+    time_point unlisted_since;  ///< owner is live, but does not list the rack
+    bool is_preferred = false;
+    bool is_unlisted = false;
+
+    std::map<std::string, time_point> next_claim;           ///< by target
+    std::map<std::string, time_point> next_release_request; ///< by host
+};
+
+} // namespace egretspindle
+
+#endif
--- /dev/null
+++ b/src/membership/membership_update.cpp
@@ -0,0 +1,249 @@
+#include "egretspindle/membership/membership_update.hpp"
+
+#include "egretspindle/membership/digest_selection.hpp"
+
+#include <string_view>
+
+namespace egretspindle
+{
+
+namespace
+{
+
+// Among digests of one incarnation the higher rank wins.
+int rank_of(std::string_view member_state) noexcept
+{
+    if (member_state == "alive")
+    {
+        return 0;
+    }
+    if (member_state == "suspect")
+    {
+        return 1;
+    }
+    return member_state == "leaving" ? 2 : 3;
+}
+
+bool is_working(std::string_view member_state) noexcept
+{
+    return rank_of(member_state) < 2;
+}
+
+void note_change(membership_state& state, const member_digest& digest,
+                 std::string_view entered)
+{
+    state.changes.push_back({digest.name, digest.data_center,
+                             std::string(entered), digest.incarnation});
+    state.has_events = true;
+}
+
+void enter_state(membership_state& state, member_record& record,
+                 const std::string& entered, time_point now)
+{
+    const bool was_working = is_working(record.digest.state);
+    record.digest.state = entered;
+    record.state_since = now;
+    record.event_sends = 0;
+    record.has_news = true;
+    if (was_working != is_working(entered))
+    {
+        state.last_change[record.digest.data_center] = now;
+    }
+    note_change(state, record.digest, entered);
+}
+
+// Another host believes something about this one that is not true.
+void refute(membership_state& state, std::int64_t incarnation)
+{
+    state.self.incarnation = incarnation + 1;
+    note_change(state, state.self, "refuted");
+}
+
+void merge_self(membership_state& state, const member_digest& digest)
+{
+    if (digest.incarnation < state.self.incarnation ||
+        (digest.incarnation == state.self.incarnation &&
+         rank_of(digest.state) <= rank_of(state.self.state)))
+    {
+        return;
+    }
+    refute(state, digest.incarnation);
+}
+
+bool has_aggregate(const member_digest& digest)
+{
+    return digest.racks.size() == 1 &&
+           digest.racks.front().rack == aggregate_rack_name;
+}
+
+// A digest that went through another data centre carries no racks; one with
+// sequence 0 carries the state alone.
+bool carries_content(const membership_state& state, const member_digest& digest)
+{
+    return digest.sequence > 0 &&
+           !(digest.data_center == state.self.data_center &&
+             has_aggregate(digest));
+}
+
+void copy_content(member_record& record, const member_digest& digest,
+                  time_point now)
+{
+    record.digest.sequence = digest.sequence;
+    record.digest.plan_version = digest.plan_version;
+    record.digest.racks = digest.racks;
+    record.last_advance = now;
+    record.has_news = true;
+}
+
+void add_member(membership_state& state, const member_digest& digest,
+                time_point now)
+{
+    member_record record;
+    record.digest = digest;
+    if (!carries_content(state, digest))
+    {
+        record.digest.sequence = 0;
+        record.digest.racks.clear();
+    }
+    record.state_since = now;
+    record.last_advance = now;
+    if (is_working(digest.state))
+    {
+        state.last_change[digest.data_center] = now;
+    }
+    note_change(state, digest, digest.state);
+    state.members.emplace(digest.name, std::move(record));
+}
+
+} // namespace
+
+void update_self(membership_state& state, const member_digest& described)
+{
+    state.self.plan_version = described.plan_version;
+    state.self.racks = described.racks;
+    ++state.self.sequence;
+}
+
+void merge_digest(membership_state& state, const member_digest& digest,
+                  time_point now)
+{
+    if (digest.name == state.self.name)
+    {
+        merge_self(state, digest);
+        return;
+    }
+    const auto it = state.members.find(digest.name);
+    if (it == state.members.end())
+    {
+        add_member(state, digest, now);
+        return;
+    }
+    member_record& record = it->second;
+    if (digest.incarnation < record.digest.incarnation)
+    {
+        return;
+    }
+    if (digest.incarnation > record.digest.incarnation)
+    {
+        const std::string before = record.digest.state;
+        record.digest.incarnation = digest.incarnation;
+        record.digest.address = digest.address;
+        record.digest.data_center = digest.data_center;
+        record.digest.sequence = 0;
+        record.last_advance = now;
+        record.has_news = true;
+        record.event_sends = 0;
+        if (before != digest.state)
+        {
+            enter_state(state, record, digest.state, now);
+        }
+        else
+        {
+            record.state_since = now;
+            state.has_events = true;
+        }
+    }
+    else if (rank_of(digest.state) > rank_of(record.digest.state))
+    {
+        enter_state(state, record, digest.state, now);
+    }
+    if (carries_content(state, digest) &&
+        digest.sequence > record.digest.sequence)
+    {
+        copy_content(record, digest, now);
+    }
+}
+
+void merge_message(membership_state& state, const ping_message& message,
+                   time_point now)
+{
+    for (const member_digest& digest : message.members)
+    {
+        merge_digest(state, digest, now);
+    }
+}
+
+void suspect_member(membership_state& state, const std::string& name,
+                    std::int64_t incarnation, time_point now)
+{
+    const auto it = state.members.find(name);
+    if (it == state.members.end() ||
+        it->second.digest.data_center != state.self.data_center ||
+        it->second.digest.incarnation != incarnation ||
+        it->second.digest.state != "alive")
+    {
+        return;
+    }
+    enter_state(state, it->second, "suspect", now);
+}
+
+void expire_members(membership_state& state, time_point now)
+{
+    for (auto it = state.members.begin(); it != state.members.end();)
+    {
+        member_record& record = it->second;
+        const bool is_own = record.digest.data_center == state.self.data_center;
+        if (is_own && record.digest.state == "suspect" &&
+            now - record.state_since >= state.options.suspicion_time)
+        {
+            enter_state(state, record, "dead", now);
+        }
+        const time_point since = is_working(record.digest.state)
+                                     ? record.last_advance
+                                     : record.state_since;
+        if ((!is_own || !is_working(record.digest.state)) &&
+            now - since > state.options.dead_retention)
+        {
+            it = state.members.erase(it);
+            continue;
+        }
+        ++it;
+    }
+}
+
+void resume(membership_state& state, time_point now)
+{
+    ++state.generation;
+    ++state.self.incarnation;
+    state.rounds.clear();
+    for (auto& [name, record] : state.members)
+    {
+        if (record.digest.state == "suspect")
+        {
+            record.state_since = now;
+        }
+    }
+    note_change(state, state.self, "resumed");
+}
+
+void start_leaving(membership_state& state, time_point now)
+{
+    if (state.self.state != "leaving")
+    {
+        state.self.state = "leaving";
+        state.last_change[state.self.data_center] = now;
+        note_change(state, state.self, "leaving");
+    }
+}
+
+} // namespace egretspindle
--- /dev/null
+++ b/src/ownership/ownership_result.cpp
@@ -0,0 +1,412 @@
+#include "egretspindle/ownership/ownership_result.hpp"
+
+#include "egretspindle/codec/json.hpp"
+#include "egretspindle/core/error.hpp"
+#include "egretspindle/ownership/ownership_decision.hpp"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+
+namespace egretspindle
+{
+
+namespace
+{
+
+void note_store(ownership_state& state, const absl::Status& status,
+                time_point now)
+{
+    if (status.ok())
+    {
+        state.store_failing_since.reset();
+    }
+    else if (!state.store_failing_since)
+    {
+        state.store_failing_since = now;
+    }
+}
+
+// A result of a call from before a pause says nothing of the present.
+bool spans_gap(const ownership_state& state, const ownership_action& action,
+               time_point now)
+{
+    return action.generation != state.generation ||
+           now - state.last_decision > state.options.resume_gap;
+}
+
+// Keeps the most recent renewal of each target, with ages as of `now`.
+void merge_renewals(owned_rack& owned,
+                    const std::vector<target_renewal>& renewals, time_point now)
+{
+    for (target_renewal& renewal : owned.previous_renewals)
+    {
+        renewal.age_ms += elapsed_ms(owned.released_at, now);
+    }
+    for (const target_renewal& renewal : renewals)
+    {
+        const auto it = std::find_if(owned.previous_renewals.begin(),
+                                     owned.previous_renewals.end(),
+                                     [&](const target_renewal& known) {
+                                         return known.target == renewal.target;
+                                     });
+        if (it == owned.previous_renewals.end())
+        {
+            owned.previous_renewals.push_back(renewal);
+        }
+        else
+        {
+            it->age_ms = std::min(it->age_ms, renewal.age_ms);
+        }
+    }
+    owned.released_at = now;
+}
+
+rack_record* find_record(ownership_state& state, const rack_id& id)
+{
+    const auto it = state.racks.find(id);
+    return it == state.racks.end() ? nullptr : &it->second;
+}
+
+bool names_this_process(const ownership_state& state, const owner_row& row)
+{
+    return row.host == state.options.name &&
+           row.incarnation == state.incarnation;
+}
+
+void tell(ownership_state& state, ownership_change change,
+          const owned_rack& rack, std::string reason)
+{
+    state.events.push_back({change, rack, std::move(reason)});
+}
+
+void acquire(ownership_state& state, const rack_id& id, rack_record& record,
+             const owner_row& row, const std::string& previous,
+             std::string reason, time_point now)
+{
+    owned_rack owned;
+    owned.data_center = id.data_center;
+    owned.rack = id.rack;
+    owned.token = {row.epoch, 0};
+    owned.acquired = now;
+    owned.targets = record.targets;
+    owned.previous_owner = previous;
+    // An earlier process of this host no longer runs: this one listens on
+    // its address.
+    owned.unreleased.insert(row.unreleased.begin(), row.unreleased.end());
+    owned.unreleased.erase(state.options.name);
+    owned.previous_released = owned.unreleased.empty();
+    owned.released_at = now;
+    record.owned = std::move(owned);
+    record.suspended.reset();
+    record.requested_epoch = -1;
+    record.next_claim.clear();
+    record.next_release_request.clear();
+    record.next_read = now + state.options.row_read_period;
+    tell(state, ownership_change::acquired, *record.owned, std::move(reason));
+}
+
+// Ends a write whose answer was lost.
+void settle_pending(ownership_state& state, const rack_id& id,
+                    rack_record& record, time_point now)
+{
+    const pending_take take = *record.pending;
+    if (names_this_process(state, record.row) &&
+        record.row.epoch == take.row.epoch)
+    {
+        record.pending.reset();
+        if (take.row.epoch >= record.fenced_epoch)
+        {
+            acquire(state, id, record, take.row, take.previous_owner,
+                    "row written", now);
+        }
+    }
+    else if (record.row_version != take.checked_version)
+    {
+        record.pending.reset();
+    }
+    else
+    {
+        // Not committed so far; the same transaction id is sent again, so
+        // that a late arrival of the first message does no harm.
+        record.pending->needs_read = false;
+    }
+}
+
+// The row decides whether a suspended ownership goes on.
+void settle_suspended(ownership_state& state, const rack_id& id,
+                      rack_record& record, time_point now)
+{
+    const fencing_token token = *record.suspended;
+    record.suspended.reset();
+    if (names_this_process(state, record.row) &&
+        record.row.epoch == token.epoch && token.epoch >= record.fenced_epoch &&
+        !state.is_stopping)
+    {
+        const std::string previous = record.row.unreleased.empty()
+                                         ? std::string()
+                                         : record.row.unreleased.back();
+        acquire(state, id, record, record.row, previous,
+                "the row still names this host", now);
+    }
+}
+
+void take_over_row(ownership_state& state, const rack_id& id,
+                   rack_record& record, const store_row& row, time_point now)
+{
+    // Answers of two reads can arrive in the opposite order.
+    if (record.is_row_known && row.version < record.row_version)
+    {
+        return;
+    }
+    record.is_row_known = true;
+    record.row_version = row.version;
+    record.row = owner_row{};
+    if (row.version > 0)
+    {
+        absl::StatusOr<owner_row> value = from_json<owner_row>(row.value);
+        if (value.ok())
+        {
+            record.row = *std::move(value);
+        }
+    }
+    if (record.owned && !names_this_process(state, record.row) &&
+        record.row.epoch >= record.owned->token.epoch &&
+        (!record.owned->claims_only ||
+         record.row.epoch > record.owned->token.epoch))
+    {
+        lose(state, id,
+             fmt::format("the row names {} with epoch {}", record.row.host,
+                         record.row.epoch));
+    }
+    if (record.pending && record.pending->needs_read)
+    {
+        settle_pending(state, id, record, now);
+    }
+    if (record.suspended)
+    {
+        settle_suspended(state, id, record, now);
+    }
+}
+
+} // namespace
+
+void row_read(ownership_state& state, const ownership_action& action,
+              const absl::StatusOr<store_row>& row, time_point now)
+{
+    note_store(state, row.status(), now);
+    rack_record* record = find_record(state, action.rack);
+    if (record == nullptr)
+    {
+        return;
+    }
+    record->is_busy = false;
+    if (spans_gap(state, action, now))
+    {
+        record->next_read = now;
+        return;
+    }
+    if (row.ok())
+    {
+        take_over_row(state, action.rack, *record, *row, now);
+    }
+    else
+    {
+        // Without the store nothing can show that the old token still holds.
+        record->suspended.reset();
+    }
+}
+
+void rows_scanned(ownership_state& state,
+                  const absl::StatusOr<std::vector<store_row>>& rows,
+                  time_point now)
+{
+    note_store(state, rows.status(), now);
+    if (!rows.ok())
+    {
+        state.next_scan =
+            std::min(state.next_scan, now + state.options.row_read_period);
+        return;
+    }
+    const std::string prefix = owner_row_prefix(state.options.data_center);
+    for (const store_row& row : *rows)
+    {
+        const rack_id id{
+            state.options.data_center,
+            row.key.substr(std::min(prefix.size(), row.key.size()))};
+        rack_record* record = find_record(state, id);
+        // A read or write under way brings a later answer.
+        if (record != nullptr && !record->is_busy)
+        {
+            take_over_row(state, id, *record, row, now);
+        }
+    }
+}
+
+void row_written(ownership_state& state, const ownership_action& action,
+                 const absl::StatusOr<commit_result>& result, time_point now)
+{
+    note_store(state, result.status(), now);
+    const rack_id& id = action.rack;
+    rack_record* record = find_record(state, id);
+    if (record == nullptr || !record->pending)
+    {
+        return;
+    }
+    record->is_busy = false;
+    if (spans_gap(state, action, now))
+    {
+        record->pending->needs_read = true;
+        return;
+    }
+    const pending_take take = *record->pending;
+    if (!result.ok())
+    {
+        if (kind_of(result.status()) == error_kind::deadline_exceeded)
+        {
+            record->pending->needs_read = true;
+        }
+        else
+        {
+            record->pending.reset();
+        }
+        return;
+    }
+    record->pending.reset();
+    if (!result->committed)
+    {
+        record->next_take = now;
+        if (result->conflicts.empty())
+        {
+            record->is_row_known = false;
+            record->next_read = now;
+            return;
+        }
+        take_over_row(state, id, *record, result->conflicts.front(), now);
+        return;
+    }
+    record->row = take.row;
+    // The version that the write made is read with the next reread; until
+    // then any later version replaces this one.
+    record->row_version = std::max(record->row_version, take.checked_version);
+    if (take.row.epoch < record->fenced_epoch || state.is_stopping)
+    {
+        record->is_row_known = false;
+        return;
+    }
+    acquire(state, id, *record, take.row, take.previous_owner, "row written",
+            now);
+}
+
+void target_claimed(ownership_state& state, const ownership_action& action,
+                    const absl::StatusOr<fencing_token>& token, time_point now)
+{
+    rack_record* record = find_record(state, action.rack);
+    if (record == nullptr || !token.ok() || state.is_stopping ||
+        spans_gap(state, action, now) ||
+        (record->owned && !record->owned->claims_only))
+    {
+        return;
+    }
+    record->seen_epoch = std::max(record->seen_epoch, token->epoch);
+    if (record->owned)
+    {
+        record->owned->claims[action.target.name] = *token;
+        record->owned->token = std::max(record->owned->token, *token);
+        tell(state, ownership_change::updated, *record->owned,
+             "target claimed");
+        return;
+    }
+    const std::optional<rack_owner> owner = believed_owner(state, action.rack);
+    owned_rack owned;
+    owned.data_center = action.rack.data_center;
+    owned.rack = action.rack.rack;
+    owned.token = *token;
+    owned.acquired = now;
+    owned.targets = record->targets;
+    owned.claims_only = true;
+    owned.claims[action.target.name] = *token;
+    owned.previous_owner = owner ? owner->host : std::string();
+    record->owned = std::move(owned);
+    record->suspended.reset();
+    tell(state, ownership_change::acquired, *record->owned, "target claimed");
+}
+
+void release_answered(ownership_state& state, const ownership_action& action,
+                      const absl::StatusOr<rack_release>& answer,
+                      time_point now)
+{
+    rack_record* record = find_record(state, action.rack);
+    if (record == nullptr)
+    {
+        return;
+    }
+    if (!record->owned || record->owned->token.epoch != action.epoch ||
+        !answer.ok())
+    {
+        return;
+    }
+    if (!answer->released)
+    {
+        // The other host knows a higher epoch, so the row has changed.
+        record->next_read = now;
+        return;
+    }
+    merge_renewals(*record->owned, answer->renewals, now);
+    confirm_release(state, *record, action.host, now);
+}
+
+rack_release release_requested(ownership_state& state,
+                               const rack_release& message, time_point now)
+{
+    const rack_id id{message.data_center, message.rack};
+    rack_release reply = message;
+    reply.renewals.clear();
+    rack_record* record = find_record(state, id);
+    if (message.released)
+    {
+        reply.released = record != nullptr && !state.is_stopping &&
+                         !state.store_failing_since;
+        if (reply.released)
+        {
+            record->requested_epoch = message.epoch;
+            record->next_take = now;
+            record->next_read = now;
+        }
+        return reply;
+    }
+    reply.released = true;
+    if (record == nullptr)
+    {
+        return reply;
+    }
+    if (record->owned && record->owned->token.epoch >= message.epoch)
+    {
+        reply.released = false;
+        reply.epoch = record->owned->token.epoch;
+        return reply;
+    }
+    record->fenced_epoch = std::max(record->fenced_epoch, message.epoch);
+    record->suspended.reset();
+    record->next_read = now;
+    lose(state, id, fmt::format("released for epoch {}", message.epoch));
+    return reply;
+}
+
+void stale_epoch_seen(ownership_state& state, const rack_id& id,
+                      std::int64_t seen_epoch, time_point now)
+{
+    rack_record* record = find_record(state, id);
+    if (record == nullptr || !record->owned)
+    {
+        return;
+    }
+    record->seen_epoch = std::max(record->seen_epoch, seen_epoch);
+    record->fenced_epoch =
+        std::max(record->fenced_epoch, record->owned->token.epoch + 1);
+    record->is_row_known = false;
+    record->next_read = now;
+    lose(state, id, "a target saw a higher token");
+}
+
+} // namespace egretspindle
--- /dev/null
+++ b/tests/membership/simulated_cluster.hpp
@@ -0,0 +1,388 @@
+/// \file
+/// Members on a simulated network in virtual time.
+
+#ifndef EGRETSPINDLE_TESTS_MEMBERSHIP_SIMULATED_CLUSTER_HPP
+#define EGRETSPINDLE_TESTS_MEMBERSHIP_SIMULATED_CLUSTER_HPP
+
+#include "egretspindle/codec/json.hpp"
+#include "egretspindle/membership/membership_update.hpp"
+#include "egretspindle/membership/membership_view.hpp"
+#include "egretspindle/membership/probe_schedule.hpp"
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <queue>
+#include <random>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace egretspindle::test
+{
+
+/// Runs the state machines of several hosts against one virtual clock. Hosts
+/// are addressed by name; all random choices follow from the seed.
+class simulated_cluster
+{
+public:
+    explicit simulated_cluster(std::uint64_t seed) : seed_(seed), random_(seed)
+    {
+    }
+
+    simulated_cluster(const simulated_cluster&) = delete;
+    simulated_cluster& operator=(const simulated_cluster&) = delete;
+
+    /// Adds a running host. Its address is its name.
+    void add(membership_options options)
+    {
+        options.address = options.name;
+        options.random_seed = ++seed_;
+        if (options.incarnation == 0)
+        {
+            options.incarnation = 1000;
+        }
+        const std::string name = options.name;
+        host& added = hosts_[name];
+        added.is_running = true;
+        added.is_paused = false;
+        added.late.clear();
+        added.state = make_membership_state(std::move(options), now_);
+        const std::uint64_t life = ++added.life;
+        after(random_delay(tick_), [this, name, life] { tick(name, life); });
+    }
+
+    /// Adds `count` hosts of a data centre that join through the first host.
+    void add_center(const std::string& data_center, int count,
+                    membership_options options = {})
+    {
+        for (int n = 0; n < count; ++n)
+        {
+            options.name = data_center + "-" + std::to_string(100 + n);
+            options.data_center = data_center;
+            if (first_.empty())
+            {
+                first_ = options.name;
+            }
+            options.seeds = {first_};
+            add(options);
+        }
+    }
+
+    void kill(const std::string& name)
+    {
+        hosts_.at(name).is_running = false;
+    }
+
+    void pause(const std::string& name)
+    {
+        hosts_.at(name).is_paused = true;
+    }
+
+    void resume(const std::string& name)
+    {
+        host& resumed = hosts_.at(name);
+        resumed.is_paused = false;
+        for (const std::function<void()>& result :
+             std::exchange(resumed.late, std::vector<std::function<void()>>{}))
+        {
+            result();
+        }
+        const std::uint64_t life = ++resumed.life;
+        after(tick_, [this, name, life] { tick(name, life); });
+    }
+
+    /// Drops every message from one host to another; one direction only.
+    void cut(const std::string& from, const std::string& to)
+    {
+        cuts_.insert({from, to});
+    }
+
+    void heal()
+    {
+        cuts_.clear();
+    }
+
+    /// Share of the messages that get lost.
+    void lose_messages(double share)
+    {
+        loss_ = share;
+    }
+
+    void run_for(milliseconds time)
+    {
+        const time_point end = now_ + time;
+        while (!events_.empty() && events_.top().at <= end)
+        {
+            const event next = events_.top();
+            events_.pop();
+            now_ = next.at;
+            next.action();
+        }
+        now_ = end;
+    }
+
+    /// Runs until the condition holds.
+    ///
+    /// \returns false when it does not within the limit
+    bool run_until(const std::function<bool()>& holds, milliseconds limit)
+    {
+        const time_point end = now_ + limit;
+        while (now_ < end)
+        {
+            if (holds())
+            {
+                return true;
+            }
+            run_for(milliseconds(10));
+        }
+        return holds();
+    }
+
+    membership_state& state(const std::string& name)
+    {
+        return hosts_.at(name).state;
+    }
+
+    /// Returns the state that a host shows of another one, or `absent`.
+    std::string seen(const std::string& by, const std::string& name)
+    {
+        const membership_state& view = state(by);
+        const auto it = view.members.find(name);
+        return it == view.members.end()
+                   ? "absent"
+                   : shown_digest(view, it->second, now_).state;
+    }
+
+    /// Returns whether every running host shows the state for the host.
+    bool all_see(const std::string& name, const std::string& expected)
+    {
+        for (const auto& [by, entry] : hosts_)
+        {
+            if (by != name && entry.is_running && !entry.is_paused &&
+                seen(by, name) != expected)
+            {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    std::vector<std::string> names() const
+    {
+        std::vector<std::string> result;
+        for (const auto& [name, entry] : hosts_)
+        {
+            result.push_back(name);
+        }
+        return result;
+    }
+
+    /// Returns whether all running hosts see each other as alive.
+    bool is_complete()
+    {
+        for (const auto& [name, entry] : hosts_)
+        {
+            if (entry.is_running && !entry.is_paused && !all_see(name, "alive"))
+            {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    time_point now() const
+    {
+        return now_;
+    }
+
+    /// Called with the sender, the receiver and each message.
+    std::function<void(const std::string&, const std::string&,
+                       const ping_message&)>
+        on_message;
+    milliseconds delay{1};
+    /// Describes a host's racks at each probe period.
+    std::function<member_digest(const std::string&)> describe;
+
+private:
+    struct host
+    {
+        membership_state state;
+        bool is_running = false;
+        bool is_paused = false;
+        std::uint64_t life = 0;
+        time_point next_describe;
+        std::vector<std::function<void()>> late; // results during a pause
+    };
+
+    struct event
+    {
+        time_point at;
+        std::uint64_t order;
+        std::function<void()> action;
+
+        bool operator<(const event& other) const
+        {
+            return std::tie(other.at, other.order) < std::tie(at, order);
+        }
+    };
+
+    void after(milliseconds time, std::function<void()> action)
+    {
+        events_.push({now_ + time, ++order_, std::move(action)});
+    }
+
+    milliseconds random_delay(milliseconds limit)
+    {
+        std::uniform_int_distribution<std::int64_t> delay_ms(0, limit.count());
+        return milliseconds(delay_ms(random_));
+    }
+
+    bool arrives(const std::string& from, const std::string& to)
+    {
+        std::uniform_real_distribution<double> share(0, 1);
+        const auto it = hosts_.find(to);
+        return it != hosts_.end() && it->second.is_running &&
+               cuts_.count({from, to}) == 0 && share(random_) >= loss_;
+    }
+
+    void tick(const std::string& name, std::uint64_t life)
+    {
+        host& ticking = hosts_.at(name);
+        if (!ticking.is_running || ticking.is_paused || ticking.life != life)
+        {
+            return;
+        }
+        if (now_ >= ticking.next_describe)
+        {
+            ticking.next_describe = now_ + ticking.state.options.probe_period;
+            update_self(ticking.state,
+                        describe ? describe(name) : member_digest{});
+        }
+        for (const probe_action& action : advance(ticking.state, now_))
+        {
+            send(name, action);
+        }
+        after(tick_, [this, name, life] { tick(name, life); });
+    }
+
+    /// Sends a request; `finish` gets the reply, or null after the timeout.
+    void exchange(const std::string& from, const probe_action& action,
+                  std::function<void(const ping_message*)> finish)
+    {
+        if (on_message)
+        {
+            on_message(from, action.address, action.message);
+        }
+        const auto is_done = std::make_shared<bool>(false);
+        const auto end = [this, from, is_done,
+                          finish = std::move(finish)](const ping_message* reply)
+        {
+            host& sender = hosts_.at(from);
+            if (*is_done || !sender.is_running)
+            {
+                return;
+            }
+            *is_done = true;
+            if (sender.is_paused)
+            {
+                sender.late.push_back([finish] { finish(nullptr); });
+                return;
+            }
+            finish(reply);
+        };
+        after(action.timeout, [end] { end(nullptr); });
+        if (!arrives(from, action.address))
+        {
+            return;
+        }
+        after(delay + random_delay(delay),
+              [this, from, action, end]
+              {
+                  host& receiver = hosts_.at(action.address);
+                  if (!receiver.is_running || receiver.is_paused)
+                  {
+                      return;
+                  }
+                  if (action.kind == probe_kind::indirect)
+                  {
+                      relay(from, action, end);
+                      return;
+                  }
+                  answer(from, action, end);
+              });
+    }
+
+    void answer(const std::string& from, const probe_action& action,
+                const std::function<void(const ping_message*)>& end)
+    {
+        const std::string by = action.address;
+        const ping_message reply =
+            answer_ping(hosts_.at(by).state, from, action.message, now_);
+        if (on_message)
+        {
+            on_message(by, from, reply);
+        }
+        if (arrives(by, from))
+        {
+            after(delay + random_delay(delay), [end, reply] { end(&reply); });
+        }
+    }
+
+    void relay(const std::string& from, const probe_action& action,
+               const std::function<void(const ping_message*)>& end)
+    {
+        membership_state& helper = hosts_.at(action.address).state;
+        merge_message(helper, action.message, now_);
+        const probe_action probe = relay_probe(helper, action.message, now_);
+        if (probe.address.empty())
+        {
+            return;
+        }
+        exchange(action.address, probe,
+                 [this, from, action, probe, end](const ping_message* reply)
+                 {
+                     if (reply != nullptr)
+                     {
+                         probe_answered(hosts_.at(action.address).state, probe,
+                                        *reply, now_);
+                         answer(from, action, end);
+                     }
+                 });
+    }
+
+    void send(const std::string& from, const probe_action& action)
+    {
+        exchange(from, action,
+                 [this, from, action](const ping_message* reply)
+                 {
+                     membership_state& sender = hosts_.at(from).state;
+                     if (reply != nullptr)
+                     {
+                         probe_answered(sender, action, *reply, now_);
+                         return;
+                     }
+                     for (const probe_action& next :
+                          probe_failed(sender, action, now_))
+                     {
+                         send(from, next);
+                     }
+                 });
+    }
+
+    const milliseconds tick_{50};
+    std::uint64_t seed_;
+    std::mt19937_64 random_;
+    time_point now_{std::chrono::hours(1)};
+    std::uint64_t order_ = 0;
+    std::priority_queue<event> events_;
+    std::map<std::string, host> hosts_;
+    std::set<std::pair<std::string, std::string>> cuts_;
+    std::string first_;
+    double loss_ = 0;
+};
+
+} // namespace egretspindle::test
+
+#endif
