--- a/include/egretspindle/adapters/start_command.hpp
+++ b/include/egretspindle/adapters/start_command.hpp
@@ -27,6 +27,7 @@
     std::string checkpoint;           ///< to resume from; empty for none
     std::int64_t start_before_ms = 0; ///< latest start; 0 means none
     std::int64_t lease_until_ms = 0;
+    bool preemptible = false; ///< may be stopped with a checkpoint
     std::int64_t wait_ms = 0; ///< how long to wait for the end
 };
 
@@ -46,6 +47,7 @@
     visit("checkpoint", value.checkpoint);
     visit("start_before_ms", value.start_before_ms);
     visit("lease_until_ms", value.lease_until_ms);
+    visit("preemptible", value.preemptible);
     visit("wait_ms", value.wait_ms);
 }
 
--- a/include/egretspindle/adapters/task_state.hpp
+++ b/include/egretspindle/adapters/task_state.hpp
@@ -29,6 +29,7 @@
     double cpu_cores = 0;    ///< reserved
     double memory_mb = 0;    ///< reserved
     int accelerators = 0;    ///< reserved
+    bool preemptible = false;
     std::int64_t run_ms = 0; ///< time since the start
 };
 
@@ -51,6 +52,7 @@
     visit("cpu_cores", value.cpu_cores);
     visit("memory_mb", value.memory_mb);
     visit("accelerators", value.accelerators);
+    visit("preemptible", value.preemptible);
     visit("run_ms", value.run_ms);
 }
 
--- a/include/egretspindle/protocol/place_reply.hpp
+++ b/include/egretspindle/protocol/place_reply.hpp
@@ -18,10 +18,12 @@
     bool placed = false;
     bool may_have_started =
         false; ///< whether an unplaced attempt could still have started
+    bool superseded = false; ///< another coordinator is in charge
     std::string reason; ///< why it was not placed
     std::int64_t retry_after_ms = 0;
     std::string target;
     std::string rack;
+    std::string data_center;
     std::string boot_id;
     std::int64_t epoch = 0;
     task_state task;
@@ -33,10 +35,12 @@
 {
     visit("placed", value.placed);
     visit("may_have_started", value.may_have_started);
+    visit("superseded", value.superseded);
     visit("reason", value.reason);
     visit("retry_after_ms", value.retry_after_ms);
     visit("target", value.target);
     visit("rack", value.rack);
+    visit("data_center", value.data_center);
     visit("boot_id", value.boot_id);
     visit("epoch", value.epoch);
     visit("task", value.task);
--- a/include/egretspindle/protocol/place_request.hpp
+++ b/include/egretspindle/protocol/place_request.hpp
@@ -26,6 +26,7 @@
     std::string boot_id; ///< expected boot of the reserved target
     std::int64_t remaining_ms =
         0;                    ///< until the caller's deadline; 0 means none
+    bool relayed = false; ///< already passed on by another host
     std::int64_t wait_ms = 0; ///< how long to wait for the end
 };
 
@@ -43,6 +44,7 @@
     visit("target", value.target);
     visit("boot_id", value.boot_id);
     visit("remaining_ms", value.remaining_ms);
+    visit("relayed", value.relayed);
     visit("wait_ms", value.wait_ms);
 }
 
--- a/include/egretspindle/protocol/task_query.hpp
+++ b/include/egretspindle/protocol/task_query.hpp
@@ -20,6 +20,7 @@
     std::string target;
     std::string boot_id;     ///< expected boot
     bool checkpoint = false; ///< for a stop: save progress first
+    bool relayed = false; ///< already passed on by another host
     std::int64_t wait_ms = 0;
 };
 
@@ -34,6 +35,7 @@
     visit("target", value.target);
     visit("boot_id", value.boot_id);
     visit("checkpoint", value.checkpoint);
+    visit("relayed", value.relayed);
     visit("wait_ms", value.wait_ms);
 }
 
--- /dev/null
+++ b/include/egretspindle/request_path/coordinator_options.hpp
@@ -0,0 +1,63 @@
+/// \file
+/// Settings and surroundings of a coordinator.
+
+#ifndef EGRETSPINDLE_REQUEST_PATH_COORDINATOR_OPTIONS_HPP
+#define EGRETSPINDLE_REQUEST_PATH_COORDINATOR_OPTIONS_HPP
+
+#include "egretspindle/core/clock.hpp"
+#include "egretspindle/core/request_reply.hpp"
+#include "egretspindle/protocol/key_query.hpp"
+#include "egretspindle/protocol/task_report.hpp"
+
+#include <absl/status/statusor.h>
+
+#include <functional>
+#include <string>
+
+namespace egretspindle
+{
+
+/// Settings of a coordinator.
+struct coordinator_options
+{
+    std::string host_name;
+    std::string data_center;
+    /// Longest that an urgent start waits for its claim to be recorded.
+    milliseconds claim_timeout{250};
+    /// Longest that other store calls may take.
+    milliseconds store_timeout{2000};
+    std::size_t max_workers = 256;
+    /// Batch starts that may be under way at once.
+    int max_batch_starts = 32;
+    /// Attempts that may run and fail before the request fails.
+    int max_failures = 3;
+    std::size_t max_queued_batch = 20'000;
+    /// Interval of polls of a running attempt without news.
+    milliseconds poll_interval{5000};
+    /// How long recorded replies stay in memory.
+    milliseconds retention{60'000};
+};
+
+/// What a coordinator needs from the rest of the host.
+struct coordinator_hooks
+{
+    /// Asks another host that is in charge of a request.
+    std::function<absl::StatusOr<request_reply>(const std::string& host,
+                                                const key_query& query)>
+        forward_wait;
+    /// Tells another host that is in charge that an attempt ended.
+    std::function<absl::Status(const std::string& host,
+                               const task_report& report)>
+        forward_ended;
+    /// Returns whether a host is alive.
+    std::function<bool(const std::string& host)> is_alive;
+    /// Returns whether the members of the data centre have not changed for
+    /// long enough that no other coordinator can still be active for a key.
+    std::function<bool()> is_view_settled;
+    /// Returns whether this host is the preferred coordinator of a key.
+    std::function<bool(const std::string& key)> is_preferred;
+};
+
+} // namespace egretspindle
+
+#endif
--- /dev/null
+++ b/include/egretspindle/request_path/owned_task.hpp
@@ -0,0 +1,50 @@
+/// \file
+/// Attempt on a target of an owned rack.
+
+#ifndef EGRETSPINDLE_REQUEST_PATH_OWNED_TASK_HPP
+#define EGRETSPINDLE_REQUEST_PATH_OWNED_TASK_HPP
+
+#include "egretspindle/adapters/task_state.hpp"
+#include "egretspindle/core/clock.hpp"
+
+#include <cstdint>
+#include <string>
+
+namespace egretspindle
+{
+
+/// Phase of an attempt as its rack owner sees it.
+enum class task_phase
+{
+    reserved,  ///< place held, start not sent
+    starting,  ///< start sent, no answer yet
+    uncertain, ///< the answer of the start was lost
+    running,   ///< confirmed by the target
+    ended,     ///< finished, stopped or lost
+};
+
+/// Attempt that the owner placed or found on a target.
+struct owned_task
+{
+    std::string key;
+    int attempt = 0;
+    std::string target;
+    std::string boot_id;
+    std::string team;
+    std::string kind;
+    bool urgent = false;
+    task_phase phase = task_phase::reserved;
+    time_point changed;               ///< of the phase
+    time_point placed;                ///< of the decision
+    std::int64_t start_before_ms = 0; ///< on the target's clock
+    std::string coordinator_data_center;
+    bool is_lost = false;             ///< ended without a result
+    bool is_stopping = false;         ///< a stop was sent
+    bool is_watched = false;
+    bool is_reporting = false;
+    time_point next_report;           ///< of the end
+};
+
+} // namespace egretspindle
+
+#endif
--- /dev/null
+++ b/include/egretspindle/request_path/rack_hooks.hpp
@@ -0,0 +1,45 @@
+/// \file
+/// Surroundings of the racks that a host owns.
+
+#ifndef EGRETSPINDLE_REQUEST_PATH_RACK_HOOKS_HPP
+#define EGRETSPINDLE_REQUEST_PATH_RACK_HOOKS_HPP
+
+#include "egretspindle/adapters/target_client.hpp"
+#include "egretspindle/ownership/rack_id.hpp"
+#include "egretspindle/placement/policy_limits.hpp"
+#include "egretspindle/protocol/task_report.hpp"
+
+#include <absl/status/statusor.h>
+
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace egretspindle
+{
+
+/// What a rack runtime needs from the rest of the host.
+struct rack_hooks
+{
+    /// Makes a client for the target at an address.
+    std::function<absl::StatusOr<std::unique_ptr<target_client>>(
+        const std::string& address)>
+        make_client;
+    /// Reports the end of an attempt to the coordinator of its request in
+    /// the given data centre; OK once it is recorded.
+    std::function<absl::Status(const std::string& data_center,
+                               const task_report& report)>
+        report_end;
+    /// Tells that a target rejected the token of a rack.
+    std::function<void(const rack_id& rack)> stale_epoch;
+    /// Returns the limits of the plan in force.
+    std::function<std::shared_ptr<const policy_limits>()> limits;
+    /// Returns whether the plan lists a target as leaving.
+    std::function<bool(const std::string& target)> is_leaving_by_plan;
+    /// Returns whether the platform lists an entry host.
+    std::function<bool(const std::string& host)> is_listed;
+};
+
+} // namespace egretspindle
+
+#endif
--- /dev/null
+++ b/include/egretspindle/request_path/rack_router.hpp
@@ -0,0 +1,68 @@
+/// \file
+/// Interface from the coordinator to rack owners.
+
+#ifndef EGRETSPINDLE_REQUEST_PATH_RACK_ROUTER_HPP
+#define EGRETSPINDLE_REQUEST_PATH_RACK_ROUTER_HPP
+
+#include "egretspindle/protocol/find_request.hpp"
+#include "egretspindle/protocol/place_reply.hpp"
+#include "egretspindle/protocol/place_request.hpp"
+#include "egretspindle/protocol/task_query.hpp"
+#include "egretspindle/protocol/task_report.hpp"
+
+#include <absl/status/statusor.h>
+
+#include <chrono>
+#include <string>
+#include <vector>
+
+namespace egretspindle
+{
+
+/// A rack that may take a task, best first.
+struct rack_candidate
+{
+    std::string data_center;
+    std::string rack; ///< empty: any rack of the data centre
+};
+
+/// Reaches the owners of racks, on this host or on others. Usable from
+/// several threads.
+class rack_router
+{
+public:
+    virtual ~rack_router() = default;
+
+    /// Returns racks that may have room, those of this data centre first.
+    [[nodiscard]] virtual std::vector<rack_candidate>
+    candidates(const request_spec& spec) = 0;
+
+    /// Asks the owner of a rack to start or reserve.
+    ///
+    /// \returns `unavailable` when nothing was started, `deadline_exceeded`
+    ///          when the attempt may have started
+    [[nodiscard]] virtual absl::StatusOr<place_reply>
+    place(const place_request& request) = 0;
+
+    /// Returns the state of an attempt as its rack owner knows it.
+    [[nodiscard]] virtual absl::StatusOr<task_report>
+    task_state(const task_query& query) = 0;
+
+    /// Stops an attempt.
+    [[nodiscard]] virtual absl::StatusOr<task_report>
+    stop(const task_query& query) = 0;
+
+    /// Lets the target drop the result of an attempt.
+    virtual absl::Status acknowledge(const task_query& query) = 0;
+
+    /// Searches all racks of this data centre for attempts of a request, and
+    /// forbids attempts up to `fence_attempt`.
+    ///
+    /// \returns `unavailable` when a rack could not be searched
+    [[nodiscard]] virtual absl::StatusOr<std::vector<task_report>>
+    find(const find_request& request) = 0;
+};
+
+} // namespace egretspindle
+
+#endif
--- /dev/null
+++ b/include/egretspindle/request_path/rack_runtime.hpp
@@ -0,0 +1,185 @@
+/// \file
+/// A rack that this host owns.
+
+#ifndef EGRETSPINDLE_REQUEST_PATH_RACK_RUNTIME_HPP
+#define EGRETSPINDLE_REQUEST_PATH_RACK_RUNTIME_HPP
+
+#include "egretspindle/admission/health_table.hpp"
+#include "egretspindle/admission/urgent_queue.hpp"
+#include "egretspindle/ownership/owned_rack.hpp"
+#include "egretspindle/placement/choose_target.hpp"
+#include "egretspindle/placement/policy_model.hpp"
+#include "egretspindle/placement/rack_load.hpp"
+#include "egretspindle/protocol/place_reply.hpp"
+#include "egretspindle/protocol/place_request.hpp"
+#include "egretspindle/protocol/rack_release.hpp"
+#include "egretspindle/protocol/rack_summary.hpp"
+#include "egretspindle/protocol/task_query.hpp"
+#include "egretspindle/request_path/owned_task.hpp"
+#include "egretspindle/request_path/rack_hooks.hpp"
+#include "egretspindle/request_path/rack_options.hpp"
+#include "egretspindle/request_path/target_session.hpp"
+#include "egretspindle/request_path/worker_pool.hpp"
+
+#include <condition_variable>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <random>
+#include <string>
+#include <thread>
+#include <utility>
+#include <vector>
+
+namespace egretspindle
+{
+
+/// Places work on the targets of one rack, renews their leases and follows
+/// their tasks. Usable from several threads; one mutex guards all state, and
+/// it is not held across a network call.
+class rack_runtime
+{
+public:
+    rack_runtime(rack_options options, rack_hooks hooks, owned_rack rack);
+    ~rack_runtime();
+    rack_runtime(const rack_runtime&) = delete;
+    rack_runtime& operator=(const rack_runtime&) = delete;
+
+    /// Starts to renew the leases of all targets.
+    void start();
+
+    /// Stops commanding the targets. Their tasks go on.
+    void stop();
+
+    /// Takes over changed tokens, targets or news of the previous owner.
+    void update(const owned_rack& rack);
+
+    /// Decides on a place and starts the attempt there.
+    [[nodiscard]] place_reply place(const place_request& request);
+
+    /// Returns the state of an attempt, after at most `query.wait_ms`.
+    [[nodiscard]] task_report task_state(const task_query& query);
+
+    /// Stops an attempt, or prevents its start.
+    [[nodiscard]] task_report stop_task(const task_query& query);
+
+    /// Lets the target drop the result of an attempt.
+    absl::Status acknowledge(const task_query& query);
+
+    /// Returns the attempts of a request and forbids attempts up to
+    /// `fence_attempt`.
+    [[nodiscard]] std::vector<task_report> find(const std::string& key,
+                                                int fence_attempt);
+
+    /// Returns whether every target has answered since the rack was acquired,
+    /// or has no lease of an earlier owner left.
+    [[nodiscard]] bool is_covered() const;
+
+    /// Returns what other hosts are told of the rack.
+    [[nodiscard]] rack_summary summary() const;
+
+    /// Returns when each target was last renewed.
+    [[nodiscard]] std::vector<target_renewal> renewals() const;
+
+    /// Returns a copy of the load, for operators.
+    [[nodiscard]] rack_load load() const;
+
+    /// Returns the number of evictions by cause.
+    [[nodiscard]] std::map<std::string, int> evictions() const;
+
+private:
+    using task_id = std::pair<std::string, int>;
+    using lock_type = std::unique_lock<std::mutex>;
+    using session_ptr = std::shared_ptr<target_session>;
+
+    /// Place given to an urgent request that waited.
+    struct waiter
+    {
+        bool is_decided = false;
+        placement_decision decision;
+    };
+
+    // rack_runtime.cpp
+    void apply_targets(const owned_rack& rack);
+    session_ptr session_of(const std::string& target) const;
+    target_load* load_of(const std::string& target);
+    task_load* task_load_of(const task_id& id, const std::string& target);
+    void remove_load(const task_id& id, const std::string& target);
+    time_point certain_expiry(const target_session& session,
+                              time_point now) const;
+
+    // rack_place.cpp
+    std::optional<place_reply> known_attempt(const place_request& request);
+    placement_decision decide(lock_type& lock, const place_request& request,
+                              const task_request& task);
+    placement_decision wait_for_place(lock_type& lock,
+                                      const task_request& task,
+                                      const placement_decision& first);
+    void serve_waiting();
+    void reserve(const place_request& request,
+                 const placement_decision& decision);
+    place_reply start_on(const place_request& request,
+                         const std::string& target);
+    place_reply start_lost(const place_request& request,
+                           const session_ptr& session, place_reply reply);
+    void evict_for(const placement_decision& decision);
+
+    // rack_renew.cpp
+    void renew_loop(const session_ptr& session);
+    void renew_once(const session_ptr& session);
+    void apply_state(const session_ptr& session, const target_state& state,
+                     time_point sent_at);
+    void apply_task(const session_ptr& session, const task_state& task,
+                    time_point now);
+    void drop_absent(const session_ptr& session, const target_state& state,
+                     time_point sent_at);
+    void apply_usage(const session_ptr& session, const target_state& state);
+    void mark_lost_targets(time_point now);
+
+    // rack_tasks.cpp
+    void task_has_ended(owned_task& task, const task_state& state,
+                        time_point now);
+    task_report report_of(const task_id& id, const std::string& target) const;
+    task_report ask_target(const task_query& query,
+                           const session_ptr& session);
+    task_report without_target(const task_query& query);
+
+    // rack_report.cpp
+    void tend_loop();
+    void report_ends();
+    void report_end(const task_id& id);
+    void watch(const task_id& id, std::int64_t expected_ms);
+    void check_guards_once();
+    void stop_batch_on_leaving();
+    void expire_reservations(time_point now);
+    void evict(const std::string& target, const task_id& id,
+               const std::string& cause);
+
+    rack_options options_;
+    rack_hooks hooks_;
+
+    mutable std::mutex mutex_;
+    std::condition_variable changed_;
+    owned_rack rack_;
+    bool is_stopping_ = false;
+    time_point started_;
+    std::map<std::string, session_ptr> sessions_;
+    std::map<std::string, time_point> unlisted_since_;
+    rack_load load_;
+    policy_model model_;
+    health_table health_;
+    urgent_queue urgent_queue_;
+    std::map<std::uint64_t, waiter> waiters_;
+    std::map<task_id, owned_task> tasks_;
+    std::map<std::string, std::pair<int, time_point>> fences_;
+    std::map<std::string, int> evictions_;
+    std::mt19937_64 rng_;
+    std::thread tend_thread_;
+    worker_pool watchers_;
+    worker_pool reporters_;
+};
+
+} // namespace egretspindle
+
+#endif
--- /dev/null
+++ b/include/egretspindle/request_path/request_record.hpp
@@ -0,0 +1,85 @@
+/// \file
+/// Durable record of a request.
+
+#ifndef EGRETSPINDLE_REQUEST_PATH_REQUEST_RECORD_HPP
+#define EGRETSPINDLE_REQUEST_PATH_REQUEST_RECORD_HPP
+
+#include "egretspindle/core/request_reply.hpp"
+#include "egretspindle/core/request_spec.hpp"
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+namespace egretspindle
+{
+
+/// States of a request record.
+namespace record_state
+{
+inline constexpr std::string_view accepted = "accepted"; ///< not started
+inline constexpr std::string_view claimed = "claimed";   ///< any target
+inline constexpr std::string_view starting = "starting"; ///< target is set
+inline constexpr std::string_view ended = "ended";       ///< reply is final
+} // namespace record_state
+
+/// Value of the row `request/<key>`.
+struct request_record
+{
+    std::string digest;      ///< of the spec, to detect reuse of the id
+    std::string state;       ///< one of `record_state`
+    std::string coordinator; ///< host that is in charge
+    std::string data_center; ///< of the coordinator
+    int attempt = 0;         ///< latest attempt
+    std::string target;      ///< of the latest attempt
+    std::string target_rack;
+    std::string target_data_center;
+    std::string boot_id;    ///< boot of the target when reserved
+    std::string checkpoint; ///< to resume from
+    int failures = 0;       ///< attempts that ran and failed
+    bool cancel_requested = false;
+    std::int64_t accepted_unix_ms = 0;
+    request_spec spec;   ///< empty once ended
+    request_reply reply; ///< set once ended
+};
+
+/// Visits the fields of `request_record` for the codec.
+template <typename Visitor, typename Value>
+void visit_fields(Visitor&& visit, Value& value, const request_record* /*tag*/)
+{
+    visit("digest", value.digest);
+    visit("state", value.state);
+    visit("coordinator", value.coordinator);
+    visit("data_center", value.data_center);
+    visit("attempt", value.attempt);
+    visit("target", value.target);
+    visit("target_rack", value.target_rack);
+    visit("target_data_center", value.target_data_center);
+    visit("boot_id", value.boot_id);
+    visit("checkpoint", value.checkpoint);
+    visit("failures", value.failures);
+    visit("cancel_requested", value.cancel_requested);
+    visit("accepted_unix_ms", value.accepted_unix_ms);
+    visit("spec", value.spec);
+    visit("reply", value.reply);
+}
+
+/// Returns the key of the row that holds the record of a request.
+[[nodiscard]] std::string record_key(std::string_view key);
+
+/// Returns the shard of a request, from 0 to `shard_count - 1`.
+[[nodiscard]] int shard_of(std::string_view key) noexcept;
+
+/// Returns the key of the row that lists an open request of a shard.
+[[nodiscard]] std::string open_key(std::string_view data_center, int shard,
+                                   std::string_view key);
+
+/// Returns the prefix of the open requests of a shard.
+[[nodiscard]] std::string open_prefix(std::string_view data_center, int shard);
+
+/// Shards of open requests in each data centre.
+inline constexpr int shard_count = 64;
+
+} // namespace egretspindle
+
+#endif
--- /dev/null
+++ b/src/request_path/coordinator.cpp
@@ -0,0 +1,256 @@
+#include "egretspindle/request_path/coordinator.hpp"
+
+#include "egretspindle/codec/json.hpp"
+#include "egretspindle/core/error.hpp"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+
+namespace egretspindle
+{
+
+coordinator::coordinator(coordinator_options options, coordinator_hooks hooks,
+                         store_client& store, rack_router& router)
+    : options_(std::move(options)), hooks_(std::move(hooks)), store_(store),
+      router_(router), log_(store, options_.host_name),
+      workers_(options_.max_workers)
+{
+}
+
+coordinator::~coordinator()
+{
+    stop();
+}
+
+void coordinator::start()
+{
+    log_.start();
+    dispatch_thread_ = std::thread([this] { dispatch(); });
+    poll_thread_ = std::thread([this] { poll_running(); });
+}
+
+void coordinator::stop()
+{
+    {
+        const std::lock_guard<std::mutex> lock(queue_mutex_);
+        is_stopping_ = true;
+        queue_changed_.notify_all();
+    }
+    if (dispatch_thread_.joinable())
+    {
+        dispatch_thread_.join();
+    }
+    if (poll_thread_.joinable())
+    {
+        poll_thread_.join();
+    }
+    workers_.stop();
+    log_.stop();
+}
+
+absl::StatusOr<request_reply> coordinator::submit(const request_spec& spec,
+                                                  milliseconds wait)
+{
+    const request_entry_ptr fresh = make_entry(spec, steady_clock::now());
+    const auto [entry, is_new] = table_.insert(fresh);
+    if (!is_new)
+    {
+        const std::lock_guard<std::mutex> lock(entry->mutex);
+        // Requests that were recorded without their spec match any body.
+        if (!entry->record.digest.empty() &&
+            entry->record.digest != fresh->record.digest)
+        {
+            return make_error(error_kind::conflict,
+                              fmt::format("id '{}' was used for a different "
+                                          "request; choose another id",
+                                          spec.id));
+        }
+    }
+    else if (!spec.urgent)
+    {
+        accept_batch(entry);
+    }
+    else
+    {
+        {
+            const std::lock_guard<std::mutex> lock(entry->mutex);
+            entry->is_busy = true;
+        }
+        const auto run = [this, entry = entry]
+        {
+            if (entry->spec.idempotent)
+            {
+                run_urgent(entry);
+            }
+            else
+            {
+                run_recorded(entry);
+            }
+        };
+        // A caller that waits for the end lends its thread.
+        if (wait.count() >= spec.deadline_ms)
+        {
+            run();
+        }
+        else
+        {
+            workers_.run(run);
+        }
+    }
+    return reply_after(entry, wait);
+}
+
+absl::StatusOr<request_reply>
+coordinator::reply_after(const request_entry_ptr& entry, milliseconds wait)
+{
+    const request_reply reply =
+        wait_for_end(*entry, steady_clock::now() + wait);
+    const std::lock_guard<std::mutex> lock(entry->mutex);
+    if (!entry->error.ok())
+    {
+        return entry->error;
+    }
+    return reply;
+}
+
+absl::StatusOr<request_reply> coordinator::wait(const key_query& query)
+{
+    const absl::StatusOr<request_entry_ptr> entry = load(query.key);
+    if (!entry.ok())
+    {
+        return entry.status();
+    }
+    return reply_after(*entry, milliseconds(query.wait_ms));
+}
+
+absl::StatusOr<request_entry_ptr> coordinator::load(const std::string& key)
+{
+    const request_entry_ptr known = table_.find(key);
+    if (known)
+    {
+        return known;
+    }
+    const absl::StatusOr<store_row> row =
+        store_.read(record_key(key), options_.store_timeout);
+    if (!row.ok())
+    {
+        store_health_.failed(steady_clock::now());
+        return make_error(error_kind::unavailable,
+                          "the store cannot be reached; ask again later");
+    }
+    if (row->version == 0)
+    {
+        return make_error(
+            error_kind::not_found,
+            fmt::format("no request '{}'; check its team and id", key));
+    }
+    const absl::StatusOr<request_record> record =
+        from_json<request_record>(row->value);
+    if (!record.ok())
+    {
+        return record.status();
+    }
+    const auto [entry, is_new] = table_.insert(
+        make_entry(key, *record, row->version, steady_clock::now()));
+    if (is_new && record->state != record_state::ended)
+    {
+        {
+            const std::lock_guard<std::mutex> lock(entry->mutex);
+            entry->is_busy = true;
+        }
+        workers_.run([this, entry = entry, row = *row] { adopt(entry, row); });
+    }
+    return entry;
+}
+
+bool coordinator::is_elsewhere(const request_record& record) const
+{
+    return record.coordinator != options_.host_name &&
+           hooks_.is_alive(record.coordinator);
+}
+
+absl::StatusOr<request_reply> coordinator::cancel(const std::string& key)
+{
+    const absl::StatusOr<request_entry_ptr> entry = load(key);
+    if (!entry.ok())
+    {
+        return entry.status();
+    }
+    {
+        const std::lock_guard<std::mutex> lock((*entry)->mutex);
+        if (is_final((*entry)->reply.result))
+        {
+            return (*entry)->reply;
+        }
+        (*entry)->cancel_requested = true;
+        (*entry)->changed.notify_all();
+    }
+    cancel_running(*entry);
+    return reply_after(*entry, options_.store_timeout);
+}
+
+void coordinator::cancel_running(const request_entry_ptr& entry)
+{
+    task_query query;
+    bool is_queued = false;
+    {
+        const std::lock_guard<std::mutex> lock(entry->mutex);
+        is_queued =
+            !entry->is_busy && entry->record.state == record_state::accepted;
+        query.key = entry->key;
+        query.attempt = entry->reply.attempt;
+        query.target = entry->reply.target;
+        query.rack = entry->record.target_rack;
+        query.data_center = entry->record.target_data_center;
+        query.boot_id = entry->record.boot_id;
+    }
+    if (is_queued)
+    {
+        request_reply reply = reply_of(*entry);
+        reply.result = outcome::cancelled;
+        reply.reason = "cancelled before it started";
+        finish(entry, reply);
+        return;
+    }
+    if (!query.target.empty())
+    {
+        const absl::StatusOr<task_report> report = router_.stop(query);
+        if (report.ok())
+        {
+            apply_report(entry, *report);
+        }
+    }
+}
+
+bool coordinator::flush(milliseconds timeout)
+{
+    return log_.flush(timeout);
+}
+
+std::vector<request_entry_ptr> coordinator::entries() const
+{
+    return table_.entries();
+}
+
+int coordinator::open_count() const
+{
+    const std::vector<request_entry_ptr> all = table_.entries();
+    return static_cast<int>(
+        std::count_if(all.begin(), all.end(),
+                      [](const request_entry_ptr& entry)
+                      { return !is_final(reply_of(*entry).result); }));
+}
+
+int coordinator::queued_count() const
+{
+    const std::lock_guard<std::mutex> lock(queue_mutex_);
+    return static_cast<int>(queue_.size());
+}
+
+bool coordinator::is_store_healthy() const noexcept
+{
+    return store_health_.is_healthy();
+}
+
+} // namespace egretspindle
--- /dev/null
+++ b/src/request_path/coordinator_commit.cpp
@@ -0,0 +1,216 @@
+// Final replies and their records.
+
+#include "egretspindle/codec/json.hpp"
+#include "egretspindle/core/error.hpp"
+#include "egretspindle/request_path/coordinator.hpp"
+
+namespace egretspindle
+{
+
+namespace
+{
+
+store_write open_row_removal(const std::string& data_center,
+                             const std::string& key)
+{
+    store_write write;
+    write.key = open_key(data_center, shard_of(key), key);
+    write.remove = true;
+    return write;
+}
+
+} // namespace
+
+absl::StatusOr<commit_result>
+coordinator::commit_record(const request_entry_ptr& entry,
+                           const request_record& record, milliseconds timeout)
+{
+    store_transaction transaction;
+    transaction.tx_id = make_transaction_id(options_.host_name);
+    std::int64_t version = 0;
+    {
+        const std::lock_guard<std::mutex> lock(entry->mutex);
+        version = entry->version;
+    }
+    transaction.checks.push_back({record_key(entry->key), version});
+    transaction.writes.push_back(
+        {record_key(entry->key), to_json(record), false});
+    if (version == 0 && record.state == record_state::accepted)
+    {
+        transaction.writes.push_back(
+            {open_key(options_.data_center, shard_of(entry->key), entry->key),
+             options_.host_name, false});
+    }
+    absl::StatusOr<commit_result> result = store_.commit(transaction, timeout);
+    if (!result.ok())
+    {
+        store_health_.failed(steady_clock::now());
+        return result;
+    }
+    store_health_.succeeded();
+    if (result->committed)
+    {
+        const std::lock_guard<std::mutex> lock(entry->mutex);
+        entry->version = version + 1;
+        entry->record = record;
+    }
+    return result;
+}
+
+void coordinator::finish(const request_entry_ptr& entry,
+                         const request_reply& reply)
+{
+    {
+        const std::lock_guard<std::mutex> lock(entry->mutex);
+        if (is_final(entry->reply.result))
+        {
+            return;
+        }
+        entry->reply = reply;
+        entry->reply.key = entry->key;
+        entry->ended = steady_clock::now();
+        entry->is_busy = false;
+        entry->changed.notify_all();
+    }
+    record_end(entry);
+}
+
+void coordinator::refuse(const request_entry_ptr& entry,
+                         const absl::Status& error)
+{
+    {
+        const std::lock_guard<std::mutex> lock(entry->mutex);
+        entry->error = error;
+        entry->reply.result = outcome::not_run;
+        entry->is_busy = false;
+        entry->changed.notify_all();
+    }
+    table_.erase(entry);
+}
+
+void coordinator::give_away(const request_entry_ptr& entry)
+{
+    {
+        const std::lock_guard<std::mutex> lock(entry->mutex);
+        entry->reply.result = outcome::unknown;
+        entry->reply.reason = "another host is in charge of the request; send "
+                              "the same id again";
+        entry->is_busy = false;
+        entry->changed.notify_all();
+    }
+    table_.erase(entry);
+}
+
+void coordinator::withdraw(const request_entry_ptr& entry,
+                           std::string_view reason, std::int64_t retry_after_ms)
+{
+    std::int64_t version = 0;
+    {
+        const std::lock_guard<std::mutex> lock(entry->mutex);
+        if (is_final(entry->reply.result))
+        {
+            return;
+        }
+        entry->reply.result = outcome::not_run;
+        entry->reply.reason = reason;
+        entry->reply.retry_after_ms = retry_after_ms;
+        entry->is_busy = false;
+        version = entry->version;
+        entry->changed.notify_all();
+    }
+    // The same id may be sent again, so nothing of it stays behind.
+    table_.erase(entry);
+    if (version > 0)
+    {
+        completion item;
+        item.checks.push_back({record_key(entry->key), version});
+        item.writes.push_back({record_key(entry->key), "", true});
+        item.writes.push_back(
+            open_row_removal(options_.data_center, entry->key));
+        item.on_result = [](const commit_result&) {
+        };
+        log_.add(std::move(item));
+    }
+}
+
+void coordinator::record_end(const request_entry_ptr& entry)
+{
+    completion item;
+    {
+        const std::lock_guard<std::mutex> lock(entry->mutex);
+        request_record record = entry->record;
+        record.state = record_state::ended;
+        record.reply = entry->reply;
+        record.spec = request_spec{};
+        item.checks.push_back({record_key(entry->key), entry->version});
+        item.writes.push_back({record_key(entry->key), to_json(record), false});
+        if (!entry->spec.urgent)
+        {
+            const std::string& data_center = record.data_center.empty()
+                                                 ? options_.data_center
+                                                 : record.data_center;
+            item.writes.push_back(open_row_removal(data_center, entry->key));
+        }
+    }
+    item.on_result = [this, entry](const commit_result& result)
+    {
+        end_recorded(entry, result);
+    };
+    log_.add(std::move(item));
+}
+
+void coordinator::end_recorded(const request_entry_ptr& entry,
+                               const commit_result& result)
+{
+    task_query query;
+    if (!result.committed)
+    {
+        const std::string row_key = record_key(entry->key);
+        for (const store_row& row : result.conflicts)
+        {
+            const absl::StatusOr<request_record> record =
+                from_json<request_record>(row.value);
+            const bool is_same_row = row.key == row_key && record.ok();
+            if (is_same_row && record->state == record_state::ended)
+            {
+                // Another coordinator, or an earlier try of this one whose
+                // answer was lost, recorded the end first. That one counts.
+                const std::lock_guard<std::mutex> lock(entry->mutex);
+                entry->reply = record->reply;
+                entry->version = row.version;
+                entry->is_durable = true;
+                return;
+            }
+            if (is_same_row && is_elsewhere(*record))
+            {
+                // The other coordinator is in charge and will record it.
+                table_.erase(entry);
+                return;
+            }
+            if (row.key == row_key)
+            {
+                const std::lock_guard<std::mutex> lock(entry->mutex);
+                entry->version = row.version;
+            }
+        }
+        record_end(entry);
+        return;
+    }
+    {
+        const std::lock_guard<std::mutex> lock(entry->mutex);
+        entry->is_durable = true;
+        ++entry->version;
+        query.key = entry->key;
+        query.attempt = entry->reply.attempt;
+        query.target = entry->reply.target;
+        query.rack = entry->record.target_rack;
+        query.data_center = entry->record.target_data_center;
+    }
+    if (!query.target.empty())
+    {
+        workers_.run([this, query]
+                     { router_.acknowledge(query).IgnoreError(); });
+    }
+}
+
+} // namespace egretspindle
--- /dev/null
+++ b/src/request_path/coordinator_follow.cpp
@@ -0,0 +1,184 @@
+// Reports on attempts and what follows from them.
+
+#include "egretspindle/core/error.hpp"
+#include "egretspindle/request_path/coordinator.hpp"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+
+namespace egretspindle
+{
+
+namespace
+{
+
+constexpr milliseconds follow_wait{2000};
+constexpr milliseconds unreachable_delay{200};
+
+task_query query_of(const request_entry& entry)
+{
+    const std::lock_guard<std::mutex> lock(entry.mutex);
+    task_query query;
+    query.key = entry.key;
+    query.attempt = entry.reply.attempt;
+    query.target = entry.reply.target;
+    query.rack = entry.record.target_rack;
+    query.data_center = entry.record.target_data_center;
+    query.boot_id = entry.record.boot_id;
+    return query;
+}
+
+} // namespace
+
+coordinator::next_step coordinator::follow(const request_entry_ptr& entry,
+                                           time_point limit)
+{
+    while (true)
+    {
+        task_query query = query_of(*entry);
+        const std::int64_t left_ms =
+            limit == time_point::max() ? follow_wait.count()
+                                       : elapsed_ms(steady_clock::now(), limit);
+        query.wait_ms =
+            std::clamp<std::int64_t>(left_ms, 0, follow_wait.count());
+        const absl::StatusOr<task_report> report = router_.task_state(query);
+        next_step step = next_step::running;
+        if (report.ok())
+        {
+            step = apply_report(entry, *report);
+        }
+        if (step != next_step::running)
+        {
+            return step;
+        }
+        if (steady_clock::now() >= limit)
+        {
+            leave_running(entry);
+            return next_step::running;
+        }
+        std::unique_lock<std::mutex> lock(entry->mutex);
+        if (is_final(entry->reply.result))
+        {
+            return next_step::ended;
+        }
+        if (!report.ok() || !report->reachable)
+        {
+            entry->changed.wait_for(lock, unreachable_delay);
+        }
+    }
+}
+
+void coordinator::leave_running(const request_entry_ptr& entry)
+{
+    const std::lock_guard<std::mutex> lock(entry->mutex);
+    entry->is_busy = false;
+    entry->next_poll = steady_clock::now() + options_.poll_interval;
+}
+
+coordinator::next_step coordinator::apply_report(const request_entry_ptr& entry,
+                                                 const task_report& report)
+{
+    {
+        const std::lock_guard<std::mutex> lock(entry->mutex);
+        if (is_final(entry->reply.result))
+        {
+            return next_step::ended;
+        }
+        if (report.task.attempt < entry->record.attempt)
+        {
+            // An attempt that was superseded has no say any more.
+            return next_step::running;
+        }
+        entry->reply.attempt = report.task.attempt;
+        entry->record.attempt = report.task.attempt;
+        if (!report.target.empty())
+        {
+            entry->reply.target = report.target;
+            entry->record.target = report.target;
+            entry->record.target_rack = report.rack;
+            entry->record.target_data_center = report.data_center;
+        }
+        if (entry->record.boot_id.empty())
+        {
+            entry->record.boot_id = report.task.boot_id;
+        }
+        if (!report.task.checkpoint.empty())
+        {
+            entry->record.checkpoint = report.task.checkpoint;
+        }
+        if (report.task.state == "running")
+        {
+            entry->may_have_run = true;
+            if (entry->reply.result != outcome::running)
+            {
+                entry->reply.result = outcome::running;
+                entry->changed.notify_all();
+            }
+            return next_step::running;
+        }
+    }
+    return apply_end(entry, report);
+}
+
+coordinator::next_step coordinator::apply_end(const request_entry_ptr& entry,
+                                              const task_report& report)
+{
+    request_reply reply = reply_of(*entry);
+    bool is_cancelled = false;
+    int failures = 0;
+    {
+        const std::lock_guard<std::mutex> lock(entry->mutex);
+        is_cancelled = entry->cancel_requested;
+        if (!report.never_started)
+        {
+            entry->may_have_run = true;
+        }
+        if (report.task.state == "finished" && !report.task.ok)
+        {
+            failures = ++entry->record.failures;
+        }
+    }
+    if (report.task.state == "finished" && report.task.ok)
+    {
+        reply.result = outcome::done;
+        reply.answer = report.task.answer;
+        reply.reason.clear();
+        finish(entry, reply);
+        return next_step::ended;
+    }
+    const bool has_ended = report.task.state == "finished" ||
+                           report.task.state == "stopped" ||
+                           report.certainly_ended;
+    if (!has_ended)
+    {
+        return next_step::running;
+    }
+    if (is_cancelled)
+    {
+        reply.result = outcome::cancelled;
+        reply.reason = "stopped on request";
+        finish(entry, reply);
+        return next_step::ended;
+    }
+    if (report.task.state == "finished" &&
+        (!entry->spec.idempotent || failures >= options_.max_failures))
+    {
+        reply.result = outcome::failed;
+        reply.reason = fmt::format("the task failed {} times, last: {}",
+                                   failures, report.task.error);
+        finish(entry, reply);
+        return next_step::ended;
+    }
+    if (!entry->spec.idempotent && !report.never_started)
+    {
+        reply.result = outcome::unknown;
+        reply.reason = "the target was lost while the task may have run; "
+                       "check its effect before sending a new request";
+        finish(entry, reply);
+        return next_step::ended;
+    }
+    return next_step::retry;
+}
+
+} // namespace egretspindle
--- /dev/null
+++ b/src/request_path/coordinator_recorded.cpp
@@ -0,0 +1,196 @@
+// Starts that are recorded before they are made: every non-idempotent
+// request and every batch request.
+
+#include "egretspindle/codec/json.hpp"
+#include "egretspindle/core/error.hpp"
+#include "egretspindle/request_path/coordinator.hpp"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+
+namespace egretspindle
+{
+
+namespace
+{
+
+constexpr milliseconds retry_delay{50};
+
+} // namespace
+
+void coordinator::run_recorded(const request_entry_ptr& entry)
+{
+    while (start_recorded(entry))
+    {
+        if (follow(entry, entry->deadline) != next_step::retry)
+        {
+            return;
+        }
+    }
+}
+
+bool coordinator::start_recorded(const request_entry_ptr& entry)
+{
+    int attempt = 0;
+    {
+        const std::lock_guard<std::mutex> lock(entry->mutex);
+        if (is_final(entry->reply.result))
+        {
+            return false;
+        }
+        attempt = std::max(entry->record.attempt + 1, entry->next_attempt);
+        entry->next_attempt = attempt + 1;
+    }
+    const absl::StatusOr<place_reply> place = reserve(entry, attempt);
+    if (!place.ok())
+    {
+        give_up_start(entry, std::string(place.status().message()), 1000);
+        return false;
+    }
+    if (!place->placed)
+    {
+        give_up_start(entry, place->reason, place->retry_after_ms);
+        return false;
+    }
+    if (!record_start(entry, attempt, *place))
+    {
+        return false;
+    }
+    place_request request;
+    request.spec = entry->spec;
+    request.attempt = attempt;
+    request.rack = place->rack;
+    request.coordinator_data_center = options_.data_center;
+    request.target = place->target;
+    request.boot_id = place->boot_id;
+    {
+        const std::lock_guard<std::mutex> lock(entry->mutex);
+        request.data_center = entry->record.target_data_center;
+        request.checkpoint = entry->record.checkpoint;
+    }
+    const absl::StatusOr<place_reply> started = router_.place(request);
+    if (started.ok() && started->placed)
+    {
+        task_report report;
+        report.task = started->task;
+        report.target = started->target;
+        report.rack = started->rack;
+        report.data_center = request.data_center;
+        apply_report(entry, report);
+    }
+    // Otherwise the state of the attempt is asked at the target.
+    return true;
+}
+
+absl::StatusOr<place_reply> coordinator::reserve(const request_entry_ptr& entry,
+                                                 int attempt)
+{
+    absl::StatusOr<place_reply> last = place_reply{};
+    last->reason = "no rack has room; send it again later";
+    last->retry_after_ms = 1000;
+    for (const rack_candidate& candidate : router_.candidates(entry->spec))
+    {
+        place_request request;
+        request.spec = entry->spec;
+        request.attempt = attempt;
+        request.rack = candidate.rack;
+        request.data_center = candidate.data_center;
+        request.coordinator_data_center = options_.data_center;
+        request.reserve_only = true;
+        request.remaining_ms =
+            entry->deadline == time_point::max()
+                ? 0
+                : std::max<std::int64_t>(
+                      1, elapsed_ms(steady_clock::now(), entry->deadline));
+        absl::StatusOr<place_reply> reply = router_.place(request);
+        if (reply.ok() && reply->placed)
+        {
+            reply->data_center = candidate.data_center;
+            return reply;
+        }
+        // A reservation whose answer was lost expires at the owner.
+        last = std::move(reply);
+    }
+    return last;
+}
+
+bool coordinator::record_start(const request_entry_ptr& entry, int attempt,
+                               const place_reply& place)
+{
+    request_record record;
+    {
+        const std::lock_guard<std::mutex> lock(entry->mutex);
+        record = entry->record;
+    }
+    record.state = record_state::starting;
+    record.coordinator = options_.host_name;
+    record.data_center = options_.data_center;
+    record.attempt = attempt;
+    record.target = place.target;
+    record.target_rack = place.rack;
+    record.target_data_center = place.data_center;
+    record.boot_id = place.boot_id;
+    const absl::StatusOr<commit_result> result =
+        commit_record(entry, record, options_.store_timeout);
+    if (!result.ok())
+    {
+        give_up_start(entry,
+                      "the start could not be recorded; send it again later",
+                      2000);
+        return false;
+    }
+    if (!result->committed)
+    {
+        if (result->conflicts.empty())
+        {
+            give_up_start(entry, "the record changed; send it again", 100);
+            return false;
+        }
+        adopt(entry, result->conflicts.front());
+        return false;
+    }
+    const std::lock_guard<std::mutex> lock(entry->mutex);
+    entry->reply.attempt = attempt;
+    entry->reply.target = place.target;
+    return true;
+}
+
+void coordinator::give_up_start(const request_entry_ptr& entry,
+                                std::string_view reason,
+                                std::int64_t retry_after_ms)
+{
+    bool is_cancelled = false;
+    bool may_have_run = false;
+    {
+        const std::lock_guard<std::mutex> lock(entry->mutex);
+        is_cancelled = entry->cancel_requested;
+        may_have_run = entry->may_have_run;
+    }
+    if (is_cancelled)
+    {
+        request_reply reply = reply_of(*entry);
+        reply.result = outcome::cancelled;
+        reply.reason = "cancelled before it started";
+        finish(entry, reply);
+        return;
+    }
+    if (!entry->spec.urgent)
+    {
+        enqueue(entry, milliseconds(std::clamp<std::int64_t>(
+                           retry_after_ms, retry_delay.count(), 2000)));
+        return;
+    }
+    if (may_have_run)
+    {
+        request_reply reply = reply_of(*entry);
+        reply.result = outcome::unknown;
+        reply.reason =
+            fmt::format("an earlier attempt may have run; {}", reason);
+        finish(entry, reply);
+        return;
+    }
+    withdraw(entry, reason, retry_after_ms);
+}
+
+} // namespace egretspindle
--- /dev/null
+++ b/src/request_path/peer_rack_router.cpp
@@ -0,0 +1,354 @@
+#include "egretspindle/request_path/peer_rack_router.hpp"
+
+#include "egretspindle/core/error.hpp"
+#include "egretspindle/placement/choose_racks.hpp"
+#include "egretspindle/protocol/message_type.hpp"
+#include "egretspindle/protocol/peer_client.hpp"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+
+namespace egretspindle
+{
+
+namespace
+{
+
+// Covers the two tries that an owner makes at a target that does not answer.
+constexpr milliseconds call_timeout{2500};
+constexpr milliseconds find_timeout{500};
+// Racks that are asked in turn before the data centre counts as full.
+constexpr std::size_t max_local_candidates = 4;
+
+bool can_take_work(const member_digest& member)
+{
+    return member.state == "alive" || member.state == "suspect";
+}
+
+int free_slots_of(const member_digest& member)
+{
+    int n = 0;
+    for (const rack_summary& rack : member.racks)
+    {
+        n += rack.free_slots;
+    }
+    return n;
+}
+
+} // namespace
+
+peer_rack_router::peer_rack_router(rack_table& racks,
+                                   membership_service& members,
+                                   rpc_client& client, rack_names names)
+    : racks_(racks), members_(members), client_(client),
+      names_(std::move(names)), rng_(std::random_device{}())
+{
+}
+
+std::vector<rack_summary> peer_rack_router::summaries() const
+{
+    std::vector<rack_summary> all;
+    std::set<std::string> seen;
+    for (const std::shared_ptr<rack_runtime>& runtime : racks_.all())
+    {
+        all.push_back(runtime->summary());
+        seen.insert(all.back().rack);
+    }
+    const std::string& data_center = members_.options().data_center;
+    for (const member_digest& member : members_.members())
+    {
+        if (member.data_center != data_center || !can_take_work(member) ||
+            member.name == members_.options().name)
+        {
+            continue;
+        }
+        for (const rack_summary& rack : member.racks)
+        {
+            if (seen.insert(rack.rack).second)
+            {
+                all.push_back(rack);
+            }
+        }
+    }
+    return all;
+}
+
+std::vector<rack_candidate>
+peer_rack_router::candidates(const request_spec& spec)
+{
+    const std::string& data_center = members_.options().data_center;
+    const std::vector<rack_summary> racks = summaries();
+    std::vector<std::size_t> order;
+    {
+        const std::lock_guard<std::mutex> lock(rng_mutex_);
+        order = choose_racks(racks, make_task_request(spec, 1, std::nullopt),
+                             rng_);
+    }
+    std::vector<rack_candidate> found;
+    for (const std::size_t n : order)
+    {
+        if (found.size() < max_local_candidates)
+        {
+            found.push_back({data_center, racks[n].rack});
+        }
+    }
+    std::vector<std::pair<int, std::string>> others;
+    for (const member_digest& member : members_.members())
+    {
+        const int n = free_slots_of(member);
+        const bool is_known =
+            std::any_of(others.begin(), others.end(),
+                        [&](const std::pair<int, std::string>& item)
+                        { return item.second == member.data_center; });
+        if (member.data_center != data_center && can_take_work(member) &&
+            n > 0 && !is_known && members_.is_reachable(member.data_center))
+        {
+            others.emplace_back(n, member.data_center);
+        }
+    }
+    std::sort(others.rbegin(), others.rend());
+    for (const auto& [n, name] : others)
+    {
+        found.push_back({name, ""});
+    }
+    return found;
+}
+
+absl::StatusOr<std::string>
+peer_rack_router::owner_address(const std::string& data_center,
+                                const std::string& rack)
+{
+    const bool is_here = data_center == members_.options().data_center;
+    if (!is_here)
+    {
+        const std::vector<std::string> hosts =
+            members_.live_hosts(data_center);
+        if (!hosts.empty())
+        {
+            const std::lock_guard<std::mutex> lock(rng_mutex_);
+            return members_.address_of(hosts[rng_() % hosts.size()]);
+        }
+    }
+    const member_digest* best = nullptr;
+    std::int64_t best_epoch = -1;
+    const std::vector<member_digest> all = members_.members();
+    for (const member_digest& member : all)
+    {
+        if (!is_here || member.data_center != data_center ||
+            member.name == members_.options().name || member.state == "dead")
+        {
+            continue;
+        }
+        for (const rack_summary& summary : member.racks)
+        {
+            if (summary.rack == rack && summary.epoch > best_epoch)
+            {
+                best = &member;
+                best_epoch = summary.epoch;
+            }
+        }
+    }
+    if (best == nullptr)
+    {
+        return make_error(
+            error_kind::unavailable,
+            fmt::format("no owner of rack '{}' in '{}' is known; try again "
+                        "in a few seconds",
+                        rack, data_center));
+    }
+    return members_.address_of(best->name);
+}
+
+absl::StatusOr<place_reply>
+peer_rack_router::place(const place_request& request)
+{
+    const bool is_here = request.data_center == members_.options().data_center;
+    if (is_here && request.rack.empty())
+    {
+        return place_anywhere(request);
+    }
+    if (is_here)
+    {
+        if (const std::shared_ptr<rack_runtime> runtime =
+                racks_.find(request.rack))
+        {
+            place_reply reply = runtime->place(request);
+            reply.data_center = request.data_center;
+            return reply;
+        }
+        if (request.relayed)
+        {
+            return make_error(error_kind::stale_epoch,
+                              "this host does not own the rack; look up its "
+                              "owner again");
+        }
+    }
+    const absl::StatusOr<std::string> address =
+        owner_address(request.data_center, request.rack);
+    if (!address.ok())
+    {
+        return address.status();
+    }
+    place_request passed_on = request;
+    // A host of another data centre passes the message on once more.
+    passed_on.relayed = is_here;
+    return call_peer<place_reply>(client_, *address, message_type::place,
+                                  passed_on,
+                                  call_timeout +
+                                      milliseconds(request.wait_ms));
+}
+
+absl::StatusOr<place_reply>
+peer_rack_router::place_anywhere(const place_request& request)
+{
+    absl::StatusOr<place_reply> last = place_reply{};
+    last->reason = "no rack of the data centre has room";
+    for (const rack_candidate& candidate : candidates(request.spec))
+    {
+        if (candidate.data_center != request.data_center)
+        {
+            break;
+        }
+        place_request chosen = request;
+        chosen.rack = candidate.rack;
+        last = place(chosen);
+        const bool is_refused =
+            last.ok() ? !last->placed && !last->may_have_started
+                      : kind_of(last.status()) !=
+                            error_kind::deadline_exceeded;
+        if (!is_refused)
+        {
+            return last;
+        }
+    }
+    return last;
+}
+
+absl::StatusOr<task_report>
+peer_rack_router::ask_owner(std::string_view type, query_function function,
+                            const task_query& query)
+{
+    const bool is_here = query.data_center == members_.options().data_center;
+    if (is_here)
+    {
+        if (const std::shared_ptr<rack_runtime> runtime =
+                racks_.find(query.rack))
+        {
+            return (runtime.get()->*function)(query);
+        }
+        if (query.relayed)
+        {
+            return make_error(error_kind::stale_epoch,
+                              "this host does not own the rack; look up its "
+                              "owner again");
+        }
+    }
+    const absl::StatusOr<std::string> address =
+        owner_address(query.data_center, query.rack);
+    if (!address.ok())
+    {
+        return address.status();
+    }
+    task_query passed_on = query;
+    passed_on.relayed = is_here;
+    return call_peer<task_report>(client_, *address, type, passed_on,
+                                  call_timeout + milliseconds(query.wait_ms));
+}
+
+absl::StatusOr<task_report>
+peer_rack_router::task_state(const task_query& query)
+{
+    return ask_owner(message_type::task_state, &rack_runtime::task_state,
+                     query);
+}
+
+absl::StatusOr<task_report> peer_rack_router::stop(const task_query& query)
+{
+    return ask_owner(message_type::task_stop, &rack_runtime::stop_task, query);
+}
+
+absl::Status peer_rack_router::acknowledge(const task_query& query)
+{
+    const bool is_here = query.data_center == members_.options().data_center;
+    if (is_here)
+    {
+        if (const std::shared_ptr<rack_runtime> runtime =
+                racks_.find(query.rack))
+        {
+            return runtime->acknowledge(query);
+        }
+        if (query.relayed)
+        {
+            // The owner reports the end itself and drops it then.
+            return absl::OkStatus();
+        }
+    }
+    const absl::StatusOr<std::string> address =
+        owner_address(query.data_center, query.rack);
+    if (!address.ok())
+    {
+        return address.status();
+    }
+    task_query passed_on = query;
+    passed_on.relayed = is_here;
+    return call_peer<task_query>(client_, *address, message_type::task_ack,
+                                 passed_on, call_timeout)
+        .status();
+}
+
+find_reply peer_rack_router::find_here(const find_request& request) const
+{
+    find_reply reply;
+    for (const std::shared_ptr<rack_runtime>& runtime : racks_.all())
+    {
+        for (const task_report& report :
+             runtime->find(request.key, request.fence_attempt))
+        {
+            reply.reports.push_back(report);
+        }
+        if (runtime->is_covered())
+        {
+            reply.racks.push_back(runtime->summary().rack);
+        }
+    }
+    return reply;
+}
+
+absl::StatusOr<std::vector<task_report>>
+peer_rack_router::find(const find_request& request)
+{
+    const find_reply own = find_here(request);
+    std::vector<task_report> reports = own.reports;
+    std::set<std::string> covered(own.racks.begin(), own.racks.end());
+    const std::string& data_center = members_.options().data_center;
+    for (const std::string& host : members_.live_hosts(data_center))
+    {
+        if (host == members_.options().name)
+        {
+            continue;
+        }
+        const absl::StatusOr<find_reply> reply = call_peer<find_reply>(
+            client_, members_.address_of(host), message_type::find, request,
+            find_timeout);
+        if (reply.ok())
+        {
+            reports.insert(reports.end(), reply->reports.begin(),
+                           reply->reports.end());
+            covered.insert(reply->racks.begin(), reply->racks.end());
+        }
+    }
+    for (const std::string& rack : names_())
+    {
+        if (covered.count(rack) == 0)
+        {
+            return make_error(error_kind::unavailable,
+                              fmt::format("rack '{}' could not be searched; "
+                                          "try again in a few seconds",
+                                          rack));
+        }
+    }
+    return reports;
+}
+
+} // namespace egretspindle
--- /dev/null
+++ b/src/request_path/rack_place.cpp
@@ -0,0 +1,528 @@
+// Placement of attempts and their starts.
+
+#include "egretspindle/core/error.hpp"
+#include "egretspindle/logging/decision.hpp"
+#include "egretspindle/placement/observe.hpp"
+#include "egretspindle/request_path/rack_runtime.hpp"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+
+namespace egretspindle
+{
+
+namespace
+{
+
+// A start is tried on this many targets before the rack refuses.
+constexpr int max_start_tries = 3;
+constexpr std::int64_t refused_retry_ms = 500;
+
+std::string describe(const std::vector<placement_alternative>& alternatives)
+{
+    std::string text;
+    for (const placement_alternative& item : alternatives)
+    {
+        text += fmt::format("{}{}:{}", text.empty() ? "" : ",", item.target,
+                            item.obstacle.empty()
+                                ? fmt::format("{:.1f}", item.score_ms)
+                                : item.obstacle);
+    }
+    return text;
+}
+
+void log_placement(const std::string& rack, const std::string& key,
+                   const placement_decision& decision)
+{
+    egretspindle::decision line;
+    line.action = decision.kind == placement_kind::place  ? "place"
+                  : decision.kind == placement_kind::wait ? "wait"
+                                                          : "reject";
+    line.request = key;
+    line.rack = rack;
+    line.target = decision.target;
+    line.alternatives = describe(decision.alternatives);
+    line.reason = decision.reason;
+    log_decision(line);
+}
+
+place_reply refusal(std::string_view reason, std::int64_t retry_after_ms)
+{
+    place_reply reply;
+    reply.reason = reason;
+    reply.retry_after_ms = retry_after_ms;
+    return reply;
+}
+
+task_request make_task(const place_request& request, time_point now)
+{
+    std::optional<time_point> deadline;
+    if (request.remaining_ms > 0)
+    {
+        deadline = now + milliseconds(request.remaining_ms);
+    }
+    return make_task_request(request.spec, request.attempt, deadline);
+}
+
+} // namespace
+
+place_reply rack_runtime::place(const place_request& request)
+{
+    const time_point now = steady_clock::now();
+    task_request task = make_task(request, now);
+    if (std::optional<place_reply> known = known_attempt(request))
+    {
+        return *known;
+    }
+    if (!request.target.empty())
+    {
+        return start_on(request, request.target);
+    }
+    place_reply reply = refusal("no target has room; send it again later",
+                                refused_retry_ms);
+    for (int n = 0; n < max_start_tries; ++n)
+    {
+        placement_decision decision;
+        {
+            lock_type lock(mutex_);
+            decision = decide(lock, request, task);
+            if (decision.kind != placement_kind::place)
+            {
+                return refusal(decision.reason, decision.retry_after_ms);
+            }
+        }
+        evict_for(decision);
+        if (request.reserve_only)
+        {
+            const std::lock_guard<std::mutex> lock(mutex_);
+            reply.placed = true;
+            reply.target = decision.target;
+            reply.rack = rack_.rack;
+            reply.epoch = rack_.token.epoch;
+            const session_ptr session = session_of(decision.target);
+            reply.boot_id = session ? session->boot_id : "";
+            return reply;
+        }
+        reply = start_on(request, decision.target);
+        if (reply.placed || reply.may_have_started)
+        {
+            return reply;
+        }
+        task.excluded.push_back(decision.target);
+    }
+    return reply;
+}
+
+std::optional<place_reply>
+rack_runtime::known_attempt(const place_request& request)
+{
+    const std::string key = key_of(request.spec);
+    lock_type lock(mutex_);
+    const auto fence = fences_.find(key);
+    if (fence != fences_.end() && request.attempt <= fence->second.first)
+    {
+        place_reply reply = refusal(
+            "another coordinator is in charge of the request",
+            refused_retry_ms);
+        reply.superseded = true;
+        return reply;
+    }
+    if (is_stopping_)
+    {
+        return refusal("the rack has another owner", refused_retry_ms);
+    }
+    const auto it = tasks_.find({key, request.attempt});
+    if (it == tasks_.end())
+    {
+        if (!request.target.empty())
+        {
+            return refusal("the reservation is gone", refused_retry_ms);
+        }
+        return std::nullopt;
+    }
+    const owned_task& task = it->second;
+    if (task.phase == task_phase::reserved)
+    {
+        if (request.target.empty() && !request.reserve_only)
+        {
+            return refusal("the attempt is reserved", refused_retry_ms);
+        }
+        if (!request.reserve_only)
+        {
+            return std::nullopt;
+        }
+    }
+    // A repeated message: the first one decided.
+    place_reply reply;
+    reply.placed = true;
+    reply.target = task.target;
+    reply.rack = rack_.rack;
+    reply.boot_id = task.boot_id;
+    reply.epoch = rack_.token.epoch;
+    reply.task = report_of(it->first, task.target).task;
+    return reply;
+}
+
+placement_decision rack_runtime::decide(lock_type& lock,
+                                        const place_request& request,
+                                        const task_request& task)
+{
+    const time_point rebuilt_by = started_ + options_.rebuild_time;
+    changed_.wait_until(lock, rebuilt_by,
+                        [this]
+                        {
+                            return is_stopping_ ||
+                                   std::all_of(sessions_.begin(),
+                                               sessions_.end(),
+                                               [](const auto& item)
+                                               {
+                                                   return item.second
+                                                       ->has_contact;
+                                               });
+                        });
+    const time_point now = steady_clock::now();
+    note_request(load_, task.team, task.urgent, now);
+    if (task.urgent)
+    {
+        observe_urgent_arrival(model_, task.kind, now);
+    }
+    const std::shared_ptr<const policy_limits> limits = hooks_.limits();
+    placement_decision decision =
+        choose_target(load_, task, model_, *limits, now, rng_);
+    if (decision.kind == placement_kind::wait && task.urgent)
+    {
+        log_placement(rack_.rack, task.key, decision);
+        decision = wait_for_place(lock, task, decision);
+    }
+    else if (decision.kind == placement_kind::place)
+    {
+        reserve(request, decision);
+    }
+    log_placement(rack_.rack, task.key, decision);
+    return decision;
+}
+
+placement_decision
+rack_runtime::wait_for_place(lock_type& lock, const task_request& task,
+                             const placement_decision& first)
+{
+    const std::shared_ptr<const policy_limits> limits = hooks_.limits();
+    placement_decision rejected;
+    rejected.kind = placement_kind::reject;
+    const urgent_admission admission =
+        admit(urgent_queue_, *limits, task, first.predicted_run_ms,
+              first.predicted_wait_ms, steady_clock::now());
+    if (admission.displaced != 0)
+    {
+        waiter& displaced = waiters_[admission.displaced];
+        displaced.is_decided = true;
+        displaced.decision = rejected;
+        displaced.decision.reason =
+            "displaced by a team below its share; send it again later";
+        displaced.decision.retry_after_ms = refused_retry_ms;
+        changed_.notify_all();
+    }
+    if (!admission.admitted)
+    {
+        rejected.reason = admission.reason;
+        rejected.retry_after_ms = admission.retry_after_ms;
+        return rejected;
+    }
+    waiters_[admission.id] = waiter{};
+    const time_point limit =
+        task.deadline ? *task.deadline
+                      : steady_clock::now() + options_.lease;
+    changed_.wait_until(
+        lock, limit,
+        [&]
+        { return is_stopping_ || waiters_[admission.id].is_decided; });
+    const waiter result = waiters_[admission.id];
+    waiters_.erase(admission.id);
+    if (result.is_decided)
+    {
+        return result.decision;
+    }
+    remove(urgent_queue_, admission.id, false, steady_clock::now());
+    rejected.reason = is_stopping_
+                          ? "the rack has another owner"
+                          : "no place became free before the deadline";
+    rejected.retry_after_ms = refused_retry_ms;
+    return rejected;
+}
+
+// Gives places that became free to waiting urgent requests.
+void rack_runtime::serve_waiting()
+{
+    const time_point now = steady_clock::now();
+    const std::shared_ptr<const policy_limits> limits = hooks_.limits();
+    for (const std::uint64_t id : expire(urgent_queue_, now))
+    {
+        waiter& expired = waiters_[id];
+        expired.is_decided = true;
+        expired.decision.kind = placement_kind::reject;
+        expired.decision.reason = "the deadline cannot be met any more";
+        expired.decision.retry_after_ms = refused_retry_ms;
+    }
+    std::vector<std::uint64_t> skip;
+    while (true)
+    {
+        const std::optional<std::uint64_t> id =
+            next_urgent(urgent_queue_, *limits, skip, now);
+        const urgent_item* item =
+            id ? find_urgent(urgent_queue_, *id) : nullptr;
+        if (item == nullptr)
+        {
+            break;
+        }
+        const placement_decision decision =
+            choose_target(load_, item->request, model_, *limits, now, rng_);
+        if (decision.kind != placement_kind::place)
+        {
+            skip.push_back(*id);
+            // The first that finds no place ends the round: later ones of
+            // the same size would not find one either.
+            break;
+        }
+        place_request request;
+        request.spec.team = item->request.team;
+        request.spec.kind = item->request.kind;
+        request.spec.urgent = true;
+        request.spec.id = item->request.key.substr(
+            std::min(item->request.key.size(), item->request.team.size() + 1));
+        request.attempt = item->request.attempt;
+        request.coordinator_data_center = rack_.data_center;
+        reserve(request, decision);
+        waiters_[*id].is_decided = true;
+        waiters_[*id].decision = decision;
+        remove(urgent_queue_, *id, true, now);
+    }
+    changed_.notify_all();
+}
+
+void rack_runtime::reserve(const place_request& request,
+                           const placement_decision& decision)
+{
+    const time_point now = steady_clock::now();
+    const std::string key = key_of(request.spec);
+    owned_task task;
+    task.key = key;
+    task.attempt = request.attempt;
+    task.target = decision.target;
+    task.team = request.spec.team;
+    task.kind = request.spec.kind;
+    task.urgent = request.spec.urgent;
+    task.changed = now;
+    task.placed = now;
+    task.coordinator_data_center = request.coordinator_data_center;
+    const session_ptr session = session_of(decision.target);
+    task.boot_id = session ? session->boot_id : "";
+    tasks_[{key, request.attempt}] = task;
+
+    task_load load;
+    load.key = key;
+    load.attempt = request.attempt;
+    load.kind = task.kind;
+    load.team = task.team;
+    load.urgent = task.urgent;
+    load.reserve = decision.reservation;
+    load.started = now;
+    load.expected_end =
+        now + milliseconds(
+                  static_cast<std::int64_t>(decision.predicted_finish_ms));
+    // A non-idempotent task is never evicted, as it must not start twice.
+    load.checkpointable = !task.urgent && request.spec.idempotent &&
+                          request.spec.checkpointable;
+    if (target_load* target = load_of(decision.target))
+    {
+        target->tasks.push_back(load);
+    }
+    if (task.urgent)
+    {
+        note_start(urgent_queue_, task.team, now);
+    }
+}
+
+place_reply rack_runtime::start_on(const place_request& request,
+                                   const std::string& target)
+{
+    const task_id id{key_of(request.spec), request.attempt};
+    start_command command;
+    session_ptr session;
+    place_reply reply = refusal("the reservation is gone", refused_retry_ms);
+    {
+        const std::lock_guard<std::mutex> lock(mutex_);
+        session = session_of(target);
+        const auto it = tasks_.find(id);
+        const task_load* load = task_load_of(id, target);
+        if (!session || it == tasks_.end() || load == nullptr ||
+            it->second.phase != task_phase::reserved)
+        {
+            return reply;
+        }
+        if (!request.boot_id.empty() && request.boot_id != session->boot_id)
+        {
+            tasks_.erase(it);
+            remove_load(id, target);
+            reply.reason = "the target restarted; place it again";
+            return reply;
+        }
+        const time_point now = steady_clock::now();
+        owned_task& task = it->second;
+        task.phase = task_phase::starting;
+        task.changed = now;
+        task.coordinator_data_center = request.coordinator_data_center;
+        task.start_before_ms =
+            session->clock_ms + elapsed_ms(session->clock_received, now) +
+            options_.start_window.count();
+        command.epoch = session->token.epoch;
+        command.term = session->token.term;
+        command.key = id.first;
+        command.attempt = id.second;
+        command.team = request.spec.team;
+        command.kind = request.spec.kind;
+        command.urgent = request.spec.urgent;
+        command.reserve = load->reserve;
+        command.preemptible = load->checkpointable;
+        command.body = request.spec.body;
+        command.checkpoint = request.checkpoint;
+        command.start_before_ms = task.start_before_ms;
+        command.lease_until_ms = lease_until_ms(*session, options_);
+        command.wait_ms = request.wait_ms;
+        session->lease_bound = std::max(
+            session->lease_bound,
+            lease_bound_of(session->clock_received, options_));
+        reply.reason.clear();
+        reply.retry_after_ms = 0;
+        reply.target = target;
+        reply.rack = rack_.rack;
+        reply.epoch = rack_.token.epoch;
+        reply.boot_id = session->boot_id;
+    }
+    const absl::StatusOr<egretspindle::task_state> state =
+        session->client->start(command);
+    if (!state.ok())
+    {
+        reply.reason = std::string(state.status().message());
+        const error_kind kind = kind_of(state.status());
+        const bool is_unclear = kind == error_kind::deadline_exceeded ||
+                                kind == error_kind::internal;
+        if (is_unclear)
+        {
+            return start_lost(request, session, reply);
+        }
+        {
+            const std::lock_guard<std::mutex> lock(mutex_);
+            tasks_.erase(id);
+            remove_load(id, target);
+            if (kind == error_kind::unavailable)
+            {
+                session->is_reachable = false;
+                if (target_load* load = load_of(target))
+                {
+                    load->reachable = false;
+                }
+            }
+        }
+        if (kind == error_kind::stale_epoch)
+        {
+            hooks_.stale_epoch({rack_.data_center, rack_.rack});
+        }
+        reply.retry_after_ms = refused_retry_ms;
+        return reply;
+    }
+    {
+        const std::lock_guard<std::mutex> lock(mutex_);
+        const auto it = tasks_.find(id);
+        if (it != tasks_.end())
+        {
+            owned_task& task = it->second;
+            task.boot_id = state->boot_id;
+            if (state->state == "running")
+            {
+                task.phase = task_phase::running;
+                task.changed = steady_clock::now();
+            }
+            else if (task.phase != task_phase::ended)
+            {
+                task_has_ended(task, *state, steady_clock::now());
+            }
+        }
+    }
+    if (state->state == "running" && !request.spec.urgent)
+    {
+        watch(id, request.spec.expected_ms);
+    }
+    reply.placed = true;
+    reply.boot_id = state->boot_id;
+    reply.task = *state;
+    return reply;
+}
+
+// Finds out what became of a start whose answer was lost.
+place_reply rack_runtime::start_lost(const place_request& request,
+                                     const session_ptr& session,
+                                     place_reply reply)
+{
+    const task_id id{key_of(request.spec), request.attempt};
+    {
+        const std::lock_guard<std::mutex> lock(mutex_);
+        const auto it = tasks_.find(id);
+        if (it != tasks_.end() && it->second.phase == task_phase::starting)
+        {
+            it->second.phase = task_phase::uncertain;
+            it->second.changed = steady_clock::now();
+        }
+    }
+    task_query query;
+    query.key = id.first;
+    query.attempt = id.second;
+    query.target = reply.target;
+    query.boot_id = reply.boot_id;
+    const task_report report = ask_target(query, session);
+    if (report.certainly_ended && report.never_started)
+    {
+        return reply;
+    }
+    if (report.reachable && !report.task.state.empty() &&
+        !report.certainly_ended)
+    {
+        reply.placed = true;
+        reply.task = report.task;
+        return reply;
+    }
+    reply.may_have_started = true;
+    return reply;
+}
+
+void rack_runtime::evict_for(const placement_decision& decision)
+{
+    for (const eviction& item : decision.evictions)
+    {
+        evict(item.target, {item.key, item.attempt},
+              std::string(to_string(item.cause)));
+    }
+    for (const throttle& item : decision.throttles)
+    {
+        session_ptr session;
+        throttle_command command;
+        {
+            const std::lock_guard<std::mutex> lock(mutex_);
+            session = session_of(item.target);
+            if (!session)
+            {
+                continue;
+            }
+            command = {session->token.epoch, session->token.term, item.key,
+                       item.attempt, item.share};
+            if (task_load* load =
+                    task_load_of({item.key, item.attempt}, item.target))
+            {
+                load->share = item.share;
+            }
+        }
+        session->client->throttle(command).status().IgnoreError();
+    }
+}
+
+} // namespace egretspindle
--- /dev/null
+++ b/src/request_path/rack_report.cpp
@@ -0,0 +1,277 @@
+// Ends of attempts, guards and evictions.
+
+#include "egretspindle/core/error.hpp"
+#include "egretspindle/logging/decision.hpp"
+#include "egretspindle/placement/guard.hpp"
+#include "egretspindle/request_path/rack_runtime.hpp"
+
+#include <algorithm>
+
+namespace egretspindle
+{
+
+namespace
+{
+
+constexpr milliseconds tend_period{100};
+constexpr milliseconds guard_period{500};
+constexpr milliseconds watch_wait{20'000};
+constexpr milliseconds fence_retention{120'000};
+
+} // namespace
+
+void rack_runtime::tend_loop()
+{
+    time_point last_guard = steady_clock::now();
+    lock_type lock(mutex_);
+    while (!is_stopping_)
+    {
+        const time_point now = steady_clock::now();
+        const bool is_listed =
+            rack_.previous_owner.empty() ||
+            hooks_.is_listed(rack_.previous_owner);
+        if (!is_listed)
+        {
+            unlisted_since_.emplace(rack_.previous_owner, now);
+        }
+        expire_reservations(now);
+        mark_lost_targets(now);
+        advance_health(health_, now);
+        for (target_load& target : load_.targets)
+        {
+            target.standing = standing_of(health_, target.name);
+            const session_ptr session = session_of(target.name);
+            if (session && session->entry.state != "leaving")
+            {
+                target.leaving = hooks_.is_leaving_by_plan(target.name);
+            }
+        }
+        serve_waiting();
+        lock.unlock();
+        report_ends();
+        stop_batch_on_leaving();
+        if (now - last_guard >= guard_period)
+        {
+            check_guards_once();
+            last_guard = now;
+        }
+        lock.lock();
+        changed_.wait_for(lock, tend_period, [this] { return is_stopping_; });
+    }
+}
+
+void rack_runtime::expire_reservations(time_point now)
+{
+    for (auto it = tasks_.begin(); it != tasks_.end();)
+    {
+        const owned_task& task = it->second;
+        if (task.phase == task_phase::reserved &&
+            now - task.changed > options_.reservation_time)
+        {
+            const task_id id = it->first;
+            const std::string target = task.target;
+            it = tasks_.erase(it);
+            remove_load(id, target);
+            continue;
+        }
+        ++it;
+    }
+    for (auto it = fences_.begin(); it != fences_.end();)
+    {
+        const bool is_old = now - it->second.second > fence_retention;
+        it = is_old ? fences_.erase(it) : std::next(it);
+    }
+}
+
+void rack_runtime::report_ends()
+{
+    const std::lock_guard<std::mutex> lock(mutex_);
+    const time_point now = steady_clock::now();
+    for (auto& [id, task] : tasks_)
+    {
+        if (task.phase == task_phase::ended && !task.is_reporting &&
+            now >= task.next_report)
+        {
+            task.is_reporting = true;
+            reporters_.run([this, id = id] { report_end(id); });
+        }
+    }
+}
+
+void rack_runtime::report_end(const task_id& id)
+{
+    task_query query;
+    task_report report;
+    session_ptr session;
+    std::string data_center;
+    bool is_lost = false;
+    {
+        const std::lock_guard<std::mutex> lock(mutex_);
+        const auto it = tasks_.find(id);
+        if (it == tasks_.end())
+        {
+            return;
+        }
+        query.key = id.first;
+        query.attempt = id.second;
+        query.target = it->second.target;
+        query.boot_id = it->second.boot_id;
+        session = session_of(query.target);
+        report = report_of(id, query.target);
+        data_center = it->second.coordinator_data_center;
+        is_lost = it->second.is_lost;
+    }
+    if (!is_lost && session)
+    {
+        report = ask_target(query, session);
+    }
+    const bool is_known =
+        report.certainly_ended || report.task.state == "finished" ||
+        report.task.state == "stopped";
+    const bool is_recorded =
+        is_known && hooks_.report_end(data_center, report).ok();
+    if (is_recorded && !is_lost)
+    {
+        acknowledge(query).IgnoreError();
+    }
+    const std::lock_guard<std::mutex> lock(mutex_);
+    const auto it = tasks_.find(id);
+    if (it == tasks_.end())
+    {
+        return;
+    }
+    it->second.is_reporting = false;
+    it->second.next_report = steady_clock::now() + options_.report_retry;
+    if (is_recorded && is_lost)
+    {
+        tasks_.erase(it);
+    }
+}
+
+// Waits at the target for the end of a short attempt, so that its place is
+// free again before the next renewal.
+void rack_runtime::watch(const task_id& id, std::int64_t expected_ms)
+{
+    if (expected_ms > options_.watch_limit.count())
+    {
+        return;
+    }
+    watchers_.run(
+        [this, id]
+        {
+            task_query query;
+            session_ptr session;
+            {
+                const std::lock_guard<std::mutex> lock(mutex_);
+                const auto it = tasks_.find(id);
+                if (is_stopping_ || it == tasks_.end() ||
+                    it->second.phase != task_phase::running)
+                {
+                    return;
+                }
+                query.key = id.first;
+                query.attempt = id.second;
+                query.target = it->second.target;
+                query.boot_id = it->second.boot_id;
+                query.wait_ms = std::min<std::int64_t>(watch_wait.count(),
+                                                       options_.lease.count());
+                session = session_of(query.target);
+            }
+            if (!session || !ask_target(query, session).reachable)
+            {
+                return;
+            }
+            watch(id, 0);
+        });
+}
+
+void rack_runtime::check_guards_once()
+{
+    guard_actions actions;
+    {
+        const std::lock_guard<std::mutex> lock(mutex_);
+        actions = check_guards(load_, model_, *hooks_.limits(),
+                               steady_clock::now());
+    }
+    placement_decision decision;
+    decision.evictions = actions.evictions;
+    decision.throttles = actions.throttles;
+    evict_for(decision);
+}
+
+void rack_runtime::stop_batch_on_leaving()
+{
+    std::vector<std::pair<std::string, task_id>> found;
+    {
+        const std::lock_guard<std::mutex> lock(mutex_);
+        for (const target_load& target : load_.targets)
+        {
+            for (const task_load& task : target.tasks)
+            {
+                const task_id id{task.key, task.attempt};
+                const auto it = tasks_.find(id);
+                if (target.leaving && target.reachable &&
+                    task.checkpointable && !task.urgent &&
+                    it != tasks_.end() && !it->second.is_stopping &&
+                    it->second.phase == task_phase::running)
+                {
+                    found.emplace_back(target.name, id);
+                }
+            }
+        }
+    }
+    for (const auto& [target, id] : found)
+    {
+        evict(target, id, "leaving");
+    }
+}
+
+void rack_runtime::evict(const std::string& target, const task_id& id,
+                         const std::string& cause)
+{
+    task_query query;
+    {
+        const std::lock_guard<std::mutex> lock(mutex_);
+        const auto it = tasks_.find(id);
+        if (it == tasks_.end() || it->second.is_stopping ||
+            it->second.phase != task_phase::running)
+        {
+            return;
+        }
+        it->second.is_stopping = true;
+        if (task_load* load = task_load_of(id, target))
+        {
+            load->stopping = true;
+        }
+        query.key = id.first;
+        query.attempt = id.second;
+        query.target = target;
+        query.boot_id = it->second.boot_id;
+        query.checkpoint = true;
+    }
+    const task_report report = stop_task(query);
+    decision line;
+    line.action = "evict";
+    line.request = id.first;
+    line.target = target;
+    line.reason = cause;
+    log_decision(line);
+    const std::lock_guard<std::mutex> lock(mutex_);
+    line.rack = rack_.rack;
+    if (report.reachable)
+    {
+        ++evictions_[cause];
+        return;
+    }
+    const auto it = tasks_.find(id);
+    if (it != tasks_.end())
+    {
+        it->second.is_stopping = false;
+    }
+    if (task_load* load = task_load_of(id, target))
+    {
+        load->stopping = false;
+    }
+}
+
+} // namespace egretspindle
