--- a/cmake/packages.cmake
+++ b/cmake/packages.cmake
@@ -56,17 +56,24 @@
 
 egret_program(apps egretspindle egret_node)
 egret_program(apps egretctl egret_net egret_protocol)
-egret_program(tools standin_target egret_protocol)
-egret_program(tools standin_store egret_protocol)
-egret_program(tools standin_host_list egret_protocol)
-egret_program(tools fault_proxy egret_protocol)
+
+# Code that the stand-ins share, and the formats of their journals.
+file(GLOB standin_sources CONFIGURE_DEPENDS
+     ${CMAKE_SOURCE_DIR}/tools/common/*.cpp)
+add_library(egret_standin STATIC ${standin_sources})
+target_link_libraries(egret_standin PUBLIC egret_adapters)
+target_include_directories(egret_standin PUBLIC ${CMAKE_SOURCE_DIR}/tools)
+egret_program(tools standin_target egret_standin)
+egret_program(tools standin_store egret_standin)
+egret_program(tools standin_host_list egret_standin)
+egret_program(tools fault_proxy egret_standin)
 
 # Helpers for tests and benchmarks that start real processes.
 file(GLOB support_sources CONFIGURE_DEPENDS
      ${CMAKE_SOURCE_DIR}/tests/support/*.cpp)
 if(support_sources)
   add_library(egret_test_support STATIC ${support_sources})
-  target_link_libraries(egret_test_support PUBLIC egret_adapters)
+  target_link_libraries(egret_test_support PUBLIC egret_standin)
   target_include_directories(egret_test_support
                              PUBLIC ${CMAKE_SOURCE_DIR}/tests)
   target_compile_definitions(
