--- /dev/null
+++ b/include/egretspindle/placement/guard.hpp
@@ -0,0 +1,42 @@
+/// \file
+/// Protection of targets against tasks that exceed their size.
+
+#ifndef EGRETSPINDLE_PLACEMENT_GUARD_HPP
+#define EGRETSPINDLE_PLACEMENT_GUARD_HPP
+
+#include "egretspindle/core/clock.hpp"
+#include "egretspindle/placement/eviction.hpp"
+#include "egretspindle/placement/policy_limits.hpp"
+#include "egretspindle/placement/policy_model.hpp"
+#include "egretspindle/placement/rack_load.hpp"
+#include "egretspindle/placement/throttle.hpp"
+
+#include <vector>
+
+namespace egretspindle
+{
+
+/// Commands that keep a target within its capacity.
+struct guard_actions
+{
+    std::vector<throttle> throttles;
+    std::vector<eviction> evictions;
+};
+
+/// Throttles and then evicts batch tasks on targets close to overload, and
+/// ends throttling that is no longer needed.
+///
+/// Called after each usage report.
+///
+/// \param rack    current view with the report applied
+/// \param model   learned estimates
+/// \param limits  from the plan
+/// \param now     current time
+[[nodiscard]] guard_actions check_guards(const rack_load& rack,
+                                         const policy_model& model,
+                                         const policy_limits& limits,
+                                         time_point now);
+
+} // namespace egretspindle
+
+#endif
--- /dev/null
+++ b/include/egretspindle/placement/task_load.hpp
@@ -0,0 +1,35 @@
+/// \file
+/// Task as the owner of its rack sees it.
+
+#ifndef EGRETSPINDLE_PLACEMENT_TASK_LOAD_HPP
+#define EGRETSPINDLE_PLACEMENT_TASK_LOAD_HPP
+
+#include "egretspindle/core/clock.hpp"
+#include "egretspindle/core/resources.hpp"
+
+#include <string>
+
+namespace egretspindle
+{
+
+/// Reservation and last measurement of one running attempt.
+struct task_load
+{
+    std::string key;
+    int attempt = 0;
+    std::string kind;
+    std::string team;
+    bool urgent = false;
+    resources reserve;           ///< counted from the decision on
+    bool measured = false;       ///< whether `used` holds a measurement
+    resources used;              ///< last reported use, delayed
+    time_point started;          ///< when the start was sent
+    time_point expected_end;     ///< predicted at the decision
+    bool checkpointable = false; ///< only such tasks are evicted
+    bool stopping = false;       ///< stop sent; counts until confirmed
+    double share = 1;            ///< throttle, 1 when not throttled
+};
+
+} // namespace egretspindle
+
+#endif
--- /dev/null
+++ b/src/placement/capacity.cpp
@@ -0,0 +1,143 @@
+#include "egretspindle/placement/capacity.hpp"
+
+#include <algorithm>
+
+namespace egretspindle
+{
+
+namespace
+{
+
+// Declared sizes are wrong by factors of 0.1 to 10, so a kind without
+// measurements may need ten times what is declared.
+constexpr double unknown_factor = 10;
+// An unmeasured kind gets at most this share of a target beyond what it
+// declares; otherwise it could only start on an empty target.
+constexpr double unknown_bound = 0.5;
+// Margin over the observed peak. Memory beyond the reservation cannot be
+// taken back without an eviction, so its margin is the larger one.
+constexpr double cpu_margin = 1.1;
+constexpr double memory_margin = 1.2;
+// Finished tasks after which the peak of a kind counts as known.
+constexpr std::int64_t known_ends = 5;
+
+double reserve_known(double declared, double need, std::int64_t ends)
+{
+    // The more results, the less a declared size above the peak counts.
+    const double headroom = 1 + 2.0 / static_cast<double>(ends);
+    return std::clamp(declared, need, need * headroom);
+}
+
+double reserve_unknown(double declared, double need, double capacity)
+{
+    const double wanted = std::max(declared * unknown_factor, need);
+    const double bound = std::max({declared, need, capacity * unknown_bound});
+    return std::min(wanted, bound);
+}
+
+} // namespace
+
+resources reservation_for(const policy_model& model,
+                          const task_request& request,
+                          const resources& capacity)
+{
+    const kind_estimate* estimate = find_estimate(model, request.kind);
+    const double cpu = std::max(request.size.cpu_cores, 0.05);
+    const double memory = std::max(request.size.memory_mb, 16.0);
+    resources reserve;
+    reserve.accelerators = request.size.accelerators;
+    const double cpu_need =
+        estimate == nullptr ? 0 : estimate->peak.cpu_cores * cpu_margin;
+    const double memory_need =
+        estimate == nullptr ? 0 : estimate->peak.memory_mb * memory_margin;
+    if (estimate != nullptr && estimate->ends >= known_ends &&
+        estimate->reports >= known_ends)
+    {
+        reserve.cpu_cores = reserve_known(cpu, cpu_need, estimate->ends);
+        reserve.memory_mb = reserve_known(memory, memory_need, estimate->ends);
+    }
+    else
+    {
+        reserve.cpu_cores = reserve_unknown(cpu, cpu_need, capacity.cpu_cores);
+        reserve.memory_mb =
+            reserve_unknown(memory, memory_need, capacity.memory_mb);
+    }
+    // A peak with its margin may exceed a target that the task still fits.
+    if (cpu <= capacity.cpu_cores)
+    {
+        reserve.cpu_cores = std::min(reserve.cpu_cores, capacity.cpu_cores);
+    }
+    if (memory <= capacity.memory_mb)
+    {
+        reserve.memory_mb = std::min(reserve.memory_mb, capacity.memory_mb);
+    }
+    return reserve;
+}
+
+resources committed(const policy_model& model, const task_load& task)
+{
+    resources amount = task.reserve;
+    const kind_estimate* estimate = find_estimate(model, task.kind);
+    if (estimate != nullptr)
+    {
+        // The task may still grow to the peak that others of its kind reached
+        // since it was placed.
+        amount.cpu_cores = std::max(amount.cpu_cores, estimate->peak.cpu_cores);
+        amount.memory_mb = std::max(amount.memory_mb, estimate->peak.memory_mb);
+    }
+    amount.cpu_cores *= std::clamp(task.share, 0.0, 1.0);
+    if (task.measured)
+    {
+        amount.cpu_cores = std::max(amount.cpu_cores, task.used.cpu_cores);
+        amount.memory_mb = std::max(amount.memory_mb, task.used.memory_mb);
+    }
+    return amount;
+}
+
+resources committed(const policy_model& model, const target_load& target)
+{
+    resources sum;
+    for (const task_load& task : target.tasks)
+    {
+        sum = sum + committed(model, task);
+    }
+    return sum;
+}
+
+resources free_capacity(const policy_model& model, const target_load& target)
+{
+    const resources left = target.capacity - committed(model, target);
+    return {std::max(0.0, left.cpu_cores), std::max(0.0, left.memory_mb),
+            std::max(0, left.accelerators)};
+}
+
+int free_slots(const target_load& target)
+{
+    const int tasks = static_cast<int>(target.tasks.size());
+    const int connections =
+        target.connections - target.other_connections - tasks;
+    return std::max(0, std::min(target.slots - tasks, connections));
+}
+
+bool takes_work(const target_load& target, bool urgent)
+{
+    if (target.leaving || !target.reachable)
+    {
+        return false;
+    }
+    switch (target.standing)
+    {
+    case target_standing::healthy:
+        return true;
+    case target_standing::quarantined:
+        return false;
+    case target_standing::probing:
+        return !urgent && target.tasks.empty();
+    case target_standing::returning:
+        return !urgent &&
+               static_cast<int>(target.tasks.size()) * 2 < target.slots;
+    }
+    return false;
+}
+
+} // namespace egretspindle
--- /dev/null
+++ b/src/placement/guard.cpp
@@ -0,0 +1,150 @@
+#include "egretspindle/placement/guard.hpp"
+
+#include "egretspindle/placement/capacity.hpp"
+
+#include <algorithm>
+
+namespace egretspindle
+{
+
+namespace
+{
+
+// Share of the processors above which tasks beyond their reservation are
+// throttled, and below which throttling ends. Reports are up to 3 s old, so
+// the guard acts before the target is full.
+constexpr double throttle_above = 0.9;
+constexpr double release_below = 0.7;
+constexpr double throttled_share = 0.5;
+// Share of the memory above which batch is evicted; memory cannot be
+// throttled.
+constexpr double evict_memory_above = 0.92;
+constexpr double evict_cpu_above = 0.97;
+
+resources measured_use(const target_load& target)
+{
+    resources sum;
+    for (const task_load& task : target.tasks)
+    {
+        if (task.stopping)
+        {
+            continue;
+        }
+        const resources share{task.reserve.cpu_cores * 0.5,
+                              task.reserve.memory_mb * 0.5, 0};
+        // An unmeasured task counts for half of its reservation, the usual
+        // ratio of use to reserve; the other half is the margin.
+        sum = sum + (task.measured ? task.used : share);
+    }
+    return sum;
+}
+
+/// Orders the batch tasks by how far they exceed their reservation.
+std::vector<const task_load*> batch_by_excess(const target_load& target)
+{
+    std::vector<const task_load*> tasks;
+    for (const task_load& task : target.tasks)
+    {
+        if (!task.urgent && !task.stopping)
+        {
+            tasks.push_back(&task);
+        }
+    }
+    std::sort(tasks.begin(), tasks.end(),
+              [](const task_load* lhs, const task_load* rhs)
+              {
+                  const auto excess = [](const task_load& task)
+                  {
+                      return std::max(
+                          task.used.cpu_cores - task.reserve.cpu_cores,
+                          (task.used.memory_mb - task.reserve.memory_mb) /
+                              1024);
+                  };
+                  return excess(*lhs) > excess(*rhs);
+              });
+    return tasks;
+}
+
+void guard_memory(guard_actions& actions, const target_load& target,
+                  resources& use)
+{
+    for (const task_load* task : batch_by_excess(target))
+    {
+        if (use.memory_mb <= evict_memory_above * target.capacity.memory_mb)
+        {
+            return;
+        }
+        if (task->checkpointable)
+        {
+            actions.evictions.push_back({target.name, task->key, task->attempt,
+                                         eviction_cause::memory_guard});
+            use = use - task->used;
+        }
+    }
+}
+
+void guard_cpu(guard_actions& actions, const target_load& target,
+               resources& use)
+{
+    const double capacity = target.capacity.cpu_cores;
+    for (const task_load* task : batch_by_excess(target))
+    {
+        if (use.cpu_cores <= throttle_above * capacity)
+        {
+            return;
+        }
+        if (task->share > throttled_share)
+        {
+            actions.throttles.push_back(
+                {target.name, task->key, task->attempt, throttled_share});
+            use.cpu_cores -=
+                std::max(0.0, task->used.cpu_cores -
+                                  task->reserve.cpu_cores * throttled_share);
+        }
+        else if (use.cpu_cores > evict_cpu_above * capacity &&
+                 task->checkpointable)
+        {
+            actions.evictions.push_back({target.name, task->key, task->attempt,
+                                         eviction_cause::cpu_guard});
+            use.cpu_cores -= task->used.cpu_cores;
+        }
+    }
+}
+
+void end_throttling(guard_actions& actions, const target_load& target,
+                    resources& use)
+{
+    for (const task_load& task : target.tasks)
+    {
+        const double more = task.reserve.cpu_cores * (1 - task.share);
+        if (task.share < 1 && !task.stopping &&
+            use.cpu_cores + more < release_below * target.capacity.cpu_cores)
+        {
+            actions.throttles.push_back(
+                {target.name, task.key, task.attempt, 1});
+            use.cpu_cores += more;
+        }
+    }
+}
+
+} // namespace
+
+guard_actions check_guards(const rack_load& rack, const policy_model& /*model*/,
+                           const policy_limits& /*limits*/, time_point /*now*/)
+{
+    guard_actions actions;
+    for (const target_load& target : rack.targets)
+    {
+        if (!target.reachable)
+        {
+            continue;
+        }
+        resources use = measured_use(target);
+        guard_memory(actions, target, use);
+        guard_cpu(actions, target, use);
+        end_throttling(actions, target, use);
+    }
+    return actions;
+}
+
+} // namespace egretspindle
--- /dev/null
+++ b/src/placement/rack_share.cpp
@@ -0,0 +1,271 @@
+#include "egretspindle/placement/rack_share.hpp"
+
+#include "egretspindle/placement/capacity.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace egretspindle
+{
+
+namespace
+{
+
+// Demand older than this no longer keeps a share from being lent. Reclaiming
+// takes one eviction, well below this time.
+constexpr milliseconds demand_memory{30000};
+// Half-life of the peak of urgent tasks at once.
+constexpr double peak_half_life_s = 60;
+// Share of the rack that teams above their entitlement leave free, so that
+// the first request of another team starts without an eviction.
+constexpr double lend_margin = 0.1;
+
+bool is_recent(time_point last, time_point now)
+{
+    return last != time_point{} && now - last < demand_memory;
+}
+
+double decayed_peak(const rack_load& rack, time_point now)
+{
+    const double elapsed =
+        std::chrono::duration<double>(now - rack.urgent_peak_updated).count();
+    return rack.urgent_peak *
+           std::exp2(-std::max(0.0, elapsed) / peak_half_life_s);
+}
+
+int urgent_tasks(const rack_load& rack)
+{
+    int n = 0;
+    for (const target_load& target : rack.targets)
+    {
+        n += static_cast<int>(
+            std::count_if(target.tasks.begin(), target.tasks.end(),
+                          [](const task_load& task) { return task.urgent; }));
+    }
+    return n;
+}
+
+void add(held_share& held, const resources& amount)
+{
+    ++held.slots;
+    held.amount = held.amount + amount;
+}
+
+void count_targets(rack_share& share, const rack_load& rack,
+                   const policy_model& model)
+{
+    for (const target_load& target : rack.targets)
+    {
+        const bool usable = takes_work(target, false);
+        if (usable || !target.tasks.empty())
+        {
+            share.total.slots += target.slots;
+            share.total.amount = share.total.amount + target.capacity;
+        }
+        for (const task_load& task : target.tasks)
+        {
+            const resources amount = committed(model, task);
+            add(task.urgent ? share.urgent : share.batch, amount);
+            add(share.teams[task.team], amount);
+        }
+    }
+}
+
+/// Counts the places for urgent tasks of mean size, and those to be kept.
+void count_places(rack_share& share, const rack_load& rack,
+                  const policy_model& model, const policy_limits& limits,
+                  time_point now)
+{
+    resources& mean = share.urgent_size;
+    if (share.urgent.slots > 0)
+    {
+        mean.cpu_cores = share.urgent.amount.cpu_cores / share.urgent.slots;
+        mean.memory_mb = share.urgent.amount.memory_mb / share.urgent.slots;
+    }
+    for (const target_load& target : rack.targets)
+    {
+        if (takes_work(target, true))
+        {
+            share.urgent_places += place_count(
+                free_slots(target), free_capacity(model, target), mean);
+        }
+    }
+    if (!share.urgent_demand)
+    {
+        return;
+    }
+    const double floor = limits.urgent_floor * share.total.slots;
+    // One and a half times the recent peak: bursts of a Poisson stream around
+    // its own recent maximum.
+    const double wanted = std::ceil(1.5 * decayed_peak(rack, now)) + 1;
+    share.kept_places = std::max(0, static_cast<int>(std::min(floor, wanted)) -
+                                        share.urgent.slots);
+}
+
+double share_after(const held_share& held, const resources& reservation,
+                   const held_share& total)
+{
+    held_share after = held;
+    add(after, reservation);
+    return dominant_share(after, total);
+}
+
+const held_share& held_by(const rack_share& share, const std::string& team)
+{
+    static const held_share none;
+    const auto it = share.teams.find(team);
+    return it == share.teams.end() ? none : it->second;
+}
+
+} // namespace
+
+void note_request(rack_load& rack, const std::string& team, bool urgent,
+                  time_point now)
+{
+    rack.last_team_request[team] = now;
+    if (!urgent)
+    {
+        rack.last_batch_request = now;
+        return;
+    }
+    rack.last_urgent_request = now;
+    rack.urgent_peak = std::max(decayed_peak(rack, now),
+                                static_cast<double>(urgent_tasks(rack) + 1));
+    rack.urgent_peak_updated = now;
+}
+
+rack_share measure_share(const rack_load& rack, const policy_model& model,
+                         const policy_limits& limits, time_point now)
+{
+    rack_share share;
+    share.urgent_demand = is_recent(rack.last_urgent_request, now);
+    share.batch_demand = is_recent(rack.last_batch_request, now);
+    for (const auto& [team, last] : rack.last_team_request)
+    {
+        if (is_recent(last, now))
+        {
+            share.teams[team];
+        }
+    }
+    count_targets(share, rack, model);
+    for (const auto& [team, held] : share.teams)
+    {
+        share.active_weight += limits_of(limits, team).weight;
+        ++share.active_teams;
+    }
+    count_places(share, rack, model, limits, now);
+    return share;
+}
+
+int place_count(int slots, const resources& free,
+                const resources& size) noexcept
+{
+    double n = slots;
+    if (size.cpu_cores > 0)
+    {
+        n = std::min(n, free.cpu_cores / size.cpu_cores);
+    }
+    if (size.memory_mb > 0)
+    {
+        n = std::min(n, free.memory_mb / size.memory_mb);
+    }
+    // Sums of reservations carry rounding errors of this order.
+    return static_cast<int>(n + 1e-6);
+}
+
+double dominant_share(const held_share& held, const held_share& total) noexcept
+{
+    double share =
+        total.slots > 0 ? static_cast<double>(held.slots) / total.slots : 0;
+    if (total.amount.cpu_cores > 0)
+    {
+        share = std::max(share, held.amount.cpu_cores / total.amount.cpu_cores);
+    }
+    if (total.amount.memory_mb > 0)
+    {
+        share = std::max(share, held.amount.memory_mb / total.amount.memory_mb);
+    }
+    return share;
+}
+
+double entitlement(const rack_share& share, const policy_limits& limits,
+                   const std::string& team)
+{
+    const team_limits& own = limits_of(limits, team);
+    double weight = share.active_weight;
+    if (share.teams.count(team) == 0)
+    {
+        weight += own.weight;
+    }
+    const double by_weight = weight > 0 ? own.weight / weight : 1;
+    const double granted = own.quota > 0 ? own.quota : by_weight;
+    // A small quota still allows one task at a time.
+    const double one = share.total.slots > 0 ? 1.0 / share.total.slots : 0;
+    return std::max(granted, one);
+}
+
+std::string share_obstacle(const rack_share& share, const policy_limits& limits,
+                           const task_request& request,
+                           const resources& reservation)
+{
+    if (request.urgent && share.batch_demand &&
+        share_after(share.urgent, reservation, share.total) >
+            1 - limits.batch_floor + 1e-9)
+    {
+        return "batch floor";
+    }
+    if (!request.urgent && share.kept_places > 0 &&
+        share.urgent_places <= share.kept_places)
+    {
+        return "room kept for urgent work";
+    }
+    const bool alone =
+        share.active_teams == 0 ||
+        (share.active_teams == 1 && share.teams.count(request.team) == 1);
+    if (alone ||
+        share_after(held_by(share, request.team), reservation, share.total) <=
+            entitlement(share, limits, request.team) + 1e-9)
+    {
+        return {};
+    }
+    held_share used = share.urgent;
+    used.slots += share.batch.slots;
+    used.amount = used.amount + share.batch.amount;
+    if (share_after(used, reservation, share.total) > 1 - lend_margin)
+    {
+        return "quota of the team";
+    }
+    return {};
+}
+
+bool may_reclaim(const rack_share& share, const policy_limits& limits,
+                 const task_request& request, const task_load& victim,
+                 const held_share& evicted)
+{
+    if (victim.urgent || !victim.checkpointable || victim.stopping)
+    {
+        return false;
+    }
+    if (request.urgent)
+    {
+        // Batch keeps its floor. Without demand from further batch work its
+        // running tasks still keep it.
+        held_share batch = share.batch;
+        batch.slots -= evicted.slots + 1;
+        batch.amount = batch.amount - evicted.amount - victim.reserve;
+        return dominant_share(batch, share.total) >= limits.batch_floor;
+    }
+    if (victim.team == request.team)
+    {
+        return false;
+    }
+    // The other team must stay at or above its share, or the two would evict
+    // each other in turn.
+    held_share other = held_by(share, victim.team);
+    other.slots -= evicted.slots + 1;
+    other.amount = other.amount - evicted.amount - victim.reserve;
+    return dominant_share(other, share.total) >=
+           entitlement(share, limits, victim.team);
+}
+
+} // namespace egretspindle
--- /dev/null
+++ b/src/placement/target_score.cpp
@@ -0,0 +1,118 @@
+#include "target_score.hpp"
+
+#include "model_access.hpp"
+
+#include <algorithm>
+
+namespace egretspindle::detail
+{
+
+namespace
+{
+
+// Weight of the harm to running urgent tasks against the own run time.
+constexpr double urgent_harm_weight = 1;
+// Weight of the harm to running batch tasks for a batch request.
+constexpr double batch_harm_weight = 0.3;
+// Weight of what a batch task takes from future urgent tasks. Above the batch
+// terms, so that batch work that harms urgent work collects on few targets.
+constexpr double future_harm_weight = 4;
+// Slowdown at which a target is half as likely to get urgent work.
+constexpr double avoided_slowdown = 0.15;
+
+/// Returns the slowdown that one more task of `kind` brings to the others.
+double harm(const policy_model& model, std::size_t kind,
+            const load_snapshot& beside, bool to_urgent, time_point now)
+{
+    double sum = 0;
+    for (const auto& [other, count] : beside.counts)
+    {
+        if (other < model.kinds.size() &&
+            model.kinds[other].urgent == to_urgent)
+        {
+            sum += count * slowdown_by(model, other, kind, beside.load, now);
+        }
+    }
+    return sum;
+}
+
+/// Returns the expected slowdown of the usual urgent task on a target.
+double urgent_slowdown(const score_input& input, const policy_model& model,
+                       const load_snapshot& beside, time_point now)
+{
+    double sum = 0;
+    for (const urgent_share& entry : input.urgent_kinds)
+    {
+        sum += entry.share * predict_slowdown(model, entry.kind, beside, now);
+    }
+    return sum;
+}
+
+/// Returns what one more task of `kind` adds to that slowdown.
+double urgent_increment(const score_input& input, const policy_model& model,
+                        double load, time_point now)
+{
+    double sum = 0;
+    for (const urgent_share& entry : input.urgent_kinds)
+    {
+        sum +=
+            entry.share * slowdown_by(model, entry.kind, input.kind, load, now);
+    }
+    return sum;
+}
+
+} // namespace
+
+score_input make_score_input(const policy_model& model,
+                             const task_request& request, double run_ms)
+{
+    score_input input;
+    input.kind = kind_index(model, request.kind);
+    input.urgent = request.urgent;
+    input.run_ms = run_ms;
+    double total = 0;
+    for (const double rate : model.urgent_rate)
+    {
+        total += rate;
+    }
+    for (std::size_t n = 1; n < model.urgent_rate.size(); ++n)
+    {
+        if (model.urgent_rate[n] > 0.02 * total)
+        {
+            input.urgent_kinds.push_back({n, model.urgent_rate[n] / total});
+        }
+    }
+    return input;
+}
+
+double predicted_run(const score_input& input, const policy_model& model,
+                     const target_load& target, time_point now)
+{
+    const load_snapshot beside = take_snapshot(model, target, now);
+    return input.run_ms *
+           (1 + predict_slowdown(model, input.kind, beside, now));
+}
+
+double score_of(const score_input& input, const policy_model& model,
+                const target_load& target, time_point now)
+{
+    const load_snapshot beside = take_snapshot(model, target, now);
+    const double own = predict_slowdown(model, input.kind, beside, now);
+    const double urgent_harm =
+        harm(model, input.kind, beside, true, now) * urgent_harm_weight;
+    if (input.urgent)
+    {
+        return input.run_ms * (1 + own + urgent_harm);
+    }
+    const double avoided =
+        urgent_slowdown(input, model, beside, now) / avoided_slowdown;
+    const double future =
+        future_harm_weight *
+        (urgent_increment(input, model, beside.load, now) + 0.02) /
+        (1 + avoided);
+    const double batch_harm =
+        harm(model, input.kind, beside, false, now) * batch_harm_weight;
+    return input.run_ms * (1 + own + batch_harm + urgent_harm + future);
+}
+
+} // namespace egretspindle::detail
--- /dev/null
+++ b/src/placement/target_score.hpp
@@ -0,0 +1,50 @@
+/// \file
+/// Scores of targets from predicted slowdowns.
+
+#ifndef EGRETSPINDLE_SRC_PLACEMENT_TARGET_SCORE_HPP
+#define EGRETSPINDLE_SRC_PLACEMENT_TARGET_SCORE_HPP
+
+#include "egretspindle/placement/policy_model.hpp"
+#include "egretspindle/placement/target_load.hpp"
+#include "egretspindle/placement/task_request.hpp"
+
+#include <cstddef>
+#include <vector>
+
+namespace egretspindle::detail
+{
+
+/// Urgent kind with its share of the recent arrivals.
+struct urgent_share
+{
+    std::size_t kind = 0;
+    double share = 0;
+};
+
+/// Properties of the request that all scores use.
+struct score_input
+{
+    std::size_t kind = 0;
+    bool urgent = false;
+    double run_ms = 0; ///< without interference
+    std::vector<urgent_share> urgent_kinds;
+};
+
+/// Prepares the scoring of one request.
+[[nodiscard]] score_input make_score_input(const policy_model& model,
+                                           const task_request& request,
+                                           double run_ms);
+
+/// Returns the predicted run time on a target.
+[[nodiscard]] double predicted_run(const score_input& input,
+                                   const policy_model& model,
+                                   const target_load& target, time_point now);
+
+/// Returns the cost of the request on a target in ms; lower is better.
+[[nodiscard]] double score_of(const score_input& input,
+                              const policy_model& model,
+                              const target_load& target, time_point now);
+
+} // namespace egretspindle::detail
+
+#endif
