plan: add document parser, validation and plan table

Other packages need the plan in force before the propagation exists. parse_plan lists every error with its remedy; plan_table applies only a higher version and refuses a second document of one version.

--- /dev/null
+++ b/include/egretspindle/plan/plan_table.hpp
@@ -0,0 +1,44 @@
+/// \file
+/// Holder of the plan in force.
+
+#ifndef EGRETSPINDLE_PLAN_PLAN_TABLE_HPP
+#define EGRETSPINDLE_PLAN_PLAN_TABLE_HPP
+
+#include "egretspindle/plan/plan_in_force.hpp"
+#include "egretspindle/plan/plan_offer_result.hpp"
+
+#include <absl/status/statusor.h>
+
+#include <cstdint>
+#include <memory>
+#include <mutex>
+
+namespace egretspindle
+{
+
+/// Plan in force on this host. Usable from several threads.
+class plan_table
+{
+public:
+    /// Returns the plan in force, or null when none was ever applied.
+    [[nodiscard]] std::shared_ptr<const plan_in_force> current() const;
+
+    /// Returns the version in force; 0 for none.
+    [[nodiscard]] std::int64_t version() const;
+
+    /// Applies a plan when its version is higher than the one in force.
+    ///
+    /// \returns `invalid_argument` when the digest does not match or the
+    ///          document cannot be parsed, `conflict` when another document
+    ///          of the same version is in force; neither changes anything
+    [[nodiscard]] absl::StatusOr<plan_offer_result>
+    offer(const accepted_plan& plan);
+
+private:
+    mutable std::mutex mutex_;
+    std::shared_ptr<const plan_in_force> current_;
+};
+
+} // namespace egretspindle
+
+#endif
--- /dev/null
+++ b/src/plan/plan_table.cpp
@@ -0,0 +1,112 @@
+#include "egretspindle/plan/plan_table.hpp"
+
+#include "egretspindle/core/error.hpp"
+#include "egretspindle/plan/parse_plan.hpp"
+#include "egretspindle/plan/plan_digest.hpp"
+
+#include <fmt/format.h>
+
+#include <utility>
+
+namespace egretspindle
+{
+
+namespace
+{
+
+absl::Status check_version(std::int64_t version)
+{
+    if (version > 0)
+    {
+        return absl::OkStatus();
+    }
+    return make_error(error_kind::invalid_argument,
+                      fmt::format("plan version {} is not positive; accept "
+                                  "the plan again",
+                                  version));
+}
+
+absl::Status check_digest(const accepted_plan& plan)
+{
+    const std::string digest = plan_digest(plan.document);
+    if (digest == plan.digest)
+    {
+        return absl::OkStatus();
+    }
+    return make_error(error_kind::invalid_argument,
+                      fmt::format("the document of plan version {} has digest "
+                                  "{}, not {}; fetch it again",
+                                  plan.version, digest, plan.digest));
+}
+
+// Decides without parsing when the offered version is not higher.
+absl::StatusOr<plan_offer_result> compare(const plan_in_force* current,
+                                          const accepted_plan& plan)
+{
+    if (current == nullptr || plan.version > current->accepted.version)
+    {
+        return plan_offer_result::applied;
+    }
+    if (plan.version < current->accepted.version)
+    {
+        return plan_offer_result::older;
+    }
+    if (plan.digest == current->accepted.digest)
+    {
+        return plan_offer_result::in_force;
+    }
+    return make_error(
+        error_kind::conflict,
+        fmt::format("plan version {} is in force with digest {}, but {} was "
+                    "offered; compare with `egretctl plan history`",
+                    plan.version, current->accepted.digest, plan.digest));
+}
+
+} // namespace
+
+std::shared_ptr<const plan_in_force> plan_table::current() const
+{
+    const std::lock_guard<std::mutex> lock(mutex_);
+    return current_;
+}
+
+std::int64_t plan_table::version() const
+{
+    const std::lock_guard<std::mutex> lock(mutex_);
+    return current_ == nullptr ? 0 : current_->accepted.version;
+}
+
+absl::StatusOr<plan_offer_result> plan_table::offer(const accepted_plan& plan)
+{
+    for (const absl::Status& status :
+         {check_version(plan.version), check_digest(plan)})
+    {
+        if (!status.ok())
+        {
+            return status;
+        }
+    }
+    const absl::StatusOr<plan_offer_result> before =
+        compare(current().get(), plan);
+    if (!before.ok() || *before != plan_offer_result::applied)
+    {
+        return before;
+    }
+    absl::StatusOr<plan_document> document = parse_plan(plan.document);
+    if (!document.ok())
+    {
+        return document.status();
+    }
+    auto next = std::make_shared<const plan_in_force>(
+        plan_in_force{plan, *std::move(document)});
+    const std::lock_guard<std::mutex> lock(mutex_);
+    // Another thread may have applied a plan while this one was parsed.
+    const absl::StatusOr<plan_offer_result> now = compare(current_.get(), plan);
+    if (now.ok() && *now == plan_offer_result::applied)
+    {
+        current_ = std::move(next);
+    }
+    return now;
+}
+
+} // namespace egretspindle
--- /dev/null
+++ b/src/plan/section_reader.hpp
@@ -0,0 +1,64 @@
+/// \file
+/// Reading of one section of a plan document.
+
+#ifndef EGRETSPINDLE_SRC_PLAN_SECTION_READER_HPP
+#define EGRETSPINDLE_SRC_PLAN_SECTION_READER_HPP
+
+#include "egretspindle/plan/plan_problem.hpp"
+
+#include <toml++/toml.h>
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace egretspindle::plan_detail
+{
+
+/// Reads the keys of a section and collects the errors found.
+class section_reader
+{
+public:
+    section_reader(const toml::table& table, std::string section,
+                   std::vector<plan_problem>& problems)
+        : table_(table), section_(std::move(section)), problems_(problems)
+    {
+    }
+
+    /// Reads a number within inclusive bounds; keeps the default if absent.
+    void number(std::string_view key, double& value, double low, double high);
+
+    /// Reads an integer within inclusive bounds.
+    ///
+    /// \param unit  named in the error, for example `ms`
+    void integer(std::string_view key, std::int64_t& value, std::int64_t low,
+                 std::int64_t high, std::string_view unit);
+
+    /// Reads the name of the owner team, which is required.
+    void owner(std::string& team);
+
+    /// Reads an array of strings.
+    void strings(std::string_view key, std::vector<std::string>& values);
+
+    /// Reports an error of this section.
+    void report(std::string message);
+
+    /// Reports the keys that none of the other calls asked for.
+    void finish();
+
+private:
+    const toml::node* find(std::string_view key);
+
+    const toml::table& table_;
+    std::string section_;
+    std::vector<plan_problem>& problems_;
+    std::vector<std::string> known_;
+};
+
+/// Returns whether a name is 1 to 64 characters of `[A-Za-z0-9_-]`.
+[[nodiscard]] bool is_section_word(std::string_view name) noexcept;
+
+} // namespace egretspindle::plan_detail
+
+#endif
