--- /dev/null
+++ b/include/egretspindle/node/host_list_cache.hpp
@@ -0,0 +1,59 @@
+/// \file
+/// Last known host list of the platform.
+
+#ifndef EGRETSPINDLE_NODE_HOST_LIST_CACHE_HPP
+#define EGRETSPINDLE_NODE_HOST_LIST_CACHE_HPP
+
+#include "egretspindle/adapters/host_list_client.hpp"
+#include "egretspindle/core/clock.hpp"
+
+#include <condition_variable>
+#include <mutex>
+#include <set>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace egretspindle
+{
+
+/// Polls the host list and keeps the last answer during outages.
+class host_list_cache
+{
+public:
+    host_list_cache(host_list_client& client, milliseconds period);
+    ~host_list_cache();
+    host_list_cache(const host_list_cache&) = delete;
+    host_list_cache& operator=(const host_list_cache&) = delete;
+
+    /// Reads the list once and starts to poll.
+    void start();
+
+    /// Stops to poll.
+    void stop();
+
+    /// Returns the last answer; empty while none is known.
+    [[nodiscard]] std::vector<host_entry> hosts() const;
+
+    /// Returns whether an entry host is listed; true while no list is known.
+    [[nodiscard]] bool is_entry_host_listed(const std::string& name) const;
+
+    /// Returns the racks with targets of a data centre.
+    [[nodiscard]] std::set<std::string>
+    racks(const std::string& data_center) const;
+
+private:
+    void poll();
+
+    host_list_client& client_;
+    milliseconds period_;
+    mutable std::mutex mutex_;
+    std::condition_variable changed_;
+    std::vector<host_entry> hosts_;
+    bool is_stopping_ = false;
+    std::thread thread_;
+};
+
+} // namespace egretspindle
+
+#endif
--- /dev/null
+++ b/include/egretspindle/node/plan_limits.hpp
@@ -0,0 +1,21 @@
+/// \file
+/// Limits of the plan for placement and admission.
+
+#ifndef EGRETSPINDLE_NODE_PLAN_LIMITS_HPP
+#define EGRETSPINDLE_NODE_PLAN_LIMITS_HPP
+
+#include "egretspindle/placement/policy_limits.hpp"
+#include "egretspindle/plan/plan_document.hpp"
+
+namespace egretspindle
+{
+
+/// Converts a plan document to policy limits.
+///
+/// The floors of a rack are the sums of the teams' floors; without any, the
+/// defaults of the policy hold.
+[[nodiscard]] policy_limits limits_of_plan(const plan_document& plan);
+
+} // namespace egretspindle
+
+#endif
--- /dev/null
+++ b/include/egretspindle/node/shard_keeper.hpp
@@ -0,0 +1,57 @@
+/// \file
+/// Keeps this host in charge of its shards of open requests.
+
+#ifndef EGRETSPINDLE_NODE_SHARD_KEEPER_HPP
+#define EGRETSPINDLE_NODE_SHARD_KEEPER_HPP
+
+#include "egretspindle/core/clock.hpp"
+
+#include <absl/status/status.h>
+
+#include <condition_variable>
+#include <functional>
+#include <mutex>
+#include <thread>
+
+namespace egretspindle
+{
+
+/// Scans the shards of this host after each change of the members and from
+/// time to time, so that open requests of lost coordinators go on.
+class shard_keeper
+{
+public:
+    /// \param is_own  whether this host is in charge of a shard
+    /// \param adopt   takes over the orphaned requests of a shard
+    /// \param period  between scans without a change
+    shard_keeper(std::function<bool(int)> is_own,
+                 std::function<absl::Status(int)> adopt, milliseconds period);
+    ~shard_keeper();
+    shard_keeper(const shard_keeper&) = delete;
+    shard_keeper& operator=(const shard_keeper&) = delete;
+
+    /// Starts to scan.
+    void start();
+
+    /// Stops to scan.
+    void stop();
+
+    /// Asks for a scan soon, after a change of the members.
+    void wake();
+
+private:
+    void run();
+
+    std::function<bool(int)> is_own_;
+    std::function<absl::Status(int)> adopt_;
+    milliseconds period_;
+    std::mutex mutex_;
+    std::condition_variable changed_;
+    bool is_due_ = true;
+    bool is_stopping_ = false;
+    std::thread thread_;
+};
+
+} // namespace egretspindle
+
+#endif
--- a/include/egretspindle/request_path/coordinator.hpp
+++ b/include/egretspindle/request_path/coordinator.hpp
@@ -73,6 +73,9 @@
     /// Returns the number of requests without a final reply.
     [[nodiscard]] int open_count() const;
 
+    /// Returns whether a worker is in charge of some request.
+    [[nodiscard]] bool has_busy_requests() const;
+
     /// Returns the number of batch requests that wait for a start.
     [[nodiscard]] int queued_count() const;
 
@@ -97,7 +100,15 @@
         bool superseded = false; ///< another coordinator is in charge
     };
 
+    /// Row of a request and its decoded value.
+    struct loaded_record
+    {
+        store_row row;
+        request_record record;
+    };
+
     // coordinator.cpp
+    absl::StatusOr<loaded_record> read_record(const std::string& key);
     absl::StatusOr<request_entry_ptr> load(const std::string& key);
     absl::StatusOr<request_reply> reply_after(const request_entry_ptr& entry,
                                               milliseconds wait);
--- /dev/null
+++ b/include/egretspindle/request_path/request_router.hpp
@@ -0,0 +1,70 @@
+/// \file
+/// Reaches the coordinator of a request.
+
+#ifndef EGRETSPINDLE_REQUEST_PATH_REQUEST_ROUTER_HPP
+#define EGRETSPINDLE_REQUEST_PATH_REQUEST_ROUTER_HPP
+
+#include "egretspindle/membership/membership_service.hpp"
+#include "egretspindle/net/rpc_client.hpp"
+#include "egretspindle/protocol/ended_message.hpp"
+#include "egretspindle/protocol/key_query.hpp"
+#include "egretspindle/request_path/coordinator.hpp"
+
+#include <absl/status/statusor.h>
+
+#include <functional>
+#include <string>
+
+namespace egretspindle
+{
+
+/// Passes callers' requests to their coordinators, on this host or another
+/// of the same data centre.
+class request_router
+{
+public:
+    request_router(coordinator& local, membership_service& members,
+                   rpc_client& client);
+
+    /// Returns the preferred coordinator of a key among the live hosts.
+    [[nodiscard]] std::string coordinator_of(const std::string& key) const;
+
+    /// Returns whether this host is in charge of a shard of open requests.
+    [[nodiscard]] bool is_own_shard(int shard) const;
+
+    /// Submits a request and tries other coordinators when one is lost.
+    ///
+    /// \param wait  how long the caller waits for the end
+    [[nodiscard]] absl::StatusOr<request_reply>
+    submit(const request_spec& spec, milliseconds wait);
+
+    /// Returns the reply of a request, after at most `query.wait_ms`.
+    [[nodiscard]] absl::StatusOr<request_reply> wait(const key_query& query);
+
+    /// Cancels a request.
+    [[nodiscard]] absl::StatusOr<request_reply> cancel(const std::string& key);
+
+    /// Passes the end of an attempt to the coordinator of its request.
+    [[nodiscard]] absl::Status report_end(const std::string& data_center,
+                                          const ended_message& message);
+
+private:
+    using local_call = std::function<absl::StatusOr<request_reply>()>;
+    using remote_call = std::function<absl::StatusOr<request_reply>(
+        const std::string& address)>;
+
+    std::string host_of_shard(int shard) const;
+    absl::StatusOr<request_reply> call(const std::string& key,
+                                       milliseconds limit,
+                                       const local_call& local,
+                                       const remote_call& remote,
+                                       bool& is_lost) const;
+
+    coordinator& local_;
+    membership_service& members_;
+    rpc_client& client_;
+};
+
+} // namespace egretspindle
+
+#endif
--- /dev/null
+++ b/src/node/caller_service.cpp
@@ -0,0 +1,258 @@
+#include "egretspindle/node/caller_service.hpp"
+
+#include "egretspindle/adapters/caller_reply.hpp"
+#include "egretspindle/adapters/caller_request.hpp"
+#include "egretspindle/core/error.hpp"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <charconv>
+
+namespace egretspindle
+{
+
+namespace
+{
+
+constexpr std::string_view requests_path = "/v1/requests";
+constexpr std::string_view request_prefix = "/v1/requests/";
+constexpr std::int64_t overload_retry_ms = 500;
+
+http_response text_response(int status, std::string body)
+{
+    http_response response;
+    response.status = status;
+    response.content_type = "text/plain; charset=utf-8";
+    response.body = std::move(body);
+    return response;
+}
+
+/// Counts an urgent request while it is in service.
+class service_slot
+{
+public:
+    explicit service_slot(std::atomic<std::int64_t>& count)
+        : count_(count), order_(++count)
+    {
+    }
+    ~service_slot()
+    {
+        --count_;
+    }
+    service_slot(const service_slot&) = delete;
+    service_slot& operator=(const service_slot&) = delete;
+
+    [[nodiscard]] std::int64_t order() const
+    {
+        return order_;
+    }
+
+private:
+    std::atomic<std::int64_t>& count_;
+    std::int64_t order_;
+};
+
+request_reply not_run(const request_spec& spec, std::string_view reason,
+                      std::int64_t retry_after_ms)
+{
+    request_reply reply;
+    reply.key = key_of(spec);
+    reply.result = outcome::not_run;
+    reply.reason = reason;
+    reply.retry_after_ms = retry_after_ms;
+    return reply;
+}
+
+} // namespace
+
+caller_service::caller_service(limit_settings limits, request_router& router,
+                               plan_table& plans, metric_registry& metrics,
+                               caller_hooks hooks)
+    : limits_(std::move(limits)), router_(router), plans_(plans),
+      metrics_(metrics), hooks_(std::move(hooks))
+{
+}
+
+http_response caller_service::handle(const http_request& request)
+{
+    const std::string& path = request.path;
+    if (path == "/healthz")
+    {
+        return text_response(200, "ok\n");
+    }
+    if (path == "/readyz")
+    {
+        const std::string reason = hooks_.not_ready_reason();
+        return reason.empty() ? text_response(200, "ready\n")
+                              : text_response(503, reason + "\n");
+    }
+    if (path == "/metrics")
+    {
+        hooks_.update_gauges();
+        http_response response =
+            text_response(200, metrics_.prometheus_text());
+        response.content_type = "text/plain; version=0.0.4";
+        return response;
+    }
+    if (path == requests_path && request.method == "POST")
+    {
+        return submit(request);
+    }
+    if (path.compare(0, request_prefix.size(), request_prefix) == 0)
+    {
+        const std::string key = path.substr(request_prefix.size());
+        if (request.method == "GET")
+        {
+            return wait(request, key);
+        }
+        if (request.method == "DELETE")
+        {
+            return cancel(key);
+        }
+    }
+    return format_error(make_error(
+        error_kind::not_found,
+        fmt::format("no resource {} {}; see docs/api.md", request.method,
+                    path)));
+}
+
+http_response caller_service::submit(const http_request& request)
+{
+    const time_point received = steady_clock::now();
+    const absl::StatusOr<caller_request> parsed =
+        parse_caller_request(request, limits_);
+    if (!parsed.ok())
+    {
+        return format_error(parsed.status());
+    }
+    const milliseconds wait(
+        std::min(parsed->wait_ms, limits_.max_wait_ms));
+    const bool is_urgent = parsed->spec.urgent;
+    const absl::StatusOr<request_reply> result =
+        submit_checked(parsed->spec, wait);
+    if (result.ok())
+    {
+        metrics_
+            .get_summary("egretspindle_request_milliseconds",
+                         "Time from receipt to reply.",
+                         {{"urgency", is_urgent ? "urgent" : "batch"}})
+            .observe(std::chrono::duration<double, std::milli>(
+                         steady_clock::now() - received)
+                         .count());
+    }
+    return reply(result);
+}
+
+absl::StatusOr<request_reply>
+caller_service::submit_checked(request_spec spec, milliseconds wait)
+{
+    const absl::Status status = check_plan(spec);
+    if (!status.ok())
+    {
+        if (kind_of(status) == error_kind::unavailable)
+        {
+            return not_run(spec, std::string(status.message()),
+                           overload_retry_ms);
+        }
+        return status;
+    }
+    if (!spec.urgent)
+    {
+        return router_.submit(spec, wait);
+    }
+    const service_slot slot(urgent_in_service_);
+    if (slot.order() > limits_.max_urgent_in_service)
+    {
+        return not_run(spec, "too many urgent requests are in service; send "
+                             "it again later",
+                       overload_retry_ms);
+    }
+    return router_.submit(spec, wait);
+}
+
+absl::Status caller_service::check_plan(request_spec& spec) const
+{
+    const std::shared_ptr<const plan_in_force> plan = plans_.current();
+    if (!plan)
+    {
+        return make_error(error_kind::unavailable,
+                          "no plan is in force yet; send it again later");
+    }
+    if (plan->document.teams.count(spec.team) == 0)
+    {
+        return make_error(error_kind::unknown_team,
+                          fmt::format("team '{}' is not in the plan; ask a "
+                                      "supervisor to add it",
+                                      spec.team));
+    }
+    const auto service = plan->document.services.find(spec.kind);
+    if (service == plan->document.services.end())
+    {
+        return absl::OkStatus();
+    }
+    const service_section& limits = service->second;
+    const bool is_above =
+        (limits.max_cpu_cores > 0 &&
+         spec.size.cpu_cores > limits.max_cpu_cores) ||
+        (limits.max_memory_mb > 0 &&
+         spec.size.memory_mb > limits.max_memory_mb) ||
+        (limits.max_accelerators > 0 &&
+         spec.size.accelerators > limits.max_accelerators);
+    if (is_above)
+    {
+        return make_error(error_kind::invalid_argument,
+                          fmt::format("the size exceeds the plan's limits of "
+                                      "service '{}'; ask for less",
+                                      spec.kind));
+    }
+    return absl::OkStatus();
+}
+
+http_response caller_service::wait(const http_request& request,
+                                   const std::string& key)
+{
+    std::int64_t wait_ms = 0;
+    const auto it = request.query.find("wait_ms");
+    if (it != request.query.end())
+    {
+        const char* last = it->second.data() + it->second.size();
+        const auto [end, ec] =
+            std::from_chars(it->second.data(), last, wait_ms);
+        if (ec != std::errc() || end != last || wait_ms < 0)
+        {
+            return format_error(make_error(
+                error_kind::invalid_argument,
+                "wait_ms must be a whole number of milliseconds"));
+        }
+    }
+    return reply(
+        router_.wait({key, std::min(wait_ms, limits_.max_wait_ms)}));
+}
+
+http_response caller_service::cancel(const std::string& key)
+{
+    return reply(router_.cancel(key));
+}
+
+http_response
+caller_service::reply(const absl::StatusOr<request_reply>& result)
+{
+    if (!result.ok())
+    {
+        metrics_
+            .get_counter("egretspindle_request_errors_total",
+                         "Requests refused with an error.",
+                         {{"kind", std::string(to_string(
+                                       kind_of(result.status())))}})
+            .add();
+        return format_error(result.status());
+    }
+    metrics_
+        .get_counter("egretspindle_replies_total", "Replies by outcome.",
+                     {{"outcome", std::string(to_string(result->result))}})
+        .add();
+    return format_reply(*result);
+}
+
+} // namespace egretspindle
--- a/src/request_path/coordinator.cpp
+++ b/src/request_path/coordinator.cpp
@@ -131,7 +131,27 @@
     {
         return known;
     }
-    const absl::StatusOr<store_row> row =
+    const absl::StatusOr<loaded_record> loaded = read_record(key);
+    if (!loaded.ok())
+    {
+        return loaded.status();
+    }
+    const request_entry_ptr made = make_entry(
+        key, loaded->record, loaded->row.version, steady_clock::now());
+    made->is_busy = loaded->record.state != record_state::ended;
+    const auto [entry, is_new] = table_.insert(made);
+    if (is_new && loaded->record.state != record_state::ended)
+    {
+        workers_.run([this, entry = entry, row = loaded->row]
+                     { adopt(entry, row); });
+    }
+    return entry;
+}
+
+absl::StatusOr<coordinator::loaded_record>
+coordinator::read_record(const std::string& key)
+{
+    absl::StatusOr<store_row> row =
         store_.read(record_key(key), options_.store_timeout);
     if (!row.ok())
     {
@@ -145,23 +165,13 @@
             error_kind::not_found,
             fmt::format("no request '{}'; check its team and id", key));
     }
-    const absl::StatusOr<request_record> record =
+    absl::StatusOr<request_record> record =
         from_json<request_record>(row->value);
     if (!record.ok())
     {
         return record.status();
     }
-    const auto [entry, is_new] = table_.insert(
-        make_entry(key, *record, row->version, steady_clock::now()));
-    if (is_new && record->state != record_state::ended)
-    {
-        {
-            const std::lock_guard<std::mutex> lock(entry->mutex);
-            entry->is_busy = true;
-        }
-        workers_.run([this, entry = entry, row = *row] { adopt(entry, row); });
-    }
-    return entry;
+    return loaded_record{*std::move(row), *std::move(record)};
 }
 
 bool coordinator::is_elsewhere(const request_record& record) const
@@ -242,6 +252,18 @@
                       { return !is_final(reply_of(*entry).result); }));
 }
 
+bool coordinator::has_busy_requests() const
+{
+    const std::vector<request_entry_ptr> all = table_.entries();
+    return std::any_of(all.begin(), all.end(),
+                       [](const request_entry_ptr& entry)
+                       {
+                           const std::lock_guard<std::mutex> lock(
+                               entry->mutex);
+                           return entry->is_busy;
+                       });
+}
+
 int coordinator::queued_count() const
 {
     const std::lock_guard<std::mutex> lock(queue_mutex_);
--- a/src/request_path/coordinator_commit.cpp
+++ b/src/request_path/coordinator_commit.cpp
@@ -28,17 +28,22 @@
     store_transaction transaction;
     transaction.tx_id = make_transaction_id(options_.host_name);
     std::int64_t version = 0;
+    bool is_open_row_due = false;
     {
         const std::lock_guard<std::mutex> lock(entry->mutex);
         version = entry->version;
+        // The row of an open batch request names its coordinator, so that a
+        // scan need not read the records of live coordinators.
+        is_open_row_due =
+            !entry->spec.urgent &&
+            (version == 0 || record.coordinator != entry->record.coordinator);
     }
     transaction.checks.push_back({record_key(entry->key), version});
     transaction.writes.push_back(
         {record_key(entry->key), to_json(record), false});
-    if (version == 0 && record.state == record_state::accepted)
+    if (is_open_row_due)
     {
-        transaction.writes.push_back(
-            {open_key(options_.data_center, shard_of(entry->key), entry->key),
+        transaction.writes.push_back({open_key(record.data_center, shard_of(entry->key), entry->key),
              options_.host_name, false});
     }
     absl::StatusOr<commit_result> result = store_.commit(transaction, timeout);
--- a/src/request_path/coordinator_recovery.cpp
+++ b/src/request_path/coordinator_recovery.cpp
@@ -236,6 +236,16 @@
 absl::Status coordinator::task_ended(const task_report& report)
 {
     const std::string& key = report.task.key;
+    const request_entry_ptr known = table_.find(key);
+    if (!known)
+    {
+        const absl::StatusOr<loaded_record> loaded = read_record(key);
+        if (loaded.ok() && loaded->record.state != record_state::ended &&
+            is_elsewhere(loaded->record))
+        {
+            return hooks_.forward_ended(loaded->record.coordinator, report);
+        }
+    }
     absl::StatusOr<request_entry_ptr> entry = load(key);
     if (!entry.ok() && kind_of(entry.status()) == error_kind::not_found)
     {
@@ -298,7 +308,9 @@
         {
             after = row.key;
             const std::string key = row.key.substr(prefix.size());
-            if (!table_.find(key))
+            const bool is_elsewhere_alive =
+                row.value != options_.host_name && hooks_.is_alive(row.value);
+            if (!is_elsewhere_alive && !table_.find(key))
             {
                 load(key).status().IgnoreError();
             }
