--- a/tools/common/reply.hpp
+++ b/tools/common/reply.hpp
@@ -34,6 +34,17 @@
 /// Makes a response with status 400 from a failed decoding.
 [[nodiscard]] http_response bad_request(const absl::Status& status);
 
+/// Overwrites the fields that a JSON object has; the others keep their
+/// values.
+template <typename T>
+[[nodiscard]] absl::Status update_from_json(std::string_view text, T& value)
+{
+    const absl::StatusOr<cxxtools::SerializationInfo> tree = parse_json(text);
+    return tree.ok()
+               ? codec::read(*tree, value, codec::unknown_fields::reject, "")
+               : tree.status();
+}
+
 /// Returns a query parameter, or an empty text.
 [[nodiscard]] std::string query_of(const http_request& request,
                                    const std::string& name);
--- a/tools/standin_store/store_api.cpp
+++ b/tools/standin_store/store_api.cpp
@@ -80,22 +80,16 @@
 
 http_response store_api::control(const http_request& request)
 {
-    const absl::StatusOr<cxxtools::SerializationInfo> tree =
-        parse_json(request.body);
-    if (!tree.ok())
-    {
-        return bad_request(tree.status());
-    }
     const std::lock_guard<std::mutex> lock(mutex_);
     store_faults faults = faults_;
-    const absl::Status status =
-        codec::read(*tree, faults, codec::unknown_fields::reject, "");
+    faults.seed = 0;
+    const absl::Status status = update_from_json(request.body, faults);
     if (!status.ok())
     {
         return bad_request(status);
     }
     faults_ = faults;
-    if (tree->findMember("seed") != nullptr)
+    if (faults.seed != 0)
     {
         random_.seed(static_cast<unsigned>(faults.seed));
     }
--- a/tools/standin_store/store_api.hpp
+++ b/tools/standin_store/store_api.hpp
@@ -24,7 +24,7 @@
     long delay_ms = 0;
     long lose_answers = 0; ///< commits whose answer is lost
     double lose_answer_probability = 0;
-    long seed = 1; ///< of the random losses
+    long seed = 0; ///< restarts the random losses when not 0
 };
 
 /// Visits the fields of `store_faults` for the codec.
--- a/tools/standin_target/main.cpp
+++ b/tools/standin_target/main.cpp
@@ -15,19 +15,6 @@
 using namespace egretspindle;
 using namespace egretspindle::standin;
 
-struct control
-{
-    bool fail_all = false;
-    double speed = 1;
-};
-
-template <typename Visitor, typename Value>
-void visit_fields(Visitor&& visit, Value& value, const control* /*tag*/)
-{
-    visit("fail_all", value.fail_all);
-    visit("speed", value.speed);
-}
-
 int status_of(error_kind kind)
 {
     switch (kind)
@@ -105,13 +92,14 @@
     }
     if (path == "/control")
     {
-        return with_body<control>(request,
-                                  [&](const control& command)
-                                  {
-                                      tasks.set_fail_all(command.fail_all);
-                                      tasks.set_speed(command.speed);
-                                      return reply_with(command);
-                                  });
+        target_faults faults = tasks.faults();
+        const absl::Status status = update_from_json(request.body, faults);
+        if (!status.ok())
+        {
+            return bad_request(status);
+        }
+        tasks.set_faults(faults);
+        return reply_with(faults);
     }
     return error_reply(404, error_kind::not_found, "no such path");
 }
--- a/tools/standin_target/task_table.cpp
+++ b/tools/standin_target/task_table.cpp
@@ -40,10 +40,10 @@
       boot_id_(fmt::format("{}-{:016x}", options.name, random_number())),
       origin_(steady_clock::now() -
               milliseconds(1'000'000 + random_number() % 1'000'000'000)),
-      fail_all_(options.fail_all), advanced_(steady_clock::now()),
-      tick_recorded_(advanced_), usage_sampled_(advanced_),
-      journal_(options.journal)
+      advanced_(steady_clock::now()), tick_recorded_(advanced_),
+      usage_sampled_(advanced_), journal_(options.journal)
 {
+    faults_.fail_all = options.fail_all;
     journal_event event;
     event.event = "boot";
     append(std::move(event));
@@ -206,17 +206,18 @@
     return token_;
 }
 
-void task_table::set_fail_all(bool value)
+target_faults task_table::faults()
 {
     const lock_type lock(mutex_);
-    fail_all_ = value;
+    return faults_;
 }
 
-void task_table::set_speed(double value)
+void task_table::set_faults(const target_faults& faults)
 {
     const lock_type lock(mutex_);
     advance(steady_clock::now());
-    speed_ = std::max(value, 0.0);
+    faults_ = faults;
+    faults_.speed = std::max(faults.speed, 0.0);
     wake_.notify_all();
 }
 
@@ -246,7 +247,7 @@
     for (const task_ptr& value : running_)
     {
         const double rate =
-            rate_of(*value, running_, options_) * std::max(speed_, 1e-6);
+            rate_of(*value, running_, options_) * std::max(faults_.speed, 1e-6);
         const double left_ms = (value->load.work_ms - value->done_ms) / rate;
         if (left_ms < 5)
         {
@@ -336,7 +337,7 @@
     prepare(*value);
     value->lease_until_ms = lease_until_ms;
     owner_lease_until_ms_ = std::max(owner_lease_until_ms_, lease_until_ms);
-    if (fail_all_)
+    if (faults_.fail_all)
     {
         value->load.fail = true;
         value->load.work_ms = std::min(value->load.work_ms, 1.0);
@@ -361,7 +362,7 @@
     rates.reserve(running_.size());
     for (const task_ptr& value : running_)
     {
-        rates.push_back(rate_of(*value, running_, options_) * speed_);
+        rates.push_back(rate_of(*value, running_, options_) * faults_.speed);
     }
     const std::vector<task_ptr> running = running_;
     for (std::size_t n = 0; n < running.size(); ++n)
--- a/tools/standin_target/task_table.hpp
+++ b/tools/standin_target/task_table.hpp
@@ -15,6 +15,7 @@
 #include "common/journal_event.hpp"
 #include "common/line_file.hpp"
 #include "rate.hpp"
+#include "target_faults.hpp"
 
 #include <absl/status/statusor.h>
 
@@ -57,8 +58,8 @@
     target_state state();
     absl::StatusOr<fencing_token> claim(const claim_command& command);
 
-    void set_fail_all(bool value);
-    void set_speed(double value);
+    [[nodiscard]] target_faults faults();
+    void set_faults(const target_faults& faults);
 
 private:
     using attempt_id = std::pair<std::string, int>;
@@ -97,8 +98,7 @@
     std::mutex mutex_;
     std::condition_variable wake_;
     bool is_stopping_ = false;
-    bool fail_all_;
-    double speed_ = 1;
+    target_faults faults_;
     fencing_token token_;
     std::int64_t owner_lease_until_ms_ = 0;
     std::map<attempt_id, task_ptr> tasks_;
