Add settings, logging and metrics

The node needs its settings, log lines and metrics before it is assembled. Settings report every error at once by key, found value and expected value. Lines are escaped, written with one call, and hide credentials by field name and by value. Quantiles cover the last one to two minutes; the number of series is bounded because kinds come from callers.

toml++ 3.3 asserts properties of its input: '[=x]' ended the process. The wrapper core/toml.hpp turns its assertions into exceptions; every source that parses TOML has to include it in place of toml++/toml.h, since the library's inline functions must be the same in the whole program.

Checked: test_settings 7 cases, test_logging 5, test_metrics 5, all passed; before the wrapper, test_settings aborted.

--- /dev/null
+++ b/include/egretspindle/logging/decision.hpp
@@ -0,0 +1,29 @@
+/// \file
+/// Log line of a routing or placement decision.
+
+#ifndef EGRETSPINDLE_LOGGING_DECISION_HPP
+#define EGRETSPINDLE_LOGGING_DECISION_HPP
+
+#include <string>
+#include <string_view>
+
+namespace egretspindle
+{
+
+/// What was decided for a request, and why.
+struct decision
+{
+    std::string_view action; ///< for example `place`, `evict`, `reject`
+    std::string_view request;
+    std::string_view rack;
+    std::string_view target;
+    std::string alternatives; ///< what was not chosen, with its cost
+    std::string_view reason;
+};
+
+/// Writes one line at level `info`.
+void log_decision(const decision& made);
+
+} // namespace egretspindle
+
+#endif
--- /dev/null
+++ b/include/egretspindle/metrics/gauge.hpp
@@ -0,0 +1,42 @@
+/// \file
+/// Value that rises and falls.
+
+#ifndef EGRETSPINDLE_METRICS_GAUGE_HPP
+#define EGRETSPINDLE_METRICS_GAUGE_HPP
+
+#include <atomic>
+
+namespace egretspindle
+{
+
+/// Current value. Usable from several threads without a lock.
+class gauge
+{
+public:
+    void set(double value) noexcept
+    {
+        value_.store(value, std::memory_order_relaxed);
+    }
+
+    /// Adds a difference, which may be negative.
+    void add(double difference) noexcept
+    {
+        double seen = value_.load(std::memory_order_relaxed);
+        while (!value_.compare_exchange_weak(seen, seen + difference,
+                                             std::memory_order_relaxed))
+        {
+        }
+    }
+
+    [[nodiscard]] double value() const noexcept
+    {
+        return value_.load(std::memory_order_relaxed);
+    }
+
+private:
+    std::atomic<double> value_{0};
+};
+
+} // namespace egretspindle
+
+#endif
--- /dev/null
+++ b/include/egretspindle/settings/operator_settings.hpp
@@ -0,0 +1,30 @@
+/// \file
+/// Operators and their rights.
+
+#ifndef EGRETSPINDLE_SETTINGS_OPERATOR_SETTINGS_HPP
+#define EGRETSPINDLE_SETTINGS_OPERATOR_SETTINGS_HPP
+
+#include <string>
+
+namespace egretspindle
+{
+
+/// Rights of an operator.
+enum class operator_role
+{
+    member,     ///< `operator`: edits the sections of the own team
+    supervisor, ///< also accepts the whole plan
+};
+
+/// One person or program that may use the administration interface.
+struct operator_settings
+{
+    std::string name;
+    std::string team;
+    operator_role role = operator_role::member;
+    std::string token; ///< bearer token
+};
+
+} // namespace egretspindle
+
+#endif
--- /dev/null
+++ b/src/core/utf8.cpp
@@ -0,0 +1,110 @@
+#include "egretspindle/core/utf8.hpp"
+
+#include <cstdint>
+
+namespace egretspindle
+{
+
+namespace
+{
+
+// Returns the length that a lead byte announces, or 0 for other bytes.
+std::size_t announced_length(unsigned char lead) noexcept
+{
+    if (lead < 0x80)
+    {
+        return 1;
+    }
+    if (lead >= 0xC2 && lead <= 0xDF)
+    {
+        return 2;
+    }
+    if (lead >= 0xE0 && lead <= 0xEF)
+    {
+        return 3;
+    }
+    return lead >= 0xF0 && lead <= 0xF4 ? 4 : 0;
+}
+
+// Returns whether the second byte keeps the sequence out of the overlong
+// forms, the surrogates and the values above U+10FFFF.
+bool is_second_byte_valid(unsigned char lead, unsigned char second) noexcept
+{
+    switch (lead)
+    {
+    case 0xE0:
+        return second >= 0xA0;
+    case 0xED:
+        return second < 0xA0;
+    case 0xF0:
+        return second >= 0x90;
+    case 0xF4:
+        return second < 0x90;
+    default:
+        return true;
+    }
+}
+
+} // namespace
+
+std::size_t utf8_sequence_length(std::string_view text) noexcept
+{
+    if (text.empty())
+    {
+        return 0;
+    }
+    const auto lead = static_cast<unsigned char>(text[0]);
+    const std::size_t n = announced_length(lead);
+    if (n == 0 || n > text.size())
+    {
+        return 0;
+    }
+    for (std::size_t it = 1; it < n; ++it)
+    {
+        if ((static_cast<unsigned char>(text[it]) & 0xC0) != 0x80)
+        {
+            return 0;
+        }
+    }
+    return n == 1 || is_second_byte_valid(lead,
+                                          static_cast<unsigned char>(text[1]))
+               ? n
+               : 0;
+}
+
+bool is_valid_utf8(std::string_view text) noexcept
+{
+    while (!text.empty())
+    {
+        const std::size_t n = utf8_sequence_length(text);
+        if (n == 0)
+        {
+            return false;
+        }
+        text.remove_prefix(n);
+    }
+    return true;
+}
+
+std::string replace_invalid_utf8(std::string_view text)
+{
+    std::string out;
+    out.reserve(text.size());
+    while (!text.empty())
+    {
+        const std::size_t n = utf8_sequence_length(text);
+        if (n == 0)
+        {
+            out += '?';
+            text.remove_prefix(1);
+        }
+        else
+        {
+            out.append(text.substr(0, n));
+            text.remove_prefix(n);
+        }
+    }
+    return out;
+}
+
+} // namespace egretspindle
--- /dev/null
+++ b/src/logging/log.cpp
@@ -0,0 +1,132 @@
+#include "egretspindle/logging/log.hpp"
+
+#include "egretspindle/core/clock.hpp"
+#include "egretspindle/logging/decision.hpp"
+#include "egretspindle/logging/log_line.hpp"
+
+#include <atomic>
+#include <cerrno>
+#include <mutex>
+#include <unistd.h>
+#include <vector>
+
+namespace egretspindle
+{
+
+namespace
+{
+
+// A shorter secret would match parts of ordinary words.
+constexpr std::size_t shortest_secret = 8;
+
+struct log_state
+{
+    std::atomic<log_format> format{log_format::logfmt};
+    std::atomic<log_level> lowest{log_level::info};
+    std::mutex mutex;
+    std::vector<std::string> secrets; // guarded by mutex
+};
+
+log_state& state()
+{
+    // Never destroyed: threads may log while the process exits.
+    static log_state* const instance = new log_state;
+    return *instance;
+}
+
+void replace_all(std::string& text, const std::string& from,
+                 std::string_view to)
+{
+    for (std::size_t at = text.find(from); at != std::string::npos;
+         at = text.find(from, at + to.size()))
+    {
+        text.replace(at, from.size(), to);
+    }
+}
+
+void write_line(std::string_view line)
+{
+    while (!line.empty())
+    {
+        const ssize_t n = ::write(STDERR_FILENO, line.data(), line.size());
+        if (n < 0 && errno != EINTR)
+        {
+            return;
+        }
+        line.remove_prefix(n < 0 ? 0 : static_cast<std::size_t>(n));
+    }
+}
+
+} // namespace
+
+void configure_logging(log_format format, log_level lowest) noexcept
+{
+    state().format = format;
+    state().lowest = lowest;
+}
+
+void hide_in_logs(std::string_view secret)
+{
+    if (secret.size() < shortest_secret)
+    {
+        return;
+    }
+    const std::lock_guard<std::mutex> lock(state().mutex);
+    state().secrets.emplace_back(secret);
+}
+
+bool is_logged(log_level level) noexcept
+{
+    return level >= state().lowest.load(std::memory_order_relaxed);
+}
+
+void log(log_level level, std::string_view message, log_fields fields)
+{
+    if (!is_logged(level))
+    {
+        return;
+    }
+    std::string line = format_log_line(
+        state().format, level, unix_ms(), message,
+        absl::Span<const log_field>(fields.begin(), fields.size()));
+    {
+        const std::lock_guard<std::mutex> lock(state().mutex);
+        for (const std::string& secret : state().secrets)
+        {
+            replace_all(line, secret, "[redacted]");
+        }
+    }
+    write_line(line);
+}
+
+void log_debug(std::string_view message, log_fields fields)
+{
+    log(log_level::debug, message, fields);
+}
+
+void log_info(std::string_view message, log_fields fields)
+{
+    log(log_level::info, message, fields);
+}
+
+void log_warning(std::string_view message, log_fields fields)
+{
+    log(log_level::warning, message, fields);
+}
+
+void log_error(std::string_view message, log_fields fields)
+{
+    log(log_level::error, message, fields);
+}
+
+void log_decision(const decision& made)
+{
+    log_info("decision", {{"action", made.action},
+                          {"request", made.request},
+                          {"rack", made.rack},
+                          {"target", made.target},
+                          {"alternatives", made.alternatives},
+                          {"reason", made.reason}});
+}
+
+} // namespace egretspindle
--- /dev/null
+++ b/src/settings/settings_reader.cpp
@@ -0,0 +1,120 @@
+#include "settings_reader.hpp"
+
+namespace egretspindle
+{
+
+std::string describe(const toml::node* node)
+{
+    if (node == nullptr)
+    {
+        return "nothing";
+    }
+    constexpr std::size_t longest = 60;
+    std::ostringstream out;
+    node->visit([&out](const auto& value) { out << value; });
+    std::string text = out.str();
+    if (text.size() > longest)
+    {
+        text = text.substr(0, longest) + "...";
+    }
+    return text;
+}
+
+const toml::node* table_reader::find(const char* name)
+{
+    known_.insert(name);
+    return table_ == nullptr ? nullptr : table_->get(name);
+}
+
+table_reader table_reader::table(const char* name)
+{
+    const toml::node* node = find(name);
+    if (node != nullptr && !node->is_table())
+    {
+        fail(name, describe(node), "a table");
+        node = nullptr;
+    }
+    return {node == nullptr ? nullptr : node->as_table(), path_of(name),
+            errors_};
+}
+
+const toml::array* table_reader::array(const char* name,
+                                       std::string_view expected)
+{
+    const toml::node* node = find(name);
+    if (node != nullptr && !node->is_array())
+    {
+        fail(name, describe(node), expected);
+        return nullptr;
+    }
+    return node == nullptr ? nullptr : node->as_array();
+}
+
+std::string table_reader::text(const char* name, std::string_view expected,
+                               bool is_optional)
+{
+    const toml::node* node = find(name);
+    if (node == nullptr && is_optional)
+    {
+        return {};
+    }
+    if (node == nullptr || !node->is_string() ||
+        node->as_string()->get().empty())
+    {
+        fail(name, describe(node), expected);
+        return {};
+    }
+    return node->as_string()->get();
+}
+
+void table_reader::number(const char* name, std::int64_t& value,
+                          std::int64_t lowest, std::int64_t highest)
+{
+    const toml::node* node = find(name);
+    if (node == nullptr)
+    {
+        return;
+    }
+    if (!node->is_integer() || node->as_integer()->get() < lowest ||
+        node->as_integer()->get() > highest)
+    {
+        fail(name, describe(node),
+             fmt::format("an integer from {} to {}", lowest, highest));
+        return;
+    }
+    value = node->as_integer()->get();
+}
+
+void table_reader::fail(std::string_view name, std::string_view found,
+                        std::string_view expected)
+{
+    errors_.add(path_of(name), found, expected);
+}
+
+void table_reader::check_unknown()
+{
+    if (table_ == nullptr)
+    {
+        return;
+    }
+    std::string expected;
+    for (const std::string& name : known_)
+    {
+        expected += (expected.empty() ? "one of " : ", ") + name;
+    }
+    for (const auto& [key, node] : *table_)
+    {
+        if (known_.count(key.str()) == 0)
+        {
+            fail(key.str(), "an unknown key", expected);
+        }
+    }
+}
+
+std::string table_reader::path_of(std::string_view name) const
+{
+    return path_.empty() ? std::string(name)
+                         : fmt::format("{}.{}", path_, name);
+}
+
+} // namespace egretspindle
--- /dev/null
+++ b/tests/metrics/metrics_test.cpp
@@ -0,0 +1,116 @@
+#include "egretspindle/metrics/metric_registry.hpp"
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+#include <cmath>
+#include <random>
+#include <thread>
+#include <vector>
+
+using namespace egretspindle;
+
+// Guards against lost updates and against two instances of one series.
+TEST_CASE("updates of several threads are all counted", "[metrics]")
+{
+    metric_registry registry;
+    std::vector<std::thread> threads;
+    threads.reserve(4);
+    for (int it = 0; it < 4; ++it)
+    {
+        threads.emplace_back(
+            [&registry]
+            {
+                for (int n = 0; n < 5000; ++n)
+                {
+                    registry.get_counter("c_total", "C.", {{"k", "v"}}).add();
+                    registry.get_gauge("g", "G.").add(n % 2 == 0 ? 2 : -1);
+                    registry.get_summary("s_ms", "S.").observe(1);
+                }
+            });
+    }
+    for (std::thread& thread : threads)
+    {
+        thread.join();
+    }
+    CHECK(registry.get_counter("c_total", "C.", {{"k", "v"}}).value() == 20000);
+    CHECK(registry.get_gauge("g", "G.").value() == 10000);
+    CHECK(registry.get_summary("s_ms", "S.").snapshot().count == 20000);
+}
+
+// Guards against text that a Prometheus server rejects.
+TEST_CASE("metrics are formatted for Prometheus", "[metrics]")
+{
+    metric_registry registry;
+    registry.get_counter("b_total", "B\nb.", {{"kind", "a\"b\\c\nd"}}).add(2);
+    registry.get_summary("a_ms", "A.", {{"x", "y"}}).observe(4);
+    const std::string text = registry.prometheus_text();
+    CHECK(text.find("# HELP a_ms A.\n# TYPE a_ms summary\n"
+                    "a_ms{x=\"y\",quantile=\"0.5\"} 4\n"
+                    "a_ms{x=\"y\",quantile=\"0.9\"} 4\n"
+                    "a_ms{x=\"y\",quantile=\"0.99\"} 4\n"
+                    "a_ms_sum{x=\"y\"} 4\na_ms_count{x=\"y\"} 1\n") == 0);
+    CHECK(text.find("# HELP b_total B\\nb.\n# TYPE b_total counter\n"
+                    "b_total{kind=\"a\\\"b\\\\c\\nd\"} 2\n") !=
+          std::string::npos);
+}
+
+// Guards against quantiles that are far off at the tail.
+TEST_CASE("estimated quantiles are close to the exact ones", "[metrics]")
+{
+    const unsigned seed = 7;
+    INFO("seed " << seed);
+    std::mt19937 random(seed);
+    std::lognormal_distribution<double> draw(2, 0.8);
+    for (const std::size_t count : {std::size_t{50}, std::size_t{20'000}})
+    {
+        latency_summary summary;
+        std::vector<double> values;
+        for (std::size_t n = 0; n < count; ++n)
+        {
+            values.push_back(draw(random));
+            summary.observe(values.back());
+        }
+        std::sort(values.begin(), values.end());
+        const auto exact = [&values](double p)
+        {
+            return values[static_cast<std::size_t>(
+                p * static_cast<double>(values.size() - 1))];
+        };
+        const latency_snapshot taken = summary.snapshot();
+        CHECK(taken.p50 == Approx(exact(0.5)).epsilon(0.05));
+        CHECK(taken.p90 == Approx(exact(0.9)).epsilon(0.05));
+        CHECK(taken.p99 == Approx(exact(0.99)).epsilon(0.05));
+    }
+}
+
+// Guards against quantiles that a long past holds in place.
+TEST_CASE("quantiles follow the last two minutes", "[metrics]")
+{
+    latency_summary summary;
+    const time_point start = steady_clock::now();
+    for (int second = 0; second < 1000; ++second)
+    {
+        summary.observe(second < 500 ? 10 : 20,
+                        start + std::chrono::seconds(second));
+    }
+    CHECK(summary.snapshot(start + std::chrono::seconds(1000)).p50 == 20);
+    CHECK(std::isnan(summary.snapshot(start + std::chrono::seconds(2000)).p50));
+    CHECK(summary.snapshot(start + std::chrono::seconds(2000)).count == 1000);
+}
+
+// Guards against memory that grows with label values from callers.
+TEST_CASE("the number of series is bounded", "[metrics]")
+{
+    metric_registry registry(10);
+    for (int n = 0; n < 100; ++n)
+    {
+        registry.get_counter("c_total", "C.", {{"kind", std::to_string(n)}})
+            .add();
+    }
+    registry.get_gauge("c_total", "Another type.").set(1);
+    const std::string text = registry.prometheus_text();
+    CHECK(std::count(text.begin(), text.end(), '\n') == 2 + 10 + 3);
+    CHECK(text.find("egretspindle_metrics_dropped_total 91\n") !=
+          std::string::npos);
+}
