--- a/include/egretspindle/protocol/place_reply.hpp
+++ b/include/egretspindle/protocol/place_reply.hpp
@@ -19,7 +19,7 @@
     bool may_have_started =
         false; ///< whether an unplaced attempt could still have started
     bool superseded = false; ///< another coordinator is in charge
-    std::string reason; ///< why it was not placed
+    std::string reason;      ///< why it was not placed
     std::int64_t retry_after_ms = 0;
     std::string target;
     std::string rack;
--- a/include/egretspindle/protocol/place_request.hpp
+++ b/include/egretspindle/protocol/place_request.hpp
@@ -26,7 +26,7 @@
     std::string boot_id; ///< expected boot of the reserved target
     std::int64_t remaining_ms =
         0;                    ///< until the caller's deadline; 0 means none
-    bool relayed = false; ///< already passed on by another host
+    bool relayed = false;     ///< already passed on by another host
     std::int64_t wait_ms = 0; ///< how long to wait for the end
 };
 
--- a/include/egretspindle/protocol/task_query.hpp
+++ b/include/egretspindle/protocol/task_query.hpp
@@ -20,7 +20,7 @@
     std::string target;
     std::string boot_id;     ///< expected boot
     bool checkpoint = false; ///< for a stop: save progress first
-    bool relayed = false; ///< already passed on by another host
+    bool relayed = false;    ///< already passed on by another host
     std::int64_t wait_ms = 0;
 };
 
--- a/include/egretspindle/request_path/owned_task.hpp
+++ b/include/egretspindle/request_path/owned_task.hpp
@@ -38,11 +38,11 @@
     time_point placed;                ///< of the decision
     std::int64_t start_before_ms = 0; ///< on the target's clock
     std::string coordinator_data_center;
-    bool is_lost = false;             ///< ended without a result
-    bool is_stopping = false;         ///< a stop was sent
+    bool is_lost = false;     ///< ended without a result
+    bool is_stopping = false; ///< a stop was sent
     bool is_watched = false;
     bool is_reporting = false;
-    time_point next_report;           ///< of the end
+    time_point next_report; ///< of the end
 };
 
 } // namespace egretspindle
--- a/include/egretspindle/request_path/rack_runtime.hpp
+++ b/include/egretspindle/request_path/rack_runtime.hpp
@@ -59,7 +59,7 @@
     [[nodiscard]] place_reply place(const place_request& request);
 
     /// Returns the state of an attempt, after at most `query.wait_ms`.
-    [[nodiscard]] task_report task_state(const task_query& query);
+    [[nodiscard]] task_report query_task(const task_query& query);
 
     /// Stops an attempt, or prevents its start.
     [[nodiscard]] task_report stop_task(const task_query& query);
@@ -113,8 +113,7 @@
     std::optional<place_reply> known_attempt(const place_request& request);
     placement_decision decide(lock_type& lock, const place_request& request,
                               const task_request& task);
-    placement_decision wait_for_place(lock_type& lock,
-                                      const task_request& task,
+    placement_decision wait_for_place(lock_type& lock, const task_request& task,
                                       const placement_decision& first);
     void serve_waiting();
     void reserve(const place_request& request,
@@ -141,8 +140,7 @@
     void task_has_ended(owned_task& task, const task_state& state,
                         time_point now);
     task_report report_of(const task_id& id, const std::string& target) const;
-    task_report ask_target(const task_query& query,
-                           const session_ptr& session);
+    task_report ask_target(const task_query& query, const session_ptr& session);
     task_report without_target(const task_query& query);
 
     // rack_report.cpp
--- a/include/egretspindle/request_path/request_router.hpp
+++ b/include/egretspindle/request_path/request_router.hpp
@@ -35,8 +35,8 @@
     /// Submits a request and tries other coordinators when one is lost.
     ///
     /// \param wait  how long the caller waits for the end
-    [[nodiscard]] absl::StatusOr<request_reply>
-    submit(const request_spec& spec, milliseconds wait);
+    [[nodiscard]] absl::StatusOr<request_reply> submit(const request_spec& spec,
+                                                       milliseconds wait);
 
     /// Returns the reply of a request, after at most `query.wait_ms`.
     [[nodiscard]] absl::StatusOr<request_reply> wait(const key_query& query);
@@ -54,11 +54,9 @@
         const std::string& address)>;
 
     std::string host_of_shard(int shard) const;
-    absl::StatusOr<request_reply> call(const std::string& key,
-                                       milliseconds limit,
-                                       const local_call& local,
-                                       const remote_call& remote,
-                                       bool& is_lost) const;
+    absl::StatusOr<request_reply>
+    call(const std::string& key, milliseconds limit, const local_call& local,
+         const remote_call& remote, bool& is_lost) const;
 
     coordinator& local_;
     membership_service& members_;
--- a/src/node/caller_service.cpp
+++ b/src/node/caller_service.cpp
@@ -90,8 +90,7 @@
     if (path == "/metrics")
     {
         hooks_.update_gauges();
-        http_response response =
-            text_response(200, metrics_.prometheus_text());
+        http_response response = text_response(200, metrics_.prometheus_text());
         response.content_type = "text/plain; version=0.0.4";
         return response;
     }
@@ -112,9 +111,8 @@
         }
     }
     return format_error(make_error(
-        error_kind::not_found,
-        fmt::format("no resource {} {}; see docs/api.md", request.method,
-                    path)));
+        error_kind::not_found, fmt::format("no resource {} {}; see docs/api.md",
+                                           request.method, path)));
 }
 
 http_response caller_service::submit(const http_request& request)
@@ -126,8 +124,7 @@
     {
         return format_error(parsed.status());
     }
-    const milliseconds wait(
-        std::min(parsed->wait_ms, limits_.max_wait_ms));
+    const milliseconds wait(std::min(parsed->wait_ms, limits_.max_wait_ms));
     const bool is_urgent = parsed->spec.urgent;
     const absl::StatusOr<request_reply> result =
         submit_checked(parsed->spec, wait);
@@ -144,8 +141,8 @@
     return reply(result);
 }
 
-absl::StatusOr<request_reply>
-caller_service::submit_checked(request_spec spec, milliseconds wait)
+absl::StatusOr<request_reply> caller_service::submit_checked(request_spec spec,
+                                                             milliseconds wait)
 {
     const absl::Status status = check_plan(spec);
     if (!status.ok())
@@ -164,8 +161,9 @@
     const service_slot slot(urgent_in_service_);
     if (slot.order() > limits_.max_urgent_in_service)
     {
-        return not_run(spec, "too many urgent requests are in service; send "
-                             "it again later",
+        return not_run(spec,
+                       "too many urgent requests are in service; send "
+                       "it again later",
                        overload_retry_ms);
     }
     return router_.submit(spec, wait);
@@ -192,13 +190,12 @@
         return absl::OkStatus();
     }
     const service_section& limits = service->second;
-    const bool is_above =
-        (limits.max_cpu_cores > 0 &&
-         spec.size.cpu_cores > limits.max_cpu_cores) ||
-        (limits.max_memory_mb > 0 &&
-         spec.size.memory_mb > limits.max_memory_mb) ||
-        (limits.max_accelerators > 0 &&
-         spec.size.accelerators > limits.max_accelerators);
+    const bool is_above = (limits.max_cpu_cores > 0 &&
+                           spec.size.cpu_cores > limits.max_cpu_cores) ||
+                          (limits.max_memory_mb > 0 &&
+                           spec.size.memory_mb > limits.max_memory_mb) ||
+                          (limits.max_accelerators > 0 &&
+                           spec.size.accelerators > limits.max_accelerators);
     if (is_above)
     {
         return make_error(error_kind::invalid_argument,
@@ -221,13 +218,12 @@
             std::from_chars(it->second.data(), last, wait_ms);
         if (ec != std::errc() || end != last || wait_ms < 0)
         {
-            return format_error(make_error(
-                error_kind::invalid_argument,
-                "wait_ms must be a whole number of milliseconds"));
+            return format_error(
+                make_error(error_kind::invalid_argument,
+                           "wait_ms must be a whole number of milliseconds"));
         }
     }
-    return reply(
-        router_.wait({key, std::min(wait_ms, limits_.max_wait_ms)}));
+    return reply(router_.wait({key, std::min(wait_ms, limits_.max_wait_ms)}));
 }
 
 http_response caller_service::cancel(const std::string& key)
@@ -235,16 +231,15 @@
     return reply(router_.cancel(key));
 }
 
-http_response
-caller_service::reply(const absl::StatusOr<request_reply>& result)
+http_response caller_service::reply(const absl::StatusOr<request_reply>& result)
 {
     if (!result.ok())
     {
         metrics_
-            .get_counter("egretspindle_request_errors_total",
-                         "Requests refused with an error.",
-                         {{"kind", std::string(to_string(
-                                       kind_of(result.status())))}})
+            .get_counter(
+                "egretspindle_request_errors_total",
+                "Requests refused with an error.",
+                {{"kind", std::string(to_string(kind_of(result.status())))}})
             .add();
         return format_error(result.status());
     }
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -1,6 +1,7 @@
 #include "egretspindle/node/node.hpp"
 
 #include "egretspindle/logging/log.hpp"
+
 #include "node_parts.hpp"
 
 #include <fmt/format.h>
@@ -21,9 +22,7 @@
 
 } // namespace
 
-node::impl::impl(const settings& value) : config(value)
-{
-}
+node::impl::impl(const settings& value) : config(value) {}
 
 void node::impl::build()
 {
@@ -33,8 +32,8 @@
     members = std::make_unique<membership_service>(
         make_membership_options(), *peers, [this] { return describe_self(); },
         store.get());
-    racks = std::make_unique<rack_table>(make_rack_options(),
-                                         make_rack_hooks());
+    racks =
+        std::make_unique<rack_table>(make_rack_options(), make_rack_hooks());
     rack_routes = std::make_unique<peer_rack_router>(
         *racks, *members, *peers,
         [this] { return hosts->racks(config.host.data_center); });
@@ -58,7 +57,10 @@
     callers = std::make_unique<caller_service>(
         config.limits, *request_routes, plans, metrics,
         caller_hooks{[this] { return not_ready_reason(); },
-                     [this] { update_gauges(); }});
+                     [this]
+                     {
+                         update_gauges();
+                     }});
     register_messages();
     peer_server = std::make_unique<rpc_server>(
         config.cluster.key,
@@ -164,9 +166,7 @@
     return false;
 }
 
-node::node(std::unique_ptr<impl> parts) : impl_(std::move(parts))
-{
-}
+node::node(std::unique_ptr<impl> parts) : impl_(std::move(parts)) {}
 
 node::~node() = default;
 
@@ -232,15 +232,14 @@
     impl_->members->leave();
     std::this_thread::sleep_for(drain_notice);
     impl_->wait_for_urgent(limit);
-    const std::size_t handed_over = impl_->ownership->release_all(
-        std::max(milliseconds(1000),
-                 std::chrono::duration_cast<milliseconds>(
-                     limit - steady_clock::now())));
-    impl_->caller_server->wait_idle(milliseconds(std::max<std::int64_t>(
-        1000, elapsed_ms(steady_clock::now(), limit))));
+    const std::size_t handed_over = impl_->ownership->release_all(std::max(
+        milliseconds(1000),
+        std::chrono::duration_cast<milliseconds>(limit - steady_clock::now())));
+    impl_->caller_server->wait_idle(milliseconds(
+        std::max<std::int64_t>(1000, elapsed_ms(steady_clock::now(), limit))));
     impl_->shards->stop();
-    impl_->requests->flush(milliseconds(std::max<std::int64_t>(
-        1000, elapsed_ms(steady_clock::now(), limit))));
+    impl_->requests->flush(milliseconds(
+        std::max<std::int64_t>(1000, elapsed_ms(steady_clock::now(), limit))));
     impl_->caller_server->stop();
     impl_->ownership->stop();
     impl_->plan_operations->stop();
--- a/src/node/node_hooks.cpp
+++ b/src/node/node_hooks.cpp
@@ -1,12 +1,12 @@
 // Connections between the parts of a host.
 
-#include "node_parts.hpp"
-
 #include "egretspindle/core/error.hpp"
 #include "egretspindle/node/plan_limits.hpp"
 #include "egretspindle/protocol/message_type.hpp"
 #include "egretspindle/protocol/peer_client.hpp"
 
+#include "node_parts.hpp"
+
 #include <algorithm>
 
 namespace egretspindle
@@ -60,13 +60,22 @@
 {
     rack_hooks hooks;
     hooks.make_client = [](const std::string& address)
-    { return make_http_target_client(address); };
+    {
+        return make_http_target_client(address);
+    };
     hooks.report_end =
         [this](const std::string& data_center, const task_report& report)
-    { return request_routes->report_end(data_center, {report, 0}); };
+    {
+        return request_routes->report_end(data_center, {report, 0});
+    };
     hooks.stale_epoch = [this](const rack_id& rack)
-    { ownership->on_stale_epoch(rack); };
-    hooks.limits = [this] { return current_limits(); };
+    {
+        ownership->on_stale_epoch(rack);
+    };
+    hooks.limits = [this]
+    {
+        return current_limits();
+    };
     hooks.is_leaving_by_plan = [this](const std::string& target)
     {
         const std::shared_ptr<const plan_in_force> plan = plans.current();
@@ -78,7 +87,9 @@
         return std::find(names.begin(), names.end(), target) != names.end();
     };
     hooks.is_listed = [this](const std::string& host)
-    { return hosts->is_entry_host_listed(host); };
+    {
+        return hosts->is_entry_host_listed(host);
+    };
     return hooks;
 }
 
@@ -97,15 +108,14 @@
 coordinator_hooks node::impl::make_coordinator_hooks()
 {
     coordinator_hooks hooks;
-    hooks.forward_wait = [this](const std::string& host,
-                                const key_query& query)
+    hooks.forward_wait = [this](const std::string& host, const key_query& query)
     {
         return call_peer<request_reply>(
             *peers, members->address_of(host), message_type::wait, query,
             milliseconds(query.wait_ms) + forward_slack);
     };
-    hooks.forward_ended = [this](const std::string& host,
-                                 const task_report& report)
+    hooks.forward_ended =
+        [this](const std::string& host, const task_report& report)
     {
         return call_peer<key_query>(*peers, members->address_of(host),
                                     message_type::task_ended,
@@ -115,8 +125,7 @@
     hooks.is_alive = [this](const std::string& host)
     {
         const std::optional<member_digest> member = members->find(host);
-        return host != config.host.name && member &&
-               member->state != "dead";
+        return host != config.host.name && member && member->state != "dead";
     };
     hooks.is_view_settled = [this]
     {
@@ -125,7 +134,9 @@
         return steady_clock::now() - changed > settled_after;
     };
     hooks.is_preferred = [this](const std::string& key)
-    { return request_routes->coordinator_of(key) == config.host.name; };
+    {
+        return request_routes->coordinator_of(key) == config.host.name;
+    };
     return hooks;
 }
 
@@ -133,12 +144,21 @@
 {
     ownership_callbacks callbacks;
     callbacks.acquired = [this](const owned_rack& rack)
-    { racks->acquire(rack); };
+    {
+        racks->acquire(rack);
+    };
     callbacks.updated = [this](const owned_rack& rack)
-    { racks->update(rack); };
-    callbacks.lost = [this](const rack_id& rack) { racks->lose(rack); };
+    {
+        racks->update(rack);
+    };
+    callbacks.lost = [this](const rack_id& rack)
+    {
+        racks->lose(rack);
+    };
     callbacks.last_renewals = [this](const rack_id& rack)
-    { return racks->renewals(rack); };
+    {
+        return racks->renewals(rack);
+    };
     callbacks.claim_target =
         [this](const host_entry& target,
                std::int64_t epoch) -> absl::StatusOr<fencing_token>
--- a/src/node/node_messages.cpp
+++ b/src/node/node_messages.cpp
@@ -1,12 +1,12 @@
 // Messages from other hosts.
 
-#include "node_parts.hpp"
-
 #include "egretspindle/protocol/host_status.hpp"
 #include "egretspindle/protocol/message_type.hpp"
 #include "egretspindle/protocol/ping_message.hpp"
 #include "egretspindle/protocol/submit_request.hpp"
 
+#include "node_parts.hpp"
+
 namespace egretspindle
 {
 
@@ -30,8 +30,7 @@
         message_type::wait, [this](const std::string&, const key_query& query)
         { return requests->wait(query); });
     messages.on<key_query, request_reply>(
-        message_type::cancel,
-        [this](const std::string&, const key_query& query)
+        message_type::cancel, [this](const std::string&, const key_query& query)
         { return requests->cancel(query.key); });
     messages.on<find_request, find_reply>(
         message_type::find,
@@ -67,8 +66,8 @@
         [this](const std::string&,
                const ended_message& message) -> absl::StatusOr<key_query>
         {
-            const absl::Status status = request_routes->report_end(
-                config.host.data_center, message);
+            const absl::Status status =
+                request_routes->report_end(config.host.data_center, message);
             if (!status.ok())
             {
                 return status;
--- a/src/node/node_parts.hpp
+++ b/src/node/node_parts.hpp
@@ -17,6 +17,7 @@
 #include "egretspindle/ownership/ownership_service.hpp"
 #include "egretspindle/plan/plan_service.hpp"
 #include "egretspindle/plan/plan_table.hpp"
+#include "egretspindle/protocol/host_status.hpp"
 #include "egretspindle/protocol/message_router.hpp"
 #include "egretspindle/request_path/coordinator.hpp"
 #include "egretspindle/request_path/peer_rack_router.hpp"
--- a/src/request_path/coordinator.cpp
+++ b/src/request_path/coordinator.cpp
@@ -258,8 +258,7 @@
     return std::any_of(all.begin(), all.end(),
                        [](const request_entry_ptr& entry)
                        {
-                           const std::lock_guard<std::mutex> lock(
-                               entry->mutex);
+                           const std::lock_guard<std::mutex> lock(entry->mutex);
                            return entry->is_busy;
                        });
 }
--- a/src/request_path/coordinator_commit.cpp
+++ b/src/request_path/coordinator_commit.cpp
@@ -43,7 +43,8 @@
         {record_key(entry->key), to_json(record), false});
     if (is_open_row_due)
     {
-        transaction.writes.push_back({open_key(record.data_center, shard_of(entry->key), entry->key),
+        transaction.writes.push_back(
+            {open_key(record.data_center, shard_of(entry->key), entry->key),
              options_.host_name, false});
     }
     absl::StatusOr<commit_result> result = store_.commit(transaction, timeout);
--- a/src/request_path/coordinator_urgent.cpp
+++ b/src/request_path/coordinator_urgent.cpp
@@ -23,9 +23,9 @@
 // Errors that a rack owner reports before it starts anything.
 bool is_definite_refusal(error_kind kind)
 {
-    return kind == error_kind::unavailable ||
-           kind == error_kind::stale_epoch || kind == error_kind::overloaded ||
-           kind == error_kind::not_found || kind == error_kind::unauthorized;
+    return kind == error_kind::unavailable || kind == error_kind::stale_epoch ||
+           kind == error_kind::overloaded || kind == error_kind::not_found ||
+           kind == error_kind::unauthorized;
 }
 
 std::int64_t remaining_ms(const request_entry& entry)
--- a/src/request_path/peer_rack_router.cpp
+++ b/src/request_path/peer_rack_router.cpp
@@ -82,8 +82,8 @@
     std::vector<std::size_t> order;
     {
         const std::lock_guard<std::mutex> lock(rng_mutex_);
-        order = choose_racks(racks, make_task_request(spec, 1, std::nullopt),
-                             rng_);
+        order =
+            choose_racks(racks, make_task_request(spec, 1, std::nullopt), rng_);
     }
     std::vector<rack_candidate> found;
     for (const std::size_t n : order)
@@ -122,8 +122,7 @@
     const bool is_here = data_center == members_.options().data_center;
     if (!is_here)
     {
-        const std::vector<std::string> hosts =
-            members_.live_hosts(data_center);
+        const std::vector<std::string> hosts = members_.live_hosts(data_center);
         if (!hosts.empty())
         {
             const std::lock_guard<std::mutex> lock(rng_mutex_);
@@ -195,8 +194,7 @@
     passed_on.relayed = is_here;
     return call_peer<place_reply>(client_, *address, message_type::place,
                                   passed_on,
-                                  call_timeout +
-                                      milliseconds(request.wait_ms));
+                                  call_timeout + milliseconds(request.wait_ms));
 }
 
 absl::StatusOr<place_reply>
@@ -215,8 +213,7 @@
         last = place(chosen);
         const bool is_refused =
             last.ok() ? !last->placed && !last->may_have_started
-                      : kind_of(last.status()) !=
-                            error_kind::deadline_exceeded;
+                      : kind_of(last.status()) != error_kind::deadline_exceeded;
         if (!is_refused)
         {
             return last;
@@ -225,9 +222,9 @@
     return last;
 }
 
-absl::StatusOr<task_report>
-peer_rack_router::ask_owner(std::string_view type, query_function function,
-                            const task_query& query)
+absl::StatusOr<task_report> peer_rack_router::ask_owner(std::string_view type,
+                                                        query_function function,
+                                                        const task_query& query)
 {
     const bool is_here = query.data_center == members_.options().data_center;
     if (is_here)
@@ -259,7 +256,7 @@
 absl::StatusOr<task_report>
 peer_rack_router::task_state(const task_query& query)
 {
-    return ask_owner(message_type::task_state, &rack_runtime::task_state,
+    return ask_owner(message_type::task_state, &rack_runtime::query_task,
                      query);
 }
 
@@ -328,9 +325,9 @@
         {
             continue;
         }
-        const absl::StatusOr<find_reply> reply = call_peer<find_reply>(
-            client_, members_.address_of(host), message_type::find, request,
-            find_timeout);
+        const absl::StatusOr<find_reply> reply =
+            call_peer<find_reply>(client_, members_.address_of(host),
+                                  message_type::find, request, find_timeout);
         if (reply.ok())
         {
             reports.insert(reports.end(), reply->reports.begin(),
--- a/src/request_path/rack_place.cpp
+++ b/src/request_path/rack_place.cpp
@@ -79,8 +79,8 @@
     {
         return start_on(request, request.target);
     }
-    place_reply reply = refusal("no target has room; send it again later",
-                                refused_retry_ms);
+    place_reply reply =
+        refusal("no target has room; send it again later", refused_retry_ms);
     for (int n = 0; n < max_start_tries; ++n)
     {
         placement_decision decision;
@@ -122,9 +122,9 @@
     const auto fence = fences_.find(key);
     if (fence != fences_.end() && request.attempt <= fence->second.first)
     {
-        place_reply reply = refusal(
-            "another coordinator is in charge of the request",
-            refused_retry_ms);
+        place_reply reply =
+            refusal("another coordinator is in charge of the request",
+                    refused_retry_ms);
         reply.superseded = true;
         return reply;
     }
@@ -173,13 +173,10 @@
                         [this]
                         {
                             return is_stopping_ ||
-                                   std::all_of(sessions_.begin(),
-                                               sessions_.end(),
-                                               [](const auto& item)
-                                               {
-                                                   return item.second
-                                                       ->has_contact;
-                                               });
+                                   std::all_of(
+                                       sessions_.begin(), sessions_.end(),
+                                       [](const auto& item)
+                                       { return item.second->has_contact; });
                         });
     const time_point now = steady_clock::now();
     note_request(load_, task.team, task.urgent, now);
@@ -203,9 +200,9 @@
     return decision;
 }
 
-placement_decision
-rack_runtime::wait_for_place(lock_type& lock, const task_request& task,
-                             const placement_decision& first)
+placement_decision rack_runtime::wait_for_place(lock_type& lock,
+                                                const task_request& task,
+                                                const placement_decision& first)
 {
     const std::shared_ptr<const policy_limits> limits = hooks_.limits();
     placement_decision rejected;
@@ -231,12 +228,10 @@
     }
     waiters_[admission.id] = waiter{};
     const time_point limit =
-        task.deadline ? *task.deadline
-                      : steady_clock::now() + options_.lease;
+        task.deadline ? *task.deadline : steady_clock::now() + options_.lease;
     changed_.wait_until(
         lock, limit,
-        [&]
-        { return is_stopping_ || waiters_[admission.id].is_decided; });
+        [&] { return is_stopping_ || waiters_[admission.id].is_decided; });
     const waiter result = waiters_[admission.id];
     waiters_.erase(admission.id);
     if (result.is_decided)
@@ -244,9 +239,8 @@
         return result.decision;
     }
     remove(urgent_queue_, admission.id, false, steady_clock::now());
-    rejected.reason = is_stopping_
-                          ? "the rack has another owner"
-                          : "no place became free before the deadline";
+    rejected.reason = is_stopping_ ? "the rack has another owner"
+                                   : "no place became free before the deadline";
     rejected.retry_after_ms = refused_retry_ms;
     return rejected;
 }
@@ -328,11 +322,11 @@
     load.reserve = decision.reservation;
     load.started = now;
     load.expected_end =
-        now + milliseconds(
-                  static_cast<std::int64_t>(decision.predicted_finish_ms));
+        now +
+        milliseconds(static_cast<std::int64_t>(decision.predicted_finish_ms));
     // A non-idempotent task is never evicted, as it must not start twice.
-    load.checkpointable = !task.urgent && request.spec.idempotent &&
-                          request.spec.checkpointable;
+    load.checkpointable =
+        !task.urgent && request.spec.idempotent && request.spec.checkpointable;
     if (target_load* target = load_of(decision.target))
     {
         target->tasks.push_back(load);
@@ -372,9 +366,9 @@
         task.phase = task_phase::starting;
         task.changed = now;
         task.coordinator_data_center = request.coordinator_data_center;
-        task.start_before_ms =
-            session->clock_ms + elapsed_ms(session->clock_received, now) +
-            options_.start_window.count();
+        task.start_before_ms = session->clock_ms +
+                               elapsed_ms(session->clock_received, now) +
+                               options_.start_window.count();
         command.epoch = session->token.epoch;
         command.term = session->token.term;
         command.key = id.first;
@@ -389,9 +383,9 @@
         command.start_before_ms = task.start_before_ms;
         command.lease_until_ms = lease_until_ms(*session, options_);
         command.wait_ms = request.wait_ms;
-        session->lease_bound = std::max(
-            session->lease_bound,
-            lease_bound_of(session->clock_received, options_));
+        session->lease_bound =
+            std::max(session->lease_bound,
+                     lease_bound_of(session->clock_received, options_));
         reply.reason.clear();
         reply.retry_after_ms = 0;
         reply.target = target;
@@ -399,7 +393,7 @@
         reply.epoch = rack_.token.epoch;
         reply.boot_id = session->boot_id;
     }
-    const absl::StatusOr<egretspindle::task_state> state =
+    const absl::StatusOr<task_state> state =
         session->client->start(command);
     if (!state.ok())
     {
--- a/src/request_path/rack_renew.cpp
+++ b/src/request_path/rack_renew.cpp
@@ -74,8 +74,8 @@
         {
             load->reachable = false;
         }
-        is_stale = kind_of(state.status()) == error_kind::stale_epoch &&
-                   !is_stopping_;
+        is_stale =
+            kind_of(state.status()) == error_kind::stale_epoch && !is_stopping_;
         changed_.notify_all();
     }
     if (is_stale)
@@ -104,7 +104,7 @@
     {
         log_warning("target restarted", {{"target", session->entry.name}});
     }
-    for (const egretspindle::task_state& task : state.tasks)
+    for (const task_state& task : state.tasks)
     {
         apply_task(session, task, now);
     }
@@ -115,7 +115,7 @@
 }
 
 void rack_runtime::apply_task(const session_ptr& session,
-                              const egretspindle::task_state& task,
+                              const task_state& task,
                               time_point now)
 {
     const task_id id{task.key, task.attempt};
@@ -174,9 +174,8 @@
         owned_task& task = it->second;
         const bool is_present = std::any_of(
             state.tasks.begin(), state.tasks.end(),
-            [&](const egretspindle::task_state& other) {
-                return other.key == task.key && other.attempt == task.attempt;
-            });
+            [&](const task_state& other)
+            { return other.key == task.key && other.attempt == task.attempt; });
         const bool is_other = task.target != session->entry.name ||
                               task.phase == task_phase::reserved ||
                               task.phase == task_phase::starting;
@@ -196,7 +195,7 @@
             it = tasks_.erase(it);
             continue;
         }
-        egretspindle::task_state gone;
+        task_state gone;
         gone.key = task.key;
         gone.attempt = task.attempt;
         gone.error = "the target does not know it any more";
@@ -217,8 +216,7 @@
     std::vector<usage_sample> samples;
     for (const task_usage& usage : state.usage)
     {
-        task_load* task =
-            task_load_of({usage.key, usage.attempt}, load->name);
+        task_load* task = task_load_of({usage.key, usage.attempt}, load->name);
         if (task == nullptr)
         {
             continue;
@@ -247,7 +245,7 @@
         {
             continue;
         }
-        egretspindle::task_state gone;
+        task_state gone;
         gone.key = task.key;
         gone.attempt = task.attempt;
         gone.boot_id = task.boot_id;
--- a/src/request_path/rack_report.cpp
+++ b/src/request_path/rack_report.cpp
@@ -27,9 +27,8 @@
     while (!is_stopping_)
     {
         const time_point now = steady_clock::now();
-        const bool is_listed =
-            rack_.previous_owner.empty() ||
-            hooks_.is_listed(rack_.previous_owner);
+        const bool is_listed = rack_.previous_owner.empty() ||
+                               hooks_.is_listed(rack_.previous_owner);
         if (!is_listed)
         {
             unlisted_since_.emplace(rack_.previous_owner, now);
@@ -125,9 +124,9 @@
     {
         report = ask_target(query, session);
     }
-    const bool is_known =
-        report.certainly_ended || report.task.state == "finished" ||
-        report.task.state == "stopped";
+    const bool is_known = report.certainly_ended ||
+                          report.task.state == "finished" ||
+                          report.task.state == "stopped";
     const bool is_recorded =
         is_known && hooks_.report_end(data_center, report).ok();
     if (is_recorded && !is_lost)
@@ -190,8 +189,8 @@
     guard_actions actions;
     {
         const std::lock_guard<std::mutex> lock(mutex_);
-        actions = check_guards(load_, model_, *hooks_.limits(),
-                               steady_clock::now());
+        actions =
+            check_guards(load_, model_, *hooks_.limits(), steady_clock::now());
     }
     placement_decision decision;
     decision.evictions = actions.evictions;
@@ -210,9 +209,9 @@
             {
                 const task_id id{task.key, task.attempt};
                 const auto it = tasks_.find(id);
-                if (target.leaving && target.reachable &&
-                    task.checkpointable && !task.urgent &&
-                    it != tasks_.end() && !it->second.is_stopping &&
+                if (target.leaving && target.reachable && task.checkpointable &&
+                    !task.urgent && it != tasks_.end() &&
+                    !it->second.is_stopping &&
                     it->second.phase == task_phase::running)
                 {
                     found.emplace_back(target.name, id);
--- a/src/request_path/rack_runtime.cpp
+++ b/src/request_path/rack_runtime.cpp
@@ -110,10 +110,10 @@
                 hooks_.make_client(entry.address);
             if (!client.ok())
             {
-                log_warning("target address is not usable",
-                            {{"target", entry.name},
-                             {"error",
-                              std::string(client.status().message())}});
+                log_warning(
+                    "target address is not usable",
+                    {{"target", entry.name},
+                     {"error", std::string(client.status().message())}});
                 sessions_.erase(entry.name);
                 continue;
             }
@@ -121,8 +121,7 @@
         }
         session->entry = entry;
         const auto claim = rack.claims.find(entry.name);
-        session->may_command =
-            !rack.claims_only || claim != rack.claims.end();
+        session->may_command = !rack.claims_only || claim != rack.claims.end();
         session->token =
             claim == rack.claims.end() ? rack.token : claim->second;
         target_load* load = load_of(entry.name);
@@ -136,8 +135,8 @@
         load->capacity = capacity_of(entry);
         load->slots = entry.slots;
         load->connections = entry.connections;
-        load->leaving = entry.state == "leaving" ||
-                        hooks_.is_leaving_by_plan(entry.name);
+        load->leaving =
+            entry.state == "leaving" || hooks_.is_leaving_by_plan(entry.name);
     }
     for (target_load& load : load_.targets)
     {
@@ -193,13 +192,12 @@
     {
         return;
     }
-    load->tasks.erase(
-        std::remove_if(load->tasks.begin(), load->tasks.end(),
-                       [&id](const task_load& task) {
-                           return task.key == id.first &&
-                                  task.attempt == id.second;
-                       }),
-        load->tasks.end());
+    load->tasks.erase(std::remove_if(load->tasks.begin(), load->tasks.end(),
+                                     [&id](const task_load& task) {
+                                         return task.key == id.first &&
+                                                task.attempt == id.second;
+                                     }),
+                      load->tasks.end());
     serve_waiting();
     changed_.notify_all();
 }
@@ -263,8 +261,7 @@
     {
         if (session->lease_bound != time_point())
         {
-            all.push_back(
-                {name, elapsed_ms(session->last_renewal_base, now)});
+            all.push_back({name, elapsed_ms(session->last_renewal_base, now)});
         }
     }
     return all;
--- a/src/request_path/rack_tasks.cpp
+++ b/src/request_path/rack_tasks.cpp
@@ -10,13 +10,12 @@
 {
 
 void rack_runtime::task_has_ended(owned_task& task,
-                                  const egretspindle::task_state& state,
+                                  const task_state& state,
                                   time_point now)
 {
     task.phase = task_phase::ended;
     task.changed = now;
-    task.next_report =
-        task.urgent ? now + options_.urgent_report_delay : now;
+    task.next_report = task.urgent ? now + options_.urgent_report_delay : now;
     const task_id id{task.key, task.attempt};
     const target_load* load = load_of(task.target);
     if (load != nullptr && state.state == "finished")
@@ -67,7 +66,7 @@
     return report;
 }
 
-task_report rack_runtime::task_state(const task_query& query)
+task_report rack_runtime::query_task(const task_query& query)
 {
     session_ptr session;
     {
@@ -91,7 +90,7 @@
             return report;
         }
     }
-    const absl::StatusOr<egretspindle::task_state> state =
+    const absl::StatusOr<task_state> state =
         session->client->task(query.key, query.attempt,
                               milliseconds(query.wait_ms));
     if (!state.ok())
@@ -172,7 +171,7 @@
     {
         return without_target(query);
     }
-    const absl::StatusOr<egretspindle::task_state> state =
+    const absl::StatusOr<task_state> state =
         session->client->stop(command);
     if (!state.ok())
     {
@@ -218,8 +217,7 @@
         }
         client = session->client;
     }
-    const absl::Status status =
-        client->acknowledge({query.key, query.attempt});
+    const absl::Status status = client->acknowledge({query.key, query.attempt});
     if (status.ok())
     {
         const std::lock_guard<std::mutex> lock(mutex_);
--- a/src/request_path/request_router.cpp
+++ b/src/request_path/request_router.cpp
@@ -53,15 +53,16 @@
     const membership_options& self = members_.options();
     const std::vector<std::string> hosts =
         members_.live_hosts(self.data_center);
-    const std::size_t n = rendezvous_choice(
-        fmt::format("shard/{}", shard), hosts);
+    const std::size_t n =
+        rendezvous_choice(fmt::format("shard/{}", shard), hosts);
     return n < hosts.size() ? hosts[n] : self.name;
 }
 
-absl::StatusOr<request_reply>
-request_router::call(const std::string& key, milliseconds limit,
-                     const local_call& local, const remote_call& remote,
-                     bool& is_lost) const
+absl::StatusOr<request_reply> request_router::call(const std::string& key,
+                                                   milliseconds limit,
+                                                   const local_call& local,
+                                                   const remote_call& remote,
+                                                   bool& is_lost) const
 {
     const time_point last_try = steady_clock::now() + limit;
     while (true)
@@ -74,8 +75,8 @@
         {
             return reply;
         }
-        is_lost = is_lost ||
-                  kind_of(reply.status()) == error_kind::deadline_exceeded;
+        is_lost =
+            is_lost || kind_of(reply.status()) == error_kind::deadline_exceeded;
         if (is_here || steady_clock::now() >= last_try)
         {
             return reply;
@@ -120,9 +121,8 @@
         [&] { return local_.wait(query); },
         [&](const std::string& address)
         {
-            return call_peer<request_reply>(client_, address,
-                                            message_type::wait, query,
-                                            wait + call_slack);
+            return call_peer<request_reply>(
+                client_, address, message_type::wait, query, wait + call_slack);
         },
         is_lost);
 }
@@ -157,8 +157,7 @@
     }
     else
     {
-        const std::vector<std::string> hosts =
-            members_.live_hosts(data_center);
+        const std::vector<std::string> hosts = members_.live_hosts(data_center);
         const std::size_t n = rendezvous_choice(key, hosts);
         if (n == hosts.size())
         {
--- a/src/request_path/target_session.cpp
+++ b/src/request_path/target_session.cpp
@@ -6,8 +6,7 @@
 std::int64_t lease_until_ms(const target_session& session,
                             const rack_options& options)
 {
-    return session.clock_ms == 0 ? 0
-                                 : session.clock_ms + options.lease.count();
+    return session.clock_ms == 0 ? 0 : session.clock_ms + options.lease.count();
 }
 
 time_point lease_bound_of(time_point clock_received,
