plan: add edits, acceptance, history and propagation

Sections, the accepted version and the history are rows under `plan/`. Edits and acceptances are transactions that check the rows they were judged by. A transaction whose answer is lost is repeated with its id, and a repeated acceptance with the same base version gets the first result, so that a supervisor can repeat it on another host.

Propagation polls the store and the member list in one thread.

--- /dev/null
+++ b/include/egretspindle/plan/plan_propagation.hpp
@@ -0,0 +1,75 @@
+/// \file
+/// Propagation of accepted plans.
+
+#ifndef EGRETSPINDLE_PLAN_PLAN_PROPAGATION_HPP
+#define EGRETSPINDLE_PLAN_PLAN_PROPAGATION_HPP
+
+#include "egretspindle/net/rpc_client.hpp"
+#include "egretspindle/plan/plan_service_options.hpp"
+#include "egretspindle/plan/plan_store.hpp"
+#include "egretspindle/plan/plan_table.hpp"
+#include "egretspindle/protocol/member_digest.hpp"
+
+#include <atomic>
+#include <condition_variable>
+#include <functional>
+#include <mutex>
+#include <thread>
+#include <vector>
+
+namespace egretspindle
+{
+
+/// Brings accepted plans into the table, from the store and from peers.
+/// Either path is sufficient.
+class plan_propagation
+{
+public:
+    using member_function = std::function<std::vector<member_digest>()>;
+
+    plan_propagation(plan_store& store, rpc_client& peers,
+                     member_function members, plan_table& table,
+                     const plan_service_options& options);
+    ~plan_propagation();
+    plan_propagation(const plan_propagation&) = delete;
+    plan_propagation& operator=(const plan_propagation&) = delete;
+
+    /// Starts the thread.
+    void start();
+
+    /// Ends the thread; waits for a call in progress.
+    void stop();
+
+    /// Makes the thread look at the members now.
+    void wake();
+
+    /// Applies the version that the store has accepted, if it is higher.
+    ///
+    /// \returns the row that was read
+    absl::StatusOr<accepted_row> poll_store();
+
+    /// Fetches the highest version that a member shows, if it is higher.
+    void poll_peers();
+
+private:
+    void run();
+    void offer(const accepted_plan& plan, const std::string& source);
+    [[nodiscard]] bool may_use_peers() const;
+
+    plan_store& store_;
+    rpc_client& peers_;
+    member_function members_;
+    plan_table& table_;
+    plan_service_options options_;
+    std::chrono::steady_clock::time_point started_;
+    std::atomic<unsigned> next_peer_{0};
+    std::mutex mutex_;
+    std::condition_variable changed_;
+    bool is_stopping_ = false;
+    bool is_woken_ = false;
+    std::thread thread_;
+};
+
+} // namespace egretspindle
+
+#endif
--- /dev/null
+++ b/src/plan/plan_diff.cpp
@@ -0,0 +1,119 @@
+#include "egretspindle/plan/plan_diff.hpp"
+
+#include <algorithm>
+#include <map>
+#include <vector>
+
+namespace egretspindle
+{
+
+namespace
+{
+
+using lines_type = std::vector<std::string_view>;
+
+// Above this product of line counts a section is shown as replaced, which
+// bounds the memory of the comparison.
+constexpr std::size_t max_comparisons = 4'000'000;
+
+lines_type split_lines(std::string_view text)
+{
+    lines_type lines;
+    while (!text.empty())
+    {
+        const std::size_t end = std::min(text.find('\n'), text.size());
+        lines.push_back(text.substr(0, end));
+        text.remove_prefix(std::min(end + 1, text.size()));
+    }
+    return lines;
+}
+
+// Splits at section headers; each section keeps its header.
+std::map<std::string_view, lines_type> split_sections(std::string_view text)
+{
+    std::map<std::string_view, lines_type> sections;
+    std::string_view header;
+    for (const std::string_view line : split_lines(text))
+    {
+        if (!line.empty() && line.front() == '[' && line.back() == ']')
+        {
+            header = line;
+        }
+        if (!line.empty())
+        {
+            sections[header].push_back(line);
+        }
+    }
+    return sections;
+}
+
+void append(std::string& out, std::string_view mark, std::string_view line)
+{
+    out += mark;
+    out += line;
+    out += '\n';
+}
+
+// Longest common subsequence by dynamic programming.
+void append_diff(std::string& out, const lines_type& before,
+                 const lines_type& after)
+{
+    const std::size_t columns = after.size() + 1;
+    const bool is_small = before.size() * after.size() <= max_comparisons;
+    std::vector<unsigned> common(is_small ? (before.size() + 1) * columns : 0,
+                                 0);
+    for (std::size_t i = before.size(); is_small && i-- > 0;)
+    {
+        for (std::size_t j = after.size(); j-- > 0;)
+        {
+            common[i * columns + j] =
+                before[i] == after[j] ? common[(i + 1) * columns + j + 1] + 1
+                                      : std::max(common[(i + 1) * columns + j],
+                                                 common[i * columns + j + 1]);
+        }
+    }
+    std::size_t i = 0;
+    std::size_t j = 0;
+    while (i < before.size() || j < after.size())
+    {
+        if (i < before.size() && j < after.size() && before[i] == after[j])
+        {
+            append(out, "  ", before[i++]);
+            ++j;
+        }
+        else if (i < before.size() &&
+                 (j == after.size() || !is_small ||
+                  common[(i + 1) * columns + j] >= common[i * columns + j + 1]))
+        {
+            append(out, "- ", before[i++]);
+        }
+        else
+        {
+            append(out, "+ ", after[j++]);
+        }
+    }
+}
+
+} // namespace
+
+std::string plan_diff(std::string_view before, std::string_view after)
+{
+    std::map<std::string_view, lines_type> old_sections =
+        split_sections(before);
+    std::map<std::string_view, lines_type> new_sections = split_sections(after);
+    for (const auto& [header, lines] : new_sections)
+    {
+        old_sections[header];
+    }
+    std::string out;
+    for (const auto& [header, lines] : old_sections)
+    {
+        if (lines != new_sections[header])
+        {
+            append_diff(out, lines, new_sections[header]);
+        }
+    }
+    return out;
+}
+
+} // namespace egretspindle
--- /dev/null
+++ b/src/plan/plan_propagation.cpp
@@ -0,0 +1,164 @@
+#include "egretspindle/plan/plan_propagation.hpp"
+
+#include "egretspindle/core/error.hpp"
+#include "egretspindle/plan/plan_query.hpp"
+#include "egretspindle/protocol/message_type.hpp"
+#include "egretspindle/protocol/peer_client.hpp"
+
+#include <algorithm>
+
+namespace egretspindle
+{
+
+namespace
+{
+
+// The member list is local; reading it costs no message.
+constexpr std::chrono::milliseconds member_check_period{100};
+// Bounds the time of a round in which no peer answers.
+constexpr std::size_t max_peers_per_round = 3;
+
+bool is_reachable(const member_digest& member)
+{
+    return member.state == "alive" || member.state == "leaving";
+}
+
+} // namespace
+
+plan_propagation::plan_propagation(plan_store& store, rpc_client& peers,
+                                   member_function members, plan_table& table,
+                                   const plan_service_options& options)
+    : store_(store), peers_(peers), members_(std::move(members)), table_(table),
+      options_(options), started_(std::chrono::steady_clock::now())
+{
+}
+
+plan_propagation::~plan_propagation()
+{
+    stop();
+}
+
+void plan_propagation::start()
+{
+    started_ = std::chrono::steady_clock::now();
+    thread_ = std::thread([this] { run(); });
+}
+
+void plan_propagation::stop()
+{
+    {
+        const std::lock_guard<std::mutex> lock(mutex_);
+        is_stopping_ = true;
+    }
+    changed_.notify_all();
+    if (thread_.joinable())
+    {
+        thread_.join();
+    }
+}
+
+void plan_propagation::wake()
+{
+    {
+        const std::lock_guard<std::mutex> lock(mutex_);
+        is_woken_ = true;
+    }
+    changed_.notify_all();
+}
+
+void plan_propagation::run()
+{
+    std::chrono::steady_clock::time_point next_poll = started_;
+    std::unique_lock<std::mutex> lock(mutex_);
+    while (!is_stopping_)
+    {
+        lock.unlock();
+        poll_peers();
+        if (std::chrono::steady_clock::now() >= next_poll)
+        {
+            static_cast<void>(poll_store());
+            next_poll = std::chrono::steady_clock::now() + options_.poll_period;
+        }
+        lock.lock();
+        changed_.wait_for(lock, member_check_period,
+                          [this] { return is_stopping_ || is_woken_; });
+        is_woken_ = false;
+    }
+}
+
+absl::StatusOr<accepted_row> plan_propagation::poll_store()
+{
+    absl::StatusOr<accepted_row> accepted = store_.read_accepted();
+    if (!accepted.ok() || accepted->version <= table_.version())
+    {
+        return accepted;
+    }
+    const absl::StatusOr<plan_record> record =
+        store_.read_record(accepted->version);
+    if (!record.ok())
+    {
+        return record.status();
+    }
+    offer(record->plan, "store");
+    return accepted;
+}
+
+bool plan_propagation::may_use_peers() const
+{
+    return table_.version() > 0 ||
+           std::chrono::steady_clock::now() - started_ >=
+               options_.first_plan_delay;
+}
+
+void plan_propagation::poll_peers()
+{
+    if (!may_use_peers())
+    {
+        return;
+    }
+    std::vector<member_digest> ahead = members_();
+    const std::int64_t version = table_.version();
+    ahead.erase(std::remove_if(ahead.begin(), ahead.end(),
+                               [version](const member_digest& member) {
+                                   return member.plan_version <= version ||
+                                          !is_reachable(member);
+                               }),
+                ahead.end());
+    if (ahead.empty())
+    {
+        return;
+    }
+    // Another peer first in each round, so that a peer that does not answer
+    // does not block the others; then the highest version first.
+    const std::size_t first = next_peer_++ % ahead.size();
+    std::rotate(ahead.begin(),
+                ahead.begin() + static_cast<std::ptrdiff_t>(first),
+                ahead.end());
+    std::stable_sort(ahead.begin(), ahead.end(),
+                     [](const member_digest& lhs, const member_digest& rhs)
+                     { return lhs.plan_version > rhs.plan_version; });
+    ahead.resize(std::min(ahead.size(), max_peers_per_round));
+    for (const member_digest& member : ahead)
+    {
+        const absl::StatusOr<accepted_plan> plan = call_peer<accepted_plan>(
+            peers_, member.address, message_type::get_plan,
+            plan_query{member.plan_version}, options_.peer_timeout);
+        if (plan.ok())
+        {
+            offer(*plan, member.name);
+        }
+        if (table_.version() >= member.plan_version)
+        {
+            return;
+        }
+    }
+}
+
+void plan_propagation::offer(const accepted_plan& plan,
+                             const std::string& source)
+{
+    static_cast<void>(source);
+    static_cast<void>(table_.offer(plan));
+}
+
+} // namespace egretspindle
