--- a/include/egretspindle/membership/membership_state.hpp
+++ b/include/egretspindle/membership/membership_state.hpp
@@ -45,8 +45,9 @@
     time_point next_reconnect;
     time_point next_join;
     time_point next_event;
-    bool has_events = false;        ///< a state change waits to be told
-    std::set<std::string> contacts; ///< addresses from seeds and rows
+    bool has_events = false;              ///< a state change waits to be told
+    std::int64_t newest_plan_version = 0; ///< of any member
+    std::set<std::string> contacts;       ///< addresses from seeds and rows
     std::map<std::string, time_point> last_change;  ///< by data centre
     std::map<std::string, time_point> last_contact; ///< by data centre
     std::vector<member_change> changes; ///< not yet told to the listener
--- a/src/membership/membership_update.cpp
+++ b/src/membership/membership_update.cpp
@@ -2,6 +2,7 @@
 
 #include "egretspindle/membership/digest_selection.hpp"
 
+#include <algorithm>
 #include <string_view>
 
 namespace egretspindle
@@ -89,12 +90,26 @@
                   time_point now)
 {
     record.digest.sequence = digest.sequence;
-    record.digest.plan_version = digest.plan_version;
     record.digest.racks = digest.racks;
     record.last_advance = now;
     record.has_news = true;
 }
 
+// A plan version that is new to this host spreads like a state change: plans
+// have to be in effect everywhere within 7 s, and rack summaries of 19 hosts
+// take longer than that to go round.
+void merge_plan_version(membership_state& state, member_record& record,
+                        std::int64_t version)
+{
+    record.digest.plan_version = std::max(record.digest.plan_version, version);
+    if (version > state.newest_plan_version)
+    {
+        state.newest_plan_version = version;
+        record.event_sends = 0;
+        state.has_events = true;
+    }
+}
+
 void add_member(membership_state& state, const member_digest& digest,
                 time_point now)
 {
@@ -112,6 +127,7 @@
         state.last_change[digest.data_center] = now;
     }
     note_change(state, digest, digest.state);
+    merge_plan_version(state, record, digest.plan_version);
     state.members.emplace(digest.name, std::move(record));
 }
 
@@ -122,6 +138,11 @@
     state.self.plan_version = described.plan_version;
     state.self.racks = described.racks;
     ++state.self.sequence;
+    if (described.plan_version > state.newest_plan_version)
+    {
+        state.newest_plan_version = described.plan_version;
+        state.has_events = true;
+    }
 }
 
 void merge_digest(membership_state& state, const member_digest& digest,
@@ -150,6 +171,7 @@
         record.digest.address = digest.address;
         record.digest.data_center = digest.data_center;
         record.digest.sequence = 0;
+        record.digest.plan_version = digest.plan_version;
         record.last_advance = now;
         record.has_news = true;
         record.event_sends = 0;
@@ -167,6 +189,7 @@
     {
         enter_state(state, record, digest.state, now);
     }
+    merge_plan_version(state, record, digest.plan_version);
     if (carries_content(state, digest) &&
         digest.sequence > record.digest.sequence)
     {
