Test rack ownership on a simulated store

Cause: ownership has to survive deaths, pauses, lost answers and outages of the store with one owner per token. Change: hosts, store and targets in virtual time; cases for takeover, two claimants, lost answers and writes, hysteresis, pauses, claims, convergence, host list outage, release and restart.

--- /dev/null
+++ b/tests/ownership/ownership_test.cpp
@@ -0,0 +1,368 @@
+#include "simulated_owners.hpp"
+
+#include <catch2/catch.hpp>
+
+using namespace egretspindle;
+using test::simulated_owners;
+using test::store_mode;
+
+namespace
+{
+
+constexpr milliseconds second{1000};
+
+void start(simulated_owners& owners, int racks = 12)
+{
+    owners.list_racks(racks);
+    for (const char* name : {"h1", "h2", "h3"})
+    {
+        owners.add(name);
+    }
+    owners.run_for(5 * second);
+}
+
+/// Returns a rack of the host.
+std::string a_rack_of(simulated_owners& owners, const std::string& name)
+{
+    const std::vector<std::string> racks = owners.racks_of(name);
+    REQUIRE_FALSE(racks.empty());
+    return racks.front();
+}
+
+void kill(simulated_owners& owners, const std::string& name)
+{
+    owners.hosts.at(name).is_running = false;
+    owners.see_running();
+}
+
+} // namespace
+
+// Guards against racks without owner or with two, and against steady writes.
+TEST_CASE("each rack gets one owner and the store rests", "[ownership]")
+{
+    simulated_owners owners;
+    start(owners);
+    for (int n = 0; n < 12; ++n)
+    {
+        const std::string rack = "r" + std::to_string(n);
+        CHECK(owners.owner(rack) ==
+              preferred_host({"a", rack},
+                             std::vector<std::string>{"h1", "h2", "h3"}));
+    }
+    const int writes = owners.writes;
+    const int reads = owners.reads;
+    owners.run_for(60 * second);
+    CHECK(owners.writes == writes);
+    CHECK(owners.reads - reads <= 12 * 31);
+    CHECK(owners.reads - reads >= 12 * 28);
+}
+
+// Guards against racks that stay without owner after a death.
+TEST_CASE("a dead owner's racks are taken with a higher epoch", "[ownership]")
+{
+    simulated_owners owners;
+    start(owners);
+    const std::string rack = a_rack_of(owners, "h1");
+    kill(owners, "h1");
+    owners.run_for(second / 2);
+    const std::string taker = owners.owner(rack);
+    REQUIRE((taker == "h2" || taker == "h3"));
+    const owned_rack& taken = *owners.owned(taker, rack);
+    CHECK(taken.token == fencing_token{2, 0});
+    CHECK(taken.previous_owner == "h1");
+    CHECK_FALSE(taken.previous_released);
+    CHECK(owners.has_unique_tokens());
+}
+
+// Guards against two hosts that both hold themselves for the only live one
+// and own a rack with the same epoch.
+TEST_CASE("of two claimants one gets the epoch", "[ownership]")
+{
+    simulated_owners owners;
+    owners.list_racks(12);
+    owners.add("h1");
+    owners.add("h2");
+    owners.hosts.at("h1").live = {"h1"};
+    owners.hosts.at("h2").live = {"h2"};
+    owners.run_for(20 * second);
+    CHECK(owners.has_unique_tokens());
+    owners.see_running();
+    owners.run_for(5 * second);
+    for (int n = 0; n < 12; ++n)
+    {
+        const std::string owner = owners.owner("r" + std::to_string(n));
+        CHECK((owner == "h1" || owner == "h2"));
+    }
+}
+
+// Guards against a commit whose answer is lost being taken for a failure,
+// which would leave a rack that the row gives to a host that ignores it.
+TEST_CASE("a lost answer is resolved by reading back", "[ownership]")
+{
+    simulated_owners owners;
+    owners.mode = store_mode::loses_answers;
+    start(owners, 4);
+    for (int n = 0; n < 4; ++n)
+    {
+        CHECK(owners.owner("r" + std::to_string(n)) != "none");
+    }
+    CHECK(owners.writes == 4);
+    CHECK(owners.has_unique_tokens());
+}
+
+// Guards against a timeout being taken for a success.
+TEST_CASE("a lost write makes no owner", "[ownership]")
+{
+    simulated_owners owners;
+    owners.mode = store_mode::loses_writes;
+    start(owners, 4);
+    CHECK(owners.owner("r0") == "none");
+    owners.mode = store_mode::up;
+    owners.run_for(2 * second);
+    CHECK(owners.owner("r0") != "none");
+    CHECK(owners.writes == 4);
+}
+
+// Guards against work that moves with every restart of a host, and against
+// all racks moving at the same moment.
+TEST_CASE("a live owner keeps its rack for 30 s", "[ownership]")
+{
+    simulated_owners owners;
+    start(owners);
+    kill(owners, "h3");
+    owners.run_for(2 * second);
+    owners.add("h3", 9000);
+    owners.run_for(25 * second);
+    CHECK(owners.count("h3", ownership_change::acquired) == 0);
+    owners.run_for(30 * second);
+    const std::vector<std::string> racks = owners.racks_of("h3");
+    REQUIRE(racks.size() >= 2);
+    std::vector<time_point> times;
+    for (const std::string& rack : racks)
+    {
+        CHECK(owners.owner(rack) == "h3");
+        times.push_back(owners.owned("h3", rack)->acquired);
+        CHECK(owners.owned("h3", rack)->previous_released);
+    }
+    std::sort(times.begin(), times.end());
+    for (std::size_t n = 1; n < times.size(); ++n)
+    {
+        CHECK(times[n] - times[n - 1] >= second);
+    }
+}
+
+// Guards against a resumed host that acts on ownership which others took.
+TEST_CASE("a resumed host loses its racks until it has read", "[ownership]")
+{
+    simulated_owners owners;
+    start(owners);
+    const std::string rack = a_rack_of(owners, "h2");
+    owners.hosts.at("h2").is_paused = true;
+    owners.run_for(3 * second);
+    owners.hosts.at("h2").is_paused = false;
+    const int lost_before = owners.count("h2", ownership_change::lost);
+    owners.hosts.at("h2").holds_reads = true;
+    owners.tick("h2");
+    CHECK(owners.count("h2", ownership_change::lost) > lost_before);
+    CHECK(owners.owned("h2", rack) == nullptr);
+    owners.deliver_late_reads("h2");
+    REQUIRE(owners.owned("h2", rack) != nullptr);
+    CHECK(owners.owned("h2", rack)->token == fencing_token{1, 0});
+}
+
+// Guards against an answer from before a pause that revives an ownership.
+TEST_CASE("a read from before a pause revives nothing", "[ownership]")
+{
+    simulated_owners owners;
+    start(owners);
+    const std::string rack = a_rack_of(owners, "h2");
+    owners.hosts.at("h2").holds_reads = true;
+    owners.run_for(3 * second);
+    REQUIRE_FALSE(owners.hosts.at("h2").late_reads.empty());
+    owners.hosts.at("h2").is_paused = true;
+    owners.hosts.at("h1").live = {"h1", "h3"};
+    owners.hosts.at("h3").live = {"h1", "h3"};
+    owners.run_for(3 * second);
+    REQUIRE(owners.owner(rack) == "several");
+    owners.hosts.at("h2").is_paused = false;
+    owners.tick("h2");
+    owners.deliver_late_reads("h2");
+    CHECK(owners.owned("h2", rack) == nullptr);
+    owners.run_for(3 * second);
+    CHECK((owners.owner(rack) == "h1" || owners.owner(rack) == "h3"));
+    CHECK(owners.has_unique_tokens());
+}
+
+// Guards against an outage of the store that stops the owners.
+TEST_CASE("owners continue without the store", "[ownership]")
+{
+    simulated_owners owners;
+    start(owners);
+    owners.mode = store_mode::down;
+    owners.run_for(60 * second);
+    for (const auto& [name, host] : owners.hosts)
+    {
+        CHECK(owners.count(name, ownership_change::lost) == 0);
+    }
+}
+
+// Guards against a rack that nobody serves when its owner dies during an
+// outage, and against claims before the owner's leases ran out.
+TEST_CASE("targets are claimed during an outage", "[ownership]")
+{
+    simulated_owners owners;
+    start(owners);
+    const std::string rack = a_rack_of(owners, "h1");
+    owners.mode = store_mode::down;
+    owners.run_for(10 * second);
+    const time_point died = owners.now;
+    kill(owners, "h1");
+    owners.run_for(5 * second);
+    CHECK(owners.owner(rack) == "none");
+    owners.run_for(3 * second);
+    const std::string taker = owners.owner(rack);
+    REQUIRE((taker == "h2" || taker == "h3"));
+    const owned_rack claimed = *owners.owned(taker, rack);
+    CHECK(claimed.claims_only);
+    CHECK(claimed.claims.size() == 2);
+    CHECK(claimed.claims.at(rack + "-t0") == fencing_token{1, 1});
+    CHECK(claimed.acquired - died >= milliseconds(5900));
+    owners.mode = store_mode::up;
+    owners.run_for(3 * second);
+    REQUIRE(owners.owner(rack) == taker);
+    CHECK_FALSE(owners.owned(taker, rack)->claims_only);
+    CHECK(owners.owned(taker, rack)->token == fencing_token{2, 0});
+    CHECK(owners.has_unique_tokens());
+}
+
+// Guards against a rack that stays split between two hosts that claimed its
+// targets while they did not see each other.
+TEST_CASE("two claimants converge when the store is back", "[ownership]")
+{
+    simulated_owners owners;
+    start(owners);
+    const std::string rack = a_rack_of(owners, "h1");
+    owners.mode = store_mode::down;
+    owners.run_for(3 * second);
+    kill(owners, "h1");
+    owners.hosts.at("h2").live = {"h2"};
+    owners.hosts.at("h3").live = {"h3"};
+    // Each host reaches one of the two targets.
+    owners.targets.at(rack + "-t1").lease_until = owners.now + 60 * second;
+    owners.hosts.at("h3").is_paused = true;
+    owners.run_for(8 * second);
+    REQUIRE(owners.owned("h2", rack) != nullptr);
+    REQUIRE(owners.owned("h2", rack)->claims.size() == 1);
+    owners.hosts.at("h3").is_paused = false;
+    owners.hosts.at("h2").is_paused = true;
+    owners.targets.at(rack + "-t1").lease_until = owners.now;
+    owners.targets.at(rack + "-t0").lease_until = owners.now + 60 * second;
+    owners.run_for(3 * second);
+    REQUIRE(owners.owned("h3", rack) != nullptr);
+    REQUIRE(owners.owned("h3", rack)->claims_only);
+    owners.hosts.at("h2").state.last_decision = owners.now;
+    owners.hosts.at("h2").is_paused = false;
+    owners.run_for(second / 2);
+    REQUIRE(owners.owner(rack) == "several");
+    owners.mode = store_mode::up;
+    owners.run_for(4 * second);
+    const std::string owner = owners.owner(rack);
+    CHECK((owner == "h2" || owner == "h3"));
+    CHECK(owners.has_unique_tokens());
+}
+
+// Guards against a host list that cannot be read costing the racks.
+TEST_CASE("an empty host list changes nothing", "[ownership]")
+{
+    simulated_owners owners;
+    start(owners);
+    owners.listed.clear();
+    owners.run_for(120 * second);
+    CHECK(owners.count("h1", ownership_change::lost) == 0);
+    CHECK(owners.owner("r0") != "none");
+}
+
+// Guards against an owner that goes on renewing after it confirmed a release,
+// and against a release for an epoch that is over.
+TEST_CASE("a release is obeyed for a higher epoch only", "[ownership]")
+{
+    simulated_owners owners;
+    start(owners);
+    const std::string rack = a_rack_of(owners, "h1");
+    CHECK_FALSE(owners.ask("h1", rack, 1).released);
+    REQUIRE(owners.owner(rack) == "h1");
+    CHECK(owners.ask("h1", rack, 2).released);
+    CHECK(owners.owner(rack) == "none");
+    CHECK(owners.count("h1", ownership_change::lost) == 1);
+    owners.run_for(5 * second);
+    REQUIRE(owners.owner(rack) == "h1");
+    CHECK(owners.owned("h1", rack)->token.epoch > 2);
+}
+
+// Guards against an earlier owner that is forgotten when its successor dies
+// before it has asked for the release.
+TEST_CASE("an owner that never confirmed is still asked", "[ownership]")
+{
+    simulated_owners owners;
+    start(owners);
+    const std::string rack = a_rack_of(owners, "h1");
+    owners.hosts.at("h1").is_paused = true;
+    for (const char* name : {"h2", "h3"})
+    {
+        owners.hosts.at(name).live = {"h2", "h3"};
+    }
+    owners.run_for(second);
+    const bool taken_by_h2 = owners.owned("h2", rack) != nullptr;
+    const std::string taker = taken_by_h2 ? "h2" : "h3";
+    const std::string last = taken_by_h2 ? "h3" : "h2";
+    owners.hosts.at(taker).is_running = false;
+    owners.hosts.at(last).live = {last};
+    owners.run_for(2 * second);
+    REQUIRE(owners.owned(last, rack) != nullptr);
+    CHECK(owners.owned(last, rack)->unreleased ==
+          std::set<std::string>{"h1", taker});
+    owners.hosts.at("h1").is_paused = false;
+    owners.run_for(4 * second);
+    CHECK(owners.owned(last, rack)->unreleased == std::set<std::string>{taker});
+    CHECK_FALSE(owners.owned(last, rack)->previous_released);
+}
+
+// Guards against an owner that keeps a token which a target rejects.
+TEST_CASE("a rejected token is given up", "[ownership]")
+{
+    simulated_owners owners;
+    start(owners);
+    const std::string rack = a_rack_of(owners, "h1");
+    stale_epoch_seen(owners.hosts.at("h1").state, {"a", rack}, 7, owners.now);
+    CHECK(owners.owner(rack) == "none");
+    owners.run_for(2 * second);
+    REQUIRE(owners.owner(rack) == "h1");
+    CHECK(owners.owned("h1", rack)->token.epoch > 7);
+}
+
+// Guards against a planned stop that leaves racks to failure detection.
+TEST_CASE("a stopping owner hands its rack over at once", "[ownership]")
+{
+    simulated_owners owners;
+    start(owners);
+    const std::string rack = a_rack_of(owners, "h1");
+    owners.hosts.at("h1").state.is_stopping = true;
+    CHECK(owners.ask("h2", rack, 1, true).released);
+    owners.run_for(second / 2);
+    CHECK(owners.owner(rack) == "h2");
+    CHECK(owners.owned("h2", rack)->previous_released);
+    CHECK(owners.count("h1", ownership_change::lost) == 1);
+}
+
+// Guards against a restarted host that waits for its own death, or that goes
+// on with the epoch of its earlier process.
+TEST_CASE("a restarted owner takes its racks again at once", "[ownership]")
+{
+    simulated_owners owners;
+    start(owners);
+    const std::string rack = a_rack_of(owners, "h1");
+    owners.add("h1", 5000);
+    owners.run_for(second / 2);
+    REQUIRE(owners.owner(rack) == "h1");
+    CHECK(owners.owned("h1", rack)->token.epoch == 2);
+}
--- /dev/null
+++ b/tests/ownership/simulated_owners.hpp
@@ -0,0 +1,436 @@
+/// \file
+/// Hosts that own racks, with a store and targets in virtual time.
+
+#ifndef EGRETSPINDLE_TESTS_OWNERSHIP_SIMULATED_OWNERS_HPP
+#define EGRETSPINDLE_TESTS_OWNERSHIP_SIMULATED_OWNERS_HPP
+
+#include "egretspindle/core/error.hpp"
+#include "egretspindle/ownership/ownership_decision.hpp"
+#include "egretspindle/ownership/ownership_result.hpp"
+
+#include <cstdint>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace egretspindle::test
+{
+
+/// How the store behaves.
+enum class store_mode
+{
+    up,
+    down,          ///< refuses every call
+    loses_answers, ///< commits, but the caller sees a timeout
+    loses_writes,  ///< the caller sees a timeout and nothing is committed
+};
+
+/// Runs the ownership decisions of several hosts of data centre `a`.
+class simulated_owners
+{
+public:
+    struct host
+    {
+        ownership_state state;
+        bool is_running = true;
+        bool is_paused = false;
+        bool sees_store = true;
+        std::vector<std::string> live; ///< what its membership reports
+        std::vector<ownership_event> history;
+        std::vector<std::pair<ownership_action, time_point>> held;
+        bool holds_reads = false; ///< answers of reads stay on their way
+        std::vector<std::pair<ownership_action, absl::StatusOr<store_row>>>
+            late_reads;
+    };
+
+    struct target
+    {
+        fencing_token token;
+        time_point lease_until;
+    };
+
+    /// Adds a host; all hosts then see all hosts as live.
+    void add(const std::string& name, std::int64_t incarnation = 1000)
+    {
+        ownership_options options;
+        options.name = name;
+        options.data_center = "a";
+        hosts[name] = host{};
+        hosts[name].state = make_ownership_state(options, incarnation, now);
+        see_running();
+    }
+
+    /// Makes the membership of every host report the running ones.
+    void see_running()
+    {
+        std::vector<std::string> live;
+        for (const auto& [name, entry] : hosts)
+        {
+            if (entry.is_running)
+            {
+                live.push_back(name);
+            }
+        }
+        for (auto& [name, entry] : hosts)
+        {
+            entry.live = live;
+        }
+    }
+
+    void list_racks(int count, int targets_per_rack = 2)
+    {
+        for (int n = 0; n < count; ++n)
+        {
+            for (int slot = 0; slot < targets_per_rack; ++slot)
+            {
+                host_entry entry;
+                entry.rack = "r" + std::to_string(n);
+                entry.name = entry.rack + "-t" + std::to_string(slot);
+                entry.role = "target";
+                entry.data_center = "a";
+                listed.push_back(entry);
+                targets[entry.name] = target{};
+            }
+        }
+    }
+
+    void run_for(milliseconds time)
+    {
+        const time_point end = now + time;
+        while (now < end)
+        {
+            now += milliseconds(50);
+            for (auto& [name, entry] : hosts)
+            {
+                if (entry.is_running && !entry.is_paused)
+                {
+                    tick(name);
+                }
+            }
+        }
+    }
+
+    void tick(const std::string& name)
+    {
+        host& ticking = hosts.at(name);
+        update_hosts(ticking.state, listed, now);
+        update_members(ticking.state, digests(name), ticking.live);
+        for (const ownership_action& action : decide(ticking.state, now))
+        {
+            perform(name, action);
+        }
+        collect(name);
+        renew(name);
+    }
+
+    /// Moves the events to the history and checks that no token has two
+    /// owners.
+    void collect(const std::string& name)
+    {
+        host& entry = hosts.at(name);
+        for (const ownership_event& event : entry.state.events)
+        {
+            entry.history.push_back(event);
+            if (event.change == ownership_change::acquired &&
+                !event.rack.claims_only)
+            {
+                owners[{event.rack.rack, event.rack.token.epoch}].insert(name);
+            }
+        }
+        entry.state.events.clear();
+    }
+
+    /// Returns the host that owns a rack, or `none`, or `several`.
+    std::string owner(const std::string& rack) const
+    {
+        std::string found = "none";
+        for (const auto& [name, entry] : hosts)
+        {
+            const auto it = entry.state.racks.find({"a", rack});
+            if (entry.is_running && it != entry.state.racks.end() &&
+                it->second.owned)
+            {
+                found = found == "none" ? name : "several";
+            }
+        }
+        return found;
+    }
+
+    const owned_rack* owned(const std::string& name,
+                            const std::string& rack) const
+    {
+        const rack_record& record = hosts.at(name).state.racks.at({"a", rack});
+        return record.owned ? &*record.owned : nullptr;
+    }
+
+    int count(const std::string& name, ownership_change change) const
+    {
+        int result = 0;
+        for (const ownership_event& event : hosts.at(name).history)
+        {
+            result += event.change == change ? 1 : 0;
+        }
+        return result;
+    }
+
+    bool has_unique_tokens() const
+    {
+        for (const auto& [token, names] : owners)
+        {
+            if (names.size() > 1)
+            {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    /// Returns the racks that rendezvous hashing gives to a host.
+    std::vector<std::string> racks_of(const std::string& name) const
+    {
+        std::vector<std::string> result;
+        for (const auto& [id, record] : hosts.at(name).state.racks)
+        {
+            if (preferred_host(id, hosts.at(name).live) == name)
+            {
+                result.push_back(id.rack);
+            }
+        }
+        return result;
+    }
+
+    rack_release ask(const std::string& name, const std::string& rack,
+                     std::int64_t epoch, bool offer = false)
+    {
+        rack_release message;
+        message.rack = rack;
+        message.data_center = "a";
+        message.epoch = epoch;
+        message.released = offer;
+        const rack_release reply =
+            release_requested(hosts.at(name).state, message, now);
+        collect(name);
+        return reply;
+    }
+
+    void deliver_late_reads(const std::string& name)
+    {
+        host& entry = hosts.at(name);
+        entry.holds_reads = false;
+        for (const auto& [action, row] : entry.late_reads)
+        {
+            row_read(entry.state, action, row, now);
+        }
+        entry.late_reads.clear();
+        collect(name);
+    }
+
+    time_point now{std::chrono::hours(1)};
+    store_mode mode = store_mode::up;
+    std::map<std::string, host> hosts;
+    std::map<std::string, store_row> rows;
+    std::map<std::string, target> targets;
+    std::vector<host_entry> listed;
+    std::map<std::pair<std::string, std::int64_t>, std::set<std::string>>
+        owners;
+    std::map<std::string, commit_result> transactions;
+    int writes = 0;
+    int reads = 0;
+    bool renews = true; ///< owners renew the leases of the targets
+
+private:
+    std::vector<member_digest> digests(const std::string& by) const
+    {
+        std::vector<member_digest> result;
+        for (const auto& [name, entry] : hosts)
+        {
+            member_digest digest;
+            digest.name = name;
+            digest.data_center = "a";
+            digest.state = entry.is_running ? "alive" : "dead";
+            for (const auto& [id, record] : entry.state.racks)
+            {
+                if (record.owned && name != by)
+                {
+                    rack_summary summary;
+                    summary.rack = id.rack;
+                    summary.epoch = record.owned->token.epoch;
+                    digest.racks.push_back(summary);
+                }
+            }
+            result.push_back(digest);
+        }
+        return result;
+    }
+
+    store_row row_of(const std::string& key) const
+    {
+        const auto it = rows.find(key);
+        return it == rows.end() ? store_row{key, 0, ""} : it->second;
+    }
+
+    absl::Status failure() const
+    {
+        return make_error(mode == store_mode::down
+                              ? error_kind::unavailable
+                              : error_kind::deadline_exceeded,
+                          "the store does not answer");
+    }
+
+    commit_result commit(const store_transaction& transaction)
+    {
+        const auto it = transactions.find(transaction.tx_id);
+        if (it != transactions.end())
+        {
+            return it->second;
+        }
+        commit_result result;
+        const store_row current = row_of(transaction.checks[0].key);
+        if (current.version != transaction.checks[0].version)
+        {
+            result.conflicts.push_back(current);
+        }
+        else
+        {
+            result.committed = true;
+            ++writes;
+            rows[current.key] = {current.key, current.version + 1,
+                                 transaction.writes[0].value};
+        }
+        transactions[transaction.tx_id] = result;
+        return result;
+    }
+
+    void perform(const std::string& name, const ownership_action& action)
+    {
+        host& entry = hosts.at(name);
+        const bool is_up = entry.sees_store && mode != store_mode::down;
+        switch (action.call)
+        {
+        case ownership_call::read_row:
+            read(entry, action, is_up);
+            break;
+        case ownership_call::scan_rows:
+            scan(entry, is_up);
+            break;
+        case ownership_call::write_row:
+            write(entry, action, is_up);
+            break;
+        case ownership_call::claim_target:
+            target_claimed(entry.state, action, claim(action), now);
+            break;
+        case ownership_call::ask_release:
+            release(entry, action);
+            break;
+        }
+    }
+
+    void read(host& entry, const ownership_action& action, bool is_up)
+    {
+        ++reads;
+        absl::StatusOr<store_row> row = failure();
+        if (is_up)
+        {
+            row = row_of(owner_row_key(action.rack));
+        }
+        if (entry.holds_reads)
+        {
+            entry.late_reads.emplace_back(action, row);
+            return;
+        }
+        row_read(entry.state, action, row, now);
+    }
+
+    void scan(host& entry, bool is_up)
+    {
+        if (!is_up)
+        {
+            rows_scanned(entry.state, failure(), now);
+            return;
+        }
+        std::vector<store_row> all;
+        for (const auto& [key, row] : rows)
+        {
+            all.push_back(row);
+        }
+        rows_scanned(entry.state, all, now);
+    }
+
+    void write(host& entry, const ownership_action& action, bool is_up)
+    {
+        if (!is_up || mode == store_mode::loses_writes)
+        {
+            row_written(entry.state, action, failure(), now);
+            return;
+        }
+        const commit_result result = commit(action.transaction);
+        if (mode == store_mode::loses_answers)
+        {
+            row_written(entry.state, action, failure(), now);
+            return;
+        }
+        row_written(entry.state, action, result, now);
+    }
+
+    absl::StatusOr<fencing_token> claim(const ownership_action& action)
+    {
+        target& claimed = targets.at(action.target.name);
+        if (now < claimed.lease_until)
+        {
+            return make_error(error_kind::conflict, "the lease is valid");
+        }
+        claimed.token.epoch = std::max(claimed.token.epoch, action.epoch);
+        ++claimed.token.term;
+        claimed.lease_until = now + milliseconds(6000);
+        return claimed.token;
+    }
+
+    void release(host& entry, const ownership_action& action)
+    {
+        host& other = hosts.at(action.host);
+        if (!other.is_running || other.is_paused)
+        {
+            release_answered(
+                entry.state, action,
+                make_error(error_kind::deadline_exceeded, "no answer"), now);
+            return;
+        }
+        const rack_release reply =
+            ask(action.host, action.rack.rack, action.epoch);
+        release_answered(entry.state, action, reply, now);
+    }
+
+    void renew(const std::string& name)
+    {
+        for (const auto& [id, record] : hosts.at(name).state.racks)
+        {
+            if (!renews || !record.owned)
+            {
+                continue;
+            }
+            for (const host_entry& listed_target : record.owned->targets)
+            {
+                const auto it = record.owned->claims.find(listed_target.name);
+                if (record.owned->claims_only &&
+                    it == record.owned->claims.end())
+                {
+                    continue;
+                }
+                const fencing_token token = it == record.owned->claims.end()
+                                                ? record.owned->token
+                                                : it->second;
+                target& renewed = targets.at(listed_target.name);
+                if (!(token < renewed.token))
+                {
+                    renewed.token = token;
+                    renewed.lease_until = now + milliseconds(6000);
+                }
+            }
+        }
+    }
+};
+
+} // namespace egretspindle::test
+
+#endif
