plan: log applied and refused plans

A second document of one version has to be visible to operators. The table logs each distinct refusal once, since a refused plan is offered again with every poll.

--- a/include/egretspindle/plan/plan_propagation.hpp
+++ b/include/egretspindle/plan/plan_propagation.hpp
@@ -53,7 +53,7 @@
 
 private:
     void run();
-    void offer(const accepted_plan& plan, const std::string& source);
+    [[nodiscard]] bool is_news(const accepted_row& accepted) const;
     [[nodiscard]] bool may_use_peers() const;
 
     plan_store& store_;
--- a/include/egretspindle/plan/plan_table.hpp
+++ b/include/egretspindle/plan/plan_table.hpp
@@ -12,6 +12,7 @@
 #include <cstdint>
 #include <memory>
 #include <mutex>
+#include <string>
 
 namespace egretspindle
 {
@@ -27,6 +28,7 @@
     [[nodiscard]] std::int64_t version() const;
 
     /// Applies a plan when its version is higher than the one in force.
+    /// Writes a log line when a plan is applied or refused.
     ///
     /// \returns `invalid_argument` when the digest does not match or the
     ///          document cannot be parsed, `conflict` when another document
@@ -35,8 +37,13 @@
     offer(const accepted_plan& plan);
 
 private:
+    absl::StatusOr<plan_offer_result> apply(const accepted_plan& plan);
+    void log_result(const accepted_plan& plan,
+                    const absl::StatusOr<plan_offer_result>& result);
+
     mutable std::mutex mutex_;
     std::shared_ptr<const plan_in_force> current_;
+    std::string last_refusal_;
 };
 
 } // namespace egretspindle
--- a/src/plan/plan_propagation.cpp
+++ b/src/plan/plan_propagation.cpp
@@ -1,6 +1,5 @@
 #include "egretspindle/plan/plan_propagation.hpp"
 
-#include "egretspindle/core/error.hpp"
 #include "egretspindle/plan/plan_query.hpp"
 #include "egretspindle/protocol/message_type.hpp"
 #include "egretspindle/protocol/peer_client.hpp"
@@ -89,7 +88,7 @@
 absl::StatusOr<accepted_row> plan_propagation::poll_store()
 {
     absl::StatusOr<accepted_row> accepted = store_.read_accepted();
-    if (!accepted.ok() || accepted->version <= table_.version())
+    if (!accepted.ok() || accepted->version == 0 || !is_news(*accepted))
     {
         return accepted;
     }
@@ -99,10 +98,20 @@
     {
         return record.status();
     }
-    offer(record->plan, "store");
+    static_cast<void>(table_.offer(record->plan));
     return accepted;
 }
 
+// Another document of the version in force is offered as well, so that the
+// table refuses and logs it.
+bool plan_propagation::is_news(const accepted_row& accepted) const
+{
+    const std::shared_ptr<const plan_in_force> plan = table_.current();
+    return plan == nullptr || accepted.version > plan->accepted.version ||
+           (accepted.version == plan->accepted.version &&
+            accepted.digest != plan->accepted.digest);
+}
+
 bool plan_propagation::may_use_peers() const
 {
     return table_.version() > 0 ||
@@ -145,7 +154,7 @@
             plan_query{member.plan_version}, options_.peer_timeout);
         if (plan.ok())
         {
-            offer(*plan, member.name);
+            static_cast<void>(table_.offer(*plan));
         }
         if (table_.version() >= member.plan_version)
         {
@@ -154,11 +163,4 @@
     }
 }
 
-void plan_propagation::offer(const accepted_plan& plan,
-                             const std::string& source)
-{
-    static_cast<void>(source);
-    static_cast<void>(table_.offer(plan));
-}
-
 } // namespace egretspindle
--- a/src/plan/plan_table.cpp
+++ b/src/plan/plan_table.cpp
@@ -1,6 +1,7 @@
 #include "egretspindle/plan/plan_table.hpp"
 
 #include "egretspindle/core/error.hpp"
+#include "egretspindle/logging/log.hpp"
 #include "egretspindle/plan/parse_plan.hpp"
 #include "egretspindle/plan/plan_digest.hpp"
 
@@ -77,6 +78,41 @@
 }
 
 absl::StatusOr<plan_offer_result> plan_table::offer(const accepted_plan& plan)
+{
+    absl::StatusOr<plan_offer_result> result = apply(plan);
+    log_result(plan, result);
+    return result;
+}
+
+void plan_table::log_result(const accepted_plan& plan,
+                            const absl::StatusOr<plan_offer_result>& result)
+{
+    if (result.ok())
+    {
+        if (*result == plan_offer_result::applied)
+        {
+            log_info("plan applied", {{"version", plan.version},
+                                      {"digest", plan.digest},
+                                      {"accepted_by", plan.accepted_by}});
+        }
+        return;
+    }
+    const std::string reason(result.status().message());
+    {
+        // A refused plan is offered again with every poll.
+        const std::lock_guard<std::mutex> lock(mutex_);
+        if (reason == last_refusal_)
+        {
+            return;
+        }
+        last_refusal_ = reason;
+    }
+    log_error("plan refused", {{"version", plan.version},
+                               {"digest", plan.digest},
+                               {"reason", reason}});
+}
+
+absl::StatusOr<plan_offer_result> plan_table::apply(const accepted_plan& plan)
 {
     for (const absl::Status& status :
          {check_version(plan.version), check_digest(plan)})
--- a/tests/plan/plan_propagation_test.cpp
+++ b/tests/plan/plan_propagation_test.cpp
@@ -169,3 +169,19 @@
     REQUIRE(propagation.poll_store().ok());
     CHECK(host.table.version() == 2);
 }
+
+TEST_CASE("another document of the version in force stays out", "[plan]")
+{
+    fixture host;
+    REQUIRE(host.table.offer(make_plan(1)).ok());
+    plan_record record;
+    record.plan = make_plan(2);
+    record.plan.version = 1;
+    record.tx_id = "tx-1";
+    REQUIRE(host.store.write_accepted(record, {}, {})->committed);
+    plan_propagation propagation(
+        host.store, host.client, [] { return std::vector<member_digest>(); },
+        host.table, host.options);
+    REQUIRE(propagation.poll_store().ok());
+    CHECK(host.table.current()->accepted.digest == make_plan(1).digest);
+}
