plan: add drains of single targets

Operators have to take a faulty target out of service before the break. Drains are rows under plan/drain/ that every host reads with its poll of the store; the team of the hosts section may change them.

--- /dev/null
+++ b/include/egretspindle/admin/cluster_status.hpp
@@ -0,0 +1,99 @@
+/// \file
+/// Status of all data centres.
+
+#ifndef EGRETSPINDLE_ADMIN_CLUSTER_STATUS_HPP
+#define EGRETSPINDLE_ADMIN_CLUSTER_STATUS_HPP
+
+#include "egretspindle/protocol/host_status.hpp"
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace egretspindle
+{
+
+/// One host, and whether it answered.
+struct host_line
+{
+    std::string name;
+    std::string address; ///< `ip:port` of its RPC server
+    std::string data_center;
+    std::string state;      ///< as the answering host sees it
+    bool reachable = false; ///< answered within the time limit
+    std::string error;      ///< why it did not answer
+    bool ready = false;
+    bool store_reachable = false;
+    std::int64_t plan_version = 0; ///< in force there; last known if it is
+                                   ///< not reachable
+    std::string plan_digest;
+    int open_requests = 0;
+    int queued_batch = 0;
+    int racks = 0; ///< racks that it owns
+};
+
+/// Visits the fields of `host_line` for the codec.
+template <typename Visitor, typename Value>
+void visit_fields(Visitor&& visit, Value& value, const host_line* /*tag*/)
+{
+    visit("name", value.name);
+    visit("address", value.address);
+    visit("data_center", value.data_center);
+    visit("state", value.state);
+    visit("reachable", value.reachable);
+    visit("error", value.error);
+    visit("ready", value.ready);
+    visit("store_reachable", value.store_reachable);
+    visit("plan_version", value.plan_version);
+    visit("plan_digest", value.plan_digest);
+    visit("open_requests", value.open_requests);
+    visit("queued_batch", value.queued_batch);
+    visit("racks", value.racks);
+}
+
+/// Data centre with its hosts.
+struct data_center_status
+{
+    std::string name;
+    int hosts = 0;
+    int reachable = 0;
+    std::int64_t lowest_plan_version = 0;  ///< among hosts that answered
+    std::int64_t highest_plan_version = 0; ///< among hosts that answered
+};
+
+/// Visits the fields of `data_center_status` for the codec.
+template <typename Visitor, typename Value>
+void visit_fields(Visitor&& visit, Value& value,
+                  const data_center_status* /*tag*/)
+{
+    visit("name", value.name);
+    visit("hosts", value.hosts);
+    visit("reachable", value.reachable);
+    visit("lowest_plan_version", value.lowest_plan_version);
+    visit("highest_plan_version", value.highest_plan_version);
+}
+
+/// What every host has in force, as one host sees it.
+struct cluster_status
+{
+    std::string seen_from;         ///< host that asked
+    std::int64_t plan_version = 0; ///< highest in force anywhere
+    bool is_complete = false;      ///< every host answered
+    std::vector<data_center_status> data_centers;
+    std::vector<host_line> hosts;
+};
+
+/// Visits the fields of `cluster_status` for the codec.
+template <typename Visitor, typename Value>
+void visit_fields(Visitor&& visit, Value& value, const cluster_status* /*tag*/)
+{
+    visit("seen_from", value.seen_from);
+    visit("plan_version", value.plan_version);
+    visit("is_complete", value.is_complete);
+    visit("data_centers", value.data_centers);
+    visit("hosts", value.hosts);
+}
+
+} // namespace egretspindle
+
+#endif
--- /dev/null
+++ b/include/egretspindle/admin/collect_status.hpp
@@ -0,0 +1,18 @@
+/// \file
+/// Collection of the status of all hosts.
+
+#ifndef EGRETSPINDLE_ADMIN_COLLECT_STATUS_HPP
+#define EGRETSPINDLE_ADMIN_COLLECT_STATUS_HPP
+
+#include "egretspindle/admin/admin_hooks.hpp"
+#include "egretspindle/admin/cluster_status.hpp"
+
+namespace egretspindle
+{
+
+/// Asks all members at once, with a bound on the calls under way.
+[[nodiscard]] cluster_status collect_status(const admin_hooks& hooks);
+
+} // namespace egretspindle
+
+#endif
--- a/include/egretspindle/plan/plan_propagation.hpp
+++ b/include/egretspindle/plan/plan_propagation.hpp
@@ -5,6 +5,7 @@
 #define EGRETSPINDLE_PLAN_PLAN_PROPAGATION_HPP
 
 #include "egretspindle/net/rpc_client.hpp"
+#include "egretspindle/plan/drain_table.hpp"
 #include "egretspindle/plan/plan_service_options.hpp"
 #include "egretspindle/plan/plan_store.hpp"
 #include "egretspindle/plan/plan_table.hpp"
@@ -29,7 +30,7 @@
 
     plan_propagation(plan_store& store, rpc_client& peers,
                      member_function members, plan_table& table,
-                     const plan_service_options& options);
+                     drain_table& drains, const plan_service_options& options);
     ~plan_propagation();
     plan_propagation(const plan_propagation&) = delete;
     plan_propagation& operator=(const plan_propagation&) = delete;
@@ -48,6 +49,9 @@
     /// \returns the row that was read
     absl::StatusOr<accepted_row> poll_store();
 
+    /// Reads the drained targets from the store.
+    void poll_drains();
+
     /// Fetches the highest version that a member shows, if it is higher.
     void poll_peers();
 
@@ -60,6 +64,7 @@
     rpc_client& peers_;
     member_function members_;
     plan_table& table_;
+    drain_table& drains_;
     plan_service_options options_;
     std::chrono::steady_clock::time_point started_;
     std::atomic<unsigned> next_peer_{0};
--- a/include/egretspindle/plan/plan_service.hpp
+++ b/include/egretspindle/plan/plan_service.hpp
@@ -81,6 +81,15 @@
     /// \param limit  most versions to return, at most 50
     [[nodiscard]] absl::StatusOr<std::vector<plan_record>> history(int limit);
 
+    /// Drains or resumes a target at any time, for faults that cannot wait
+    /// for the break. Needs the team that owns the section `hosts`.
+    [[nodiscard]] absl::StatusOr<drained_target>
+    set_drained(const plan_actor& actor, const std::string& target,
+                bool drained);
+
+    /// Returns the drained targets.
+    [[nodiscard]] const drain_table& drains() const noexcept;
+
 private:
     absl::StatusOr<accepted_row> refresh();
     absl::StatusOr<plan_draft> read_draft(const accepted_row& accepted);
@@ -95,6 +104,7 @@
     std::function<std::int64_t()> clock_;
     plan_service_options options_;
     plan_store store_;
+    drain_table drains_;
     plan_propagation propagation_;
 };
 
--- a/include/egretspindle/plan/plan_store.hpp
+++ b/include/egretspindle/plan/plan_store.hpp
@@ -5,6 +5,7 @@
 #define EGRETSPINDLE_PLAN_PLAN_STORE_HPP
 
 #include "egretspindle/adapters/store_client.hpp"
+#include "egretspindle/plan/drained_target.hpp"
 #include "egretspindle/plan/plan_record.hpp"
 #include "egretspindle/plan/plan_section.hpp"
 
@@ -73,6 +74,13 @@
     write_accepted(const plan_record& record, const accepted_row& accepted,
                    const std::vector<plan_section>& sections);
 
+    /// Reads all drains.
+    [[nodiscard]] absl::StatusOr<std::vector<drained_target>> read_drains();
+
+    /// Writes the drain of a target, unless another change came first.
+    [[nodiscard]] absl::StatusOr<commit_result>
+    write_drain(const drained_target& target);
+
     /// Returns an id for a transaction.
     [[nodiscard]] std::string make_tx_id() const;
 
@@ -80,6 +88,7 @@
     [[nodiscard]] const std::string& host_name() const noexcept;
 
 private:
+    absl::StatusOr<std::vector<store_row>> scan_all(const std::string& prefix);
     absl::StatusOr<commit_result> commit(const store_transaction& transaction);
 
     store_client& store_;
--- a/src/plan/plan_propagation.cpp
+++ b/src/plan/plan_propagation.cpp
@@ -26,9 +26,11 @@
 
 plan_propagation::plan_propagation(plan_store& store, rpc_client& peers,
                                    member_function members, plan_table& table,
+                                   drain_table& drains,
                                    const plan_service_options& options)
     : store_(store), peers_(peers), members_(std::move(members)), table_(table),
-      options_(options), started_(std::chrono::steady_clock::now())
+      drains_(drains), options_(options),
+      started_(std::chrono::steady_clock::now())
 {
 }
 
@@ -75,7 +77,10 @@
         poll_peers();
         if (std::chrono::steady_clock::now() >= next_poll)
         {
-            static_cast<void>(poll_store());
+            if (poll_store().ok())
+            {
+                poll_drains();
+            }
             next_poll = std::chrono::steady_clock::now() + options_.poll_period;
         }
         lock.lock();
@@ -112,6 +117,16 @@
             accepted.digest != plan->accepted.digest);
 }
 
+void plan_propagation::poll_drains()
+{
+    const absl::StatusOr<std::vector<drained_target>> drains =
+        store_.read_drains();
+    if (drains.ok())
+    {
+        drains_.assign(*drains);
+    }
+}
+
 bool plan_propagation::may_use_peers() const
 {
     return table_.version() > 0 ||
--- a/src/plan/plan_service.cpp
+++ b/src/plan/plan_service.cpp
@@ -10,6 +10,7 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <cctype>
 
 namespace egretspindle
 {
@@ -40,6 +41,18 @@
                                   remedy));
 }
 
+bool is_target_name(std::string_view name)
+{
+    return !name.empty() && name.size() <= 128 &&
+           std::all_of(name.begin(), name.end(),
+                       [](char c)
+                       {
+                           return std::isalnum(static_cast<unsigned char>(c)) !=
+                                      0 ||
+                                  c == '.' || c == '_' || c == '-';
+                       });
+}
+
 const plan_document* document_of(const std::shared_ptr<const plan_in_force>& p)
 {
     return p == nullptr ? nullptr : &p->document;
@@ -90,7 +103,7 @@
                            plan_service_options options)
     : table_(table), clock_(std::move(clock)), options_(std::move(options)),
       store_(store, options_.host_name, options_.store_timeout),
-      propagation_(store_, peers, std::move(members), table, options_)
+      propagation_(store_, peers, std::move(members), table, drains_, options_)
 {
 }
 
@@ -390,4 +403,49 @@
                                std::clamp(limit, 1, max_history));
 }
 
+const drain_table& plan_service::drains() const noexcept
+{
+    return drains_;
+}
+
+absl::StatusOr<drained_target>
+plan_service::set_drained(const plan_actor& actor, const std::string& target,
+                          bool drained)
+{
+    const std::shared_ptr<const plan_in_force> plan = table_.current();
+    if (plan != nullptr && plan->document.hosts.team != actor.team)
+    {
+        return make_error(error_kind::forbidden,
+                          fmt::format("team {} drains and resumes targets; ask "
+                                      "that team",
+                                      plan->document.hosts.team));
+    }
+    const plan_context context =
+        options_.context ? options_.context() : plan_context{};
+    // A drained target that has left the list can still be resumed.
+    const bool is_known = !context.known_hosts ||
+                          context.known_hosts->count(target) > 0 ||
+                          (!drained && drains_.is_drained(target));
+    if (!is_target_name(target) || !is_known)
+    {
+        return make_error(error_kind::not_found,
+                          "unknown target; list them with `egretctl targets`");
+    }
+    const drained_target change{target, drained, actor.name, clock_()};
+    for (int attempt = 0; attempt < max_change_attempts; ++attempt)
+    {
+        const absl::StatusOr<commit_result> result = store_.write_drain(change);
+        if (!result.ok())
+        {
+            return to_unknown(result.status(), "repeat the request");
+        }
+        if (result->committed)
+        {
+            drains_.apply(change);
+            return change;
+        }
+    }
+    return busy();
+}
+
 } // namespace egretspindle
--- a/src/plan/plan_store.cpp
+++ b/src/plan/plan_store.cpp
@@ -16,6 +16,7 @@
 
 const std::string accepted_key = "plan/accepted";
 const std::string section_prefix = "plan/section/";
+const std::string drain_prefix = "plan/drain/";
 const std::string history_prefix = "plan/history/";
 
 constexpr int page_size = 100;
@@ -124,33 +125,83 @@
     return records;
 }
 
-absl::StatusOr<std::vector<plan_section>> plan_store::read_sections()
+absl::StatusOr<std::vector<store_row>>
+plan_store::scan_all(const std::string& prefix)
 {
-    std::vector<plan_section> sections;
+    std::vector<store_row> all;
     std::string after;
     while (true)
     {
-        const absl::StatusOr<std::vector<store_row>> rows =
-            store_.scan(section_prefix, after, page_size, timeout_);
+        absl::StatusOr<std::vector<store_row>> rows =
+            store_.scan(prefix, after, page_size, timeout_);
         if (!rows.ok())
         {
             return rows.status();
         }
-        for (const store_row& row : *rows)
+        all.insert(all.end(), rows->begin(), rows->end());
+        if (rows->size() < page_size)
         {
-            absl::StatusOr<plan_section> section = decode_section(row);
-            if (!section.ok())
-            {
-                return section.status();
-            }
-            sections.push_back(*std::move(section));
-            after = row.key;
+            return all;
         }
-        if (rows->size() < page_size)
+        after = all.back().key;
+    }
+}
+
+absl::StatusOr<std::vector<plan_section>> plan_store::read_sections()
+{
+    const absl::StatusOr<std::vector<store_row>> rows =
+        scan_all(section_prefix);
+    if (!rows.ok())
+    {
+        return rows.status();
+    }
+    std::vector<plan_section> sections;
+    for (const store_row& row : *rows)
+    {
+        absl::StatusOr<plan_section> section = decode_section(row);
+        if (!section.ok())
         {
-            return sections;
+            return section.status();
         }
+        sections.push_back(*std::move(section));
     }
+    return sections;
+}
+
+absl::StatusOr<std::vector<drained_target>> plan_store::read_drains()
+{
+    const absl::StatusOr<std::vector<store_row>> rows = scan_all(drain_prefix);
+    if (!rows.ok())
+    {
+        return rows.status();
+    }
+    std::vector<drained_target> drains;
+    for (const store_row& row : *rows)
+    {
+        absl::StatusOr<drained_target> target = decode<drained_target>(row);
+        if (!target.ok())
+        {
+            return target.status();
+        }
+        drains.push_back(*std::move(target));
+    }
+    return drains;
+}
+
+absl::StatusOr<commit_result>
+plan_store::write_drain(const drained_target& target)
+{
+    const std::string key = drain_prefix + target.target;
+    const absl::StatusOr<store_row> row = store_.read(key, timeout_);
+    if (!row.ok())
+    {
+        return row.status();
+    }
+    store_transaction transaction;
+    transaction.tx_id = make_tx_id();
+    transaction.checks = {{key, row->version}};
+    transaction.writes = {{key, to_json(target), false}};
+    return commit(transaction);
 }
 
 absl::StatusOr<plan_section> plan_store::read_section(const std::string& name)
--- a/tests/plan/plan_propagation_test.cpp
+++ b/tests/plan/plan_propagation_test.cpp
@@ -88,6 +88,7 @@
     rpc_client client{"key", "e1"};
     member_digest peer;
     plan_table table;
+    drain_table drains;
     plan_service_options options;
 };
 
@@ -102,7 +103,7 @@
     REQUIRE(host.store.write_accepted(record, {}, {})->committed);
     plan_propagation propagation(
         host.store, host.client, [] { return std::vector<member_digest>(); },
-        host.table, host.options);
+        host.table, host.drains, host.options);
     propagation.start();
     CHECK(wait_for_version(host.table, 1));
     CHECK(host.asked == 0);
@@ -117,7 +118,7 @@
     plan_propagation propagation(
         host.store, host.client,
         [&host] { return std::vector<member_digest>{host.peer}; }, host.table,
-        host.options);
+        host.drains, host.options);
     propagation.start();
     CHECK(wait_for_version(host.table, 4));
     CHECK(host.asked == 4);
@@ -132,7 +133,7 @@
     plan_propagation propagation(
         host.store, host.client,
         [&host] { return std::vector<member_digest>{host.peer}; }, host.table,
-        host.options);
+        host.drains, host.options);
     host.answer = make_plan(2);
     propagation.poll_peers();
     CHECK(host.table.version() == 3);
@@ -159,7 +160,7 @@
     plan_propagation propagation(
         host.store, host.client,
         [&host] { return std::vector<member_digest>{host.peer}; }, host.table,
-        host.options);
+        host.drains, host.options);
     propagation.poll_peers();
     CHECK(host.table.version() == 0);
     plan_record record;
@@ -181,7 +182,7 @@
     REQUIRE(host.store.write_accepted(record, {}, {})->committed);
     plan_propagation propagation(
         host.store, host.client, [] { return std::vector<member_digest>(); },
-        host.table, host.options);
+        host.table, host.drains, host.options);
     REQUIRE(propagation.poll_store().ok());
     CHECK(host.table.current()->accepted.digest == make_plan(1).digest);
 }
--- a/tests/plan/plan_service_test.cpp
+++ b/tests/plan/plan_service_test.cpp
@@ -279,3 +279,20 @@
     CHECK(host.service.get_plan({1})->digest == digest);
     CHECK_FALSE(host.service.get_plan({2}).ok());
 }
+
+TEST_CASE("the team of the hosts section drains and resumes", "[plan]")
+{
+    test::memory_store store;
+    fixture host(store);
+    const std::string digest = host.write_sections();
+    REQUIRE(host.service.accept(ayu, {digest, 0}).ok());
+    host.now = evening;
+    CHECK(kind_of(host.service.set_drained(chai, "t-1", true).status()) ==
+          error_kind::forbidden);
+    CHECK(kind_of(host.service.set_drained(budi, "t-2", true).status()) ==
+          error_kind::not_found);
+    REQUIRE(host.service.set_drained(budi, "t-1", true).ok());
+    CHECK(host.service.drains().is_drained("t-1"));
+    REQUIRE(host.service.set_drained(budi, "t-1", false).ok());
+    CHECK_FALSE(host.service.drains().is_drained("t-1"));
+}
