egretctl: add program for operators

Commands for the plan, status, hosts, targets, requests, explanations and drains. Every change can be repeated, so the next server is tried when one does not answer; the exit code tells denied, conflicting, unknown and incomplete results apart.

--- /dev/null
+++ b/apps/egretctl/admin_client.cpp
@@ -0,0 +1,163 @@
+#include "admin_client.hpp"
+
+#include "egretspindle/core/error.hpp"
+#include "egretspindle/net/http_client.hpp"
+
+#include <fmt/format.h>
+
+#include <fstream>
+
+namespace egretspindle::ctl
+{
+
+namespace
+{
+
+// Longer than an entry host tries to learn the result of a transaction.
+constexpr std::chrono::milliseconds call_timeout{20'000};
+
+struct error_detail
+{
+    std::string kind;
+    std::string message;
+};
+
+template <typename Visitor, typename Value>
+void visit_fields(Visitor&& visit, Value& value, const error_detail* /*tag*/)
+{
+    visit("kind", value.kind);
+    visit("message", value.message);
+}
+
+struct error_reply
+{
+    error_detail error;
+};
+
+template <typename Visitor, typename Value>
+void visit_fields(Visitor&& visit, Value& value, const error_reply* /*tag*/)
+{
+    visit("error", value.error);
+}
+
+absl::Status error_from(const http_response& response)
+{
+    const absl::StatusOr<error_reply> reply =
+        from_json<error_reply>(response.body);
+    if (!reply.ok() || reply->error.kind.empty())
+    {
+        return make_error(error_kind::internal,
+                          fmt::format("status {} without an error; check that "
+                                      "--server is an operators' address",
+                                      response.status));
+    }
+    return make_error(error_kind_from(reply->error.kind), reply->error.message);
+}
+
+bool may_help_elsewhere(const absl::Status& status)
+{
+    const error_kind kind = kind_of(status);
+    return kind == error_kind::unavailable ||
+           kind == error_kind::deadline_exceeded ||
+           kind == error_kind::overloaded;
+}
+
+} // namespace
+
+absl::StatusOr<admin_client>
+admin_client::create(const std::vector<std::string>& servers,
+                     const std::string& token_file)
+{
+    admin_client client;
+    for (const std::string& text : servers)
+    {
+        const absl::StatusOr<endpoint> server = parse_endpoint(text);
+        if (!server.ok())
+        {
+            return server.status();
+        }
+        client.servers_.push_back(*server);
+    }
+    if (client.servers_.empty())
+    {
+        return make_error(error_kind::invalid_argument,
+                          "no server; name one with --server IP:PORT");
+    }
+    std::ifstream in(token_file);
+    if (token_file.empty() || !std::getline(in, client.token_) ||
+        client.token_.empty())
+    {
+        return make_error(error_kind::invalid_argument,
+                          "no token; name a file that holds it with "
+                          "--token-file FILE");
+    }
+    return client;
+}
+
+absl::StatusOr<std::string> admin_client::get(const std::string& path)
+{
+    return send("GET", path, "");
+}
+
+absl::StatusOr<std::string> admin_client::post(const std::string& path,
+                                               const std::string& body)
+{
+    return send("POST", path, body);
+}
+
+const std::string& admin_client::error_body() const noexcept
+{
+    return error_body_;
+}
+
+absl::StatusOr<std::string> admin_client::send(const std::string& method,
+                                               const std::string& path,
+                                               const std::string& body)
+{
+    absl::Status unknown;
+    absl::Status last;
+    for (const endpoint& server : servers_)
+    {
+        absl::StatusOr<std::string> reply = send_to(server, method, path, body);
+        if (reply.ok() || !may_help_elsewhere(reply.status()))
+        {
+            return reply;
+        }
+        last = reply.status();
+        if (kind_of(last) == error_kind::deadline_exceeded)
+        {
+            unknown = last;
+        }
+    }
+    // A change whose answer was lost at one server may have been made,
+    // whatever the others say.
+    return unknown.ok() ? last : unknown;
+}
+
+absl::StatusOr<std::string> admin_client::send_to(const endpoint& server,
+                                                  const std::string& method,
+                                                  const std::string& path,
+                                                  const std::string& body)
+{
+    http_client client(server);
+    http_call call;
+    call.method = method;
+    call.path = "/admin/v1/" + path;
+    call.body = body;
+    call.authorization = "Bearer " + token_;
+    call.timeout = call_timeout;
+    call.connection = connection_use::fresh;
+    const absl::StatusOr<http_response> response = client.send(call);
+    if (!response.ok())
+    {
+        return response.status();
+    }
+    if (response->status != 200)
+    {
+        error_body_ = response->body;
+        return error_from(*response);
+    }
+    return response->body;
+}
+
+} // namespace egretspindle::ctl
--- /dev/null
+++ b/apps/egretctl/view_commands.cpp
@@ -0,0 +1,218 @@
+#include "egretspindle/admin/admin_messages.hpp"
+#include "egretspindle/admin/cluster_status.hpp"
+
+#include "commands.hpp"
+#include "exit_code.hpp"
+#include "table.hpp"
+
+#include <fmt/format.h>
+
+namespace egretspindle::ctl
+{
+
+namespace
+{
+
+std::string yes_no(bool value)
+{
+    return value ? "yes" : "no";
+}
+
+/// Reads a path; prints it when JSON is wanted.
+///
+/// \returns whether the caller is to format it; otherwise `code` is set
+template <typename T>
+bool read(admin_client& client, const options& given, const std::string& path,
+          T& value, int& code)
+{
+    const absl::StatusOr<std::string> body = client.get(path);
+    if (!body.ok())
+    {
+        code = report(body.status());
+        return false;
+    }
+    absl::StatusOr<T> decoded = from_json<T>(*body);
+    if (!decoded.ok())
+    {
+        code = report(decoded.status());
+        return false;
+    }
+    value = *std::move(decoded);
+    code = exit_done;
+    if (given.is_json)
+    {
+        fmt::print("{}\n", *body);
+    }
+    return !given.is_json;
+}
+
+void print_hosts(const cluster_status& status)
+{
+    table_rows rows{{"HOST", "DATA CENTRE", "STATE", "ANSWERED", "READY",
+                     "STORE", "PLAN", "OPEN", "QUEUED", "RACKS", "ERROR"}};
+    for (const host_line& host : status.hosts)
+    {
+        // What an unreachable host does is not known.
+        const auto known = [&host](const std::string& text)
+        {
+            return host.reachable ? text : std::string("?");
+        };
+        rows.push_back(
+            {host.name, host.data_center, host.state, yes_no(host.reachable),
+             known(yes_no(host.ready)), known(yes_no(host.store_reachable)),
+             fmt::format("{}{}", host.plan_version, host.reachable ? "" : "?"),
+             known(std::to_string(host.open_requests)),
+             known(std::to_string(host.queued_batch)),
+             known(std::to_string(host.racks)), host.error});
+    }
+    fmt::print("{}", format_table(rows));
+}
+
+int change_drain(admin_client& client, const options& given,
+                 const std::string& path)
+{
+    if (given.words.size() != 2)
+    {
+        return report_usage(path + " needs TARGET");
+    }
+    admin_message::target_name name;
+    name.target = given.words[1];
+    const absl::StatusOr<std::string> body = client.post(path, to_json(name));
+    if (!body.ok())
+    {
+        return report(body.status());
+    }
+    if (given.is_json)
+    {
+        fmt::print("{}\n", *body);
+    }
+    else
+    {
+        fmt::print("target {} {}\n", name.target,
+                   path == "drain" ? "is drained: it finishes its work and "
+                                     "receives none"
+                                   : "receives work again");
+    }
+    return exit_done;
+}
+
+} // namespace
+
+int show_status(admin_client& client, const options& given)
+{
+    cluster_status status;
+    int code = exit_done;
+    if (read(client, given, "status", status, code))
+    {
+        fmt::print("seen from {}: plan version {}\n\n", status.seen_from,
+                   status.plan_version);
+        table_rows rows{{"DATA CENTRE", "HOSTS", "ANSWERED", "PLAN IN FORCE"}};
+        for (const data_center_status& center : status.data_centers)
+        {
+            const std::string versions =
+                center.lowest_plan_version == center.highest_plan_version
+                    ? std::to_string(center.lowest_plan_version)
+                    : fmt::format("{} to {}", center.lowest_plan_version,
+                                  center.highest_plan_version);
+            rows.push_back({center.name, std::to_string(center.hosts),
+                            std::to_string(center.reachable),
+                            center.reachable > 0 ? versions : "?"});
+        }
+        fmt::print("{}\n", format_table(rows));
+        print_hosts(status);
+    }
+    return code == exit_done && !status.is_complete ? exit_incomplete : code;
+}
+
+int show_hosts(admin_client& client, const options& given)
+{
+    cluster_status status;
+    int code = exit_done;
+    if (read(client, given, "status", status, code))
+    {
+        print_hosts(status);
+    }
+    return code == exit_done && !status.is_complete ? exit_incomplete : code;
+}
+
+int show_targets(admin_client& client, const options& given)
+{
+    admin_message::targets_reply reply;
+    int code = exit_done;
+    if (!read(client, given, "targets", reply, code))
+    {
+        return code;
+    }
+    table_rows rows{{"TARGET", "DATA CENTRE", "RACK", "OWNER", "STATE",
+                     "DRAINED", "RUNNING", "CORES", "MEMORY MB"}};
+    for (const target_status& target : reply.targets)
+    {
+        rows.push_back({target.name, target.data_center, target.rack,
+                        target.owner, target.state, yes_no(target.drained),
+                        fmt::format("{}/{}", target.running, target.slots),
+                        fmt::format("{:.1f}/{:.0f}", target.reserved_cores,
+                                    target.cpu_cores),
+                        fmt::format("{:.0f}/{:.0f}", target.reserved_memory_mb,
+                                    target.memory_mb)});
+    }
+    fmt::print("{}", format_table(rows));
+    for (const drained_target& drained : reply.drained)
+    {
+        fmt::print("drained: {} by {} at {} UTC\n", drained.target,
+                   printable(drained.changed_by),
+                   format_time(drained.changed_unix_ms));
+    }
+    return code;
+}
+
+int show_requests(admin_client& client, const options& given)
+{
+    admin_message::requests_reply reply;
+    int code = exit_done;
+    if (!read(client, given, fmt::format("requests?limit={}", given.limit),
+              reply, code))
+    {
+        return code;
+    }
+    table_rows rows{{"REQUEST", "KIND", "URGENCY", "STATE", "ATTEMPT", "TARGET",
+                     "AGE", "REASON"}};
+    for (const request_status& request : reply.requests)
+    {
+        rows.push_back({request.key, request.kind,
+                        request.urgent ? "urgent" : "batch",
+                        std::string(to_string(request.state)),
+                        std::to_string(request.attempt), request.target,
+                        fmt::format("{:.1f} s",
+                                    static_cast<double>(request.age_ms) / 1000),
+                        request.reason});
+    }
+    fmt::print("{}", format_table(rows));
+    return code;
+}
+
+int explain(admin_client& client, const options& given)
+{
+    if (given.words.size() != 2)
+    {
+        return report_usage("explain needs TEAM/ID");
+    }
+    admin_message::text_reply reply;
+    int code = exit_done;
+    if (read(client, given, "explain/" + given.words[1], reply, code))
+    {
+        fmt::print("{}\n", printable(reply.text));
+    }
+    return code;
+}
+
+int drain(admin_client& client, const options& given)
+{
+    return change_drain(client, given, "drain");
+}
+
+int resume(admin_client& client, const options& given)
+{
+    return change_drain(client, given, "resume");
+}
+
+} // namespace egretspindle::ctl
--- a/src/admin/admin_messages.hpp
+++ b/include/egretspindle/admin/admin_messages.hpp
@@ -1,8 +1,8 @@
 /// \file
 /// Bodies of requests and replies of the operators' interface.
 
-#ifndef EGRETSPINDLE_SRC_ADMIN_ADMIN_MESSAGES_HPP
-#define EGRETSPINDLE_SRC_ADMIN_ADMIN_MESSAGES_HPP
+#ifndef EGRETSPINDLE_ADMIN_ADMIN_MESSAGES_HPP
+#define EGRETSPINDLE_ADMIN_ADMIN_MESSAGES_HPP
 
 #include "egretspindle/admin/request_status.hpp"
 #include "egretspindle/admin/target_status.hpp"
@@ -14,7 +14,7 @@
 #include <string>
 #include <vector>
 
-namespace egretspindle::admin_detail
+namespace egretspindle::admin_message
 {
 
 /// Names a target.
@@ -122,6 +122,6 @@
     visit("proposed", value.proposed);
 }
 
-} // namespace egretspindle::admin_detail
+} // namespace egretspindle::admin_message
 
 #endif
--- a/src/admin/admin_service.cpp
+++ b/src/admin/admin_service.cpp
@@ -1,14 +1,13 @@
 #include "egretspindle/admin/admin_service.hpp"
 
 #include "egretspindle/adapters/caller_response.hpp"
+#include "egretspindle/admin/admin_messages.hpp"
 #include "egretspindle/admin/authenticate.hpp"
 #include "egretspindle/admin/collect_status.hpp"
 #include "egretspindle/codec/json.hpp"
 #include "egretspindle/core/error.hpp"
 #include "egretspindle/logging/log.hpp"
 
-#include "admin_messages.hpp"
-
 #include <fmt/format.h>
 
 #include <algorithm>
@@ -21,7 +20,7 @@
 namespace
 {
 
-using namespace admin_detail;
+using namespace admin_message;
 
 constexpr std::string_view prefix = "/admin/v1/";
 constexpr int default_history = 20;
