--- a/include/egretspindle/node/caller_service.hpp
+++ b/include/egretspindle/node/caller_service.hpp
@@ -4,6 +4,7 @@
 #ifndef EGRETSPINDLE_NODE_CALLER_SERVICE_HPP
 #define EGRETSPINDLE_NODE_CALLER_SERVICE_HPP
 
+#include "egretspindle/adapters/caller_limits.hpp"
 #include "egretspindle/metrics/metric_registry.hpp"
 #include "egretspindle/net/http_request.hpp"
 #include "egretspindle/net/http_response.hpp"
@@ -42,8 +43,8 @@
 
 private:
     http_response submit(const http_request& request);
-    http_response wait(const http_request& request, const std::string& key);
-    http_response cancel(const std::string& key);
+    http_response query(const http_request& request);
+    caller_limits codec_limits() const;
     absl::StatusOr<request_reply> submit_checked(request_spec spec,
                                                  milliseconds wait);
     absl::Status check_plan(request_spec& spec) const;
--- a/src/node/caller_service.cpp
+++ b/src/node/caller_service.cpp
@@ -1,14 +1,12 @@
 #include "egretspindle/node/caller_service.hpp"
 
-#include "egretspindle/adapters/caller_reply.hpp"
+#include "egretspindle/adapters/caller_query.hpp"
 #include "egretspindle/adapters/caller_request.hpp"
+#include "egretspindle/adapters/caller_response.hpp"
 #include "egretspindle/core/error.hpp"
 
 #include <fmt/format.h>
 
-#include <algorithm>
-#include <charconv>
-
 namespace egretspindle
 {
 
@@ -100,14 +98,9 @@
     }
     if (path.compare(0, request_prefix.size(), request_prefix) == 0)
     {
-        const std::string key = path.substr(request_prefix.size());
-        if (request.method == "GET")
-        {
-            return wait(request, key);
-        }
-        if (request.method == "DELETE")
+        if (request.method == "GET" || request.method == "DELETE")
         {
-            return cancel(key);
+            return query(request);
         }
     }
     return format_error(make_error(
@@ -119,12 +112,12 @@
 {
     const time_point received = steady_clock::now();
     const absl::StatusOr<caller_request> parsed =
-        parse_caller_request(request, limits_);
+        parse_caller_request(request, codec_limits());
     if (!parsed.ok())
     {
         return format_error(parsed.status());
     }
-    const milliseconds wait(std::min(parsed->wait_ms, limits_.max_wait_ms));
+    const milliseconds wait(parsed->wait_ms);
     const bool is_urgent = parsed->spec.urgent;
     const absl::StatusOr<request_reply> result =
         submit_checked(parsed->spec, wait);
@@ -206,29 +199,29 @@
     return absl::OkStatus();
 }
 
-http_response caller_service::wait(const http_request& request,
-                                   const std::string& key)
+http_response caller_service::query(const http_request& request)
 {
-    std::int64_t wait_ms = 0;
-    const auto it = request.query.find("wait_ms");
-    if (it != request.query.end())
-    {
-        const char* last = it->second.data() + it->second.size();
-        const auto [end, ec] =
-            std::from_chars(it->second.data(), last, wait_ms);
-        if (ec != std::errc() || end != last || wait_ms < 0)
-        {
-            return format_error(
-                make_error(error_kind::invalid_argument,
-                           "wait_ms must be a whole number of milliseconds"));
-        }
+    const absl::StatusOr<caller_query> parsed =
+        parse_caller_query(request, codec_limits());
+    if (!parsed.ok())
+    {
+        return format_error(parsed.status());
+    }
+    if (request.method == "DELETE")
+    {
+        return reply(router_.cancel(parsed->key));
     }
-    return reply(router_.wait({key, std::min(wait_ms, limits_.max_wait_ms)}));
+    return reply(router_.wait({parsed->key, parsed->wait_ms}));
 }
 
-http_response caller_service::cancel(const std::string& key)
+caller_limits caller_service::codec_limits() const
 {
-    return reply(router_.cancel(key));
+    caller_limits limits;
+    limits.max_body_bytes = static_cast<std::size_t>(limits_.max_body_bytes);
+    limits.max_request_bytes =
+        static_cast<std::size_t>(limits_.max_request_bytes);
+    limits.max_wait_ms = limits_.max_wait_ms;
+    return limits;
 }
 
 http_response caller_service::reply(const absl::StatusOr<request_reply>& result)
