Return the version of a commit, and log each routing decision

Cause: each batch start was reserved up to three times; the store numbers versions over all rows, and the coordinator assumed version + 1, so its next compare-and-set met its own row as a conflict (21 conflicts in 57 writes for 4 batch requests). Change: a commit returns the version of the rows it wrote, also when it is read back after a lost answer. Conclusion: versions come from the store only.

--- a/include/egretspindle/adapters/commit_result.hpp
+++ b/include/egretspindle/adapters/commit_result.hpp
@@ -6,6 +6,7 @@
 
 #include "egretspindle/adapters/store_row.hpp"
 
+#include <cstdint>
 #include <vector>
 
 namespace egretspindle
@@ -15,6 +16,7 @@
 struct commit_result
 {
     bool committed = false;
+    std::int64_t version = 0; ///< of all rows that were written
     std::vector<store_row>
         conflicts; ///< rows whose version differed, as they are
 };
@@ -24,6 +26,7 @@
 void visit_fields(Visitor&& visit, Value& value, const commit_result* /*tag*/)
 {
     visit("committed", value.committed);
+    visit("version", value.version);
     visit("conflicts", value.conflicts);
 }
 
--- a/include/egretspindle/request_path/coordinator.hpp
+++ b/include/egretspindle/request_path/coordinator.hpp
@@ -144,6 +144,10 @@
     bool apply_found(const request_entry_ptr& entry,
                      absl::Span<const task_report> reports);
 
+    // coordinator_log.cpp
+    static void log_route(const place_request& request,
+                          const absl::StatusOr<place_reply>& reply);
+
     // coordinator_recorded.cpp
     void run_recorded(const request_entry_ptr& entry);
     bool start_recorded(const request_entry_ptr& entry);
--- a/src/adapters/http_store_client.cpp
+++ b/src/adapters/http_store_client.cpp
@@ -30,6 +30,7 @@
 {
     bool known = false;
     bool committed = false;
+    std::int64_t version = 0;
 };
 
 template <typename Visitor, typename Value>
@@ -38,6 +39,7 @@
 {
     visit("known", value.known);
     visit("committed", value.committed);
+    visit("version", value.version);
 }
 
 http_call make_call(std::string method, std::string path,
@@ -157,6 +159,7 @@
         {
             commit_result result;
             result.committed = status->committed;
+            result.version = status->version;
             return result;
         }
         // An unknown transaction may still be on its way to the store.
--- a/src/request_path/coordinator_commit.cpp
+++ b/src/request_path/coordinator_commit.cpp
@@ -57,7 +57,7 @@
     if (result->committed)
     {
         const std::lock_guard<std::mutex> lock(entry->mutex);
-        entry->version = version + 1;
+        entry->version = result->version;
         entry->record = record;
     }
     return result;
@@ -205,7 +205,7 @@
     {
         const std::lock_guard<std::mutex> lock(entry->mutex);
         entry->is_durable = true;
-        ++entry->version;
+        entry->version = result.version;
         query.key = entry->key;
         query.attempt = entry->reply.attempt;
         query.target = entry->reply.target;
--- a/src/request_path/coordinator_recorded.cpp
+++ b/src/request_path/coordinator_recorded.cpp
@@ -70,6 +70,7 @@
         request.checkpoint = entry->record.checkpoint;
     }
     const absl::StatusOr<place_reply> started = router_.place(request);
+    log_route(request, started);
     if (started.ok() && started->placed)
     {
         task_report report;
@@ -104,6 +105,7 @@
                 : std::max<std::int64_t>(
                       1, elapsed_ms(steady_clock::now(), entry->deadline));
         absl::StatusOr<place_reply> reply = router_.place(request);
+        log_route(request, reply);
         if (reply.ok() && reply->placed)
         {
             reply->data_center = candidate.data_center;
--- a/src/request_path/coordinator_urgent.cpp
+++ b/src/request_path/coordinator_urgent.cpp
@@ -225,6 +225,7 @@
     request.wait_ms =
         std::min<std::int64_t>(request.remaining_ms, max_place_wait.count());
     const absl::StatusOr<place_reply> reply = router_.place(request);
+    log_route(request, reply);
     if (!reply.ok())
     {
         if (is_definite_refusal(kind_of(reply.status())))
--- a/tools/standin_store/table.cpp
+++ b/tools/standin_store/table.cpp
@@ -28,6 +28,7 @@
     result.committed = result.conflicts.empty();
     if (result.committed)
     {
+        result.version = ++last_version_;
         for (const store_write& write : transaction.writes)
         {
             apply(transaction.tx_id, write);
@@ -100,7 +101,7 @@
     }
     else
     {
-        cells_[write.key] = {++last_version_, write.value};
+        cells_[write.key] = {last_version_, write.value};
     }
     if (journal_.is_open())
     {
--- a/tools/standin_store/table.hpp
+++ b/tools/standin_store/table.hpp
@@ -59,7 +59,8 @@
     std::map<std::string, cell> cells_;
     std::unordered_map<std::string, commit_result> results_;
     std::map<std::string, std::string> objects_;
-    // One counter for all rows: the version of a deleted row never returns.
+    // One counter for all transactions: a version never returns, not even for
+    // a row that was deleted and written again.
     std::int64_t last_version_ = 0;
     line_file journal_;
 };
