--- a/tests/net/net_test.cpp
+++ b/tests/net/net_test.cpp
@@ -5,7 +5,7 @@
 #include "egretspindle/net/rpc_client.hpp"
 #include "egretspindle/net/rpc_server.hpp"
 
-#include "free_port.hpp"
+#include "support/free_port.hpp"
 #include "one_shot_server.hpp"
 
 #include <catch2/catch.hpp>
--- a/tests/net/free_port.cpp
+++ b/tests/support/free_port.cpp
@@ -1,4 +1,4 @@
-#include "free_port.hpp"
+#include "support/free_port.hpp"
 
 #include <netinet/in.h>
 #include <stdexcept>
--- a/tests/net/free_port.hpp
+++ b/tests/support/free_port.hpp
@@ -1,8 +1,8 @@
 /// \file
 /// Ports for test servers.
 
-#ifndef EGRETSPINDLE_TESTS_NET_FREE_PORT_HPP
-#define EGRETSPINDLE_TESTS_NET_FREE_PORT_HPP
+#ifndef EGRETSPINDLE_TESTS_SUPPORT_FREE_PORT_HPP
+#define EGRETSPINDLE_TESTS_SUPPORT_FREE_PORT_HPP
 
 namespace egretspindle::test
 {
