--- a/cmake/packages.cmake
+++ b/cmake/packages.cmake
@@ -73,12 +73,23 @@
      ${CMAKE_SOURCE_DIR}/tests/support/*.cpp)
 if(support_sources)
   add_library(egret_test_support STATIC ${support_sources})
-  target_link_libraries(egret_test_support PUBLIC egret_standin)
+  target_link_libraries(egret_test_support PUBLIC egret_standin egret_plan)
   target_include_directories(egret_test_support
                              PUBLIC ${CMAKE_SOURCE_DIR}/tests)
   target_compile_definitions(
     egret_test_support
     PUBLIC EGRETSPINDLE_BIN_DIR="${CMAKE_RUNTIME_OUTPUT_DIRECTORY}")
+  target_link_libraries(test_net PRIVATE egret_test_support)
+
+  # Tests of the stand-ins as processes.
+  file(GLOB standin_tests CONFIGURE_DEPENDS
+       ${CMAKE_SOURCE_DIR}/tests/standins/*.cpp)
+  add_executable(test_standins ${standin_tests})
+  target_link_libraries(test_standins PRIVATE egret_test_support Catch2WithMain)
+  add_dependencies(test_standins standin_target standin_store
+                   standin_host_list fault_proxy)
+  add_test(NAME standins COMMAND test_standins)
+  set_tests_properties(standins PROPERTIES TIMEOUT 300)
 endif()
 
 file(GLOB integration_tests CONFIGURE_DEPENDS
--- /dev/null
+++ b/tests/standins/standin_store_test.cpp
@@ -0,0 +1,1 @@
+#include <catch2/catch.hpp>
--- a/tests/support/caller.cpp
+++ b/tests/support/caller.cpp
@@ -108,8 +108,8 @@
     reply.body = request.body;
     reply.is_idempotent = request.idempotent;
     reply.sent_ms = unix_ms();
-    const absl::StatusOr<http_response> response = send_http(
-        address, method, path, body, milliseconds(wait_ms + 5000));
+    const absl::StatusOr<http_response> response =
+        send_http(address, method, path, body, milliseconds(wait_ms + 5000));
     reply.received_ms = unix_ms();
     if (response.ok())
     {
--- a/tests/support/wait_until.hpp
+++ b/tests/support/wait_until.hpp
@@ -14,9 +14,9 @@
 ///
 /// \returns whether it became true within the limit
 template <typename Condition>
-[[nodiscard]] bool wait_until(Condition condition,
-                              std::chrono::seconds limit =
-                                  std::chrono::seconds(30))
+[[nodiscard]] bool
+wait_until(Condition condition,
+           std::chrono::seconds limit = std::chrono::seconds(30))
 {
     const auto end = std::chrono::steady_clock::now() + limit;
     while (!condition())
