--- a/tests/support/cluster.cpp
+++ b/tests/support/cluster.cpp
@@ -35,10 +35,10 @@
 batch_floor = 0.3
 max_queue = 2000
 [hosts]
-team = "ops"
+team = "rota"
 leaving = []
 [break]
-team = "ops"
+team = "rota"
 windows = ["00:00-23:59"]
 )";
 
@@ -250,7 +250,7 @@
 {}[timing]
 {}[[operators]]
 name = "ops"
-team = "ops"
+team = "rota"
 role = "supervisor"
 token = "operator token for tests"
 )",
@@ -355,16 +355,20 @@
 {
     for (const std::string& name : names)
     {
+        std::string reason;
         const bool is_ready = wait_until(
             [&]
             {
                 const absl::StatusOr<http_response> response =
                     send_http(hosts_.at(name).address, "GET", "/readyz");
+                reason = response.ok() ? response->body
+                                       : response.status().ToString();
                 return response.ok() && response->status == 200;
             });
         if (!is_ready)
         {
-            throw std::runtime_error(name + " is not ready\n" + log_tails());
+            throw std::runtime_error(name + " is not ready: " + reason + "\n" +
+                                     log_tails());
         }
     }
 }
