--- /dev/null
+++ b/bench/policy/baselines.cpp
@@ -0,0 +1,91 @@
+#include "baselines.hpp"
+
+#include "egretspindle/placement/capacity.hpp"
+#include "egretspindle/placement/rack_share.hpp"
+
+#include <algorithm>
+
+namespace egretspindle::bench
+{
+
+namespace
+{
+
+double load_of(const policy_model& model, const target_load& target)
+{
+    const resources used = committed(model, target);
+    return std::max({static_cast<double>(target.tasks.size()) / target.slots,
+                     used.cpu_cores / target.capacity.cpu_cores,
+                     used.memory_mb / target.capacity.memory_mb});
+}
+
+bool leaves_room(const rack_share& share, const target_load& target,
+                 const resources& free, const resources& need)
+{
+    const int slots = free_slots(target);
+    const int lost = place_count(slots, free, share.urgent_size) -
+                     place_count(slots - 1, free - need, share.urgent_size);
+    return share.urgent_places - lost >= share.kept_places;
+}
+
+} // namespace
+
+placement_decision choose_by(strategy choice, const rack_load& rack,
+                             const task_request& request,
+                             const policy_model& model,
+                             const policy_limits& limits, time_point now,
+                             std::mt19937_64& rng)
+{
+    if (choice == strategy::policy)
+    {
+        return choose_target(rack, request, model, limits, now, rng);
+    }
+    const bool gates = choice != strategy::no_admission;
+    const rack_share share = measure_share(rack, model, limits, now);
+    const target_load* best = nullptr;
+    double lowest = 0;
+    for (const target_load& target : rack.targets)
+    {
+        const resources need = reservation_for(model, request, target.capacity);
+        const resources free = free_capacity(model, target);
+        const bool excluded =
+            std::find(request.excluded.begin(), request.excluded.end(),
+                      target.name) != request.excluded.end();
+        if (excluded || !takes_work(target, request.urgent) ||
+            free_slots(target) == 0 || !fits(need, free))
+        {
+            continue;
+        }
+        if (gates && (!share_obstacle(share, limits, request, need).empty() ||
+                      (!request.urgent && share.kept_places > 0 &&
+                       !leaves_room(share, target, free, need))))
+        {
+            continue;
+        }
+        const double load = choice == strategy::random
+                                ? std::uniform_real_distribution<>(0, 1)(rng)
+                                : load_of(model, target);
+        if (best == nullptr || load < lowest)
+        {
+            best = &target;
+            lowest = load;
+        }
+    }
+    placement_decision decision;
+    decision.kind = placement_kind::wait;
+    if (best != nullptr)
+    {
+        decision.kind = placement_kind::place;
+        decision.target = best->name;
+        decision.reservation = reservation_for(model, request, best->capacity);
+        decision.predicted_run_ms = request.expected_ms;
+    }
+    else if (gates)
+    {
+        // Waiting, rejection and evictions are those of the policy.
+        return choose_target(rack, request, model, limits, now, rng);
+    }
+    return decision;
+}
+
+} // namespace egretspindle::bench
--- /dev/null
+++ b/bench/policy/fake_job.hpp
@@ -0,0 +1,47 @@
+/// \file
+/// Job of the fake fleet.
+
+#ifndef EGRETSPINDLE_BENCH_POLICY_FAKE_JOB_HPP
+#define EGRETSPINDLE_BENCH_POLICY_FAKE_JOB_HPP
+
+#include "egretspindle/core/clock.hpp"
+#include "egretspindle/core/resources.hpp"
+
+#include <cstddef>
+#include <string>
+#include <vector>
+
+namespace egretspindle::bench
+{
+
+/// True properties of a job, its declaration and its progress.
+struct fake_job
+{
+    std::size_t kind = 0;
+    resources size;     ///< true peak
+    resources declared; ///< what the caller states
+    double work_ms = 0;
+    double done_ms = 0;     ///< progress, kept by checkpoints
+    double expected_ms = 0; ///< what the caller states
+    bool flood = false;     ///< part of a flood
+    bool bad = false;       ///< fails everywhere
+    time_point arrival;
+    int attempt = 0;
+    std::vector<std::string> excluded;
+};
+
+/// Attempt on a fake target.
+struct fake_task
+{
+    std::size_t job = 0;
+    double share = 1;
+    double start_done_ms = 0; ///< progress at the start of the attempt
+    time_point started;
+    bool stopping = false;
+    time_point stop_at; ///< when a stop takes effect
+    double rate = 1;    ///< work per time
+};
+
+} // namespace egretspindle::bench
+
+#endif
--- /dev/null
+++ b/bench/policy/scenario.hpp
@@ -0,0 +1,74 @@
+/// \file
+/// What one run of the policy benchmark varies.
+
+#ifndef EGRETSPINDLE_BENCH_POLICY_SCENARIO_HPP
+#define EGRETSPINDLE_BENCH_POLICY_SCENARIO_HPP
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+#include <string>
+
+namespace egretspindle::bench
+{
+
+/// How targets are chosen and work is admitted.
+enum class strategy
+{
+    policy,       ///< the functions under test
+    least_loaded, ///< same admission, least loaded target that fits
+    random,       ///< same admission, random target that fits
+    no_admission, ///< least loaded, no floors, quotas or queue bounds
+};
+
+/// Properties of the fake's kinds of work.
+struct kind_profile
+{
+    const char* name;
+    const char* team;
+    bool urgent;
+    double work_ms;
+    double cpu_cores;
+    double memory_mb;
+    double deadline_ms;
+};
+
+constexpr std::size_t kind_count = 5;
+
+constexpr std::array<kind_profile, kind_count> kinds{{
+    {"draft", "rota", true, 120, 1.5, 1000, 5900},
+    {"check", "upload", true, 80, 1, 500, 2000},
+    {"convert", "archive", false, 8000, 3, 6000, 0},
+    {"index", "search", false, 15000, 3, 10000, 0},
+    {"split", "treasurer", false, 5000, 2, 4000, 0},
+}};
+
+/// Slowdown of the row's kind per co-running task of the column's kind at
+/// full load.
+constexpr std::array<std::array<double, kind_count>, kind_count> slowdowns{{
+    {0.02, 0.02, 0.45, 0.05, 0.02},
+    {0.02, 0.02, 0.30, 0.02, 0.05},
+    {0.02, 0.02, 0.05, 0.10, 0.02},
+    {0.02, 0.02, 0.12, 0.02, 0.02},
+    {0.02, 0.02, 0.05, 0.02, 0.02},
+}};
+
+/// One run.
+struct scenario
+{
+    strategy choice = strategy::policy;
+    std::uint64_t seed = 1;
+    double warm_up_s = 60;     ///< not measured
+    double measured_s = 60;    ///< measured
+    double urgent_load = 0.15; ///< share of the slots without interference
+    double batch_load = 0.6;   ///< share of the slots without interference
+    double batch_flood = 0;    ///< more batch work after the warm-up, in shares
+    double urgent_flood = 0;   ///< more drafts after the warm-up, in shares
+    bool wrong_sizes = false;  ///< declared wrong by 0.1 to 10
+    std::size_t bad_targets = 0; ///< targets that fail all
+    std::size_t bad_jobs = 0;    ///< jobs that fail everywhere
+};
+
+} // namespace egretspindle::bench
+
+#endif
--- a/src/placement/choose_racks.cpp
+++ b/src/placement/choose_racks.cpp
@@ -12,9 +12,14 @@
 namespace
 {
 
-// A rack without free slots keeps this weight, since its summary is delayed
-// and urgent work may get room there by an eviction.
+// A rack without free slots keeps this weight, since its summary is delayed.
 constexpr double full_weight = 0.05;
+// Urgent tasks are shorter than the age of a summary, so urgent work is spread
+// by the size of the racks with a small part for free slots. Weighing by free
+// slots alone let the load of two racks swing between 6 and 38 of 64 slots.
+constexpr double urgent_free_weight = 0.1;
+// Advantage in predicted wait for which the second rack is taken.
+constexpr double swap_advantage_ms = 250;
 
 double weight_of(const rack_summary& rack, const task_request& request)
 {
@@ -26,18 +31,24 @@
                       rack.free_cores >= request.size.cpu_cores &&
                       rack.free_memory_mb >= request.size.memory_mb &&
                       rack.free_accelerators >= request.size.accelerators;
-    return room ? static_cast<double>(rack.free_slots) : full_weight;
+    const double free = room ? static_cast<double>(rack.free_slots) : 0;
+    if (request.urgent)
+    {
+        return rack.targets + urgent_free_weight * free;
+    }
+    return std::max(free, full_weight);
 }
 
 /// Returns a cost by which two racks are compared.
+///
+/// Free slots are not part of it: the draw weighs them already, and with
+/// summaries that are up to a second old every host would send all work to
+/// the rack that was the emptier one.
 double cost_of(const rack_summary& rack, const task_request& request)
 {
-    const double targets = std::max(rack.targets, 1);
-    const double room = rack.free_slots / targets;
-    // Summaries are up to seconds old, so their queues count beside the wait
-    // that was predicted from them.
     const double queue = request.urgent ? 10.0 * rack.urgent_queue : 0;
-    return rack.urgent_wait_ms + queue + 100 / (1 + room);
+    const double full = rack.free_slots > 0 ? 0 : 100;
+    return rack.urgent_wait_ms + queue + full;
 }
 
 std::size_t draw(const std::vector<double>& weights, double total,
@@ -124,8 +135,8 @@
     std::vector<double> others = weights;
     others[first] = 0;
     const std::size_t second = draw(others, total - weights[first], rng);
-    const bool swap =
-        cost_of(racks[second], request) < cost_of(racks[first], request);
+    const bool swap = cost_of(racks[second], request) + swap_advantage_ms <
+                      cost_of(racks[first], request);
     std::sort(order.begin(), order.end(),
               [&weights](std::size_t lhs, std::size_t rhs)
               { return weights[lhs] > weights[rhs]; });
--- a/src/placement/observe.cpp
+++ b/src/placement/observe.cpp
@@ -15,8 +15,8 @@
 constexpr milliseconds min_lag{1000};
 constexpr milliseconds max_lag{3000};
 constexpr std::size_t max_snapshots = 12;
-// A peak that is no longer reached is lowered by this share per measurement.
-constexpr double peak_decay = 0.002;
+// Half-life of the distance between a peak and what is measured now.
+constexpr double peak_half_life_s = 600;
 // Smallest step of the slowdown estimates, so that they follow changes.
 constexpr double min_step = 0.02;
 // Tasks longer than this see many compositions of the target; their slowdown
@@ -27,9 +27,10 @@
 // Half-life of the arrival rates of urgent kinds.
 constexpr double rate_half_life_s = 60;
 
-void raise_peak(double& peak, double value)
+void raise_peak(double& peak, double value, double elapsed_s)
 {
-    peak = value >= peak ? value : peak - peak_decay * (peak - value);
+    const double kept = std::exp2(-elapsed_s / peak_half_life_s);
+    peak = value >= peak ? value : value + kept * (peak - value);
 }
 
 void learn_peak(kind_estimate& estimate, const usage_sample& sample,
@@ -42,8 +43,15 @@
         // reservation, so the estimate is raised in steps.
         cores = std::max(cores, sample.reserved_cores * 1.25);
     }
-    raise_peak(estimate.peak.cpu_cores, cores);
-    raise_peak(estimate.peak.memory_mb, sample.memory_mb);
+    // Without an earlier measurement there is nothing to lower.
+    const double elapsed_s =
+        estimate.reports == 0
+            ? 0
+            : std::max(0.0,
+                       std::chrono::duration<double>(now - estimate.updated)
+                           .count());
+    raise_peak(estimate.peak.cpu_cores, cores, elapsed_s);
+    raise_peak(estimate.peak.memory_mb, sample.memory_mb, elapsed_s);
     ++estimate.reports;
     estimate.updated = now;
 }
@@ -263,7 +271,6 @@
             without_one(detail::take_snapshot(model, target, now), kind);
         learn_slowdown(model, kind, beside, measured, now);
     }
-    estimate.updated = now;
 }
 
 void observe_urgent_arrival(policy_model& model, std::string_view kind,
--- a/src/placement/rack_share.cpp
+++ b/src/placement/rack_share.cpp
@@ -117,6 +117,22 @@
     return it == share.teams.end() ? none : it->second;
 }
 
+/// Returns whether no other team has tasks or demand.
+bool is_alone(const rack_share& share, const std::string& team)
+{
+    return share.active_teams == 0 ||
+           (share.active_teams == 1 && share.teams.count(team) == 1);
+}
+
+/// Returns whether a team holds more than its entitlement.
+bool is_over(const rack_share& share, const policy_limits& limits,
+             const std::string& team)
+{
+    return !is_alone(share, team) &&
+           dominant_share(held_by(share, team), share.total) >
+               entitlement(share, limits, team);
+}
+
 } // namespace
 
 void note_request(rack_load& rack, const std::string& team, bool urgent,
@@ -219,19 +235,23 @@
     {
         return "room kept for urgent work";
     }
-    const bool alone =
-        share.active_teams == 0 ||
-        (share.active_teams == 1 && share.teams.count(request.team) == 1);
-    if (alone ||
+    if (is_alone(share, request.team) ||
         share_after(held_by(share, request.team), reservation, share.total) <=
             entitlement(share, limits, request.team) + 1e-9)
     {
         return {};
     }
+    // A team above its entitlement leaves a margin to the others: urgent work
+    // within what batch leaves to it, batch work within the whole rack.
     held_share used = share.urgent;
-    used.slots += share.batch.slots;
-    used.amount = used.amount + share.batch.amount;
-    if (share_after(used, reservation, share.total) > 1 - lend_margin)
+    double bound = share.batch_demand ? 1 - limits.batch_floor : 1;
+    if (!request.urgent)
+    {
+        used.slots += share.batch.slots;
+        used.amount = used.amount + share.batch.amount;
+        bound = 1;
+    }
+    if (share_after(used, reservation, share.total) > bound - lend_margin)
     {
         return "quota of the team";
     }
@@ -246,6 +266,11 @@
     {
         return false;
     }
+    if (request.urgent && is_over(share, limits, request.team) &&
+        !is_over(share, limits, victim.team))
+    {
+        return false;
+    }
     if (request.urgent)
     {
         // Batch keeps its floor. Without demand from further batch work its
