--- a/bench/policy/simulation.hpp
+++ b/bench/policy/simulation.hpp
@@ -51,7 +51,8 @@
     void add_job(std::size_t kind, bool flood);
     void submit_urgent(std::size_t job);
     void lose_urgent(std::size_t job, const char* reason);
-    bool try_rack(std::size_t job, std::size_t rack, bool queued);
+    bool try_rack(std::size_t job, std::size_t rack, bool queued,
+                  bool may_evict = true);
     void dispatch_batch();
     void dispatch_urgent(std::size_t rack);
     void enact(std::size_t job, std::size_t rack,
--- a/include/egretspindle/placement/task_request.hpp
+++ b/include/egretspindle/placement/task_request.hpp
@@ -28,6 +28,10 @@
     double expected_ms = 0;             ///< declared; 0 when not known
     std::optional<time_point> deadline; ///< none when absent
     std::vector<std::string> excluded;  ///< targets not to be used
+    /// Whether batch may be evicted or the request queued. Without it the
+    /// decision is `place` or `reject` at once, so that a coordinator can try
+    /// another rack first: a hop of milliseconds instead of an eviction.
+    bool may_evict = true;
 };
 
 /// Makes the request for an attempt.
--- a/src/placement/choose_target.cpp
+++ b/src/placement/choose_target.cpp
@@ -309,7 +309,12 @@
         decision.reason = "lowest predicted cost";
         return decision;
     }
-    if (!try_evictions(decision, in, gate))
+    if (!request.may_evict)
+    {
+        set_wait_or_reject(decision, in, "no room without an eviction");
+        decision.kind = placement_kind::reject;
+    }
+    else if (!try_evictions(decision, in, gate))
     {
         set_wait_or_reject(decision, in,
                            gate.empty() ? "no target has room" : gate);
--- a/src/placement/rack_share.cpp
+++ b/src/placement/rack_share.cpp
@@ -95,11 +95,16 @@
         return;
     }
     const double floor = limits.urgent_floor * share.total.slots;
-    // One and a half times the recent peak: bursts of a Poisson stream around
-    // its own recent maximum.
+    // The floor is kept up to one and a half times the recent peak, for
+    // bursts of a Poisson stream around its own recent maximum.
     const double wanted = std::ceil(1.5 * decayed_peak(rack, now)) + 1;
-    share.kept_places = std::max(0, static_cast<int>(std::min(floor, wanted)) -
-                                        share.urgent.slots);
+    // When urgent work uses more than its floor, a reserve of two standard
+    // deviations remains; without it every start would cost an eviction.
+    const double reserve =
+        2 * std::sqrt(static_cast<double>(share.urgent.slots));
+    const double kept =
+        std::max(std::min(floor, wanted) - share.urgent.slots, reserve);
+    share.kept_places = static_cast<int>(std::ceil(kept));
 }
 
 double share_after(const held_share& held, const resources& reservation,
