Keep toml++ from ending the process on malformed plans

toml++ 3.3 asserts properties of its input: the text '[=x]' aborted the process, also as a plan document sent by an operator. core/toml.hpp now throws toml::parse_error, which both users already catch; src/plan includes it in place of toml++/toml.h, as the library's inline functions must be the same in the whole program.

--- a/include/egretspindle/core/toml.hpp
+++ b/include/egretspindle/core/toml.hpp
@@ -9,8 +9,6 @@
 #ifndef EGRETSPINDLE_CORE_TOML_HPP
 #define EGRETSPINDLE_CORE_TOML_HPP
 
-#include <stdexcept>
-
 #ifdef NDEBUG
 #error "toml++ needs its assertions on malformed input; build without NDEBUG"
 #endif
@@ -21,17 +19,8 @@
 namespace egretspindle
 {
 
-/// Thrown where toml++ asserts a property of its input.
-struct toml_assertion_error : std::runtime_error
-{
-    using std::runtime_error::runtime_error;
-};
-
-/// Throws `toml_assertion_error`.
-[[noreturn]] inline void fail_toml_assertion(const char* condition)
-{
-    throw toml_assertion_error(condition);
-}
+/// Throws `toml::parse_error` where toml++ asserts a property of its input.
+[[noreturn]] void fail_toml_assertion(const char* condition);
 
 } // namespace egretspindle
 
@@ -40,4 +29,10 @@
 
 #include <toml++/toml.h>
 
+inline void egretspindle::fail_toml_assertion(const char* /*condition*/)
+{
+    throw toml::parse_error("a table header or key is malformed",
+                            toml::source_region{});
+}
+
 #endif
--- a/src/plan/parse_plan.cpp
+++ b/src/plan/parse_plan.cpp
@@ -1,11 +1,11 @@
 #include "egretspindle/plan/parse_plan.hpp"
 
 #include "egretspindle/core/error.hpp"
+#include "egretspindle/core/toml.hpp"
 
 #include "section_reader.hpp"
 
 #include <fmt/format.h>
-#include <toml++/toml.h>
 
 #include <algorithm>
 #include <functional>
--- a/src/plan/section_reader.hpp
+++ b/src/plan/section_reader.hpp
@@ -4,10 +4,9 @@
 #ifndef EGRETSPINDLE_SRC_PLAN_SECTION_READER_HPP
 #define EGRETSPINDLE_SRC_PLAN_SECTION_READER_HPP
 
+#include "egretspindle/core/toml.hpp"
 #include "egretspindle/plan/plan_problem.hpp"
 
-#include <toml++/toml.h>
-
 #include <cstdint>
 #include <string>
 #include <string_view>
--- a/src/settings/parse_settings.cpp
+++ b/src/settings/parse_settings.cpp
@@ -344,11 +344,6 @@
                         ex.source().begin.line, ex.source().begin.column,
                         ex.description()));
     }
-    catch (const toml_assertion_error&)
-    {
-        errors.lines.emplace_back("not TOML: a table header or key is "
-                                  "malformed, correct it");
-    }
     return make_error(error_kind::invalid_argument,
                       fmt::format("{} error(s) in the settings:\n{}",
                                   errors.lines.size(),
