Wire the operators' interface and the fair batch queue

Cause: the queue was first come, first served, and operators saw nothing. Change: coordinator uses the admission package's queue (weights, aging, backfill); node serves the administration port with status, targets, requests and drains.

--- a/include/egretspindle/request_path/coordinator.hpp
+++ b/include/egretspindle/request_path/coordinator.hpp
@@ -5,6 +5,7 @@
 #define EGRETSPINDLE_REQUEST_PATH_COORDINATOR_HPP
 
 #include "egretspindle/adapters/store_client.hpp"
+#include "egretspindle/admission/batch_queue.hpp"
 #include "egretspindle/request_path/completion_log.hpp"
 #include "egretspindle/request_path/coordinator_options.hpp"
 #include "egretspindle/request_path/rack_router.hpp"
@@ -16,7 +17,6 @@
 #include <absl/types/span.h>
 
 #include <atomic>
-#include <deque>
 #include <string>
 #include <thread>
 
@@ -180,13 +180,8 @@
     void enqueue(const request_entry_ptr& entry, milliseconds delay);
     void dispatch();
     void run_batch(const request_entry_ptr& entry);
-
-    /// Batch request that waits for a start.
-    struct queued_request
-    {
-        request_entry_ptr entry;
-        time_point not_before;
-    };
+    batch_item make_item(const request_entry& entry, time_point not_before);
+    void count_use();
 
     coordinator_options options_;
     coordinator_hooks hooks_;
@@ -199,7 +194,8 @@
 
     mutable std::mutex queue_mutex_;
     std::condition_variable queue_changed_;
-    std::deque<queued_request> queue_;
+    batch_queue queue_;
+    team_use_map started_use_;
     int batch_starts_ = 0;
     bool is_stopping_ = false;
     std::thread dispatch_thread_;
--- a/include/egretspindle/request_path/coordinator_options.hpp
+++ b/include/egretspindle/request_path/coordinator_options.hpp
@@ -6,13 +6,17 @@
 
 #include "egretspindle/core/clock.hpp"
 #include "egretspindle/core/request_reply.hpp"
+#include "egretspindle/placement/policy_limits.hpp"
 #include "egretspindle/protocol/key_query.hpp"
+#include "egretspindle/protocol/rack_summary.hpp"
 #include "egretspindle/protocol/task_report.hpp"
 
 #include <absl/status/statusor.h>
 
 #include <functional>
+#include <memory>
 #include <string>
+#include <vector>
 
 namespace egretspindle
 {
@@ -54,6 +58,10 @@
     /// Returns whether the members of the data centre have not changed for
     /// long enough that no other coordinator can still be active for a key.
     std::function<bool()> is_view_settled;
+    /// Returns the limits of the plan in force.
+    std::function<std::shared_ptr<const policy_limits>()> limits;
+    /// Returns the summaries of the racks of this data centre.
+    std::function<std::vector<rack_summary>()> racks;
     /// Returns whether this host is the preferred coordinator of a key.
     std::function<bool(const std::string& key)> is_preferred;
 };
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -47,6 +47,22 @@
         [this] { return hosts->hosts(); }, *peers, make_ownership_callbacks());
     plan_service_options plan_options;
     plan_options.host_name = config.host.name;
+    plan_options.store_timeout = milliseconds(config.timing.store_timeout_ms);
+    plan_options.poll_period = milliseconds(config.timing.plan_poll_ms);
+    plan_options.context = [this]
+    {
+        plan_context context;
+        std::set<std::string> names;
+        for (const host_entry& host : hosts->hosts())
+        {
+            names.insert(host.name);
+        }
+        if (!names.empty())
+        {
+            context.known_hosts = std::move(names);
+        }
+        return context;
+    };
     plan_operations = std::make_unique<plan_service>(
         *store, *peers, [this] { return members->members(); }, plans, unix_ms,
         plan_options);
@@ -74,6 +90,11 @@
         static_cast<unsigned>(config.limits.min_threads);
     limits_of_server.max_threads =
         static_cast<unsigned>(config.limits.max_threads);
+    admin = std::make_unique<admin_service>(config.operators, *plan_operations,
+                                            plans, make_admin_hooks());
+    admin_server = std::make_unique<http_server>(
+        make_admin_limits(),
+        [this](const http_request& request) { return admin->handle(request); });
     caller_server = std::make_unique<http_server>(
         limits_of_server, [this](const http_request& request)
         { return callers->handle(request); });
@@ -206,6 +227,14 @@
         return caller.status();
     }
     absl::Status status = impl_->peer_server->start(peer->address, peer->port);
+    if (status.ok() && !impl_->config.listen.admin.empty())
+    {
+        const absl::StatusOr<endpoint> operators =
+            parse_endpoint(impl_->config.listen.admin);
+        status = operators.ok() ? impl_->admin_server->start(operators->address,
+                                                             operators->port)
+                                : operators.status();
+    }
     if (!status.ok())
     {
         return status;
@@ -241,6 +270,7 @@
     impl_->requests->flush(milliseconds(
         std::max<std::int64_t>(1000, elapsed_ms(steady_clock::now(), limit))));
     impl_->caller_server->stop();
+    impl_->admin_server->stop();
     impl_->ownership->stop();
     impl_->plan_operations->stop();
     impl_->members->stop();
--- a/src/node/node_hooks.cpp
+++ b/src/node/node_hooks.cpp
@@ -78,6 +78,10 @@
     };
     hooks.is_leaving_by_plan = [this](const std::string& target)
     {
+        if (plan_operations->drains().is_drained(target))
+        {
+            return true;
+        }
         const std::shared_ptr<const plan_in_force> plan = plans.current();
         if (!plan)
         {
@@ -133,6 +137,14 @@
             members->last_change(config.host.data_center);
         return steady_clock::now() - changed > settled_after;
     };
+    hooks.limits = [this]
+    {
+        return current_limits();
+    };
+    hooks.racks = [this]
+    {
+        return rack_routes->summaries();
+    };
     hooks.is_preferred = [this](const std::string& key)
     {
         return request_routes->coordinator_of(key) == config.host.name;
--- a/src/node/node_messages.cpp
+++ b/src/node/node_messages.cpp
@@ -84,10 +84,12 @@
         { return plan_operations->get_plan(query); });
     messages.on<key_query, egretspindle::host_status>(
         message_type::host_status,
-        [this](const std::string&, const key_query&) { return status_here(); });
+        [this](const std::string&,
+               const key_query&) -> absl::StatusOr<egretspindle::host_status>
+        { return status_here(); });
 }
 
-absl::StatusOr<egretspindle::host_status> node::impl::status_here() const
+egretspindle::host_status node::impl::status_here() const
 {
     egretspindle::host_status status;
     status.members = members->members();
--- a/src/node/node_parts.hpp
+++ b/src/node/node_parts.hpp
@@ -5,6 +5,7 @@
 #define EGRETSPINDLE_SRC_NODE_NODE_PARTS_HPP
 
 #include "egretspindle/adapters/store_client.hpp"
+#include "egretspindle/admin/admin_service.hpp"
 #include "egretspindle/membership/membership_service.hpp"
 #include "egretspindle/metrics/metric_registry.hpp"
 #include "egretspindle/net/http_server.hpp"
@@ -56,7 +57,13 @@
 
     // node_messages.cpp
     void register_messages();
-    absl::StatusOr<egretspindle::host_status> status_here() const;
+    egretspindle::host_status status_here() const;
+
+    // node_admin.cpp
+    admin_hooks make_admin_hooks();
+    std::vector<target_status> target_statuses() const;
+    std::vector<request_status> open_requests(int limit) const;
+    absl::StatusOr<request_status> lookup(const std::string& key) const;
 
     settings config;
     metric_registry metrics;
@@ -77,6 +84,8 @@
     message_router messages;
     std::unique_ptr<rpc_server> peer_server;
     std::unique_ptr<http_server> caller_server;
+    std::unique_ptr<admin_service> admin;
+    std::unique_ptr<http_server> admin_server;
     std::atomic<bool> is_draining{false};
 
     std::mutex limits_mutex;
--- a/src/request_path/coordinator.cpp
+++ b/src/request_path/coordinator.cpp
@@ -217,6 +217,10 @@
     }
     if (is_queued)
     {
+        {
+            const std::lock_guard<std::mutex> lock(queue_mutex_);
+            egretspindle::cancel(queue_, entry->key);
+        }
         request_reply reply = reply_of(*entry);
         reply.result = outcome::cancelled;
         reply.reason = "cancelled before it started";
@@ -266,7 +270,7 @@
 int coordinator::queued_count() const
 {
     const std::lock_guard<std::mutex> lock(queue_mutex_);
-    return static_cast<int>(queue_.size());
+    return static_cast<int>(queue_size(queue_));
 }
 
 bool coordinator::is_store_healthy() const noexcept
--- a/src/request_path/coordinator_batch.cpp
+++ b/src/request_path/coordinator_batch.cpp
@@ -18,10 +18,15 @@
 
 void coordinator::accept_batch(const request_entry_ptr& entry)
 {
-    if (static_cast<std::size_t>(queued_count()) >= options_.max_queued_batch)
+    absl::Status room;
     {
-        withdraw(entry, "the batch queue is full; send it again later",
-                 full_queue_retry_ms);
+        const std::shared_ptr<const policy_limits> limits = hooks_.limits();
+        const std::lock_guard<std::mutex> lock(queue_mutex_);
+        room = check_room(queue_, *limits, entry->spec.team);
+    }
+    if (!room.ok())
+    {
+        withdraw(entry, std::string(room.message()), full_queue_retry_ms);
         return;
     }
     request_record record;
@@ -77,28 +82,78 @@
         entry->record.state = record_state::accepted;
     }
     const std::lock_guard<std::mutex> lock(queue_mutex_);
-    queue_.push_back({entry, steady_clock::now() + delay});
+    push(queue_, make_item(*entry, steady_clock::now() + delay));
     queue_changed_.notify_one();
 }
 
+batch_item coordinator::make_item(const request_entry& entry,
+                                  time_point not_before)
+{
+    batch_item item;
+    item.key = entry.key;
+    item.team = entry.spec.team;
+    item.kind = entry.spec.kind;
+    item.size = entry.spec.size;
+    item.expected_ms = static_cast<double>(entry.spec.expected_ms);
+    item.enqueued = entry.received;
+    item.not_before = not_before;
+    const std::shared_ptr<const policy_limits> limits = hooks_.limits();
+    const auto it = limits->kinds.find(entry.spec.kind);
+    if (it != limits->kinds.end())
+    {
+        item.priority = it->second.priority;
+    }
+    return item;
+}
+
+// Counts the batch requests that this host has started, by team.
+void coordinator::count_use()
+{
+    team_use_map use;
+    for (const request_entry_ptr& entry : table_.entries())
+    {
+        const std::lock_guard<std::mutex> lock(entry->mutex);
+        if (!entry->spec.urgent && entry->reply.result == outcome::running)
+        {
+            team_use& team = use[entry->spec.team];
+            ++team.tasks;
+            team.cpu_cores += entry->spec.size.cpu_cores;
+            team.memory_mb += entry->spec.size.memory_mb;
+        }
+    }
+    const std::lock_guard<std::mutex> lock(queue_mutex_);
+    started_use_ = std::move(use);
+}
+
 void coordinator::dispatch()
 {
     std::unique_lock<std::mutex> lock(queue_mutex_);
     while (!is_stopping_)
     {
-        const time_point now = steady_clock::now();
-        const auto it = std::find_if(queue_.begin(), queue_.end(),
-                                     [now](const queued_request& item)
-                                     { return item.not_before <= now; });
-        if (it == queue_.end() || batch_starts_ >= options_.max_batch_starts)
+        if (queue_size(queue_) == 0 ||
+            batch_starts_ >= options_.max_batch_starts)
         {
             queue_changed_.wait_for(lock, dispatch_period);
             continue;
         }
-        const request_entry_ptr entry = it->entry;
-        queue_.erase(it);
-        ++batch_starts_;
         lock.unlock();
+        const std::vector<rack_summary> racks = hooks_.racks();
+        const std::shared_ptr<const policy_limits> limits = hooks_.limits();
+        lock.lock();
+        const std::optional<batch_item> item = next_batch(
+            queue_, *limits, started_use_, racks, steady_clock::now());
+        if (!item)
+        {
+            queue_changed_.wait_for(lock, dispatch_period);
+            continue;
+        }
+        ++started_use_[item->team].tasks;
+        const request_entry_ptr entry = table_.find(item->key);
+        if (!entry)
+        {
+            continue;
+        }
+        ++batch_starts_;
         workers_.run(
             [this, entry]
             {
@@ -107,7 +162,6 @@
                 --batch_starts_;
                 queue_changed_.notify_one();
             });
-        lock.lock();
     }
 }
 
--- a/src/request_path/coordinator_recovery.cpp
+++ b/src/request_path/coordinator_recovery.cpp
@@ -347,6 +347,7 @@
                 workers_.run([this, entry] { resolve(entry); });
             }
         }
+        count_use();
         if (now - last_prune > options_.retention / 4)
         {
             table_.prune(now, options_.retention);
--- a/src/request_path/rack_place.cpp
+++ b/src/request_path/rack_place.cpp
@@ -393,8 +393,7 @@
         reply.epoch = rack_.token.epoch;
         reply.boot_id = session->boot_id;
     }
-    const absl::StatusOr<task_state> state =
-        session->client->start(command);
+    const absl::StatusOr<task_state> state = session->client->start(command);
     if (!state.ok())
     {
         reply.reason = std::string(state.status().message());
--- a/src/request_path/rack_renew.cpp
+++ b/src/request_path/rack_renew.cpp
@@ -115,8 +115,7 @@
 }
 
 void rack_runtime::apply_task(const session_ptr& session,
-                              const task_state& task,
-                              time_point now)
+                              const task_state& task, time_point now)
 {
     const task_id id{task.key, task.attempt};
     const auto [it, is_new] = tasks_.emplace(id, owned_task{});
--- a/src/request_path/rack_tasks.cpp
+++ b/src/request_path/rack_tasks.cpp
@@ -9,8 +9,7 @@
 namespace egretspindle
 {
 
-void rack_runtime::task_has_ended(owned_task& task,
-                                  const task_state& state,
+void rack_runtime::task_has_ended(owned_task& task, const task_state& state,
                                   time_point now)
 {
     task.phase = task_phase::ended;
@@ -90,9 +89,8 @@
             return report;
         }
     }
-    const absl::StatusOr<task_state> state =
-        session->client->task(query.key, query.attempt,
-                              milliseconds(query.wait_ms));
+    const absl::StatusOr<task_state> state = session->client->task(
+        query.key, query.attempt, milliseconds(query.wait_ms));
     if (!state.ok())
     {
         return without_target(query);
@@ -171,8 +169,7 @@
     {
         return without_target(query);
     }
-    const absl::StatusOr<task_state> state =
-        session->client->stop(command);
+    const absl::StatusOr<task_state> state = session->client->stop(command);
     if (!state.ok())
     {
         if (kind_of(state.status()) == error_kind::stale_epoch)
