Split starts of attempts from placement

Change: one function per result of a start; a refused start of an attempt that never started says so.

--- a/include/egretspindle/request_path/rack_runtime.hpp
+++ b/include/egretspindle/request_path/rack_runtime.hpp
@@ -41,7 +41,8 @@
 class rack_runtime
 {
 public:
-    rack_runtime(rack_options options, rack_hooks hooks, owned_rack rack);
+    rack_runtime(rack_options options, rack_hooks hooks,
+                 const owned_rack& rack);
     ~rack_runtime();
     rack_runtime(const rack_runtime&) = delete;
     rack_runtime& operator=(const rack_runtime&) = delete;
@@ -118,11 +119,19 @@
     void serve_waiting();
     void reserve(const place_request& request,
                  const placement_decision& decision);
+    void evict_for(const placement_decision& decision);
+
+    // rack_start.cpp
     place_reply start_on(const place_request& request,
                          const std::string& target);
-    place_reply start_lost(const place_request& request,
-                           const session_ptr& session, place_reply reply);
-    void evict_for(const placement_decision& decision);
+    place_reply prepare_start(const place_request& request,
+                              const std::string& target,
+                              start_command& command);
+    place_reply start_accepted(const place_request& request, place_reply reply,
+                               const task_state& state);
+    place_reply start_refused(const place_request& request, place_reply reply,
+                              const absl::Status& status);
+    place_reply start_lost(const place_request& request, place_reply reply);
 
     // rack_renew.cpp
     void renew_loop(const session_ptr& session);
--- a/src/request_path/rack_place.cpp
+++ b/src/request_path/rack_place.cpp
@@ -5,6 +5,8 @@
 #include "egretspindle/placement/observe.hpp"
 #include "egretspindle/request_path/rack_runtime.hpp"
 
+#include "refusal.hpp"
+
 #include <fmt/format.h>
 
 #include <algorithm>
@@ -17,8 +19,6 @@
 
 // A start is tried on this many targets before the rack refuses.
 constexpr int max_start_tries = 3;
-constexpr std::int64_t refused_retry_ms = 500;
-
 std::string describe(const std::vector<placement_alternative>& alternatives)
 {
     std::string text;
@@ -47,14 +47,6 @@
     log_decision(line);
 }
 
-place_reply refusal(std::string_view reason, std::int64_t retry_after_ms)
-{
-    place_reply reply;
-    reply.reason = reason;
-    reply.retry_after_ms = retry_after_ms;
-    return reply;
-}
-
 task_request make_task(const place_request& request, time_point now)
 {
     std::optional<time_point> deadline;
@@ -337,157 +329,6 @@
     }
 }
 
-place_reply rack_runtime::start_on(const place_request& request,
-                                   const std::string& target)
-{
-    const task_id id{key_of(request.spec), request.attempt};
-    start_command command;
-    session_ptr session;
-    place_reply reply = refusal("the reservation is gone", refused_retry_ms);
-    {
-        const std::lock_guard<std::mutex> lock(mutex_);
-        session = session_of(target);
-        const auto it = tasks_.find(id);
-        const task_load* load = task_load_of(id, target);
-        if (!session || it == tasks_.end() || load == nullptr ||
-            it->second.phase != task_phase::reserved)
-        {
-            return reply;
-        }
-        if (!request.boot_id.empty() && request.boot_id != session->boot_id)
-        {
-            tasks_.erase(it);
-            remove_load(id, target);
-            reply.reason = "the target restarted; place it again";
-            return reply;
-        }
-        const time_point now = steady_clock::now();
-        owned_task& task = it->second;
-        task.phase = task_phase::starting;
-        task.changed = now;
-        task.coordinator_data_center = request.coordinator_data_center;
-        task.start_before_ms = session->clock_ms +
-                               elapsed_ms(session->clock_received, now) +
-                               options_.start_window.count();
-        command.epoch = session->token.epoch;
-        command.term = session->token.term;
-        command.key = id.first;
-        command.attempt = id.second;
-        command.team = request.spec.team;
-        command.kind = request.spec.kind;
-        command.urgent = request.spec.urgent;
-        command.reserve = load->reserve;
-        command.preemptible = load->checkpointable;
-        command.body = request.spec.body;
-        command.checkpoint = request.checkpoint;
-        command.start_before_ms = task.start_before_ms;
-        command.lease_until_ms = lease_until_ms(*session, options_);
-        command.wait_ms = request.wait_ms;
-        session->lease_bound =
-            std::max(session->lease_bound,
-                     lease_bound_of(session->clock_received, options_));
-        reply.reason.clear();
-        reply.retry_after_ms = 0;
-        reply.target = target;
-        reply.rack = rack_.rack;
-        reply.epoch = rack_.token.epoch;
-        reply.boot_id = session->boot_id;
-    }
-    const absl::StatusOr<task_state> state = session->client->start(command);
-    if (!state.ok())
-    {
-        reply.reason = std::string(state.status().message());
-        const error_kind kind = kind_of(state.status());
-        const bool is_unclear = kind == error_kind::deadline_exceeded ||
-                                kind == error_kind::internal;
-        if (is_unclear)
-        {
-            return start_lost(request, session, reply);
-        }
-        {
-            const std::lock_guard<std::mutex> lock(mutex_);
-            tasks_.erase(id);
-            remove_load(id, target);
-            if (kind == error_kind::unavailable)
-            {
-                session->is_reachable = false;
-                if (target_load* load = load_of(target))
-                {
-                    load->reachable = false;
-                }
-            }
-        }
-        if (kind == error_kind::stale_epoch)
-        {
-            hooks_.stale_epoch({rack_.data_center, rack_.rack});
-        }
-        reply.retry_after_ms = refused_retry_ms;
-        return reply;
-    }
-    {
-        const std::lock_guard<std::mutex> lock(mutex_);
-        const auto it = tasks_.find(id);
-        if (it != tasks_.end())
-        {
-            owned_task& task = it->second;
-            task.boot_id = state->boot_id;
-            if (state->state == "running")
-            {
-                task.phase = task_phase::running;
-                task.changed = steady_clock::now();
-            }
-            else if (task.phase != task_phase::ended)
-            {
-                task_has_ended(task, *state, steady_clock::now());
-            }
-        }
-    }
-    if (state->state == "running" && !request.spec.urgent)
-    {
-        watch(id, request.spec.expected_ms);
-    }
-    reply.placed = true;
-    reply.boot_id = state->boot_id;
-    reply.task = *state;
-    return reply;
-}
-
-// Finds out what became of a start whose answer was lost.
-place_reply rack_runtime::start_lost(const place_request& request,
-                                     const session_ptr& session,
-                                     place_reply reply)
-{
-    const task_id id{key_of(request.spec), request.attempt};
-    {
-        const std::lock_guard<std::mutex> lock(mutex_);
-        const auto it = tasks_.find(id);
-        if (it != tasks_.end() && it->second.phase == task_phase::starting)
-        {
-            it->second.phase = task_phase::uncertain;
-            it->second.changed = steady_clock::now();
-        }
-    }
-    task_query query;
-    query.key = id.first;
-    query.attempt = id.second;
-    query.target = reply.target;
-    query.boot_id = reply.boot_id;
-    const task_report report = ask_target(query, session);
-    if (report.certainly_ended && report.never_started)
-    {
-        return reply;
-    }
-    if (report.reachable && !report.task.state.empty() &&
-        !report.certainly_ended)
-    {
-        reply.placed = true;
-        reply.task = report.task;
-        return reply;
-    }
-    reply.may_have_started = true;
-    return reply;
-}
-
 void rack_runtime::evict_for(const placement_decision& decision)
 {
     for (const eviction& item : decision.evictions)
--- a/src/request_path/rack_runtime.cpp
+++ b/src/request_path/rack_runtime.cpp
@@ -21,7 +21,7 @@
 } // namespace
 
 rack_runtime::rack_runtime(rack_options options, rack_hooks hooks,
-                           owned_rack rack)
+                           const owned_rack& rack)
     : options_(std::move(options)), hooks_(std::move(hooks)),
       started_(steady_clock::now()), rng_(std::random_device{}()),
       watchers_(options_.max_watchers), reporters_(max_reporters)
--- /dev/null
+++ b/src/request_path/refusal.hpp
@@ -0,0 +1,30 @@
+/// \file
+/// Refusal of an attempt by its rack owner.
+
+#ifndef EGRETSPINDLE_SRC_REQUEST_PATH_REFUSAL_HPP
+#define EGRETSPINDLE_SRC_REQUEST_PATH_REFUSAL_HPP
+
+#include "egretspindle/protocol/place_reply.hpp"
+
+#include <cstdint>
+#include <string_view>
+
+namespace egretspindle
+{
+
+/// Retry delay in ms after a refusal that says nothing more precise.
+inline constexpr std::int64_t refused_retry_ms = 500;
+
+/// Makes the reply for an attempt that was certainly not started.
+[[nodiscard]] inline place_reply refusal(std::string_view reason,
+                                         std::int64_t retry_after_ms)
+{
+    place_reply reply;
+    reply.reason = reason;
+    reply.retry_after_ms = retry_after_ms;
+    return reply;
+}
+
+} // namespace egretspindle
+
+#endif
