Add overhead benchmark

The cost of an urgent request through an entry host is compared with the direct call to a target; both are sent in turn at fixed times, 200 requests/s each, with real processes.

--- /dev/null
+++ b/bench/overhead/options.hpp
@@ -0,0 +1,29 @@
+/// \file
+/// Command line of the overhead benchmark.
+
+#ifndef EGRETSPINDLE_BENCH_OVERHEAD_OPTIONS_HPP
+#define EGRETSPINDLE_BENCH_OVERHEAD_OPTIONS_HPP
+
+namespace egretspindle::bench
+{
+
+/// What the command line sets.
+struct overhead_options
+{
+    int runs = 3;
+    int rate = 200;   ///< requests per second of each variant
+    int seconds = 20; ///< measured time of a run
+    int hosts = 3;
+    int work_ms = 5;
+    bool is_idempotent = true;
+};
+
+/// Parses the command line.
+///
+/// \returns false, after printing the usage, when it is wrong
+[[nodiscard]] bool parse_options(int argc, char** argv,
+                                 overhead_options& result);
+
+} // namespace egretspindle::bench
+
+#endif
