--- a/src/plan/section_name.cpp
+++ b/src/plan/section_name.cpp
@@ -1,12 +1,12 @@
 #include "egretspindle/plan/section_name.hpp"
 
 #include "egretspindle/core/error.hpp"
+#include "egretspindle/core/toml.hpp"
 #include "egretspindle/plan/parse_plan.hpp"
 
 #include "section_reader.hpp"
 
 #include <fmt/format.h>
-#include <toml++/toml.h>
 
 #include <algorithm>
 #include <array>
--- a/tests/plan/parse_plan_test.cpp
+++ b/tests/plan/parse_plan_test.cpp
@@ -3,6 +3,7 @@
 
 #include <catch2/catch.hpp>
 
+#include <random>
 #include <string>
 
 using namespace egretspindle;
@@ -154,3 +155,40 @@
     CHECK(is_in_break(breaks, at(0, 59)));
     CHECK_FALSE(is_in_break(breaks, at(1, 0)));
 }
+
+// Guards against the assertions of the TOML parser, which end the process.
+TEST_CASE("generated damage of a plan is an error or a valid plan", "[plan]")
+{
+    const unsigned seed = 20261204;
+    std::mt19937 random(seed);
+    const std::string characters = "[]={}\"'.,#\n\\ \1\xff\xef-0e:t";
+    CHECK_FALSE(parse_plan("[=x]").ok());
+    for (int n = 0; n < 500; ++n)
+    {
+        std::string text = valid_plan;
+        const unsigned changes = 1 + random() % 4;
+        for (unsigned i = 0; i < changes; ++i)
+        {
+            const std::size_t at = random() % text.size();
+            const char c = characters[random() % characters.size()];
+            switch (random() % 3)
+            {
+            case 0:
+                text[at] = c;
+                break;
+            case 1:
+                text.insert(at, random() % 3 + 1, c);
+                break;
+            default:
+                text.erase(at, random() % 20);
+            }
+        }
+        INFO("seed " << seed << " case " << n << "\n" << text);
+        const absl::StatusOr<plan_document> document = parse_plan(text);
+        CHECK(document.ok() == validate_plan(text, {}).empty());
+        if (!document.ok())
+        {
+            CHECK(kind_of(document.status()) == error_kind::invalid_argument);
+        }
+    }
+}
