--- a/tests/support/cluster.cpp
+++ b/tests/support/cluster.cpp
@@ -253,11 +253,11 @@
 team = "rota"
 role = "supervisor"
 token = "operator token for tests"
-)",
+{})",
         host.name, host.data_center, host.address, host.peer, host.admin,
         link(host.name + "-store", store_address_),
         link(host.name + "-hosts", host_list_address_), seeds, addresses,
-        timing);
+        timing, options_.more_settings);
 }
 
 std::string cluster::link(const std::string& name, const std::string& server)
--- a/tests/support/cluster_options.hpp
+++ b/tests/support/cluster_options.hpp
@@ -26,7 +26,8 @@
     std::vector<std::string> target_arguments;
     std::vector<std::string> store_arguments;
     std::map<std::string, long> timing; ///< of the settings
-    std::string plan;                   ///< TOML; a default when empty
+    std::string more_settings; ///< TOML, appended to those of each host
+    std::string plan;          ///< TOML; a default when empty
 };
 
 } // namespace egretspindle::test
--- a/tests/support/make_cluster.hpp
+++ b/tests/support/make_cluster.hpp
@@ -70,6 +70,11 @@
         options_.timing[name] = value;
         return *this;
     }
+    cluster_builder& with_more_settings(std::string toml)
+    {
+        options_.more_settings = std::move(toml);
+        return *this;
+    }
     cluster_builder& with_plan(std::string document)
     {
         options_.plan = std::move(document);
