Keep checkpoints of evicted work and large answers durable

Cause: reading the recovery path showed that an evicted batch request was acknowledged to its target before its checkpoint was recorded, that a failure reported twice counted twice, and that a caller could wait twice its limit. Change: a batch request is recorded as waiting again before the target may drop the attempt; failures count once an attempt; answers above 64 KiB go to the object store before their record; one time limit for a submit.

--- a/include/egretspindle/request_path/coordinator.hpp
+++ b/include/egretspindle/request_path/coordinator.hpp
@@ -110,8 +110,8 @@
     // coordinator.cpp
     absl::StatusOr<loaded_record> read_record(const std::string& key);
     absl::StatusOr<request_entry_ptr> load(const std::string& key);
-    absl::StatusOr<request_reply> reply_after(const request_entry_ptr& entry,
-                                              milliseconds wait);
+    absl::StatusOr<request_reply> reply_by(const request_entry_ptr& entry,
+                                           time_point limit);
     bool is_elsewhere(const request_record& record) const;
     void cancel_running(const request_entry_ptr& entry);
 
@@ -122,6 +122,10 @@
     void withdraw(const request_entry_ptr& entry, std::string_view reason,
                   std::int64_t retry_after_ms);
     void record_end(const request_entry_ptr& entry);
+    void store_answer(const request_entry_ptr& entry);
+    void write_end(const request_entry_ptr& entry,
+                   const std::string& answer_object);
+    absl::Status fetch_answer(request_record& record);
     void end_recorded(const request_entry_ptr& entry,
                       const commit_result& result);
     absl::StatusOr<commit_result> commit_record(const request_entry_ptr& entry,
@@ -173,6 +177,8 @@
     void take_over_again(const request_entry_ptr& entry);
     void resolve(const request_entry_ptr& entry);
     void start_again(const request_entry_ptr& entry);
+    bool requeue(const request_entry_ptr& entry);
+    void begin(const request_entry_ptr& entry);
     void poll_running();
 
     // coordinator_batch.cpp
--- a/include/egretspindle/request_path/coordinator_options.hpp
+++ b/include/egretspindle/request_path/coordinator_options.hpp
@@ -36,6 +36,8 @@
     /// Attempts that may run and fail before the request fails.
     int max_failures = 3;
     std::size_t max_queued_batch = 20'000;
+    /// Larger answers go to the object store.
+    std::size_t max_inline_answer = 65'536;
     /// Interval of polls of a running attempt without news.
     milliseconds poll_interval{5000};
     /// How long recorded replies stay in memory.
--- a/include/egretspindle/request_path/request_record.hpp
+++ b/include/egretspindle/request_path/request_record.hpp
@@ -39,8 +39,9 @@
     int failures = 0;       ///< attempts that ran and failed
     bool cancel_requested = false;
     std::int64_t accepted_unix_ms = 0;
-    request_spec spec;   ///< empty once ended
-    request_reply reply; ///< set once ended
+    request_spec spec;         ///< empty once ended
+    request_reply reply;       ///< set once ended
+    std::string answer_object; ///< key of the answer when it is large
 };
 
 /// Visits the fields of `request_record` for the codec.
@@ -62,6 +63,7 @@
     visit("accepted_unix_ms", value.accepted_unix_ms);
     visit("spec", value.spec);
     visit("reply", value.reply);
+    visit("answer_object", value.answer_object);
 }
 
 /// Returns the key of the row that holds the record of a request.
--- a/src/node/caller_service.cpp
+++ b/src/node/caller_service.cpp
@@ -67,8 +67,8 @@
 caller_service::caller_service(limit_settings limits, request_router& router,
                                plan_table& plans, metric_registry& metrics,
                                caller_hooks hooks)
-    : limits_(limits), router_(router), plans_(plans),
-      metrics_(metrics), hooks_(std::move(hooks))
+    : limits_(limits), router_(router), plans_(plans), metrics_(metrics),
+      hooks_(std::move(hooks))
 {
 }
 
--- a/src/node/node_hooks.cpp
+++ b/src/node/node_hooks.cpp
@@ -104,6 +104,8 @@
     options.data_center = config.host.data_center;
     options.claim_timeout = milliseconds(config.timing.claim_row_ms);
     options.store_timeout = milliseconds(config.timing.store_timeout_ms);
+    options.max_inline_answer =
+        static_cast<std::size_t>(config.limits.max_inline_answer);
     options.max_queued_batch =
         static_cast<std::size_t>(config.limits.max_queued_batch);
     return options;
--- a/src/request_path/coordinator.cpp
+++ b/src/request_path/coordinator.cpp
@@ -52,6 +52,7 @@
 absl::StatusOr<request_reply> coordinator::submit(const request_spec& spec,
                                                   milliseconds wait)
 {
+    const time_point limit = steady_clock::now() + wait;
     const request_entry_ptr fresh = make_entry(spec, steady_clock::now());
     const auto [entry, is_new] = table_.insert(fresh);
     if (!is_new)
@@ -77,35 +78,39 @@
             const std::lock_guard<std::mutex> lock(entry->mutex);
             entry->is_busy = true;
         }
-        const auto run = [this, entry = entry]
-        {
-            if (entry->spec.idempotent)
-            {
-                run_urgent(entry);
-            }
-            else
-            {
-                run_recorded(entry);
-            }
-        };
         // A caller that waits for the end lends its thread.
         if (wait.count() >= spec.deadline_ms)
         {
-            run();
+            begin(entry);
         }
         else
         {
-            workers_.run(run);
+            workers_.run([this, entry = entry] { begin(entry); });
         }
     }
-    return reply_after(entry, wait);
+    return reply_by(entry, limit);
+}
+
+void coordinator::begin(const request_entry_ptr& entry)
+{
+    if (!entry->spec.urgent)
+    {
+        accept_batch(entry);
+    }
+    else if (entry->spec.idempotent)
+    {
+        run_urgent(entry);
+    }
+    else
+    {
+        run_recorded(entry);
+    }
 }
 
 absl::StatusOr<request_reply>
-coordinator::reply_after(const request_entry_ptr& entry, milliseconds wait)
+coordinator::reply_by(const request_entry_ptr& entry, time_point limit)
 {
-    const request_reply reply =
-        wait_for_end(*entry, steady_clock::now() + wait);
+    const request_reply reply = wait_for_end(*entry, limit);
     const std::lock_guard<std::mutex> lock(entry->mutex);
     if (!entry->error.ok())
     {
@@ -121,7 +126,7 @@
     {
         return entry.status();
     }
-    return reply_after(*entry, milliseconds(query.wait_ms));
+    return reply_by(*entry, steady_clock::now() + milliseconds(query.wait_ms));
 }
 
 absl::StatusOr<request_entry_ptr> coordinator::load(const std::string& key)
@@ -171,6 +176,11 @@
     {
         return record.status();
     }
+    const absl::Status status = fetch_answer(*record);
+    if (!status.ok())
+    {
+        return status;
+    }
     return loaded_record{*std::move(row), *std::move(record)};
 }
 
@@ -197,7 +207,7 @@
         (*entry)->changed.notify_all();
     }
     cancel_running(*entry);
-    return reply_after(*entry, options_.store_timeout);
+    return reply_by(*entry, steady_clock::now() + options_.store_timeout);
 }
 
 void coordinator::cancel_running(const request_entry_ptr& entry)
--- a/src/request_path/coordinator_commit.cpp
+++ b/src/request_path/coordinator_commit.cpp
@@ -4,12 +4,18 @@
 #include "egretspindle/core/error.hpp"
 #include "egretspindle/request_path/coordinator.hpp"
 
+#include <fmt/format.h>
+
+#include <thread>
+
 namespace egretspindle
 {
 
 namespace
 {
 
+constexpr milliseconds object_retry_delay{500};
+
 store_write open_row_removal(const std::string& data_center,
                              const std::string& key)
 {
@@ -140,6 +146,60 @@
 }
 
 void coordinator::record_end(const request_entry_ptr& entry)
+{
+    bool is_large = false;
+    {
+        const std::lock_guard<std::mutex> lock(entry->mutex);
+        is_large = entry->reply.answer.size() > options_.max_inline_answer;
+    }
+    if (is_large)
+    {
+        workers_.run([this, entry] { store_answer(entry); });
+        return;
+    }
+    write_end(entry, "");
+}
+
+// Writes a large answer to the object store before its record. Until that
+// succeeds, the result is kept by its target.
+void coordinator::store_answer(const request_entry_ptr& entry)
+{
+    std::string object;
+    std::string answer;
+    {
+        const std::lock_guard<std::mutex> lock(entry->mutex);
+        object = fmt::format("answer/{}/{}", entry->key, entry->reply.attempt);
+        answer = entry->reply.answer;
+    }
+    if (store_.put_object(object, answer, options_.store_timeout).ok())
+    {
+        write_end(entry, object);
+        return;
+    }
+    std::this_thread::sleep_for(object_retry_delay);
+    workers_.run([this, entry] { store_answer(entry); });
+}
+
+absl::Status coordinator::fetch_answer(request_record& record)
+{
+    if (record.answer_object.empty())
+    {
+        return absl::OkStatus();
+    }
+    absl::StatusOr<std::string> answer =
+        store_.get_object(record.answer_object, options_.store_timeout);
+    if (!answer.ok())
+    {
+        return make_error(error_kind::unavailable,
+                          "the answer cannot be read from the object store; "
+                          "ask again later");
+    }
+    record.reply.answer = *std::move(answer);
+    return absl::OkStatus();
+}
+
+void coordinator::write_end(const request_entry_ptr& entry,
+                            const std::string& answer_object)
 {
     completion item;
     {
@@ -148,6 +208,11 @@
         record.state = record_state::ended;
         record.reply = entry->reply;
         record.spec = request_spec{};
+        record.answer_object = answer_object;
+        if (!answer_object.empty())
+        {
+            record.reply.answer.clear();
+        }
         item.checks.push_back({record_key(entry->key), entry->version});
         item.writes.push_back({record_key(entry->key), to_json(record), false});
         if (!entry->spec.urgent)
@@ -182,7 +247,10 @@
                 // Another coordinator, or an earlier try of this one whose
                 // answer was lost, recorded the end first. That one counts.
                 const std::lock_guard<std::mutex> lock(entry->mutex);
-                entry->reply = record->reply;
+                if (record->answer_object.empty())
+                {
+                    entry->reply = record->reply;
+                }
                 entry->version = row.version;
                 entry->is_durable = true;
                 return;
--- a/src/request_path/coordinator_follow.cpp
+++ b/src/request_path/coordinator_follow.cpp
@@ -134,10 +134,14 @@
         {
             entry->may_have_run = true;
         }
-        if (report.task.state == "finished" && !report.task.ok)
+        const bool has_failed =
+            report.task.state == "finished" && !report.task.ok;
+        if (has_failed && report.task.attempt > entry->last_failed_attempt)
         {
-            failures = ++entry->record.failures;
+            entry->last_failed_attempt = report.task.attempt;
+            ++entry->record.failures;
         }
+        failures = entry->record.failures;
     }
     if (report.task.state == "finished" && report.task.ok)
     {
--- a/src/request_path/coordinator_recovery.cpp
+++ b/src/request_path/coordinator_recovery.cpp
@@ -19,10 +19,27 @@
 // Above the attempt numbers that the earlier coordinator can have used.
 constexpr int fence_distance = 16;
 
+absl::Status not_recorded()
+{
+    return make_error(error_kind::unavailable,
+                      "the end is not recorded yet; report it again");
+}
+
 } // namespace
 
 void coordinator::adopt(const request_entry_ptr& entry, const store_row& row)
 {
+    if (row.version == 0)
+    {
+        // An earlier use of the id ended as not run and was withdrawn.
+        {
+            const std::lock_guard<std::mutex> lock(entry->mutex);
+            entry->version = 0;
+            entry->record.state.clear();
+        }
+        begin(entry);
+        return;
+    }
     const absl::StatusOr<request_record> parsed =
         from_json<request_record>(row.value);
     if (!parsed.ok())
@@ -31,6 +48,12 @@
         return;
     }
     request_record record = *parsed;
+    const absl::Status status = fetch_answer(record);
+    if (!status.ok())
+    {
+        refuse(entry, status);
+        return;
+    }
     {
         const std::lock_guard<std::mutex> lock(entry->mutex);
         const bool is_same = record.digest.empty() ||
@@ -203,11 +226,39 @@
     start_again(entry);
 }
 
+// Records a batch request as waiting again, with its latest checkpoint, before
+// the target may drop the attempt that ended.
+//
+// \returns whether it was recorded; otherwise the request is polled again
+bool coordinator::requeue(const request_entry_ptr& entry)
+{
+    request_record record;
+    {
+        const std::lock_guard<std::mutex> lock(entry->mutex);
+        record = entry->record;
+    }
+    record.state = record_state::accepted;
+    const absl::StatusOr<commit_result> result =
+        commit_record(entry, record, options_.store_timeout);
+    if (result.ok() && result->committed)
+    {
+        enqueue(entry, milliseconds(0));
+        return true;
+    }
+    if (result.ok() && !result->conflicts.empty())
+    {
+        adopt(entry, result->conflicts.front());
+        return false;
+    }
+    leave_running(entry);
+    return false;
+}
+
 void coordinator::start_again(const request_entry_ptr& entry)
 {
     if (!entry->spec.urgent)
     {
-        enqueue(entry, milliseconds(0));
+        requeue(entry);
     }
     else if (entry->spec.idempotent)
     {
@@ -272,7 +323,10 @@
         {
             return absl::OkStatus();
         }
-        if (report.task.attempt < (*entry)->record.attempt)
+        const bool is_queued_again =
+            (*entry)->record.state == record_state::accepted &&
+            !(*entry)->is_busy;
+        if (report.task.attempt < (*entry)->record.attempt || is_queued_again)
         {
             return absl::OkStatus();
         }
@@ -283,13 +337,25 @@
         }
         (*entry)->changed.notify_all();
     }
-    if (is_waiting && apply_report(*entry, report) == next_step::retry)
+    if (!is_waiting)
+    {
+        return not_recorded();
+    }
+    const next_step step = apply_report(*entry, report);
+    if (step == next_step::running)
+    {
+        leave_running(*entry);
+    }
+    if (step != next_step::retry)
+    {
+        return not_recorded();
+    }
+    if ((*entry)->spec.urgent)
     {
         workers_.run([this, entry = *entry] { start_again(entry); });
         return absl::OkStatus();
     }
-    return make_error(error_kind::unavailable,
-                      "the end is not recorded yet; report it again");
+    return requeue(*entry) ? absl::OkStatus() : not_recorded();
 }
 
 absl::Status coordinator::adopt_shard(int shard)
