Judge failing jobs by distinct healthy targets, and bound retries

Cause: three failures on one bad target failed a good job, a job larger than every target waited for ever, and retries of urgent work had no budget. Change: failures count by distinct targets that do not fail other jobs; the next attempt avoids the last one; requests larger than every listed target fail at once with the reason; urgent retries take from the team's budget.

--- a/include/egretspindle/node/host_list_cache.hpp
+++ b/include/egretspindle/node/host_list_cache.hpp
@@ -6,6 +6,7 @@
 
 #include "egretspindle/adapters/host_list_client.hpp"
 #include "egretspindle/core/clock.hpp"
+#include "egretspindle/core/resources.hpp"
 
 #include <condition_variable>
 #include <mutex>
@@ -38,6 +39,10 @@
     /// Returns whether an entry host is listed; true while no list is known.
     [[nodiscard]] bool is_entry_host_listed(const std::string& name) const;
 
+    /// Returns whether some listed target could hold an amount when empty;
+    /// true while no list is known.
+    [[nodiscard]] bool fits_some_target(const resources& size) const;
+
     /// Returns the racks with targets of a data centre.
     [[nodiscard]] std::set<std::string>
     racks(const std::string& data_center) const;
--- a/include/egretspindle/protocol/place_request.hpp
+++ b/include/egretspindle/protocol/place_request.hpp
@@ -8,6 +8,7 @@
 
 #include <cstdint>
 #include <string>
+#include <vector>
 
 namespace egretspindle
 {
@@ -25,9 +26,10 @@
     std::string target;  ///< reserved target, when there is one
     std::string boot_id; ///< expected boot of the reserved target
     std::int64_t remaining_ms =
-        0;                    ///< until the caller's deadline; 0 means none
-    bool relayed = false;     ///< already passed on by another host
-    std::int64_t wait_ms = 0; ///< how long to wait for the end
+        0; ///< until the caller's deadline; 0 means none
+    std::vector<std::string> excluded; ///< targets not to be used
+    bool relayed = false;              ///< already passed on by another host
+    std::int64_t wait_ms = 0;          ///< how long to wait for the end
 };
 
 /// Visits the fields of `place_request` for the codec.
@@ -44,6 +46,7 @@
     visit("target", value.target);
     visit("boot_id", value.boot_id);
     visit("remaining_ms", value.remaining_ms);
+    visit("excluded", value.excluded);
     visit("relayed", value.relayed);
     visit("wait_ms", value.wait_ms);
 }
--- a/include/egretspindle/protocol/task_report.hpp
+++ b/include/egretspindle/protocol/task_report.hpp
@@ -18,6 +18,7 @@
     std::string target;
     std::string rack;
     std::string data_center;
+    bool target_suspect = false;  ///< the target fails other jobs as well
     bool reachable = true;        ///< whether the target answered
     bool certainly_ended = false; ///< it neither runs nor can start any more
     bool never_started = false;   ///< certainly never started
@@ -31,6 +32,7 @@
     visit("target", value.target);
     visit("rack", value.rack);
     visit("data_center", value.data_center);
+    visit("target_suspect", value.target_suspect);
     visit("reachable", value.reachable);
     visit("certainly_ended", value.certainly_ended);
     visit("never_started", value.never_started);
--- a/include/egretspindle/request_path/coordinator.hpp
+++ b/include/egretspindle/request_path/coordinator.hpp
@@ -6,6 +6,7 @@
 
 #include "egretspindle/adapters/store_client.hpp"
 #include "egretspindle/admission/batch_queue.hpp"
+#include "egretspindle/admission/retry_budget.hpp"
 #include "egretspindle/request_path/completion_log.hpp"
 #include "egretspindle/request_path/coordinator_options.hpp"
 #include "egretspindle/request_path/rack_router.hpp"
@@ -137,6 +138,7 @@
     bool claim(const request_entry_ptr& entry);
     bool confirm_absent(const request_entry_ptr& entry);
     void place_urgent(const request_entry_ptr& entry);
+    bool may_retry(const std::string& team);
     bool place_attempt(const request_entry_ptr& entry, int attempt,
                        urgent_refusal& refusal);
     next_step place_on(const request_entry_ptr& entry,
@@ -201,6 +203,7 @@
     mutable std::mutex queue_mutex_;
     std::condition_variable queue_changed_;
     batch_queue queue_;
+    retry_budget retries_;
     team_use_map started_use_;
     int batch_starts_ = 0;
     bool is_stopping_ = false;
--- a/include/egretspindle/request_path/coordinator_options.hpp
+++ b/include/egretspindle/request_path/coordinator_options.hpp
@@ -33,7 +33,7 @@
     std::size_t max_workers = 256;
     /// Batch starts that may be under way at once.
     int max_batch_starts = 32;
-    /// Attempts that may run and fail before the request fails.
+    /// Targets on which an attempt may fail before the request fails.
     int max_failures = 3;
     std::size_t max_queued_batch = 20'000;
     /// Larger answers go to the object store.
@@ -64,6 +64,9 @@
     std::function<std::shared_ptr<const policy_limits>()> limits;
     /// Returns the summaries of the racks of this data centre.
     std::function<std::vector<rack_summary>()> racks;
+    /// Returns whether some listed target could ever hold a request; true
+    /// while the host list is not known.
+    std::function<bool(const resources& size)> fits_some_target;
     /// Returns whether this host is the preferred coordinator of a key.
     std::function<bool(const std::string& key)> is_preferred;
 };
--- a/include/egretspindle/request_path/request_entry.hpp
+++ b/include/egretspindle/request_path/request_entry.hpp
@@ -35,14 +35,13 @@
     request_record record;           ///< as last written
     std::int64_t version = 0;        ///< of the row; 0 when there is none
     bool cancel_requested = false;
-    bool is_durable = false;     ///< the final reply is recorded
-    bool is_busy = false;        ///< a worker is in charge
-    int last_failed_attempt = 0; ///< counts a failure once
-    int next_attempt = 1;        ///< lowest number for a new attempt
-    bool may_have_run = false;   ///< some attempt may have started
-    absl::Status error;          ///< set when the request is refused
-    time_point next_poll;        ///< of a running attempt
-    time_point ended;            ///< when the reply became final
+    bool is_durable = false;   ///< the final reply is recorded
+    bool is_busy = false;      ///< a worker is in charge
+    int next_attempt = 1;      ///< lowest number for a new attempt
+    bool may_have_run = false; ///< some attempt may have started
+    absl::Status error;        ///< set when the request is refused
+    time_point next_poll;      ///< of a running attempt
+    time_point ended;          ///< when the reply became final
 };
 
 using request_entry_ptr = std::shared_ptr<request_entry>;
--- a/include/egretspindle/request_path/request_record.hpp
+++ b/include/egretspindle/request_path/request_record.hpp
@@ -10,6 +10,7 @@
 #include <cstdint>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace egretspindle
 {
@@ -36,7 +37,9 @@
     std::string target_data_center;
     std::string boot_id;    ///< boot of the target when reserved
     std::string checkpoint; ///< to resume from
-    int failures = 0;       ///< attempts that ran and failed
+    std::vector<std::string> failed_targets; ///< on which it ran and failed
+    int failed_attempts = 0;                 ///< attempts that ran and failed
+    int last_failed_attempt = 0;             ///< counts an attempt once
     bool cancel_requested = false;
     std::int64_t accepted_unix_ms = 0;
     request_spec spec;         ///< empty once ended
@@ -58,7 +61,9 @@
     visit("target_data_center", value.target_data_center);
     visit("boot_id", value.boot_id);
     visit("checkpoint", value.checkpoint);
-    visit("failures", value.failures);
+    visit("failed_targets", value.failed_targets);
+    visit("failed_attempts", value.failed_attempts);
+    visit("last_failed_attempt", value.last_failed_attempt);
     visit("cancel_requested", value.cancel_requested);
     visit("accepted_unix_ms", value.accepted_unix_ms);
     visit("spec", value.spec);
@@ -79,6 +84,13 @@
 /// Returns the prefix of the open requests of a shard.
 [[nodiscard]] std::string open_prefix(std::string_view data_center, int shard);
 
+/// Returns the target to avoid in the next attempt, if any.
+///
+/// Only the latest one is avoided: a small rack has no others left once a job
+/// has failed on each.
+[[nodiscard]] std::vector<std::string>
+last_failed_target(const request_record& record);
+
 /// Shards of open requests in each data centre.
 inline constexpr int shard_count = 64;
 
--- a/src/node/host_list_cache.cpp
+++ b/src/node/host_list_cache.cpp
@@ -50,6 +50,20 @@
                        { return host.role == "entry" && host.name == name; });
 }
 
+bool host_list_cache::fits_some_target(const resources& size) const
+{
+    const std::lock_guard<std::mutex> lock(mutex_);
+    return hosts_.empty() ||
+           std::any_of(hosts_.begin(), hosts_.end(),
+                       [&size](const host_entry& host)
+                       {
+                           const resources capacity{host.cpu_cores,
+                                                    host.memory_mb,
+                                                    host.accelerators};
+                           return host.role == "target" && fits(size, capacity);
+                       });
+}
+
 std::set<std::string>
 host_list_cache::racks(const std::string& data_center) const
 {
--- a/src/node/node_hooks.cpp
+++ b/src/node/node_hooks.cpp
@@ -139,6 +139,10 @@
             members->last_change(config.host.data_center);
         return steady_clock::now() - changed > settled_after;
     };
+    hooks.fits_some_target = [this](const resources& size)
+    {
+        return hosts->fits_some_target(size);
+    };
     hooks.limits = [this]
     {
         return current_limits();
--- a/src/request_path/coordinator.cpp
+++ b/src/request_path/coordinator.cpp
@@ -70,7 +70,7 @@
     }
     else if (!spec.urgent)
     {
-        accept_batch(entry);
+        begin(entry);
     }
     else
     {
@@ -93,6 +93,14 @@
 
 void coordinator::begin(const request_entry_ptr& entry)
 {
+    if (!hooks_.fits_some_target(entry->spec.size))
+    {
+        request_reply reply = reply_of(*entry);
+        reply.result = outcome::failed;
+        reply.reason = "the request is larger than every target; ask for less";
+        finish(entry, reply);
+        return;
+    }
     if (!entry->spec.urgent)
     {
         accept_batch(entry);
--- a/src/request_path/coordinator_follow.cpp
+++ b/src/request_path/coordinator_follow.cpp
@@ -16,6 +16,32 @@
 constexpr milliseconds follow_wait{2000};
 constexpr milliseconds unreachable_delay{200};
 
+// A failure that is reported twice counts once.
+void note_failure(request_record& record, const task_report& report)
+{
+    if (report.task.attempt <= record.last_failed_attempt)
+    {
+        return;
+    }
+    record.last_failed_attempt = report.task.attempt;
+    ++record.failed_attempts;
+    std::vector<std::string>& targets = record.failed_targets;
+    const bool is_known = std::find(targets.begin(), targets.end(),
+                                    report.target) != targets.end();
+    // A failure on a target that fails everything says nothing of the job.
+    if (!report.target_suspect && !is_known)
+    {
+        targets.push_back(report.target);
+    }
+}
+
+// Some fleets have fewer targets than the bound on distinct ones.
+bool has_failed_for_good(const request_record& record, int max_failures)
+{
+    return static_cast<int>(record.failed_targets.size()) >= max_failures ||
+           record.failed_attempts >= 2 * max_failures;
+}
+
 task_query query_of(const request_entry& entry)
 {
     const std::lock_guard<std::mutex> lock(entry.mutex);
@@ -127,6 +153,7 @@
     request_reply reply = reply_of(*entry);
     bool is_cancelled = false;
     int failures = 0;
+    bool has_failed = false;
     {
         const std::lock_guard<std::mutex> lock(entry->mutex);
         is_cancelled = entry->cancel_requested;
@@ -134,14 +161,12 @@
         {
             entry->may_have_run = true;
         }
-        const bool has_failed =
-            report.task.state == "finished" && !report.task.ok;
-        if (has_failed && report.task.attempt > entry->last_failed_attempt)
+        if (report.task.state == "finished" && !report.task.ok)
         {
-            entry->last_failed_attempt = report.task.attempt;
-            ++entry->record.failures;
+            note_failure(entry->record, report);
         }
-        failures = entry->record.failures;
+        has_failed = has_failed_for_good(entry->record, options_.max_failures);
+        failures = entry->record.failed_attempts;
     }
     if (report.task.state == "finished" && report.task.ok)
     {
@@ -166,7 +191,7 @@
         return next_step::ended;
     }
     if (report.task.state == "finished" &&
-        (!entry->spec.idempotent || failures >= options_.max_failures))
+        (!entry->spec.idempotent || has_failed))
     {
         reply.result = outcome::failed;
         reply.reason = fmt::format("the task failed {} times, last: {}",
--- a/src/request_path/coordinator_recorded.cpp
+++ b/src/request_path/coordinator_recorded.cpp
@@ -90,6 +90,11 @@
     absl::StatusOr<place_reply> last = place_reply{};
     last->reason = "no rack has room; send it again later";
     last->retry_after_ms = 1000;
+    std::vector<std::string> failed_targets;
+    {
+        const std::lock_guard<std::mutex> lock(entry->mutex);
+        failed_targets = last_failed_target(entry->record);
+    }
     for (const rack_candidate& candidate : router_.candidates(entry->spec))
     {
         place_request request;
@@ -99,6 +104,7 @@
         request.data_center = candidate.data_center;
         request.coordinator_data_center = options_.data_center;
         request.reserve_only = true;
+        request.excluded = failed_targets;
         request.remaining_ms =
             entry->deadline == time_point::max()
                 ? 0
--- a/src/request_path/coordinator_urgent.cpp
+++ b/src/request_path/coordinator_urgent.cpp
@@ -42,6 +42,10 @@
 
 void coordinator::run_urgent(const request_entry_ptr& entry)
 {
+    {
+        const std::lock_guard<std::mutex> lock(queue_mutex_);
+        note_request(retries_, entry->spec.team);
+    }
     if (claim(entry))
     {
         place_urgent(entry);
@@ -166,10 +170,22 @@
         {
             break;
         }
+        if (!may_retry(entry->spec.team))
+        {
+            refusal.reason = "the retry budget of the team is used up; send "
+                             "it again later";
+            break;
+        }
     }
     end_urgent(entry, refusal);
 }
 
+bool coordinator::may_retry(const std::string& team)
+{
+    const std::lock_guard<std::mutex> lock(queue_mutex_);
+    return take_retry(retries_, team);
+}
+
 // Returns whether another attempt should be made.
 bool coordinator::place_attempt(const request_entry_ptr& entry, int attempt,
                                 urgent_refusal& refusal)
@@ -224,6 +240,10 @@
     request.remaining_ms = remaining_ms(*entry);
     request.wait_ms =
         std::min<std::int64_t>(request.remaining_ms, max_place_wait.count());
+    {
+        const std::lock_guard<std::mutex> lock(entry->mutex);
+        request.excluded = last_failed_target(entry->record);
+    }
     const absl::StatusOr<place_reply> reply = router_.place(request);
     log_route(request, reply);
     if (!reply.ok())
--- a/src/request_path/rack_place.cpp
+++ b/src/request_path/rack_place.cpp
@@ -63,6 +63,7 @@
 {
     const time_point now = steady_clock::now();
     task_request task = make_task(request, now);
+    task.excluded = request.excluded;
     if (std::optional<place_reply> known = known_attempt(request))
     {
         return *known;
--- a/src/request_path/rack_tasks.cpp
+++ b/src/request_path/rack_tasks.cpp
@@ -47,6 +47,8 @@
     report.data_center = rack_.data_center;
     report.task.key = id.first;
     report.task.attempt = id.second;
+    report.target_suspect =
+        standing_of(health_, target) != target_standing::healthy;
     const auto it = tasks_.find(id);
     if (it != tasks_.end())
     {
--- a/src/request_path/request_record.cpp
+++ b/src/request_path/request_record.cpp
@@ -28,4 +28,13 @@
     return open_prefix(data_center, shard) + std::string(key);
 }
 
+std::vector<std::string> last_failed_target(const request_record& record)
+{
+    if (record.failed_targets.empty())
+    {
+        return {};
+    }
+    return {record.failed_targets.back()};
+}
+
 } // namespace egretspindle
