--- a/src/plan/plan_propagation.cpp
+++ b/src/plan/plan_propagation.cpp
@@ -1,6 +1,5 @@
 #include "egretspindle/plan/plan_propagation.hpp"
 
-#include "egretspindle/core/error.hpp"
 #include "egretspindle/plan/plan_query.hpp"
 #include "egretspindle/protocol/message_type.hpp"
 #include "egretspindle/protocol/peer_client.hpp"
@@ -27,9 +26,11 @@
 
 plan_propagation::plan_propagation(plan_store& store, rpc_client& peers,
                                    member_function members, plan_table& table,
+                                   drain_table& drains,
                                    const plan_service_options& options)
     : store_(store), peers_(peers), members_(std::move(members)), table_(table),
-      options_(options), started_(std::chrono::steady_clock::now())
+      drains_(drains), options_(options),
+      started_(std::chrono::steady_clock::now())
 {
 }
 
@@ -76,7 +77,10 @@
         poll_peers();
         if (std::chrono::steady_clock::now() >= next_poll)
         {
-            static_cast<void>(poll_store());
+            if (poll_store().ok())
+            {
+                poll_drains();
+            }
             next_poll = std::chrono::steady_clock::now() + options_.poll_period;
         }
         lock.lock();
@@ -89,7 +93,7 @@
 absl::StatusOr<accepted_row> plan_propagation::poll_store()
 {
     absl::StatusOr<accepted_row> accepted = store_.read_accepted();
-    if (!accepted.ok() || accepted->version <= table_.version())
+    if (!accepted.ok() || accepted->version == 0 || !is_news(*accepted))
     {
         return accepted;
     }
@@ -99,10 +103,30 @@
     {
         return record.status();
     }
-    offer(record->plan, "store");
+    static_cast<void>(table_.offer(record->plan));
     return accepted;
 }
 
+// Another document of the version in force is offered as well, so that the
+// table refuses and logs it.
+bool plan_propagation::is_news(const accepted_row& accepted) const
+{
+    const std::shared_ptr<const plan_in_force> plan = table_.current();
+    return plan == nullptr || accepted.version > plan->accepted.version ||
+           (accepted.version == plan->accepted.version &&
+            accepted.digest != plan->accepted.digest);
+}
+
+void plan_propagation::poll_drains()
+{
+    const absl::StatusOr<std::vector<drained_target>> drains =
+        store_.read_drains();
+    if (drains.ok())
+    {
+        drains_.assign(*drains);
+    }
+}
+
 bool plan_propagation::may_use_peers() const
 {
     return table_.version() > 0 ||
@@ -145,7 +169,7 @@
             plan_query{member.plan_version}, options_.peer_timeout);
         if (plan.ok())
         {
-            offer(*plan, member.name);
+            static_cast<void>(table_.offer(*plan));
         }
         if (table_.version() >= member.plan_version)
         {
@@ -154,11 +178,4 @@
     }
 }
 
-void plan_propagation::offer(const accepted_plan& plan,
-                             const std::string& source)
-{
-    static_cast<void>(source);
-    static_cast<void>(table_.offer(plan));
-}
-
 } // namespace egretspindle
