--- /dev/null
+++ b/tests/integration/partition_test.cpp
@@ -0,0 +1,51 @@
+#include "support/load.hpp"
+#include "support/make_cluster.hpp"
+#include "support/wait_until.hpp"
+
+#include <catch2/catch.hpp>
+
+using namespace egretspindle;
+using namespace egretspindle::test;
+
+// Guards against a data centre that stops serving when it is cut off, and
+// against work that runs on both sides.
+TEST_CASE("a data centre that is cut off serves what it can", "[partition]")
+{
+    const std::unique_ptr<cluster> nodes =
+        make_cluster().with_data_centers(2).with_proxy().build();
+    caller calls;
+    load_options options;
+    options.addresses = nodes->addresses();
+    load traffic(calls, options);
+    CHECK(wait_until([&] { return traffic.submitted() > 30; }));
+    nodes->set_data_center_link("b", "drop");
+    std::vector<caller_reply> urgent_replies;
+    for (const std::string& side : {std::string("a"), std::string("b")})
+    {
+        load_options urgent;
+        urgent.prefix = "cut-" + side;
+        urgent.addresses = nodes->addresses(side);
+        urgent.batch_share = 0;
+        urgent.non_idempotent_share = 0;
+        load urgent_traffic(calls, urgent);
+        CHECK(wait_until([&] { return urgent_traffic.submitted() > 100; },
+                         std::chrono::seconds(60)));
+        const std::vector<caller_reply> replies = urgent_traffic.settle();
+        urgent_replies.insert(urgent_replies.end(), replies.begin(),
+                              replies.end());
+    }
+    nodes->set_data_center_link("b", "pass");
+    const std::vector<caller_reply> replies = traffic.settle();
+    const run_record record = nodes->record(calls);
+    CHECK(check_all(record) == violations{});
+    for (const caller_reply& reply : urgent_replies)
+    {
+        INFO(trace_of(record, reply.key));
+        CHECK(reply.outcome == "done");
+    }
+    for (const caller_reply& reply : replies)
+    {
+        INFO(trace_of(record, reply.key));
+        CHECK((reply.outcome == "done" || reply.outcome == "not_run"));
+    }
+}
--- /dev/null
+++ b/tests/integration/store_fault_test.cpp
@@ -0,0 +1,105 @@
+#include "support/load.hpp"
+#include "support/make_cluster.hpp"
+#include "support/wait_until.hpp"
+
+#include <catch2/catch.hpp>
+
+using namespace egretspindle;
+using namespace egretspindle::test;
+
+namespace
+{
+
+load_options mixed_load(const cluster& nodes, const std::string& prefix)
+{
+    load_options options;
+    options.prefix = prefix;
+    options.addresses = nodes.addresses();
+    return options;
+}
+
+/// Waits until this many further requests were submitted.
+bool serves(const load& traffic, int count)
+{
+    const int before = traffic.submitted();
+    return wait_until([&] { return traffic.submitted() >= before + count; },
+                      std::chrono::seconds(60));
+}
+
+void check_run(cluster& nodes, caller& calls,
+               const std::vector<caller_reply>& replies)
+{
+    const run_record record = nodes.record(calls);
+    CHECK(check_all(record) == violations{});
+    for (const caller_reply& reply : replies)
+    {
+        INFO(trace_of(record, reply.key));
+        CHECK((reply.outcome == "done" || reply.outcome == "not_run"));
+    }
+}
+
+} // namespace
+
+// Guards against double starts and lost completions when commits take effect
+// but their answers are lost.
+TEST_CASE("lost answers of the store double nothing", "[store_fault]")
+{
+    const std::unique_ptr<cluster> nodes = make_cluster().build();
+    caller calls;
+    const unsigned seed = 7;
+    INFO("seed " << seed);
+    load traffic(calls, mixed_load(*nodes, "lost"));
+    nodes->control_store(R"({"lose_answer_probability":0.2,"seed":7})");
+    CHECK(serves(traffic, 100));
+    nodes->control_store(R"({"lose_answer_probability":0})");
+    check_run(*nodes, calls, traffic.settle());
+}
+
+// Guards against urgent work that stops while the store is down or slow, and
+// against work that runs although its record was refused.
+TEST_CASE("urgent idempotent work goes on without the store", "[store_fault]")
+{
+    const std::string fault =
+        GENERATE(R"({"outage":true})", R"({"delay_ms":800})");
+    INFO(fault);
+    const std::unique_ptr<cluster> nodes = make_cluster().build();
+    caller calls;
+    load traffic(calls, mixed_load(*nodes, "down"));
+    CHECK(serves(traffic, 30));
+    nodes->control_store(fault);
+    load_options urgent = mixed_load(*nodes, "urgent");
+    urgent.batch_share = 0;
+    urgent.non_idempotent_share = 0;
+    load urgent_traffic(calls, urgent);
+    CHECK(serves(urgent_traffic, 200));
+    const std::vector<caller_reply> urgent_replies = urgent_traffic.settle();
+    nodes->control_store(R"({"outage":false,"delay_ms":0})");
+    CHECK(serves(traffic, 30));
+    const run_record record = nodes->record(calls);
+    for (const caller_reply& reply : urgent_replies)
+    {
+        INFO(trace_of(record, reply.key));
+        CHECK(reply.outcome == "done");
+    }
+    check_run(*nodes, calls, traffic.settle());
+}
+
+// Guards against completions that die with the host that held them during an
+// outage, and against a replaced host that starts work again.
+TEST_CASE("an entry host replaced in an outage doubles nothing",
+          "[store_fault]")
+{
+    const std::unique_ptr<cluster> nodes = make_cluster().build();
+    caller calls;
+    load traffic(calls, mixed_load(*nodes, "swap"));
+    CHECK(serves(traffic, 30));
+    nodes->control_store(R"({"outage":true})");
+    CHECK(serves(traffic, 30));
+    nodes->host("a2").kill();
+    CHECK(serves(traffic, 30));
+    nodes->host("a2").start();
+    nodes->control_store(R"({"outage":false})");
+    nodes->wait_ready({"a2"});
+    CHECK(serves(traffic, 30));
+    check_run(*nodes, calls, traffic.settle());
+}
