--- a/cmake/packages.cmake
+++ b/cmake/packages.cmake
@@ -81,6 +81,12 @@
     PUBLIC EGRETSPINDLE_BIN_DIR="${CMAKE_RUNTIME_OUTPUT_DIRECTORY}")
   target_link_libraries(test_net PRIVATE egret_test_support)
 
+  egret_program(tools demo egret_test_support)
+  if(TARGET demo)
+    add_dependencies(demo standin_target standin_store standin_host_list
+                     fault_proxy egretspindle)
+  endif()
+
   # Tests of the stand-ins as processes.
   file(GLOB standin_tests CONFIGURE_DEPENDS
        ${CMAKE_SOURCE_DIR}/tests/standins/*.cpp)
--- /dev/null
+++ b/tests/integration/random_faults_test.cpp
@@ -0,0 +1,27 @@
+#include "support/fault_run.hpp"
+
+#include <catch2/catch.hpp>
+
+#include <iostream>
+
+using namespace egretspindle::test;
+
+// Guards against faults of the interplay that no other test combines: several
+// faults at a time under load of all classes, with cancellations. The bench
+// program `faults` repeats a run by its seed and makes longer ones.
+TEST_CASE("random faults break no promise", "[random_faults]")
+{
+    fault_run_options options;
+    options.seed = GENERATE(1U, 2U, 3U);
+    std::cout << "random_faults seed " << options.seed << std::endl;
+    const fault_run_result result = run_faults(options);
+    std::string actions;
+    for (const std::string& action : result.actions)
+    {
+        actions += action + "\n";
+    }
+    INFO("seed " << options.seed << "\n" << actions);
+    CHECK(result.broken == violations{});
+    CHECK(!result.actions.empty());
+    CHECK(!result.replies.empty());
+}
--- a/tests/support/cluster.hpp
+++ b/tests/support/cluster.hpp
@@ -84,6 +84,12 @@
     /// Returns what targets, store and callers recorded.
     [[nodiscard]] run_record record(const caller& calls) const;
 
+    /// Returns the directory of logs and journals.
+    [[nodiscard]] const std::string& directory() const noexcept
+    {
+        return directory_.path();
+    }
+
     /// Returns the last lines of each entry host's log.
     [[nodiscard]] std::string log_tails(std::size_t bytes = 4000) const;
 
--- a/tests/support/load.cpp
+++ b/tests/support/load.cpp
@@ -97,6 +97,12 @@
             std::shuffle(others.begin(), others.end(), random);
             reply = calls_.follow(others, request, std::chrono::seconds(10));
         }
+        if (request.urgency == "batch" && share(random) < options_.cancel_share)
+        {
+            std::this_thread::sleep_for(
+                std::chrono::milliseconds(random() % 300));
+            reply = calls_.cancel(choose(random()), request);
+        }
         {
             const std::lock_guard<std::mutex> lock(mutex_);
             requests_.emplace_back(request, reply);
--- a/tests/support/load.hpp
+++ b/tests/support/load.hpp
@@ -27,6 +27,7 @@
     int batch_ms = 400;                  ///< work of a batch request
     double batch_share = 0.3;
     double non_idempotent_share = 0.3;
+    double cancel_share = 0; ///< of the batch requests
     unsigned seed = 1;
     /// Send only to hosts that report to be ready, as a load balancer does.
     bool has_balancer = false;
