net: end the remote procedure before its client is reused

An entry host crashed under load: the cxxtools procedure object of a call refers to its client until its destructor runs, but the client had already been returned to the pool, where another thread could use or destroy it. gdb on the core: IRemoteProcedure::cancel <- rpc_client::call <- task_ended. The procedure now ends before the client is returned. Seen by the planned_stop test as a non-zero exit status.

--- a/src/net/rpc_client.cpp
+++ b/src/net/rpc_client.cpp
@@ -34,6 +34,19 @@
     return cxxtools::Milliseconds(static_cast<double>(value.count()));
 }
 
+// The procedure object refers to the client until its destructor, so it has to
+// end before the client goes back to the pool or is destroyed.
+cxxtools::String call_remote(cxxtools::json::RpcClient& client,
+                             std::string_view type, const std::string& sender,
+                             std::string_view payload, const std::string& mac)
+{
+    call_procedure procedure(client, "call");
+    return procedure(cxxtools::Utf8Codec::decode(std::string(type)),
+                     cxxtools::Utf8Codec::decode(sender),
+                     cxxtools::Utf8Codec::decode(std::string(payload)),
+                     cxxtools::Utf8Codec::decode(mac));
+}
+
 } // namespace
 
 struct rpc_client::impl
@@ -111,13 +124,8 @@
         client->timeout(to_cxxtools(timeout));
         const std::string mac =
             message_mac(impl_->cluster_key, type, impl_->sender, payload);
-        call_procedure procedure(*client, "call");
-        const cxxtools::String reply =
-            procedure(cxxtools::Utf8Codec::decode(std::string(type)),
-                      cxxtools::Utf8Codec::decode(impl_->sender),
-                      cxxtools::Utf8Codec::decode(std::string(payload)),
-                      cxxtools::Utf8Codec::decode(mac));
-        std::string text = cxxtools::Utf8Codec::encode(reply);
+        std::string text = cxxtools::Utf8Codec::encode(
+            call_remote(*client, type, impl_->sender, payload, mac));
         impl_->byte_count += type.size() + impl_->sender.size() +
                              payload.size() + mac.size() + text.size();
         impl_->give_back(server_text, std::move(client));
--- a/tests/integration/planned_stop_test.cpp
+++ b/tests/integration/planned_stop_test.cpp
@@ -25,8 +25,9 @@
         nodes->host(name).terminate();
         const std::optional<int> status =
             nodes->host(name).process->wait_exit(std::chrono::seconds(40));
-        INFO("stop of " << name << nodes->log_tails());
-        CHECK(status == 0);
+        INFO("stop of " << name << "\n" << nodes->log_tails(1000));
+        CHECK(status.has_value());
+        CHECK(status.value_or(0) == 0);
         nodes->host(name).start();
         nodes->wait_ready({name});
     }
