--- a/tests/integration/plan_propagation_test.cpp
+++ b/tests/integration/plan_propagation_test.cpp
@@ -158,7 +158,7 @@
     nodes->set_links({"b1-store", "b2-store"}, "pass");
     CHECK(watch.wait(nodes->host_names(), 2, propagation_bound));
     INFO(nodes->log_tails());
-    CHECK(watch.reversions() == std::vector<std::string>{});
+    CHECK_THAT(watch.reversions(), Catch::Equals(violations{}));
 }
 
 // Guards against requests that fail while the limits of a plan change.
@@ -232,7 +232,7 @@
                                     << times.back() << ", requests "
                                     << calls.replies().size());
     }
-    CHECK(watch.reversions() == std::vector<std::string>{});
-    CHECK(not_done(calls.replies()) == std::vector<std::string>{});
-    CHECK(check_all(nodes->record(calls)) == violations{});
+    CHECK_THAT(watch.reversions(), Catch::Equals(violations{}));
+    CHECK_THAT(not_done(calls.replies()), Catch::Equals(violations{}));
+    CHECK_THAT(check_all(nodes->record(calls)), Catch::Equals(violations{}));
 }
