--- a/apps/egretctl/plan_commands.cpp
+++ b/apps/egretctl/plan_commands.cpp
@@ -1,5 +1,6 @@
 #include "egretspindle/admin/admin_messages.hpp"
 #include "egretspindle/core/error.hpp"
+#include "egretspindle/core/utf8.hpp"
 #include "egretspindle/plan/accept_request.hpp"
 #include "egretspindle/plan/accept_result.hpp"
 #include "egretspindle/plan/edit_result.hpp"
@@ -58,6 +59,11 @@
                           fmt::format("{} has more than {} bytes; shorten it",
                                       name, max_section_bytes));
     }
+    if (!is_valid_utf8(text))
+    {
+        return make_error(error_kind::invalid_argument,
+                          fmt::format("{} is not UTF-8; convert it", name));
+    }
     return text;
 }
 
--- a/src/admin/admin_service.cpp
+++ b/src/admin/admin_service.cpp
@@ -6,6 +6,7 @@
 #include "egretspindle/admin/collect_status.hpp"
 #include "egretspindle/codec/json.hpp"
 #include "egretspindle/core/error.hpp"
+#include "egretspindle/core/utf8.hpp"
 #include "egretspindle/logging/log.hpp"
 
 #include <fmt/format.h>
@@ -77,6 +78,12 @@
 template <typename T>
 absl::StatusOr<T> read_body(const admin_call& call)
 {
+    // The JSON parser would replace invalid bytes and so alter the text.
+    if (!is_valid_utf8(call.request.body))
+    {
+        return make_error(error_kind::invalid_argument,
+                          "the body is not UTF-8; convert it");
+    }
     return from_json<T>(call.request.body, codec::unknown_fields::reject);
 }
 
--- a/tests/admin/admin_test.cpp
+++ b/tests/admin/admin_test.cpp
@@ -156,6 +156,9 @@
     fixture host;
     CHECK(host.send("POST", "plan/edit", "{").status == 400);
     CHECK(host.send("POST", "plan/edit", R"({"nme":"x"})").status == 400);
+    CHECK(host.send("POST", "plan/edit",
+                    "{\"name\":\"team.rota\",\"text\":\"# \xff\"}")
+              .status == 400);
     CHECK(host.send("POST", "drain", R"({"target":"a/b"})").status == 404);
     CHECK(host.send("GET", "plan/edit").status == 400);
     CHECK(host.send("GET", "nothing").status == 404);
--- /dev/null
+++ b/tests/integration/operations_ctl_test.cpp
@@ -0,0 +1,98 @@
+#include "admin_caller.hpp"
+#include "support/child_process.hpp"
+#include "support/port_reservation.hpp"
+#include "support/temporary_directory.hpp"
+#include "support/wait_until.hpp"
+
+#include <catch2/catch.hpp>
+
+#include <sys/wait.h>
+
+using namespace egretspindle;
+using namespace egretspindle::test;
+
+namespace
+{
+
+/// Runs egretctl as one operator.
+struct ctl
+{
+    explicit ctl(std::vector<std::string> server_addresses)
+        : servers(std::move(server_addresses))
+    {
+        write_file(directory.file("token"), "token of ayu for tests\n");
+        write_file(directory.file("section"), "weight = 4\n");
+    }
+
+    /// Returns the exit code; the output is in `output`.
+    int run(std::vector<std::string> arguments, const std::string& token)
+    {
+        for (const std::string& server : servers)
+        {
+            arguments.insert(arguments.end(), {"--server", server});
+        }
+        arguments.insert(arguments.end(),
+                         {"--token-file", directory.file(token)});
+        const std::string log = directory.file("log");
+        write_file(log, "");
+        child_process process("egretctl", arguments, log);
+        const std::optional<int> status =
+            process.wait_exit(std::chrono::seconds(60));
+        output = read_file(log);
+        return status && WIFEXITED(*status) ? WEXITSTATUS(*status) : -1;
+    }
+
+    int run(std::vector<std::string> arguments)
+    {
+        return run(std::move(arguments), "token");
+    }
+
+    temporary_directory directory;
+    std::vector<std::string> servers;
+    std::string output;
+};
+
+} // namespace
+
+// Guards against scripts of operators taking a failure for a success.
+TEST_CASE("egretctl tells results apart by its exit code", "[operations_ctl]")
+{
+    const std::unique_ptr<cluster> nodes =
+        make_cluster()
+            .with_more_settings(operator_settings_text)
+            .with_plan(plan_with_break())
+            .build();
+    port_reservation ports;
+    const std::string dead = ports.reserve_address();
+    // The first server does not answer, so every command needs the second.
+    ctl ctl_one({dead, nodes->host("a1").admin});
+    const std::string file = ctl_one.directory.file("section");
+    const std::vector<std::string> edit{"plan", "edit",   "team.rota", "--base",
+                                        "0",    "--file", file};
+    CHECK(ctl_one.run(edit) == 0);
+    CHECK(ctl_one.run({"plan", "show", "team.rota"}) == 0);
+    CHECK(ctl_one.output.find("weight = 4") != std::string::npos);
+    write_file(ctl_one.directory.file("section"), "weight = 5\n");
+    CHECK(ctl_one.run(edit) == 4);
+    CHECK(ctl_one.output.find("weight = 4") != std::string::npos);
+    CHECK(ctl_one.output.find("weight = 5") != std::string::npos);
+    CHECK(ctl_one.run({"plan", "edit", "team.archive", "--base", "0", "--file",
+                       file}) == 3);
+    write_file(ctl_one.directory.file("wrong"), "token of nobody\n");
+    CHECK(ctl_one.run({"plan", "show"}, "wrong") == 3);
+    CHECK(ctl_one.run({"plan", "check"}) == 7);
+    CHECK(ctl_one.run({"drain", "t-unknown"}) == 7);
+    CHECK(ctl_one.run({"plan", "history", "--json"}) == 0);
+    CHECK(ctl_one.output.find("\"versions\":[") != std::string::npos);
+    write_file(file, "# \xff\n");
+    CHECK(ctl_one.run(edit) == 7);
+    CHECK(ctl_one.output.find("UTF-8") != std::string::npos);
+    CHECK(ctl_one.run({"plan", "shw"}) == 2);
+    CHECK(ctl_one.run({"explain"}) == 2);
+    CHECK(ctl({dead}).run({"status"}) == 5);
+    // A host that joined last may not have seen all others yet.
+    CHECK(wait_until([&] { return ctl_one.run({"status"}) == 0; }));
+    nodes->host("a3").kill();
+    CHECK(wait_until([&] { return ctl_one.run({"hosts"}) == 8; }));
+    CHECK(ctl_one.output.find("a3") != std::string::npos);
+}
--- a/tests/plan/memory_store.hpp
+++ b/tests/plan/memory_store.hpp
@@ -71,7 +71,9 @@
     const auto known = results_.find(transaction.tx_id);
     if (known != results_.end() && !forgets_ids)
     {
-        return answer(commit_result{known->second, {}});
+        commit_result first;
+        first.committed = known->second;
+        return answer(first);
     }
     commit_result result;
     for (const store_check& check : transaction.checks)
