--- /dev/null
+++ b/bench/capacity/load_point.hpp
@@ -0,0 +1,35 @@
+/// \file
+/// Size of a measured cluster and what its hosts used.
+
+#ifndef EGRETSPINDLE_BENCH_CAPACITY_LOAD_POINT_HPP
+#define EGRETSPINDLE_BENCH_CAPACITY_LOAD_POINT_HPP
+
+namespace egretspindle::bench
+{
+
+/// Size of a cluster.
+struct load_point
+{
+    int hosts = 3;
+    int targets = 8;
+    int tasks = 0;             ///< running batch tasks
+    int plan_kb = 1;           ///< size of the plan document
+    int starts_per_second = 0; ///< urgent requests
+};
+
+/// Mean use of an entry host.
+struct host_usage
+{
+    double cpu_percent = 0; ///< of one core
+    double resident_mb = 0;
+    double peer_kb_per_second = 0;
+    double io_kb_per_second = 0;
+    int tasks = 0; ///< running, as counted at the targets
+};
+
+/// Starts a cluster, waits until it is settled, and measures it.
+[[nodiscard]] host_usage measure(const load_point& point, int seconds);
+
+} // namespace egretspindle::bench
+
+#endif
--- /dev/null
+++ b/bench/capacity/process_sample.hpp
@@ -0,0 +1,29 @@
+/// \file
+/// What a process used so far.
+
+#ifndef EGRETSPINDLE_BENCH_CAPACITY_PROCESS_SAMPLE_HPP
+#define EGRETSPINDLE_BENCH_CAPACITY_PROCESS_SAMPLE_HPP
+
+#include <string>
+#include <sys/types.h>
+
+namespace egretspindle::bench
+{
+
+/// Totals since the start of a process.
+struct process_sample
+{
+    double cpu_seconds = 0;
+    double resident_mb = 0; ///< now
+    double peer_bytes = 0;  ///< payload of messages it sent and their replies
+    double io_bytes = 0;    ///< read and written, sockets and logs included
+};
+
+/// Reads the totals of an entry host.
+///
+/// \param address  its caller address
+[[nodiscard]] process_sample sample_of(pid_t pid, const std::string& address);
+
+} // namespace egretspindle::bench
+
+#endif
--- a/cmake/packages.cmake
+++ b/cmake/packages.cmake
@@ -39,7 +39,7 @@
 egret_package(codec egret_core cxxtools)
 egret_package(logging egret_core fmt::fmt)
 egret_package(metrics egret_core fmt::fmt)
-egret_package(settings egret_core fmt::fmt)
+egret_package(settings egret_logging fmt::fmt)
 egret_package(net egret_codec egret_logging cxxtools-http cxxtools-json cxxtools
               OpenSSL::Crypto Threads::Threads)
 egret_package(protocol egret_net)
--- a/include/egretspindle/settings/settings.hpp
+++ b/include/egretspindle/settings/settings.hpp
@@ -38,7 +38,8 @@
 /// Reads and checks a settings file.
 ///
 /// Files named by `key_file` and `token_file` are read too; a relative path
-/// is taken from the directory of the settings file.
+/// is taken from the directory of the settings file. The cluster key and the
+/// tokens are hidden in all later log lines.
 ///
 /// \returns `invalid_argument` that lists every error by key, found value and
 ///          expected value, one per line; `not_found` when the file cannot
--- a/src/logging/log.cpp
+++ b/src/logging/log.cpp
@@ -75,6 +75,15 @@
     state().secrets.emplace_back(secret);
 }
 
+void remove_secrets(std::string& text)
+{
+    const std::lock_guard<std::mutex> lock(state().mutex);
+    for (const std::string& secret : state().secrets)
+    {
+        replace_all(text, secret, "[redacted]");
+    }
+}
+
 bool is_logged(log_level level) noexcept
 {
     return level >= state().lowest.load(std::memory_order_relaxed);
@@ -89,13 +98,7 @@
     std::string line = format_log_line(
         state().format, level, unix_ms(), message,
         absl::Span<const log_field>(fields.begin(), fields.size()));
-    {
-        const std::lock_guard<std::mutex> lock(state().mutex);
-        for (const std::string& secret : state().secrets)
-        {
-            replace_all(line, secret, "[redacted]");
-        }
-    }
+    remove_secrets(line);
     write_line(line);
 }
 
--- a/src/settings/parse_settings.cpp
+++ b/src/settings/parse_settings.cpp
@@ -1,4 +1,5 @@
 #include "egretspindle/core/error.hpp"
+#include "egretspindle/logging/log.hpp"
 #include "egretspindle/settings/settings.hpp"
 
 #include "number_fields.hpp"
@@ -362,9 +363,18 @@
     }
     const std::string text{std::istreambuf_iterator<char>(in), {}};
     const std::size_t slash = path.rfind('/');
-    return parse_settings(text, slash == std::string::npos
-                                    ? std::string(".")
-                                    : path.substr(0, slash + 1));
+    absl::StatusOr<settings> value = parse_settings(
+        text, slash == std::string::npos ? std::string(".")
+                                         : path.substr(0, slash + 1));
+    if (value.ok())
+    {
+        hide_in_logs(value->cluster.key);
+        for (const operator_settings& item : value->operators)
+        {
+            hide_in_logs(item.token);
+        }
+    }
+    return value;
 }
 
 } // namespace egretspindle
--- a/tests/settings/settings_test.cpp
+++ b/tests/settings/settings_test.cpp
@@ -1,9 +1,12 @@
 #include "egretspindle/core/error.hpp"
+#include "egretspindle/logging/log.hpp"
 #include "egretspindle/settings/settings_builder.hpp"
 
 #include <catch2/catch.hpp>
 
-#include <algorithm>
+#include <cstdio>
+#include <cstdlib>
+#include <fstream>
 #include <random>
 
 using namespace egretspindle;
@@ -117,6 +120,30 @@
     CHECK(error_of(both).find("aminah-token") == std::string::npos);
 }
 
+// Guards against a key file that is read with its line feed or from another
+// directory, and against secrets that reach the log of the process.
+TEST_CASE("secrets come from files and are hidden in logs", "[settings]")
+{
+    char directory[] = "/tmp/egretspindle-settings-XXXXXX";
+    REQUIRE(::mkdtemp(directory) != nullptr);
+    const std::string base = std::string(directory) + "/";
+    std::ofstream(base + "cluster.key") << "fedcba9876543210\n";
+    std::ofstream(base + "settings.toml") << replaced(
+        valid, "key = \"0123456789abcdef\"", "key_file = \"cluster.key\"");
+    const absl::StatusOr<settings> value =
+        load_settings(base + "settings.toml");
+    for (const char* name : {"cluster.key", "settings.toml", ""})
+    {
+        CHECK(std::remove((base + name).c_str()) == 0);
+    }
+    INFO(value.status());
+    REQUIRE(value.ok());
+    CHECK(value->cluster.key == "fedcba9876543210");
+    std::string line = "key fedcba9876543210 token aminah-token-0123456789";
+    remove_secrets(line);
+    CHECK(line == "key [redacted] token [redacted]");
+}
+
 // Guards against a tool that writes settings which the process rejects.
 TEST_CASE("formatted settings are read back", "[settings]")
 {
