Stop hosts that do not see each other from taking racks in turns

Cause: two hosts that held each other for dead, but both reached the store, took each rack from each other at every reread of its row, about every 2 s.

--- a/bench/membership/main.cpp
+++ b/bench/membership/main.cpp
@@ -127,7 +127,8 @@
     cluster.describe = describe_host;
     for (int n = 0; n < centers; ++n)
     {
-        const int count = hosts / centers + (n < hosts % centers ? 1 : 0);
+        const int rest = n < hosts % centers ? 1 : 0;
+        const int count = hosts / centers + rest;
         cluster.add_center("center-" + std::to_string(n), count);
     }
 }
@@ -255,6 +256,7 @@
 {
     std::vector<double> detection;
     std::vector<traffic> rates;
+    rates.reserve(static_cast<std::size_t>(runs));
     for (int run = 0; run < runs; ++run)
     {
         rates.push_back(measure_probes(
@@ -356,6 +358,7 @@
 void measure_real(int hosts)
 {
     std::vector<std::unique_ptr<real_host>> members;
+    members.reserve(static_cast<std::size_t>(hosts));
     std::string seed;
     for (int n = 0; n < hosts; ++n)
     {
--- a/include/egretspindle/ownership/ownership_result.hpp
+++ b/include/egretspindle/ownership/ownership_result.hpp
@@ -46,6 +46,7 @@
 /// \returns the reply without last renewals; `lost` has to be delivered
 ///          before it is sent
 [[nodiscard]] rack_release release_requested(ownership_state& state,
+                                             const std::string& sender,
                                              const rack_release& message,
                                              time_point now);
 
--- a/include/egretspindle/ownership/rack_record.hpp
+++ b/include/egretspindle/ownership/rack_record.hpp
@@ -46,6 +46,11 @@
     std::int64_t fenced_epoch = 0; ///< lower epochs were given up for good
     std::int64_t seen_epoch = 0;   ///< highest epoch a target reported
 
+    /// Host that took the rack from this one, until when it is left alone
+    /// although this host holds it for dead.
+    std::string taken_by;
+    time_point taken_until;
+
     std::optional<pending_take> pending;
     bool is_busy = false; ///< a row operation is under way
     /// Epoch of the owner that asked this host to take the rack, or -1.
--- a/src/ownership/ownership_decision.cpp
+++ b/src/ownership/ownership_decision.cpp
@@ -93,11 +93,17 @@
     {
         return true;
     }
-    if (!is_settled(state, now))
+    const bool is_owner_live = owner && is_live(state, owner->host);
+    if (is_owner_live || (owner && owner->host != record.taken_by))
+    {
+        record.taken_by.clear();
+    }
+    if (!is_settled(state, now) ||
+        (!record.taken_by.empty() && now < record.taken_until))
     {
         return false;
     }
-    return !owner || !is_live(state, owner->host) ||
+    return !owner || !is_owner_live ||
            is_unlisted_long(state, id, record, *owner, now) ||
            is_handover_due(state, record, now);
 }
--- a/src/ownership/ownership_result.cpp
+++ b/src/ownership/ownership_result.cpp
@@ -35,6 +35,18 @@
            now - state.last_decision > state.options.resume_gap;
 }
 
+// Two hosts that do not see each other would otherwise take a rack from each
+// other at every reread.
+void note_taken(const ownership_state& state, rack_record& record,
+                const std::string& host, time_point now)
+{
+    if (record.owned)
+    {
+        record.taken_by = host;
+        record.taken_until = now + state.options.handover_delay;
+    }
+}
+
 // Keeps the most recent renewal of each target, with ages as of `now`.
 void merge_renewals(owned_rack& owned,
                     const std::vector<target_renewal>& renewals, time_point now)
@@ -175,6 +187,7 @@
         (!record.owned->claims_only ||
          record.row.epoch > record.owned->token.epoch))
     {
+        note_taken(state, record, record.row.host, now);
         lose(state, id,
              fmt::format("the row names {} with epoch {}", record.row.host,
                          record.row.epoch));
@@ -357,6 +370,7 @@
 }
 
 rack_release release_requested(ownership_state& state,
+                               const std::string& sender,
                                const rack_release& message, time_point now)
 {
     const rack_id id{message.data_center, message.rack};
@@ -389,6 +403,13 @@
     record->fenced_epoch = std::max(record->fenced_epoch, message.epoch);
     record->suspended.reset();
     record->next_read = now;
+    if (record->row.epoch < message.epoch)
+    {
+        record->row.host = sender;
+        record->row.incarnation = 0;
+        record->row.epoch = message.epoch;
+    }
+    note_taken(state, *record, sender, now);
     lose(state, id, fmt::format("released for epoch {}", message.epoch));
     return reply;
 }
--- a/src/ownership/ownership_service.cpp
+++ b/src/ownership/ownership_service.cpp
@@ -433,13 +433,14 @@
 }
 
 absl::StatusOr<rack_release>
-ownership_service::handle_release(const std::string& /*sender*/,
+ownership_service::handle_release(const std::string& sender,
                                   const rack_release& message)
 {
     rack_release reply;
     {
         const std::lock_guard<std::mutex> lock(impl_->mutex);
-        reply = release_requested(impl_->state, message, steady_clock::now());
+        reply = release_requested(impl_->state, sender, message,
+                                  steady_clock::now());
     }
     impl_->wake();
     if (!message.released && reply.released)
