--- a/src/placement/rack_share.cpp
+++ b/src/placement/rack_share.cpp
@@ -288,17 +288,12 @@
     const int lost =
         place_count(slots, free, share.urgent_size) -
         place_count(slots - 1, free - reservation, share.urgent_size);
-    if (share.urgent_places - lost >= share.kept_places &&
-        share.quiet_places >= share.kept_places)
+    if (share.quiet[target])
     {
-        return !share.quiet[target] ||
-               share.quiet_places - lost >= share.kept_places;
+        return share.quiet_places - lost >= share.kept_places;
     }
-    if (share.quiet_places >= share.kept_places)
-    {
-        return !share.quiet[target];
-    }
-    return share.urgent_places - lost >= share.kept_places;
+    return share.quiet_places >= share.kept_places ||
+           share.urgent_places - lost >= share.kept_places;
 }
 
 bool may_reclaim(const rack_share& share, const policy_limits& limits,
