--- a/bench/policy/run_result.hpp
+++ b/bench/policy/run_result.hpp
@@ -23,6 +23,7 @@
     double max_reject_ms = 0; ///< longest time to a rejection
     double check_met = 0;     ///< share of checks within their deadline
     double batch_work_s = 0;  ///< work of finished batch jobs
+    double urgent_work_s = 0; ///< work of finished urgent requests
     std::int64_t batch_done = 0;
     double batch_slots = 0;     ///< mean share of the slots with batch
     std::int64_t overloads = 0; ///< overloaded targets, summed over ticks
--- a/bench/policy/simulation.cpp
+++ b/bench/policy/simulation.cpp
@@ -491,6 +491,7 @@
         return;
     }
     ++result_.urgent_done;
+    result_.urgent_work_s += entry.work_ms / 1000;
     latencies_.push_back(latency);
     if (entry.kind == 1)
     {
--- a/include/egretspindle/placement/rack_share.hpp
+++ b/include/egretspindle/placement/rack_share.hpp
@@ -34,6 +34,7 @@
     std::map<std::string, held_share> teams;
     bool urgent_demand = false; ///< an urgent request came lately
     bool batch_demand = false;  ///< a batch request came lately
+    double batch_floor = 0;     ///< from the plan
     double active_weight = 0;   ///< of the teams with demand or tasks
     int active_teams = 0;
     int urgent_places = 0;   ///< places left for urgent tasks of usual size
--- a/src/placement/capacity.cpp
+++ b/src/placement/capacity.cpp
@@ -28,9 +28,21 @@
     return std::clamp(declared, need, need * headroom);
 }
 
-double reserve_unknown(double declared, double need, double capacity)
+/// Returns the factor over the declared size for a kind without enough
+/// measurements.
+double doubt_factor(const kind_estimate* estimate)
 {
-    const double wanted = std::max(declared * unknown_factor, need);
+    // Short tasks end before a report shows them. Each end without a failure
+    // is weak evidence that the declared size suffices.
+    const double ends =
+        estimate == nullptr ? 0 : static_cast<double>(estimate->ends);
+    return std::max(1.0, unknown_factor / (1 + ends / 5));
+}
+
+double reserve_unknown(double declared, double need, double capacity,
+                       double factor)
+{
+    const double wanted = std::max(declared * factor, need);
     const double bound = std::max({declared, need, capacity * unknown_bound});
     return std::min(wanted, bound);
 }
@@ -58,9 +70,11 @@
     }
     else
     {
-        reserve.cpu_cores = reserve_unknown(cpu, cpu_need, capacity.cpu_cores);
+        const double factor = doubt_factor(estimate);
+        reserve.cpu_cores =
+            reserve_unknown(cpu, cpu_need, capacity.cpu_cores, factor);
         reserve.memory_mb =
-            reserve_unknown(memory, memory_need, capacity.memory_mb);
+            reserve_unknown(memory, memory_need, capacity.memory_mb, factor);
     }
     // A peak with its margin may exceed a target that the task still fits.
     if (cpu <= capacity.cpu_cores)
--- a/src/placement/choose_target.cpp
+++ b/src/placement/choose_target.cpp
@@ -131,7 +131,8 @@
 {
     for (const target_load& target : in.rack.targets)
     {
-        if (fits(in.request.size, target.capacity))
+        if (fits(reservation_for(in.model, in.request, target.capacity),
+                 target.capacity))
         {
             return true;
         }
--- a/src/placement/rack_share.cpp
+++ b/src/placement/rack_share.cpp
@@ -185,6 +185,7 @@
             share.teams[team];
         }
     }
+    share.batch_floor = limits.batch_floor;
     count_targets(share, rack, model);
     for (const auto& [team, held] : share.teams)
     {
@@ -280,7 +281,10 @@
                  const resources& reservation)
 {
     const target_load& load = rack.targets[target];
-    if (share.kept_places <= 0 || !takes_work(load, true))
+    // Within its floor, batch leaves nothing: urgent work has the rest.
+    if (share.kept_places <= 0 || !takes_work(load, true) ||
+        share_after(share.batch, reservation, share.total) <=
+            share.batch_floor + 1e-9)
     {
         return true;
     }
--- /dev/null
+++ b/tests/admission/health_test.cpp
@@ -0,0 +1,132 @@
+#include "egretspindle/admission/health_table.hpp"
+
+#include <catch2/catch.hpp>
+
+using namespace egretspindle;
+
+namespace
+{
+
+constexpr time_point start = time_point{} + std::chrono::hours(1);
+
+health_table make_table(int targets)
+{
+    std::vector<std::string> names;
+    for (int n = 0; n < targets; ++n)
+    {
+        names.push_back("t" + std::to_string(n));
+    }
+    health_table table;
+    set_targets(table, names);
+    return table;
+}
+
+void report(health_table& table, const std::string& target,
+            const std::string& key, bool ok, time_point now = start)
+{
+    observe_result(table, target, {key, "kind", "team", ok, now});
+}
+
+} // namespace
+
+// Guards against a target that attracts and fails all work, and against its
+// failures being blamed on the jobs.
+TEST_CASE("one bad target is quarantined and condemns no job", "[admission]")
+{
+    health_table table = make_table(8);
+    for (int n = 1; n < 8; ++n)
+    {
+        report(table, "t" + std::to_string(n), "fine", true);
+    }
+    for (int n = 0; n < 4; ++n)
+    {
+        const std::string key = "job" + std::to_string(n);
+        report(table, "t0", key, false);
+        CHECK(judge_job(table, key).verdict == job_verdict::retry);
+        report(table, "t1", key, true);
+    }
+    CHECK(standing_of(table, "t0") == target_standing::quarantined);
+    CHECK(standing_of(table, "t1") == target_standing::healthy);
+}
+
+// Guards against a job that fails everywhere taking targets out of service.
+TEST_CASE("one bad job is parked and condemns no target", "[admission]")
+{
+    health_table table = make_table(8);
+    for (int n = 0; n < 8; ++n)
+    {
+        report(table, "t" + std::to_string(n), "fine", true);
+    }
+    job_decision decision;
+    int failures = 0;
+    for (; failures < 8 && decision.verdict == job_verdict::retry; ++failures)
+    {
+        report(table, "t" + std::to_string(failures), "bad", false);
+        decision = judge_job(table, "bad");
+    }
+    CHECK(decision.verdict == job_verdict::park_fails);
+    CHECK(failures == 3);
+    // More bad jobs than results needed for a quarantine, on all targets.
+    for (int job = 0; job < 6; ++job)
+    {
+        for (int n = 0; n < 8; ++n)
+        {
+            report(table, "t" + std::to_string(n), "bad" + std::to_string(job),
+                   false);
+            report(table, "t" + std::to_string(n), "fine" + std::to_string(job),
+                   true);
+        }
+    }
+    for (int n = 0; n < 8; ++n)
+    {
+        CHECK(standing_of(table, "t" + std::to_string(n)) ==
+              target_standing::healthy);
+    }
+}
+
+// Guards against a fault of the jobs or the network that empties the fleet.
+TEST_CASE("at most a quarter of the targets is quarantined", "[admission]")
+{
+    health_table table = make_table(8);
+    for (int n = 0; n < 8; ++n)
+    {
+        for (int job = 0; job < 10; ++job)
+        {
+            report(table, "t" + std::to_string(n),
+                   std::to_string(n) + "-" + std::to_string(job), false);
+        }
+    }
+    int quarantined = 0;
+    for (int n = 0; n < 8; ++n)
+    {
+        quarantined += standing_of(table, "t" + std::to_string(n)) ==
+                               target_standing::quarantined
+                           ? 1
+                           : 0;
+    }
+    CHECK(quarantined == 2);
+}
+
+// Guards against a repaired target that never returns, or returns at once.
+TEST_CASE("a target returns by way of probes and a part load", "[admission]")
+{
+    health_table table = make_table(8);
+    for (int n = 0; n < 4; ++n)
+    {
+        report(table, "t0", std::to_string(n), false);
+    }
+    REQUIRE(standing_of(table, "t0") == target_standing::quarantined);
+    advance_health(table, start + std::chrono::seconds(1));
+    CHECK(standing_of(table, "t0") == target_standing::quarantined);
+    const time_point later = start + std::chrono::minutes(1);
+    advance_health(table, later);
+    CHECK(standing_of(table, "t0") == target_standing::probing);
+    report(table, "t0", "p1", true, later);
+    report(table, "t0", "p2", true, later);
+    CHECK(standing_of(table, "t0") == target_standing::returning);
+    for (int n = 0; n < 6; ++n)
+    {
+        report(table, "t0", "r" + std::to_string(n), true, later);
+    }
+    CHECK(standing_of(table, "t0") == target_standing::healthy);
+}
--- /dev/null
+++ b/tests/placement/interference_test.cpp
@@ -0,0 +1,126 @@
+#include "egretspindle/codec/json.hpp"
+#include "egretspindle/placement/choose_target.hpp"
+#include "egretspindle/placement/observe.hpp"
+
+#include "rack_fixture.hpp"
+
+#include <catch2/catch.hpp>
+
+#include <random>
+
+using namespace egretspindle;
+using namespace egretspindle::test;
+
+namespace
+{
+
+/// Reports a target where `noisy` slows `served` by 0.5 per task but not the
+/// other way round, with noise of 20% and the lag of the reports.
+policy_model learn_pair(std::mt19937_64& rng)
+{
+    policy_model model;
+    std::uniform_real_distribution<> noise(0.8, 1.2);
+    target_load target = make_rack(1).targets[0];
+    time_point now = start;
+    double reported = 0;
+    for (int n = 0; n < 400; ++n)
+    {
+        if (n % 10 == 0)
+        {
+            target.tasks.clear();
+            target.tasks.push_back(make_task("s", "served", "a", true));
+            for (int i = 0; i < (n / 10) % 4; ++i)
+            {
+                target.tasks.push_back(make_task("n", "noisy", "b", false));
+            }
+        }
+        // Reports show the state of two reports ago.
+        const double count = static_cast<double>(target.tasks.size()) - 1;
+        const usage_sample samples[] = {
+            {"s", 1, "served", 1, 1000, 0, noise(rng) / (1 + 0.5 * reported)},
+            {"n", 1, "noisy", 1, 1000, 0, std::min(1.0, noise(rng))}};
+        observe_usage(model, target,
+                      absl::MakeConstSpan(samples, count > 0 ? 2 : 1), now);
+        reported = n % 10 >= 2 ? count : reported;
+        now += std::chrono::seconds(1);
+    }
+    return model;
+}
+
+double learned(const policy_model& model, const char* kind, const char* other)
+{
+    return slowdown_by(model, kind_index(model, kind), kind_index(model, other),
+                       0.4, start + std::chrono::seconds(400));
+}
+
+} // namespace
+
+// Guards against learning the slowdown for the wrong direction of a pair, or
+// not at all, from noisy lagging reports.
+TEST_CASE("slowdown is learned per ordered pair", "[placement]")
+{
+    const std::uint64_t seed = GENERATE(1, 2, 3);
+    INFO("seed " << seed);
+    std::mt19937_64 rng(seed);
+    const policy_model model = learn_pair(rng);
+    CHECK(learned(model, "served", "noisy") > 0.3);
+    CHECK(learned(model, "served", "noisy") < 0.7);
+    CHECK(learned(model, "noisy", "served") < 0.2);
+}
+
+// Guards against urgent work being placed by load alone.
+TEST_CASE("urgent work avoids a noisy neighbour on a less loaded target",
+          "[placement]")
+{
+    std::mt19937_64 rng(1);
+    const policy_model model = learn_pair(rng);
+    rack_load rack = make_rack(2);
+    rack.targets[0].tasks = {make_task("1", "noisy", "b", false)};
+    for (int n = 0; n < 3; ++n)
+    {
+        rack.targets[1].tasks.push_back(make_task("q", "served", "a", true));
+    }
+    const placement_decision decision =
+        choose_target(rack, make_request("2", "served", "a", true), model, {},
+                      start + std::chrono::seconds(400), rng);
+    CHECK(decision.target == "t1");
+}
+
+// Guards against noisy batch work being spread over all targets.
+TEST_CASE("noisy batch work joins the target that is noisy already",
+          "[placement]")
+{
+    std::mt19937_64 rng(1);
+    policy_model model = learn_pair(rng);
+    const time_point now = start + std::chrono::seconds(400);
+    observe_urgent_arrival(model, "served", now);
+    rack_load rack = make_rack(2);
+    rack.targets[0].tasks = {make_task("1", "noisy", "b", false),
+                             make_task("2", "noisy", "b", false)};
+    const placement_decision decision = choose_target(
+        rack, make_request("3", "noisy", "b", false), model, {}, now, rng);
+    CHECK(decision.target == "t0");
+}
+
+// Guards against a new owner starting without what its peers know.
+TEST_CASE("a summary carries what was learned to a peer", "[placement]")
+{
+    std::mt19937_64 rng(1);
+    const policy_model model = learn_pair(rng);
+    const absl::StatusOr<model_summary> received =
+        from_json<model_summary>(to_json(to_summary(model)));
+    REQUIRE(received.ok());
+    policy_model peer;
+    merge_summary(peer, *received, start + std::chrono::seconds(400));
+    CHECK(learned(peer, "served", "noisy") > 0.3);
+}
+
+// Guards against measurements of a past state that are kept for ever.
+TEST_CASE("slowdowns without recent samples decay to the prior", "[placement]")
+{
+    std::mt19937_64 rng(1);
+    const policy_model model = learn_pair(rng);
+    CHECK(slowdown_by(model, kind_index(model, "served"),
+                      kind_index(model, "noisy"), 0.4,
+                      start + std::chrono::hours(24)) < 0.05);
+}
