--- a/tests/admission/health_test.cpp
+++ b/tests/admission/health_test.cpp
@@ -49,6 +49,24 @@
     CHECK(standing_of(table, "t1") == target_standing::healthy);
 }
 
+// Guards against a good job that is parked since it met several bad targets,
+// which had succeeded before they went bad.
+TEST_CASE("failures on suspect targets do not park a job", "[admission]")
+{
+    health_table table = make_table(16);
+    for (const char* target : {"t0", "t1", "t2"})
+    {
+        report(table, target, "earlier", true);
+        for (int n = 0; n < 4; ++n)
+        {
+            report(table, target, target + std::to_string(n), false);
+        }
+        report(table, target, "good", false);
+    }
+    CHECK(judge_job(table, "good").verdict == job_verdict::retry);
+    CHECK(judge_job(table, "good").excluded.size() == 3);
+}
+
 // Guards against a job that fails everywhere taking targets out of service.
 TEST_CASE("one bad job is parked and condemns no target", "[admission]")
 {
--- a/tests/placement/capacity_test.cpp
+++ b/tests/placement/capacity_test.cpp
@@ -67,7 +67,12 @@
                 task.reserve = decision.reservation;
                 target.tasks.push_back(task);
             }
-            REQUIRE(fits(committed(model, target), target.capacity));
+            resources reserved;
+            for (const task_load& task : target.tasks)
+            {
+                reserved = reserved + task.reserve;
+            }
+            REQUIRE(fits(reserved, target.capacity));
             REQUIRE(static_cast<int>(target.tasks.size()) <= target.slots);
             REQUIRE(static_cast<int>(target.tasks.size()) < target.connections);
         }
@@ -75,6 +80,23 @@
     CHECK(placed >= 8);
 }
 
+// Guards against tasks that a target rejects for want of a connection.
+TEST_CASE("connections bound the tasks of a target", "[placement]")
+{
+    std::mt19937_64 rng(1);
+    rack_load rack = make_rack(1);
+    rack.targets[0].connections = 4;
+    rack.targets[0].tasks = {make_task("1", "k", "a", true),
+                             make_task("2", "k", "a", true)};
+    const task_request request = make_request("x", "k", "a", true);
+    const policy_limits limits;
+    CHECK(choose_target(rack, request, {}, limits, start, rng).kind ==
+          placement_kind::place);
+    rack.targets[0].tasks.push_back(make_task("3", "k", "a", true));
+    CHECK(choose_target(rack, request, {}, limits, start, rng).kind ==
+          placement_kind::wait);
+}
+
 // Guards against a kind that declares a tenth of its need being packed before
 // the first measurement.
 TEST_CASE("an unmeasured kind reserves ten times what it declares",
--- a/tests/placement/interference_test.cpp
+++ b/tests/placement/interference_test.cpp
@@ -6,6 +6,7 @@
 
 #include <catch2/catch.hpp>
 
+#include <deque>
 #include <random>
 
 using namespace egretspindle;
@@ -22,27 +23,29 @@
     std::uniform_real_distribution<> noise(0.8, 1.2);
     target_load target = make_rack(1).targets[0];
     time_point now = start;
-    double reported = 0;
-    for (int n = 0; n < 400; ++n)
+    std::deque<double> counts(3, 0);
+    for (int n = 0; n < 800; ++n)
     {
-        if (n % 10 == 0)
+        if (n % 4 == 0)
         {
             target.tasks.clear();
             target.tasks.push_back(make_task("s", "served", "a", true));
-            for (int i = 0; i < (n / 10) % 4; ++i)
+            for (std::uint64_t i = rng() % 4; i > 0; --i)
             {
                 target.tasks.push_back(make_task("n", "noisy", "b", false));
             }
         }
-        // Reports show the state of two reports ago.
-        const double count = static_cast<double>(target.tasks.size()) - 1;
+        // A report shows the state of two seconds ago.
+        counts.push_back(static_cast<double>(target.tasks.size()) - 1);
+        counts.pop_front();
         const usage_sample samples[] = {
-            {"s", 1, "served", 1, 1000, 0, noise(rng) / (1 + 0.5 * reported)},
+            {"s", 1, "served", 1, 1000, 0,
+             noise(rng) / (1 + 0.5 * counts.front())},
             {"n", 1, "noisy", 1, 1000, 0, std::min(1.0, noise(rng))}};
         observe_usage(model, target,
-                      absl::MakeConstSpan(samples, count > 0 ? 2 : 1), now);
-        reported = n % 10 >= 2 ? count : reported;
-        now += std::chrono::seconds(1);
+                      absl::MakeConstSpan(samples, counts.front() > 0 ? 2 : 1),
+                      now);
+        now += std::chrono::milliseconds(1000);
     }
     return model;
 }
@@ -50,7 +53,7 @@
 double learned(const policy_model& model, const char* kind, const char* other)
 {
     return slowdown_by(model, kind_index(model, kind), kind_index(model, other),
-                       0.4, start + std::chrono::seconds(400));
+                       0.4, start + std::chrono::seconds(800));
 }
 
 } // namespace
@@ -68,6 +71,29 @@
     CHECK(learned(model, "noisy", "served") < 0.2);
 }
 
+// Guards against a lagging report being held against the tasks that run now.
+TEST_CASE("slowdown is not blamed on tasks that came later", "[placement]")
+{
+    policy_model model;
+    target_load target = make_rack(1).targets[0];
+    std::deque<bool> noisy(3, false);
+    time_point now = start;
+    for (int n = 0; n < 400; ++n)
+    {
+        noisy.push_back(n / 4 % 2 == 0);
+        noisy.pop_front();
+        const char* other = noisy.back() ? "noisy" : "later";
+        target.tasks = {make_task("s", "served", "a", true),
+                        make_task("o", other, "b", false)};
+        const usage_sample sample{
+            "s", 1, "served", 1, 1000, 0, noisy.front() ? 0.5 : 1.0};
+        observe_usage(model, target, absl::MakeConstSpan(&sample, 1), now);
+        now += std::chrono::milliseconds(1000);
+    }
+    CHECK(learned(model, "served", "noisy") >
+          2 * learned(model, "served", "later"));
+}
+
 // Guards against urgent work being placed by load alone.
 TEST_CASE("urgent work avoids a noisy neighbour on a less loaded target",
           "[placement]")
@@ -82,7 +108,7 @@
     }
     const placement_decision decision =
         choose_target(rack, make_request("2", "served", "a", true), model, {},
-                      start + std::chrono::seconds(400), rng);
+                      start + std::chrono::seconds(800), rng);
     CHECK(decision.target == "t1");
 }
 
@@ -92,7 +118,7 @@
 {
     std::mt19937_64 rng(1);
     policy_model model = learn_pair(rng);
-    const time_point now = start + std::chrono::seconds(400);
+    const time_point now = start + std::chrono::seconds(800);
     observe_urgent_arrival(model, "served", now);
     rack_load rack = make_rack(2);
     rack.targets[0].tasks = {make_task("1", "noisy", "b", false),
@@ -111,7 +137,7 @@
         from_json<model_summary>(to_json(to_summary(model)));
     REQUIRE(received.ok());
     policy_model peer;
-    merge_summary(peer, *received, start + std::chrono::seconds(400));
+    merge_summary(peer, *received, start + std::chrono::seconds(800));
     CHECK(learned(peer, "served", "noisy") > 0.3);
 }
 
--- a/tests/placement/share_test.cpp
+++ b/tests/placement/share_test.cpp
@@ -67,11 +67,15 @@
 // Guards against a flood of urgent work that takes all slots.
 TEST_CASE("urgent work does not enter the floor of batch", "[placement]")
 {
-    // 23 of 32 slots: one more would leave batch less than 0.3.
-    const rack_load rack = make_full_rack(22, "archive");
-    const placement_decision decision =
-        decide(rack, make_request("x", "draft", "rota", true));
-    CHECK(decision.kind != placement_kind::place);
+    // With 23 of 32 slots urgent work would leave batch less than 0.3.
+    rack_load rack = make_full_rack(22, "archive");
+    rack.targets[3].tasks.pop_back();
+    policy_limits limits;
+    limits.teams["rota"].quota = 1;
+    const task_request request = make_request("x", "draft", "rota", true);
+    CHECK(decide(rack, request, limits).kind != placement_kind::place);
+    rack.targets[0].tasks.pop_back();
+    CHECK(decide(rack, request, limits).kind == placement_kind::place);
 }
 
 // Guards against a floor that is kept without demand.
