--- a/include/egretspindle/request_path/rack_runtime.hpp
+++ b/include/egretspindle/request_path/rack_runtime.hpp
@@ -41,7 +41,8 @@
 class rack_runtime
 {
 public:
-    rack_runtime(rack_options options, rack_hooks hooks, owned_rack rack);
+    rack_runtime(rack_options options, rack_hooks hooks,
+                 const owned_rack& rack);
     ~rack_runtime();
     rack_runtime(const rack_runtime&) = delete;
     rack_runtime& operator=(const rack_runtime&) = delete;
@@ -59,7 +60,7 @@
     [[nodiscard]] place_reply place(const place_request& request);
 
     /// Returns the state of an attempt, after at most `query.wait_ms`.
-    [[nodiscard]] task_report task_state(const task_query& query);
+    [[nodiscard]] task_report query_task(const task_query& query);
 
     /// Stops an attempt, or prevents its start.
     [[nodiscard]] task_report stop_task(const task_query& query);
@@ -113,17 +114,24 @@
     std::optional<place_reply> known_attempt(const place_request& request);
     placement_decision decide(lock_type& lock, const place_request& request,
                               const task_request& task);
-    placement_decision wait_for_place(lock_type& lock,
-                                      const task_request& task,
+    placement_decision wait_for_place(lock_type& lock, const task_request& task,
                                       const placement_decision& first);
     void serve_waiting();
     void reserve(const place_request& request,
                  const placement_decision& decision);
+    void evict_for(const placement_decision& decision);
+
+    // rack_start.cpp
     place_reply start_on(const place_request& request,
                          const std::string& target);
-    place_reply start_lost(const place_request& request,
-                           const session_ptr& session, place_reply reply);
-    void evict_for(const placement_decision& decision);
+    place_reply prepare_start(const place_request& request,
+                              const std::string& target,
+                              start_command& command);
+    place_reply start_accepted(const place_request& request, place_reply reply,
+                               const task_state& state);
+    place_reply start_refused(const place_request& request, place_reply reply,
+                              const absl::Status& status);
+    place_reply start_lost(const place_request& request, place_reply reply);
 
     // rack_renew.cpp
     void renew_loop(const session_ptr& session);
@@ -141,8 +149,7 @@
     void task_has_ended(owned_task& task, const task_state& state,
                         time_point now);
     task_report report_of(const task_id& id, const std::string& target) const;
-    task_report ask_target(const task_query& query,
-                           const session_ptr& session);
+    task_report ask_target(const task_query& query, const session_ptr& session);
     task_report without_target(const task_query& query);
 
     // rack_report.cpp
