--- a/bench/policy/main.cpp
+++ b/bench/policy/main.cpp
@@ -38,6 +38,7 @@
         std::vector<run_result>(variants));
     std::atomic<std::size_t> next{0};
     std::vector<std::thread> threads;
+    threads.reserve(static_cast<std::size_t>(chosen.threads));
     for (int n = 0; n < chosen.threads; ++n)
     {
         threads.emplace_back(
--- a/include/egretspindle/placement/rack_share.hpp
+++ b/include/egretspindle/placement/rack_share.hpp
@@ -37,11 +37,12 @@
     double batch_floor = 0;     ///< from the plan
     double active_weight = 0;   ///< of the teams with demand or tasks
     int active_teams = 0;
-    int urgent_places = 0;   ///< places left for urgent tasks of usual size
-    int quiet_places = 0;    ///< of these, on targets that hardly slow them
-    std::vector<bool> quiet; ///< by target, whether it hardly slows them
-    int kept_places = 0;     ///< places that batch has to leave
-    resources urgent_size;   ///< usual reservation of an urgent task
+    int urgent_places = 0; ///< places left for urgent tasks of usual size
+    int quiet_places = 0;  ///< of these, on targets that hardly slow them
+    std::vector<load_snapshot> tasks;    ///< by target
+    std::vector<double> urgent_slowdown; ///< predicted, by target
+    int kept_places = 0;                 ///< places that batch has to leave
+    resources urgent_size; ///< usual reservation of an urgent task
 };
 
 /// Computes the shares of a rack.
--- a/src/placement/choose_target.cpp
+++ b/src/placement/choose_target.cpp
@@ -181,15 +181,16 @@
 }
 
 void set_place(placement_decision& decision, const context& in,
-               const target_load& target, double wait_ms)
+               std::size_t index, double wait_ms)
 {
+    const target_load& target = in.rack.targets[index];
     decision.kind = placement_kind::place;
     decision.target = target.name;
     decision.reservation =
         reservation_for(in.model, in.request, target.capacity);
     decision.predicted_wait_ms = wait_ms;
-    decision.predicted_run_ms =
-        detail::predicted_run(in.score, in.model, target, in.now);
+    decision.predicted_run_ms = detail::predicted_run(
+        in.score, in.model, in.share.tasks[index], in.now);
     decision.predicted_finish_ms = wait_ms + decision.predicted_run_ms;
 }
 
@@ -219,18 +220,20 @@
     std::vector<double> loads;
     for (const target_load& target : in.rack.targets)
     {
+        const std::size_t index = loads.size();
         placement_alternative entry;
         entry.target = target.name;
         const resources reservation =
             reservation_for(in.model, in.request, target.capacity);
         entry.obstacle =
-            gate.empty() ? obstacle_of(in, loads.size(), reservation) : gate;
+            gate.empty() ? obstacle_of(in, index, reservation) : gate;
         if (entry.obstacle.empty())
         {
             entry.score_ms =
-                detail::score_of(in.score, in.model, target, in.now);
+                detail::score_of(in.score, in.model, in.share.tasks[index],
+                                 in.share.urgent_slowdown[index], in.now);
         }
-        loads.push_back(detail::take_snapshot(in.model, target, in.now).load);
+        loads.push_back(in.share.tasks[index].load);
         decision.alternatives.push_back(std::move(entry));
     }
     return loads;
@@ -251,7 +254,7 @@
     {
         return false;
     }
-    set_place(decision, in, in.rack.targets[plan.target], eviction_ms);
+    set_place(decision, in, plan.target, eviction_ms);
     if (decision.predicted_finish_ms > remaining_ms(in))
     {
         decision.target.clear();
@@ -301,7 +304,7 @@
     const std::size_t best = pick(in, decision, loads, rng);
     if (best < rack.targets.size())
     {
-        set_place(decision, in, rack.targets[best], 0);
+        set_place(decision, in, best, 0);
         decision.reason = "lowest predicted cost";
         return decision;
     }
--- a/src/placement/policy_model.cpp
+++ b/src/placement/policy_model.cpp
@@ -17,11 +17,13 @@
 // tell a slowdown of 0.2 from none.
 constexpr double prior_weight = 3;
 
-double decayed_weight(double weight, time_point updated, time_point now)
+/// Returns the part of a weight that is left; its half-life is an hour.
+double decay_factor(time_point updated, time_point now)
 {
     const double hours =
         std::chrono::duration<double, std::ratio<3600>>(now - updated).count();
-    return weight * std::exp2(-std::max(0.0, hours));
+    // Within a second of the last sample nothing has decayed.
+    return hours < 1.0 / 3600 ? 1 : std::exp2(-hours);
 }
 
 void merge_estimate(policy_model& model, const kind_estimate& from,
@@ -118,13 +120,13 @@
     const std::size_t band = detail::load_band(load);
     double sum = prior_weight * detail::prior_slowdown;
     double weight = prior_weight;
+    const double left = decay_factor(cell.updated, now);
     for (std::size_t n = 0; n < load_band_count; ++n)
     {
         // Neighbouring bands stand in for one without samples of its own.
         const std::size_t gap = n > band ? n - band : band - n;
         const double share = gap == 0 ? 1 : gap == 1 ? 0.1 : 0.02;
-        const double w =
-            share * decayed_weight(cell.weight[n], cell.updated, now);
+        const double w = share * left * cell.weight[n];
         sum += w * cell.slowdown[n];
         weight += w;
     }
--- a/src/placement/rack_share.cpp
+++ b/src/placement/rack_share.cpp
@@ -2,6 +2,7 @@
 
 #include "egretspindle/placement/capacity.hpp"
 
+#include "model_access.hpp"
 #include "target_score.hpp"
 
 #include <algorithm>
@@ -95,9 +96,9 @@
         detail::make_score_input(model, task_request{}, 0);
     for (const target_load& target : rack.targets)
     {
-        const bool quiet = detail::urgent_slowdown(score, model, target, now) <=
-                           quiet_slowdown;
-        share.quiet.push_back(quiet);
+        share.tasks.push_back(detail::take_snapshot(model, target, now));
+        share.urgent_slowdown.push_back(
+            detail::urgent_slowdown(score, model, share.tasks.back(), now));
         if (!takes_work(target, true))
         {
             continue;
@@ -105,7 +106,8 @@
         const int places =
             place_count(free_slots(target), free_capacity(model, target), mean);
         share.urgent_places += places;
-        share.quiet_places += quiet ? places : 0;
+        share.quiet_places +=
+            share.urgent_slowdown.back() <= quiet_slowdown ? places : 0;
     }
     if (!share.urgent_demand)
     {
@@ -292,7 +294,7 @@
     const int lost =
         place_count(slots, free, share.urgent_size) -
         place_count(slots - 1, free - reservation, share.urgent_size);
-    if (share.quiet[target])
+    if (share.urgent_slowdown[target] <= quiet_slowdown)
     {
         return share.quiet_places - lost >= share.kept_places;
     }
--- a/src/placement/target_score.cpp
+++ b/src/placement/target_score.cpp
@@ -20,6 +20,8 @@
 // Slowdown at which a target is half as likely to get urgent work.
 constexpr double avoided_slowdown = 0.15;
 
+constexpr std::size_t max_urgent_kinds = 6;
+
 /// Returns the slowdown that one more task of `kind` brings to the others.
 double harm(const policy_model& model, std::size_t kind,
             const load_snapshot& beside, bool to_urgent, time_point now)
@@ -36,18 +38,6 @@
     return sum;
 }
 
-/// Returns the expected slowdown of the usual urgent task on a target.
-double slowdown_beside(const score_input& input, const policy_model& model,
-                       const load_snapshot& beside, time_point now)
-{
-    double sum = 0;
-    for (const urgent_share& entry : input.urgent_kinds)
-    {
-        sum += entry.share * predict_slowdown(model, entry.kind, beside, now);
-    }
-    return sum;
-}
-
 /// Returns what one more task of `kind` adds to that slowdown.
 double urgent_increment(const score_input& input, const policy_model& model,
                         double load, time_point now)
@@ -82,28 +72,37 @@
             input.urgent_kinds.push_back({n, model.urgent_rate[n] / total});
         }
     }
+    // The most frequent kinds decide; more of them only cost time.
+    std::sort(input.urgent_kinds.begin(), input.urgent_kinds.end(),
+              [](const urgent_share& lhs, const urgent_share& rhs)
+              { return lhs.share > rhs.share; });
+    input.urgent_kinds.resize(
+        std::min(input.urgent_kinds.size(), max_urgent_kinds));
     return input;
 }
 
 double urgent_slowdown(const score_input& input, const policy_model& model,
-                       const target_load& target, time_point now)
+                       const load_snapshot& beside, time_point now)
 {
-    return slowdown_beside(input, model, take_snapshot(model, target, now),
-                           now);
+    double sum = 0;
+    for (const urgent_share& entry : input.urgent_kinds)
+    {
+        sum += entry.share * predict_slowdown(model, entry.kind, beside, now);
+    }
+    return sum;
 }
 
 double predicted_run(const score_input& input, const policy_model& model,
-                     const target_load& target, time_point now)
+                     const load_snapshot& beside, time_point now)
 {
-    const load_snapshot beside = take_snapshot(model, target, now);
     return input.run_ms *
            (1 + predict_slowdown(model, input.kind, beside, now));
 }
 
 double score_of(const score_input& input, const policy_model& model,
-                const target_load& target, time_point now)
+                const load_snapshot& beside, double slowdown_of_urgent,
+                time_point now)
 {
-    const load_snapshot beside = take_snapshot(model, target, now);
     const double own = predict_slowdown(model, input.kind, beside, now);
     const double urgent_harm =
         harm(model, input.kind, beside, true, now) * urgent_harm_weight;
@@ -111,8 +110,7 @@
     {
         return input.run_ms * (1 + own + urgent_harm);
     }
-    const double avoided =
-        slowdown_beside(input, model, beside, now) / avoided_slowdown;
+    const double avoided = slowdown_of_urgent / avoided_slowdown;
     const double future =
         future_harm_weight *
         (urgent_increment(input, model, beside.load, now) + 0.02) /
--- a/src/placement/target_score.hpp
+++ b/src/placement/target_score.hpp
@@ -5,7 +5,6 @@
 #define EGRETSPINDLE_SRC_PLACEMENT_TARGET_SCORE_HPP
 
 #include "egretspindle/placement/policy_model.hpp"
-#include "egretspindle/placement/target_load.hpp"
 #include "egretspindle/placement/task_request.hpp"
 
 #include <cstddef>
@@ -38,17 +37,21 @@
 /// Returns the expected slowdown of the usual urgent task on a target.
 [[nodiscard]] double urgent_slowdown(const score_input& input,
                                      const policy_model& model,
-                                     const target_load& target, time_point now);
+                                     const load_snapshot& beside,
+                                     time_point now);
 
 /// Returns the predicted run time on a target.
 [[nodiscard]] double predicted_run(const score_input& input,
                                    const policy_model& model,
-                                   const target_load& target, time_point now);
+                                   const load_snapshot& beside, time_point now);
 
 /// Returns the cost of the request on a target in ms; lower is better.
+///
+/// \param slowdown_of_urgent  result of `urgent_slowdown`
 [[nodiscard]] double score_of(const score_input& input,
                               const policy_model& model,
-                              const target_load& target, time_point now);
+                              const load_snapshot& beside,
+                              double slowdown_of_urgent, time_point now);
 
 } // namespace egretspindle::detail
 
--- a/tests/admission/health_test.cpp
+++ b/tests/admission/health_test.cpp
@@ -12,6 +12,7 @@
 health_table make_table(int targets)
 {
     std::vector<std::string> names;
+    names.reserve(static_cast<std::size_t>(targets));
     for (int n = 0; n < targets; ++n)
     {
         names.push_back("t" + std::to_string(n));
