Recognize attempts that a target stopped before they arrived

Cause: a target answers the stop of an unknown attempt with state 'stopped' and error 'never_started'; the rack owner only took 'unknown' for that. A start whose command was lost was then reported as placed, and a non-idempotent request whose start was refused ended as 'unknown' instead of being retried.

Change: both answers count as never started on the boot that was asked.

--- a/src/request_path/rack_tasks.cpp
+++ b/src/request_path/rack_tasks.cpp
@@ -9,6 +9,19 @@
 namespace egretspindle
 {
 
+namespace
+{
+
+// A target answers so for an attempt that it does not know, or that was
+// stopped before its start arrived.
+bool is_absent(const task_state& state)
+{
+    return state.state == "unknown" ||
+           (state.state == "stopped" && state.error == "never_started");
+}
+
+} // namespace
+
 void rack_runtime::task_has_ended(owned_task& task, const task_state& state,
                                   time_point now)
 {
@@ -98,7 +111,7 @@
     report.task = *state;
     report.task.key = query.key;
     report.task.attempt = query.attempt;
-    if (state->state == "unknown")
+    if (is_absent(*state))
     {
         const bool is_restarted =
             !query.boot_id.empty() && query.boot_id != state->boot_id;
@@ -183,7 +196,7 @@
     report.task = *state;
     report.task.key = query.key;
     report.task.attempt = query.attempt;
-    if (state->state == "unknown")
+    if (is_absent(*state))
     {
         report.certainly_ended = true;
         report.never_started =
