Cancel requests whose start is under way

Cause: a cancellation that came while a place was searched knew no target to stop and only set a flag. A recorded request then started and ran to its end; an urgent one ran on at its target while the owner waited for it.

Change: a recorded start looks at the flag before and after it is recorded; the attempts of a claimed request are found at the rack owners and stopped.

--- a/include/egretspindle/request_path/coordinator.hpp
+++ b/include/egretspindle/request_path/coordinator.hpp
@@ -114,6 +114,7 @@
                                               milliseconds wait);
     bool is_elsewhere(const request_record& record) const;
     void cancel_running(const request_entry_ptr& entry);
+    void stop_found(const std::string& key);
 
     // coordinator_commit.cpp
     void finish(const request_entry_ptr& entry, const request_reply& reply);
--- a/src/request_path/coordinator.cpp
+++ b/src/request_path/coordinator.cpp
@@ -227,13 +227,41 @@
         finish(entry, reply);
         return;
     }
-    if (!query.target.empty())
+    if (query.target.empty())
     {
-        const absl::StatusOr<task_report> report = router_.stop(query);
-        if (report.ok())
+        if (entry->spec.urgent && entry->spec.idempotent)
         {
-            apply_report(entry, *report);
+            stop_found(entry->key);
         }
+        return;
+    }
+    const absl::StatusOr<task_report> report = router_.stop(query);
+    if (report.ok())
+    {
+        apply_report(entry, *report);
+    }
+}
+
+// Stops attempts that their rack owners have not answered for yet. The worker
+// that waits for them then learns of the end.
+void coordinator::stop_found(const std::string& key)
+{
+    const absl::StatusOr<std::vector<task_report>> reports =
+        router_.find({key, 0});
+    if (!reports.ok())
+    {
+        return;
+    }
+    for (const task_report& report : *reports)
+    {
+        task_query query;
+        query.key = key;
+        query.attempt = report.task.attempt;
+        query.rack = report.rack;
+        query.data_center = report.data_center;
+        query.target = report.target;
+        query.boot_id = report.task.boot_id;
+        router_.stop(query).status().IgnoreError();
     }
 }
 
--- a/src/request_path/coordinator_recorded.cpp
+++ b/src/request_path/coordinator_recorded.cpp
@@ -32,6 +32,11 @@
 
 bool coordinator::start_recorded(const request_entry_ptr& entry)
 {
+    const auto is_cancelled = [&entry]
+    {
+        const std::lock_guard<std::mutex> lock(entry->mutex);
+        return entry->cancel_requested;
+    };
     int attempt = 0;
     {
         const std::lock_guard<std::mutex> lock(entry->mutex);
@@ -53,10 +58,21 @@
         give_up_start(entry, place->reason, place->retry_after_ms);
         return false;
     }
+    if (is_cancelled())
+    {
+        give_up_start(entry, "cancelled", 0);
+        return false;
+    }
     if (!record_start(entry, attempt, *place))
     {
         return false;
     }
+    if (is_cancelled())
+    {
+        // A cancellation from before the record knew no target to stop.
+        cancel_running(entry);
+        return true;
+    }
     place_request request;
     request.spec = entry->spec;
     request.attempt = attempt;
