--- a/src/request_path/coordinator.cpp
+++ b/src/request_path/coordinator.cpp
@@ -10,6 +10,13 @@
 namespace egretspindle
 {
 
+namespace
+{
+
+constexpr milliseconds flush_period{2};
+
+} // namespace
+
 coordinator::coordinator(coordinator_options options, coordinator_hooks hooks,
                          store_client& store, rack_router& router)
     : options_(std::move(options)), hooks_(std::move(hooks)), store_(store),
@@ -267,7 +274,28 @@
 
 bool coordinator::flush(milliseconds timeout)
 {
-    return log_.flush(timeout);
+    const auto is_unrecorded = [](const request_entry_ptr& entry)
+    {
+        const std::lock_guard<std::mutex> lock(entry->mutex);
+        return is_final(entry->reply.result) && !entry->is_durable;
+    };
+    const time_point limit = steady_clock::now() + timeout;
+    // A reply is final shortly before the log holds it.
+    while (log_.flush(std::max(
+        milliseconds(0), milliseconds(elapsed_ms(steady_clock::now(), limit)))))
+    {
+        const std::vector<request_entry_ptr> all = table_.entries();
+        if (std::none_of(all.begin(), all.end(), is_unrecorded))
+        {
+            return true;
+        }
+        if (steady_clock::now() >= limit)
+        {
+            return false;
+        }
+        std::this_thread::sleep_for(flush_period);
+    }
+    return false;
 }
 
 std::vector<request_entry_ptr> coordinator::entries() const
