Remove the record of a request that was not run after a lost answer

Cause: when the answer of the store to a claim or a recorded start was lost after the write, the reply 'not_run' left the row behind, and a corrected request with the same id was a conflict.

Change: before such a reply the row is read, and removed when it is this host's own.

Conclusion: guarded by 'not_run leaves no record behind' and 'not_run after a lost answer of the store leaves no record'.

--- a/include/egretspindle/request_path/coordinator.hpp
+++ b/include/egretspindle/request_path/coordinator.hpp
@@ -122,6 +122,7 @@
     void give_away(const request_entry_ptr& entry);
     void withdraw(const request_entry_ptr& entry, std::string_view reason,
                   std::int64_t retry_after_ms);
+    void find_unclear_record(const request_entry_ptr& entry);
     void record_end(const request_entry_ptr& entry);
     void end_recorded(const request_entry_ptr& entry,
                       const commit_result& result);
--- a/src/request_path/coordinator_commit.cpp
+++ b/src/request_path/coordinator_commit.cpp
@@ -51,12 +51,16 @@
     if (!result.ok())
     {
         store_health_.failed(steady_clock::now());
+        const std::lock_guard<std::mutex> lock(entry->mutex);
+        entry->is_record_unclear |=
+            kind_of(result.status()) == error_kind::deadline_exceeded;
         return result;
     }
     store_health_.succeeded();
+    const std::lock_guard<std::mutex> lock(entry->mutex);
+    entry->is_record_unclear = false;
     if (result->committed)
     {
-        const std::lock_guard<std::mutex> lock(entry->mutex);
         entry->version = result->version;
         entry->record = record;
     }
@@ -107,9 +111,38 @@
     table_.erase(entry);
 }
 
+// Finds the row of a write whose answer was lost.
+void coordinator::find_unclear_record(const request_entry_ptr& entry)
+{
+    {
+        const std::lock_guard<std::mutex> lock(entry->mutex);
+        if (!entry->is_record_unclear)
+        {
+            return;
+        }
+    }
+    const absl::StatusOr<store_row> row =
+        store_.read(record_key(entry->key), options_.claim_timeout);
+    if (!row.ok() || row->version == 0)
+    {
+        return;
+    }
+    const absl::StatusOr<request_record> record =
+        from_json<request_record>(row->value);
+    const std::lock_guard<std::mutex> lock(entry->mutex);
+    if (record.ok() && record->coordinator == options_.host_name &&
+        record->digest == entry->record.digest)
+    {
+        entry->version = row->version;
+        entry->is_record_unclear = false;
+    }
+}
+
 void coordinator::withdraw(const request_entry_ptr& entry,
                            std::string_view reason, std::int64_t retry_after_ms)
 {
+    // Before the reply, since a repeated request may then write the row.
+    find_unclear_record(entry);
     std::int64_t version = 0;
     {
         const std::lock_guard<std::mutex> lock(entry->mutex);
