Number and record starts after a takeover, and accept absent records

Cause: after the takeover of a recorded start, an idempotent request was started again with the number of the earlier attempt and without a record, so that a further coordinator looked at the earlier target only. A row that was removed between two commits was parsed as an empty record, and the caller got an error.

Change: the next number follows the recorded one, each further start of a recorded request is recorded, and a request without a row begins again.

Conclusion: guarded by 'takeover of a starting request', 'a start after the takeover of a recorded start is recorded' and 'an id is sent again while its record is removed'.

--- a/include/egretspindle/request_path/coordinator.hpp
+++ b/include/egretspindle/request_path/coordinator.hpp
@@ -170,6 +170,7 @@
 
     // coordinator_recovery.cpp
     void adopt(const request_entry_ptr& entry, const store_row& row);
+    void begin_again(const request_entry_ptr& entry);
     void forward_until_end(const request_entry_ptr& entry,
                            const std::string& host);
     void take_over_again(const request_entry_ptr& entry);
--- a/src/request_path/coordinator_recovery.cpp
+++ b/src/request_path/coordinator_recovery.cpp
@@ -23,6 +23,11 @@
 
 void coordinator::adopt(const request_entry_ptr& entry, const store_row& row)
 {
+    if (row.version == 0)
+    {
+        begin_again(entry);
+        return;
+    }
     const absl::StatusOr<request_record> parsed =
         from_json<request_record>(row.value);
     if (!parsed.ok())
@@ -79,7 +84,10 @@
     }
     {
         const std::lock_guard<std::mutex> lock(entry->mutex);
-        entry->next_attempt = record.attempt;
+        // The number of a recorded start is taken; that of a claim is free.
+        entry->next_attempt = record.state == record_state::claimed
+                                  ? record.attempt
+                                  : record.attempt + 1;
     }
     const absl::StatusOr<commit_result> result =
         commit_record(entry, record, options_.store_timeout);
@@ -101,6 +109,29 @@
     resolve(entry);
 }
 
+// A record is removed only after `not_run`, so nothing of the request runs.
+void coordinator::begin_again(const request_entry_ptr& entry)
+{
+    {
+        const std::lock_guard<std::mutex> lock(entry->mutex);
+        entry->version = 0;
+        entry->record = make_entry(entry->spec, entry->received)->record;
+        entry->next_attempt = 1;
+    }
+    if (!entry->spec.urgent)
+    {
+        accept_batch(entry);
+    }
+    else if (entry->spec.idempotent)
+    {
+        run_urgent(entry);
+    }
+    else
+    {
+        run_recorded(entry);
+    }
+}
+
 void coordinator::forward_until_end(const request_entry_ptr& entry,
                                     const std::string& host)
 {
@@ -205,16 +236,23 @@
 
 void coordinator::start_again(const request_entry_ptr& entry)
 {
+    bool is_claimed = false;
+    {
+        const std::lock_guard<std::mutex> lock(entry->mutex);
+        is_claimed = entry->record.state == record_state::claimed;
+    }
     if (!entry->spec.urgent)
     {
         enqueue(entry, milliseconds(0));
     }
-    else if (entry->spec.idempotent)
+    else if (is_claimed)
     {
         place_urgent(entry);
     }
     else
     {
+        // A record that names a target lets the next coordinator look only
+        // there, so each further start is recorded too.
         run_recorded(entry);
     }
 }
