Continue above forbidden attempts when the record is this host's

Cause: rack owners keep a prohibition of attempts for two minutes. An id that was sent again after 'not_run' starts with attempt 1, which the takeover of the first request had forbidden, and ended as 'unknown'.

Change: when the record confirms by compare-and-set that this host is in charge, the attempts are searched and numbered above the prohibition.

Conclusion: guarded by 'takeover of a claimed request', section 'the id is sent again after not_run'.

--- a/include/egretspindle/request_path/coordinator.hpp
+++ b/include/egretspindle/request_path/coordinator.hpp
@@ -142,6 +142,7 @@
                        urgent_refusal& refusal);
     void end_urgent(const request_entry_ptr& entry,
                     const urgent_refusal& refusal);
+    int renumber(const request_entry_ptr& entry);
     bool find_attempts(const request_entry_ptr& entry, int fence_attempt);
     bool apply_found(const request_entry_ptr& entry,
                      absl::Span<const task_report> reports);
--- a/src/request_path/coordinator_urgent.cpp
+++ b/src/request_path/coordinator_urgent.cpp
@@ -17,6 +17,8 @@
 // A coordinator numbers its own attempts below this; the next coordinator
 // starts above, after it has forbidden the earlier ones.
 constexpr int attempts_per_coordinator = 16;
+// Bounds the rounds of renumbering.
+constexpr int max_attempt_number = 1000;
 constexpr milliseconds retry_delay{50};
 constexpr milliseconds max_place_wait{10'000};
 
@@ -265,6 +267,39 @@
     return step == next_step::running ? follow(entry, entry->deadline) : step;
 }
 
+// Continues above the attempts that are forbidden for the key. The prohibition
+// may stem from an earlier request with the same id, which was not run.
+//
+// Returns the highest number below, or 0 when the record does not confirm that
+// this host is in charge.
+int coordinator::renumber(const request_entry_ptr& entry)
+{
+    request_record record;
+    {
+        const std::lock_guard<std::mutex> lock(entry->mutex);
+        if (entry->version == 0 ||
+            entry->record.state != record_state::claimed ||
+            entry->next_attempt > max_attempt_number)
+        {
+            return 0;
+        }
+        record = entry->record;
+        // A coordinator that found no record numbers its attempts from one
+        // step above the first; the search must cover these as well.
+        record.attempt = std::max(record.attempt, entry->next_attempt) +
+                         2 * attempts_per_coordinator;
+    }
+    const absl::StatusOr<commit_result> result =
+        commit_record(entry, record, options_.claim_timeout);
+    if (!result.ok() || !result->committed)
+    {
+        return 0;
+    }
+    const std::lock_guard<std::mutex> lock(entry->mutex);
+    entry->next_attempt = record.attempt;
+    return record.attempt - 1;
+}
+
 void coordinator::end_urgent(const request_entry_ptr& entry,
                              const urgent_refusal& refusal)
 {
@@ -285,7 +320,15 @@
     }
     else if (refusal.superseded)
     {
-        give_away(entry);
+        const int fence_attempt = renumber(entry);
+        if (fence_attempt == 0)
+        {
+            give_away(entry);
+        }
+        else if (!find_attempts(entry, fence_attempt))
+        {
+            place_urgent(entry);
+        }
     }
     else if (may_have_run)
     {
