--- /dev/null
+++ b/tests/node/node_parts_test.cpp
@@ -0,0 +1,205 @@
+// Parts of the process.
+
+#include "egretspindle/core/error.hpp"
+#include "egretspindle/node/host_list_cache.hpp"
+#include "egretspindle/node/plan_limits.hpp"
+#include "egretspindle/node/shard_keeper.hpp"
+#include "egretspindle/request_path/request_record.hpp"
+
+#include "../support/wait_until.hpp"
+
+#include <catch2/catch.hpp>
+
+#include <atomic>
+#include <map>
+#include <mutex>
+
+using namespace egretspindle;
+using namespace egretspindle::test;
+
+namespace
+{
+
+class fake_host_list : public host_list_client
+{
+public:
+    absl::StatusOr<std::vector<host_entry>> hosts() override
+    {
+        const std::lock_guard<std::mutex> lock(mutex_);
+        ++calls_;
+        return answer_;
+    }
+
+    void set(absl::StatusOr<std::vector<host_entry>> answer)
+    {
+        const std::lock_guard<std::mutex> lock(mutex_);
+        answer_ = std::move(answer);
+        calls_ = 0;
+    }
+
+    /// Returns whether the last answer was read and taken over.
+    bool is_taken() const
+    {
+        const std::lock_guard<std::mutex> lock(mutex_);
+        return calls_ >= 2;
+    }
+
+private:
+    mutable std::mutex mutex_;
+    int calls_ = 0;
+    absl::StatusOr<std::vector<host_entry>> answer_ =
+        make_error(error_kind::unavailable, "down");
+};
+
+host_entry make_host(const std::string& name, const std::string& role,
+                     const std::string& data_center, const std::string& rack)
+{
+    host_entry host;
+    host.name = name;
+    host.role = role;
+    host.data_center = data_center;
+    host.rack = rack;
+    return host;
+}
+
+/// Counts the scans of each shard.
+class scan_counter
+{
+public:
+    absl::Status scan(int shard)
+    {
+        const std::lock_guard<std::mutex> lock(mutex_);
+        ++counts_[shard];
+        return is_down ? make_error(error_kind::unavailable, "down")
+                       : absl::OkStatus();
+    }
+
+    int count(int shard)
+    {
+        const std::lock_guard<std::mutex> lock(mutex_);
+        return counts_[shard];
+    }
+
+    std::size_t shards()
+    {
+        const std::lock_guard<std::mutex> lock(mutex_);
+        return counts_.size();
+    }
+
+    std::atomic<bool> is_down{false};
+
+private:
+    std::mutex mutex_;
+    std::map<int, int> counts_;
+};
+
+constexpr milliseconds long_period{600'000};
+
+} // namespace
+
+// Guards against open requests that wait for the next period after a change
+// of the members, and against scans of shards of other hosts.
+TEST_CASE("own shards are scanned at the start and after a change")
+{
+    scan_counter scans;
+    shard_keeper keeper([](int shard) { return shard % 2 == 0; },
+                        [&](int shard) { return scans.scan(shard); },
+                        long_period);
+    keeper.start();
+    REQUIRE(wait_until([&] { return scans.count(shard_count - 2) == 1; }));
+    keeper.wake();
+    REQUIRE(wait_until([&] { return scans.count(shard_count - 2) == 2; }));
+    keeper.stop();
+    CHECK(scans.count(0) == 2);
+    CHECK(scans.shards() == shard_count / 2);
+}
+
+// Guards against shards that are never scanned because the store was down.
+TEST_CASE("a failed scan is repeated")
+{
+    scan_counter scans;
+    scans.is_down = true;
+    shard_keeper keeper([](int) { return true; },
+                        [&](int shard) { return scans.scan(shard); },
+                        long_period);
+    keeper.start();
+    REQUIRE(wait_until([&] { return scans.count(0) > 0; }));
+    scans.is_down = false;
+    CHECK(wait_until([&] { return scans.count(shard_count - 1) > 0; }));
+}
+
+// Guards against a change that is forgotten because it came during a scan.
+TEST_CASE("a change during a scan leads to another scan")
+{
+    scan_counter scans;
+    shard_keeper* waker = nullptr;
+    std::atomic<bool> is_woken{false};
+    shard_keeper keeper([](int shard) { return shard == 0; },
+                        [&](int shard)
+                        {
+                            if (!is_woken.exchange(true))
+                            {
+                                waker->wake();
+                            }
+                            return scans.scan(shard);
+                        },
+                        long_period);
+    waker = &keeper;
+    keeper.start();
+    CHECK(wait_until([&] { return scans.count(0) == 2; }));
+}
+
+// Guards against a fleet that vanishes with the host list, and against peers
+// that count as gone while no list is known.
+TEST_CASE("the last host list is kept during an outage")
+{
+    fake_host_list client;
+    host_list_cache cache(client, milliseconds(5));
+    CHECK(cache.is_entry_host_listed("entry-a"));
+    client.set(std::vector<host_entry>{
+        make_host("entry-a", "entry", "dc-a", ""),
+        make_host("target-a", "target", "dc-a", "rack-1"),
+        make_host("target-b", "target", "dc-b", "rack-2")});
+    cache.start();
+    REQUIRE(wait_until([&] { return cache.hosts().size() == 3; }));
+    client.set(make_error(error_kind::unavailable, "down"));
+    REQUIRE(wait_until([&] { return client.is_taken(); }));
+    CHECK(cache.hosts().size() == 3);
+    client.set(std::vector<host_entry>{});
+    REQUIRE(wait_until([&] { return client.is_taken(); }));
+    CHECK(cache.racks("dc-a") == std::set<std::string>{"rack-1"});
+    CHECK(cache.is_entry_host_listed("entry-a"));
+    CHECK_FALSE(cache.is_entry_host_listed("target-a"));
+    client.set(std::vector<host_entry>{
+        make_host("target-a", "target", "dc-a", "rack-1")});
+    CHECK(wait_until([&] { return !cache.is_entry_host_listed("entry-a"); }));
+}
+
+// Guards against floors, quotas or priorities that the plan states and
+// placement does not see.
+TEST_CASE("limits follow the plan")
+{
+    plan_document plan;
+    const policy_limits defaults;
+    CHECK(limits_of_plan(plan).urgent_floor == defaults.urgent_floor);
+    CHECK(limits_of_plan(plan).batch_floor == defaults.batch_floor);
+    plan.teams["rota"].urgent_floor = 0.125;
+    plan.teams["rota"].quota = 0.5;
+    plan.teams["rota"].weight = 3;
+    plan.teams["rota"].max_queue = 7;
+    plan.teams["pay"].urgent_floor = 0.25;
+    plan.teams["pay"].batch_floor = 0.5;
+    plan.services["draft"].team = "rota";
+    plan.services["draft"].deadline_ms = 900;
+    plan.batches["index"].team = "pay";
+    plan.batches["index"].priority = 80;
+    const policy_limits limits = limits_of_plan(plan);
+    CHECK(limits.urgent_floor == 0.375);
+    CHECK(limits.batch_floor == 0.5);
+    CHECK(limits.teams.at("rota").quota == 0.5);
+    CHECK(limits.teams.at("rota").weight == 3);
+    CHECK(limits.teams.at("rota").max_queue == 7);
+    CHECK(limits.kinds.at("draft").team == "rota");
+    CHECK(limits.kinds.at("draft").deadline_ms == 900);
+    CHECK(limits.kinds.at("index").priority == 80);
+}
--- /dev/null
+++ b/tests/request_path/coordinator_fixture.hpp
@@ -0,0 +1,158 @@
+/// \file
+/// Coordinator with fakes around it.
+
+#ifndef EGRETSPINDLE_TESTS_REQUEST_PATH_COORDINATOR_FIXTURE_HPP
+#define EGRETSPINDLE_TESTS_REQUEST_PATH_COORDINATOR_FIXTURE_HPP
+
+#include "egretspindle/request_path/coordinator.hpp"
+
+#include "../support/wait_until.hpp"
+#include "fake_router.hpp"
+#include "fake_store.hpp"
+
+#include <memory>
+#include <set>
+#include <string>
+
+namespace egretspindle::test
+{
+
+constexpr milliseconds long_wait{30'000};
+
+inline request_spec make_spec(const std::string& id)
+{
+    request_spec spec;
+    spec.id = id;
+    spec.team = "rota";
+    spec.kind = "draft";
+    spec.size = {1, 100, 0};
+    spec.deadline_ms = long_wait.count();
+    spec.body = "input";
+    return spec;
+}
+
+inline request_spec make_once(const std::string& id)
+{
+    request_spec spec = make_spec(id);
+    spec.idempotent = false;
+    return spec;
+}
+
+inline request_spec make_batch(const std::string& id)
+{
+    request_spec spec = make_spec(id);
+    spec.urgent = false;
+    spec.deadline_ms = 0;
+    return spec;
+}
+
+/// Store, router and coordinators that share them.
+struct coordinator_fixture
+{
+    coordinator_fixture()
+    {
+        first = make("host-a");
+    }
+
+    /// Makes a coordinator of the given host and starts it.
+    std::unique_ptr<coordinator> make(const std::string& name)
+    {
+        coordinator_options options;
+        options.host_name = name;
+        options.data_center = "dc";
+        options.poll_interval = milliseconds(100);
+        coordinator_hooks hooks;
+        hooks.forward_wait = [this](const std::string&, const key_query& query)
+        {
+            const std::lock_guard<std::mutex> lock(mutex);
+            ++forwards;
+            request_reply reply = forwarded;
+            reply.key = query.key;
+            return absl::StatusOr<request_reply>(reply);
+        };
+        hooks.forward_ended = [](const std::string&, const task_report&)
+        {
+            return absl::OkStatus();
+        };
+        hooks.is_alive = [this](const std::string& host)
+        {
+            const std::lock_guard<std::mutex> lock(mutex);
+            return dead.count(host) == 0;
+        };
+        hooks.is_view_settled = [this]
+        {
+            return is_view_settled.load();
+        };
+        hooks.limits = []
+        {
+            return std::make_shared<const policy_limits>();
+        };
+        hooks.racks = []
+        {
+            rack_summary rack;
+            rack.rack = "rack";
+            rack.free_slots = 8;
+            rack.free_cores = 32;
+            rack.free_memory_mb = 100'000;
+            rack.targets = 1;
+            return std::vector<rack_summary>{rack};
+        };
+        hooks.is_preferred = [](const std::string&)
+        {
+            return true;
+        };
+        std::unique_ptr<coordinator> made =
+            std::make_unique<coordinator>(options, hooks, store, router);
+        made->start();
+        return made;
+    }
+
+    void set_dead(const std::string& host)
+    {
+        const std::lock_guard<std::mutex> lock(mutex);
+        dead.insert(host);
+    }
+
+    /// Record as a coordinator on `host` leaves it when it dies.
+    request_record left_record(const request_spec& spec, std::string_view state,
+                               int attempt,
+                               const std::string& host = "host-dead")
+    {
+        request_record record;
+        record.digest = digest_of(spec);
+        record.state = state;
+        record.coordinator = host;
+        record.data_center = "dc";
+        record.attempt = attempt;
+        record.spec = spec;
+        if (state == record_state::starting)
+        {
+            record.target = "target";
+            record.target_rack = "rack";
+            record.target_data_center = "dc";
+            record.boot_id = "boot";
+        }
+        return record;
+    }
+
+    /// Waits for a reply that is final.
+    request_reply final_reply(coordinator& from, const std::string& key)
+    {
+        const absl::StatusOr<request_reply> reply =
+            from.wait({key, long_wait.count()});
+        return reply.ok() ? *reply : request_reply{};
+    }
+
+    std::mutex mutex;
+    std::set<std::string> dead{"host-dead"};
+    int forwards = 0;
+    request_reply forwarded; ///< answer of other coordinators
+    std::atomic<bool> is_view_settled{true};
+    fake_store store;
+    fake_router router;
+    std::unique_ptr<coordinator> first;
+};
+
+} // namespace egretspindle::test
+
+#endif
--- /dev/null
+++ b/tests/request_path/coordinator_recorded_test.cpp
@@ -0,0 +1,186 @@
+// Requests that are recorded before they start.
+
+#include "coordinator_fixture.hpp"
+
+#include <catch2/catch.hpp>
+
+#include <thread>
+
+using namespace egretspindle;
+using namespace egretspindle::test;
+
+// Guards against a start without a record, which a second coordinator would
+// repeat.
+TEST_CASE("recorded requests are answered not_run while the store is down")
+{
+    coordinator_fixture f;
+    f.store.set_down(true);
+    const request_spec spec = GENERATE(make_once("a"), make_batch("a"));
+    const absl::StatusOr<request_reply> reply =
+        f.first->submit(spec, long_wait);
+    REQUIRE(reply.ok());
+    CHECK(reply->result == outcome::not_run);
+    CHECK(reply->retry_after_ms > 0);
+    CHECK(f.router.starts().empty());
+    f.store.set_down(false);
+    CHECK(f.store.row_count() == 0);
+    REQUIRE(f.first->submit(spec, milliseconds(0)).ok());
+    CHECK(f.final_reply(*f.first, "rota/a").result == outcome::done);
+    CHECK(f.router.starts().size() == 1);
+}
+
+// Guards against a second start of work that must not run twice.
+TEST_CASE("a non-idempotent start whose answer was lost ends truthfully")
+{
+    coordinator_fixture f;
+    f.router.lose_starts(1);
+    SECTION("the target kept the result")
+    {
+        const absl::StatusOr<request_reply> reply =
+            f.first->submit(make_once("a"), long_wait);
+        REQUIRE(reply.ok());
+        CHECK(reply->result == outcome::done);
+        CHECK(reply->answer == "answer of rota/a");
+    }
+    SECTION("the target restarted")
+    {
+        f.router.set(&fake_router::is_held_, true);
+        f.first->submit(make_once("a"), milliseconds(0)).status().IgnoreError();
+        REQUIRE(wait_until([&] { return !f.router.starts().empty(); }));
+        f.router.restart();
+        CHECK(f.final_reply(*f.first, "rota/a").result == outcome::unknown);
+    }
+    CHECK(f.router.starts().size() == 1);
+}
+
+// Guards against a repeated run after a definite refusal is mistaken for one
+// that may have run, and against a record that stays behind it.
+TEST_CASE("a refused non-idempotent start is not_run")
+{
+    coordinator_fixture f;
+    f.router.set(&fake_router::is_full_, true);
+    const absl::StatusOr<request_reply> reply =
+        f.first->submit(make_once("a"), long_wait);
+    REQUIRE(reply.ok());
+    CHECK(reply->result == outcome::not_run);
+    CHECK(f.store.row_count() == 0);
+    f.router.set(&fake_router::is_full_, false);
+    CHECK(f.first->submit(make_once("a"), long_wait)->result == outcome::done);
+    CHECK(f.router.starts().size() == 1);
+}
+
+// Guards against a row that stays behind `not_run` when the store wrote the
+// start but its answer was lost.
+TEST_CASE("not_run after a lost answer of the store leaves no record")
+{
+    coordinator_fixture f;
+    f.store.lose_answers(1);
+    const absl::StatusOr<request_reply> reply =
+        f.first->submit(make_once("a"), long_wait);
+    REQUIRE(reply.ok());
+    CHECK(f.router.starts().size() <= 1);
+    if (reply->result == outcome::not_run)
+    {
+        CHECK(f.router.starts().empty());
+        CHECK(wait_until([&] { return f.store.row_count() == 0; },
+                         std::chrono::seconds(5)));
+    }
+}
+
+// Guards against a cancellation that comes during the search for a place and
+// is then forgotten, so that the work runs to its end.
+TEST_CASE("cancellation before the start prevents the start")
+{
+    coordinator_fixture f;
+    f.router.set(&fake_router::is_held_, true);
+    f.router.set(&fake_router::is_reserve_held_, true);
+    const request_spec spec = GENERATE(make_once("a"), make_batch("a"));
+    f.first->submit(spec, milliseconds(0)).status().IgnoreError();
+    REQUIRE(wait_until([&] { return f.router.reservations() > 0; }));
+    std::thread caller([&]
+                       { f.first->cancel("rota/a").status().IgnoreError(); });
+    REQUIRE(wait_until(
+        [&]
+        {
+            const request_entry_ptr entry = f.first->entries().front();
+            const std::lock_guard<std::mutex> lock(entry->mutex);
+            return entry->cancel_requested;
+        }));
+    f.router.set(&fake_router::is_reserve_held_, false);
+    caller.join();
+    CHECK(f.final_reply(*f.first, "rota/a").result == outcome::cancelled);
+    CHECK_FALSE(f.router.is_running({"rota/a", 1}));
+}
+
+// Guards against a queued request that starts after it was cancelled.
+TEST_CASE("cancellation of a queued batch request prevents its start")
+{
+    coordinator_fixture f;
+    f.router.set(&fake_router::is_full_, true);
+    f.first->submit(make_batch("a"), milliseconds(0)).status().IgnoreError();
+    REQUIRE(wait_until([&] { return f.router.reservations() > 0; }));
+    f.first->cancel("rota/a").status().IgnoreError();
+    f.router.set(&fake_router::is_full_, false);
+    CHECK(f.final_reply(*f.first, "rota/a").result == outcome::cancelled);
+    REQUIRE(f.first->flush(long_wait));
+    CHECK(f.router.starts().empty());
+    CHECK(f.store.record("rota/a").reply.result == outcome::cancelled);
+}
+
+// Guards against a cancelled task that goes on, and against `cancelled` as
+// the outcome of one that had finished.
+TEST_CASE("cancellation while a recorded request runs stops it")
+{
+    coordinator_fixture f;
+    f.router.set(&fake_router::is_held_, true);
+    const request_spec spec = GENERATE(make_once("a"), make_batch("a"));
+    f.first->submit(spec, milliseconds(0)).status().IgnoreError();
+    REQUIRE(wait_until([&] { return f.router.is_running({"rota/a", 1}); }));
+    REQUIRE(wait_until(
+        [&] {
+            return reply_of(*f.first->entries().front()).result ==
+                   outcome::running;
+        }));
+    const absl::StatusOr<request_reply> reply = f.first->cancel("rota/a");
+    REQUIRE(reply.ok());
+    CHECK(reply->result == outcome::cancelled);
+    CHECK_FALSE(f.router.is_running({"rota/a", 1}));
+    CHECK(f.router.starts().size() == 1);
+}
+
+// Guards against evicted work that is lost, starts over or starts twice when
+// its end is reported more than once.
+TEST_CASE("evicted batch work resumes once from its checkpoint")
+{
+    coordinator_fixture f;
+    f.router.set(&fake_router::is_held_, true);
+    f.first->submit(make_batch("a"), milliseconds(0)).status().IgnoreError();
+    REQUIRE(wait_until(
+        [&]
+        {
+            const std::vector<request_entry_ptr> all = f.first->entries();
+            return !all.empty() &&
+                   reply_of(*all.front()).result == outcome::running &&
+                   !f.first->has_busy_requests();
+        }));
+    task_query query;
+    query.key = "rota/a";
+    query.attempt = 1;
+    f.router.stop(query).status().IgnoreError();
+    task_report report;
+    report.task.key = "rota/a";
+    report.task.attempt = 1;
+    report.task.state = "stopped";
+    report.task.checkpoint = "half";
+    report.task.boot_id = "boot";
+    report.target = "target";
+    report.rack = "rack";
+    report.data_center = "dc";
+    REQUIRE(wait_until([&] { return f.first->task_ended(report).ok(); }));
+    REQUIRE(wait_until([&] { return f.router.starts().size() == 2; }));
+    REQUIRE(wait_until([&] { return f.first->task_ended(report).ok(); }));
+    f.router.finish({"rota/a", 2}, "whole");
+    CHECK(f.final_reply(*f.first, "rota/a").answer == "whole");
+    REQUIRE(f.router.starts().size() == 2);
+    CHECK(f.router.starts()[1].checkpoint == "half");
+}
--- /dev/null
+++ b/tests/request_path/coordinator_takeover_test.cpp
@@ -0,0 +1,201 @@
+// Requests of coordinators that died or were paused.
+
+#include "coordinator_fixture.hpp"
+
+#include <catch2/catch.hpp>
+
+#include <thread>
+
+using namespace egretspindle;
+using namespace egretspindle::test;
+
+// Guards against accepted work that is lost with its coordinator, or that
+// starts twice when its shard is scanned twice.
+TEST_CASE("an accepted batch request of a dead coordinator starts once")
+{
+    coordinator_fixture f;
+    const request_spec spec = make_batch("a");
+    const int shard = shard_of("rota/a");
+    f.store.put_record("rota/a",
+                       f.left_record(spec, record_state::accepted, 0));
+    f.store.put(open_key("dc", shard, "rota/a"), "host-dead");
+    REQUIRE(f.first->adopt_shard(shard).ok());
+    REQUIRE(f.first->adopt_shard(shard).ok());
+    CHECK(f.final_reply(*f.first, "rota/a").result == outcome::done);
+    REQUIRE(f.first->flush(long_wait));
+    CHECK(f.router.starts().size() == 1);
+    CHECK(f.store.row_count() == 1);
+}
+
+// Guards against two coordinators in charge of one request.
+TEST_CASE("the scan leaves requests of live coordinators alone")
+{
+    coordinator_fixture f;
+    const int shard = shard_of("rota/a");
+    f.store.put_record(
+        "rota/a",
+        f.left_record(make_batch("a"), record_state::accepted, 0, "host-b"));
+    f.store.put(open_key("dc", shard, "rota/a"), "host-b");
+    REQUIRE(f.first->adopt_shard(shard).ok());
+    CHECK(f.first->entries().empty());
+    CHECK(f.store.record("rota/a").coordinator == "host-b");
+}
+
+// Guards against a second run beside an attempt of the dead coordinator, and
+// against a late start by it.
+TEST_CASE("takeover of a claimed request")
+{
+    coordinator_fixture f;
+    f.store.put_record("rota/a",
+                       f.left_record(make_spec("a"), record_state::claimed, 1));
+    SECTION("an attempt runs")
+    {
+        f.router.add_running({"rota/a", 3});
+        f.first->submit(make_spec("a"), milliseconds(0)).status().IgnoreError();
+        REQUIRE(wait_until([&] { return f.router.finds() > 0; }));
+        f.router.finish({"rota/a", 3}, "earlier");
+        CHECK(f.final_reply(*f.first, "rota/a").answer == "earlier");
+        CHECK(f.router.starts().empty());
+    }
+    SECTION("no attempt is found")
+    {
+        const absl::StatusOr<request_reply> reply =
+            f.first->submit(make_spec("a"), long_wait);
+        REQUIRE(reply.ok());
+        CHECK(reply->result == outcome::done);
+        REQUIRE(f.router.starts().size() == 1);
+        CHECK(f.router.starts().front().attempt > 16);
+        place_request late;
+        late.spec = make_spec("a");
+        late.attempt = 16;
+        CHECK(f.router.place(late)->superseded);
+    }
+    SECTION("the id is sent again after not_run")
+    {
+        f.router.set(&fake_router::is_full_, true);
+        CHECK(f.first->submit(make_spec("a"), long_wait)->result ==
+              outcome::not_run);
+        REQUIRE(f.first->flush(long_wait));
+        f.router.set(&fake_router::is_full_, false);
+        CHECK(f.first->submit(make_spec("a"), long_wait)->result ==
+              outcome::done);
+    }
+}
+
+// Guards against a second start of recorded work whose coordinator died, and
+// against a number that two attempts share.
+TEST_CASE("takeover of a starting request")
+{
+    coordinator_fixture f;
+    const bool is_idempotent = GENERATE(false, true);
+    const request_spec spec = is_idempotent ? make_spec("a") : make_once("a");
+    f.store.put_record("rota/a",
+                       f.left_record(spec, record_state::starting, 1));
+    SECTION("the attempt runs")
+    {
+        f.router.add_running({"rota/a", 1});
+        f.first->submit(spec, milliseconds(0)).status().IgnoreError();
+        f.router.finish({"rota/a", 1}, "earlier");
+        CHECK(f.final_reply(*f.first, "rota/a").answer == "earlier");
+        CHECK(f.router.starts().empty());
+    }
+    SECTION("the start never arrived")
+    {
+        const absl::StatusOr<request_reply> reply =
+            f.first->submit(spec, long_wait);
+        REQUIRE(reply.ok());
+        CHECK(reply->result == outcome::done);
+        REQUIRE(f.router.starts().size() == 1);
+        CHECK(f.router.starts().front().attempt == 2);
+        REQUIRE(f.first->flush(long_wait));
+        CHECK(f.store.record("rota/a").attempt == 2);
+    }
+    SECTION("the target restarted")
+    {
+        f.router.restart();
+        const absl::StatusOr<request_reply> reply =
+            f.first->submit(spec, long_wait);
+        REQUIRE(reply.ok());
+        CHECK(reply->result ==
+              (is_idempotent ? outcome::done : outcome::unknown));
+        CHECK(f.router.starts().size() == (is_idempotent ? 1 : 0));
+    }
+}
+
+// Guards against a further start that is not recorded: the coordinator after
+// it would look at the earlier target only.
+TEST_CASE("a start after the takeover of a recorded start is recorded")
+{
+    coordinator_fixture f;
+    f.router.set(&fake_router::is_held_, true);
+    f.store.put_record(
+        "rota/a", f.left_record(make_spec("a"), record_state::starting, 1));
+    f.first->submit(make_spec("a"), milliseconds(0)).status().IgnoreError();
+    REQUIRE(wait_until([&] { return f.router.starts().size() == 1; }));
+    const int attempt = f.router.starts().front().attempt;
+    CHECK(f.store.record("rota/a").attempt == attempt);
+    f.router.finish({"rota/a", attempt}, "draft");
+    CHECK(f.final_reply(*f.first, "rota/a").answer == "draft");
+}
+
+// Guards against a record of the earlier coordinator over that of its
+// successor, and against a start by it.
+TEST_CASE("a coordinator that was paused cannot record over its successor")
+{
+    coordinator_fixture f;
+    const std::unique_ptr<coordinator> second = f.make("host-b");
+    f.router.set(&fake_router::is_reserve_held_, true);
+    std::thread caller(
+        [&] {
+            f.first->submit(make_batch("a"), milliseconds(0))
+                .status()
+                .IgnoreError();
+        });
+    caller.join();
+    REQUIRE(wait_until([&] { return f.router.reservations() == 1; }));
+    // The first coordinator is paused here, between reservation and record.
+    f.set_dead("host-a");
+    f.router.set(&fake_router::is_held_, true);
+    REQUIRE(second->adopt_shard(shard_of("rota/a")).ok());
+    REQUIRE(wait_until([&] { return f.router.reservations() == 2; }));
+    {
+        const std::lock_guard<std::mutex> lock(f.mutex);
+        f.forwarded.result = outcome::running;
+    }
+    f.router.set(&fake_router::is_reserve_held_, false);
+    REQUIRE(wait_until([&] { return f.router.starts().size() == 1; }));
+    const int attempt = f.router.starts().front().attempt;
+    f.router.finish({"rota/a", attempt}, "whole");
+    CHECK(f.final_reply(*second, "rota/a").answer == "whole");
+    REQUIRE(second->flush(long_wait));
+    CHECK(f.store.record("rota/a").coordinator == "host-b");
+    CHECK(f.store.record("rota/a").reply.answer == "whole");
+    {
+        const std::lock_guard<std::mutex> lock(f.mutex);
+        f.forwarded.result = outcome::done;
+    }
+    REQUIRE(wait_until([&] { return !f.first->has_busy_requests(); }));
+    CHECK(f.router.starts().size() == 1);
+    CHECK(f.store.record("rota/a").coordinator == "host-b");
+}
+
+// Guards against a lost result when the owner reports the end of work whose
+// coordinator died without a record, while the store was down.
+TEST_CASE("the end of a request without a record is recorded")
+{
+    coordinator_fixture f;
+    task_report report;
+    report.task.key = "rota/a";
+    report.task.attempt = 1;
+    report.task.state = "finished";
+    report.task.ok = true;
+    report.task.answer = "draft";
+    report.target = "target";
+    REQUIRE(wait_until([&] { return f.first->task_ended(report).ok(); }));
+    CHECK(f.store.record("rota/a").reply.answer == "draft");
+    const absl::StatusOr<request_reply> reply =
+        f.first->submit(make_spec("a"), long_wait);
+    REQUIRE(reply.ok());
+    CHECK(reply->answer == "draft");
+    CHECK(f.router.starts().empty());
+}
--- /dev/null
+++ b/tests/request_path/fake_target.hpp
@@ -0,0 +1,303 @@
+/// \file
+/// Target in memory, with faults.
+
+#ifndef EGRETSPINDLE_TESTS_REQUEST_PATH_FAKE_TARGET_HPP
+#define EGRETSPINDLE_TESTS_REQUEST_PATH_FAKE_TARGET_HPP
+
+#include "egretspindle/adapters/target_client.hpp"
+#include "egretspindle/core/clock.hpp"
+#include "egretspindle/core/error.hpp"
+
+#include <algorithm>
+#include <map>
+#include <mutex>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace egretspindle::test
+{
+
+/// Keeps leases, tombstones and results as `tools/standin_target` does.
+class fake_target
+{
+public:
+    using task_id = std::pair<std::string, int>;
+
+    absl::StatusOr<task_state> start(const start_command& command)
+    {
+        const std::lock_guard<std::mutex> lock(mutex_);
+        const absl::Status status = check({command.epoch, command.term});
+        if (!status.ok())
+        {
+            return status;
+        }
+        const task_id id{command.key, command.attempt};
+        if (lost_commands_ > 0)
+        {
+            --lost_commands_;
+            delayed_.push_back(command);
+            return make_error(error_kind::deadline_exceeded, "lost");
+        }
+        const absl::Status admitted = admit(command);
+        if (!admitted.ok())
+        {
+            return admitted;
+        }
+        if (lost_answers_ > 0)
+        {
+            --lost_answers_;
+            return make_error(error_kind::deadline_exceeded, "answer lost");
+        }
+        return state_of(id);
+    }
+
+    absl::StatusOr<task_state> task(const std::string& key, int attempt)
+    {
+        const std::lock_guard<std::mutex> lock(mutex_);
+        const absl::Status status = check({});
+        return status.ok()
+                   ? absl::StatusOr<task_state>(state_of({key, attempt}))
+                   : status;
+    }
+
+    absl::StatusOr<task_state> stop(const stop_command& command)
+    {
+        const std::lock_guard<std::mutex> lock(mutex_);
+        const absl::Status status = check({command.epoch, command.term});
+        if (!status.ok())
+        {
+            return status;
+        }
+        const task_id id{command.key, command.attempt};
+        const auto it = tasks_.find(id);
+        if (it == tasks_.end())
+        {
+            tombstones_.insert(id);
+        }
+        else if (it->second.state == "running")
+        {
+            it->second.state = "stopped";
+            it->second.checkpoint = command.checkpoint ? "half" : "";
+        }
+        return state_of(id);
+    }
+
+    absl::Status acknowledge(const ack_command& command)
+    {
+        const std::lock_guard<std::mutex> lock(mutex_);
+        const absl::Status status = check({});
+        if (status.ok())
+        {
+            tasks_.erase({command.key, command.attempt});
+        }
+        return status;
+    }
+
+    absl::StatusOr<target_state> renew(const renew_command& command)
+    {
+        const std::lock_guard<std::mutex> lock(mutex_);
+        const absl::Status status = check({command.epoch, command.term});
+        if (!status.ok())
+        {
+            return status;
+        }
+        lease_until_ms_ = std::max(lease_until_ms_, command.lease_until_ms);
+        ++renewals_;
+        target_state state;
+        state.clock_ms = clock_ms();
+        state.boot_id = boot_id_;
+        for (const auto& [id, task] : tasks_)
+        {
+            state.tasks.push_back(state_of(id));
+            state.tasks.back().answer.clear();
+        }
+        return state;
+    }
+
+    /// Arrival of the starts that were delayed.
+    ///
+    /// \returns how many of them started
+    int deliver_delayed()
+    {
+        const std::lock_guard<std::mutex> lock(mutex_);
+        int count = 0;
+        for (const start_command& command : delayed_)
+        {
+            count += admit(command).ok() ? 1 : 0;
+        }
+        delayed_.clear();
+        return count;
+    }
+
+    /// Adds a task that an earlier owner started.
+    void add_running(const task_id& id)
+    {
+        const std::lock_guard<std::mutex> lock(mutex_);
+        task_state& task = tasks_[id];
+        task.state = "running";
+        task.team = "rota";
+        task.kind = "draft";
+        task.cpu_cores = 1;
+        task.memory_mb = 100;
+    }
+
+    void finish(const task_id& id, const std::string& answer)
+    {
+        const std::lock_guard<std::mutex> lock(mutex_);
+        tasks_[id].state = "finished";
+        tasks_[id].ok = true;
+        tasks_[id].answer = answer;
+    }
+
+    void restart()
+    {
+        const std::lock_guard<std::mutex> lock(mutex_);
+        boot_id_ += "'";
+        tasks_.clear();
+        tombstones_.clear();
+    }
+
+    void set_unreachable(bool is_unreachable)
+    {
+        const std::lock_guard<std::mutex> lock(mutex_);
+        is_unreachable_ = is_unreachable;
+    }
+
+    /// Delays the next start commands until `deliver_delayed`.
+    void lose_commands(int count)
+    {
+        const std::lock_guard<std::mutex> lock(mutex_);
+        lost_commands_ = count;
+    }
+
+    /// Loses the answers of the next start commands.
+    void lose_answers(int count)
+    {
+        const std::lock_guard<std::mutex> lock(mutex_);
+        lost_answers_ = count;
+    }
+
+    void set_token(const fencing_token& token)
+    {
+        const std::lock_guard<std::mutex> lock(mutex_);
+        token_ = token;
+    }
+
+    /// Returns the lease that is left on the target's clock.
+    std::int64_t lease_left_ms() const
+    {
+        const std::lock_guard<std::mutex> lock(mutex_);
+        return lease_until_ms_ - clock_ms();
+    }
+
+    int renewals() const
+    {
+        const std::lock_guard<std::mutex> lock(mutex_);
+        return renewals_;
+    }
+
+    std::vector<start_command> starts() const
+    {
+        const std::lock_guard<std::mutex> lock(mutex_);
+        return starts_;
+    }
+
+    bool knows(const task_id& id) const
+    {
+        const std::lock_guard<std::mutex> lock(mutex_);
+        return tasks_.count(id) > 0;
+    }
+
+    /// Returns the state of a task as the target has it.
+    std::string state(const task_id& id) const
+    {
+        const std::lock_guard<std::mutex> lock(mutex_);
+        return state_of(id).state;
+    }
+
+private:
+    absl::Status check(const fencing_token& token)
+    {
+        if (is_unreachable_)
+        {
+            return make_error(error_kind::unavailable, "out of reach");
+        }
+        if (token == fencing_token{})
+        {
+            return absl::OkStatus();
+        }
+        if (token < token_)
+        {
+            return make_error(error_kind::stale_epoch, "stale");
+        }
+        token_ = token;
+        return absl::OkStatus();
+    }
+
+    absl::Status admit(const start_command& command)
+    {
+        const task_id id{command.key, command.attempt};
+        if (tasks_.count(id) > 0)
+        {
+            return absl::OkStatus();
+        }
+        if (tombstones_.count(id) > 0 || clock_ms() > command.start_before_ms)
+        {
+            return make_error(error_kind::conflict, "stopped or too late");
+        }
+        starts_.push_back(command);
+        task_state& task = tasks_[id];
+        task.state = "running";
+        task.team = command.team;
+        task.kind = command.kind;
+        task.urgent = command.urgent;
+        task.preemptible = command.preemptible;
+        return absl::OkStatus();
+    }
+
+    task_state state_of(const task_id& id) const
+    {
+        task_state state;
+        const auto it = tasks_.find(id);
+        if (it != tasks_.end())
+        {
+            state = it->second;
+        }
+        else if (tombstones_.count(id) > 0)
+        {
+            state.state = "stopped";
+            state.error = "never_started";
+        }
+        state.key = id.first;
+        state.attempt = id.second;
+        state.boot_id = boot_id_;
+        state.clock_ms = clock_ms();
+        return state;
+    }
+
+    // Differs from the local clock, as that of another machine.
+    std::int64_t clock_ms() const
+    {
+        return 1'000'000 + elapsed_ms(made_, steady_clock::now());
+    }
+
+    mutable std::mutex mutex_;
+    time_point made_ = steady_clock::now();
+    std::string boot_id_ = "boot";
+    fencing_token token_;
+    std::int64_t lease_until_ms_ = 0;
+    std::map<task_id, task_state> tasks_;
+    std::set<task_id> tombstones_;
+    std::vector<start_command> starts_;
+    std::vector<start_command> delayed_;
+    bool is_unreachable_ = false;
+    int lost_commands_ = 0;
+    int lost_answers_ = 0;
+    int renewals_ = 0;
+};
+
+} // namespace egretspindle::test
+
+#endif
--- /dev/null
+++ b/tests/request_path/parts_test.cpp
@@ -0,0 +1,168 @@
+// Parts of the request path.
+
+#include "egretspindle/request_path/completion_log.hpp"
+#include "egretspindle/request_path/request_table.hpp"
+#include "egretspindle/request_path/store_health.hpp"
+#include "egretspindle/request_path/worker_pool.hpp"
+
+#include "../support/wait_until.hpp"
+#include "fake_store.hpp"
+
+#include <catch2/catch.hpp>
+
+#include <atomic>
+
+using namespace egretspindle;
+using namespace egretspindle::test;
+
+namespace
+{
+
+constexpr milliseconds limit{30'000};
+
+completion make_completion(const std::string& key, std::int64_t version,
+                           std::atomic<int>& committed,
+                           std::atomic<int>& conflicted)
+{
+    completion item;
+    item.checks.push_back({key, version});
+    item.writes.push_back({key, "ended", false});
+    item.on_result = [&](const commit_result& result)
+    {
+        ++(result.committed ? committed : conflicted);
+    };
+    return item;
+}
+
+} // namespace
+
+// Guards against one transaction for each end, and against ends that are lost
+// in an outage.
+TEST_CASE("completions are kept during an outage and written together")
+{
+    fake_store store;
+    std::atomic<int> committed{0};
+    std::atomic<int> conflicted{0};
+    completion_log log(store, "host-a");
+    store.set_down(true);
+    for (int n = 0; n < 10; ++n)
+    {
+        log.add(make_completion("row/" + std::to_string(n), 0, committed,
+                                conflicted));
+    }
+    log.start();
+    CHECK_FALSE(log.flush(milliseconds(50)));
+    CHECK(log.pending() == 10);
+    store.set_down(false);
+    REQUIRE(log.flush(limit));
+    CHECK(committed == 10);
+    CHECK(store.commits() == 1);
+}
+
+// Guards against one conflict that holds up or fails the others of its batch.
+TEST_CASE("a conflict of one completion does not affect the others")
+{
+    fake_store store;
+    std::atomic<int> committed{0};
+    std::atomic<int> conflicted{0};
+    store.put("row/1", "by another");
+    completion_log log(store, "host-a");
+    for (int n = 0; n < 3; ++n)
+    {
+        log.add(make_completion("row/" + std::to_string(n), 0, committed,
+                                conflicted));
+    }
+    log.start();
+    REQUIRE(log.flush(limit));
+    CHECK(committed == 2);
+    CHECK(conflicted == 1);
+    CHECK(store.read("row/1", limit)->value == "by another");
+}
+
+// Guards against ends that are taken for written while only the answer of the
+// store is missing, or that are never reported.
+TEST_CASE("each completion gets one result after a lost answer")
+{
+    fake_store store;
+    std::atomic<int> committed{0};
+    std::atomic<int> conflicted{0};
+    completion_log log(store, "host-a");
+    store.lose_answers(1);
+    log.add(make_completion("row/0", 0, committed, conflicted));
+    log.start();
+    REQUIRE(log.flush(limit));
+    CHECK(committed + conflicted == 1);
+    CHECK(store.read("row/0", limit)->value == "ended");
+}
+
+// Guards against two entries of one key, against the removal of a successor,
+// and against the loss of entries that are not recorded.
+TEST_CASE("the request table holds one entry for each key")
+{
+    request_table table;
+    request_spec spec;
+    spec.id = "a";
+    spec.team = "rota";
+    const time_point now = steady_clock::now();
+    const request_entry_ptr first = make_entry(spec, now);
+    const request_entry_ptr second = make_entry(spec, now);
+    CHECK(table.insert(first).second);
+    CHECK(table.insert(second) == std::pair(first, false));
+    table.erase(second);
+    CHECK(table.find("rota/a") == first);
+    first->reply.result = outcome::done;
+    first->ended = now;
+    table.prune(now + milliseconds(20), milliseconds(10));
+    CHECK(table.find("rota/a") == first);
+    first->is_durable = true;
+    table.prune(now + milliseconds(5), milliseconds(10));
+    CHECK(table.find("rota/a") == first);
+    table.prune(now + milliseconds(20), milliseconds(10));
+    CHECK(table.find("rota/a") == nullptr);
+}
+
+// Guards against every urgent request waiting for a store that is down.
+TEST_CASE("one call in each period tries a store that failed")
+{
+    store_health health;
+    const time_point now = steady_clock::now();
+    CHECK(health.should_try(now));
+    health.failed(now);
+    CHECK_FALSE(health.is_healthy());
+    CHECK_FALSE(health.should_try(now + milliseconds(499)));
+    CHECK(health.should_try(now + milliseconds(501)));
+    CHECK_FALSE(health.should_try(now + milliseconds(502)));
+    health.succeeded();
+    CHECK(health.should_try(now + milliseconds(503)));
+    CHECK(health.is_healthy());
+}
+
+// Guards against a job that waits for an idle thread although more may be
+// started, against more threads than allowed, and against jobs after a stop.
+TEST_CASE("the worker pool grows up to its limit")
+{
+    worker_pool pool(2);
+    std::atomic<int> running{0};
+    std::atomic<int> started{0};
+    std::atomic<bool> is_released{false};
+    std::atomic<int> most{0};
+    const auto job = [&]
+    {
+        ++started;
+        most = std::max(most.load(), ++running);
+        CHECK(wait_until([&] { return is_released.load(); }));
+        --running;
+    };
+    for (int n = 0; n < 4; ++n)
+    {
+        pool.run(job);
+    }
+    REQUIRE(wait_until([&] { return running == 2; }));
+    CHECK(started == 2);
+    is_released = true;
+    REQUIRE(wait_until([&] { return started == 4 && running == 0; }));
+    CHECK(most == 2);
+    pool.stop();
+    pool.run(job);
+    CHECK(started == 4);
+}
--- /dev/null
+++ b/tests/request_path/rack_runtime_test.cpp
@@ -0,0 +1,229 @@
+// Owner of a rack.
+
+#include "rack_fixture.hpp"
+
+#include <catch2/catch.hpp>
+
+using namespace egretspindle;
+using namespace egretspindle::test;
+
+// Guards against a second run elsewhere while the first still has its lease.
+TEST_CASE("a task may move only after the certain expiry of its lease")
+{
+    rack_fixture f;
+    f.run();
+    REQUIRE(f.runtime->place(make_place("a")).placed);
+    REQUIRE(wait_until([&] { return f.target.lease_left_ms() > 0; }));
+    f.target.set_unreachable(true);
+    REQUIRE(wait_until(
+        [&]
+        {
+            const std::int64_t left_before = f.target.lease_left_ms();
+            const task_report report =
+                f.runtime->query_task(make_query("rota/a"));
+            // While the target holds a lease, nothing may be certain.
+            CHECK((left_before <= 0 || f.target.lease_left_ms() <= 0 ||
+                   !report.certainly_ended));
+            return report.certainly_ended;
+        }));
+    CHECK(f.target.lease_left_ms() <= 0);
+    REQUIRE(wait_until(
+        [&]
+        {
+            return f
+                .report([](const task_report& item)
+                        { return item.certainly_ended; })
+                .has_value();
+        }));
+}
+
+// Guards against a task that moves while an owner that was not heard of may
+// still renew its lease.
+TEST_CASE("a new owner does not declare tasks lost without contact")
+{
+    rack_fixture f;
+    f.target.set_unreachable(true);
+    f.run("host-old");
+    const time_point end = steady_clock::now() + 4 * lease;
+    REQUIRE(wait_until(
+        [&]
+        {
+            CHECK_FALSE(
+                f.runtime->query_task(make_query("rota/a")).certainly_ended);
+            return steady_clock::now() > end;
+        }));
+    CHECK_FALSE(f.runtime->is_covered());
+    f.rack.previous_released = true;
+    f.rack.released_at = steady_clock::now();
+    f.runtime->update(f.rack);
+    CHECK(wait_until(
+        [&] {
+            return f.runtime->query_task(make_query("rota/a")).certainly_ended;
+        }));
+}
+
+// Guards against a start that arrives after its attempt was given up.
+TEST_CASE("a late start after a stop is refused")
+{
+    rack_fixture f;
+    f.run();
+    f.target.lose_commands(1);
+    const place_reply reply = f.runtime->place(make_place("a"));
+    CHECK_FALSE(reply.placed);
+    CHECK_FALSE(reply.may_have_started);
+    const task_report report = f.runtime->query_task(make_query("rota/a"));
+    CHECK(report.never_started);
+    CHECK(f.target.deliver_delayed() == 0);
+    CHECK(f.target.starts().empty());
+}
+
+// Guards against `never started` for an attempt on an earlier boot, which
+// would make non-idempotent work run twice.
+TEST_CASE("a stop after a restart does not tell that nothing started")
+{
+    rack_fixture f;
+    f.run();
+    REQUIRE(f.runtime->place(make_place("a")).placed);
+    f.target.restart();
+    for (int n = 0; n < 2; ++n)
+    {
+        const task_report stopped = f.runtime->stop_task(make_query("rota/a"));
+        CHECK_FALSE(stopped.never_started);
+        const task_report asked = f.runtime->query_task(make_query("rota/a"));
+        CHECK_FALSE(asked.never_started);
+        CHECK(has_ended(asked));
+    }
+}
+
+// Guards against a second start when only the answer was lost.
+TEST_CASE("a start whose answer was lost is confirmed by the target")
+{
+    rack_fixture f;
+    f.run();
+    f.target.lose_answers(1);
+    CHECK(f.runtime->place(make_place("a")).placed);
+    CHECK(f.runtime->place(make_place("a")).placed);
+    CHECK(f.target.starts().size() == 1);
+}
+
+// Guards against places that are lost to starts that never come, and against
+// a start on a place that was given to another.
+TEST_CASE("a reservation expires")
+{
+    rack_fixture f;
+    f.run();
+    place_request request = make_place("a");
+    request.reserve_only = true;
+    const place_reply reserved = f.runtime->place(request);
+    REQUIRE(reserved.placed);
+    CHECK(f.runtime->load().targets.front().tasks.size() == 1);
+    REQUIRE(wait_until(
+        [&] { return f.runtime->load().targets.front().tasks.empty(); }));
+    request.reserve_only = false;
+    request.target = reserved.target;
+    request.boot_id = reserved.boot_id;
+    CHECK_FALSE(f.runtime->place(request).placed);
+    CHECK(f.target.starts().empty());
+}
+
+// Guards against a start on a target that restarted after the reservation was
+// recorded: the record names the earlier boot.
+TEST_CASE("a reservation of an earlier boot is not started")
+{
+    rack_fixture f;
+    f.run();
+    place_request request = make_place("a");
+    request.reserve_only = true;
+    const place_reply reserved = f.runtime->place(request);
+    REQUIRE(reserved.placed);
+    f.target.restart();
+    const int renewals = f.target.renewals();
+    REQUIRE(wait_until([&] { return f.target.renewals() >= renewals + 2; }));
+    request.reserve_only = false;
+    request.target = reserved.target;
+    request.boot_id = reserved.boot_id;
+    CHECK_FALSE(f.runtime->place(request).placed);
+    CHECK(f.target.starts().empty());
+}
+
+// Guards against tasks that are forgotten or overloaded over when a rack
+// changes its owner, and against results that are dropped unrecorded.
+TEST_CASE("a new owner adopts running tasks and reports their ends")
+{
+    rack_fixture f;
+    f.target.add_running({"rota/a", 1});
+    f.target.add_running({"rota/b", 1});
+    f.is_recording = false;
+    f.run("host-old");
+    const place_reply full = f.runtime->place(make_place("c"));
+    CHECK_FALSE(full.placed);
+    CHECK(f.target.starts().empty());
+    f.target.finish({"rota/a", 1}, "draft");
+    const auto is_answer = [](const task_report& report)
+    {
+        return report.task.answer == "draft";
+    };
+    REQUIRE(wait_until([&] { return f.report(is_answer).has_value(); }));
+    CHECK(f.target.knows({"rota/a", 1}));
+    {
+        const std::lock_guard<std::mutex> lock(f.mutex);
+        f.is_recording = true;
+    }
+    CHECK(wait_until([&] { return !f.target.knows({"rota/a", 1}); }));
+    CHECK(f.runtime->find("rota/b", 0).size() == 1);
+}
+
+// Guards against evicted work without its checkpoint, and against a second
+// stop that would replace it.
+TEST_CASE("batch work on a leaving target is evicted once with a checkpoint")
+{
+    rack_fixture f;
+    f.run();
+    REQUIRE(f.runtime->place(make_place("a")).placed);
+    place_request once = make_place("b");
+    once.spec.idempotent = false;
+    REQUIRE(f.runtime->place(once).placed);
+    f.is_leaving = true;
+    const auto is_evicted = [](const task_report& report)
+    {
+        return report.task.key == "rota/a" && report.task.checkpoint == "half";
+    };
+    REQUIRE(wait_until([&] { return f.report(is_evicted).has_value(); }));
+    CHECK(f.runtime->evictions()["leaving"] == 1);
+    CHECK(f.target.state({"rota/b", 1}) == "running");
+}
+
+// Guards against commands of an owner that was replaced.
+TEST_CASE("a stale token is reported and starts nothing")
+{
+    rack_fixture f;
+    f.target.set_token({6, 0});
+    f.run();
+    CHECK_FALSE(f.runtime->place(make_place("a")).placed);
+    CHECK(wait_until([&] { return f.stale_count > 0; }));
+    CHECK(f.target.starts().empty());
+}
+
+// Guards against a start by a coordinator that was replaced.
+TEST_CASE("attempts up to the fence are refused")
+{
+    rack_fixture f;
+    f.run();
+    CHECK(f.runtime->find("rota/a", 16).empty());
+    CHECK(f.runtime->place(make_place("a", 16)).superseded);
+    CHECK(f.target.starts().empty());
+    CHECK(f.runtime->place(make_place("a", 17)).placed);
+}
+
+// Guards against renewals after the rack was given up.
+TEST_CASE("a stopped rack renews no lease and starts nothing")
+{
+    rack_fixture f;
+    f.run();
+    REQUIRE(wait_until([&] { return f.target.renewals() > 2; }));
+    f.runtime->stop();
+    const int renewals = f.target.renewals();
+    CHECK_FALSE(f.runtime->place(make_place("a")).placed);
+    CHECK(f.target.renewals() == renewals);
+    CHECK(f.target.starts().empty());
+}
