request_path: poll batch requests whose start was refused

A batch request whose recorded start the target refused, or whose answer was lost, stayed in the outcome `accepted`: it had left the queue, and the poll thread only looks at running requests.

--- a/src/request_path/coordinator_follow.cpp
+++ b/src/request_path/coordinator_follow.cpp
@@ -72,6 +72,12 @@
 void coordinator::leave_running(const request_entry_ptr& entry)
 {
     const std::lock_guard<std::mutex> lock(entry->mutex);
+    if (entry->reply.result == outcome::accepted)
+    {
+        // The start was refused or its answer lost, and the queue has dropped
+        // the request: only polling resumes it.
+        entry->reply.result = outcome::running;
+    }
     entry->is_busy = false;
     entry->next_poll = steady_clock::now() + options_.poll_interval;
 }
