--- a/bench/faults/main.cpp
+++ b/bench/faults/main.cpp
@@ -35,8 +35,8 @@
         switch (c)
         {
         case 's':
-            result.seed = static_cast<std::uint32_t>(
-                std::strtoul(optarg, nullptr, 10));
+            result.seed =
+                static_cast<std::uint32_t>(std::strtoul(optarg, nullptr, 10));
             break;
         case 't':
             result.length = std::chrono::seconds(std::atol(optarg));
--- a/tests/integration/cancel_wave_test.cpp
+++ b/tests/integration/cancel_wave_test.cpp
@@ -19,6 +19,7 @@
     INFO("seed " << seed);
     constexpr int count = 500;
     std::vector<test_request> requests;
+    requests.reserve(count);
     for (int n = 0; n < count; ++n)
     {
         requests.push_back(
@@ -27,6 +28,7 @@
     const std::vector<std::string> addresses = nodes->addresses();
     std::vector<std::thread> threads;
     constexpr int thread_count = 10;
+    threads.reserve(thread_count);
     for (int t = 0; t < thread_count; ++t)
     {
         threads.emplace_back(
@@ -61,7 +63,7 @@
         }
     }
     const run_record record = nodes->record(calls);
-    CHECK(check_all(record) == violations{});
+    CHECK_THAT(check_all(record), Catch::Equals(violations{}));
     int cancelled = 0;
     for (const caller_reply& reply : replies)
     {
--- a/tests/integration/leaving_target_test.cpp
+++ b/tests/integration/leaving_target_test.cpp
@@ -50,7 +50,7 @@
         calls, nodes->addresses(), requests, std::chrono::seconds(60));
     (void)traffic.settle();
     const run_record record = nodes->record(calls);
-    CHECK(check_all(record) == violations{});
+    CHECK_THAT(check_all(record), Catch::Equals(violations{}));
     for (const execution& run : record.executions)
     {
         if (run.target == target)
--- a/tests/integration/planned_stop_test.cpp
+++ b/tests/integration/planned_stop_test.cpp
@@ -33,7 +33,7 @@
     }
     const std::vector<caller_reply> replies = traffic.settle();
     const run_record record = nodes->record(calls);
-    CHECK(check_all(record) == violations{});
+    CHECK_THAT(check_all(record), Catch::Equals(violations{}));
     for (const caller_reply& reply : record.replies)
     {
         INFO(reply.call << " " << reply.error << reply.reason
--- a/tests/integration/random_faults_test.cpp
+++ b/tests/integration/random_faults_test.cpp
@@ -21,7 +21,7 @@
         actions += action + "\n";
     }
     INFO("seed " << options.seed << "\n" << actions);
-    CHECK(result.broken == violations{});
+    CHECK_THAT(result.broken, Catch::Equals(violations{}));
     CHECK(!result.actions.empty());
     CHECK(!result.replies.empty());
 }
--- a/tests/integration/rolling_restart_test.cpp
+++ b/tests/integration/rolling_restart_test.cpp
@@ -30,7 +30,7 @@
     }
     const std::vector<caller_reply> replies = traffic.settle();
     const run_record record = nodes->record(calls);
-    CHECK(check_all(record) == violations{});
+    CHECK_THAT(check_all(record), Catch::Equals(violations{}));
     for (const caller_reply& reply : replies)
     {
         INFO(trace_of(record, reply.key));
--- a/tests/support/fault_plan.cpp
+++ b/tests/support/fault_plan.cpp
@@ -24,17 +24,32 @@
     {
     case 0:
         result.text = "kill " + result.victim;
-        result.inject = [&host] { host.kill(); };
-        result.remove = [&host] { host.start(); };
+        result.inject = [&host]
+        {
+            host.kill();
+        };
+        result.remove = [&host]
+        {
+            host.start();
+        };
         break;
     case 1:
         result.text = "pause " + result.victim;
-        result.inject = [&host] { host.pause(); };
-        result.remove = [&host] { host.resume(); };
+        result.inject = [&host]
+        {
+            host.pause();
+        };
+        result.remove = [&host]
+        {
+            host.resume();
+        };
         break;
     default:
         result.text = "restart " + result.victim;
-        result.inject = [&host] { host.terminate(); };
+        result.inject = [&host]
+        {
+            host.terminate();
+        };
         result.remove = [&host]
         {
             // A restart may follow before the graceful shutdown has ended.
@@ -54,14 +69,26 @@
     if (random() % 2 == 0)
     {
         result.text = "kill " + result.victim;
-        result.inject = [&target] { target.kill(); };
-        result.remove = [&target] { target.start(); };
+        result.inject = [&target]
+        {
+            target.kill();
+        };
+        result.remove = [&target]
+        {
+            target.start();
+        };
     }
     else
     {
         result.text = "pause " + result.victim;
-        result.inject = [&target] { target.pause(); };
-        result.remove = [&target] { target.resume(); };
+        result.inject = [&target]
+        {
+            target.pause();
+        };
+        result.remove = [&target]
+        {
+            target.resume();
+        };
     }
     return result;
 }
@@ -76,16 +103,24 @@
     case 0:
         result.text = "all tasks fail on " + name;
         result.inject = [&nodes, name]
-        { nodes.control_target(name, R"({"fail_all":true})"); };
+        {
+            nodes.control_target(name, R"({"fail_all":true})");
+        };
         result.remove = [&nodes, name]
-        { nodes.control_target(name, R"({"fail_all":false})"); };
+        {
+            nodes.control_target(name, R"({"fail_all":false})");
+        };
         break;
     case 1:
         result.text = "slow tasks on " + name;
         result.inject = [&nodes, name]
-        { nodes.control_target(name, R"({"speed":0.1})"); };
+        {
+            nodes.control_target(name, R"({"speed":0.1})");
+        };
         result.remove = [&nodes, name]
-        { nodes.control_target(name, R"({"speed":1})"); };
+        {
+            nodes.control_target(name, R"({"speed":1})");
+        };
         break;
     default:
         const auto set_state = [&nodes, name](const std::string& state)
@@ -94,8 +129,14 @@
                 fmt::format(R"({{"name":"{}","state":"{}"}})", name, state));
         };
         result.text = "leaving " + name;
-        result.inject = [set_state] { set_state("leaving"); };
-        result.remove = [set_state] { set_state("live"); };
+        result.inject = [set_state]
+        {
+            set_state("leaving");
+        };
+        result.remove = [set_state]
+        {
+            set_state("live");
+        };
         break;
     }
     return result;
@@ -125,8 +166,13 @@
     result.victim = "links";
     result.text = fmt::format("{} on {}", mode, link);
     result.inject = [&nodes, link, mode, delay_ms]
-    { nodes.set_links({link}, mode, delay_ms); };
-    result.remove = [&nodes, link] { nodes.set_links({link}, "pass"); };
+    {
+        nodes.set_links({link}, mode, delay_ms);
+    };
+    result.remove = [&nodes, link]
+    {
+        nodes.set_links({link}, "pass");
+    };
     return result;
 }
 
@@ -137,9 +183,13 @@
     result.victim = "links";
     result.text = "cut off data centre " + data_center;
     result.inject = [&nodes, data_center]
-    { nodes.set_data_center_link(data_center, "drop"); };
+    {
+        nodes.set_data_center_link(data_center, "drop");
+    };
     result.remove = [&nodes, data_center]
-    { nodes.set_data_center_link(data_center, "pass"); };
+    {
+        nodes.set_data_center_link(data_center, "pass");
+    };
     return result;
 }
 
@@ -160,15 +210,20 @@
         undo = R"({"delay_ms":0})";
         break;
     default:
-        command =
-            fmt::format(R"({{"lose_answer_probability":0.3,"seed":{}}})",
-                        random() % 1000);
+        command = fmt::format(R"({{"lose_answer_probability":0.3,"seed":{}}})",
+                              random() % 1000);
         undo = R"({"lose_answer_probability":0})";
         break;
     }
     result.text = "store " + command;
-    result.inject = [&nodes, command] { nodes.control_store(command); };
-    result.remove = [&nodes, undo] { nodes.control_store(undo); };
+    result.inject = [&nodes, command]
+    {
+        nodes.control_store(command);
+    };
+    result.remove = [&nodes, undo]
+    {
+        nodes.control_store(undo);
+    };
     return result;
 }
 
--- a/tests/support/fault_run.cpp
+++ b/tests/support/fault_run.cpp
@@ -63,7 +63,8 @@
             std::any_of(active_.begin(), active_.end(),
                         [&](const active_fault& it)
                         { return it.what.victim == chosen.victim; });
-        const std::size_t limit = static_cast<std::size_t>(options_.most_faults);
+        const std::size_t limit =
+            static_cast<std::size_t>(options_.most_faults);
         if (is_taken || active_.size() >= limit)
         {
             return;
--- a/tests/support/fault_run.hpp
+++ b/tests/support/fault_run.hpp
@@ -28,7 +28,7 @@
 /// What a fault run showed.
 struct fault_run_result
 {
-    std::vector<std::string> actions; ///< with the time since the start
+    std::vector<std::string> actions;  ///< with the time since the start
     std::vector<caller_reply> replies; ///< latest reply of each request
     violations broken;
     std::string log_directory; ///< exists if EGRETSPINDLE_KEEP_LOGS is set
--- a/tools/demo/class_summary.cpp
+++ b/tools/demo/class_summary.cpp
@@ -1,6 +1,7 @@
 #include "class_summary.hpp"
 
 #include <algorithm>
+#include <cmath>
 #include <map>
 
 namespace egretspindle
@@ -29,7 +30,7 @@
         return 0;
     }
     const double position = share * static_cast<double>(sorted.size() - 1);
-    return sorted[static_cast<std::size_t>(position + 0.5)];
+    return sorted[static_cast<std::size_t>(std::lround(position))];
 }
 
 void count_outcome(class_summary& summary, const std::string& outcome)
--- a/tools/demo/main.cpp
+++ b/tools/demo/main.cpp
@@ -52,9 +52,9 @@
                    it.name, it.requests, it.done, it.not_run, it.unknown,
                    it.other, it.median_ms, it.p99_ms, it.executions,
                    it.done == 0 ? "-"
-                                : fmt::format("{:.3f}",
-                                              it.executions_of_done /
-                                                  static_cast<double>(it.done)));
+                                : fmt::format("{:.3f}", it.executions_of_done /
+                                                            static_cast<double>(
+                                                                it.done)));
     }
     fmt::print(R"(
 done        the caller received the complete answer
