request_path: keep urgent requests through a change of rack owner

During the planned stop of an entry host, urgent requests were answered with not_run: racks of a leaving owner were no longer candidates, and a rack without an owner, or whose targets had seen a newer token, counted as full. A leaving owner now serves its racks until the next one has them, and an urgent request is tried again until its deadline while a rack is between owners.

--- a/include/egretspindle/protocol/place_reply.hpp
+++ b/include/egretspindle/protocol/place_reply.hpp
@@ -19,6 +19,8 @@
     bool may_have_started =
         false; ///< whether an unplaced attempt could still have started
     bool superseded = false; ///< another coordinator is in charge
+    bool owner_changing =
+        false; ///< whether the rack is handed over, so that it may soon accept
     std::string reason;      ///< why it was not placed
     std::int64_t retry_after_ms = 0;
     std::string target;
@@ -36,6 +38,7 @@
     visit("placed", value.placed);
     visit("may_have_started", value.may_have_started);
     visit("superseded", value.superseded);
+    visit("owner_changing", value.owner_changing);
     visit("reason", value.reason);
     visit("retry_after_ms", value.retry_after_ms);
     visit("target", value.target);
--- a/include/egretspindle/request_path/coordinator.hpp
+++ b/include/egretspindle/request_path/coordinator.hpp
@@ -99,6 +99,7 @@
         std::string reason = "no rack has room; send it again later";
         std::int64_t retry_after_ms = 1000;
         bool superseded = false; ///< another coordinator is in charge
+        bool owner_changing = false; ///< a rack is between two owners
     };
 
     /// Row of a request and its decoded value.
@@ -159,6 +160,9 @@
     bool start_recorded(const request_entry_ptr& entry);
     absl::StatusOr<place_reply> reserve(const request_entry_ptr& entry,
                                         int attempt);
+    absl::StatusOr<place_reply> reserve_now(const request_entry_ptr& entry,
+                                            int attempt,
+                                            bool& is_between_owners);
     bool record_start(const request_entry_ptr& entry, int attempt,
                       const place_reply& place);
     void give_up_start(const request_entry_ptr& entry, std::string_view reason,
--- a/include/egretspindle/request_path/rack_runtime.hpp
+++ b/include/egretspindle/request_path/rack_runtime.hpp
@@ -112,6 +112,7 @@
 
     // rack_place.cpp
     std::optional<place_reply> known_attempt(const place_request& request);
+    [[nodiscard]] bool is_between_owners() const;
     placement_decision decide(lock_type& lock, const place_request& request,
                               const task_request& task);
     placement_decision wait_for_place(lock_type& lock, const task_request& task,
--- a/include/egretspindle/request_path/target_session.hpp
+++ b/include/egretspindle/request_path/target_session.hpp
@@ -24,11 +24,12 @@
     host_entry entry;
     std::shared_ptr<target_client> client;
     fencing_token token;
-    bool may_command = true;   ///< false while a claim is missing
-    bool has_contact = false;  ///< answered since the rack was acquired
-    bool is_reachable = false; ///< answered the last renewal
-    std::int64_t clock_ms = 0; ///< last reading of its clock
-    time_point clock_received; ///< when that reading arrived
+    bool may_command = true;      ///< false while a claim is missing
+    bool has_contact = false;     ///< answered since the rack was acquired
+    bool is_reachable = false;    ///< answered the last renewal
+    bool has_other_owner = false; ///< rejected the token as stale
+    std::int64_t clock_ms = 0;    ///< last reading of its clock
+    time_point clock_received;    ///< when that reading arrived
     std::string boot_id;
     time_point lease_bound;       ///< every lease granted here is over then
     time_point last_renewal_base; ///< arrival of the reading of the last one
--- a/src/request_path/coordinator_recorded.cpp
+++ b/src/request_path/coordinator_recorded.cpp
@@ -86,10 +86,41 @@
 
 absl::StatusOr<place_reply> coordinator::reserve(const request_entry_ptr& entry,
                                                  int attempt)
+{
+    while (true)
+    {
+        bool is_between_owners = false;
+        absl::StatusOr<place_reply> reply =
+            reserve_now(entry, attempt, is_between_owners);
+        const bool is_placed = reply.ok() && reply->placed;
+        const bool has_time =
+            steady_clock::now() + retry_delay < entry->deadline;
+        if (is_placed || !is_between_owners || !entry->spec.urgent || !has_time)
+        {
+            return reply;
+        }
+        {
+            const std::lock_guard<std::mutex> lock(entry->mutex);
+            if (entry->cancel_requested)
+            {
+                return reply;
+            }
+        }
+        // A planned stop leaves racks without an owner for a moment; their
+        // next owner can still meet the deadline.
+        std::this_thread::sleep_for(retry_delay);
+    }
+}
+
+absl::StatusOr<place_reply>
+coordinator::reserve_now(const request_entry_ptr& entry, int attempt,
+                         bool& is_between_owners)
 {
     absl::StatusOr<place_reply> last = place_reply{};
     last->reason = "no rack has room; send it again later";
     last->retry_after_ms = 1000;
+    is_between_owners = true;
+    bool is_full = false;
     std::vector<std::string> failed_targets;
     {
         const std::lock_guard<std::mutex> lock(entry->mutex);
@@ -118,8 +149,10 @@
             return reply;
         }
         // A reservation whose answer was lost expires at the owner.
+        is_full |= reply.ok() && !reply->owner_changing;
         last = std::move(reply);
     }
+    is_between_owners = !is_full;
     return last;
 }
 
--- a/src/request_path/coordinator_urgent.cpp
+++ b/src/request_path/coordinator_urgent.cpp
@@ -38,6 +38,18 @@
         0, elapsed_ms(steady_clock::now(), entry.deadline));
 }
 
+bool is_cancelled(const request_entry& entry)
+{
+    const std::lock_guard<std::mutex> lock(entry.mutex);
+    return entry.cancel_requested;
+}
+
+bool is_recorded(const request_entry& entry)
+{
+    const std::lock_guard<std::mutex> lock(entry.mutex);
+    return entry.version > 0;
+}
+
 } // namespace
 
 void coordinator::run_urgent(const request_entry_ptr& entry)
@@ -191,29 +203,41 @@
                                 urgent_refusal& refusal)
 {
     bool has_remote = false;
-    for (const rack_candidate& candidate : router_.candidates(entry->spec))
+    bool is_between_owners = true;
+    while (is_between_owners)
     {
-        if (candidate.data_center != options_.data_center)
+        bool has_local = false;
+        refusal.owner_changing = false;
+        for (const rack_candidate& candidate : router_.candidates(entry->spec))
         {
-            has_remote = true;
-            continue;
-        }
-        if (remaining_ms(*entry) == 0)
-        {
-            return true;
+            if (candidate.data_center != options_.data_center)
+            {
+                has_remote = true;
+                continue;
+            }
+            has_local = true;
+            if (remaining_ms(*entry) == 0)
+            {
+                return true;
+            }
+            const next_step step = place_on(entry, candidate, attempt, refusal);
+            if (step != next_step::refused)
+            {
+                return step == next_step::retry;
+            }
         }
-        const next_step step = place_on(entry, candidate, attempt, refusal);
-        if (step != next_step::refused)
+        // A planned stop leaves racks without an owner for a moment; their
+        // next owner can still meet the deadline.
+        is_between_owners = (refusal.owner_changing || !has_local) &&
+                            !refusal.superseded &&
+                            !(has_remote && is_recorded(*entry)) &&
+                            remaining_ms(*entry) > 0 && !is_cancelled(*entry);
+        if (is_between_owners)
         {
-            return step == next_step::retry;
+            std::this_thread::sleep_for(retry_delay);
         }
     }
-    bool is_recorded = false;
-    {
-        const std::lock_guard<std::mutex> lock(entry->mutex);
-        is_recorded = entry->version > 0;
-    }
-    if (has_remote && is_recorded)
+    if (has_remote && is_recorded(*entry))
     {
         // A search for lost attempts covers this data centre only, so a start
         // elsewhere is recorded with its target first.
@@ -251,6 +275,8 @@
         if (is_definite_refusal(kind_of(reply.status())))
         {
             refusal.reason = std::string(reply.status().message());
+            refusal.owner_changing |=
+                kind_of(reply.status()) != error_kind::overloaded;
             return next_step::refused;
         }
         // The owner may have started it on any of its targets.
@@ -266,6 +292,7 @@
         refusal.reason = reply->reason;
         refusal.retry_after_ms = reply->retry_after_ms;
         refusal.superseded |= reply->superseded;
+        refusal.owner_changing |= reply->owner_changing;
         return next_step::refused;
     }
     task_report report;
--- a/src/request_path/peer_rack_router.cpp
+++ b/src/request_path/peer_rack_router.cpp
@@ -56,18 +56,25 @@
         seen.insert(all.back().rack);
     }
     const std::string& data_center = members_.options().data_center;
-    for (const member_digest& member : members_.members())
+    const std::vector<member_digest> members = members_.members();
+    // A leaving host serves its racks until their next owners have them.
+    for (const bool is_leaving : {false, true})
     {
-        if (member.data_center != data_center || !can_take_work(member) ||
-            member.name == members_.options().name)
-        {
-            continue;
-        }
-        for (const rack_summary& rack : member.racks)
+        for (const member_digest& member : members)
         {
-            if (seen.insert(rack.rack).second)
+            const bool is_usable =
+                is_leaving ? member.state == "leaving" : can_take_work(member);
+            if (member.data_center != data_center || !is_usable ||
+                member.name == members_.options().name)
+            {
+                continue;
+            }
+            for (const rack_summary& rack : member.racks)
             {
-                all.push_back(rack);
+                if (seen.insert(rack.rack).second)
+                {
+                    all.push_back(rack);
+                }
             }
         }
     }
--- a/src/request_path/rack_place.cpp
+++ b/src/request_path/rack_place.cpp
@@ -82,7 +82,9 @@
             decision = decide(lock, request, task);
             if (decision.kind != placement_kind::place)
             {
-                return refusal(decision.reason, decision.retry_after_ms);
+                reply = refusal(decision.reason, decision.retry_after_ms);
+                reply.owner_changing = is_between_owners();
+                return reply;
             }
         }
         evict_for(decision);
@@ -98,7 +100,7 @@
             return reply;
         }
         reply = start_on(request, decision.target);
-        if (reply.placed || reply.may_have_started)
+        if (reply.placed || reply.may_have_started || reply.owner_changing)
         {
             return reply;
         }
@@ -107,6 +109,15 @@
     return reply;
 }
 
+// Returns whether another host takes the rack over or has done so.
+bool rack_runtime::is_between_owners() const
+{
+    return is_stopping_ || std::any_of(sessions_.begin(), sessions_.end(),
+                                       [](const auto& item) {
+                                           return item.second->has_other_owner;
+                                       });
+}
+
 std::optional<place_reply>
 rack_runtime::known_attempt(const place_request& request)
 {
@@ -123,7 +134,10 @@
     }
     if (is_stopping_)
     {
-        return refusal("the rack has another owner", refused_retry_ms);
+        place_reply reply =
+            refusal("the rack has another owner", refused_retry_ms);
+        reply.owner_changing = true;
+        return reply;
     }
     const auto it = tasks_.find({key, request.attempt});
     if (it == tasks_.end())
--- a/src/request_path/rack_renew.cpp
+++ b/src/request_path/rack_renew.cpp
@@ -76,6 +76,7 @@
         }
         is_stale =
             kind_of(state.status()) == error_kind::stale_epoch && !is_stopping_;
+        session->has_other_owner |= is_stale;
         changed_.notify_all();
     }
     if (is_stale)
@@ -95,6 +96,7 @@
     session->boot_id = state.boot_id;
     session->has_contact = true;
     session->is_reachable = true;
+    session->has_other_owner = false;
     target_load* load = load_of(session->entry.name);
     if (load != nullptr)
     {
--- a/src/request_path/rack_start.cpp
+++ b/src/request_path/rack_start.cpp
@@ -144,9 +144,14 @@
             load->reachable = false;
         }
         remove_load(id, reply.target);
+        if (kind == error_kind::stale_epoch && session)
+        {
+            session->has_other_owner = true;
+        }
     }
     if (kind == error_kind::stale_epoch)
     {
+        reply.owner_changing = true;
         hooks_.stale_epoch({rack_.data_center, rack_.rack});
     }
     reply.reason = std::string(status.message());
