--- a/tests/integration/planned_stop_test.cpp
+++ b/tests/integration/planned_stop_test.cpp
@@ -42,6 +42,7 @@
     }
     for (const caller_reply& reply : replies)
     {
+        INFO(trace_of(record, reply.key));
         CHECK(reply.outcome == "done");
     }
 }
