Reset a proxied connection whose server refuses it

On loopback connect() reports the refusal itself, and SO_ERROR stays 0, so such connections stayed open forever and kept the event loop busy.

--- a/tools/fault_proxy/connection.cpp
+++ b/tools/fault_proxy/connection.cpp
@@ -18,6 +18,10 @@
 
 void close_with_reset(int fd)
 {
+    if (fd < 0)
+    {
+        return;
+    }
     const ::linger option{1, 0};
     setsockopt(fd, SOL_SOCKET, SO_LINGER, &option, sizeof option);
     close(fd);
@@ -33,7 +37,14 @@
     address.sin_family = AF_INET;
     address.sin_port = htons(server.port);
     inet_pton(AF_INET, server.address.c_str(), &address.sin_addr);
-    (void)connect(fd, reinterpret_cast<sockaddr*>(&address), sizeof address);
+    // A refusal on loopback is reported here and not by SO_ERROR.
+    if (connect(fd, reinterpret_cast<sockaddr*>(&address), sizeof address) !=
+            0 &&
+        errno != EINPROGRESS)
+    {
+        close(fd);
+        return -1;
+    }
     return fd;
 }
 
@@ -131,6 +142,11 @@
 
 bool connection::finish_connect()
 {
+    if (server_fd_ < 0)
+    {
+        errno = ECONNREFUSED;
+        return false;
+    }
     int error = 0;
     socklen_t size = sizeof error;
     getsockopt(server_fd_, SOL_SOCKET, SO_ERROR, &error, &size);
