--- a/cmake/packages.cmake
+++ b/cmake/packages.cmake
@@ -39,7 +39,7 @@
 egret_package(codec egret_core cxxtools)
 egret_package(logging egret_core fmt::fmt)
 egret_package(metrics egret_core fmt::fmt)
-egret_package(settings egret_core fmt::fmt)
+egret_package(settings egret_logging fmt::fmt)
 egret_package(net egret_codec egret_logging cxxtools-http cxxtools-json cxxtools
               OpenSSL::Crypto Threads::Threads)
 egret_package(protocol egret_net)
@@ -81,6 +81,12 @@
     PUBLIC EGRETSPINDLE_BIN_DIR="${CMAKE_RUNTIME_OUTPUT_DIRECTORY}")
   target_link_libraries(test_net PRIVATE egret_test_support)
 
+  egret_program(tools demo egret_test_support)
+  if(TARGET demo)
+    add_dependencies(demo standin_target standin_store standin_host_list
+                     fault_proxy egretspindle)
+  endif()
+
   # Tests of the stand-ins as processes.
   file(GLOB standin_tests CONFIGURE_DEPENDS
        ${CMAKE_SOURCE_DIR}/tests/standins/*.cpp)
