--- a/tests/standins/fault_proxy_test.cpp
+++ b/tests/standins/fault_proxy_test.cpp
@@ -157,3 +157,67 @@
     }
     CHECK(wrong == 0);
 }
+
+// Guards against the same over HTTP, which callers, targets and store use.
+TEST_CASE("an HTTP request gets its own response after resets", "[standins]")
+{
+    proxied_link link;
+    http_server server({},
+                       [](const http_request& request)
+                       {
+                           if (request.body.back() == '3')
+                           {
+                               std::this_thread::sleep_for(milliseconds(150));
+                           }
+                           http_response response;
+                           response.body = request.body;
+                           return response;
+                       });
+    REQUIRE(server.start("127.0.0.1", link.server_port).ok());
+    http_client client(*parse_endpoint(link.address));
+    std::atomic<bool> is_stopping{false};
+    std::atomic<int> wrong{0};
+    std::atomic<int> right{0};
+    std::vector<std::thread> threads;
+    for (int t = 0; t < 8; ++t)
+    {
+        threads.emplace_back(
+            [&, t]
+            {
+                for (int n = 0; !is_stopping; ++n)
+                {
+                    const std::string payload =
+                        std::to_string(t) + "-" + std::to_string(n);
+                    http_call call;
+                    call.method = "POST";
+                    call.path = "/";
+                    call.body = payload;
+                    call.timeout = milliseconds(100);
+                    const absl::StatusOr<http_response> reply =
+                        client.send(call);
+                    if (reply.ok())
+                    {
+                        ++(reply->body == payload ? right : wrong);
+                    }
+                }
+            });
+    }
+    for (const char* mode :
+         {"reset", "cut_reply_after_request", "cut_replies", "drop", "reset",
+          "cut_requests", "cut_reply_after_request", "drop"})
+    {
+        int before = right;
+        CHECK(wait_until([&] { return right > before + 100; }));
+        link.set(mode);
+        std::this_thread::sleep_for(milliseconds(150));
+        link.set("pass");
+    }
+    const int before = right;
+    CHECK(wait_until([&] { return right > before + 100; }));
+    is_stopping = true;
+    for (std::thread& thread : threads)
+    {
+        thread.join();
+    }
+    CHECK(wrong == 0);
+}
