Ignore probe results from before a pause, report new plan versions

Cause: a host of a data centre with two hosts could take a probe that timed out during its own pause for the death of the other one; and the listener was not told of plan versions.

--- a/include/egretspindle/membership/member_change.hpp
+++ b/include/egretspindle/membership/member_change.hpp
@@ -10,7 +10,8 @@
 namespace egretspindle
 {
 
-/// A member entered a state. For this host itself, `state` is `resumed` after
+/// A member entered a state, or told of a plan version that is new to this
+/// host (`plan`). For this host itself, `state` is `resumed` after
 /// a gap in its own time, or `refuted` when it denied its suspicion or death.
 struct member_change
 {
--- a/src/membership/membership_update.cpp
+++ b/src/membership/membership_update.cpp
@@ -106,7 +106,7 @@
     {
         state.newest_plan_version = version;
         record.event_sends = 0;
-        state.has_events = true;
+        note_change(state, record.digest, "plan");
     }
 }
 
--- a/src/membership/probe_schedule.cpp
+++ b/src/membership/probe_schedule.cpp
@@ -352,8 +352,10 @@
                                        const probe_action& action,
                                        time_point now)
 {
-    // A result from before a pause of this host says nothing of the member.
+    // A result from before a pause of this host says nothing of the member,
+    // whether or not the pause has been noticed yet.
     if (action.generation != state.generation ||
+        now - state.last_advance > state.options.resume_gap ||
         action.kind == probe_kind::exchange)
     {
         return {};
