Test UTF-8 validation and quantile windows directly

Breaking the UTF-8 check of the caller codec left its tests green, since the JSON parser also refuses such text. A latency summary that lost its history at each change of windows also stayed green; the test now expects a quantile at every second.

--- a/tests/adapters/caller_test.cpp
+++ b/tests/adapters/caller_test.cpp
@@ -107,6 +107,10 @@
         {R"("body")", R"("expected_ms":-1,"body")"},
         {"ladang", "\xC3"},
         {"ladang", "\xED\xA0\x80"},
+        {"ladang", "\xC0\xAF"},
+        {"ladang", "\xFF"},
+        {"ladang", "\x80"},
+        {"ladang", "\xF5\x80\x80\x80"},
         {"ladang", R"(\ud800)"},
         {"ladang", R"(\udf44\ud83c)"},
     };
@@ -115,6 +119,11 @@
         CHECK(rejection_of(replaced(valid, from, to)) ==
               error_kind::invalid_argument);
     }
+    const std::string message(
+        parse_caller_request(post(replaced(valid, "ladang", "\xFF")))
+            .status()
+            .message());
+    CHECK(message.find("encode text as UTF-8") != std::string::npos);
     const std::string long_id(129, 'a');
     CHECK(rejection_of(replaced(valid, "d-1", long_id)) ==
           error_kind::invalid_argument);
--- a/tests/metrics/metrics_test.cpp
+++ b/tests/metrics/metrics_test.cpp
@@ -91,8 +91,12 @@
     const time_point start = steady_clock::now();
     for (int second = 0; second < 1000; ++second)
     {
-        summary.observe(second < 500 ? 10 : 20,
-                        start + std::chrono::seconds(second));
+        const time_point now = start + std::chrono::seconds(second);
+        if (second > 0 && std::isnan(summary.snapshot(now).p50))
+        {
+            FAIL("no quantile at second " << second);
+        }
+        summary.observe(second < 500 ? 10 : 20, now);
     }
     CHECK(summary.snapshot(start + std::chrono::seconds(1000)).p50 == 20);
     CHECK(std::isnan(summary.snapshot(start + std::chrono::seconds(2000)).p50));
