--- a/include/egretspindle/request_path/coordinator.hpp
+++ b/include/egretspindle/request_path/coordinator.hpp
@@ -6,6 +6,7 @@
 
 #include "egretspindle/adapters/store_client.hpp"
 #include "egretspindle/admission/batch_queue.hpp"
+#include "egretspindle/admission/retry_budget.hpp"
 #include "egretspindle/request_path/completion_log.hpp"
 #include "egretspindle/request_path/coordinator_options.hpp"
 #include "egretspindle/request_path/rack_router.hpp"
@@ -110,8 +111,8 @@
     // coordinator.cpp
     absl::StatusOr<loaded_record> read_record(const std::string& key);
     absl::StatusOr<request_entry_ptr> load(const std::string& key);
-    absl::StatusOr<request_reply> reply_after(const request_entry_ptr& entry,
-                                              milliseconds wait);
+    absl::StatusOr<request_reply> reply_by(const request_entry_ptr& entry,
+                                           time_point limit);
     bool is_elsewhere(const request_record& record) const;
     void cancel_running(const request_entry_ptr& entry);
 
@@ -122,6 +123,10 @@
     void withdraw(const request_entry_ptr& entry, std::string_view reason,
                   std::int64_t retry_after_ms);
     void record_end(const request_entry_ptr& entry);
+    void store_answer(const request_entry_ptr& entry);
+    void write_end(const request_entry_ptr& entry,
+                   const std::string& answer_object);
+    absl::Status fetch_answer(request_record& record);
     void end_recorded(const request_entry_ptr& entry,
                       const commit_result& result);
     absl::StatusOr<commit_result> commit_record(const request_entry_ptr& entry,
@@ -133,6 +138,7 @@
     bool claim(const request_entry_ptr& entry);
     bool confirm_absent(const request_entry_ptr& entry);
     void place_urgent(const request_entry_ptr& entry);
+    bool may_retry(const std::string& team);
     bool place_attempt(const request_entry_ptr& entry, int attempt,
                        urgent_refusal& refusal);
     next_step place_on(const request_entry_ptr& entry,
@@ -173,6 +179,8 @@
     void take_over_again(const request_entry_ptr& entry);
     void resolve(const request_entry_ptr& entry);
     void start_again(const request_entry_ptr& entry);
+    bool requeue(const request_entry_ptr& entry);
+    void begin(const request_entry_ptr& entry);
     void poll_running();
 
     // coordinator_batch.cpp
@@ -195,6 +203,7 @@
     mutable std::mutex queue_mutex_;
     std::condition_variable queue_changed_;
     batch_queue queue_;
+    retry_budget retries_;
     team_use_map started_use_;
     int batch_starts_ = 0;
     bool is_stopping_ = false;
