admin: test that a misnamed field alone is an error

The earlier body was refused for its missing section as well, so the test passed with unknown fields ignored. It now fails then.

--- a/tests/admin/admin_test.cpp
+++ b/tests/admin/admin_test.cpp
@@ -155,7 +155,9 @@
 {
     fixture host;
     CHECK(host.send("POST", "plan/edit", "{").status == 400);
-    CHECK(host.send("POST", "plan/edit", R"({"nme":"x"})").status == 400);
+    CHECK(host.send("POST", "plan/edit",
+                    R"({"name":"team.rota","text":"","base":0})")
+              .status == 400);
     CHECK(host.send("POST", "plan/edit",
                     "{\"name\":\"team.rota\",\"text\":\"# \xff\"}")
               .status == 400);
