net: tie each reply of a host to its message

A reply now starts with a part of its message's MAC; the client closes a connection whose reply has another tag and reports the answer as lost. Faults of the RPC library, which have no tag, are no longer returned as errors of the receiver. How the extra reply came onto the connection is not known yet.

--- a/include/egretspindle/net/message_auth.hpp
+++ b/include/egretspindle/net/message_auth.hpp
@@ -20,6 +20,13 @@
 [[nodiscard]] bool constant_time_equal(std::string_view lhs,
                                        std::string_view rhs) noexcept;
 
+/// Returns the part of a message's MAC that its reply starts with.
+[[nodiscard]] inline std::string reply_tag(std::string_view mac)
+{
+    constexpr std::size_t tag_length = 16;
+    return std::string(mac.substr(0, tag_length));
+}
+
 } // namespace egretspindle
 
 #endif
--- a/src/net/rpc_client.cpp
+++ b/src/net/rpc_client.cpp
@@ -47,6 +47,17 @@
                      cxxtools::Utf8Codec::decode(mac));
 }
 
+// Removes the tag that ties a reply to its message.
+bool remove_tag(std::string& text, const std::string& tag)
+{
+    if (text.compare(0, tag.size(), tag) != 0)
+    {
+        return false;
+    }
+    text.erase(0, tag.size());
+    return true;
+}
+
 } // namespace
 
 struct rpc_client::impl
@@ -119,30 +130,43 @@
             error_kind::unavailable,
             fmt::format("{}: {}; nothing was sent", server_text, ex.what()));
     }
+    const std::string mac =
+        message_mac(impl_->cluster_key, type, impl_->sender, payload);
+    const std::string tag = reply_tag(mac);
+    std::string failure;
     try
     {
         client->timeout(to_cxxtools(timeout));
-        const std::string mac =
-            message_mac(impl_->cluster_key, type, impl_->sender, payload);
         std::string text = cxxtools::Utf8Codec::encode(
             call_remote(*client, type, impl_->sender, payload, mac));
         impl_->byte_count += type.size() + impl_->sender.size() +
                              payload.size() + mac.size() + text.size();
-        impl_->give_back(server_text, std::move(client));
-        return text;
+        if (remove_tag(text, tag))
+        {
+            impl_->give_back(server_text, std::move(client));
+            return text;
+        }
+        failure = "the reply belongs to another message";
     }
     catch (const cxxtools::RemoteException& ex)
     {
-        impl_->give_back(server_text, std::move(client));
-        return make_error(static_cast<error_kind>(ex.rc()), ex.text());
+        std::string text = ex.text();
+        if (remove_tag(text, tag))
+        {
+            impl_->give_back(server_text, std::move(client));
+            return make_error(static_cast<error_kind>(ex.rc()), text);
+        }
+        failure = text;
     }
     catch (const std::exception& ex)
     {
-        return make_error(error_kind::deadline_exceeded,
-                          fmt::format("{}: no answer to {} ({}); it may have "
-                                      "taken effect",
-                                      server_text, type, ex.what()));
+        failure = ex.what();
     }
+    // The connection is closed, since replies on it may be out of step.
+    return make_error(error_kind::deadline_exceeded,
+                      fmt::format("{}: no answer to {} ({}); it may have taken "
+                                  "effect",
+                                  server_text, type, failure));
 }
 
 } // namespace egretspindle
--- a/src/net/rpc_server.cpp
+++ b/src/net/rpc_server.cpp
@@ -40,11 +40,14 @@
         const std::string payload_text = cxxtools::Utf8Codec::encode(payload);
         const std::string expected =
             message_mac(cluster_key, type_text, sender_text, payload_text);
-        if (!constant_time_equal(expected, cxxtools::Utf8Codec::encode(mac)))
+        const std::string mac_text = cxxtools::Utf8Codec::encode(mac);
+        const std::string tag = reply_tag(mac_text);
+        if (!constant_time_equal(expected, mac_text))
         {
             throw cxxtools::RemoteException(
-                "message is not authentic; set the same cluster key on all "
-                "hosts",
+                tag +
+                    "message is not authentic; set the same cluster key on all "
+                    "hosts",
                 static_cast<int>(error_kind::unauthorized));
         }
         const absl::StatusOr<std::string> reply =
@@ -52,10 +55,10 @@
         if (!reply.ok())
         {
             throw cxxtools::RemoteException(
-                std::string(reply.status().message()),
+                tag + std::string(reply.status().message()),
                 static_cast<int>(kind_of(reply.status())));
         }
-        return cxxtools::Utf8Codec::decode(*reply);
+        return cxxtools::Utf8Codec::decode(tag + *reply);
     }
 
     std::string cluster_key;
