request_path: take a tombstone for an attempt that never started

A non-idempotent request whose rack changed owner between its record and its start was reported as unknown, although the target had confirmed that the attempt was stopped before it arrived. Seen by the rolling_restart test.

--- a/src/request_path/rack_tasks.cpp
+++ b/src/request_path/rack_tasks.cpp
@@ -100,7 +100,9 @@
     report.task = *state;
     report.task.key = query.key;
     report.task.attempt = query.attempt;
-    if (state->state == "unknown")
+    // A target that was told to stop an attempt before it arrived reports it as
+    // stopped, with this error.
+    if (state->state == "unknown" || state->error == "never_started")
     {
         const bool is_restarted =
             !query.boot_id.empty() && query.boot_id != state->boot_id;
@@ -185,7 +187,7 @@
     report.task = *state;
     report.task.key = query.key;
     report.task.attempt = query.attempt;
-    if (state->state == "unknown")
+    if (state->state == "unknown" || state->error == "never_started")
     {
         report.certainly_ended = true;
         report.never_started =
