--- a/include/egretspindle/request_path/coordinator.hpp
+++ b/include/egretspindle/request_path/coordinator.hpp
@@ -116,6 +116,7 @@
                                            time_point limit);
     bool is_elsewhere(const request_record& record) const;
     void cancel_running(const request_entry_ptr& entry);
+    void stop_found(const std::string& key);
 
     // coordinator_commit.cpp
     void finish(const request_entry_ptr& entry, const request_reply& reply);
@@ -123,6 +124,7 @@
     void give_away(const request_entry_ptr& entry);
     void withdraw(const request_entry_ptr& entry, std::string_view reason,
                   std::int64_t retry_after_ms);
+    void find_unclear_record(const request_entry_ptr& entry);
     void record_end(const request_entry_ptr& entry);
     void store_answer(const request_entry_ptr& entry);
     void write_end(const request_entry_ptr& entry,
@@ -147,6 +149,7 @@
                        urgent_refusal& refusal);
     void end_urgent(const request_entry_ptr& entry,
                     const urgent_refusal& refusal);
+    int renumber(const request_entry_ptr& entry);
     bool find_attempts(const request_entry_ptr& entry, int fence_attempt);
     bool apply_found(const request_entry_ptr& entry,
                      absl::Span<const task_report> reports);
@@ -178,6 +181,7 @@
 
     // coordinator_recovery.cpp
     void adopt(const request_entry_ptr& entry, const store_row& row);
+    void begin_again(const request_entry_ptr& entry);
     void forward_until_end(const request_entry_ptr& entry,
                            const std::string& host);
     void take_over_again(const request_entry_ptr& entry);
--- a/src/request_path/coordinator.cpp
+++ b/src/request_path/coordinator.cpp
@@ -10,6 +10,13 @@
 namespace egretspindle
 {
 
+namespace
+{
+
+constexpr milliseconds flush_period{2};
+
+} // namespace
+
 coordinator::coordinator(coordinator_options options, coordinator_hooks hooks,
                          store_client& store, rack_router& router)
     : options_(std::move(options)), hooks_(std::move(hooks)), store_(store),
@@ -245,19 +252,68 @@
         finish(entry, reply);
         return;
     }
-    if (!query.target.empty())
+    if (query.target.empty())
     {
-        const absl::StatusOr<task_report> report = router_.stop(query);
-        if (report.ok())
+        if (entry->spec.urgent && entry->spec.idempotent)
         {
-            apply_report(entry, *report);
+            stop_found(entry->key);
         }
+        return;
+    }
+    const absl::StatusOr<task_report> report = router_.stop(query);
+    if (report.ok())
+    {
+        apply_report(entry, *report);
+    }
+}
+
+// Stops attempts that their rack owners have not answered for yet. The worker
+// that waits for them then learns of the end.
+void coordinator::stop_found(const std::string& key)
+{
+    const absl::StatusOr<std::vector<task_report>> reports =
+        router_.find({key, 0});
+    if (!reports.ok())
+    {
+        return;
+    }
+    for (const task_report& report : *reports)
+    {
+        task_query query;
+        query.key = key;
+        query.attempt = report.task.attempt;
+        query.rack = report.rack;
+        query.data_center = report.data_center;
+        query.target = report.target;
+        query.boot_id = report.task.boot_id;
+        router_.stop(query).status().IgnoreError();
     }
 }
 
 bool coordinator::flush(milliseconds timeout)
 {
-    return log_.flush(timeout);
+    const auto is_unrecorded = [](const request_entry_ptr& entry)
+    {
+        const std::lock_guard<std::mutex> lock(entry->mutex);
+        return is_final(entry->reply.result) && !entry->is_durable;
+    };
+    const time_point limit = steady_clock::now() + timeout;
+    // A reply is final shortly before the log holds it.
+    while (log_.flush(std::max(
+        milliseconds(0), milliseconds(elapsed_ms(steady_clock::now(), limit)))))
+    {
+        const std::vector<request_entry_ptr> all = table_.entries();
+        if (std::none_of(all.begin(), all.end(), is_unrecorded))
+        {
+            return true;
+        }
+        if (steady_clock::now() >= limit)
+        {
+            return false;
+        }
+        std::this_thread::sleep_for(flush_period);
+    }
+    return false;
 }
 
 std::vector<request_entry_ptr> coordinator::entries() const
