Follow unknown outcomes of a test load until they are known

A batch submission whose record the store did not confirm is told unknown with the advice to send the id again, and the request may then end as done (trace in the partition test). An outcome that becomes unknown, or any other change, is still a violation.

--- a/tests/standins/fault_proxy_test.cpp
+++ b/tests/standins/fault_proxy_test.cpp
@@ -86,6 +86,7 @@
     std::atomic<int> wrong{0};
     std::atomic<int> right{0};
     std::vector<std::thread> threads;
+    threads.reserve(8);
     for (int t = 0; t < 8; ++t)
     {
         threads.emplace_back(
--- a/tests/support/checks.cpp
+++ b/tests/support/checks.cpp
@@ -205,6 +205,11 @@
             continue;
         }
         const auto [known, is_new] = told.emplace(it.key, it.outcome);
+        // A caller that was told unknown may learn the outcome later.
+        if (!is_new && known->second == "unknown")
+        {
+            known->second = it.outcome;
+        }
         if (!is_new && known->second != it.outcome)
         {
             add(result, record, it.key,
