--- a/src/request_path/coordinator_urgent.cpp
+++ b/src/request_path/coordinator_urgent.cpp
@@ -17,6 +17,8 @@
 // A coordinator numbers its own attempts below this; the next coordinator
 // starts above, after it has forbidden the earlier ones.
 constexpr int attempts_per_coordinator = 16;
+// Bounds the rounds of renumbering.
+constexpr int max_attempt_number = 1000;
 constexpr milliseconds retry_delay{50};
 constexpr milliseconds max_place_wait{10'000};
 
@@ -38,6 +40,18 @@
         0, elapsed_ms(steady_clock::now(), entry.deadline));
 }
 
+bool is_cancelled(const request_entry& entry)
+{
+    const std::lock_guard<std::mutex> lock(entry.mutex);
+    return entry.cancel_requested;
+}
+
+bool is_recorded(const request_entry& entry)
+{
+    const std::lock_guard<std::mutex> lock(entry.mutex);
+    return entry.version > 0;
+}
+
 } // namespace
 
 void coordinator::run_urgent(const request_entry_ptr& entry)
@@ -191,29 +205,41 @@
                                 urgent_refusal& refusal)
 {
     bool has_remote = false;
-    for (const rack_candidate& candidate : router_.candidates(entry->spec))
+    bool is_between_owners = true;
+    while (is_between_owners)
     {
-        if (candidate.data_center != options_.data_center)
+        bool has_local = false;
+        refusal.owner_changing = false;
+        for (const rack_candidate& candidate : router_.candidates(entry->spec))
         {
-            has_remote = true;
-            continue;
-        }
-        if (remaining_ms(*entry) == 0)
-        {
-            return true;
+            if (candidate.data_center != options_.data_center)
+            {
+                has_remote = true;
+                continue;
+            }
+            has_local = true;
+            if (remaining_ms(*entry) == 0)
+            {
+                return true;
+            }
+            const next_step step = place_on(entry, candidate, attempt, refusal);
+            if (step != next_step::refused)
+            {
+                return step == next_step::retry;
+            }
         }
-        const next_step step = place_on(entry, candidate, attempt, refusal);
-        if (step != next_step::refused)
+        // A planned stop leaves racks without an owner for a moment; their
+        // next owner can still meet the deadline.
+        is_between_owners = (refusal.owner_changing || !has_local) &&
+                            !refusal.superseded &&
+                            !(has_remote && is_recorded(*entry)) &&
+                            remaining_ms(*entry) > 0 && !is_cancelled(*entry);
+        if (is_between_owners)
         {
-            return step == next_step::retry;
+            std::this_thread::sleep_for(retry_delay);
         }
     }
-    bool is_recorded = false;
-    {
-        const std::lock_guard<std::mutex> lock(entry->mutex);
-        is_recorded = entry->version > 0;
-    }
-    if (has_remote && is_recorded)
+    if (has_remote && is_recorded(*entry))
     {
         // A search for lost attempts covers this data centre only, so a start
         // elsewhere is recorded with its target first.
@@ -251,6 +277,8 @@
         if (is_definite_refusal(kind_of(reply.status())))
         {
             refusal.reason = std::string(reply.status().message());
+            refusal.owner_changing |=
+                kind_of(reply.status()) != error_kind::overloaded;
             return next_step::refused;
         }
         // The owner may have started it on any of its targets.
@@ -266,6 +294,7 @@
         refusal.reason = reply->reason;
         refusal.retry_after_ms = reply->retry_after_ms;
         refusal.superseded |= reply->superseded;
+        refusal.owner_changing |= reply->owner_changing;
         return next_step::refused;
     }
     task_report report;
@@ -285,6 +314,39 @@
     return step == next_step::running ? follow(entry, entry->deadline) : step;
 }
 
+// Continues above the attempts that are forbidden for the key. The prohibition
+// may stem from an earlier request with the same id, which was not run.
+//
+// Returns the highest number below, or 0 when the record does not confirm that
+// this host is in charge.
+int coordinator::renumber(const request_entry_ptr& entry)
+{
+    request_record record;
+    {
+        const std::lock_guard<std::mutex> lock(entry->mutex);
+        if (entry->version == 0 ||
+            entry->record.state != record_state::claimed ||
+            entry->next_attempt > max_attempt_number)
+        {
+            return 0;
+        }
+        record = entry->record;
+        // A coordinator that found no record numbers its attempts from one
+        // step above the first; the search must cover these as well.
+        record.attempt = std::max(record.attempt, entry->next_attempt) +
+                         2 * attempts_per_coordinator;
+    }
+    const absl::StatusOr<commit_result> result =
+        commit_record(entry, record, options_.claim_timeout);
+    if (!result.ok() || !result->committed)
+    {
+        return 0;
+    }
+    const std::lock_guard<std::mutex> lock(entry->mutex);
+    entry->next_attempt = record.attempt;
+    return record.attempt - 1;
+}
+
 void coordinator::end_urgent(const request_entry_ptr& entry,
                              const urgent_refusal& refusal)
 {
@@ -305,7 +367,15 @@
     }
     else if (refusal.superseded)
     {
-        give_away(entry);
+        const int fence_attempt = renumber(entry);
+        if (fence_attempt == 0)
+        {
+            give_away(entry);
+        }
+        else if (!find_attempts(entry, fence_attempt))
+        {
+            place_urgent(entry);
+        }
     }
     else if (may_have_run)
     {
