Serve each connection between hosts by a thread of its own

Cause: entry hosts crashed in the event loop of the cxxtools JSON-RPC server (json::Socket::onIODeviceInput, about once in several minutes of a busy cluster): the loop walks the connections of idle sockets while workers remove theirs. Ruled out: shutdown (main was in sigwait) and the HTTP server, which answered 4 x 60,000 requests on 64 kept-alive connections without a failure. Change: blocking accept and one thread a connection over cxxtools sockets and JSON; the protocol stays JSON-RPC 2.0, the client stays cxxtools.

--- a/src/net/rpc_server.cpp
+++ b/src/net/rpc_server.cpp
@@ -1,15 +1,23 @@
 #include "egretspindle/net/rpc_server.hpp"
 
+#include "egretspindle/codec/json.hpp"
 #include "egretspindle/core/error.hpp"
+#include "egretspindle/logging/log.hpp"
 #include "egretspindle/net/message_auth.hpp"
 
-#include <cxxtools/eventloop.h>
-#include <cxxtools/json/rpcserver.h>
-#include <cxxtools/remoteexception.h>
-#include <cxxtools/utf8codec.h>
+#include "json_framing.hpp"
+
+#include <cxxtools/net/tcpserver.h>
+#include <cxxtools/net/tcpsocket.h>
 #include <fmt/format.h>
 
+#include <algorithm>
+#include <atomic>
+#include <list>
+#include <mutex>
+#include <sys/socket.h>
 #include <thread>
+#include <vector>
 
 namespace egretspindle
 {
@@ -17,12 +25,100 @@
 namespace
 {
 
-constexpr unsigned min_server_threads = 8;
-// Bounds the calls in service; each may wait for a task to end.
-constexpr unsigned max_server_threads = 512;
+// Bounds the connections; each has a thread that may wait for a task to end.
+constexpr std::size_t max_connections = 1024;
+constexpr int listen_backlog = 256;
+// Idle connections of clients that are gone without a word are closed.
+constexpr double idle_timeout_ms = 120'000;
+// A message holds a request body of at most 1 MiB, escaped twice.
+constexpr std::size_t max_message_bytes = 8 * 1024 * 1024;
+
+/// JSON-RPC 2.0 request for the method `call`.
+struct rpc_request
+{
+    std::string method;
+    std::vector<std::string> params; ///< type, sender, payload, mac
+    std::int64_t id = 0;
+};
+
+template <typename Visitor, typename Value>
+void visit_fields(Visitor&& visit, Value& value, const rpc_request* /*tag*/)
+{
+    visit("method", value.method);
+    visit("params", value.params);
+    visit("id", value.id);
+}
+
+/// Successful JSON-RPC 2.0 response.
+struct rpc_result
+{
+    std::string jsonrpc = "2.0";
+    std::string result;
+    std::int64_t id = 0;
+};
+
+template <typename Visitor, typename Value>
+void visit_fields(Visitor&& visit, Value& value, const rpc_result* /*tag*/)
+{
+    visit("jsonrpc", value.jsonrpc);
+    visit("result", value.result);
+    visit("id", value.id);
+}
+
+/// Error of a JSON-RPC 2.0 response.
+struct rpc_fault
+{
+    int code = 0; ///< `error_kind`
+    std::string message;
+};
+
+template <typename Visitor, typename Value>
+void visit_fields(Visitor&& visit, Value& value, const rpc_fault* /*tag*/)
+{
+    visit("code", value.code);
+    visit("message", value.message);
+}
+
+/// Failed JSON-RPC 2.0 response.
+struct rpc_failure
+{
+    std::string jsonrpc = "2.0";
+    rpc_fault error;
+    std::int64_t id = 0;
+};
+
+template <typename Visitor, typename Value>
+void visit_fields(Visitor&& visit, Value& value, const rpc_failure* /*tag*/)
+{
+    visit("jsonrpc", value.jsonrpc);
+    visit("error", value.error);
+    visit("id", value.id);
+}
+
+std::string failure(const absl::Status& status, std::string_view tag,
+                    std::int64_t id)
+{
+    rpc_failure response;
+    response.error.code = static_cast<int>(kind_of(status));
+    response.error.message =
+        fmt::format("{}{}", tag, std::string(status.message()));
+    response.id = id;
+    return to_json(response);
+}
+
+/// Connection with the thread that serves it.
+struct connection
+{
+    cxxtools::net::TcpSocket socket;
+    std::thread thread;
+    std::atomic<bool> is_finished{false};
+};
 
 } // namespace
 
+// The RPC server of cxxtools crashed under load: its event loop walks the
+// list of idle connections while workers remove theirs. Here each connection
+// has one blocking thread and no connection is watched by another one.
 struct rpc_server::impl
 {
     impl(std::string key, rpc_handler message_handler)
@@ -30,43 +126,156 @@
     {
     }
 
-    cxxtools::String call(const cxxtools::String& type,
-                          const cxxtools::String& sender,
-                          const cxxtools::String& payload,
-                          const cxxtools::String& mac)
+    void accept_all();
+    void reap();
+    void serve(connection& served);
+    std::string answer(const std::string& text) const;
+
+    std::string cluster_key;
+    rpc_handler handler;
+    cxxtools::net::TcpServer listener;
+    std::atomic<bool> is_stopping{false};
+    std::mutex mutex;
+    std::list<connection> connections;
+    std::thread thread;
+};
+
+void rpc_server::impl::accept_all()
+{
+    while (!is_stopping)
     {
-        const std::string type_text = cxxtools::Utf8Codec::encode(type);
-        const std::string sender_text = cxxtools::Utf8Codec::encode(sender);
-        const std::string payload_text = cxxtools::Utf8Codec::encode(payload);
-        const std::string expected =
-            message_mac(cluster_key, type_text, sender_text, payload_text);
-        const std::string mac_text = cxxtools::Utf8Codec::encode(mac);
-        const std::string tag = reply_tag(mac_text);
-        if (!constant_time_equal(expected, mac_text))
+        std::list<connection> accepted;
+        accepted.emplace_back();
+        connection& next = accepted.back();
+        try
         {
-            throw cxxtools::RemoteException(
-                tag +
-                    "message is not authentic; set the same cluster key on all "
-                    "hosts",
-                static_cast<int>(error_kind::unauthorized));
+            next.socket.accept(listener);
         }
-        const absl::StatusOr<std::string> reply =
-            handler(type_text, sender_text, payload_text);
-        if (!reply.ok())
+        catch (const cxxtools::net::AcceptTerminated&)
         {
-            throw cxxtools::RemoteException(
-                tag + std::string(reply.status().message()),
-                static_cast<int>(kind_of(reply.status())));
+            return;
         }
-        return cxxtools::Utf8Codec::decode(tag + *reply);
+        catch (const std::exception& ex)
+        {
+            log_warning("connection was not accepted", {{"error", ex.what()}});
+            continue;
+        }
+        reap();
+        const std::lock_guard<std::mutex> lock(mutex);
+        if (connections.size() >= max_connections)
+        {
+            log_warning("too many connections of other hosts",
+                        {{"limit", max_connections}});
+            continue;
+        }
+        connections.splice(connections.end(), accepted);
+        next.thread = std::thread([this, &next] { serve(next); });
     }
+}
 
-    std::string cluster_key;
-    rpc_handler handler;
-    cxxtools::EventLoop loop;
-    std::unique_ptr<cxxtools::json::RpcServer> server;
-    std::thread thread;
-};
+// Joins the threads of closed connections.
+void rpc_server::impl::reap()
+{
+    std::list<connection> finished;
+    {
+        const std::lock_guard<std::mutex> lock(mutex);
+        for (auto it = connections.begin(); it != connections.end();)
+        {
+            const auto next = std::next(it);
+            if (it->is_finished)
+            {
+                finished.splice(finished.end(), connections, it);
+            }
+            it = next;
+        }
+    }
+    for (connection& item : finished)
+    {
+        item.thread.join();
+    }
+}
+
+void rpc_server::impl::serve(connection& served)
+{
+    try
+    {
+        served.socket.setTimeout(cxxtools::Milliseconds(idle_timeout_ms));
+        json_framing framing(max_message_bytes);
+        char buf[16 * 1024];
+        while (!is_stopping)
+        {
+            const std::size_t n = served.socket.read(buf, sizeof buf);
+            std::string_view bytes(buf, n);
+            if (bytes.empty())
+            {
+                break;
+            }
+            while (!bytes.empty())
+            {
+                bytes.remove_prefix(framing.add(bytes));
+                if (framing.current() == json_framing::state::invalid)
+                {
+                    ::shutdown(served.socket.getFd(), SHUT_RDWR);
+                    served.is_finished = true;
+                    return;
+                }
+                if (framing.current() == json_framing::state::complete)
+                {
+                    const std::string reply = answer(framing.take());
+                    std::size_t sent = 0;
+                    while (sent < reply.size())
+                    {
+                        sent += served.socket.write(reply.data() + sent,
+                                                    reply.size() - sent);
+                    }
+                }
+            }
+        }
+    }
+    catch (const std::exception&)
+    {
+        // The peer is gone or idle; it connects again when it needs to.
+    }
+    ::shutdown(served.socket.getFd(), SHUT_RDWR);
+    served.is_finished = true;
+}
+
+std::string rpc_server::impl::answer(const std::string& text) const
+{
+    const absl::StatusOr<rpc_request> request = from_json<rpc_request>(text);
+    if (!request.ok())
+    {
+        return failure(request.status(), "", 0);
+    }
+    if (request->method != "call" || request->params.size() != 4)
+    {
+        return failure(make_error(error_kind::invalid_argument,
+                                  "unknown method; upgrade this host"),
+                       "", request->id);
+    }
+    const std::string& type = request->params[0];
+    const std::string& sender = request->params[1];
+    const std::string& payload = request->params[2];
+    const std::string& mac = request->params[3];
+    const std::string tag = reply_tag(mac);
+    if (!constant_time_equal(message_mac(cluster_key, type, sender, payload),
+                             mac))
+    {
+        return failure(make_error(error_kind::unauthorized,
+                                  "message is not authentic; set the same "
+                                  "cluster key on all hosts"),
+                       tag, request->id);
+    }
+    const absl::StatusOr<std::string> reply = handler(type, sender, payload);
+    if (!reply.ok())
+    {
+        return failure(reply.status(), tag, request->id);
+    }
+    rpc_result response;
+    response.result = tag + *reply;
+    response.id = request->id;
+    return to_json(response);
+}
 
 rpc_server::rpc_server(std::string cluster_key, rpc_handler handler)
     : impl_(std::make_unique<impl>(std::move(cluster_key), std::move(handler)))
@@ -82,11 +291,7 @@
 {
     try
     {
-        impl_->server = std::make_unique<cxxtools::json::RpcServer>(
-            impl_->loop, address, port);
-        impl_->server->minThreads(min_server_threads);
-        impl_->server->maxThreads(max_server_threads);
-        impl_->server->registerMethod("call", *impl_, &impl::call);
+        impl_->listener.listen(address, port, listen_backlog);
     }
     catch (const std::exception& ex)
     {
@@ -95,18 +300,36 @@
                                       "free address",
                                       address, port, ex.what()));
     }
-    impl_->thread = std::thread([this] { impl_->loop.run(); });
+    impl_->thread = std::thread([this] { impl_->accept_all(); });
     return absl::OkStatus();
 }
 
 void rpc_server::stop()
 {
-    if (impl_->thread.joinable())
+    if (!impl_->thread.joinable())
+    {
+        return;
+    }
+    impl_->is_stopping = true;
+    impl_->listener.terminateAccept();
+    impl_->thread.join();
+    {
+        const std::lock_guard<std::mutex> lock(impl_->mutex);
+        for (connection& item : impl_->connections)
+        {
+            if (!item.is_finished)
+            {
+                // Wakes a thread that reads; a reply under way is sent first.
+                ::shutdown(item.socket.getFd(), SHUT_RD);
+            }
+        }
+    }
+    for (connection& item : impl_->connections)
     {
-        impl_->loop.exit();
-        impl_->thread.join();
+        item.thread.join();
     }
-    impl_->server.reset();
+    impl_->connections.clear();
+    impl_->listener.close();
 }
 
 } // namespace egretspindle
