--- a/include/egretspindle/request_path/coordinator.hpp
+++ b/include/egretspindle/request_path/coordinator.hpp
@@ -171,6 +171,7 @@
 
     // coordinator_recovery.cpp
     void adopt(const request_entry_ptr& entry, const store_row& row);
+    void take_over(const request_entry_ptr& entry, request_record record);
     void begin_again(const request_entry_ptr& entry);
     void forward_until_end(const request_entry_ptr& entry,
                            const std::string& host);
--- a/include/egretspindle/request_path/request_entry.hpp
+++ b/include/egretspindle/request_path/request_entry.hpp
@@ -34,7 +34,7 @@
     request_reply reply;             ///< as callers are told now
     request_record record;           ///< as last written
     std::int64_t version = 0;        ///< of the row; 0 when there is none
-    bool is_record_unclear = false; ///< the answer of the last write was lost
+    bool is_record_unclear = false;  ///< the answer of the last write was lost
     bool cancel_requested = false;
     bool is_durable = false;   ///< the final reply is recorded
     bool is_busy = false;      ///< a worker is in charge
--- a/src/request_path/coordinator_recovery.cpp
+++ b/src/request_path/coordinator_recovery.cpp
@@ -75,6 +75,12 @@
         forward_until_end(entry, record.coordinator);
         return;
     }
+    take_over(entry, std::move(record));
+}
+
+void coordinator::take_over(const request_entry_ptr& entry,
+                            request_record record)
+{
     // The compare-and-set keeps the earlier coordinator from recording a
     // start or an end after this point.
     record.coordinator = options_.host_name;
