Strengthen tests of paused coordinators, searches and cancellation

Cause: three tests passed with their mechanism switched off: the paused coordinator raced with its successor, the search for earlier attempts met the attempt number of a new start, and the caller test cancelled only what had ended.

Change: the paused coordinator resumes after its successor has started, the earlier attempt has another number, and a running request is cancelled.

--- a/tests/node/caller_service_test.cpp
+++ b/tests/node/caller_service_test.cpp
@@ -104,6 +104,13 @@
     CHECK(f.call("GET", "/v1/requests/rota/none").status == 404);
     CHECK(f.call("PUT", "/v1/requests").status == 404);
     CHECK(f.base.router.starts().size() == 1);
+    f.base.router.set(&fake_router::is_held, true);
+    CHECK(f.submit("b", R"(,"wait_ms":0)").status == 202);
+    CHECK(wait_until([&] { return f.base.router.starts().size() == 2; }));
+    CHECK(f.call("GET", "/v1/requests/rota/b").status == 202);
+    const http_response cancelled = f.call("DELETE", "/v1/requests/rota/b");
+    CHECK(cancelled.body.find("cancelled") != std::string::npos);
+    CHECK_FALSE(f.base.router.is_running({"rota/b", 1}));
 }
 
 // Guards against work that runs before its team's limits are known or beyond
@@ -138,7 +145,7 @@
     f.limits.max_urgent_in_service = 1;
     f.make_service();
     REQUIRE(f.plans.offer(make_plan()).ok());
-    f.base.router.set(&fake_router::is_held_, true);
+    f.base.router.set(&fake_router::is_held, true);
     http_response first;
     std::thread caller([&] { first = f.submit("a"); });
     CHECK(wait_until([&] { return f.base.router.starts().size() == 1; }));
@@ -149,7 +156,7 @@
     caller.join();
     CHECK(first.status == 200);
     CHECK(f.base.router.starts().size() == 1);
-    f.base.router.set(&fake_router::is_held_, false);
+    f.base.router.set(&fake_router::is_held, false);
     CHECK(f.submit("b").status == 200);
 }
 
--- a/tests/request_path/coordinator_fixture.hpp
+++ b/tests/request_path/coordinator_fixture.hpp
@@ -64,6 +64,7 @@
         coordinator_hooks hooks;
         hooks.forward_wait = [this](const std::string&, const key_query& query)
         {
+            std::this_thread::sleep_for(milliseconds(1));
             const std::lock_guard<std::mutex> lock(mutex);
             ++forwards;
             request_reply reply = forwarded;
@@ -113,6 +114,19 @@
         dead.insert(host);
     }
 
+    /// Sets what other coordinators answer.
+    void set_forwarded(outcome result)
+    {
+        const std::lock_guard<std::mutex> lock(mutex);
+        forwarded.result = result;
+    }
+
+    int forward_count()
+    {
+        const std::lock_guard<std::mutex> lock(mutex);
+        return forwards;
+    }
+
     /// Record as a coordinator on `host` leaves it when it dies.
     request_record left_record(const request_spec& spec, std::string_view state,
                                int attempt,
--- a/tests/request_path/coordinator_recorded_test.cpp
+++ b/tests/request_path/coordinator_recorded_test.cpp
@@ -44,7 +44,7 @@
     }
     SECTION("the target restarted")
     {
-        f.router.set(&fake_router::is_held_, true);
+        f.router.set(&fake_router::is_held, true);
         f.first->submit(make_once("a"), milliseconds(0)).status().IgnoreError();
         REQUIRE(wait_until([&] { return !f.router.starts().empty(); }));
         f.router.restart();
@@ -58,13 +58,13 @@
 TEST_CASE("a refused non-idempotent start is not_run")
 {
     coordinator_fixture f;
-    f.router.set(&fake_router::is_full_, true);
+    f.router.set(&fake_router::is_full, true);
     const absl::StatusOr<request_reply> reply =
         f.first->submit(make_once("a"), long_wait);
     REQUIRE(reply.ok());
     CHECK(reply->result == outcome::not_run);
     CHECK(f.store.row_count() == 0);
-    f.router.set(&fake_router::is_full_, false);
+    f.router.set(&fake_router::is_full, false);
     CHECK(f.first->submit(make_once("a"), long_wait)->result == outcome::done);
     CHECK(f.router.starts().size() == 1);
 }
@@ -92,8 +92,8 @@
 TEST_CASE("cancellation before the start prevents the start")
 {
     coordinator_fixture f;
-    f.router.set(&fake_router::is_held_, true);
-    f.router.set(&fake_router::is_reserve_held_, true);
+    f.router.set(&fake_router::is_held, true);
+    f.router.hold_reservations(1);
     const request_spec spec = GENERATE(make_once("a"), make_batch("a"));
     f.first->submit(spec, milliseconds(0)).status().IgnoreError();
     REQUIRE(wait_until([&] { return f.router.reservations() > 0; }));
@@ -106,7 +106,7 @@
             const std::lock_guard<std::mutex> lock(entry->mutex);
             return entry->cancel_requested;
         }));
-    f.router.set(&fake_router::is_reserve_held_, false);
+    f.router.hold_reservations(0);
     caller.join();
     CHECK(f.final_reply(*f.first, "rota/a").result == outcome::cancelled);
     CHECK_FALSE(f.router.is_running({"rota/a", 1}));
@@ -116,11 +116,11 @@
 TEST_CASE("cancellation of a queued batch request prevents its start")
 {
     coordinator_fixture f;
-    f.router.set(&fake_router::is_full_, true);
+    f.router.set(&fake_router::is_full, true);
     f.first->submit(make_batch("a"), milliseconds(0)).status().IgnoreError();
     REQUIRE(wait_until([&] { return f.router.reservations() > 0; }));
     f.first->cancel("rota/a").status().IgnoreError();
-    f.router.set(&fake_router::is_full_, false);
+    f.router.set(&fake_router::is_full, false);
     CHECK(f.final_reply(*f.first, "rota/a").result == outcome::cancelled);
     REQUIRE(f.first->flush(long_wait));
     CHECK(f.router.starts().empty());
@@ -132,7 +132,7 @@
 TEST_CASE("cancellation while a recorded request runs stops it")
 {
     coordinator_fixture f;
-    f.router.set(&fake_router::is_held_, true);
+    f.router.set(&fake_router::is_held, true);
     const request_spec spec = GENERATE(make_once("a"), make_batch("a"));
     f.first->submit(spec, milliseconds(0)).status().IgnoreError();
     REQUIRE(wait_until([&] { return f.router.is_running({"rota/a", 1}); }));
@@ -153,7 +153,7 @@
 TEST_CASE("evicted batch work resumes once from its checkpoint")
 {
     coordinator_fixture f;
-    f.router.set(&fake_router::is_held_, true);
+    f.router.set(&fake_router::is_held, true);
     f.first->submit(make_batch("a"), milliseconds(0)).status().IgnoreError();
     REQUIRE(wait_until(
         [&]
--- a/tests/request_path/coordinator_takeover_test.cpp
+++ b/tests/request_path/coordinator_takeover_test.cpp
@@ -4,8 +4,6 @@
 
 #include <catch2/catch.hpp>
 
-#include <thread>
-
 using namespace egretspindle;
 using namespace egretspindle::test;
 
@@ -72,11 +70,11 @@
     }
     SECTION("the id is sent again after not_run")
     {
-        f.router.set(&fake_router::is_full_, true);
+        f.router.set(&fake_router::is_full, true);
         CHECK(f.first->submit(make_spec("a"), long_wait)->result ==
               outcome::not_run);
         REQUIRE(f.first->flush(long_wait));
-        f.router.set(&fake_router::is_full_, false);
+        f.router.set(&fake_router::is_full, false);
         CHECK(f.first->submit(make_spec("a"), long_wait)->result ==
               outcome::done);
     }
@@ -127,7 +125,7 @@
 TEST_CASE("a start after the takeover of a recorded start is recorded")
 {
     coordinator_fixture f;
-    f.router.set(&fake_router::is_held_, true);
+    f.router.set(&fake_router::is_held, true);
     f.store.put_record(
         "rota/a", f.left_record(make_spec("a"), record_state::starting, 1));
     f.first->submit(make_spec("a"), milliseconds(0)).status().IgnoreError();
@@ -144,39 +142,27 @@
 {
     coordinator_fixture f;
     const std::unique_ptr<coordinator> second = f.make("host-b");
-    f.router.set(&fake_router::is_reserve_held_, true);
-    std::thread caller(
-        [&] {
-            f.first->submit(make_batch("a"), milliseconds(0))
-                .status()
-                .IgnoreError();
-        });
-    caller.join();
+    f.router.set(&fake_router::is_held, true);
+    f.router.hold_reservations(1);
+    f.first->submit(make_batch("a"), milliseconds(0)).status().IgnoreError();
     REQUIRE(wait_until([&] { return f.router.reservations() == 1; }));
     // The first coordinator is paused here, between reservation and record.
     f.set_dead("host-a");
-    f.router.set(&fake_router::is_held_, true);
     REQUIRE(second->adopt_shard(shard_of("rota/a")).ok());
-    REQUIRE(wait_until([&] { return f.router.reservations() == 2; }));
-    {
-        const std::lock_guard<std::mutex> lock(f.mutex);
-        f.forwarded.result = outcome::running;
-    }
-    f.router.set(&fake_router::is_reserve_held_, false);
     REQUIRE(wait_until([&] { return f.router.starts().size() == 1; }));
-    const int attempt = f.router.starts().front().attempt;
-    f.router.finish({"rota/a", attempt}, "whole");
+    f.set_forwarded(outcome::running);
+    f.router.hold_reservations(0);
+    REQUIRE(wait_until([&] { return f.forward_count() > 0; }));
+    CHECK(f.router.starts().size() == 1);
+    CHECK(f.store.record("rota/a").coordinator == "host-b");
+    f.router.finish({"rota/a", f.router.starts().front().attempt}, "whole");
     CHECK(f.final_reply(*second, "rota/a").answer == "whole");
     REQUIRE(second->flush(long_wait));
-    CHECK(f.store.record("rota/a").coordinator == "host-b");
-    CHECK(f.store.record("rota/a").reply.answer == "whole");
-    {
-        const std::lock_guard<std::mutex> lock(f.mutex);
-        f.forwarded.result = outcome::done;
-    }
+    f.set_forwarded(outcome::done);
     REQUIRE(wait_until([&] { return !f.first->has_busy_requests(); }));
     CHECK(f.router.starts().size() == 1);
     CHECK(f.store.record("rota/a").coordinator == "host-b");
+    CHECK(f.store.record("rota/a").reply.answer == "whole");
 }
 
 // Guards against a lost result when the owner reports the end of work whose
--- a/tests/request_path/coordinator_urgent_test.cpp
+++ b/tests/request_path/coordinator_urgent_test.cpp
@@ -23,7 +23,7 @@
 TEST_CASE("the same id twice at once is run once and answered twice")
 {
     coordinator_fixture f;
-    f.router.set(&fake_router::is_held_, true);
+    f.router.set(&fake_router::is_held, true);
     absl::StatusOr<request_reply> one;
     absl::StatusOr<request_reply> two;
     std::thread caller([&]
@@ -90,14 +90,14 @@
     {
         f.store.lose_answers(1);
     }
-    f.router.set(&fake_router::is_full_, true);
+    f.router.set(&fake_router::is_full, true);
     const absl::StatusOr<request_reply> reply =
         f.first->submit(make_spec("a"), long_wait);
     REQUIRE(reply.ok());
     CHECK(reply->result == outcome::not_run);
     REQUIRE(wait_until([&] { return f.store.row_count() == 0; },
                        std::chrono::seconds(5)));
-    f.router.set(&fake_router::is_full_, false);
+    f.router.set(&fake_router::is_full, false);
     request_spec changed = make_spec("a");
     changed.body = "other";
     const absl::StatusOr<request_reply> again =
@@ -170,8 +170,8 @@
     coordinator_fixture f;
     f.store.set_down(true);
     f.is_view_settled = false;
-    f.router.add_running({"rota/a", 1});
-    f.router.finish({"rota/a", 1}, "earlier");
+    f.router.add_running({"rota/a", 3});
+    f.router.finish({"rota/a", 3}, "earlier");
     const absl::StatusOr<request_reply> reply =
         f.first->submit(make_spec("a"), long_wait);
     REQUIRE(reply.ok());
@@ -195,11 +195,11 @@
 TEST_CASE("a restarted target makes an idempotent request run again")
 {
     coordinator_fixture f;
-    f.router.set(&fake_router::is_held_, true);
+    f.router.set(&fake_router::is_held, true);
     request_spec spec = make_spec("a");
     f.first->submit(spec, milliseconds(0)).status().IgnoreError();
     REQUIRE(has_started(f, 1));
-    f.router.set(&fake_router::is_held_, false);
+    f.router.set(&fake_router::is_held, false);
     f.router.restart();
     CHECK(f.final_reply(*f.first, "rota/a").result == outcome::done);
     REQUIRE(f.router.starts().size() == 2);
@@ -210,7 +210,7 @@
 TEST_CASE("cancellation stops a running urgent request")
 {
     coordinator_fixture f;
-    f.router.set(&fake_router::is_held_, true);
+    f.router.set(&fake_router::is_held, true);
     f.first->submit(make_spec("a"), milliseconds(0)).status().IgnoreError();
     REQUIRE(has_started(f, 1));
     const absl::StatusOr<request_reply> reply = f.first->cancel("rota/a");
--- a/tests/request_path/fake_router.hpp
+++ b/tests/request_path/fake_router.hpp
@@ -57,12 +57,13 @@
         if (request.reserve_only)
         {
             ++reservations_;
-            changed_.wait(lock, [this] { return !is_reserve_held_; });
-            reply.placed = !is_full_;
-            reply.reason = is_full_ ? "full" : "";
+            const int number = reservations_;
+            changed_.wait(lock, [&] { return number > held_reservations_; });
+            reply.placed = !is_full;
+            reply.reason = is_full ? "full" : "";
             return reply;
         }
-        if (is_full_ || is_start_refused_ || tombstones_.count(id) > 0)
+        if (is_full || is_start_refused || tombstones_.count(id) > 0)
         {
             reply.reason = "refused";
             return reply;
@@ -171,6 +172,14 @@
         changed_.notify_all();
     }
 
+    /// Holds the answers of the first reservations.
+    void hold_reservations(int count)
+    {
+        const std::lock_guard<std::mutex> lock(mutex_);
+        held_reservations_ = count;
+        changed_.notify_all();
+    }
+
     void lose_starts(int count)
     {
         const std::lock_guard<std::mutex> lock(mutex_);
@@ -208,10 +217,9 @@
         return acknowledged_.count(id) > 0;
     }
 
-    bool is_full_ = false;          ///< no reservation and no start
-    bool is_start_refused_ = false; ///< reservations only
-    bool is_reserve_held_ = false;  ///< reservations wait
-    bool is_held_ = false;          ///< tasks run until `finish`
+    bool is_full = false;          ///< no reservation and no start
+    bool is_start_refused = false; ///< reservations only
+    bool is_held = false;          ///< tasks run until `finish`
 
 private:
     ::egretspindle::task_state made_state(const task_id& id) const
@@ -220,9 +228,9 @@
         state.key = id.first;
         state.attempt = id.second;
         state.boot_id = boot_id_;
-        state.state = is_held_ ? "running" : "finished";
-        state.ok = !is_held_;
-        state.answer = is_held_ ? "" : "answer of " + id.first;
+        state.state = is_held ? "running" : "finished";
+        state.ok = !is_held;
+        state.answer = is_held ? "" : "answer of " + id.first;
         return state;
     }
 
@@ -271,6 +279,7 @@
     std::vector<executed_start> starts_;
     int reservations_ = 0;
     int finds_ = 0;
+    int held_reservations_ = 0;
     int lost_starts_ = 0;
 };
 
