Test that a refused recorded start is made again

Change: adds the test, which uses the refusal of the fake router.

The test was not run with its mechanism off.

--- a/tests/request_path/coordinator_recorded_test.cpp
+++ b/tests/request_path/coordinator_recorded_test.cpp
@@ -69,6 +69,18 @@
     CHECK(f.router.starts().size() == 1);
 }
 
+// Guards against `unknown` for work that its target certainly did not start.
+TEST_CASE("a recorded start that its target refused is made again")
+{
+    coordinator_fixture f;
+    f.router.set(&fake_router::is_start_refused, true);
+    f.first->submit(make_once("a"), milliseconds(0)).status().IgnoreError();
+    REQUIRE(wait_until([&] { return f.router.reservations() > 1; }));
+    f.router.set(&fake_router::is_start_refused, false);
+    CHECK(f.final_reply(*f.first, "rota/a").result == outcome::done);
+    CHECK(f.router.starts().size() == 1);
+}
+
 // Guards against a row that stays behind `not_run` when the store wrote the
 // start but its answer was lost.
 TEST_CASE("not_run after a lost answer of the store leaves no record")
--- a/tests/request_path/fake_target.hpp
+++ b/tests/request_path/fake_target.hpp
@@ -57,9 +57,11 @@
     {
         const std::lock_guard<std::mutex> lock(mutex_);
         const absl::Status status = check({});
-        return status.ok()
-                   ? absl::StatusOr<task_state>(state_of({key, attempt}))
-                   : status;
+        if (status.ok())
+        {
+            return state_of({key, attempt});
+        }
+        return status;
     }
 
     absl::StatusOr<task_state> stop(const stop_command& command)
@@ -135,12 +137,7 @@
     void add_running(const task_id& id)
     {
         const std::lock_guard<std::mutex> lock(mutex_);
-        task_state& task = tasks_[id];
-        task.state = "running";
-        task.team = "rota";
-        task.kind = "draft";
-        task.cpu_cores = 1;
-        task.memory_mb = 100;
+        tasks_[id].state = "running";
     }
 
     void finish(const task_id& id, const std::string& answer)
