Poll confirmed batch attempts every 30 s

Cause: one task_state message per running batch attempt every 5 s made most of the control traffic (72 KB/s per host at the target size, by the capacity benchmark). Change: attempts that their target confirmed are polled every 30 s; their ends are reported by the rack owner.

--- a/include/egretspindle/request_path/coordinator_options.hpp
+++ b/include/egretspindle/request_path/coordinator_options.hpp
@@ -40,6 +40,8 @@
     std::size_t max_inline_answer = 65'536;
     /// Interval of polls of a running attempt without news.
     milliseconds poll_interval{5000};
+    /// Interval for a batch attempt that its target confirmed.
+    milliseconds confirmed_poll_interval{30'000};
     /// How long recorded replies stay in memory.
     milliseconds retention{60'000};
 };
--- a/src/request_path/coordinator_follow.cpp
+++ b/src/request_path/coordinator_follow.cpp
@@ -98,6 +98,9 @@
 void coordinator::leave_running(const request_entry_ptr& entry)
 {
     const std::lock_guard<std::mutex> lock(entry->mutex);
+    // The owner of a running attempt reports its end, so polls only cover an
+    // owner that was lost together with the target.
+    const bool is_confirmed = entry->reply.result == outcome::running;
     if (entry->reply.result == outcome::accepted)
     {
         // The start was refused or its answer lost, and the queue has dropped
@@ -105,7 +108,10 @@
         entry->reply.result = outcome::running;
     }
     entry->is_busy = false;
-    entry->next_poll = steady_clock::now() + options_.poll_interval;
+    entry->next_poll =
+        steady_clock::now() + (is_confirmed && !entry->spec.urgent
+                                   ? options_.confirmed_poll_interval
+                                   : options_.poll_interval);
 }
 
 coordinator::next_step coordinator::apply_report(const request_entry_ptr& entry,
