Use incarnations of full length in the traffic measurement

Cause: the simulated members had incarnations of 4 digits, a time of day has 13, so that digests were 9 bytes too short.

--- a/bench/membership/main.cpp
+++ b/bench/membership/main.cpp
@@ -131,7 +131,9 @@
     {
         const int rest = n < hosts % centers ? 1 : 0;
         const int count = hosts / centers + rest;
-        cluster.add_center("center-" + std::to_string(n), count);
+        membership_options options;
+        options.incarnation = 1'764'826'571'123; // as long as a time of day
+        cluster.add_center("center-" + std::to_string(n), count, options);
     }
 }
 
