Retry the record of a batch request under one transaction id

Change: the commit is repeated under the same transaction id, which returns the first result, for up to 5 s before the caller is told unknown.

--- a/include/egretspindle/request_path/coordinator.hpp
+++ b/include/egretspindle/request_path/coordinator.hpp
@@ -134,7 +134,8 @@
                       const commit_result& result);
     absl::StatusOr<commit_result> commit_record(const request_entry_ptr& entry,
                                                 const request_record& record,
-                                                milliseconds timeout);
+                                                milliseconds timeout,
+                                                time_point retry_until = {});
 
     // coordinator_urgent.cpp
     void run_urgent(const request_entry_ptr& entry);
--- a/src/request_path/coordinator_batch.cpp
+++ b/src/request_path/coordinator_batch.cpp
@@ -12,6 +12,9 @@
 {
 
 constexpr milliseconds dispatch_period{20};
+// How long the record of a batch request is retried before its caller is
+// told that its acceptance is not known.
+constexpr milliseconds accept_retry_time{5000};
 constexpr std::int64_t full_queue_retry_ms = 5000;
 
 } // namespace
@@ -39,7 +42,8 @@
     record.coordinator = options_.host_name;
     record.data_center = options_.data_center;
     const absl::StatusOr<commit_result> result =
-        commit_record(entry, record, options_.store_timeout);
+        commit_record(entry, record, options_.store_timeout,
+                      steady_clock::now() + accept_retry_time);
     if (result.ok() && result->committed)
     {
         enqueue(entry, milliseconds(0));
--- a/src/request_path/coordinator_commit.cpp
+++ b/src/request_path/coordinator_commit.cpp
@@ -15,6 +15,7 @@
 {
 
 constexpr milliseconds object_retry_delay{500};
+constexpr milliseconds commit_retry_delay{100};
 
 store_write open_row_removal(const std::string& data_center,
                              const std::string& key)
@@ -29,7 +30,8 @@
 
 absl::StatusOr<commit_result>
 coordinator::commit_record(const request_entry_ptr& entry,
-                           const request_record& record, milliseconds timeout)
+                           const request_record& record, milliseconds timeout,
+                           time_point retry_until)
 {
     store_transaction transaction;
     transaction.tx_id = make_transaction_id(options_.host_name);
@@ -54,6 +56,13 @@
              options_.host_name, false});
     }
     absl::StatusOr<commit_result> result = store_.commit(transaction, timeout);
+    while (!result.ok() && steady_clock::now() < retry_until &&
+           kind_of(result.status()) == error_kind::deadline_exceeded)
+    {
+        // A repeat of the transaction id returns the first result.
+        std::this_thread::sleep_for(commit_retry_delay);
+        result = store_.commit(transaction, timeout);
+    }
     if (!result.ok())
     {
         store_health_.failed(steady_clock::now());
