--- a/include/egretspindle/adapters/task_state.hpp
+++ b/include/egretspindle/adapters/task_state.hpp
@@ -26,9 +26,9 @@
     std::string team;
     std::string kind;
     bool urgent = false;
-    double cpu_cores = 0;    ///< reserved
-    double memory_mb = 0;    ///< reserved
-    int accelerators = 0;    ///< reserved
+    double cpu_cores = 0; ///< reserved
+    double memory_mb = 0; ///< reserved
+    int accelerators = 0; ///< reserved
     bool preemptible = false;
     std::int64_t run_ms = 0; ///< time since the start
 };
--- a/tools/standin_store/store_api.cpp
+++ b/tools/standin_store/store_api.cpp
@@ -122,10 +122,10 @@
 http_response store_api::transaction(const std::string& tx_id)
 {
     const std::optional<commit_result> result = table_.find_transaction(tx_id);
-    return json_reply(200, fmt::format(R"({{"known":{},"committed":{},"version":{}}})",
-                                       result.has_value(),
-                                       result && result->committed,
-                                       result ? result->version : 0));
+    return json_reply(
+        200, fmt::format(R"({{"known":{},"committed":{},"version":{}}})",
+                         result.has_value(), result && result->committed,
+                         result ? result->version : 0));
 }
 
 http_response store_api::object(const http_request& request)
