--- a/apps/egretctl/admin_client.cpp
+++ b/apps/egretctl/admin_client.cpp
@@ -1,6 +1,7 @@
 #include "admin_client.hpp"
 
 #include "egretspindle/core/error.hpp"
+#include "egretspindle/net/error_reply.hpp"
 #include "egretspindle/net/http_client.hpp"
 
 #include <fmt/format.h>
@@ -16,30 +17,6 @@
 // Longer than an entry host tries to learn the result of a transaction.
 constexpr std::chrono::milliseconds call_timeout{20'000};
 
-struct error_detail
-{
-    std::string kind;
-    std::string message;
-};
-
-template <typename Visitor, typename Value>
-void visit_fields(Visitor&& visit, Value& value, const error_detail* /*tag*/)
-{
-    visit("kind", value.kind);
-    visit("message", value.message);
-}
-
-struct error_reply
-{
-    error_detail error;
-};
-
-template <typename Visitor, typename Value>
-void visit_fields(Visitor&& visit, Value& value, const error_reply* /*tag*/)
-{
-    visit("error", value.error);
-}
-
 absl::Status error_from(const http_response& response)
 {
     const absl::StatusOr<error_reply> reply =
--- a/src/adapters/caller_response.cpp
+++ b/src/adapters/caller_response.cpp
@@ -3,6 +3,7 @@
 #include "egretspindle/codec/json.hpp"
 #include "egretspindle/core/error.hpp"
 #include "egretspindle/core/utf8.hpp"
+#include "egretspindle/net/error_reply.hpp"
 
 #include <algorithm>
 
@@ -36,32 +37,6 @@
     visit("target", value.target);
 }
 
-/// Kind and message of an error.
-struct wire_error
-{
-    std::string kind;
-    std::string message;
-};
-
-template <typename Visitor, typename Value>
-void visit_fields(Visitor&& visit, Value& value, const wire_error* /*tag*/)
-{
-    visit("kind", value.kind);
-    visit("message", value.message);
-}
-
-/// Body of an error response.
-struct wire_error_body
-{
-    wire_error error;
-};
-
-template <typename Visitor, typename Value>
-void visit_fields(Visitor&& visit, Value& value, const wire_error_body* /*tag*/)
-{
-    visit("error", value.error);
-}
-
 // Retry-After holds whole seconds; 0 would invite an immediate retry.
 void add_retry_after(http_response& response, std::int64_t retry_after_ms)
 {
@@ -145,7 +120,7 @@
 http_response format_error(const absl::Status& status)
 {
     const error_kind kind = kind_of(status);
-    const wire_error_body wire{
+    const error_reply wire{
         {std::string(to_string(kind)),
          replace_invalid_utf8(std::string(status.message()))}};
     http_response response;
--- a/src/adapters/json_call.cpp
+++ b/src/adapters/json_call.cpp
@@ -1,6 +1,7 @@
 #include "json_call.hpp"
 
 #include "egretspindle/core/error.hpp"
+#include "egretspindle/net/error_reply.hpp"
 
 #include <fmt/format.h>
 
@@ -10,30 +11,6 @@
 namespace
 {
 
-struct error_detail
-{
-    std::string kind;
-    std::string message;
-};
-
-template <typename Visitor, typename Value>
-void visit_fields(Visitor&& visit, Value& value, const error_detail* /*tag*/)
-{
-    visit("kind", value.kind);
-    visit("message", value.message);
-}
-
-struct error_body
-{
-    error_detail error;
-};
-
-template <typename Visitor, typename Value>
-void visit_fields(Visitor&& visit, Value& value, const error_body* /*tag*/)
-{
-    visit("error", value.error);
-}
-
 error_kind kind_of_status(int status)
 {
     switch (status)
@@ -62,8 +39,8 @@
     {
         return absl::OkStatus();
     }
-    const absl::StatusOr<error_body> body =
-        from_json<error_body>(response.body);
+    const absl::StatusOr<error_reply> body =
+        from_json<error_reply>(response.body);
     if (body.ok() && !body->error.kind.empty())
     {
         return make_error(error_kind_from(body->error.kind),
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -1,6 +1,8 @@
 #include "egretspindle/net/http_server.hpp"
 
+#include "egretspindle/codec/json.hpp"
 #include "egretspindle/core/error.hpp"
+#include "egretspindle/net/error_reply.hpp"
 
 #include <cxxtools/eventloop.h>
 #include <cxxtools/http/reply.h>
@@ -39,8 +41,8 @@
 {
     http_response response;
     response.status = status;
-    response.body = fmt::format(R"({{"error":{{"kind":"{}","message":"{}"}}}})",
-                                kind, message);
+    response.body =
+        to_json(error_reply{{std::string(kind), std::string(message)}});
     return response;
 }
 
--- a/tests/integration/host_kill_test.cpp
+++ b/tests/integration/host_kill_test.cpp
@@ -145,6 +145,6 @@
         nodes->wait_ready(it.victims);
     }
     const run_record record = nodes->record(calls);
-    CHECK(check_all(record) == violations{});
+    CHECK_THAT(check_all(record), Catch::Equals(violations{}));
     check_urgent_starts(record);
 }
--- a/tests/integration/host_pause_test.cpp
+++ b/tests/integration/host_pause_test.cpp
@@ -44,6 +44,7 @@
     }
     const std::vector<caller_reply> replies = traffic.settle();
     const run_record record = nodes->record(calls);
-    CHECK(check_all(record) == violations{});
-    CHECK(check_outcomes(replies, {"done", "not_run"}, record) == violations{});
+    CHECK_THAT(check_all(record), Catch::Equals(violations{}));
+    CHECK_THAT(check_outcomes(replies, {"done", "not_run"}, record),
+               Catch::Equals(violations{}));
 }
--- a/tests/integration/partition_test.cpp
+++ b/tests/integration/partition_test.cpp
@@ -37,7 +37,9 @@
     nodes->set_data_center_link("b", "pass");
     const std::vector<caller_reply> replies = traffic.settle();
     const run_record record = nodes->record(calls);
-    CHECK(check_all(record) == violations{});
-    CHECK(check_outcomes(urgent_replies, {"done"}, record) == violations{});
-    CHECK(check_outcomes(replies, {"done", "not_run"}, record) == violations{});
+    CHECK_THAT(check_all(record), Catch::Equals(violations{}));
+    CHECK_THAT(check_outcomes(urgent_replies, {"done"}, record),
+               Catch::Equals(violations{}));
+    CHECK_THAT(check_outcomes(replies, {"done", "not_run"}, record),
+               Catch::Equals(violations{}));
 }
--- a/tests/integration/smoke_test.cpp
+++ b/tests/integration/smoke_test.cpp
@@ -30,6 +30,6 @@
         }
     }
     const run_record record = nodes->record(calls);
-    CHECK(check_all(record) == violations{});
+    CHECK_THAT(check_all(record), Catch::Equals(violations{}));
     CHECK(record.executions.size() == 2 * requests.size());
 }
--- a/tests/integration/store_fault_test.cpp
+++ b/tests/integration/store_fault_test.cpp
@@ -30,8 +30,9 @@
                const std::vector<caller_reply>& replies)
 {
     const run_record record = nodes.record(calls);
-    CHECK(check_all(record) == violations{});
-    CHECK(check_outcomes(replies, {"done", "not_run"}, record) == violations{});
+    CHECK_THAT(check_all(record), Catch::Equals(violations{}));
+    CHECK_THAT(check_outcomes(replies, {"done", "not_run"}, record),
+               Catch::Equals(violations{}));
 }
 
 } // namespace
@@ -72,7 +73,8 @@
     nodes->control_store(R"({"outage":false,"delay_ms":0})");
     CHECK(serves(traffic, 30));
     const run_record record = nodes->record(calls);
-    CHECK(check_outcomes(urgent_replies, {"done"}, record) == violations{});
+    CHECK_THAT(check_outcomes(urgent_replies, {"done"}, record),
+               Catch::Equals(violations{}));
     check_run(*nodes, calls, traffic.settle());
 }
 
--- a/tests/integration/target_fault_test.cpp
+++ b/tests/integration/target_fault_test.cpp
@@ -107,7 +107,7 @@
         follow_all(calls, nodes->addresses(), requests);
     nodes->target(target).start();
     const run_record record = nodes->record(calls);
-    CHECK(check_all(record) == violations{});
+    CHECK_THAT(check_all(record), Catch::Equals(violations{}));
     check_replies(replies, record, target, true);
 }
 
@@ -133,7 +133,7 @@
     const std::vector<caller_reply> replies =
         follow_all(calls, nodes->addresses(), requests);
     const run_record record = nodes->record(calls);
-    CHECK(check_all(record) == violations{});
+    CHECK_THAT(check_all(record), Catch::Equals(violations{}));
     check_replies(replies, record, target, false);
 }
 
@@ -162,6 +162,6 @@
         follow_all(calls, nodes->addresses(), requests);
     const run_record record = nodes->record(calls);
     INFO(mode);
-    CHECK(check_all(record) == violations{});
+    CHECK_THAT(check_all(record), Catch::Equals(violations{}));
     check_replies(replies, record, target, false);
 }
--- a/tests/request_path/coordinator_fixture.hpp
+++ b/tests/request_path/coordinator_fixture.hpp
@@ -61,6 +61,7 @@
         options.host_name = name;
         options.data_center = "dc";
         options.poll_interval = milliseconds(100);
+        options.confirmed_poll_interval = milliseconds(100);
         coordinator_hooks hooks;
         hooks.forward_wait = [this](const std::string&, const key_query& query)
         {
--- a/tools/common/reply.cpp
+++ b/tools/common/reply.cpp
@@ -1,39 +1,12 @@
 #include "reply.hpp"
 
+#include "egretspindle/net/error_reply.hpp"
+
 #include <cstdlib>
 
 namespace egretspindle::standin
 {
 
-namespace
-{
-
-struct error_detail
-{
-    std::string kind;
-    std::string message;
-};
-
-template <typename Visitor, typename Value>
-void visit_fields(Visitor&& visit, Value& value, const error_detail* /*tag*/)
-{
-    visit("kind", value.kind);
-    visit("message", value.message);
-}
-
-struct error_body
-{
-    error_detail error;
-};
-
-template <typename Visitor, typename Value>
-void visit_fields(Visitor&& visit, Value& value, const error_body* /*tag*/)
-{
-    visit("error", value.error);
-}
-
-} // namespace
-
 http_response json_reply(int status, std::string body)
 {
     http_response response;
@@ -44,7 +17,8 @@
 
 http_response error_reply(int status, error_kind kind, std::string_view message)
 {
-    const error_body body{{std::string(to_string(kind)), std::string(message)}};
+    const egretspindle::error_reply body{
+        {std::string(to_string(kind)), std::string(message)}};
     return json_reply(status, to_json(body));
 }
 
