--- a/tests/standins/rpc_reset_test.cpp
+++ b/tests/standins/rpc_reset_test.cpp
@@ -30,8 +30,10 @@
     std::atomic<bool> is_stopping{false};
     std::atomic<int> wrong{0};
     std::atomic<int> right{0};
+    constexpr int caller_count = 8;
     std::vector<std::thread> threads;
-    for (int t = 0; t < 8; ++t)
+    threads.reserve(caller_count);
+    for (int t = 0; t < caller_count; ++t)
     {
         threads.emplace_back(
             [&, t]
--- a/tests/support/cluster.cpp
+++ b/tests/support/cluster.cpp
@@ -369,8 +369,8 @@
             });
         if (!is_ready)
         {
-            throw std::runtime_error(name + " is not ready: " + reason + "\n" +
-                                     log_tails());
+            throw std::runtime_error(fmt::format("{} is not ready: {}\n{}",
+                                                 name, reason, log_tails()));
         }
     }
 }
