net: carry JSON-RPC over HTTP

When a connection was reset while its call was in service, cxxtools' JSON-RPC server over plain TCP crashed (SIGSEGV in json::Socket::onIODeviceInput) or wrote the reply to another connection, whose client then took each reply for that of the next call. Callers were told the answer of another request (partition and target_fault tests, behind the proxy).

The test calls an echo server from 8 threads through a proxy that resets, holds and cuts connections.

--- a/src/net/rpc_client.cpp
+++ b/src/net/rpc_client.cpp
@@ -3,7 +3,7 @@
 #include "egretspindle/core/error.hpp"
 #include "egretspindle/net/message_auth.hpp"
 
-#include <cxxtools/json/rpcclient.h>
+#include <cxxtools/json/httpclient.h>
 #include <cxxtools/remoteexception.h>
 #include <cxxtools/remoteprocedure.h>
 #include <cxxtools/utf8codec.h>
@@ -23,7 +23,7 @@
 constexpr std::size_t max_idle_connections = 64;
 constexpr std::chrono::milliseconds max_connect_time{500};
 
-using client_ptr = std::unique_ptr<cxxtools::json::RpcClient>;
+using client_ptr = std::unique_ptr<cxxtools::json::HttpClient>;
 using call_procedure =
     cxxtools::RemoteProcedure<cxxtools::String, cxxtools::String,
                               cxxtools::String, cxxtools::String,
@@ -36,7 +36,7 @@
 
 // The procedure object refers to the client until its destructor, so it has to
 // end before the client goes back to the pool or is destroyed.
-cxxtools::String call_remote(cxxtools::json::RpcClient& client,
+cxxtools::String call_remote(cxxtools::json::HttpClient& client,
                              std::string_view type, const std::string& sender,
                              std::string_view payload, const std::string& mac)
 {
@@ -106,8 +106,8 @@
     {
         if (!client)
         {
-            client = std::make_unique<cxxtools::json::RpcClient>(server.address,
-                                                                 server.port);
+            client = std::make_unique<cxxtools::json::HttpClient>(
+                server.address, server.port, "/rpc");
             client->connectTimeout(
                 to_cxxtools(std::min(timeout, max_connect_time)));
             client->connect();
--- a/src/net/rpc_server.cpp
+++ b/src/net/rpc_server.cpp
@@ -4,7 +4,8 @@
 #include "egretspindle/net/message_auth.hpp"
 
 #include <cxxtools/eventloop.h>
-#include <cxxtools/json/rpcserver.h>
+#include <cxxtools/http/server.h>
+#include <cxxtools/json/httpservice.h>
 #include <cxxtools/remoteexception.h>
 #include <cxxtools/utf8codec.h>
 #include <fmt/format.h>
@@ -61,7 +62,11 @@
     std::string cluster_key;
     rpc_handler handler;
     cxxtools::EventLoop loop;
-    std::unique_ptr<cxxtools::json::RpcServer> server;
+    // cxxtools' JSON-RPC server over plain TCP crashes, or writes a reply to
+    // another connection, when a connection is reset while its call is in
+    // service; its HTTP server does not.
+    cxxtools::json::HttpService service;
+    std::unique_ptr<cxxtools::http::Server> server;
     std::thread thread;
 };
 
@@ -79,11 +84,12 @@
 {
     try
     {
-        impl_->server = std::make_unique<cxxtools::json::RpcServer>(
-            impl_->loop, address, port);
+        impl_->server = std::make_unique<cxxtools::http::Server>(impl_->loop,
+                                                                 address, port);
         impl_->server->minThreads(min_server_threads);
         impl_->server->maxThreads(max_server_threads);
-        impl_->server->registerMethod("call", *impl_, &impl::call);
+        impl_->service.registerMethod("call", *impl_, &impl::call);
+        impl_->server->addService("/rpc", impl_->service);
     }
     catch (const std::exception& ex)
     {
