--- a/tests/standins/rpc_reset_test.cpp
+++ b/tests/standins/rpc_reset_test.cpp
@@ -31,6 +31,7 @@
     std::atomic<int> wrong{0};
     std::atomic<int> right{0};
     std::vector<std::thread> threads;
+    threads.reserve(8);
     for (int t = 0; t < 8; ++t)
     {
         threads.emplace_back(
