Pass messages to rack owners in one place

Cause: three functions looked up the owner and relayed in the same lines, and a request for any rack of a data centre ignored whether batch work may give way. Change: one template; place_anywhere keeps may_evict of the candidate.

--- a/include/egretspindle/request_path/peer_rack_router.hpp
+++ b/include/egretspindle/request_path/peer_rack_router.hpp
@@ -51,6 +51,9 @@
 
     absl::StatusOr<std::string> owner_address(const std::string& data_center,
                                               const std::string& rack);
+    template <typename Reply, typename Message>
+    absl::StatusOr<Reply> pass_on(std::string_view type,
+                                  const Message& message);
     absl::StatusOr<place_reply> place_anywhere(const place_request& request);
     absl::StatusOr<task_report> ask_owner(std::string_view type,
                                           query_function function,
--- a/src/request_path/peer_rack_router.cpp
+++ b/src/request_path/peer_rack_router.cpp
@@ -175,6 +175,24 @@
     return members_.address_of(best->name);
 }
 
+// Sends a message towards the owner of its rack. A host of another data centre
+// passes it on once more.
+template <typename Reply, typename Message>
+absl::StatusOr<Reply> peer_rack_router::pass_on(std::string_view type,
+                                                const Message& message)
+{
+    const absl::StatusOr<std::string> address =
+        owner_address(message.data_center, message.rack);
+    if (!address.ok())
+    {
+        return address.status();
+    }
+    Message relayed = message;
+    relayed.relayed = message.data_center == members_.options().data_center;
+    return call_peer<Reply>(client_, *address, type, relayed,
+                            call_timeout + milliseconds(message.wait_ms));
+}
+
 absl::StatusOr<place_reply>
 peer_rack_router::place(const place_request& request)
 {
@@ -199,18 +217,7 @@
                               "owner again");
         }
     }
-    const absl::StatusOr<std::string> address =
-        owner_address(request.data_center, request.rack);
-    if (!address.ok())
-    {
-        return address.status();
-    }
-    place_request passed_on = request;
-    // A host of another data centre passes the message on once more.
-    passed_on.relayed = is_here;
-    return call_peer<place_reply>(client_, *address, message_type::place,
-                                  passed_on,
-                                  call_timeout + milliseconds(request.wait_ms));
+    return pass_on<place_reply>(message_type::place, request);
 }
 
 absl::StatusOr<place_reply>
@@ -226,6 +233,7 @@
         }
         place_request chosen = request;
         chosen.rack = candidate.rack;
+        chosen.may_evict = candidate.may_evict;
         last = place(chosen);
         const bool is_refused =
             last.ok() ? !last->placed && !last->may_have_started
@@ -257,16 +265,7 @@
                               "owner again");
         }
     }
-    const absl::StatusOr<std::string> address =
-        owner_address(query.data_center, query.rack);
-    if (!address.ok())
-    {
-        return address.status();
-    }
-    task_query passed_on = query;
-    passed_on.relayed = is_here;
-    return call_peer<task_report>(client_, *address, type, passed_on,
-                                  call_timeout + milliseconds(query.wait_ms));
+    return pass_on<task_report>(type, query);
 }
 
 absl::StatusOr<task_report>
@@ -297,17 +296,7 @@
             return absl::OkStatus();
         }
     }
-    const absl::StatusOr<std::string> address =
-        owner_address(query.data_center, query.rack);
-    if (!address.ok())
-    {
-        return address.status();
-    }
-    task_query passed_on = query;
-    passed_on.relayed = is_here;
-    return call_peer<task_query>(client_, *address, message_type::task_ack,
-                                 passed_on, call_timeout)
-        .status();
+    return pass_on<task_query>(message_type::task_ack, query).status();
 }
 
 find_reply peer_rack_router::find_here(const find_request& request) const
