--- a/apps/egretspindle/main.cpp
+++ b/apps/egretspindle/main.cpp
@@ -2,13 +2,18 @@
 
 #include "egretspindle/logging/log.hpp"
 #include "egretspindle/node/node.hpp"
+#include "egretspindle/settings/scheduler_settings.hpp"
 #include "egretspindle/settings/settings.hpp"
+#include "platform_node.hpp"
 
 #include <fmt/format.h>
 
 #include <csignal>
 #include <cstdio>
+#include <cstdlib>
+#include <fstream>
 #include <getopt.h>
+#include <iterator>
 #include <pthread.h>
 #include <string>
 
@@ -19,12 +24,15 @@
 constexpr int exit_failure = 1;
 constexpr int exit_usage = 2;
 
+constexpr const char* settings_variable = "EGRETSPINDLE_CONFIG";
+
 constexpr const char* usage =
-    "usage: egretspindle --settings FILE [--check]\n"
+    "usage: egretspindle [--settings FILE] [--check]\n"
     "\n"
     "Runs an entry host of the scheduler until SIGTERM or SIGINT.\n"
     "\n"
-    "  -s, --settings FILE  settings in TOML\n"
+    "  -s, --settings FILE  settings in TOML; default: the file that the\n"
+    "                       variable EGRETSPINDLE_CONFIG names\n"
     "  -c, --check          check the settings and exit\n"
     "  -h, --help           show this text\n"
     "  -V, --version        show the version\n";
@@ -72,6 +80,11 @@
             return false;
         }
     }
+    const char* const file = std::getenv(settings_variable);
+    if (options.settings_file.empty() && file != nullptr)
+    {
+        options.settings_file = file;
+    }
     if (options.settings_file.empty() || optind != argc)
     {
         fmt::print(stderr, "a settings file is required\n{}", usage);
@@ -81,16 +94,21 @@
     return true;
 }
 
-int run(const egretspindle::settings& config)
+// Called before any thread starts, so that only sigwait takes the signals.
+sigset_t block_signals()
 {
-    // Blocked before any thread starts, so that only sigwait takes them.
     sigset_t signals;
     sigemptyset(&signals);
     sigaddset(&signals, SIGTERM);
     sigaddset(&signals, SIGINT);
     pthread_sigmask(SIG_BLOCK, &signals, nullptr);
     signal(SIGPIPE, SIG_IGN);
+    return signals;
+}
 
+int run(const egretspindle::settings& config)
+{
+    const sigset_t signals = block_signals();
     absl::StatusOr<std::unique_ptr<egretspindle::node>> process =
         egretspindle::node::create(config);
     if (!process.ok())
@@ -110,6 +128,31 @@
     return exit_ok;
 }
 
+std::string read_file(const std::string& path)
+{
+    std::ifstream in(path);
+    return {std::istreambuf_iterator<char>(in), {}};
+}
+
+int run_scheduler(const std::string& text, const command_line& options)
+{
+    const absl::StatusOr<egretspindle::scheduler_settings> config =
+        egretspindle::parse_scheduler_settings(text);
+    if (!config.ok())
+    {
+        fmt::print(stderr, "{}: {}\n", options.settings_file,
+                   std::string(config.status().message()));
+        return exit_failure;
+    }
+    if (options.check_only)
+    {
+        fmt::print("{}: settings are valid\n", options.settings_file);
+        return exit_ok;
+    }
+    block_signals();
+    return egretspindle::platform::run_platform_node(*config);
+}
+
 } // namespace
 
 int main(int argc, char** argv)
@@ -120,6 +163,11 @@
     {
         return exit_code;
     }
+    const std::string text = read_file(options.settings_file);
+    if (egretspindle::has_scheduler_settings(text))
+    {
+        return run_scheduler(text, options);
+    }
     const absl::StatusOr<egretspindle::settings> config =
         egretspindle::load_settings(options.settings_file);
     if (!config.ok())
--- a/cmake/packages.cmake
+++ b/cmake/packages.cmake
@@ -18,7 +18,7 @@
     target_link_libraries(egret_${name} INTERFACE egret_options ${ARGN})
   endif()
   file(GLOB tests CONFIGURE_DEPENDS ${CMAKE_SOURCE_DIR}/tests/${name}/*.cpp)
-  if(tests)
+  if(tests AND EGRETSPINDLE_TESTS)
     add_executable(test_${name} ${tests})
     target_link_libraries(test_${name} PRIVATE egret_${name} Catch2WithMain)
     add_test(NAME ${name} COMMAND test_${name})
@@ -35,6 +35,8 @@
   endif()
 endfunction()
 
+option(EGRETSPINDLE_TESTS "Build tests, stand-ins and benchmarks" ON)
+
 egret_package(core absl::status absl::statusor absl::span fmt::fmt xxhash)
 egret_package(codec egret_core cxxtools)
 egret_package(logging egret_core fmt::fmt)
@@ -53,10 +55,26 @@
               egret_metrics)
 egret_package(admin egret_request_path egret_settings)
 egret_package(node egret_admin)
+egret_package(jobs egret_codec)
+egret_package(fleet egret_jobs)
+egret_package(rack egret_fleet)
+egret_package(cluster egret_core)
+egret_package(scheduler egret_rack egret_cluster egret_protocol egret_metrics)
+
+# Names, formats and calls of the users' platform.
+file(GLOB platform_sources CONFIGURE_DEPENDS ${CMAKE_SOURCE_DIR}/platform/*.cpp)
+add_library(egret_platform STATIC ${platform_sources})
+target_include_directories(egret_platform PUBLIC ${CMAKE_SOURCE_DIR}/platform)
+target_link_libraries(egret_platform PUBLIC egret_scheduler egret_settings
+                                            absl::strings)
 
-egret_program(apps egretspindle egret_node)
+egret_program(apps egretspindle egret_node egret_platform)
 egret_program(apps egretctl egret_net egret_protocol)
 
+if(NOT EGRETSPINDLE_TESTS)
+  return()
+endif()
+
 # Code that the stand-ins share, and the formats of their journals.
 file(GLOB standin_sources CONFIGURE_DEPENDS
      ${CMAKE_SOURCE_DIR}/tools/common/*.cpp)
--- /dev/null
+++ b/include/egretspindle/jobs/job_spec.hpp
@@ -0,0 +1,46 @@
+/// \file
+/// Job as its caller describes it.
+
+#ifndef EGRETSPINDLE_JOBS_JOB_SPEC_HPP
+#define EGRETSPINDLE_JOBS_JOB_SPEC_HPP
+
+#include "egretspindle/jobs/step_spec.hpp"
+
+#include <absl/status/status.h>
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace egretspindle
+{
+
+/// Steps of a job, and when it is due.
+struct job_spec
+{
+    std::string text; ///< passed to each task unchanged
+    std::vector<step_spec> steps;
+    std::int64_t repeat_count = 0; ///< occurrences; 0: one, due at once
+    std::int64_t start_at_ms = 0;  ///< Unix time of the first occurrence
+    std::int64_t interval_ms = 0;  ///< between occurrences
+};
+
+/// Visits the fields of `job_spec` for the codec.
+template <typename Visitor, typename Value>
+void visit_fields(Visitor&& visit, Value& value, const job_spec* /*tag*/)
+{
+    visit("text", value.text);
+    visit("steps", value.steps);
+    visit("repeat_count", value.repeat_count);
+    visit("start_at_ms", value.start_at_ms);
+    visit("interval_ms", value.interval_ms);
+}
+
+/// Checks counts, sizes and the order of steps.
+///
+/// \returns `invalid_argument` that names the field
+[[nodiscard]] absl::Status check_job(const job_spec& spec);
+
+} // namespace egretspindle
+
+#endif
--- /dev/null
+++ b/include/egretspindle/jobs/step_spec.hpp
@@ -0,0 +1,63 @@
+/// \file
+/// Step of a job, as its caller describes it.
+
+#ifndef EGRETSPINDLE_JOBS_STEP_SPEC_HPP
+#define EGRETSPINDLE_JOBS_STEP_SPEC_HPP
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace egretspindle
+{
+
+/// Tasks of one kind, with what each needs and where it may run.
+struct step_spec
+{
+    std::int64_t count = 1;
+    std::int64_t cpu_milli = 0; ///< thousandths of a core, each task
+    std::int64_t memory_mb = 0;
+    std::int64_t accelerators = 0;
+    std::int64_t estimate_ms = 0;        ///< declared duration of a task
+    std::vector<std::int64_t> after;     ///< steps that have to be done first
+    bool is_checkpointing = false;       ///< saves its progress
+    bool is_gang = false;                ///< tasks work only together
+    bool is_rack_local = false;          ///< slower across racks
+    std::string required_label;          ///< of the target; empty: any
+    std::string data_rack;               ///< slower elsewhere; empty: none
+    std::int64_t max_per_target = 0;     ///< tasks on one target; 0: no limit
+    bool allows_copies = false;          ///< the first copy that ends counts
+    bool is_long_running = false;        ///< restarted until cancelled
+    std::string image;                   ///< tasks of one image behave alike
+    std::int64_t response_target_ms = 0; ///< tail of its users' requests
+    bool uses_idle_cpu = false;  ///< takes only processor time left by others
+    std::int64_t max_absent = 0; ///< tasks that may be stopped at once
+};
+
+/// Visits the fields of `step_spec` for the codec.
+template <typename Visitor, typename Value>
+void visit_fields(Visitor&& visit, Value& value, const step_spec* /*tag*/)
+{
+    visit("count", value.count);
+    visit("cpu_milli", value.cpu_milli);
+    visit("memory_mb", value.memory_mb);
+    visit("accelerators", value.accelerators);
+    visit("estimate_ms", value.estimate_ms);
+    visit("after", value.after);
+    visit("checkpointing", value.is_checkpointing);
+    visit("gang", value.is_gang);
+    visit("rack_local", value.is_rack_local);
+    visit("required_label", value.required_label);
+    visit("data_rack", value.data_rack);
+    visit("max_per_target", value.max_per_target);
+    visit("copies", value.allows_copies);
+    visit("long_running", value.is_long_running);
+    visit("image", value.image);
+    visit("response_target_ms", value.response_target_ms);
+    visit("idle_cpu", value.uses_idle_cpu);
+    visit("max_absent", value.max_absent);
+}
+
+} // namespace egretspindle
+
+#endif
--- a/include/egretspindle/net/http_client.hpp
+++ b/include/egretspindle/net/http_client.hpp
@@ -13,6 +13,8 @@
 #include <memory>
 #include <string>
 #include <string_view>
+#include <utility>
+#include <vector>
 
 namespace egretspindle
 {
@@ -35,6 +37,7 @@
     std::string body; ///< sent with content type application/json
     std::string content_type = "application/json";
     std::string authorization;
+    std::vector<std::pair<std::string, std::string>> headers; ///< further ones
     std::chrono::milliseconds timeout{2000};
     connection_use connection = connection_use::reuse;
 };
--- a/include/egretspindle/net/http_request.hpp
+++ b/include/egretspindle/net/http_request.hpp
@@ -19,6 +19,7 @@
     std::string content_type;                 ///< empty when absent
     std::string authorization;                ///< empty when absent
     std::string body;                         ///< within the size limit
+    std::map<std::string, std::string> headers; ///< by name in lower case
 };
 
 } // namespace egretspindle
--- /dev/null
+++ b/include/egretspindle/rack/rack_decision.hpp
@@ -0,0 +1,127 @@
+/// \file
+/// Decisions of the owner of a rack. Free functions without I/O.
+
+#ifndef EGRETSPINDLE_RACK_RACK_DECISION_HPP
+#define EGRETSPINDLE_RACK_RACK_DECISION_HPP
+
+#include "egretspindle/fleet/target_port.hpp"
+#include "egretspindle/jobs/run_end.hpp"
+#include "egretspindle/rack/rack_state.hpp"
+
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <vector>
+
+namespace egretspindle
+{
+
+/// What the owner of a job has to learn of a run.
+struct run_event
+{
+    enum class kind
+    {
+        started,
+        ended,
+        seen, ///< at work on a target, but unknown to the owner of the rack
+    };
+
+    kind what = kind::started;
+    std::string task;
+    std::int64_t run = 0;
+    run_end how = run_end::done; ///< of an end
+    std::string checkpoint;
+    std::string target;
+    std::int64_t number = 0; ///< of a listed end; 0: not listed
+};
+
+/// Order to start a queued run on a target.
+struct placement
+{
+    std::string target;
+    queued_start start;
+};
+
+/// What was done with a start that was asked for.
+enum class enqueue_result
+{
+    queued,
+    known, ///< queued, at work or ended here already
+};
+
+/// Adds a start to the queue, unless its run is known.
+enqueue_result enqueue(rack_state& rack, queued_start start);
+
+/// Chooses targets for queued starts and reserves their room.
+///
+/// Answers the load of a step that becomes due while targets are partly free:
+/// starts go by priority and objective, each to the target that keeps most
+/// room; tasks that use idle processors avoid targets that serve users.
+[[nodiscard]] std::vector<placement> place_starts(rack_state& rack,
+                                                  time_point now);
+
+/// Takes over the lists of a target.
+///
+/// \param sent_at  when the poll was sent
+/// \returns what the owners of the jobs have to learn
+[[nodiscard]] std::vector<run_event>
+apply_poll(rack_state& rack, rack_target& target, const poll_answer& answer,
+           time_point sent_at, time_point now);
+
+/// Applies the answer to a start.
+///
+/// \returns events for the owner of the job
+[[nodiscard]] std::vector<run_event>
+apply_start(rack_state& rack, rack_target& target, const run_id& id,
+            order_verdict verdict, time_point now);
+
+/// Ends the runs of targets whose leases have certainly expired.
+[[nodiscard]] std::vector<run_event> expire_leases(rack_state& rack,
+                                                   time_point now);
+
+/// Withdraws a run.
+///
+/// \param[out] target  where a stop has to be sent; empty: nowhere
+/// \returns events for the owner of the job
+[[nodiscard]] std::vector<run_event>
+withdraw(rack_state& rack, const run_id& id, std::string& target);
+
+/// Answers stops of runs that have surely not begun, once that is certain.
+[[nodiscard]] std::vector<run_event> settle_stops(rack_state& rack,
+                                                  time_point now);
+
+/// Notes that the end of a number is recorded, and moves the acknowledgement.
+void acknowledge(rack_target& target, std::int64_t number);
+
+/// Returns whether every run that an earlier owner may have started is known.
+[[nodiscard]] bool is_settled(const rack_state& rack, time_point now);
+
+/// Returns whether a start would find room in another rack.
+using room_elsewhere = std::function<bool(const step_terms& terms)>;
+
+/// Hands queued starts back that have waited longer than `patience`, whose
+/// run has surely not begun, and which fit elsewhere.
+[[nodiscard]] std::vector<run_event> hand_back(rack_state& rack,
+                                               milliseconds patience,
+                                               const room_elsewhere& has_room,
+                                               time_point now);
+
+/// Notes that the ends of runs are reported, so that a start that is sent
+/// again cannot revive them.
+void remember_ends(rack_state& rack, const std::vector<run_event>& events);
+
+/// Change of the speed of a task.
+struct pace_change
+{
+    std::string task;
+    std::int64_t run = 0;
+    std::int64_t percent = 100;
+};
+
+/// Slows tasks that use idle processors while they disturb a serving task,
+/// and lets them work again when its response times have recovered.
+[[nodiscard]] std::vector<pace_change> decide_pace(rack_target& target);
+
+} // namespace egretspindle
+
+#endif
--- /dev/null
+++ b/include/egretspindle/rack/rack_state.hpp
@@ -0,0 +1,115 @@
+/// \file
+/// What the owner of a rack knows.
+
+#ifndef EGRETSPINDLE_RACK_RACK_STATE_HPP
+#define EGRETSPINDLE_RACK_RACK_STATE_HPP
+
+#include "egretspindle/core/clock.hpp"
+#include "egretspindle/fleet/target_entry.hpp"
+#include "egretspindle/rack/queued_start.hpp"
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace egretspindle
+{
+
+/// Bounds that the platform states for leases and stops.
+struct lease_limits
+{
+    milliseconds lease{6'000};      ///< granted with each poll and start
+    milliseconds longest{10'000};   ///< granted by a target at most
+    milliseconds expiry_slack{500}; ///< thaw of a target and delivery
+    double clock_drift = 0.02;      ///< a target's clock may be this slow
+};
+
+/// Run on a target, from the order until its end is listed.
+struct placed_run
+{
+    std::string task;
+    std::int64_t run = 0;
+    std::shared_ptr<const step_terms> terms; ///< null: not known yet
+    std::string checkpoint;                  ///< latest one seen
+    bool is_taken = false;    ///< the target has confirmed the start
+    bool is_reported = false; ///< the job's owner knows that it has started
+    bool is_stopping = false;
+    time_point ordered_at;
+    time_point taken_at;
+    std::int64_t load = 0;      ///< as listed by the target
+    std::int64_t percent = 100; ///< share of its speed that was ordered
+};
+
+/// End that is not acknowledged yet.
+struct open_end
+{
+    std::string task;
+    std::int64_t run = 0;
+    bool is_recorded = false;
+};
+
+/// Task and run.
+using run_id = std::pair<std::string, std::int64_t>;
+
+/// Target of a rack, as its owner sees it.
+struct rack_target
+{
+    target_entry entry;
+    bool is_listed = true;           ///< the platform lists it
+    bool is_reached = false;         ///< has answered a poll of this owner
+    std::int64_t started_ms = 0;     ///< its life, from the last poll
+    std::int64_t clock_ms = 0;       ///< its clock at `clock_at`
+    time_point clock_at;             ///< when that reply arrived
+    std::int64_t lease_until_ms = 0; ///< longest lease ever sent to it
+    time_point expires_at;           ///< all leases have certainly expired then
+    time_point avoid_until;          ///< no starts before, after a fault
+    int faults = 0;                  ///< in a row
+    std::int64_t acknowledged = 0;
+    std::map<std::int64_t, open_end> ends; ///< by number
+    std::map<run_id, placed_run> runs;
+};
+
+/// Rack with its queue.
+struct rack_state
+{
+    std::string name;
+    std::int64_t token = 0; ///< fencing token
+    time_point taken_over_at;
+    /// Targets that this owner has not reached may run work until then.
+    time_point unknown_until;
+    /// Targets that left shortly before the takeover are in the table too.
+    bool knows_all_targets = false;
+    std::map<std::string, rack_target> targets; ///< by id
+    std::vector<queued_start> queue;
+    std::set<run_id> stops; ///< of runs that are not known here yet
+    /// Latest run of each task whose end was reported by this owner. A start
+    /// that is sent again must not revive it.
+    std::map<std::string, std::int64_t> ended;
+};
+
+/// Returns the room that is left on a target.
+[[nodiscard]] task_size free_room(const rack_target& target);
+
+/// Returns whether starts may be sent to a target.
+[[nodiscard]] bool accepts_starts(const rack_target& target, time_point now);
+
+/// Returns the target's clock, estimated from its last reply.
+[[nodiscard]] std::int64_t clock_of(const rack_target& target, time_point now);
+
+/// Notes that a lease is about to be sent.
+///
+/// \returns the end of the lease on the target's clock
+std::int64_t extend_lease(rack_target& target, const lease_limits& limits,
+                          time_point now);
+
+/// Takes over a target's clock from a reply.
+void note_clock(rack_target& target, std::int64_t clock_ms,
+                const lease_limits& limits, time_point now);
+
+} // namespace egretspindle
+
+#endif
--- /dev/null
+++ b/include/egretspindle/scheduler/cluster_agent.hpp
@@ -0,0 +1,92 @@
+/// \file
+/// Heartbeat of this host, and claims of job shards and racks.
+
+#ifndef EGRETSPINDLE_SCHEDULER_CLUSTER_AGENT_HPP
+#define EGRETSPINDLE_SCHEDULER_CLUSTER_AGENT_HPP
+
+#include "egretspindle/cluster/cluster_view.hpp"
+#include "egretspindle/fleet/table_store.hpp"
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace egretspindle
+{
+
+/// Where a resource is served.
+struct owner_location
+{
+    std::string host;
+    std::string peer;       ///< `ip:port`
+    std::int64_t token = 0; ///< version of the owner row
+    bool is_self = false;
+};
+
+/// What the agent tells of ownership. Called from its thread, without its
+/// lock.
+struct cluster_hooks
+{
+    /// \param was_former_alive  another live host owned it before
+    std::function<void(const std::string& resource, std::int64_t token,
+                       bool was_former_alive)>
+        taken;
+    std::function<void(const std::string& resource)> lost;
+    std::function<std::map<std::string, std::int64_t>()> pending;
+};
+
+/// Host of the cluster. Usable from several threads.
+class cluster_agent
+{
+public:
+    cluster_agent(table_store& store, host_row self, cluster_hooks hooks,
+                  const liveness_limits& limits);
+    ~cluster_agent();
+    cluster_agent(const cluster_agent&) = delete;
+    cluster_agent& operator=(const cluster_agent&) = delete;
+
+    /// Returns the key that all hosts share, creating it when there is none.
+    ///
+    /// Waits for the store; an empty text after `stop`.
+    [[nodiscard]] std::string shared_key();
+
+    void start();
+    void stop();
+
+    /// Marks this host as leaving, so that others take over at once.
+    void leave();
+
+    /// Reads and claims without waiting for the next period.
+    void refresh();
+
+    /// Notes that a target has seen a newer token than that of this host.
+    void distrust(const std::string& resource, std::int64_t token);
+
+    /// Sets the racks that have targets, with their data centres.
+    void set_racks(const std::map<std::string, std::string>& racks);
+
+    [[nodiscard]] std::optional<owner_location>
+    owner_of(const std::string& resource) const;
+
+    /// Returns the addresses of other live hosts for messages.
+    [[nodiscard]] std::vector<std::string> peers() const;
+
+    /// Returns the jobs of a queue that have not begun, on other hosts.
+    [[nodiscard]] std::int64_t
+    pending_elsewhere(const std::string& queue) const;
+
+    /// Returns whether the store has answered lately.
+    [[nodiscard]] bool has_contact() const;
+
+private:
+    struct impl;
+    std::unique_ptr<impl> impl_;
+};
+
+} // namespace egretspindle
+
+#endif
--- /dev/null
+++ b/include/egretspindle/scheduler/host_outbox.hpp
@@ -0,0 +1,125 @@
+/// \file
+/// Queues of messages by receiving host.
+
+#ifndef EGRETSPINDLE_SCHEDULER_HOST_OUTBOX_HPP
+#define EGRETSPINDLE_SCHEDULER_HOST_OUTBOX_HPP
+
+#include <condition_variable>
+#include <functional>
+#include <iterator>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <utility>
+#include <vector>
+
+namespace egretspindle
+{
+
+/// Delivers items in batches, one thread for each receiver, so that a silent
+/// host delays only what is meant for it.
+template <typename Item>
+class host_outbox
+{
+public:
+    /// Delivers a batch; may block, and may post items again.
+    using deliver_function =
+        std::function<void(const std::string& host, std::vector<Item> items)>;
+
+    host_outbox(std::size_t max_batch, deliver_function deliver)
+        : max_batch_(max_batch), deliver_(std::move(deliver))
+    {
+    }
+
+    ~host_outbox()
+    {
+        stop();
+    }
+
+    host_outbox(const host_outbox&) = delete;
+    host_outbox& operator=(const host_outbox&) = delete;
+
+    /// Adds an item to the queue of a host.
+    void post(const std::string& host, Item item)
+    {
+        const std::lock_guard<std::mutex> lock(mutex_);
+        if (is_stopping_)
+        {
+            return;
+        }
+        std::unique_ptr<lane>& entry = lanes_[host];
+        if (!entry)
+        {
+            entry = std::make_unique<lane>();
+            lane* const created = entry.get();
+            created->thread =
+                std::thread([this, host, created] { run(host, *created); });
+        }
+        entry->items.push_back(std::move(item));
+        entry->changed.notify_one();
+    }
+
+    /// Ends the threads; items that are still queued are dropped.
+    void stop()
+    {
+        {
+            const std::lock_guard<std::mutex> lock(mutex_);
+            is_stopping_ = true;
+            for (auto& [host, entry] : lanes_)
+            {
+                entry->changed.notify_all();
+            }
+        }
+        for (auto& [host, entry] : lanes_)
+        {
+            if (entry->thread.joinable())
+            {
+                entry->thread.join();
+            }
+        }
+    }
+
+private:
+    struct lane
+    {
+        std::vector<Item> items;
+        std::condition_variable changed;
+        std::thread thread;
+    };
+
+    void run(const std::string& host, lane& entry)
+    {
+        std::unique_lock<std::mutex> lock(mutex_);
+        for (;;)
+        {
+            entry.changed.wait(
+                lock, [&] { return is_stopping_ || !entry.items.empty(); });
+            if (is_stopping_)
+            {
+                return;
+            }
+            const std::size_t n = std::min(max_batch_, entry.items.size());
+            const auto end =
+                entry.items.begin() + static_cast<std::ptrdiff_t>(n);
+            std::vector<Item> batch(
+                std::make_move_iterator(entry.items.begin()),
+                std::make_move_iterator(end));
+            entry.items.erase(entry.items.begin(), end);
+            lock.unlock();
+            deliver_(host, std::move(batch));
+            lock.lock();
+        }
+    }
+
+    std::size_t max_batch_;
+    deliver_function deliver_;
+    std::mutex mutex_;
+    bool is_stopping_ = false;
+    std::map<std::string, std::unique_ptr<lane>> lanes_;
+};
+
+} // namespace egretspindle
+
+#endif
--- /dev/null
+++ b/include/egretspindle/scheduler/load_exchange.hpp
@@ -0,0 +1,48 @@
+/// \file
+/// Datagrams that tell other hosts the load of the racks.
+
+#ifndef EGRETSPINDLE_SCHEDULER_LOAD_EXCHANGE_HPP
+#define EGRETSPINDLE_SCHEDULER_LOAD_EXCHANGE_HPP
+
+#include "egretspindle/rack/fleet_load.hpp"
+
+#include <absl/status/status.h>
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace egretspindle
+{
+
+/// Sends and receives load reports. Lost datagrams are replaced by the next.
+class load_exchange
+{
+public:
+    /// Called from the receiving thread.
+    using receive_function = std::function<void(const load_report& report)>;
+
+    load_exchange(std::string key, receive_function received);
+    ~load_exchange();
+    load_exchange(const load_exchange&) = delete;
+    load_exchange& operator=(const load_exchange&) = delete;
+
+    /// \returns `unavailable` when the address cannot be bound
+    [[nodiscard]] absl::Status start(const std::string& address,
+                                     unsigned short port);
+    void stop();
+
+    /// Sends a report to hosts.
+    ///
+    /// \param peers  `ip:port` of each
+    void send(const load_report& report, const std::vector<std::string>& peers);
+
+private:
+    struct impl;
+    std::unique_ptr<impl> impl_;
+};
+
+} // namespace egretspindle
+
+#endif
--- /dev/null
+++ b/include/egretspindle/scheduler/rack_agent.hpp
@@ -0,0 +1,101 @@
+/// \file
+/// Owner of racks: polls targets, starts, stops and paces their tasks.
+
+#ifndef EGRETSPINDLE_SCHEDULER_RACK_AGENT_HPP
+#define EGRETSPINDLE_SCHEDULER_RACK_AGENT_HPP
+
+#include "egretspindle/core/clock.hpp"
+#include "egretspindle/fleet/target_port.hpp"
+#include "egretspindle/rack/fleet_load.hpp"
+#include "egretspindle/rack/rack_state.hpp"
+#include "egretspindle/scheduler/exchange.hpp"
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace egretspindle
+{
+
+/// What the runtime needs of other parts. Called without its lock, except
+/// `has_room_elsewhere`, which must not call back.
+struct rack_agent_hooks
+{
+    /// Passes reports on to the owners of the jobs, without waiting.
+    std::function<void(std::vector<run_report> reports)> report;
+    /// A target has seen a newer owner of the rack.
+    std::function<void(const std::string& rack)> lost;
+    std::function<bool(const step_terms& terms, const std::string& rack)>
+        has_room_elsewhere;
+};
+
+/// Bounds and periods of the runtime.
+struct rack_agent_limits
+{
+    lease_limits lease;
+    milliseconds poll_wait{1'500};     ///< for a new end; well below the lease
+    milliseconds mixed_poll_wait{400}; ///< while tasks disturb serving ones
+    milliseconds poll_timeout{2'500};
+    milliseconds order_timeout{600};
+    milliseconds order_retry{150};    ///< after an order without an answer
+    milliseconds poll_retry{300};     ///< after a poll without an answer
+    milliseconds ack_wait{150};       ///< for the record of listed ends
+    milliseconds queue_patience{400}; ///< before a start goes elsewhere
+    milliseconds former_owner{2'500}; ///< until a live former owner has stopped
+};
+
+/// How a rack was taken over.
+struct rack_takeover
+{
+    std::string rack;
+    std::int64_t token = 0;
+    bool is_former_alive = false;   ///< its former owner may still renew
+    bool knows_all_targets = false; ///< this process has seen all of them
+};
+
+/// Racks that this host owns. Usable from several threads.
+///
+/// One mutex guards all racks; it is never held across a call. Each target
+/// has a thread that polls it and one that sends orders to it.
+class rack_agent
+{
+public:
+    rack_agent(target_port& targets, rack_agent_hooks hooks,
+               const rack_agent_limits& limits);
+    ~rack_agent();
+    rack_agent(const rack_agent&) = delete;
+    rack_agent& operator=(const rack_agent&) = delete;
+
+    void take_rack(const rack_takeover& takeover);
+    void drop_rack(const std::string& rack);
+
+    /// Takes over the platform's list of targets.
+    void set_targets(const std::map<std::string, target_entry>& targets);
+
+    /// Queues starts and carries out stops.
+    [[nodiscard]] rack_orders_reply execute(const rack_orders& orders);
+
+    /// Takes over what the owner of the jobs said to reports.
+    void settle(const std::vector<run_report>& reports,
+                const report_reply& reply);
+
+    /// Expires leases and hands queued starts back that fit elsewhere.
+    void tick();
+
+    /// Returns the room of all racks of this host.
+    [[nodiscard]] std::vector<rack_room> measure() const;
+
+    /// Ends the threads.
+    void stop();
+
+private:
+    struct impl;
+    std::unique_ptr<impl> impl_;
+};
+
+} // namespace egretspindle
+
+#endif
--- /dev/null
+++ b/include/egretspindle/scheduler/shard.hpp
@@ -0,0 +1,31 @@
+/// \file
+/// Shards that the jobs are dealt to.
+
+#ifndef EGRETSPINDLE_SCHEDULER_SHARD_HPP
+#define EGRETSPINDLE_SCHEDULER_SHARD_HPP
+
+#include <string>
+#include <string_view>
+
+namespace egretspindle
+{
+
+/// Number of job shards. Each is one part of the table of jobs, whose writes
+/// the store carries out one after another, and the unit that hosts own.
+constexpr int shard_count = 32;
+
+/// Table of job records.
+constexpr std::string_view jobs_table = "jobs";
+
+/// Table of heartbeats and owners.
+constexpr std::string_view cluster_table = "cluster";
+
+/// Returns the shard of a job, equal on every host.
+[[nodiscard]] std::string shard_of(std::string_view job_id);
+
+/// Returns the name of a shard, which is also its part of the table.
+[[nodiscard]] std::string shard_name(int number);
+
+} // namespace egretspindle
+
+#endif
--- /dev/null
+++ b/include/egretspindle/settings/scheduler_settings.hpp
@@ -0,0 +1,42 @@
+/// \file
+/// Settings of a process that schedules jobs.
+
+#ifndef EGRETSPINDLE_SETTINGS_SCHEDULER_SETTINGS_HPP
+#define EGRETSPINDLE_SETTINGS_SCHEDULER_SETTINGS_HPP
+
+#include <absl/status/statusor.h>
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+namespace egretspindle
+{
+
+/// The `[scheduler]` table of a settings file.
+struct scheduler_settings
+{
+    std::string host;
+    std::string data_center;
+    std::string callers;         ///< `ip:port` that callers connect to
+    std::string ready;           ///< `ip:port` of the readiness probe
+    std::string peer;            ///< `ip:port` for messages of other hosts
+    std::string store;           ///< `ip:port` of the platform's store
+    bool may_span_parts = false; ///< transactions over several parts
+    std::int64_t longest_lease_ms = 10'000; ///< granted by a target at most
+    std::int64_t thaw_slack_ms = 300; ///< a target may wake late by this much
+};
+
+/// Returns whether TOML text has a `[scheduler]` table.
+[[nodiscard]] bool has_scheduler_settings(std::string_view text);
+
+/// Checks the settings of TOML text.
+///
+/// \returns `invalid_argument` that lists every error by key, found value and
+///          expected value, one per line
+[[nodiscard]] absl::StatusOr<scheduler_settings>
+parse_scheduler_settings(std::string_view text);
+
+} // namespace egretspindle
+
+#endif
--- /dev/null
+++ b/src/jobs/job_machine.cpp
@@ -0,0 +1,342 @@
+#include "egretspindle/jobs/job_machine.hpp"
+
+#include <algorithm>
+
+namespace egretspindle
+{
+
+namespace
+{
+
+std::int64_t wanted_occurrences(const job_spec& spec)
+{
+    return std::max<std::int64_t>(1, spec.repeat_count);
+}
+
+occurrence_state make_occurrence(const job_spec& spec)
+{
+    occurrence_state state;
+    state.steps.reserve(spec.steps.size());
+    for (const step_spec& step : spec.steps)
+    {
+        state.steps.emplace_back(static_cast<std::size_t>(step.count));
+    }
+    return state;
+}
+
+bool is_step_done(const std::vector<job_task>& tasks)
+{
+    return std::all_of(tasks.begin(), tasks.end(),
+                       [](const job_task& task)
+                       { return task.phase == job_task_phase::done; });
+}
+
+bool is_step_ready(const step_spec& step, const occurrence_state& state)
+{
+    return std::all_of(step.after.begin(), step.after.end(),
+                       [&state](std::int64_t earlier) {
+                           return is_step_done(
+                               state.steps[static_cast<std::size_t>(earlier)]);
+                       });
+}
+
+std::vector<std::size_t> waiting_tasks(const std::vector<job_task>& tasks)
+{
+    std::vector<std::size_t> waiting;
+    for (std::size_t n = 0; n < tasks.size(); ++n)
+    {
+        if (tasks[n].phase == job_task_phase::waiting)
+        {
+            waiting.push_back(n);
+        }
+    }
+    return waiting;
+}
+
+job_task* find_mutable(job& value, const task_key& key)
+{
+    return const_cast<job_task*>(find_task(value, key));
+}
+
+bool is_all_done(const job& value)
+{
+    if (static_cast<std::int64_t>(value.occurrences.size()) <
+        wanted_occurrences(value.spec))
+    {
+        return false;
+    }
+    for (const occurrence_state& occurrence : value.occurrences)
+    {
+        if (!std::all_of(occurrence.steps.begin(), occurrence.steps.end(),
+                         is_step_done))
+        {
+            return false;
+        }
+    }
+    return true;
+}
+
+void close_job(job& value, job_outcome outcome, std::int64_t now_ms)
+{
+    value.outcome = outcome;
+    value.ended_ms = now_ms;
+}
+
+// A member that ends as done represents the whole gang.
+void finish_gang(std::vector<job_task>& tasks)
+{
+    for (job_task& task : tasks)
+    {
+        task.phase = job_task_phase::done;
+    }
+}
+
+// All members resume from the same checkpoint.
+void save_checkpoint(std::vector<job_task>& tasks, std::size_t index,
+                     bool is_gang, const std::string& checkpoint)
+{
+    if (checkpoint.empty())
+    {
+        return;
+    }
+    if (!is_gang)
+    {
+        tasks[index].checkpoint = checkpoint;
+        return;
+    }
+    for (job_task& task : tasks)
+    {
+        task.checkpoint = checkpoint;
+    }
+}
+
+} // namespace
+
+job make_job(std::string id, std::string queue, job_spec spec,
+             std::int64_t now_ms)
+{
+    job value;
+    value.id = std::move(id);
+    value.queue = std::move(queue);
+    value.spec = std::move(spec);
+    value.accepted_ms = now_ms;
+    add_due_occurrences(value, now_ms);
+    return value;
+}
+
+bool add_due_occurrences(job& value, std::int64_t now_ms)
+{
+    bool is_added = false;
+    while (value.outcome == job_outcome::open &&
+           static_cast<std::int64_t>(value.occurrences.size()) <
+               wanted_occurrences(value.spec))
+    {
+        const auto next = static_cast<std::int64_t>(value.occurrences.size());
+        if (value.spec.repeat_count > 0 &&
+            now_ms < value.spec.start_at_ms + next * value.spec.interval_ms)
+        {
+            break;
+        }
+        value.occurrences.push_back(make_occurrence(value.spec));
+        is_added = true;
+    }
+    return is_added;
+}
+
+std::vector<due_step> due_steps(const job& value)
+{
+    std::vector<due_step> due;
+    if (value.outcome != job_outcome::open)
+    {
+        return due;
+    }
+    for (std::size_t k = 0; k < value.occurrences.size(); ++k)
+    {
+        const occurrence_state& state = value.occurrences[k];
+        for (std::size_t n = 0; n < state.steps.size(); ++n)
+        {
+            const step_spec& step = value.spec.steps[n];
+            std::vector<std::size_t> tasks = waiting_tasks(state.steps[n]);
+            const bool is_incomplete_gang =
+                step.is_gang && tasks.size() != state.steps[n].size();
+            if (tasks.empty() || is_incomplete_gang ||
+                !is_step_ready(step, state))
+            {
+                continue;
+            }
+            due.push_back({k, n, std::move(tasks)});
+        }
+    }
+    return due;
+}
+
+std::int64_t assign_run(job& value, const task_key& key, std::string rack)
+{
+    job_task* task = find_mutable(value, key);
+    task->phase = job_task_phase::assigned;
+    task->rack = std::move(rack);
+    return ++task->run;
+}
+
+std::int64_t assign_gang(job& value, const due_step& gang,
+                         const std::string& rack)
+{
+    std::vector<job_task>& tasks =
+        value.occurrences[gang.occurrence].steps[gang.step];
+    std::int64_t run = 0;
+    for (const job_task& task : tasks)
+    {
+        run = std::max(run, task.run);
+    }
+    ++run;
+    for (job_task& task : tasks)
+    {
+        task.phase = job_task_phase::assigned;
+        task.run = run;
+        task.rack = rack;
+    }
+    return run;
+}
+
+end_effect end_run(job& value, const task_key& key, std::int64_t run,
+                   run_end how, const std::string& checkpoint,
+                   std::int64_t max_attempts, std::int64_t now_ms)
+{
+    job_task* task = find_mutable(value, key);
+    if (task == nullptr || run > task->run)
+    {
+        return end_effect::unrecorded;
+    }
+    if (run < task->run || task->phase != job_task_phase::assigned)
+    {
+        return end_effect::none;
+    }
+    const step_spec& step = value.spec.steps[key.step];
+    std::vector<job_task>& tasks =
+        value.occurrences[key.occurrence].steps[key.step];
+    const bool is_final_end = how == run_end::done && !step.is_long_running;
+    task->phase = is_final_end ? job_task_phase::done : job_task_phase::waiting;
+    if (is_final_end && step.is_gang)
+    {
+        finish_gang(tasks);
+    }
+    if (step.is_checkpointing && !is_final_end)
+    {
+        save_checkpoint(tasks, key.index, step.is_gang, checkpoint);
+    }
+    if (how == run_end::failed && !step.is_long_running)
+    {
+        // A gang fails as a whole; its first member counts.
+        job_task& counted = step.is_gang ? tasks.front() : *task;
+        if (++counted.failures >= max_attempts)
+        {
+            task->phase = job_task_phase::failed;
+            if (value.outcome == job_outcome::open)
+            {
+                close_job(value, job_outcome::failed, now_ms);
+            }
+        }
+    }
+    if (value.outcome == job_outcome::open && is_all_done(value))
+    {
+        close_job(value, job_outcome::completed, now_ms);
+    }
+    return end_effect::changed;
+}
+
+bool cancel_job(job& value, std::int64_t now_ms)
+{
+    if (value.outcome != job_outcome::open)
+    {
+        return false;
+    }
+    close_job(value, job_outcome::cancelled, now_ms);
+    return true;
+}
+
+std::vector<assigned_run> assigned_runs(const job& value)
+{
+    std::vector<assigned_run> runs;
+    for (std::size_t k = 0; k < value.occurrences.size(); ++k)
+    {
+        const occurrence_state& state = value.occurrences[k];
+        for (std::size_t n = 0; n < state.steps.size(); ++n)
+        {
+            for (std::size_t i = 0; i < state.steps[n].size(); ++i)
+            {
+                const job_task& task = state.steps[n][i];
+                if (task.phase == job_task_phase::assigned)
+                {
+                    runs.push_back({{value.id, k, n, i}, task.run, task.rack});
+                }
+            }
+        }
+    }
+    return runs;
+}
+
+const job_task* find_task(const job& value, const task_key& key)
+{
+    if (key.occurrence >= value.occurrences.size())
+    {
+        return nullptr;
+    }
+    const occurrence_state& state = value.occurrences[key.occurrence];
+    if (key.step >= state.steps.size() ||
+        key.index >= state.steps[key.step].size())
+    {
+        return nullptr;
+    }
+    return &state.steps[key.step][key.index];
+}
+
+std::int64_t remaining_chain_ms(const job& value)
+{
+    std::int64_t longest = 0;
+    for (const occurrence_state& state : value.occurrences)
+    {
+        std::vector<std::int64_t> chain(state.steps.size(), 0);
+        for (std::size_t n = 0; n < state.steps.size(); ++n)
+        {
+            const step_spec& step = value.spec.steps[n];
+            for (const std::int64_t earlier : step.after)
+            {
+                chain[n] = std::max(chain[n],
+                                    chain[static_cast<std::size_t>(earlier)]);
+            }
+            if (!is_step_done(state.steps[n]))
+            {
+                chain[n] += step.estimate_ms;
+            }
+            longest = std::max(longest, chain[n]);
+        }
+    }
+    return longest;
+}
+
+std::string_view to_string(job_outcome value) noexcept
+{
+    switch (value)
+    {
+    case job_outcome::completed:
+        return "completed";
+    case job_outcome::failed:
+        return "failed";
+    case job_outcome::cancelled:
+        return "cancelled";
+    case job_outcome::open:
+        break;
+    }
+    return "open";
+}
+
+std::string_view shown_state(const job& value) noexcept
+{
+    if (value.outcome == job_outcome::open)
+    {
+        return value.has_started ? "running" : "queued";
+    }
+    return to_string(value.outcome);
+}
+
+} // namespace egretspindle
--- /dev/null
+++ b/src/jobs/run_end.cpp
@@ -0,0 +1,49 @@
+#include "egretspindle/jobs/run_end.hpp"
+
+#include <array>
+#include <utility>
+
+namespace egretspindle
+{
+
+namespace
+{
+
+constexpr std::array<std::pair<run_end, std::string_view>, 8> names{{
+    {run_end::done, "done"},
+    {run_end::failed, "failed"},
+    {run_end::stopped, "stopped"},
+    {run_end::lapsed, "lapsed"},
+    {run_end::broken, "broken"},
+    {run_end::alone, "alone"},
+    {run_end::lost, "lost"},
+    {run_end::not_started, "not_started"},
+}};
+
+} // namespace
+
+std::string_view to_string(run_end value) noexcept
+{
+    for (const auto& [item, name] : names)
+    {
+        if (item == value)
+        {
+            return name;
+        }
+    }
+    return "lost";
+}
+
+run_end run_end_from(std::string_view name) noexcept
+{
+    for (const auto& [item, text] : names)
+    {
+        if (text == name)
+        {
+            return item;
+        }
+    }
+    return run_end::lost;
+}
+
+} // namespace egretspindle
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -108,6 +108,10 @@
         {
             request.setHeader("Authorization", call.authorization.c_str());
         }
+        for (const auto& [name, value] : call.headers)
+        {
+            request.setHeader(name.c_str(), value.c_str());
+        }
         if (is_fresh)
         {
             request.setHeader("Connection", "close");
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -15,6 +15,8 @@
 #include <cxxtools/regex.h>
 #include <fmt/format.h>
 
+#include <algorithm>
+#include <cctype>
 #include <condition_variable>
 #include <cstdlib>
 #include <istream>
@@ -36,6 +38,22 @@
     return value == nullptr ? std::string() : std::string(value);
 }
 
+std::map<std::string, std::string>
+headers_of(const cxxtools::http::Request& request)
+{
+    std::map<std::string, std::string> headers;
+    const cxxtools::http::MessageHeader& source = request.header();
+    for (auto it = source.begin(); it != source.end(); ++it)
+    {
+        std::string name = it->first;
+        std::transform(name.begin(), name.end(), name.begin(),
+                       [](unsigned char c)
+                       { return static_cast<char>(std::tolower(c)); });
+        headers[std::move(name)] = it->second;
+    }
+    return headers;
+}
+
 http_response error_response(int status, std::string_view kind,
                              std::string_view message)
 {
@@ -227,6 +245,7 @@
         }
         converted.content_type = header_of(request, "Content-Type");
         converted.authorization = header_of(request, "Authorization");
+        converted.headers = headers_of(request);
         converted.body = std::move(body_);
         try
         {
--- /dev/null
+++ b/src/rack/fleet_load.cpp
@@ -0,0 +1,327 @@
+#include "egretspindle/rack/fleet_load.hpp"
+
+#include <algorithm>
+#include <limits>
+#include <set>
+
+namespace egretspindle
+{
+
+namespace
+{
+
+// Reports come four times a second; a placement shows in the next but one.
+constexpr milliseconds recent_age{450};
+// A rack whose owner has not reported for this long is not trusted to be free.
+constexpr milliseconds report_age{3'000};
+
+/// Room of one target, less what this host has placed since its report.
+struct candidate
+{
+    const target_entry* entry = nullptr;
+    task_size room;
+    std::int64_t idle_users_milli = 0;
+    std::int64_t serving_milli = 0;
+    std::int64_t taken_by_step = 0;
+};
+
+bool matches(const target_entry& entry, const step_terms& terms)
+{
+    const bool has_label =
+        terms.required_label.empty() ||
+        std::find(entry.labels.begin(), entry.labels.end(),
+                  terms.required_label) != entry.labels.end();
+    return has_label && entry.service == terms.service && !entry.is_draining;
+}
+
+std::vector<candidate> candidates_of(const fleet_load& fleet,
+                                     const rack_view& view,
+                                     const step_terms& terms, time_point now)
+{
+    std::vector<candidate> found;
+    if (now - view.reported_at > report_age)
+    {
+        return found;
+    }
+    for (const target_room& room : view.room.targets)
+    {
+        const auto entry = fleet.targets.find(room.id);
+        if (!room.is_open || entry == fleet.targets.end() ||
+            !matches(entry->second, terms))
+        {
+            continue;
+        }
+        candidate item;
+        item.entry = &entry->second;
+        item.room = room.room;
+        item.idle_users_milli = room.idle_users_milli;
+        item.serving_milli = room.serving_milli;
+        for (const recent_placement& recent : fleet.recent)
+        {
+            if (recent.target == room.id)
+            {
+                subtract_from(item.room, recent.size);
+                item.idle_users_milli += recent.idle_users_milli;
+            }
+        }
+        found.push_back(item);
+    }
+    return found;
+}
+
+std::int64_t idle_cpu(const candidate& item)
+{
+    return item.room.cpu_milli - item.idle_users_milli;
+}
+
+// Tasks on idle processors are of use only where processors are idle and no
+// task serves users.
+bool is_suitable(const candidate& item, const step_terms& terms)
+{
+    if (!fits(reservation_of(terms), item.room) ||
+        (terms.max_per_target > 0 &&
+         item.taken_by_step >= terms.max_per_target))
+    {
+        return false;
+    }
+    return !terms.uses_idle_cpu ||
+           (item.serving_milli == 0 && idle_cpu(item) >= terms.size.cpu_milli);
+}
+
+candidate* best_of(std::vector<candidate>& items, const step_terms& terms)
+{
+    candidate* best = nullptr;
+    for (candidate& item : items)
+    {
+        if (is_suitable(item, terms) &&
+            (best == nullptr || idle_cpu(item) > idle_cpu(*best)))
+        {
+            best = &item;
+        }
+    }
+    return best;
+}
+
+/// Rack with its candidates.
+struct option
+{
+    std::string rack;
+    std::vector<candidate> targets;
+    std::int64_t free_cpu = 0;
+};
+
+std::vector<option> options_of(const fleet_load& fleet, const step_terms& terms,
+                               time_point now)
+{
+    std::vector<option> options;
+    for (const auto& [name, view] : fleet.racks)
+    {
+        option item;
+        item.rack = name;
+        item.targets = candidates_of(fleet, view, terms, now);
+        for (const candidate& target : item.targets)
+        {
+            if (is_suitable(target, terms))
+            {
+                item.free_cpu += std::max<std::int64_t>(1, idle_cpu(target));
+            }
+        }
+        if (item.free_cpu > 0)
+        {
+            options.push_back(std::move(item));
+        }
+    }
+    return options;
+}
+
+// Draws an option in proportion to its free processors.
+std::size_t draw(const std::vector<option>& options, std::minstd_rand& random)
+{
+    std::int64_t total = 0;
+    for (const option& item : options)
+    {
+        total += item.free_cpu;
+    }
+    std::uniform_int_distribution<std::int64_t> any(0, total - 1);
+    std::int64_t left = any(random);
+    for (std::size_t n = 0; n < options.size(); ++n)
+    {
+        left -= options[n].free_cpu;
+        if (left < 0)
+        {
+            return n;
+        }
+    }
+    return options.size() - 1;
+}
+
+std::size_t choose_option(const std::vector<option>& options,
+                          const std::string& data_rack,
+                          std::minstd_rand& random)
+{
+    for (std::size_t n = 0; n < options.size(); ++n)
+    {
+        if (options[n].rack == data_rack)
+        {
+            return n;
+        }
+    }
+    return draw(options, random);
+}
+
+bool can_ever_take(const target_entry& entry, const step_terms& terms)
+{
+    return matches(entry, terms) && fits(reservation_of(terms), entry.capacity);
+}
+
+// Rack with the shortest queue for its size, among those that can take the
+// task at some time.
+std::string shortest_queue(const fleet_load& fleet, const step_terms& terms,
+                           time_point now)
+{
+    std::map<std::string, std::int64_t> capacity;
+    for (const auto& [id, entry] : fleet.targets)
+    {
+        if (can_ever_take(entry, terms))
+        {
+            capacity[entry.rack] += entry.capacity.cpu_milli + 1;
+        }
+    }
+    std::string best;
+    double best_load = std::numeric_limits<double>::max();
+    for (const auto& [rack, cpu] : capacity)
+    {
+        const auto view = fleet.racks.find(rack);
+        if (view == fleet.racks.end() ||
+            now - view->second.reported_at > report_age)
+        {
+            continue;
+        }
+        std::int64_t wanted = view->second.room.queued_cpu_milli;
+        for (const recent_placement& recent : fleet.recent)
+        {
+            if (recent.rack == rack)
+            {
+                wanted += recent.size.cpu_milli + recent.idle_users_milli;
+            }
+        }
+        const double load =
+            static_cast<double>(wanted) / static_cast<double>(cpu);
+        if (load < best_load)
+        {
+            best_load = load;
+            best = rack;
+        }
+    }
+    return best;
+}
+
+void forget_old(fleet_load& fleet, time_point now)
+{
+    fleet.recent.erase(std::remove_if(fleet.recent.begin(), fleet.recent.end(),
+                                      [now](const recent_placement& item)
+                                      { return now - item.at > recent_age; }),
+                       fleet.recent.end());
+}
+
+void remember(fleet_load& fleet, const step_terms& terms,
+              const std::string& rack, const std::string& target,
+              time_point now)
+{
+    recent_placement item;
+    item.rack = rack;
+    item.target = target;
+    item.size = reservation_of(terms);
+    item.idle_users_milli = terms.uses_idle_cpu ? terms.size.cpu_milli : 0;
+    item.at = now;
+    fleet.recent.push_back(std::move(item));
+}
+
+} // namespace
+
+rack_room measure_room(const rack_state& rack, time_point now)
+{
+    rack_room room;
+    room.rack = rack.name;
+    for (const queued_start& start : rack.queue)
+    {
+        ++room.queued;
+        room.queued_cpu_milli += start.terms->size.cpu_milli;
+    }
+    for (const auto& [id, target] : rack.targets)
+    {
+        target_room item;
+        item.id = id;
+        item.room = free_room(target);
+        item.is_open = accepts_starts(target, now);
+        for (const auto& [run_name, run] : target.runs)
+        {
+            if (run.terms && run.terms->uses_idle_cpu)
+            {
+                item.idle_users_milli += run.terms->size.cpu_milli;
+            }
+            if (run.terms && run.terms->response_target_ms > 0)
+            {
+                item.serving_milli += run.terms->size.cpu_milli;
+            }
+        }
+        room.targets.push_back(std::move(item));
+    }
+    return room;
+}
+
+std::vector<std::string> choose_racks(fleet_load& fleet,
+                                      const step_terms& terms,
+                                      std::size_t count,
+                                      const std::string& data_rack,
+                                      time_point now, std::minstd_rand& random)
+{
+    forget_old(fleet, now);
+    std::vector<std::string> chosen;
+    std::vector<option> options = options_of(fleet, terms, now);
+    while (chosen.size() < count && !options.empty())
+    {
+        const std::size_t n = choose_option(options, data_rack, random);
+        option& item = options[n];
+        candidate* target = best_of(item.targets, terms);
+        while (chosen.size() < count && target != nullptr)
+        {
+            subtract_from(target->room, reservation_of(terms));
+            target->idle_users_milli +=
+                terms.uses_idle_cpu ? terms.size.cpu_milli : 0;
+            ++target->taken_by_step;
+            remember(fleet, terms, item.rack, target->entry->id, now);
+            chosen.push_back(item.rack);
+            target = best_of(item.targets, terms);
+        }
+        options.erase(options.begin() + static_cast<std::ptrdiff_t>(n));
+        if (terms.is_gang)
+        {
+            break;
+        }
+    }
+    while (chosen.size() < count)
+    {
+        chosen.push_back(shortest_queue(fleet, terms, now));
+        if (!chosen.back().empty())
+        {
+            remember(fleet, terms, chosen.back(), "", now);
+        }
+    }
+    return chosen;
+}
+
+bool has_room_elsewhere(const fleet_load& fleet, const step_terms& terms,
+                        const std::string& rack, time_point now)
+{
+    for (const option& item : options_of(fleet, terms, now))
+    {
+        if (item.rack != rack)
+        {
+            return true;
+        }
+    }
+    return false;
+}
+
+} // namespace egretspindle
--- /dev/null
+++ b/src/rack/rack_decision.cpp
@@ -0,0 +1,712 @@
+#include "egretspindle/rack/rack_decision.hpp"
+
+#include <algorithm>
+#include <set>
+#include <tuple>
+
+namespace egretspindle
+{
+
+namespace
+{
+
+// A start that was not confirmed may be missing from a list that the target
+// made before the order arrived.
+constexpr milliseconds list_delay{1'000};
+// A target that refuses or fails an order is left alone for this long, and
+// twice as long after each further fault.
+constexpr milliseconds first_avoidance{300};
+constexpr int max_doublings = 4;
+
+bool holds_label(const target_entry& entry, const std::string& label)
+{
+    return label.empty() || std::find(entry.labels.begin(), entry.labels.end(),
+                                      label) != entry.labels.end();
+}
+
+std::int64_t count_of_step(const rack_target& target, const std::string& step)
+{
+    return std::count_if(target.runs.begin(), target.runs.end(),
+                         [&step](const auto& item) {
+                             return item.second.terms &&
+                                    item.second.terms->step == step;
+                         });
+}
+
+bool can_take(const rack_target& target, const step_terms& terms,
+              const task_size& room, time_point now)
+{
+    return accepts_starts(target, now) &&
+           target.entry.service == terms.service &&
+           fits(reservation_of(terms), room) &&
+           holds_label(target.entry, terms.required_label) &&
+           (terms.max_per_target == 0 ||
+            count_of_step(target, terms.step) < terms.max_per_target);
+}
+
+/// Processor use of a target by kind of task, in thousandths of a core.
+struct cpu_mix
+{
+    std::int64_t idle_users = 0;
+    std::int64_t serving = 0;
+};
+
+cpu_mix mix_of(const rack_target& target)
+{
+    cpu_mix mix;
+    for (const auto& [id, run] : target.runs)
+    {
+        if (!run.terms)
+        {
+            continue;
+        }
+        if (run.terms->uses_idle_cpu)
+        {
+            mix.idle_users += run.terms->size.cpu_milli;
+        }
+        if (run.terms->response_target_ms > 0)
+        {
+            mix.serving += run.terms->size.cpu_milli;
+        }
+    }
+    return mix;
+}
+
+// Higher is better. Tasks that use idle processors and tasks that serve users
+// are kept apart, since the former lengthen the response times of the latter.
+std::int64_t score(const rack_target& target, const step_terms& terms,
+                   const task_size& room)
+{
+    const cpu_mix mix = mix_of(target);
+    const std::int64_t idle = room.cpu_milli - mix.idle_users;
+    if (terms.uses_idle_cpu)
+    {
+        return idle - 4 * mix.serving;
+    }
+    if (terms.response_target_ms > 0)
+    {
+        return room.cpu_milli - 4 * mix.idle_users - 2 * mix.serving;
+    }
+    return idle;
+}
+
+rack_target* choose_target(rack_state& rack, const step_terms& terms,
+                           time_point now)
+{
+    rack_target* best = nullptr;
+    std::int64_t best_score = 0;
+    for (auto& [id, target] : rack.targets)
+    {
+        const task_size room = free_room(target);
+        if (!can_take(target, terms, room, now))
+        {
+            continue;
+        }
+        const std::int64_t value = score(target, terms, room);
+        if (best == nullptr || value > best_score)
+        {
+            best = &target;
+            best_score = value;
+        }
+    }
+    return best;
+}
+
+void reserve(rack_target& target, const queued_start& start, time_point now)
+{
+    placed_run run;
+    run.task = start.task;
+    run.run = start.run;
+    run.terms = start.terms;
+    run.checkpoint = start.checkpoint;
+    run.ordered_at = now;
+    target.runs[{start.task, start.run}] = std::move(run);
+}
+
+bool is_before(const queued_start& lhs, const queued_start& rhs)
+{
+    return std::tie(lhs.terms->priority, lhs.terms->rank_ms, lhs.terms->step) <
+           std::tie(rhs.terms->priority, rhs.terms->rank_ms, rhs.terms->step);
+}
+
+bool may_start(const rack_state& rack, const queued_start& start, bool settled)
+{
+    return !start.is_repeated || (settled && rack.token != 0);
+}
+
+// Finds room for all members of a gang that begins at `first` in the queue.
+std::vector<placement> place_gang(rack_state& rack, std::size_t first,
+                                  std::size_t count, time_point now)
+{
+    std::vector<placement> placed;
+    for (std::size_t n = first; n < first + count; ++n)
+    {
+        const queued_start& start = rack.queue[n];
+        rack_target* target = choose_target(rack, *start.terms, now);
+        if (target == nullptr)
+        {
+            for (const placement& item : placed)
+            {
+                rack.targets[item.target].runs.erase(
+                    {item.start.task, item.start.run});
+            }
+            return {};
+        }
+        reserve(*target, start, now);
+        placed.push_back({target->entry.id, start});
+    }
+    return placed;
+}
+
+std::size_t gang_length(const rack_state& rack, std::size_t first)
+{
+    std::size_t n = first;
+    while (n < rack.queue.size() &&
+           rack.queue[n].terms->step == rack.queue[first].terms->step &&
+           rack.queue[n].run == rack.queue[first].run)
+    {
+        ++n;
+    }
+    return n - first;
+}
+
+run_event ended(const placed_run& run, const std::string& target, run_end how)
+{
+    run_event event;
+    event.what = run_event::kind::ended;
+    event.task = run.task;
+    event.run = run.run;
+    event.how = how;
+    event.checkpoint = run.checkpoint;
+    event.target = target;
+    return event;
+}
+
+run_event not_started(const queued_start& start)
+{
+    run_event event;
+    event.what = run_event::kind::ended;
+    event.task = start.task;
+    event.run = start.run;
+    event.how = run_end::not_started;
+    event.checkpoint = start.checkpoint;
+    return event;
+}
+
+void drop_all(rack_target& target, run_end how, std::vector<run_event>& events)
+{
+    for (const auto& [id, run] : target.runs)
+    {
+        events.push_back(ended(run, target.entry.id, how));
+    }
+    target.runs.clear();
+    target.ends.clear();
+    target.acknowledged = 0;
+}
+
+void avoid(rack_target& target, time_point now)
+{
+    const int doublings = std::min(target.faults, max_doublings);
+    target.avoid_until = now + first_avoidance * (1 << doublings);
+    ++target.faults;
+}
+
+void apply_ends(rack_state& rack, rack_target& target,
+                const poll_answer& answer, std::vector<run_event>& events)
+{
+    for (const listed_end& end : answer.ends)
+    {
+        if (end.number <= target.acknowledged ||
+            target.ends.count(end.number) > 0)
+        {
+            continue;
+        }
+        const run_id id{end.task, end.run};
+        target.ends[end.number] = {end.task, end.run, false};
+        target.runs.erase(id);
+        rack.stops.erase(id);
+        rack.queue.erase(std::remove_if(rack.queue.begin(), rack.queue.end(),
+                                        [&id](const queued_start& item) {
+                                            return item.task == id.first &&
+                                                   item.run == id.second;
+                                        }),
+                         rack.queue.end());
+        run_event event;
+        event.what = run_event::kind::ended;
+        event.task = end.task;
+        event.run = end.run;
+        event.how = run_end_from(end.how);
+        event.checkpoint = end.checkpoint;
+        event.target = target.entry.id;
+        event.number = end.number;
+        events.push_back(std::move(event));
+    }
+}
+
+bool has_open_end(const rack_target& target, const run_id& id)
+{
+    return std::any_of(target.ends.begin(), target.ends.end(),
+                       [&id](const auto& item) {
+                           return item.second.task == id.first &&
+                                  item.second.run == id.second;
+                       });
+}
+
+void apply_runs(rack_state& rack, rack_target& target,
+                const poll_answer& answer, std::vector<run_event>& events,
+                time_point now)
+{
+    for (const listed_run& listed : answer.runs)
+    {
+        const run_id id{listed.task, listed.run};
+        if (has_open_end(target, id))
+        {
+            continue;
+        }
+        const auto queued =
+            std::find_if(rack.queue.begin(), rack.queue.end(),
+                         [&id](const queued_start& it) {
+                             return it.task == id.first && it.run == id.second;
+                         });
+        auto it = target.runs.find(id);
+        if (it == target.runs.end())
+        {
+            placed_run run;
+            run.task = listed.task;
+            run.run = listed.run;
+            run.ordered_at = now;
+            if (queued != rack.queue.end())
+            {
+                run.terms = queued->terms;
+            }
+            it = target.runs.emplace(id, std::move(run)).first;
+        }
+        if (queued != rack.queue.end())
+        {
+            rack.queue.erase(queued);
+        }
+        placed_run& run = it->second;
+        if (rack.stops.erase(id) > 0)
+        {
+            run.is_stopping = true;
+        }
+        if (!run.is_taken)
+        {
+            run.is_taken = true;
+            run.taken_at = now;
+        }
+        run.load = listed.load;
+        if (!listed.checkpoint.empty())
+        {
+            run.checkpoint = listed.checkpoint;
+        }
+        if (!run.is_reported)
+        {
+            run.is_reported = true;
+            run_event event;
+            event.what =
+                run.terms ? run_event::kind::started : run_event::kind::seen;
+            event.task = run.task;
+            event.run = run.run;
+            event.checkpoint = run.checkpoint;
+            event.target = target.entry.id;
+            events.push_back(std::move(event));
+        }
+    }
+}
+
+// A confirmed run that a later list does not name, neither as at work nor as
+// ended, is gone.
+void drop_unlisted(rack_target& target, const poll_answer& answer,
+                   std::vector<run_event>& events, time_point sent_at)
+{
+    std::set<run_id> listed;
+    for (const listed_run& run : answer.runs)
+    {
+        listed.emplace(run.task, run.run);
+    }
+    for (auto it = target.runs.begin(); it != target.runs.end();)
+    {
+        const placed_run& run = it->second;
+        const bool is_gone = run.is_taken && listed.count(it->first) == 0 &&
+                             run.taken_at + list_delay < sent_at;
+        if (!is_gone)
+        {
+            ++it;
+            continue;
+        }
+        events.push_back(ended(run, target.entry.id, run_end::lost));
+        it = target.runs.erase(it);
+    }
+}
+
+} // namespace
+
+enqueue_result enqueue(rack_state& rack, queued_start start)
+{
+    const run_id id{start.task, start.run};
+    const auto ended = rack.ended.find(start.task);
+    if (ended != rack.ended.end() && start.run <= ended->second)
+    {
+        return enqueue_result::known;
+    }
+    for (auto& [name, target] : rack.targets)
+    {
+        const auto it = target.runs.find(id);
+        if (it != target.runs.end())
+        {
+            if (!it->second.terms)
+            {
+                it->second.terms = start.terms;
+            }
+            return enqueue_result::known;
+        }
+        if (has_open_end(target, id))
+        {
+            return enqueue_result::known;
+        }
+    }
+    const bool is_queued =
+        std::any_of(rack.queue.begin(), rack.queue.end(),
+                    [&id](const queued_start& item)
+                    { return item.task == id.first && item.run == id.second; });
+    if (is_queued)
+    {
+        return enqueue_result::known;
+    }
+    rack.queue.push_back(std::move(start));
+    return enqueue_result::queued;
+}
+
+std::vector<placement> place_starts(rack_state& rack, time_point now)
+{
+    std::vector<placement> placed;
+    if (rack.queue.empty())
+    {
+        return placed;
+    }
+    std::stable_sort(rack.queue.begin(), rack.queue.end(), is_before);
+    const bool settled = is_settled(rack, now);
+    std::vector<queued_start> remaining;
+    for (std::size_t n = 0; n < rack.queue.size();)
+    {
+        const queued_start& start = rack.queue[n];
+        const std::size_t count =
+            start.terms->is_gang ? gang_length(rack, n) : 1;
+        const bool is_complete =
+            !start.terms->is_gang ||
+            static_cast<std::int64_t>(count) == start.terms->gang_size;
+        std::vector<placement> chosen;
+        if (is_complete && may_start(rack, start, settled))
+        {
+            chosen = place_gang(rack, n, count, now);
+        }
+        if (chosen.empty())
+        {
+            remaining.insert(
+                remaining.end(),
+                rack.queue.begin() + static_cast<std::ptrdiff_t>(n),
+                rack.queue.begin() + static_cast<std::ptrdiff_t>(n + count));
+        }
+        placed.insert(placed.end(), chosen.begin(), chosen.end());
+        n += count;
+    }
+    rack.queue = std::move(remaining);
+    return placed;
+}
+
+std::vector<run_event> apply_poll(rack_state& rack, rack_target& target,
+                                  const poll_answer& answer, time_point sent_at,
+                                  time_point now)
+{
+    std::vector<run_event> events;
+    if (target.started_ms != 0 && answer.started_ms != target.started_ms)
+    {
+        // Starts that are still on their way name the earlier life or are
+        // repeated until they are answered; their runs stay reserved.
+        std::map<run_id, placed_run> on_their_way;
+        for (const auto& [id, run] : target.runs)
+        {
+            if (!run.is_taken)
+            {
+                on_their_way.emplace(id, run);
+            }
+        }
+        for (const auto& [id, run] : on_their_way)
+        {
+            target.runs.erase(id);
+        }
+        drop_all(target, run_end::lost, events);
+        target.runs = std::move(on_their_way);
+        target.lease_until_ms = 0;
+    }
+    target.started_ms = answer.started_ms;
+    target.is_reached = true;
+    apply_ends(rack, target, answer, events);
+    apply_runs(rack, target, answer, events, now);
+    drop_unlisted(target, answer, events, sent_at);
+    remember_ends(rack, events);
+    return events;
+}
+
+std::vector<run_event> apply_start(rack_state& rack, rack_target& target,
+                                   const run_id& id, order_verdict verdict,
+                                   time_point now)
+{
+    std::vector<run_event> events;
+    const auto it = target.runs.find(id);
+    if (it == target.runs.end())
+    {
+        return events;
+    }
+    placed_run& run = it->second;
+    switch (verdict)
+    {
+    case order_verdict::taken:
+        target.faults = 0;
+        if (!run.is_taken)
+        {
+            run.is_taken = true;
+            run.taken_at = now;
+        }
+        if (!run.is_reported)
+        {
+            run.is_reported = true;
+            run_event event;
+            event.task = run.task;
+            event.run = run.run;
+            event.target = target.entry.id;
+            events.push_back(std::move(event));
+        }
+        break;
+    case order_verdict::old_run:
+        // Listed as ended, or fenced by a stop: it will never start here.
+        if (!run.is_taken)
+        {
+            events.push_back(ended(run, target.entry.id, run_end::not_started));
+            target.runs.erase(it);
+        }
+        break;
+    case order_verdict::no_room:
+    case order_verdict::other_life:
+    case order_verdict::unhealthy:
+    {
+        queued_start again;
+        again.task = run.task;
+        again.run = run.run;
+        again.checkpoint = run.checkpoint;
+        again.terms = run.terms;
+        again.queued_at = now;
+        const bool is_stopping = run.is_stopping;
+        target.runs.erase(it);
+        avoid(target, now);
+        if (is_stopping)
+        {
+            events.push_back(not_started(again));
+        }
+        else
+        {
+            rack.queue.push_back(std::move(again));
+        }
+        break;
+    }
+    case order_verdict::no_permission:
+    case order_verdict::malformed:
+        events.push_back(ended(run, target.entry.id, run_end::not_started));
+        target.runs.erase(it);
+        break;
+    case order_verdict::wrong_token:
+    case order_verdict::too_late:
+        break;
+    }
+    remember_ends(rack, events);
+    return events;
+}
+
+std::vector<run_event> expire_leases(rack_state& rack, time_point now)
+{
+    std::vector<run_event> events;
+    for (auto it = rack.targets.begin(); it != rack.targets.end();)
+    {
+        rack_target& target = it->second;
+        const time_point expiry =
+            target.is_reached ? target.expires_at : rack.unknown_until;
+        const bool is_expired = now >= expiry;
+        if (is_expired && !target.runs.empty())
+        {
+            drop_all(target, run_end::lost, events);
+        }
+        if (is_expired && !target.is_listed)
+        {
+            it = rack.targets.erase(it);
+        }
+        else
+        {
+            ++it;
+        }
+    }
+    remember_ends(rack, events);
+    return events;
+}
+
+std::vector<run_event> withdraw(rack_state& rack, const run_id& id,
+                                std::string& target)
+{
+    std::vector<run_event> events;
+    target.clear();
+    for (auto& [name, item] : rack.targets)
+    {
+        const auto it = item.runs.find(id);
+        if (it != item.runs.end())
+        {
+            it->second.is_stopping = true;
+            target = name;
+            return events;
+        }
+        if (has_open_end(item, id))
+        {
+            return events;
+        }
+    }
+    const auto queued =
+        std::find_if(rack.queue.begin(), rack.queue.end(),
+                     [&id](const queued_start& item) {
+                         return item.task == id.first && item.run == id.second;
+                     });
+    const bool is_certain = queued != rack.queue.end() && !queued->is_repeated;
+    if (is_certain)
+    {
+        events.push_back(not_started(*queued));
+    }
+    else
+    {
+        rack.stops.insert(id);
+    }
+    if (queued != rack.queue.end())
+    {
+        rack.queue.erase(queued);
+    }
+    remember_ends(rack, events);
+    return events;
+}
+
+std::vector<run_event> settle_stops(rack_state& rack, time_point now)
+{
+    std::vector<run_event> events;
+    if (rack.stops.empty() || !is_settled(rack, now))
+    {
+        return events;
+    }
+    for (const run_id& id : rack.stops)
+    {
+        queued_start start;
+        start.task = id.first;
+        start.run = id.second;
+        events.push_back(not_started(start));
+    }
+    rack.stops.clear();
+    remember_ends(rack, events);
+    return events;
+}
+
+void acknowledge(rack_target& target, std::int64_t number)
+{
+    const auto it = target.ends.find(number);
+    if (it != target.ends.end())
+    {
+        it->second.is_recorded = true;
+    }
+    while (!target.ends.empty() && target.ends.begin()->second.is_recorded)
+    {
+        target.acknowledged = target.ends.begin()->first;
+        target.ends.erase(target.ends.begin());
+    }
+}
+
+bool is_settled(const rack_state& rack, time_point now)
+{
+    if (now >= rack.unknown_until)
+    {
+        return true;
+    }
+    return rack.knows_all_targets &&
+           std::all_of(rack.targets.begin(), rack.targets.end(),
+                       [](const auto& item) { return item.second.is_reached; });
+}
+
+std::vector<run_event> hand_back(rack_state& rack, milliseconds patience,
+                                 const room_elsewhere& has_room, time_point now)
+{
+    std::vector<run_event> events;
+    std::vector<queued_start> remaining;
+    for (queued_start& start : rack.queue)
+    {
+        if (!start.is_repeated && now - start.queued_at > patience &&
+            has_room(*start.terms))
+        {
+            events.push_back(not_started(start));
+            continue;
+        }
+        remaining.push_back(std::move(start));
+    }
+    rack.queue = std::move(remaining);
+    remember_ends(rack, events);
+    return events;
+}
+
+void remember_ends(rack_state& rack, const std::vector<run_event>& events)
+{
+    for (const run_event& event : events)
+    {
+        if (event.what == run_event::kind::ended)
+        {
+            std::int64_t& run = rack.ended[event.task];
+            run = std::max(run, event.run);
+        }
+    }
+}
+
+std::vector<pace_change> decide_pace(rack_target& target)
+{
+    // Response times lag by half a second; a wide band between slowing and
+    // speeding up avoids oscillation.
+    constexpr double slow_above = 0.8;
+    constexpr double speed_up_below = 0.5;
+    constexpr std::int64_t slow_step = 50;
+    constexpr std::int64_t speed_step = 20;
+    double worst = 0;
+    for (const auto& [id, run] : target.runs)
+    {
+        if (run.terms && run.terms->response_target_ms > 0)
+        {
+            worst = std::max(
+                worst, static_cast<double>(run.load) /
+                           static_cast<double>(run.terms->response_target_ms));
+        }
+    }
+    std::vector<pace_change> changes;
+    for (auto& [id, run] : target.runs)
+    {
+        if (!run.terms || !run.terms->uses_idle_cpu || !run.is_taken)
+        {
+            continue;
+        }
+        std::int64_t percent = run.percent;
+        if (worst > slow_above)
+        {
+            percent = std::max<std::int64_t>(0, percent - slow_step);
+        }
+        else if (worst < speed_up_below)
+        {
+            percent = std::min<std::int64_t>(100, percent + speed_step);
+        }
+        if (percent != run.percent)
+        {
+            run.percent = percent;
+            changes.push_back({run.task, run.run, percent});
+        }
+    }
+    return changes;
+}
+
+} // namespace egretspindle
--- /dev/null
+++ b/src/rack/rack_state.cpp
@@ -0,0 +1,76 @@
+#include "egretspindle/rack/rack_state.hpp"
+
+#include <algorithm>
+
+namespace egretspindle
+{
+
+namespace
+{
+
+milliseconds with_drift(std::int64_t target_ms, const lease_limits& limits)
+{
+    const double local_ms =
+        static_cast<double>(target_ms) / (1.0 - limits.clock_drift);
+    return milliseconds(static_cast<std::int64_t>(local_ms) + 1) +
+           limits.expiry_slack;
+}
+
+void update_expiry(rack_target& target, const lease_limits& limits)
+{
+    const std::int64_t left =
+        std::max<std::int64_t>(0, target.lease_until_ms - target.clock_ms);
+    target.expires_at = target.clock_at + with_drift(left, limits);
+}
+
+} // namespace
+
+task_size free_room(const rack_target& target)
+{
+    task_size room = target.entry.capacity;
+    for (const auto& [id, run] : target.runs)
+    {
+        if (run.terms)
+        {
+            subtract_from(room, reservation_of(*run.terms));
+        }
+    }
+    return room;
+}
+
+bool accepts_starts(const rack_target& target, time_point now)
+{
+    return target.is_listed && target.is_reached && !target.entry.is_draining &&
+           now >= target.avoid_until &&
+           std::all_of(target.runs.begin(), target.runs.end(),
+                       [](const auto& item)
+                       { return item.second.terms != nullptr; });
+}
+
+std::int64_t clock_of(const rack_target& target, time_point now)
+{
+    return target.clock_ms + elapsed_ms(target.clock_at, now);
+}
+
+std::int64_t extend_lease(rack_target& target, const lease_limits& limits,
+                          time_point now)
+{
+    const std::int64_t until = clock_of(target, now) + limits.lease.count();
+    target.lease_until_ms = std::max(target.lease_until_ms, until);
+    update_expiry(target, limits);
+    return until;
+}
+
+void note_clock(rack_target& target, std::int64_t clock_ms,
+                const lease_limits& limits, time_point now)
+{
+    if (clock_ms <= 0)
+    {
+        return;
+    }
+    target.clock_ms = clock_ms;
+    target.clock_at = now;
+    update_expiry(target, limits);
+}
+
+} // namespace egretspindle
--- /dev/null
+++ b/src/scheduler/cluster_agent.cpp
@@ -0,0 +1,485 @@
+#include "egretspindle/scheduler/cluster_agent.hpp"
+
+#include "egretspindle/codec/json.hpp"
+#include "egretspindle/core/error.hpp"
+#include "egretspindle/logging/log.hpp"
+#include "egretspindle/scheduler/shard.hpp"
+
+#include <fmt/format.h>
+
+#include <condition_variable>
+#include <mutex>
+#include <random>
+#include <set>
+#include <thread>
+
+namespace egretspindle
+{
+
+namespace
+{
+
+constexpr std::string_view host_prefix = "host/";
+constexpr std::string_view shard_prefix = "shard/";
+constexpr std::string_view rack_prefix = "rack/";
+constexpr std::string_view key_name = "key";
+constexpr milliseconds period{1'000};
+constexpr milliseconds call_timeout{800};
+constexpr milliseconds key_retry{200};
+// A host without the store for this long asks for no new connections.
+constexpr milliseconds contact_age{3'000};
+
+bool starts_with(std::string_view text, std::string_view prefix)
+{
+    return text.substr(0, prefix.size()) == prefix;
+}
+
+table_row make_row(std::string key, std::string value)
+{
+    table_row row;
+    row.table = std::string(cluster_table);
+    row.key = std::move(key);
+    row.value = std::move(value);
+    return row;
+}
+
+std::string random_key()
+{
+    std::random_device device;
+    std::string text;
+    for (int n = 0; n < 8; ++n)
+    {
+        text += fmt::format("{:08x}", device());
+    }
+    return text;
+}
+
+} // namespace
+
+struct cluster_agent::impl
+{
+    impl(table_store& rows, host_row row, cluster_hooks callbacks,
+         const liveness_limits& bounds)
+        : store(rows), self(std::move(row)), hooks(std::move(callbacks)),
+          limits(bounds)
+    {
+    }
+
+    void run();
+    void beat();
+    bool read();
+    void apply(const std::vector<table_row>& rows, time_point now);
+    void claim();
+    void announce();
+    resource& find_resource(const std::string& name);
+    [[nodiscard]] bool is_owned(const resource& item) const;
+
+    table_store& store;
+    host_row self;
+    cluster_hooks hooks;
+    liveness_limits limits;
+    mutable std::mutex mutex;
+    std::condition_variable wake;
+    bool is_stopping = false;
+    bool is_refresh_wanted = false;
+    bool has_failed = false;
+    cluster_view view;
+    std::map<std::string, std::string> racks;      ///< data centre by name
+    std::map<std::string, std::int64_t> announced; ///< token by resource
+    std::map<std::string, bool> former_alive; ///< by resource, when claimed
+    std::map<std::string, std::int64_t> distrusted; ///< token by resource
+    std::thread thread;
+};
+
+bool cluster_agent::impl::is_owned(const resource& item) const
+{
+    return owns(item, self.name, self.boot);
+}
+
+resource& cluster_agent::impl::find_resource(const std::string& name)
+{
+    resource& item = view.resources[name];
+    item.name = name;
+    if (starts_with(name, rack_prefix))
+    {
+        const auto it = racks.find(name.substr(rack_prefix.size()));
+        item.data_center = it == racks.end() ? "-" : it->second;
+    }
+    return item;
+}
+
+void cluster_agent::impl::beat()
+{
+    row_transaction transaction;
+    const std::map<std::string, std::int64_t> pending = hooks.pending();
+    {
+        const std::lock_guard<std::mutex> lock(mutex);
+        self.pending = pending;
+        ++self.beat;
+        transaction.writes.push_back(
+            make_row(std::string(host_prefix) + self.name, to_json(self)));
+    }
+    const absl::StatusOr<transaction_result> result =
+        store.commit(transaction, call_timeout);
+    const std::lock_guard<std::mutex> lock(mutex);
+    if (!result.ok() && !has_failed)
+    {
+        has_failed = true;
+        log_warning("heartbeat was not written",
+                    {{"beat", self.beat},
+                     {"error", std::string(result.status().message())}});
+    }
+    else if (result.ok() && has_failed)
+    {
+        has_failed = false;
+        log_info("heartbeat written again", {{"beat", self.beat}});
+    }
+}
+
+bool cluster_agent::impl::read()
+{
+    std::vector<table_row> rows;
+    row_range range;
+    range.table = std::string(cluster_table);
+    for (;;)
+    {
+        const absl::StatusOr<table_page> page = store.read(range, call_timeout);
+        if (!page.ok())
+        {
+            return false;
+        }
+        rows.insert(rows.end(), page->rows.begin(), page->rows.end());
+        if (!page->has_more || page->rows.empty())
+        {
+            break;
+        }
+        range.from = page->rows.back().key + '\0';
+    }
+    const std::lock_guard<std::mutex> lock(mutex);
+    apply(rows, steady_clock::now());
+    return true;
+}
+
+void cluster_agent::impl::apply(const std::vector<table_row>& rows,
+                                time_point now)
+{
+    std::vector<known_host> hosts;
+    for (int n = 0; n < shard_count; ++n)
+    {
+        find_resource(std::string(shard_prefix) + shard_name(n));
+    }
+    for (const auto& [rack, data_center] : racks)
+    {
+        find_resource(std::string(rack_prefix) + rack);
+    }
+    for (const table_row& row : rows)
+    {
+        if (starts_with(row.key, host_prefix))
+        {
+            const absl::StatusOr<host_row> host =
+                from_json<host_row>(row.value);
+            if (host.ok())
+            {
+                known_host item;
+                item.row = *host;
+                item.version = row.version;
+                hosts.push_back(std::move(item));
+            }
+        }
+        else if (starts_with(row.key, shard_prefix) ||
+                 starts_with(row.key, rack_prefix))
+        {
+            const absl::StatusOr<resource_owner> owner =
+                from_json<resource_owner>(row.value);
+            resource& item = find_resource(row.key);
+            if (owner.ok() && row.version >= item.version)
+            {
+                item.owner = *owner;
+                item.version = row.version;
+            }
+        }
+    }
+    note_read(view, hosts, limits, now);
+}
+
+void cluster_agent::impl::claim()
+{
+    row_transaction transaction;
+    std::vector<std::string> names;
+    std::vector<bool> former;
+    {
+        const std::lock_guard<std::mutex> lock(mutex);
+        const time_point now = steady_clock::now();
+        names = decide_claims(view, self.name, self.boot, limits, now);
+        for (const auto& [name, token] : distrusted)
+        {
+            const resource& item = find_resource(name);
+            if (is_owned(item) && item.version == token &&
+                std::find(names.begin(), names.end(), name) == names.end())
+            {
+                names.push_back(name);
+            }
+        }
+        distrusted.clear();
+        constexpr std::size_t most_rows = 50;
+        names.resize(std::min(names.size(), most_rows));
+        const resource_owner owner{self.name, self.boot};
+        for (const std::string& name : names)
+        {
+            const resource& item = find_resource(name);
+            transaction.conditions.push_back(
+                {std::string(cluster_table), "", name, item.version});
+            transaction.writes.push_back(make_row(name, to_json(owner)));
+            const bool is_alive = item.owner.host != self.name &&
+                                  is_live(view, item.owner.host, limits, now);
+            former.push_back(is_alive);
+            if (is_alive)
+            {
+                view.last_rebalance = now;
+            }
+        }
+    }
+    if (names.empty())
+    {
+        return;
+    }
+    const absl::StatusOr<transaction_result> result =
+        store.commit(transaction, call_timeout);
+    const std::lock_guard<std::mutex> lock(mutex);
+    const bool is_committed = result.ok() && result->is_committed;
+    log_info("claims", {{"count", names.size()},
+                        {"first", names.front()},
+                        {"committed", is_committed}});
+    for (std::size_t n = 0; n < names.size(); ++n)
+    {
+        former_alive[names[n]] = former[n];
+        if (is_committed)
+        {
+            resource& item = find_resource(names[n]);
+            item.owner = {self.name, self.boot};
+            item.version = result->version;
+        }
+    }
+    is_refresh_wanted |= !is_committed;
+}
+
+// Tells what has been taken over or lost since the last call.
+void cluster_agent::impl::announce()
+{
+    std::vector<std::tuple<std::string, std::int64_t, bool>> taken;
+    std::vector<std::string> lost;
+    {
+        const std::lock_guard<std::mutex> lock(mutex);
+        for (const auto& [name, item] : view.resources)
+        {
+            const auto it = announced.find(name);
+            if (is_owned(item) &&
+                (it == announced.end() || it->second != item.version))
+            {
+                announced[name] = item.version;
+                taken.emplace_back(name, item.version, former_alive[name]);
+            }
+            else if (!is_owned(item) && it != announced.end())
+            {
+                announced.erase(it);
+                lost.push_back(name);
+            }
+        }
+    }
+    for (const std::string& name : lost)
+    {
+        hooks.lost(name);
+    }
+    for (const auto& [name, token, was_alive] : taken)
+    {
+        hooks.taken(name, token, was_alive);
+    }
+}
+
+void cluster_agent::impl::run()
+{
+    for (;;)
+    {
+        const time_point begun = steady_clock::now();
+        beat();
+        if (read())
+        {
+            claim();
+            announce();
+        }
+        std::unique_lock<std::mutex> lock(mutex);
+        // A failed claim or a lost rack is looked at again soon, but not at
+        // the pace of the calls that report it.
+        constexpr milliseconds shortest_period{250};
+        wake.wait_until(lock, begun + shortest_period,
+                        [this] { return is_stopping; });
+        wake.wait_until(lock, begun + period,
+                        [this] { return is_stopping || is_refresh_wanted; });
+        is_refresh_wanted = false;
+        if (is_stopping)
+        {
+            return;
+        }
+    }
+}
+
+cluster_agent::cluster_agent(table_store& store, host_row self,
+                             cluster_hooks hooks, const liveness_limits& limits)
+    : impl_(std::make_unique<impl>(store, std::move(self), std::move(hooks),
+                                   limits))
+{
+}
+
+cluster_agent::~cluster_agent()
+{
+    stop();
+}
+
+std::string cluster_agent::shared_key()
+{
+    row_range range;
+    range.table = std::string(cluster_table);
+    range.from = std::string(key_name);
+    range.limit = 1;
+    for (;;)
+    {
+        const absl::StatusOr<table_page> page =
+            impl_->store.read(range, call_timeout);
+        if (page.ok() && !page->rows.empty() &&
+            page->rows.front().key == key_name)
+        {
+            return page->rows.front().value;
+        }
+        if (page.ok())
+        {
+            row_transaction transaction;
+            transaction.conditions.push_back(
+                {std::string(cluster_table), "", std::string(key_name), 0});
+            transaction.writes.push_back(
+                make_row(std::string(key_name), random_key()));
+            const absl::StatusOr<transaction_result> result =
+                impl_->store.commit(transaction, call_timeout);
+            if (result.ok())
+            {
+                continue; // read back what is there now
+            }
+        }
+        std::unique_lock<std::mutex> lock(impl_->mutex);
+        if (impl_->wake.wait_for(lock, key_retry,
+                                 [this] { return impl_->is_stopping; }))
+        {
+            return {};
+        }
+    }
+}
+
+void cluster_agent::start()
+{
+    impl_->thread = std::thread([this] { impl_->run(); });
+}
+
+void cluster_agent::stop()
+{
+    {
+        const std::lock_guard<std::mutex> lock(impl_->mutex);
+        impl_->is_stopping = true;
+        impl_->wake.notify_all();
+    }
+    if (impl_->thread.joinable())
+    {
+        impl_->thread.join();
+    }
+}
+
+void cluster_agent::leave()
+{
+    const std::lock_guard<std::mutex> lock(impl_->mutex);
+    impl_->self.is_leaving = true;
+    impl_->is_refresh_wanted = true;
+    impl_->wake.notify_all();
+}
+
+void cluster_agent::refresh()
+{
+    const std::lock_guard<std::mutex> lock(impl_->mutex);
+    impl_->is_refresh_wanted = true;
+    impl_->wake.notify_all();
+}
+
+void cluster_agent::distrust(const std::string& resource, std::int64_t token)
+{
+    const std::lock_guard<std::mutex> lock(impl_->mutex);
+    impl_->distrusted[resource] = token;
+    impl_->is_refresh_wanted = true;
+    impl_->wake.notify_all();
+}
+
+void cluster_agent::set_racks(const std::map<std::string, std::string>& racks)
+{
+    const std::lock_guard<std::mutex> lock(impl_->mutex);
+    impl_->racks = racks;
+}
+
+std::optional<owner_location>
+cluster_agent::owner_of(const std::string& resource) const
+{
+    const std::lock_guard<std::mutex> lock(impl_->mutex);
+    const auto it = impl_->view.resources.find(resource);
+    if (it == impl_->view.resources.end() || it->second.version == 0)
+    {
+        return std::nullopt;
+    }
+    const auto host = impl_->view.hosts.find(it->second.owner.host);
+    if (host == impl_->view.hosts.end())
+    {
+        return std::nullopt;
+    }
+    owner_location location;
+    location.host = it->second.owner.host;
+    location.peer = host->second.row.peer;
+    location.token = it->second.version;
+    location.is_self = impl_->is_owned(it->second);
+    return location;
+}
+
+std::vector<std::string> cluster_agent::peers() const
+{
+    std::vector<std::string> peers;
+    const std::lock_guard<std::mutex> lock(impl_->mutex);
+    const time_point now = steady_clock::now();
+    for (const auto& [name, host] : impl_->view.hosts)
+    {
+        if (name != impl_->self.name &&
+            is_live(impl_->view, name, impl_->limits, now))
+        {
+            peers.push_back(host.row.peer);
+        }
+    }
+    return peers;
+}
+
+std::int64_t cluster_agent::pending_elsewhere(const std::string& queue) const
+{
+    std::int64_t sum = 0;
+    const std::lock_guard<std::mutex> lock(impl_->mutex);
+    const time_point now = steady_clock::now();
+    for (const auto& [name, host] : impl_->view.hosts)
+    {
+        const auto it = host.row.pending.find(queue);
+        if (name != impl_->self.name && it != host.row.pending.end() &&
+            is_live(impl_->view, name, impl_->limits, now))
+        {
+            sum += it->second;
+        }
+    }
+    return sum;
+}
+
+bool cluster_agent::has_contact() const
+{
+    const std::lock_guard<std::mutex> lock(impl_->mutex);
+    return impl_->view.last_read != time_point{} &&
+           steady_clock::now() - impl_->view.last_read < contact_age;
+}
+
+} // namespace egretspindle
--- /dev/null
+++ b/src/scheduler/job_entry.hpp
@@ -0,0 +1,47 @@
+/// \file
+/// Job in the memory of its coordinator.
+
+#ifndef EGRETSPINDLE_SRC_SCHEDULER_JOB_ENTRY_HPP
+#define EGRETSPINDLE_SRC_SCHEDULER_JOB_ENTRY_HPP
+
+#include "egretspindle/core/clock.hpp"
+#include "egretspindle/jobs/job_machine.hpp"
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace egretspindle
+{
+
+/// What has been said to the owner of a rack about a run.
+struct sent_run
+{
+    std::int64_t run = 0;
+    std::uint64_t change = 0; ///< number of the change that assigned it
+    std::int64_t confirmed_token = 0;
+    time_point sent_at;        ///< time_point{}: not sent by this host
+    bool is_inherited = false; ///< read from the store
+};
+
+/// Job with the state of its record.
+struct job_entry
+{
+    job value;
+    std::string shard;
+    std::string encoded_spec;
+    std::int64_t version = 0;  ///< of the row; 0: not written yet
+    std::uint64_t changes = 1; ///< number of the latest change
+    std::uint64_t durable = 0; ///< number of the latest change in the row
+    bool is_writing = false;
+    bool is_uncertain = false; ///< an unanswered write may take effect
+    bool is_queued = false;    ///< in the queue of the writers
+    time_point created_at;
+    std::string shown; ///< state as of the row; empty: no row yet
+    std::map<std::string, sent_run> sent; ///< by task
+};
+
+} // namespace egretspindle
+
+#endif
--- /dev/null
+++ b/src/scheduler/job_scheduler.cpp
@@ -0,0 +1,724 @@
+#include "egretspindle/scheduler/job_scheduler.hpp"
+
+#include "egretspindle/codec/json.hpp"
+#include "egretspindle/core/error.hpp"
+#include "egretspindle/jobs/job_machine.hpp"
+#include "egretspindle/jobs/job_record.hpp"
+#include "egretspindle/logging/log.hpp"
+#include "egretspindle/net/rpc_server.hpp"
+#include "egretspindle/protocol/message_router.hpp"
+#include "egretspindle/protocol/peer_client.hpp"
+#include "egretspindle/scheduler/cluster_agent.hpp"
+#include "egretspindle/scheduler/host_outbox.hpp"
+#include "egretspindle/scheduler/load_exchange.hpp"
+#include "egretspindle/scheduler/shard.hpp"
+
+#include <atomic>
+#include <condition_variable>
+#include <mutex>
+#include <optional>
+#include <random>
+#include <thread>
+
+namespace egretspindle
+{
+
+namespace
+{
+
+constexpr std::string_view submit_message = "job_submit";
+constexpr std::string_view query_message = "job_query";
+constexpr std::string_view cancel_message = "job_cancel";
+constexpr std::string_view orders_message = "rack_orders";
+constexpr std::string_view reports_message = "run_reports";
+
+constexpr milliseconds tick_period{250};
+constexpr milliseconds orders_timeout{1'500};
+// Longer than the wait of the coordinator for the record.
+constexpr milliseconds reports_timeout{3'000};
+constexpr milliseconds report_wait{2'000};
+constexpr milliseconds retry_pause{100};
+// A call is passed on at most this long before the owner is looked up again.
+constexpr milliseconds longest_call{1'200};
+constexpr std::size_t max_batch = 64;
+constexpr std::int64_t unavailable_retry_ms = 1'000;
+
+std::string shard_resource(const std::string& id)
+{
+    return "shard/" + shard_of(id);
+}
+
+std::string rack_resource(const std::string& rack)
+{
+    return "rack/" + rack;
+}
+
+std::int64_t remaining_ms(time_point deadline)
+{
+    return elapsed_ms(steady_clock::now(), deadline);
+}
+
+} // namespace
+
+struct job_scheduler::impl
+{
+    impl(table_store& rows, target_port& port, scheduler_options settings);
+
+    job_call_reply call_owner(std::string_view message, job_call call,
+                              time_point deadline, bool& was_passed_on);
+    job_call_reply call_self(std::string_view message, const job_call& call);
+    std::optional<job_answer> read_state(const std::string& id);
+    void post_orders(rack_orders orders);
+    void deliver_orders(const std::string& host,
+                        const std::vector<rack_orders>& items);
+    void post_reports(std::vector<run_report> reports);
+    void deliver_reports(const std::string& host,
+                         std::vector<run_report> reports);
+    void note_load(const load_report& report);
+    void add_handlers();
+    void tick_loop();
+    void share_load();
+    void on_taken(const std::string& resource, std::int64_t token,
+                  bool was_alive);
+    void on_lost(const std::string& resource);
+    job_coordinator_hooks make_coordinator_hooks();
+    rack_agent_hooks make_rack_hooks();
+    cluster_hooks make_cluster_hooks();
+
+    table_store& store;
+    scheduler_options options;
+    time_point started_at = steady_clock::now();
+    std::int64_t boot = unix_ms();
+
+    mutable std::mutex config_mutex;
+    std::shared_ptr<const fleet_config> config =
+        std::make_shared<const fleet_config>();
+
+    std::mutex load_mutex;
+    fleet_load load;
+    std::minstd_rand random{std::random_device{}()};
+    std::int64_t report_number = 0;
+    std::atomic<bool> has_targets{false};
+    std::atomic<bool> is_leaving{false};
+
+    job_coordinator coordinator;
+    rack_agent racks;
+    cluster_agent agent;
+    host_outbox<rack_orders> orders_out;
+    host_outbox<run_report> reports_out;
+    message_router router;
+    std::unique_ptr<rpc_client> client;
+    std::unique_ptr<rpc_server> server;
+    std::unique_ptr<load_exchange> loads;
+
+    std::mutex tick_mutex;
+    std::condition_variable tick_wake;
+    bool is_stopping = false;
+    std::thread ticker;
+};
+
+job_scheduler::impl::impl(table_store& rows, target_port& port,
+                          scheduler_options settings)
+    : store(rows), options(std::move(settings)),
+      coordinator(rows, make_coordinator_hooks(), options.coordinator),
+      racks(port, make_rack_hooks(), options.racks),
+      agent(
+          rows,
+          host_row{options.host,
+                   boot,
+                   to_string(endpoint{options.peer_address, options.peer_port}),
+                   options.data_center,
+                   false,
+                   0,
+                   {}},
+          make_cluster_hooks(), liveness_limits{}),
+      orders_out(max_batch,
+                 [this](const std::string& host, std::vector<rack_orders> items)
+                 { deliver_orders(host, items); }),
+      reports_out(max_batch,
+                  [this](const std::string& host, std::vector<run_report> items)
+                  { deliver_reports(host, std::move(items)); })
+{
+}
+
+job_coordinator_hooks job_scheduler::impl::make_coordinator_hooks()
+{
+    job_coordinator_hooks hooks;
+    hooks.config = [this]
+    {
+        const std::lock_guard<std::mutex> lock(config_mutex);
+        return config;
+    };
+    hooks.choose_racks = [this](const step_terms& terms, std::size_t count,
+                                const std::string& data_rack)
+    {
+        const std::lock_guard<std::mutex> lock(load_mutex);
+        return choose_racks(load, terms, count, data_rack, steady_clock::now(),
+                            random);
+    };
+    hooks.rack_token = [this](const std::string& rack) -> std::int64_t
+    {
+        const std::optional<owner_location> owner =
+            agent.owner_of(rack_resource(rack));
+        return owner ? owner->token : 0;
+    };
+    hooks.send = [this](rack_orders orders)
+    {
+        post_orders(std::move(orders));
+    };
+    return hooks;
+}
+
+rack_agent_hooks job_scheduler::impl::make_rack_hooks()
+{
+    rack_agent_hooks hooks;
+    hooks.report = [this](std::vector<run_report> reports)
+    {
+        post_reports(std::move(reports));
+    };
+    hooks.lost = [this](const std::string& rack)
+    {
+        const std::optional<owner_location> owner =
+            agent.owner_of(rack_resource(rack));
+        if (owner && owner->is_self)
+        {
+            agent.distrust(rack_resource(rack), owner->token);
+        }
+    };
+    hooks.has_room_elsewhere =
+        [this](const step_terms& terms, const std::string& rack)
+    {
+        const std::lock_guard<std::mutex> lock(load_mutex);
+        return has_room_elsewhere(load, terms, rack, steady_clock::now());
+    };
+    return hooks;
+}
+
+cluster_hooks job_scheduler::impl::make_cluster_hooks()
+{
+    cluster_hooks hooks;
+    hooks.taken =
+        [this](const std::string& resource, std::int64_t token, bool was_alive)
+    {
+        on_taken(resource, token, was_alive);
+    };
+    hooks.lost = [this](const std::string& resource)
+    {
+        on_lost(resource);
+    };
+    hooks.pending = [this]
+    {
+        return coordinator.pending();
+    };
+    return hooks;
+}
+
+// --- ownership -------------------------------------------------------------
+
+void job_scheduler::impl::on_taken(const std::string& resource,
+                                   std::int64_t token, bool was_alive)
+{
+    const std::size_t slash = resource.find('/');
+    const std::string name = resource.substr(slash + 1);
+    if (resource.compare(0, slash, "shard") == 0)
+    {
+        coordinator.take_shard(name);
+        return;
+    }
+    rack_takeover takeover;
+    takeover.rack = name;
+    takeover.token = token;
+    takeover.is_former_alive = was_alive;
+    const auto longest = options.racks.lease.longest;
+    takeover.knows_all_targets =
+        steady_clock::now() - started_at > longest + longest / 10;
+    racks.take_rack(takeover);
+}
+
+void job_scheduler::impl::on_lost(const std::string& resource)
+{
+    const std::size_t slash = resource.find('/');
+    const std::string name = resource.substr(slash + 1);
+    if (resource.compare(0, slash, "shard") == 0)
+    {
+        coordinator.drop_shard(name);
+        return;
+    }
+    racks.drop_rack(name);
+}
+
+// --- calls of callers ------------------------------------------------------
+
+job_call_reply job_scheduler::impl::call_self(std::string_view message,
+                                              const job_call& call)
+{
+    if (message == submit_message)
+    {
+        return coordinator.submit(call);
+    }
+    return message == query_message ? coordinator.query(call)
+                                    : coordinator.cancel(call);
+}
+
+// Passes a call to the owner of the job's shard until one answers.
+job_call_reply job_scheduler::impl::call_owner(std::string_view message,
+                                               job_call call,
+                                               time_point deadline,
+                                               bool& was_passed_on)
+{
+    job_call_reply last{"unknown", "", unavailable_retry_ms};
+    const std::string resource = shard_resource(call.id);
+    for (;;)
+    {
+        const std::int64_t left = remaining_ms(deadline);
+        if (left <= 0)
+        {
+            return last;
+        }
+        const std::optional<owner_location> owner = agent.owner_of(resource);
+        if (owner && owner->is_self)
+        {
+            call.budget_ms = left;
+            was_passed_on = true;
+            last = call_self(message, call);
+        }
+        else if (owner)
+        {
+            const std::int64_t budget =
+                std::min<std::int64_t>(left, longest_call.count());
+            call.budget_ms = budget * 9 / 10;
+            const absl::StatusOr<job_call_reply> reply =
+                call_peer<job_call_reply>(*client, owner->peer, message, call,
+                                          milliseconds(budget));
+            was_passed_on |= reply.ok() ||
+                             kind_of(reply.status()) != error_kind::unavailable;
+            last = reply.ok()
+                       ? *reply
+                       : job_call_reply{"unknown", "", unavailable_retry_ms};
+        }
+        if (last.verdict != "not_owner" && last.verdict != "unknown")
+        {
+            return last;
+        }
+        if (last.verdict == "unknown" && message != submit_message)
+        {
+            return last; // the row itself answers
+        }
+        agent.refresh();
+        last.verdict = "unknown";
+        std::this_thread::sleep_for(retry_pause);
+    }
+}
+
+std::optional<job_answer> job_scheduler::impl::read_state(const std::string& id)
+{
+    row_range range;
+    range.table = std::string(jobs_table);
+    range.part = shard_of(id);
+    range.from = id;
+    range.limit = 1;
+    const absl::StatusOr<table_page> page =
+        store.read(range, options.coordinator.commit_timeout);
+    if (!page.ok())
+    {
+        return std::nullopt;
+    }
+    if (page->rows.empty() || page->rows.front().key != id)
+    {
+        return job_answer{lookup_verdict::absent, ""};
+    }
+    const absl::StatusOr<job> value = decode_job(id, page->rows.front().value);
+    if (!value.ok())
+    {
+        log_error("record was not read", {{"job", id}});
+        return std::nullopt;
+    }
+    return job_answer{lookup_verdict::known, std::string(shown_state(*value))};
+}
+
+// --- messages --------------------------------------------------------------
+
+void job_scheduler::impl::post_orders(rack_orders orders)
+{
+    const std::optional<owner_location> owner =
+        agent.owner_of(rack_resource(orders.rack));
+    if (!owner)
+    {
+        agent.refresh(); // the coordinator sends the orders again
+        return;
+    }
+    orders_out.post(owner->host, std::move(orders));
+}
+
+void job_scheduler::impl::deliver_orders(const std::string& /*host*/,
+                                         const std::vector<rack_orders>& items)
+{
+    for (const rack_orders& orders : items)
+    {
+        const std::optional<owner_location> owner =
+            agent.owner_of(rack_resource(orders.rack));
+        if (!owner)
+        {
+            continue;
+        }
+        rack_orders_reply reply;
+        if (owner->is_self)
+        {
+            reply = racks.execute(orders);
+        }
+        else
+        {
+            const absl::StatusOr<rack_orders_reply> answer =
+                call_peer<rack_orders_reply>(*client, owner->peer,
+                                             orders_message, orders,
+                                             orders_timeout);
+            if (!answer.ok())
+            {
+                log_warning(
+                    "orders were not answered",
+                    {{"rack", orders.rack},
+                     {"host", owner->host},
+                     {"error", std::string(answer.status().message())}});
+                continue;
+            }
+            reply = *answer;
+        }
+        if (!reply.is_owner)
+        {
+            agent.refresh();
+        }
+        coordinator.confirm(orders, reply);
+    }
+}
+
+void job_scheduler::impl::post_reports(std::vector<run_report> reports)
+{
+    for (run_report& report : reports)
+    {
+        const std::size_t dot = report.task.find('.');
+        const std::optional<owner_location> owner =
+            agent.owner_of(shard_resource(report.task.substr(0, dot)));
+        reports_out.post(owner ? owner->host : std::string(),
+                         std::move(report));
+    }
+}
+
+void job_scheduler::impl::deliver_reports(const std::string& host,
+                                          std::vector<run_report> reports)
+{
+    report_batch batch{std::move(reports)};
+    const std::size_t dot = batch.reports.front().task.find('.');
+    const std::optional<owner_location> owner = agent.owner_of(
+        shard_resource(batch.reports.front().task.substr(0, dot)));
+    absl::StatusOr<report_reply> reply =
+        make_error(error_kind::unavailable, "the shard has no owner; wait");
+    if (owner && owner->host == host && owner->is_self)
+    {
+        reply = coordinator.report(batch);
+    }
+    else if (owner && owner->host == host)
+    {
+        reply = call_peer<report_reply>(*client, owner->peer, reports_message,
+                                        batch, reports_timeout);
+    }
+    std::vector<run_report> again;
+    if (!reply.ok())
+    {
+        log_warning("reports were not recorded",
+                    {{"host", host},
+                     {"reports", batch.reports.size()},
+                     {"error", std::string(reply.status().message())}});
+        again = std::move(batch.reports);
+    }
+    else
+    {
+        racks.settle(batch.reports, *reply);
+        for (std::size_t n = 0; n < batch.reports.size(); ++n)
+        {
+            if (n >= reply->verdicts.size() ||
+                reply->verdicts[n].verdict == "retry")
+            {
+                again.push_back(std::move(batch.reports[n]));
+            }
+        }
+    }
+    if (!again.empty())
+    {
+        agent.refresh();
+        std::this_thread::sleep_for(retry_pause);
+        post_reports(std::move(again));
+    }
+}
+
+void job_scheduler::impl::add_handlers()
+{
+    for (const std::string_view message :
+         {submit_message, query_message, cancel_message})
+    {
+        router.on<job_call, job_call_reply>(
+            message,
+            [this, message](const std::string& /*sender*/, const job_call& call)
+                -> absl::StatusOr<job_call_reply>
+            { return call_self(message, call); });
+    }
+    router.on<rack_orders, rack_orders_reply>(
+        orders_message,
+        [this](const std::string& /*sender*/,
+               const rack_orders& orders) -> absl::StatusOr<rack_orders_reply>
+        { return racks.execute(orders); });
+    router.on<report_batch, report_reply>(
+        reports_message,
+        [this](const std::string& /*sender*/,
+               const report_batch& batch) -> absl::StatusOr<report_reply>
+        { return coordinator.report(batch); });
+}
+
+// --- load ------------------------------------------------------------------
+
+void job_scheduler::impl::note_load(const load_report& report)
+{
+    const std::lock_guard<std::mutex> lock(load_mutex);
+    const time_point now = steady_clock::now();
+    for (const rack_room& room : report.racks)
+    {
+        load.racks[room.rack] = {room, now};
+    }
+}
+
+void job_scheduler::impl::share_load()
+{
+    load_report report;
+    report.host = options.host;
+    report.boot = boot;
+    report.number = ++report_number;
+    report.racks = racks.measure();
+    note_load(report);
+    if (!report.racks.empty())
+    {
+        loads->send(report, agent.peers());
+    }
+}
+
+void job_scheduler::impl::tick_loop()
+{
+    for (;;)
+    {
+        racks.tick();
+        share_load();
+        coordinator.tick();
+        std::unique_lock<std::mutex> lock(tick_mutex);
+        if (tick_wake.wait_for(lock, tick_period,
+                               [this] { return is_stopping; }))
+        {
+            return;
+        }
+    }
+}
+
+// --- public interface ------------------------------------------------------
+
+job_scheduler::job_scheduler(table_store& store, target_port& targets,
+                             scheduler_options options)
+{
+    options.coordinator.report_wait = report_wait;
+    impl_ = std::make_unique<impl>(store, targets, std::move(options));
+}
+
+job_scheduler::~job_scheduler()
+{
+    stop();
+}
+
+absl::Status job_scheduler::start()
+{
+    const std::string key = impl_->agent.shared_key();
+    hide_in_logs(key);
+    impl_->add_handlers();
+    impl_->client = std::make_unique<rpc_client>(key, impl_->options.host);
+    impl_->server = std::make_unique<rpc_server>(
+        key, [this](const std::string& type, const std::string& sender,
+                    const std::string& payload)
+        { return impl_->router.dispatch(type, sender, payload); });
+    absl::Status status = impl_->server->start(impl_->options.peer_address,
+                                               impl_->options.peer_port);
+    if (!status.ok())
+    {
+        return status;
+    }
+    impl_->loads = std::make_unique<load_exchange>(
+        key, [this](const load_report& report) { impl_->note_load(report); });
+    status = impl_->loads->start(impl_->options.peer_address,
+                                 impl_->options.peer_port);
+    if (!status.ok())
+    {
+        return status;
+    }
+    impl_->agent.start();
+    impl_->ticker = std::thread([this] { impl_->tick_loop(); });
+    log_info("scheduler started", {{"host", impl_->options.host},
+                                   {"data_center", impl_->options.data_center},
+                                   {"boot", impl_->boot}});
+    return absl::OkStatus();
+}
+
+void job_scheduler::leave()
+{
+    impl_->is_leaving = true;
+    impl_->agent.leave();
+    log_info("leaving", {{"host", impl_->options.host}});
+}
+
+void job_scheduler::stop()
+{
+    {
+        const std::lock_guard<std::mutex> lock(impl_->tick_mutex);
+        if (impl_->is_stopping)
+        {
+            return;
+        }
+        impl_->is_stopping = true;
+        impl_->tick_wake.notify_all();
+    }
+    if (impl_->ticker.joinable())
+    {
+        impl_->ticker.join();
+    }
+    impl_->agent.stop();
+    impl_->coordinator.stop();
+    impl_->racks.stop();
+    impl_->orders_out.stop();
+    impl_->reports_out.stop();
+    if (impl_->server)
+    {
+        impl_->server->stop();
+    }
+    if (impl_->loads)
+    {
+        impl_->loads->stop();
+    }
+    log_info("scheduler stopped", {{"host", impl_->options.host}});
+}
+
+void job_scheduler::set_config(fleet_config config)
+{
+    const std::lock_guard<std::mutex> lock(impl_->config_mutex);
+    if (config.version <= impl_->config->version)
+    {
+        return;
+    }
+    log_info("configuration in force",
+             {{"version", config.version},
+              {"former_version", impl_->config->version},
+              {"queues", config.queues.size()}});
+    impl_->config = std::make_shared<const fleet_config>(std::move(config));
+}
+
+std::shared_ptr<const fleet_config> job_scheduler::config() const
+{
+    const std::lock_guard<std::mutex> lock(impl_->config_mutex);
+    return impl_->config;
+}
+
+void job_scheduler::set_targets(
+    const std::map<std::string, target_entry>& targets)
+{
+    std::map<std::string, std::string> racks;
+    for (const auto& [id, entry] : targets)
+    {
+        racks[entry.rack] = entry.data_center;
+    }
+    impl_->agent.set_racks(racks);
+    {
+        const std::lock_guard<std::mutex> lock(impl_->load_mutex);
+        impl_->load.targets = targets;
+    }
+    impl_->racks.set_targets(targets);
+    impl_->has_targets = true;
+}
+
+bool job_scheduler::is_ready() const
+{
+    return !impl_->is_leaving && config()->version > 0 && impl_->has_targets &&
+           impl_->agent.has_contact();
+}
+
+submit_answer job_scheduler::submit(const std::string& queue,
+                                    const std::string& id, job_spec spec,
+                                    std::chrono::milliseconds budget)
+{
+    job_call call;
+    call.id = id;
+    call.queue = queue;
+    call.spec = std::move(spec);
+    bool was_passed_on = false;
+    const time_point begun = steady_clock::now();
+    const job_call_reply reply = impl_->call_owner(
+        submit_message, std::move(call), begun + budget, was_passed_on);
+    submit_answer answer;
+    answer.retry_after_ms = reply.retry_after_ms;
+    if (reply.verdict == "accepted")
+    {
+        answer.verdict = submit_verdict::accepted;
+    }
+    else if (reply.verdict == "refused" || !was_passed_on)
+    {
+        answer.verdict = submit_verdict::refused;
+    }
+    log_info("job submitted",
+             {{"job", id},
+              {"queue", queue},
+              {"verdict", reply.verdict},
+              {"passed_on", was_passed_on},
+              {"took_ms", elapsed_ms(begun, steady_clock::now())}});
+    return answer;
+}
+
+job_answer job_scheduler::query(const std::string& id,
+                                std::chrono::milliseconds budget)
+{
+    job_call call;
+    call.id = id;
+    bool was_passed_on = false;
+    const job_call_reply reply =
+        impl_->call_owner(query_message, std::move(call),
+                          steady_clock::now() + budget / 2, was_passed_on);
+    if (reply.verdict == "known")
+    {
+        return {lookup_verdict::known, reply.state};
+    }
+    if (reply.verdict == "absent")
+    {
+        return {lookup_verdict::absent, ""};
+    }
+    return impl_->read_state(id).value_or(job_answer{});
+}
+
+job_answer job_scheduler::cancel(const std::string& id,
+                                 std::chrono::milliseconds budget)
+{
+    job_call call;
+    call.id = id;
+    bool was_passed_on = false;
+    const job_call_reply reply =
+        impl_->call_owner(cancel_message, std::move(call),
+                          steady_clock::now() + budget, was_passed_on);
+    log_info("job cancellation", {{"job", id}, {"verdict", reply.verdict}});
+    if (reply.verdict == "known")
+    {
+        return {lookup_verdict::known, reply.state};
+    }
+    return {reply.verdict == "absent" ? lookup_verdict::absent
+                                      : lookup_verdict::unknown,
+            ""};
+}
+
+std::int64_t job_scheduler::pending(const std::string& queue)
+{
+    const std::map<std::string, std::int64_t> own =
+        impl_->coordinator.pending();
+    const auto it = own.find(queue);
+    return (it == own.end() ? 0 : it->second) +
+           impl_->agent.pending_elsewhere(queue);
+}
+
+} // namespace egretspindle
--- /dev/null
+++ b/src/scheduler/load_exchange.cpp
@@ -0,0 +1,143 @@
+#include "egretspindle/scheduler/load_exchange.hpp"
+
+#include "egretspindle/codec/json.hpp"
+#include "egretspindle/core/error.hpp"
+#include "egretspindle/net/endpoint.hpp"
+#include "egretspindle/net/message_auth.hpp"
+
+#include <fmt/format.h>
+
+#include <arpa/inet.h>
+#include <atomic>
+#include <sys/socket.h>
+#include <thread>
+#include <unistd.h>
+
+namespace egretspindle
+{
+
+namespace
+{
+
+constexpr std::string_view message_type = "load";
+constexpr std::size_t tag_size = 16;
+constexpr std::size_t max_datagram = 60'000;
+// How late a stop of the receiving thread is noticed.
+constexpr timeval receive_timeout{0, 500'000};
+
+sockaddr_in to_address(const endpoint& server)
+{
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(server.port);
+    ::inet_pton(AF_INET, server.address.c_str(), &address.sin_addr);
+    return address;
+}
+
+} // namespace
+
+struct load_exchange::impl
+{
+    void receive_all();
+
+    std::string key;
+    receive_function received;
+    int socket = -1;
+    std::atomic<bool> is_stopping{false};
+    std::thread thread;
+};
+
+void load_exchange::impl::receive_all()
+{
+    std::string buf(max_datagram, '\0');
+    while (!is_stopping)
+    {
+        const ssize_t n = ::recv(socket, buf.data(), buf.size(), 0);
+        if (n <= static_cast<ssize_t>(tag_size))
+        {
+            continue;
+        }
+        const std::string_view text(buf.data(), static_cast<std::size_t>(n));
+        const std::string_view payload = text.substr(tag_size);
+        const std::string tag =
+            reply_tag(message_mac(key, message_type, "", payload));
+        if (!constant_time_equal(tag, text.substr(0, tag_size)))
+        {
+            continue; // not from a host of this cluster
+        }
+        const absl::StatusOr<load_report> report =
+            from_json<load_report>(payload);
+        if (report.ok())
+        {
+            received(*report);
+        }
+    }
+}
+
+load_exchange::load_exchange(std::string key, receive_function received)
+    : impl_(std::make_unique<impl>())
+{
+    impl_->key = std::move(key);
+    impl_->received = std::move(received);
+}
+
+load_exchange::~load_exchange()
+{
+    stop();
+}
+
+absl::Status load_exchange::start(const std::string& address,
+                                  unsigned short port)
+{
+    impl_->socket = ::socket(AF_INET, SOCK_DGRAM | SOCK_CLOEXEC, 0);
+    const sockaddr_in local = to_address({address, port});
+    if (impl_->socket < 0 ||
+        ::bind(impl_->socket, reinterpret_cast<const sockaddr*>(&local),
+               sizeof local) != 0)
+    {
+        return make_error(error_kind::unavailable,
+                          fmt::format("cannot bind UDP {}:{}; choose a free "
+                                      "address",
+                                      address, port));
+    }
+    ::setsockopt(impl_->socket, SOL_SOCKET, SO_RCVTIMEO, &receive_timeout,
+                 sizeof receive_timeout);
+    impl_->thread = std::thread([this] { impl_->receive_all(); });
+    return absl::OkStatus();
+}
+
+void load_exchange::stop()
+{
+    impl_->is_stopping = true;
+    if (impl_->thread.joinable())
+    {
+        impl_->thread.join();
+    }
+    if (impl_->socket >= 0)
+    {
+        ::close(impl_->socket);
+        impl_->socket = -1;
+    }
+}
+
+void load_exchange::send(const load_report& report,
+                         const std::vector<std::string>& peers)
+{
+    const std::string payload = to_json(report);
+    const std::string text =
+        reply_tag(message_mac(impl_->key, message_type, "", payload)) + payload;
+    for (const std::string& peer : peers)
+    {
+        const absl::StatusOr<endpoint> server = parse_endpoint(peer);
+        if (server.ok() && text.size() <= max_datagram)
+        {
+            const sockaddr_in address = to_address(*server);
+            // A datagram that cannot be sent is replaced by the next one.
+            static_cast<void>(::sendto(
+                impl_->socket, text.data(), text.size(), 0,
+                reinterpret_cast<const sockaddr*>(&address), sizeof address));
+        }
+    }
+}
+
+} // namespace egretspindle
--- /dev/null
+++ b/src/settings/parse_scheduler_settings.cpp
@@ -0,0 +1,96 @@
+#include "egretspindle/core/error.hpp"
+#include "egretspindle/settings/scheduler_settings.hpp"
+
+#include "settings_reader.hpp"
+
+#include <fmt/format.h>
+
+#include <optional>
+
+namespace egretspindle
+{
+
+namespace
+{
+
+constexpr std::string_view expected_endpoint =
+    "an address as ip:port, for example \"10.0.0.1:8080\"";
+constexpr std::int64_t longest_lease_bound_ms = 600'000;
+
+std::optional<toml::table> parse(std::string_view text, std::string& error)
+{
+    try
+    {
+        return toml::parse(text);
+    }
+    catch (const toml::parse_error& ex)
+    {
+        error = fmt::format("{}, line {}", ex.description(),
+                            ex.source().begin.line);
+        return std::nullopt;
+    }
+}
+
+std::string read_endpoint(table_reader& reader, const char* name)
+{
+    std::string text = reader.text(name, expected_endpoint);
+    if (!text.empty() && text.find(':') == std::string::npos)
+    {
+        reader.fail(name, fmt::format("\"{}\"", text), expected_endpoint);
+    }
+    return text;
+}
+
+} // namespace
+
+bool has_scheduler_settings(std::string_view text)
+{
+    std::string error;
+    const std::optional<toml::table> document = parse(text, error);
+    return document && document->contains("scheduler");
+}
+
+absl::StatusOr<scheduler_settings>
+parse_scheduler_settings(std::string_view text)
+{
+    std::string error;
+    const std::optional<toml::table> document = parse(text, error);
+    if (!document)
+    {
+        return make_error(error_kind::invalid_argument,
+                          "the settings are not TOML: " + error);
+    }
+    settings_errors errors;
+    table_reader root(&*document, "", errors);
+    table_reader reader = root.table("scheduler");
+    scheduler_settings value;
+    value.host = reader.text("host", "a name");
+    value.data_center = reader.text("data_center", "a name");
+    value.callers = read_endpoint(reader, "callers");
+    value.ready = read_endpoint(reader, "ready");
+    value.peer = read_endpoint(reader, "peer");
+    value.store = read_endpoint(reader, "store");
+    if (const toml::node* node = reader.find("transactions_span_parts"))
+    {
+        const std::optional<bool> flag = node->value<bool>();
+        if (!flag)
+        {
+            reader.fail("transactions_span_parts", describe(node),
+                        "true or false");
+        }
+        value.may_span_parts = flag.value_or(false);
+    }
+    reader.number("longest_lease_ms", value.longest_lease_ms, 1'000,
+                  longest_lease_bound_ms);
+    reader.number("thaw_slack_ms", value.thaw_slack_ms, 0,
+                  longest_lease_bound_ms);
+    reader.check_unknown();
+    if (!errors.lines.empty())
+    {
+        return make_error(error_kind::invalid_argument,
+                          fmt::format("{}", fmt::join(errors.lines, "\n")));
+    }
+    return value;
+}
+
+} // namespace egretspindle
