Learn which pairs of images disturb each other, and pace by it

A fit of response times against what ran together showed that few pairs of images disturb each other.

--- a/include/egretspindle/rack/fleet_load.hpp
+++ b/include/egretspindle/rack/fleet_load.hpp
@@ -6,6 +6,7 @@
 
 #include "egretspindle/core/clock.hpp"
 #include "egretspindle/fleet/target_entry.hpp"
+#include "egretspindle/rack/pressure_model.hpp"
 #include "egretspindle/rack/queued_start.hpp"
 #include "egretspindle/rack/rack_state.hpp"
 
@@ -25,6 +26,9 @@
     task_size room;                    ///< negative when it is overcommitted
     std::int64_t idle_users_milli = 0; ///< wanted by tasks on idle processors
     std::int64_t serving_milli = 0;    ///< used by tasks that serve users
+    double response_ratio = 0; ///< highest response time / target
+    double expected_ratio = 0; ///< the same by the model
+    std::vector<std::string> serving;  ///< images of tasks that serve users
     bool is_open = false;              ///< accepts starts
 };
 
@@ -38,6 +42,9 @@
     visit("a", value.room.accelerators);
     visit("u", value.idle_users_milli);
     visit("s", value.serving_milli);
+    visit("r", value.response_ratio);
+    visit("e", value.expected_ratio);
+    visit("v", value.serving);
     visit("o", value.is_open);
 }
 
@@ -67,6 +74,7 @@
     std::int64_t number = 0; ///< rises within one life of the host
     std::int64_t boot = 0;   ///< life of the host
     std::vector<rack_room> racks;
+    std::vector<pair_pressure> pressures; ///< learned by the host
 };
 
 /// Visits the fields of `load_report` for the codec.
@@ -77,10 +85,13 @@
     visit("number", value.number);
     visit("boot", value.boot);
     visit("racks", value.racks);
+    visit("pressures", value.pressures);
 }
 
 /// Returns the room of a rack for a report.
-[[nodiscard]] rack_room measure_room(const rack_state& rack, time_point now);
+[[nodiscard]] rack_room measure_room(const rack_state& rack,
+                                     const pressure_model& model,
+                                     time_point now);
 
 /// Placement of this host that no report shows yet.
 struct recent_placement
@@ -105,6 +116,7 @@
     std::map<std::string, rack_view> racks;
     std::map<std::string, target_entry> targets; ///< by id
     std::vector<recent_placement> recent;
+    pressure_model pressures;
 };
 
 /// Chooses a rack for each of `count` tasks of a step.
--- /dev/null
+++ b/include/egretspindle/rack/interference.hpp
@@ -0,0 +1,82 @@
+/// \file
+/// Tasks that use idle processors beside tasks that serve users.
+
+#ifndef EGRETSPINDLE_RACK_INTERFERENCE_HPP
+#define EGRETSPINDLE_RACK_INTERFERENCE_HPP
+
+#include "egretspindle/rack/pressure_model.hpp"
+#include "egretspindle/rack/rack_state.hpp"
+
+#include <cstdint>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace egretspindle
+{
+
+/// What matters of a target to tasks that use idle processors.
+struct target_mix
+{
+    std::int64_t idle_users_milli = 0; ///< wanted by tasks on idle processors
+    std::int64_t serving_milli = 0;    ///< reserved by tasks that serve users
+    std::set<std::string> serving;     ///< their images
+    double expected_ratio = 0;         ///< response time / target by the model
+    double response_ratio = 0; ///< the highest reported, or the expected one
+};
+
+/// Returns what serving tasks reserve but leave unused on average, in
+/// thousandths of a core.
+[[nodiscard]] std::int64_t unused_by_serving(const target_mix& mix);
+
+/// Sums up the tasks of a target. Starts of the last moments do not show in
+/// the reported response times yet, so the higher of those and the expected
+/// ones counts.
+[[nodiscard]] target_mix mix_of(const rack_target& target,
+                                const pressure_model& model);
+
+/// Returns whether tasks of a step lengthen the response times noticeably.
+[[nodiscard]] bool is_harmful(const step_terms& terms, const target_mix& mix,
+                              const pressure_model& model);
+
+/// Returns whether a task that uses idle processors would find enough of them,
+/// without taking response times near their targets.
+///
+/// \param room  what is left on the target
+[[nodiscard]] bool finds_idle_cpu(const target_mix& mix,
+                                  const step_terms& terms,
+                                  const task_size& room,
+                                  const pressure_model& model);
+
+/// Rates a target for a task that uses idle processors; higher is better.
+/// Targets where the task disturbs nobody go first, and those without serving
+/// tasks are left to tasks that would disturb them.
+[[nodiscard]] std::int64_t rate_company(const target_mix& mix,
+                                        const step_terms& terms,
+                                        const task_size& room,
+                                        const pressure_model& model);
+
+/// Learns from the tasks of a target.
+void observe_target(rack_target& target, pressure_model& model, time_point now);
+
+/// Change of the speed of a task.
+struct pace_change
+{
+    std::string task;
+    std::int64_t run = 0;
+    std::int64_t percent = 100;
+};
+
+/// Slows tasks that use idle processors while they disturb a serving task,
+/// and lets them work again when its response times have recovered.
+[[nodiscard]] std::vector<pace_change>
+decide_pace(rack_target& target, const pressure_model& model, time_point now);
+
+/// Returns runs to stop, since they are slowed so far that they would finish
+/// earlier on another target.
+[[nodiscard]] std::vector<run_id> decide_evictions(rack_target& target,
+                                                   time_point now);
+
+} // namespace egretspindle
+
+#endif
--- a/include/egretspindle/rack/queued_start.hpp
+++ b/include/egretspindle/rack/queued_start.hpp
@@ -30,6 +30,7 @@
     bool is_long_running = false;
     bool is_checkpointing = false;
     std::int64_t response_target_ms = 0; ///< above 0: the task serves users
+    std::string image;                   ///< tasks of one image behave alike
     bool uses_idle_cpu = false;          ///< does not count against processors
     std::int64_t max_absent = 0;
 };
@@ -53,6 +54,7 @@
     visit("long_running", value.is_long_running);
     visit("checkpointing", value.is_checkpointing);
     visit("response_target_ms", value.response_target_ms);
+    visit("image", value.image);
     visit("idle_cpu", value.uses_idle_cpu);
     visit("max_absent", value.max_absent);
 }
--- a/include/egretspindle/rack/rack_decision.hpp
+++ b/include/egretspindle/rack/rack_decision.hpp
@@ -6,6 +6,7 @@
 
 #include "egretspindle/fleet/target_port.hpp"
 #include "egretspindle/jobs/run_end.hpp"
+#include "egretspindle/rack/pressure_model.hpp"
 #include "egretspindle/rack/rack_state.hpp"
 
 #include <cstdint>
@@ -57,8 +58,8 @@
 /// Answers the load of a step that becomes due while targets are partly free:
 /// starts go by priority and objective, each to the target that keeps most
 /// room; tasks that use idle processors avoid targets that serve users.
-[[nodiscard]] std::vector<placement> place_starts(rack_state& rack,
-                                                  time_point now);
+[[nodiscard]] std::vector<placement>
+place_starts(rack_state& rack, const pressure_model& model, time_point now);
 
 /// Takes over the lists of a target.
 ///
@@ -110,18 +111,6 @@
 /// again cannot revive them.
 void remember_ends(rack_state& rack, const std::vector<run_event>& events);
 
-/// Change of the speed of a task.
-struct pace_change
-{
-    std::string task;
-    std::int64_t run = 0;
-    std::int64_t percent = 100;
-};
-
-/// Slows tasks that use idle processors while they disturb a serving task,
-/// and lets them work again when its response times have recovered.
-[[nodiscard]] std::vector<pace_change> decide_pace(rack_target& target);
-
 } // namespace egretspindle
 
 #endif
--- a/include/egretspindle/rack/rack_state.hpp
+++ b/include/egretspindle/rack/rack_state.hpp
@@ -42,6 +42,7 @@
     time_point taken_at;
     std::int64_t load = 0;      ///< as listed by the target
     std::int64_t percent = 100; ///< share of its speed that was ordered
+    time_point slowed_at;       ///< since when it has been slowed far
 };
 
 /// End that is not acknowledged yet.
@@ -68,9 +69,14 @@
     time_point expires_at;           ///< all leases have certainly expired then
     time_point avoid_until;          ///< no starts before, after a fault
     int faults = 0;                  ///< in a row
+    time_point paced_at;             ///< latest change of a task speed
     std::int64_t acknowledged = 0;
     std::map<std::int64_t, open_end> ends; ///< by number
     std::map<run_id, placed_run> runs;
+    time_point missed_since; ///< a serving task misses its target; none: {}
+    /// Cores by image of the tasks on idle processors, averaged lately.
+    std::map<std::string, double> company;
+    time_point observed_at;
 };
 
 /// Rack with its queue.
--- a/include/egretspindle/scheduler/rack_agent.hpp
+++ b/include/egretspindle/scheduler/rack_agent.hpp
@@ -43,7 +43,7 @@
     milliseconds order_retry{150};    ///< after an order without an answer
     milliseconds poll_retry{300};     ///< after a poll without an answer
     milliseconds ack_wait{150};       ///< for the record of listed ends
-    milliseconds queue_patience{400}; ///< before a start goes elsewhere
+    milliseconds queue_patience{700}; ///< before a start goes elsewhere
     milliseconds former_owner{2'500}; ///< until a live former owner has stopped
 };
 
@@ -88,6 +88,13 @@
     /// Returns the room of all racks of this host.
     [[nodiscard]] std::vector<rack_room> measure() const;
 
+    /// Returns what this host has learned of tasks on idle processors.
+    [[nodiscard]] std::vector<pair_pressure> pressures() const;
+
+    /// Takes over what another host has learned.
+    void set_other_pressures(const std::string& host,
+                             std::vector<pair_pressure> pressures);
+
     /// Ends the threads.
     void stop();
 
--- a/include/egretspindle/scheduler/table_watch.hpp
+++ b/include/egretspindle/scheduler/table_watch.hpp
@@ -4,6 +4,7 @@
 #ifndef EGRETSPINDLE_SCHEDULER_TABLE_WATCH_HPP
 #define EGRETSPINDLE_SCHEDULER_TABLE_WATCH_HPP
 
+#include "egretspindle/core/clock.hpp"
 #include "egretspindle/fleet/table_store.hpp"
 
 #include <functional>
@@ -26,7 +27,9 @@
     /// Called with all rows after each change, from the thread of the watch.
     using change_function = std::function<void(const row_map& rows)>;
 
-    table_watch(table_store& store, std::string table, change_function changed);
+    /// \param pause  between calls, for a table that changes all the time
+    table_watch(table_store& store, std::string table, milliseconds pause,
+                change_function changed);
     ~table_watch();
     table_watch(const table_watch&) = delete;
     table_watch& operator=(const table_watch&) = delete;
--- a/src/rack/fleet_load.cpp
+++ b/src/rack/fleet_load.cpp
@@ -1,5 +1,7 @@
 #include "egretspindle/rack/fleet_load.hpp"
 
+#include "egretspindle/rack/interference.hpp"
+
 #include <algorithm>
 #include <limits>
 #include <set>
@@ -20,8 +22,7 @@
 {
     const target_entry* entry = nullptr;
     task_size room;
-    std::int64_t idle_users_milli = 0;
-    std::int64_t serving_milli = 0;
+    target_mix mix;
     std::int64_t taken_by_step = 0;
 };
 
@@ -54,14 +55,17 @@
         candidate item;
         item.entry = &entry->second;
         item.room = room.room;
-        item.idle_users_milli = room.idle_users_milli;
-        item.serving_milli = room.serving_milli;
+        item.mix.idle_users_milli = room.idle_users_milli;
+        item.mix.serving_milli = room.serving_milli;
+        item.mix.serving = {room.serving.begin(), room.serving.end()};
+        item.mix.response_ratio = room.response_ratio;
+        item.mix.expected_ratio = room.expected_ratio;
         for (const recent_placement& recent : fleet.recent)
         {
             if (recent.target == room.id)
             {
                 subtract_from(item.room, recent.size);
-                item.idle_users_milli += recent.idle_users_milli;
+                item.mix.idle_users_milli += recent.idle_users_milli;
             }
         }
         found.push_back(item);
@@ -71,12 +75,12 @@
 
 std::int64_t idle_cpu(const candidate& item)
 {
-    return item.room.cpu_milli - item.idle_users_milli;
+    return item.room.cpu_milli + unused_by_serving(item.mix) -
+           item.mix.idle_users_milli;
 }
 
-// Tasks on idle processors are of use only where processors are idle and no
-// task serves users.
-bool is_suitable(const candidate& item, const step_terms& terms)
+bool is_suitable(const fleet_load& fleet, const candidate& item,
+                 const step_terms& terms)
 {
     if (!fits(reservation_of(terms), item.room) ||
         (terms.max_per_target > 0 &&
@@ -85,16 +89,33 @@
         return false;
     }
     return !terms.uses_idle_cpu ||
-           (item.serving_milli == 0 && idle_cpu(item) >= terms.size.cpu_milli);
+           finds_idle_cpu(item.mix, terms, item.room, fleet.pressures);
 }
 
-candidate* best_of(std::vector<candidate>& items, const step_terms& terms)
+// Serving tasks go where others serve already, and tasks that do not disturb
+// them too; that leaves whole targets for those that do.
+std::int64_t weight_of(const fleet_load& fleet, const candidate& item,
+                       const step_terms& terms)
+{
+    constexpr std::int64_t preferred_weight = 20;
+    const std::int64_t idle = std::max<std::int64_t>(1, idle_cpu(item));
+    const bool is_serving = !item.mix.serving.empty();
+    const bool is_preferred =
+        is_serving && (terms.response_target_ms > 0 ||
+                       (terms.uses_idle_cpu &&
+                        !is_harmful(terms, item.mix, fleet.pressures)));
+    return is_preferred ? idle * preferred_weight : idle;
+}
+
+candidate* best_of(const fleet_load& fleet, std::vector<candidate>& items,
+                   const step_terms& terms)
 {
     candidate* best = nullptr;
     for (candidate& item : items)
     {
-        if (is_suitable(item, terms) &&
-            (best == nullptr || idle_cpu(item) > idle_cpu(*best)))
+        if (is_suitable(fleet, item, terms) &&
+            (best == nullptr ||
+             weight_of(fleet, item, terms) > weight_of(fleet, *best, terms)))
         {
             best = &item;
         }
@@ -121,9 +142,9 @@
         item.targets = candidates_of(fleet, view, terms, now);
         for (const candidate& target : item.targets)
         {
-            if (is_suitable(target, terms))
+            if (is_suitable(fleet, target, terms))
             {
-                item.free_cpu += std::max<std::int64_t>(1, idle_cpu(target));
+                item.free_cpu += weight_of(fleet, target, terms);
             }
         }
         if (item.free_cpu > 0)
@@ -239,7 +260,8 @@
 
 } // namespace
 
-rack_room measure_room(const rack_state& rack, time_point now)
+rack_room measure_room(const rack_state& rack, const pressure_model& model,
+                       time_point now)
 {
     rack_room room;
     room.rack = rack.name;
@@ -254,17 +276,12 @@
         item.id = id;
         item.room = free_room(target);
         item.is_open = accepts_starts(target, now);
-        for (const auto& [run_name, run] : target.runs)
-        {
-            if (run.terms && run.terms->uses_idle_cpu)
-            {
-                item.idle_users_milli += run.terms->size.cpu_milli;
-            }
-            if (run.terms && run.terms->response_target_ms > 0)
-            {
-                item.serving_milli += run.terms->size.cpu_milli;
-            }
-        }
+        const target_mix mix = mix_of(target, model);
+        item.idle_users_milli = mix.idle_users_milli;
+        item.serving_milli = mix.serving_milli;
+        item.serving = {mix.serving.begin(), mix.serving.end()};
+        item.response_ratio = mix.response_ratio;
+        item.expected_ratio = mix.expected_ratio;
         room.targets.push_back(std::move(item));
     }
     return room;
@@ -283,16 +300,16 @@
     {
         const std::size_t n = choose_option(options, data_rack, random);
         option& item = options[n];
-        candidate* target = best_of(item.targets, terms);
+        candidate* target = best_of(fleet, item.targets, terms);
         while (chosen.size() < count && target != nullptr)
         {
             subtract_from(target->room, reservation_of(terms));
-            target->idle_users_milli +=
+            target->mix.idle_users_milli +=
                 terms.uses_idle_cpu ? terms.size.cpu_milli : 0;
             ++target->taken_by_step;
             remember(fleet, terms, item.rack, target->entry->id, now);
             chosen.push_back(item.rack);
-            target = best_of(item.targets, terms);
+            target = best_of(fleet, item.targets, terms);
         }
         options.erase(options.begin() + static_cast<std::ptrdiff_t>(n));
         if (terms.is_gang)
--- a/src/rack/rack_decision.cpp
+++ b/src/rack/rack_decision.cpp
@@ -1,5 +1,7 @@
 #include "egretspindle/rack/rack_decision.hpp"
 
+#include "egretspindle/rack/interference.hpp"
+
 #include <algorithm>
 #include <set>
 #include <tuple>
@@ -17,6 +19,10 @@
 // twice as long after each further fault.
 constexpr milliseconds first_avoidance{300};
 constexpr int max_doublings = 4;
+// Starts that a rack hands back at a time. Other hosts see the same room.
+constexpr std::size_t most_handed_back = 4;
+// Above the processors of any target.
+constexpr std::int64_t target_cpu_bonus = 1'000'000;
 
 bool holds_label(const target_entry& entry, const std::string& label)
 {
@@ -33,76 +39,53 @@
                          });
 }
 
-bool can_take(const rack_target& target, const step_terms& terms,
-              const task_size& room, time_point now)
+bool can_take(const rack_target& target, const queued_start& start,
+              const task_size& room, const target_mix& mix,
+              const pressure_model& model, time_point now)
 {
+    const step_terms& terms = *start.terms;
     return accepts_starts(target, now) &&
            target.entry.service == terms.service &&
            fits(reservation_of(terms), room) &&
            holds_label(target.entry, terms.required_label) &&
            (terms.max_per_target == 0 ||
-            count_of_step(target, terms.step) < terms.max_per_target);
-}
-
-/// Processor use of a target by kind of task, in thousandths of a core.
-struct cpu_mix
-{
-    std::int64_t idle_users = 0;
-    std::int64_t serving = 0;
-};
-
-cpu_mix mix_of(const rack_target& target)
-{
-    cpu_mix mix;
-    for (const auto& [id, run] : target.runs)
-    {
-        if (!run.terms)
-        {
-            continue;
-        }
-        if (run.terms->uses_idle_cpu)
-        {
-            mix.idle_users += run.terms->size.cpu_milli;
-        }
-        if (run.terms->response_target_ms > 0)
-        {
-            mix.serving += run.terms->size.cpu_milli;
-        }
-    }
-    return mix;
+            count_of_step(target, terms.step) < terms.max_per_target) &&
+           (!terms.uses_idle_cpu || finds_idle_cpu(mix, terms, room, model));
 }
 
-// Higher is better. Tasks that use idle processors and tasks that serve users
-// are kept apart, since the former lengthen the response times of the latter.
-std::int64_t score(const rack_target& target, const step_terms& terms,
-                   const task_size& room)
+// Higher is better.
+std::int64_t score(const target_mix& mix, const step_terms& terms,
+                   const task_size& room, const pressure_model& model)
 {
-    const cpu_mix mix = mix_of(target);
-    const std::int64_t idle = room.cpu_milli - mix.idle_users;
     if (terms.uses_idle_cpu)
     {
-        return idle - 4 * mix.serving;
+        return rate_company(mix, terms, room, model);
     }
     if (terms.response_target_ms > 0)
     {
-        return room.cpu_milli - 4 * mix.idle_users - 2 * mix.serving;
+        // Serving tasks share targets, which leaves others whole for tasks
+        // that disturb them.
+        const std::int64_t shared =
+            mix.serving_milli > 0 ? target_cpu_bonus : 0;
+        return shared - 4 * mix.idle_users_milli - room.cpu_milli;
     }
-    return idle;
+    return room.cpu_milli + unused_by_serving(mix) - mix.idle_users_milli;
 }
 
-rack_target* choose_target(rack_state& rack, const step_terms& terms,
-                           time_point now)
+rack_target* choose_target(rack_state& rack, const queued_start& start,
+                           const pressure_model& model, time_point now)
 {
     rack_target* best = nullptr;
     std::int64_t best_score = 0;
     for (auto& [id, target] : rack.targets)
     {
         const task_size room = free_room(target);
-        if (!can_take(target, terms, room, now))
+        const target_mix mix = mix_of(target, model);
+        if (!can_take(target, start, room, mix, model, now))
         {
             continue;
         }
-        const std::int64_t value = score(target, terms, room);
+        const std::int64_t value = score(mix, *start.terms, room, model);
         if (best == nullptr || value > best_score)
         {
             best = &target;
@@ -136,13 +119,14 @@
 
 // Finds room for all members of a gang that begins at `first` in the queue.
 std::vector<placement> place_gang(rack_state& rack, std::size_t first,
-                                  std::size_t count, time_point now)
+                                  std::size_t count,
+                                  const pressure_model& model, time_point now)
 {
     std::vector<placement> placed;
     for (std::size_t n = first; n < first + count; ++n)
     {
         const queued_start& start = rack.queue[n];
-        rack_target* target = choose_target(rack, *start.terms, now);
+        rack_target* target = choose_target(rack, start, model, now);
         if (target == nullptr)
         {
             for (const placement& item : placed)
@@ -378,7 +362,8 @@
     return enqueue_result::queued;
 }
 
-std::vector<placement> place_starts(rack_state& rack, time_point now)
+std::vector<placement> place_starts(rack_state& rack,
+                                    const pressure_model& model, time_point now)
 {
     std::vector<placement> placed;
     if (rack.queue.empty())
@@ -399,7 +384,7 @@
         std::vector<placement> chosen;
         if (is_complete && may_start(rack, start, settled))
         {
-            chosen = place_gang(rack, n, count, now);
+            chosen = place_gang(rack, n, count, model, now);
         }
         if (chosen.empty())
         {
@@ -641,8 +626,8 @@
     std::vector<queued_start> remaining;
     for (queued_start& start : rack.queue)
     {
-        if (!start.is_repeated && now - start.queued_at > patience &&
-            has_room(*start.terms))
+        if (events.size() < most_handed_back && !start.is_repeated &&
+            now - start.queued_at > patience && has_room(*start.terms))
         {
             events.push_back(not_started(start));
             continue;
@@ -666,47 +651,4 @@
     }
 }
 
-std::vector<pace_change> decide_pace(rack_target& target)
-{
-    // Response times lag by half a second; a wide band between slowing and
-    // speeding up avoids oscillation.
-    constexpr double slow_above = 0.8;
-    constexpr double speed_up_below = 0.5;
-    constexpr std::int64_t slow_step = 50;
-    constexpr std::int64_t speed_step = 20;
-    double worst = 0;
-    for (const auto& [id, run] : target.runs)
-    {
-        if (run.terms && run.terms->response_target_ms > 0)
-        {
-            worst = std::max(
-                worst, static_cast<double>(run.load) /
-                           static_cast<double>(run.terms->response_target_ms));
-        }
-    }
-    std::vector<pace_change> changes;
-    for (auto& [id, run] : target.runs)
-    {
-        if (!run.terms || !run.terms->uses_idle_cpu || !run.is_taken)
-        {
-            continue;
-        }
-        std::int64_t percent = run.percent;
-        if (worst > slow_above)
-        {
-            percent = std::max<std::int64_t>(0, percent - slow_step);
-        }
-        else if (worst < speed_up_below)
-        {
-            percent = std::min<std::int64_t>(100, percent + speed_step);
-        }
-        if (percent != run.percent)
-        {
-            run.percent = percent;
-            changes.push_back({run.task, run.run, percent});
-        }
-    }
-    return changes;
-}
-
 } // namespace egretspindle
--- a/src/scheduler/job_coordinator.cpp
+++ b/src/scheduler/job_coordinator.cpp
@@ -292,6 +292,7 @@
     terms.is_long_running = spec.is_long_running;
     terms.is_checkpointing = spec.is_checkpointing;
     terms.response_target_ms = spec.response_target_ms;
+    terms.image = spec.image;
     terms.uses_idle_cpu = spec.uses_idle_cpu;
     terms.max_absent = spec.max_absent;
     terms.rank_ms = value.accepted_ms + remaining_chain_ms(value);
--- a/src/scheduler/job_scheduler.cpp
+++ b/src/scheduler/job_scheduler.cpp
@@ -477,7 +477,12 @@
 
 void job_scheduler::impl::note_load(const load_report& report)
 {
+    if (report.host != options.host)
+    {
+        racks.set_other_pressures(report.host, report.pressures);
+    }
     const std::lock_guard<std::mutex> lock(load_mutex);
+    load.pressures.others[report.host] = report.pressures;
     const time_point now = steady_clock::now();
     for (const rack_room& room : report.racks)
     {
@@ -492,6 +497,11 @@
     report.boot = boot;
     report.number = ++report_number;
     report.racks = racks.measure();
+    report.pressures = racks.pressures();
+    {
+        const std::lock_guard<std::mutex> lock(load_mutex);
+        merge_pressures(load.pressures);
+    }
     note_load(report);
     if (!report.racks.empty())
     {
--- a/src/scheduler/rack_agent.cpp
+++ b/src/scheduler/rack_agent.cpp
@@ -1,6 +1,7 @@
 #include "egretspindle/scheduler/rack_agent.hpp"
 
 #include "egretspindle/logging/log.hpp"
+#include "egretspindle/rack/interference.hpp"
 #include "egretspindle/rack/rack_decision.hpp"
 
 #include <fmt/format.h>
@@ -154,6 +155,7 @@
     std::map<std::string, target_entry> entries; ///< as listed last
     std::map<std::string, std::pair<target_entry, time_point>> departed;
     std::vector<session_ptr> retired; ///< threads that are ending
+    pressure_model model;
     bool is_stopping = false;
 };
 
@@ -282,7 +284,7 @@
 
 void rack_agent::impl::place(rack_state& rack)
 {
-    for (const placement& item : place_starts(rack, steady_clock::now()))
+    for (const placement& item : place_starts(rack, model, steady_clock::now()))
     {
         pending_order order;
         order.id = {item.start.task, item.start.run};
@@ -439,6 +441,13 @@
         rack_state& rack = *find_rack(session->rack);
         events = apply_poll(rack, *target, answer, sent_at, now);
         note_clock(*target, answer.clock_ms, limits.lease, now);
+        for (const run_id& id : decide_evictions(*target, now))
+        {
+            log_info("run evicted", {{"task", id.first},
+                                     {"run", id.second},
+                                     {"target", session->target},
+                                     {"reason", "slowed for a serving task"}});
+        }
         for (const auto& [id, run] : target->runs)
         {
             if (run.is_stopping)
@@ -458,7 +467,8 @@
                 }
             }
         }
-        for (const pace_change& change : decide_pace(*target))
+        observe_target(*target, model, now);
+        for (const pace_change& change : decide_pace(*target, model, now))
         {
             pending_order order;
             order.what = pending_order::kind::pace;
@@ -921,6 +931,7 @@
     {
         const std::lock_guard<std::mutex> lock(impl_->mutex);
         const time_point now = steady_clock::now();
+        merge_pressures(impl_->model);
         for (auto& [name, rack] : impl_->racks)
         {
             std::vector<run_event>& list = events[name];
@@ -945,6 +956,19 @@
     impl_->finish(ended);
 }
 
+std::vector<pair_pressure> rack_agent::pressures() const
+{
+    const std::lock_guard<std::mutex> lock(impl_->mutex);
+    return learned_pressures(impl_->model);
+}
+
+void rack_agent::set_other_pressures(const std::string& host,
+                                     std::vector<pair_pressure> pressures)
+{
+    const std::lock_guard<std::mutex> lock(impl_->mutex);
+    impl_->model.others[host] = std::move(pressures);
+}
+
 std::vector<rack_room> rack_agent::measure() const
 {
     std::vector<rack_room> rooms;
@@ -952,7 +976,7 @@
     const time_point now = steady_clock::now();
     for (const auto& [name, rack] : impl_->racks)
     {
-        rooms.push_back(measure_room(rack, now));
+        rooms.push_back(measure_room(rack, impl_->model, now));
     }
     return rooms;
 }
--- a/src/scheduler/table_watch.cpp
+++ b/src/scheduler/table_watch.cpp
@@ -24,8 +24,9 @@
 
 struct table_watch::impl
 {
-    impl(table_store& rows_store, std::string name, change_function callback)
-        : store(rows_store), table(std::move(name)),
+    impl(table_store& rows_store, std::string name, milliseconds between,
+         change_function callback)
+        : store(rows_store), table(std::move(name)), pause(between),
           changed(std::move(callback))
     {
     }
@@ -38,6 +39,7 @@
 
     table_store& store;
     std::string table;
+    milliseconds pause;
     change_function changed;
     row_map rows;
     std::int64_t version = 0;
@@ -138,9 +140,8 @@
     {
         const bool is_done = is_current ? follow() : read_all();
         std::unique_lock<std::mutex> lock(mutex);
-        if (is_stopping ||
-            (!is_done && stopped.wait_for(lock, retry_pause,
-                                          [this] { return is_stopping; })))
+        if (is_stopping || stopped.wait_for(lock, is_done ? pause : retry_pause,
+                                            [this] { return is_stopping; }))
         {
             return;
         }
@@ -148,8 +149,9 @@
 }
 
 table_watch::table_watch(table_store& store, std::string table,
-                         change_function changed)
-    : impl_(std::make_unique<impl>(store, std::move(table), std::move(changed)))
+                         milliseconds pause, change_function changed)
+    : impl_(std::make_unique<impl>(store, std::move(table), pause,
+                                   std::move(changed)))
 {
 }
 
