Let refused owners of racks conclude nothing, and confirm ownership before leases expire

A refused owner now stops at once, an expiry counts only if the store showed the ownership after it, and conclusions of former owners are ignored. Ruled out: clock drift, as the runs ended seconds before the leases.

--- a/apps/egretspindle/main.cpp
+++ b/apps/egretspindle/main.cpp
@@ -4,6 +4,7 @@
 #include "egretspindle/node/node.hpp"
 #include "egretspindle/settings/scheduler_settings.hpp"
 #include "egretspindle/settings/settings.hpp"
+
 #include "platform_node.hpp"
 
 #include <fmt/format.h>
@@ -149,8 +150,13 @@
         fmt::print("{}: settings are valid\n", options.settings_file);
         return exit_ok;
     }
+    sigset_t reload;
+    sigemptyset(&reload);
+    sigaddset(&reload, SIGHUP);
+    pthread_sigmask(SIG_BLOCK, &reload, nullptr);
     block_signals();
-    return egretspindle::platform::run_platform_node(*config);
+    return egretspindle::platform::run_platform_node(*config,
+                                                     options.settings_file);
 }
 
 } // namespace
--- a/include/egretspindle/rack/fleet_load.hpp
+++ b/include/egretspindle/rack/fleet_load.hpp
@@ -26,8 +26,8 @@
     task_size room;                    ///< negative when it is overcommitted
     std::int64_t idle_users_milli = 0; ///< wanted by tasks on idle processors
     std::int64_t serving_milli = 0;    ///< used by tasks that serve users
-    double response_ratio = 0; ///< highest response time / target
-    double expected_ratio = 0; ///< the same by the model
+    double response_ratio = 0;         ///< highest response time / target
+    double expected_ratio = 0;         ///< the same by the model
     std::vector<std::string> serving;  ///< images of tasks that serve users
     bool is_open = false;              ///< accepts starts
 };
--- a/include/egretspindle/rack/rack_state.hpp
+++ b/include/egretspindle/rack/rack_state.hpp
@@ -85,6 +85,9 @@
     std::string name;
     std::int64_t token = 0; ///< fencing token
     time_point taken_over_at;
+    /// Start of the last read of the owner rows that showed this owner.
+    time_point verified_at;
+    bool is_fenced = false; ///< a target has seen a newer owner
     /// Targets that this owner has not reached may run work until then.
     time_point unknown_until;
     /// Targets that left shortly before the takeover are in the table too.
--- a/include/egretspindle/scheduler/cluster_agent.hpp
+++ b/include/egretspindle/scheduler/cluster_agent.hpp
@@ -36,6 +36,10 @@
                        bool was_former_alive)>
         taken;
     std::function<void(const std::string& resource)> lost;
+    /// A read that began at `read_at` showed this host as owner.
+    std::function<void(const std::string& resource, std::int64_t token,
+                       time_point read_at)>
+        verified;
     std::function<std::map<std::string, std::int64_t>()> pending;
 };
 
--- a/include/egretspindle/scheduler/exchange.hpp
+++ b/include/egretspindle/scheduler/exchange.hpp
@@ -107,7 +107,8 @@
     std::string checkpoint;
     std::string target;
     std::string rack;
-    std::int64_t number = 0; ///< of a listed end; 0: not listed
+    std::int64_t token = 0;  ///< of the ownership that it was found under
+    std::int64_t number = 0; ///< of a listed end; 0: concluded
 };
 
 /// Visits the fields of `run_report` for the codec.
@@ -121,6 +122,7 @@
     visit("checkpoint", value.checkpoint);
     visit("target", value.target);
     visit("rack", value.rack);
+    visit("token", value.token);
     visit("number", value.number);
 }
 
--- a/include/egretspindle/scheduler/rack_agent.hpp
+++ b/include/egretspindle/scheduler/rack_agent.hpp
@@ -72,6 +72,12 @@
     void take_rack(const rack_takeover& takeover);
     void drop_rack(const std::string& rack);
 
+    /// Notes that the store showed this host as owner.
+    ///
+    /// \param read_at  when the read was begun
+    void verify_rack(const std::string& rack, std::int64_t token,
+                     time_point read_at);
+
     /// Takes over the platform's list of targets.
     void set_targets(const std::map<std::string, target_entry>& targets);
 
--- a/src/rack/rack_decision.cpp
+++ b/src/rack/rack_decision.cpp
@@ -366,7 +366,7 @@
                                     const pressure_model& model, time_point now)
 {
     std::vector<placement> placed;
-    if (rack.queue.empty())
+    if (rack.queue.empty() || rack.is_fenced)
     {
         return placed;
     }
@@ -511,12 +511,18 @@
 std::vector<run_event> expire_leases(rack_state& rack, time_point now)
 {
     std::vector<run_event> events;
+    if (rack.is_fenced)
+    {
+        return events;
+    }
     for (auto it = rack.targets.begin(); it != rack.targets.end();)
     {
         rack_target& target = it->second;
         const time_point expiry =
             target.is_reached ? target.expires_at : rack.unknown_until;
-        const bool is_expired = now >= expiry;
+        // A newer owner would have renewed the leases, so the ownership has
+        // to be confirmed after the expiry.
+        const bool is_expired = now >= expiry && rack.verified_at >= expiry;
         if (is_expired && !target.runs.empty())
         {
             drop_all(target, run_end::lost, events);
@@ -578,7 +584,7 @@
 std::vector<run_event> settle_stops(rack_state& rack, time_point now)
 {
     std::vector<run_event> events;
-    if (rack.stops.empty() || !is_settled(rack, now))
+    if (rack.stops.empty() || rack.is_fenced || !is_settled(rack, now))
     {
         return events;
     }
@@ -610,7 +616,7 @@
 
 bool is_settled(const rack_state& rack, time_point now)
 {
-    if (now >= rack.unknown_until)
+    if (now >= rack.unknown_until && rack.verified_at >= rack.unknown_until)
     {
         return true;
     }
@@ -623,6 +629,10 @@
                                  const room_elsewhere& has_room, time_point now)
 {
     std::vector<run_event> events;
+    if (rack.is_fenced)
+    {
+        return events;
+    }
     std::vector<queued_start> remaining;
     for (queued_start& start : rack.queue)
     {
--- a/src/scheduler/cluster_agent.cpp
+++ b/src/scheduler/cluster_agent.cpp
@@ -71,6 +71,7 @@
     void apply(const std::vector<table_row>& rows, time_point now);
     void claim();
     void announce();
+    void verify(time_point read_at);
     resource& find_resource(const std::string& name);
     [[nodiscard]] bool is_owned(const resource& item) const;
 
@@ -296,14 +297,30 @@
     }
 }
 
+void cluster_agent::impl::verify(time_point read_at)
+{
+    std::map<std::string, std::int64_t> owned;
+    {
+        const std::lock_guard<std::mutex> lock(mutex);
+        owned = announced;
+    }
+    for (const auto& [name, token] : owned)
+    {
+        hooks.verified(name, token, read_at);
+    }
+}
+
 void cluster_agent::impl::run()
 {
     for (;;)
     {
         const time_point begun = steady_clock::now();
         beat();
+        const time_point read_at = steady_clock::now();
         if (read())
         {
+            announce();
+            verify(read_at);
             claim();
             announce();
         }
--- a/src/scheduler/job_coordinator.cpp
+++ b/src/scheduler/job_coordinator.cpp
@@ -162,9 +162,18 @@
         entry->sent[to_string(run.key)] = sent;
     }
     jobs[row.key] = entry;
-    if (add_due_occurrences(entry->value, unix_ms()))
+    add_due_occurrences(entry->value, unix_ms());
+    const bool is_at_rest =
+        entry->value.outcome != job_outcome::open && entry->sent.empty();
+    if (!is_at_rest)
     {
+        // The write makes later writes of the former owner fail, so that its
+        // conclusions and those of this host cannot mix.
         mark(entry);
+        for (auto& [task, sent] : entry->sent)
+        {
+            sent.change = entry->changes;
+        }
     }
     assign_due(entry);
 }
@@ -723,6 +732,17 @@
         }
         return {"wanted", terms_of(touched->value, key->occurrence, key->step)};
     }
+    // What a target lists is certain. What the owner of a rack concludes counts
+    // only while it is the owner, since a later one may have the run.
+    if (report.number == 0 && report.token < hooks.rack_token(report.rack))
+    {
+        log_info("report of a former owner was ignored",
+                 {{"task", report.task},
+                  {"run", report.run},
+                  {"how", report.how},
+                  {"rack", report.rack}});
+        return {"recorded", {}};
+    }
     change = touched->changes;
     if (!is_current)
     {
--- a/src/scheduler/job_scheduler.cpp
+++ b/src/scheduler/job_scheduler.cpp
@@ -206,6 +206,15 @@
     {
         on_lost(resource);
     };
+    hooks.verified = [this](const std::string& resource, std::int64_t token,
+                            time_point read_at)
+    {
+        const std::string_view prefix = "rack/";
+        if (resource.compare(0, prefix.size(), prefix) == 0)
+        {
+            racks.verify_rack(resource.substr(prefix.size()), token, read_at);
+        }
+    };
     hooks.pending = [this]
     {
         return coordinator.pending();
--- a/src/scheduler/rack_agent.cpp
+++ b/src/scheduler/rack_agent.cpp
@@ -92,7 +92,7 @@
     return "malformed";
 }
 
-std::vector<run_report> to_reports(const std::string& rack,
+std::vector<run_report> to_reports(const std::string& rack, std::int64_t token,
                                    const std::vector<run_event>& events)
 {
     std::vector<run_report> reports;
@@ -107,6 +107,7 @@
         item.checkpoint = event.checkpoint;
         item.target = event.target;
         item.rack = rack;
+        item.token = token;
         item.number = event.number;
         reports.push_back(std::move(item));
     }
@@ -144,7 +145,9 @@
     void send_stop(const session_ptr& session, pending_order order);
     void send_pace(const session_ptr& session, const pending_order& order);
     void retry(const session_ptr& session, pending_order order);
-    void publish(const std::string& rack, const std::vector<run_event>& events);
+    void fence(const target_channel& session);
+    void publish(const std::string& rack, std::int64_t token,
+                 const std::vector<run_event>& events);
 
     target_port& targets;
     rack_agent_hooks hooks;
@@ -301,12 +304,12 @@
     }
 }
 
-void rack_agent::impl::publish(const std::string& rack,
+void rack_agent::impl::publish(const std::string& rack, std::int64_t token,
                                const std::vector<run_event>& events)
 {
     if (!events.empty())
     {
-        hooks.report(to_reports(rack, events));
+        hooks.report(to_reports(rack, token, events));
     }
 }
 
@@ -404,7 +407,7 @@
     }
     if (is_refused)
     {
-        hooks.lost(session->rack);
+        fence(*session);
     }
     return false;
 }
@@ -478,11 +481,28 @@
         }
         place(rack);
     }
-    publish(session->rack, events);
+    publish(session->rack, session->token, events);
 }
 
 // --- orders ----------------------------------------------------------------
 
+// Nothing may be concluded about the rack from now on, and nothing sent.
+void rack_agent::impl::fence(const target_channel& session)
+{
+    {
+        const std::lock_guard<std::mutex> lock(mutex);
+        rack_state* rack = find_rack(session.rack);
+        if (rack == nullptr || rack->token != session.token || rack->is_fenced)
+        {
+            return;
+        }
+        rack->is_fenced = true;
+        log_info("rack is owned by another host",
+                 {{"rack", session.rack}, {"target", session.target}});
+    }
+    hooks.lost(session.rack);
+}
+
 void rack_agent::impl::send_loop(const session_ptr& session)
 {
     std::unique_lock<std::mutex> lock(mutex);
@@ -589,7 +609,7 @@
     }
     if (answer->verdict == order_verdict::wrong_token)
     {
-        hooks.lost(session->rack);
+        fence(*session);
         return;
     }
     std::vector<run_event> events;
@@ -625,7 +645,7 @@
             place(rack);
         }
     }
-    publish(session->rack, events);
+    publish(session->rack, session->token, events);
 }
 
 void rack_agent::impl::send_stop(const session_ptr& session,
@@ -659,7 +679,7 @@
     }
     if (answer->verdict == order_verdict::wrong_token)
     {
-        hooks.lost(session->rack);
+        fence(*session);
         return;
     }
     const std::lock_guard<std::mutex> lock(mutex);
@@ -782,6 +802,17 @@
     impl_->finish(closed);
 }
 
+void rack_agent::verify_rack(const std::string& rack, std::int64_t token,
+                             time_point read_at)
+{
+    const std::lock_guard<std::mutex> lock(impl_->mutex);
+    rack_state* known = impl_->find_rack(rack);
+    if (known != nullptr && known->token == token)
+    {
+        known->verified_at = std::max(known->verified_at, read_at);
+    }
+}
+
 void rack_agent::drop_rack(const std::string& rack)
 {
     const std::lock_guard<std::mutex> lock(impl_->mutex);
@@ -823,7 +854,7 @@
     {
         const std::lock_guard<std::mutex> lock(impl_->mutex);
         rack_state* rack = impl_->find_rack(orders.rack);
-        if (rack == nullptr)
+        if (rack == nullptr || rack->is_fenced)
         {
             return reply;
         }
@@ -863,7 +894,7 @@
         events.insert(events.end(), settled.begin(), settled.end());
         impl_->place(*rack);
     }
-    impl_->publish(orders.rack, events);
+    impl_->publish(orders.rack, reply.token, events);
     return reply;
 }
 
@@ -927,6 +958,7 @@
 void rack_agent::tick()
 {
     std::map<std::string, std::vector<run_event>> events;
+    std::map<std::string, std::int64_t> tokens;
     std::vector<session_ptr> ended;
     {
         const std::lock_guard<std::mutex> lock(impl_->mutex);
@@ -935,6 +967,7 @@
         for (auto& [name, rack] : impl_->racks)
         {
             std::vector<run_event>& list = events[name];
+            tokens[name] = rack.token;
             list = expire_leases(rack, now);
             const std::vector<run_event> settled = settle_stops(rack, now);
             list.insert(list.end(), settled.begin(), settled.end());
@@ -951,7 +984,7 @@
     }
     for (const auto& [name, list] : events)
     {
-        impl_->publish(name, list);
+        impl_->publish(name, tokens[name], list);
     }
     impl_->finish(ended);
 }
@@ -976,6 +1009,10 @@
     const time_point now = steady_clock::now();
     for (const auto& [name, rack] : impl_->racks)
     {
+        if (rack.is_fenced)
+        {
+            continue;
+        }
         rooms.push_back(measure_room(rack, impl_->model, now));
     }
     return rooms;
