Look up repeated starts in the record before they run

The owner of a rack now reads the record before it starts a repeated run that none of its targets knows, and orders name the token of the rack.

--- a/include/egretspindle/rack/queued_start.hpp
+++ b/include/egretspindle/rack/queued_start.hpp
@@ -67,7 +67,8 @@
     std::string checkpoint;
     std::shared_ptr<const step_terms> terms;
     time_point queued_at;
-    /// An earlier owner of the rack may have started it.
+    /// Was sent before: an earlier owner of the rack may have started it, and
+    /// its end may be recorded. It starts once the record has confirmed it.
     bool is_repeated = false;
 };
 
--- a/include/egretspindle/rack/rack_decision.hpp
+++ b/include/egretspindle/rack/rack_decision.hpp
@@ -107,6 +107,10 @@
                                                const room_elsewhere& has_room,
                                                time_point now);
 
+/// Applies what the record says of a repeated start: it may start now, or is
+/// forgotten.
+void resolve_repeated(rack_state& rack, const run_id& id, bool is_recorded);
+
 /// Notes that the ends of runs are reported, so that a start that is sent
 /// again cannot revive them.
 void remember_ends(rack_state& rack, const std::vector<run_event>& events);
--- a/include/egretspindle/scheduler/exchange.hpp
+++ b/include/egretspindle/scheduler/exchange.hpp
@@ -20,7 +20,9 @@
     std::int64_t index = 0;
     std::int64_t run = 0;
     std::string checkpoint;
-    bool is_repeated = false; ///< was sent before, maybe to an earlier owner
+    /// Was sent before, or found in a record: the receiver checks the record
+    /// before it starts a run that it does not know.
+    bool is_repeated = false;
 };
 
 /// Visits the fields of `step_run` for the codec.
@@ -67,6 +69,7 @@
 struct rack_orders
 {
     std::string rack;
+    std::int64_t token = 0; ///< of the ownership that the sender knows
     std::vector<start_batch> starts;
     std::vector<run_name> stops;
 };
@@ -76,6 +79,7 @@
 void visit_fields(Visitor&& visit, Value& value, const rack_orders* /*tag*/)
 {
     visit("rack", value.rack);
+    visit("token", value.token);
     visit("starts", value.starts);
     visit("stops", value.stops);
 }
--- a/include/egretspindle/scheduler/rack_agent.hpp
+++ b/include/egretspindle/scheduler/rack_agent.hpp
@@ -14,6 +14,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -30,6 +31,11 @@
     std::function<void(const std::string& rack)> lost;
     std::function<bool(const step_terms& terms, const std::string& rack)>
         has_room_elsewhere;
+    /// Reads whether the record assigns a run to a rack; no value when the
+    /// store did not answer.
+    std::function<std::optional<bool>(const run_id& run,
+                                      const std::string& rack)>
+        is_recorded;
 };
 
 /// Bounds and periods of the runtime.
@@ -44,6 +50,7 @@
     milliseconds poll_retry{300};     ///< after a poll without an answer
     milliseconds ack_wait{150};       ///< for the record of listed ends
     milliseconds queue_patience{700}; ///< before a start goes elsewhere
+    std::size_t most_lookups = 20;    ///< of records in one tick
     milliseconds former_owner{2'500}; ///< until a live former owner has stopped
 };
 
--- a/src/rack/rack_decision.cpp
+++ b/src/rack/rack_decision.cpp
@@ -112,11 +112,6 @@
            std::tie(rhs.terms->priority, rhs.terms->rank_ms, rhs.terms->step);
 }
 
-bool may_start(const rack_state& rack, const queued_start& start, bool settled)
-{
-    return !start.is_repeated || (settled && rack.token != 0);
-}
-
 // Finds room for all members of a gang that begins at `first` in the queue.
 std::vector<placement> place_gang(rack_state& rack, std::size_t first,
                                   std::size_t count,
@@ -371,7 +366,6 @@
         return placed;
     }
     std::stable_sort(rack.queue.begin(), rack.queue.end(), is_before);
-    const bool settled = is_settled(rack, now);
     std::vector<queued_start> remaining;
     for (std::size_t n = 0; n < rack.queue.size();)
     {
@@ -382,7 +376,7 @@
             !start.terms->is_gang ||
             static_cast<std::int64_t>(count) == start.terms->gang_size;
         std::vector<placement> chosen;
-        if (is_complete && may_start(rack, start, settled))
+        if (is_complete && !start.is_repeated)
         {
             chosen = place_gang(rack, n, count, model, now);
         }
@@ -649,6 +643,27 @@
     return events;
 }
 
+void resolve_repeated(rack_state& rack, const run_id& id, bool is_recorded)
+{
+    const auto it =
+        std::find_if(rack.queue.begin(), rack.queue.end(),
+                     [&id](const queued_start& item) {
+                         return item.task == id.first && item.run == id.second;
+                     });
+    if (it == rack.queue.end())
+    {
+        return;
+    }
+    if (is_recorded)
+    {
+        it->is_repeated = false;
+    }
+    else
+    {
+        rack.queue.erase(it);
+    }
+}
+
 void remember_ends(rack_state& rack, const std::vector<run_event>& events)
 {
     for (const run_event& event : events)
--- a/src/scheduler/job_coordinator.cpp
+++ b/src/scheduler/job_coordinator.cpp
@@ -658,6 +658,7 @@
 {
     for (auto& [rack, item] : orders)
     {
+        item.token = hooks.rack_token(rack);
         hooks.send(std::move(item));
     }
 }
--- a/src/scheduler/job_scheduler.cpp
+++ b/src/scheduler/job_scheduler.cpp
@@ -68,6 +68,9 @@
                               time_point deadline, bool& was_passed_on);
     job_call_reply call_self(std::string_view message, const job_call& call);
     std::optional<job_answer> read_state(const std::string& id);
+    absl::StatusOr<std::optional<job>> read_job(const std::string& id);
+    std::optional<bool> read_assignment(const run_id& run,
+                                        const std::string& rack);
     void post_orders(rack_orders orders);
     void deliver_orders(const std::string& host,
                         const std::vector<rack_orders>& items);
@@ -191,6 +194,10 @@
         const std::lock_guard<std::mutex> lock(load_mutex);
         return has_room_elsewhere(load, terms, rack, steady_clock::now());
     };
+    hooks.is_recorded = [this](const run_id& run, const std::string& rack)
+    {
+        return read_assignment(run, rack);
+    };
     return hooks;
 }
 
@@ -319,7 +326,9 @@
     }
 }
 
-std::optional<job_answer> job_scheduler::impl::read_state(const std::string& id)
+// Reads the record of a job; no job when there is none.
+absl::StatusOr<std::optional<job>>
+job_scheduler::impl::read_job(const std::string& id)
 {
     row_range range;
     range.table = std::string(jobs_table);
@@ -330,19 +339,54 @@
         store.read(range, options.coordinator.commit_timeout);
     if (!page.ok())
     {
-        return std::nullopt;
+        return page.status();
     }
     if (page->rows.empty() || page->rows.front().key != id)
+    {
+        return std::optional<job>();
+    }
+    absl::StatusOr<job> value = decode_job(id, page->rows.front().value);
+    if (!value.ok())
+    {
+        log_error(
+            "record was not read",
+            {{"job", id}, {"error", std::string(value.status().message())}});
+        return value.status();
+    }
+    return std::optional<job>(*std::move(value));
+}
+
+std::optional<job_answer> job_scheduler::impl::read_state(const std::string& id)
+{
+    const absl::StatusOr<std::optional<job>> value = read_job(id);
+    if (!value.ok())
+    {
+        return std::nullopt;
+    }
+    if (!*value)
     {
         return job_answer{lookup_verdict::absent, ""};
     }
-    const absl::StatusOr<job> value = decode_job(id, page->rows.front().value);
+    return job_answer{lookup_verdict::known, std::string(shown_state(**value))};
+}
+
+std::optional<bool>
+job_scheduler::impl::read_assignment(const run_id& run, const std::string& rack)
+{
+    const std::optional<task_key> key = parse_task_key(run.first);
+    if (!key)
+    {
+        return false;
+    }
+    const absl::StatusOr<std::optional<job>> value = read_job(key->job);
     if (!value.ok())
     {
-        log_error("record was not read", {{"job", id}});
         return std::nullopt;
     }
-    return job_answer{lookup_verdict::known, std::string(shown_state(*value))};
+    const job_task* task = *value ? find_task(**value, *key) : nullptr;
+    return task != nullptr && task->phase == job_task_phase::assigned &&
+           task->run == run.second && task->rack == rack &&
+           (*value)->outcome == job_outcome::open;
 }
 
 // --- messages --------------------------------------------------------------
--- a/src/scheduler/rack_agent.cpp
+++ b/src/scheduler/rack_agent.cpp
@@ -146,6 +146,7 @@
     void send_pace(const session_ptr& session, const pending_order& order);
     void retry(const session_ptr& session, pending_order order);
     void fence(const target_channel& session);
+    void confirm_repeated();
     void publish(const std::string& rack, std::int64_t token,
                  const std::vector<run_event>& events);
 
@@ -854,7 +855,7 @@
     {
         const std::lock_guard<std::mutex> lock(impl_->mutex);
         rack_state* rack = impl_->find_rack(orders.rack);
-        if (rack == nullptr || rack->is_fenced)
+        if (rack == nullptr || rack->is_fenced || rack->token != orders.token)
         {
             return reply;
         }
@@ -955,8 +956,52 @@
     }
 }
 
+// Looks up repeated starts of runs that are known to be on no target. A former
+// owner of the job may have sent them, after the run had ended.
+void rack_agent::impl::confirm_repeated()
+{
+    std::vector<std::pair<std::string, run_id>> unconfirmed;
+    {
+        const std::lock_guard<std::mutex> lock(mutex);
+        const time_point now = steady_clock::now();
+        for (const auto& [name, rack] : racks)
+        {
+            if (rack.is_fenced || !is_settled(rack, now))
+            {
+                continue;
+            }
+            for (const queued_start& start : rack.queue)
+            {
+                if (start.is_repeated &&
+                    unconfirmed.size() < limits.most_lookups)
+                {
+                    unconfirmed.push_back({name, {start.task, start.run}});
+                }
+            }
+        }
+    }
+    for (const auto& [name, id] : unconfirmed)
+    {
+        const std::optional<bool> is_recorded = hooks.is_recorded(id, name);
+        if (!is_recorded)
+        {
+            return; // the store does not answer; the next tick tries again
+        }
+        log_info("repeated start was looked up", {{"task", id.first},
+                                                  {"run", id.second},
+                                                  {"rack", name},
+                                                  {"recorded", *is_recorded}});
+        const std::lock_guard<std::mutex> lock(mutex);
+        if (rack_state* rack = find_rack(name))
+        {
+            resolve_repeated(*rack, id, *is_recorded);
+        }
+    }
+}
+
 void rack_agent::tick()
 {
+    impl_->confirm_repeated();
     std::map<std::string, std::vector<run_event>> events;
     std::map<std::string, std::int64_t> tokens;
     std::vector<session_ptr> ended;
