Test jobs, racks, cluster, coordinator and the platform's formats; stop cancelled runs at once

The test of a cancellation found that a stop waited up to 1 s after the start of its run, since both shared the time of the last order. They have one each.

--- a/cmake/packages.cmake
+++ b/cmake/packages.cmake
@@ -67,6 +67,14 @@
 target_include_directories(egret_platform PUBLIC ${CMAKE_SOURCE_DIR}/platform)
 target_link_libraries(egret_platform PUBLIC egret_scheduler egret_settings
                                             absl::strings)
+file(GLOB platform_tests CONFIGURE_DEPENDS
+     ${CMAKE_SOURCE_DIR}/tests/platform/*.cpp)
+if(EGRETSPINDLE_TESTS)
+  add_executable(test_platform ${platform_tests})
+  target_link_libraries(test_platform PRIVATE egret_platform Catch2WithMain)
+  add_test(NAME platform COMMAND test_platform)
+  set_tests_properties(platform PROPERTIES TIMEOUT 300)
+endif()
 
 egret_program(apps egretspindle egret_node egret_platform)
 egret_program(apps egretctl egret_net egret_protocol)
--- a/src/scheduler/job_coordinator.cpp
+++ b/src/scheduler/job_coordinator.cpp
@@ -628,13 +628,15 @@
     for (const assigned_run& run : assigned_runs(entry.value))
     {
         sent_run& sent = entry.sent[to_string(run.key)];
-        const bool is_recent = sent.sent_at != time_point{} &&
-                               now - sent.sent_at < limits.resend_period;
+        const bool is_stop = entry.value.outcome != job_outcome::open;
+        const time_point last = is_stop ? sent.stop_sent_at : sent.sent_at;
+        const bool is_recent =
+            last != time_point{} && now - last < limits.resend_period;
         if (sent.change > entry.durable || is_recent)
         {
             continue;
         }
-        if (entry.value.outcome != job_outcome::open)
+        if (is_stop)
         {
             if (entry.shown == "queued" || entry.shown == "running")
             {
@@ -643,7 +645,7 @@
             rack_orders& target = orders[run.rack];
             target.rack = run.rack;
             target.stops.push_back({to_string(run.key), run.run});
-            sent.sent_at = now;
+            sent.stop_sent_at = now;
             continue;
         }
         if (sent.confirmed_token == 0 ||
--- a/src/scheduler/job_entry.hpp
+++ b/src/scheduler/job_entry.hpp
@@ -22,6 +22,7 @@
     std::uint64_t change = 0; ///< number of the change that assigned it
     std::int64_t confirmed_token = 0;
     time_point sent_at;        ///< time_point{}: not sent by this host
+    time_point stop_sent_at;   ///< time_point{}: no stop sent
     bool is_inherited = false; ///< read from the store
 };
 
--- /dev/null
+++ b/tests/jobs/job_machine_test.cpp
@@ -0,0 +1,301 @@
+#include "egretspindle/jobs/job_machine.hpp"
+#include "egretspindle/jobs/job_record.hpp"
+
+#include <catch2/catch.hpp>
+
+#include <map>
+#include <random>
+#include <set>
+
+using namespace egretspindle;
+
+namespace
+{
+
+constexpr std::int64_t now_ms = 1'000'000;
+constexpr std::int64_t attempts = 2;
+
+step_spec make_step(std::int64_t count, std::vector<std::int64_t> after = {})
+{
+    step_spec step;
+    step.count = count;
+    step.cpu_milli = 1'000;
+    step.estimate_ms = 500;
+    step.after = std::move(after);
+    return step;
+}
+
+job make_two_steps()
+{
+    job_spec spec;
+    spec.text = "payload";
+    spec.steps = {make_step(2), make_step(1, {0})};
+    return make_job("0123456789abcdef", "queue", spec, now_ms);
+}
+
+end_effect finish(job& value, std::size_t step, std::size_t index,
+                  std::int64_t run, run_end how,
+                  const std::string& checkpoint = "")
+{
+    return end_run(value, {value.id, 0, step, index}, run, how, checkpoint,
+                   attempts, now_ms);
+}
+
+} // namespace
+
+TEST_CASE("a step waits for all tasks of the steps before it", "[jobs]")
+{
+    job value = make_two_steps();
+    REQUIRE(due_steps(value).size() == 1);
+    REQUIRE(due_steps(value).front().tasks.size() == 2);
+    assign_run(value, {value.id, 0, 0, 0}, "r1");
+    assign_run(value, {value.id, 0, 0, 1}, "r1");
+    REQUIRE(due_steps(value).empty());
+    finish(value, 0, 0, 1, run_end::done);
+    REQUIRE(due_steps(value).empty());
+    finish(value, 0, 1, 1, run_end::done);
+    REQUIRE(due_steps(value).size() == 1);
+    REQUIRE(due_steps(value).front().step == 1);
+}
+
+TEST_CASE("a job is completed only with its last task", "[jobs]")
+{
+    job value = make_two_steps();
+    assign_run(value, {value.id, 0, 0, 0}, "r1");
+    assign_run(value, {value.id, 0, 0, 1}, "r1");
+    finish(value, 0, 0, 1, run_end::done);
+    finish(value, 0, 1, 1, run_end::done);
+    assign_run(value, {value.id, 0, 1, 0}, "r1");
+    REQUIRE(value.outcome == job_outcome::open);
+    finish(value, 1, 0, 1, run_end::done);
+    REQUIRE(value.outcome == job_outcome::completed);
+}
+
+TEST_CASE("an end of an earlier run changes nothing", "[jobs]")
+{
+    job value = make_two_steps();
+    const task_key key{value.id, 0, 0, 0};
+    assign_run(value, key, "r1");
+    finish(value, 0, 0, 1, run_end::lost);
+    REQUIRE(assign_run(value, key, "r2") == 2);
+    REQUIRE(finish(value, 0, 0, 1, run_end::done) == end_effect::none);
+    REQUIRE(find_task(value, key)->phase == job_task_phase::assigned);
+}
+
+TEST_CASE("a run that the record does not name is not taken for an old one",
+          "[jobs]")
+{
+    job value = make_two_steps();
+    REQUIRE(finish(value, 0, 0, 3, run_end::done) == end_effect::unrecorded);
+}
+
+TEST_CASE("only failed ends use attempts", "[jobs]")
+{
+    job value = make_two_steps();
+    const task_key key{value.id, 0, 0, 0};
+    for (const run_end how : {run_end::lost, run_end::lapsed, run_end::stopped,
+                              run_end::not_started, run_end::failed})
+    {
+        const std::int64_t run = assign_run(value, key, "r1");
+        finish(value, 0, 0, run, how);
+        REQUIRE(value.outcome == job_outcome::open);
+    }
+    const std::int64_t run = assign_run(value, key, "r1");
+    finish(value, 0, 0, run, run_end::failed);
+    REQUIRE(value.outcome == job_outcome::failed);
+}
+
+TEST_CASE("a long-running task restarts however it ends", "[jobs]")
+{
+    job_spec spec;
+    spec.steps = {make_step(1)};
+    spec.steps.front().is_long_running = true;
+    job value = make_job("0123456789abcdef", "queue", spec, now_ms);
+    for (const run_end how :
+         {run_end::failed, run_end::failed, run_end::failed, run_end::done})
+    {
+        REQUIRE(due_steps(value).size() == 1);
+        const std::int64_t run = assign_run(value, {value.id, 0, 0, 0}, "r1");
+        finish(value, 0, 0, run, how);
+        REQUIRE(value.outcome == job_outcome::open);
+    }
+}
+
+TEST_CASE("the members of a gang share a run and one end stands for all",
+          "[jobs]")
+{
+    job_spec spec;
+    spec.steps = {make_step(3)};
+    spec.steps.front().is_gang = true;
+    job value = make_job("0123456789abcdef", "queue", spec, now_ms);
+    const std::vector<due_step> due = due_steps(value);
+    REQUIRE(assign_gang(value, due.front(), "r1") == 1);
+    finish(value, 0, 1, 1, run_end::failed);
+    // The other members are still assigned, so the gang cannot start again.
+    REQUIRE(due_steps(value).empty());
+    finish(value, 0, 0, 1, run_end::broken);
+    finish(value, 0, 2, 1, run_end::broken);
+    REQUIRE(assign_gang(value, due_steps(value).front(), "r1") == 2);
+    finish(value, 0, 2, 2, run_end::done);
+    REQUIRE(value.outcome == job_outcome::completed);
+}
+
+TEST_CASE("a checkpoint is kept for the next run", "[jobs]")
+{
+    job_spec spec;
+    spec.steps = {make_step(1)};
+    spec.steps.front().is_checkpointing = true;
+    job value = make_job("0123456789abcdef", "queue", spec, now_ms);
+    assign_run(value, {value.id, 0, 0, 0}, "r1");
+    finish(value, 0, 0, 1, run_end::stopped, "half");
+    REQUIRE(find_task(value, {value.id, 0, 0, 0})->checkpoint == "half");
+}
+
+TEST_CASE("occurrences become due at their times", "[jobs]")
+{
+    job_spec spec;
+    spec.steps = {make_step(1)};
+    spec.repeat_count = 3;
+    spec.start_at_ms = now_ms + 100;
+    spec.interval_ms = 50;
+    job value = make_job("0123456789abcdef", "queue", spec, now_ms);
+    REQUIRE(due_steps(value).empty());
+    REQUIRE_FALSE(add_due_occurrences(value, now_ms + 99));
+    REQUIRE(add_due_occurrences(value, now_ms + 160));
+    REQUIRE(value.occurrences.size() == 2);
+    REQUIRE(due_steps(value).size() == 2);
+}
+
+TEST_CASE("nothing of a cancelled job becomes due", "[jobs]")
+{
+    job value = make_two_steps();
+    REQUIRE(cancel_job(value, now_ms));
+    REQUIRE_FALSE(cancel_job(value, now_ms));
+    REQUIRE(due_steps(value).empty());
+    REQUIRE(shown_state(value) == "cancelled");
+}
+
+TEST_CASE("a record holds all that a new owner needs", "[jobs]")
+{
+    job value = make_two_steps();
+    value.spec.steps[0].is_checkpointing = true;
+    assign_run(value, {value.id, 0, 0, 0}, "rack one");
+    finish(value, 0, 0, 1, run_end::failed, "a b.c");
+    assign_run(value, {value.id, 0, 0, 0}, "rack two");
+    const std::string text = encode_job(value, encode_spec(value.spec));
+    const absl::StatusOr<job> read = decode_job(value.id, text);
+    REQUIRE(read.ok());
+    const job_task* task = find_task(*read, {value.id, 0, 0, 0});
+    REQUIRE(task->phase == job_task_phase::assigned);
+    REQUIRE(task->run == 2);
+    REQUIRE(task->failures == 1);
+    REQUIRE(task->rack == "rack two");
+    REQUIRE(task->checkpoint == "a b.c");
+    REQUIRE(read->spec.text == "payload");
+    REQUIRE(assigned_runs(*read).size() == 1);
+}
+
+TEST_CASE("the record of an ended job with a run at work names that run",
+          "[jobs]")
+{
+    job value = make_two_steps();
+    assign_run(value, {value.id, 0, 0, 0}, "r1");
+    cancel_job(value, now_ms);
+    const absl::StatusOr<job> read =
+        decode_job(value.id, encode_job(value, encode_spec(value.spec)));
+    REQUIRE(read.ok());
+    REQUIRE(assigned_runs(*read).size() == 1);
+    finish(value, 0, 0, 1, run_end::stopped);
+    const std::string at_rest = encode_job(value, encode_spec(value.spec));
+    REQUIRE(at_rest.find("payload") == std::string::npos);
+    REQUIRE(decode_job(value.id, at_rest)->outcome == job_outcome::cancelled);
+}
+
+TEST_CASE("malformed records are errors", "[jobs]")
+{
+    const job value = make_two_steps();
+    const std::string text = encode_job(value, encode_spec(value.spec));
+    for (std::size_t n = 0; n < text.size(); n += 3)
+    {
+        std::string damaged = text;
+        damaged[n] = '\x01';
+        const absl::StatusOr<job> read = decode_job(value.id, damaged);
+        if (read.ok())
+        {
+            REQUIRE(read->occurrences.size() <= 1);
+        }
+    }
+    REQUIRE_FALSE(decode_job("id", "").ok());
+    REQUIRE_FALSE(decode_job("id", text.substr(0, text.size() / 2)).ok());
+}
+
+TEST_CASE("a task name is read back", "[jobs]")
+{
+    const task_key key{"0123456789abcdef", 3, 1, 17};
+    REQUIRE(to_string(key) == "0123456789abcdef.3.1.17");
+    REQUIRE(parse_task_key(to_string(key))->index == 17);
+    REQUIRE_FALSE(parse_task_key("a.b.c"));
+    REQUIRE_FALSE(parse_task_key("1.2.3"));
+    REQUIRE_FALSE(parse_task_key("job.1.2.x"));
+}
+
+TEST_CASE("submissions with impossible steps are refused", "[jobs]")
+{
+    job_spec spec;
+    REQUIRE_FALSE(check_job(spec).ok());
+    spec.steps = {make_step(1, {0})};
+    REQUIRE_FALSE(check_job(spec).ok());
+    spec.steps = {make_step(0)};
+    REQUIRE_FALSE(check_job(spec).ok());
+    spec.steps = {make_step(1), make_step(2, {0})};
+    REQUIRE(check_job(spec).ok());
+}
+
+// Random ends, losses and reloads: at any time a task has at most one run that
+// may be at work, and a finished task never starts again.
+TEST_CASE("random ends never give a task two runs", "[jobs]")
+{
+    for (unsigned seed = 1; seed <= 200; ++seed)
+    {
+        CAPTURE(seed);
+        std::minstd_rand random(seed);
+        job value = make_two_steps();
+        std::map<std::string, std::int64_t> open;
+        std::set<std::string> done;
+        for (int n = 0; n < 60 && value.outcome == job_outcome::open; ++n)
+        {
+            for (const due_step& due : due_steps(value))
+            {
+                for (const std::size_t index : due.tasks)
+                {
+                    const task_key key{value.id, 0, due.step, index};
+                    const std::string name = to_string(key);
+                    REQUIRE(open.count(name) == 0);
+                    REQUIRE(done.count(name) == 0);
+                    open[name] = assign_run(value, key, "r1");
+                }
+            }
+            if (random() % 5 == 0)
+            {
+                value = *decode_job(value.id,
+                                    encode_job(value, encode_spec(value.spec)));
+            }
+            auto it = open.begin();
+            std::advance(it, static_cast<long>(random() % open.size()));
+            const task_key key = *parse_task_key(it->first);
+            const run_end how = static_cast<run_end>(random() % 8);
+            const std::int64_t late = static_cast<std::int64_t>(random() % 2);
+            const end_effect effect =
+                end_run(value, key, it->second - late, how, "", 100, now_ms);
+            REQUIRE((late == 0) == (effect == end_effect::changed));
+            if (effect == end_effect::changed)
+            {
+                if (how == run_end::done)
+                {
+                    done.insert(it->first);
+                }
+                open.erase(it);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/tests/platform/platform_test.cpp
@@ -0,0 +1,168 @@
+#include "caller_interface.hpp"
+#include "decode_rows.hpp"
+
+#include <catch2/catch.hpp>
+
+using namespace egretspindle;
+using namespace egretspindle::platform;
+
+namespace
+{
+
+const std::string config_text =
+    R"({"version":7,"routes":[{"name":"r-1","host":"a.example",)"
+    R"("pathPrefix":"/p/","kind":"unsafe","timeoutMs":3000,)"
+    R"("targetDurationMs":250,"priority":1,"service":"svc","maxAttempts":3,)"
+    R"("stretch":1.5},{"name":"r-2","host":"a.example",)"
+    R"("pathPrefix":"/p/sub/","service":"svc"}],)"
+    R"("services":[{"name":"svc","rejectsOverload":true}],"limits":{}})";
+
+struct fake_calls final : caller_port
+{
+    submit_verdict submitted = submit_verdict::accepted;
+    lookup_verdict looked_up = lookup_verdict::known;
+    job_spec spec;
+    std::string queue;
+    std::chrono::milliseconds budget{0};
+
+    submit_answer submit(const std::string& name, const std::string& /*id*/,
+                         job_spec value,
+                         std::chrono::milliseconds time) override
+    {
+        queue = name;
+        spec = std::move(value);
+        budget = time;
+        return {submitted, 4'000};
+    }
+    job_answer query(const std::string& /*id*/,
+                     std::chrono::milliseconds /*budget*/) override
+    {
+        return {looked_up, "running"};
+    }
+    job_answer cancel(const std::string& /*id*/,
+                      std::chrono::milliseconds /*budget*/) override
+    {
+        return {looked_up, "cancelled"};
+    }
+    std::int64_t pending(const std::string& /*queue*/) override
+    {
+        return 12;
+    }
+};
+
+http_request make_request(const std::string& method, const std::string& path,
+                          const std::string& body = "")
+{
+    http_request request;
+    request.method = method;
+    request.path = path;
+    request.body = body;
+    request.headers["host"] = "a.example:8161";
+    return request;
+}
+
+const std::string job_path = "/p/0123456789abcdef";
+const std::string job_body =
+    R"({"spec":"x","steps":[{"count":4,"cpu":500,"memMb":256,)"
+    R"("estimateMs":900,"dataRack":"r1-3","fills":true,"mayMiss":2},)"
+    R"({"count":2,"after":[0],"checkpointing":true,"longRunning":true,)"
+    R"("targetMs":50,"image":"i","maxPerServer":1}]})";
+
+} // namespace
+
+TEST_CASE("the configuration is decoded into the project's names", "[platform]")
+{
+    const absl::StatusOr<fleet_config> config = decode_config(config_text);
+    REQUIRE(config.ok());
+    REQUIRE(config->version == 7);
+    REQUIRE(config->queues[0].max_attempts == 3);
+    REQUIRE(config->queues[0].stretch == Approx(1.5));
+    REQUIRE(config->services[0].rejects_overload);
+    REQUIRE_FALSE(decode_config("{").ok());
+}
+
+TEST_CASE("entries of other writers name no target", "[platform]")
+{
+    const std::string entry =
+        R"({"service":"svc","address":"10.0.0.1:80","zone":"z",)"
+        R"("state":"ready","capacity":{"cpu":16000,"memMb":1,"gpu":2},)"
+        R"("labels":["a","r1-3"],"born":5})";
+    const absl::StatusOr<target_entry> target = decode_target("i-1", entry);
+    REQUIRE(target.ok());
+    REQUIRE(target->rack == "r1-3");
+    REQUIRE(target->capacity.cpu_milli == 16'000);
+    REQUIRE_FALSE(target->is_draining);
+    for (const char* text :
+         {"", "\xff\xfe", "[]", "{}", R"({"service":5})",
+          R"({"service":"svc","address":"a","state":"odd","labels":["x"]})",
+          R"({"service":"svc","address":"a","state":"ready","labels":"x"})"})
+    {
+        CAPTURE(text);
+        REQUIRE_FALSE(decode_target("i-1", text).ok());
+    }
+}
+
+TEST_CASE("a submission reaches the queue of the longest prefix", "[platform]")
+{
+    const fleet_config config = *decode_config(config_text);
+    fake_calls calls;
+    REQUIRE(
+        answer_caller(make_request("POST", job_path, job_body), config, calls)
+            .status == 200);
+    REQUIRE(calls.queue == "r-1");
+    REQUIRE(calls.spec.steps.size() == 2);
+    REQUIRE(calls.spec.steps[0].uses_idle_cpu);
+    REQUIRE(calls.spec.steps[0].data_rack == "r1-3");
+    REQUIRE(calls.spec.steps[1].is_long_running);
+    REQUIRE(calls.spec.steps[1].max_per_target == 1);
+    REQUIRE(
+        answer_caller(make_request("POST", "/p/sub/0123456789abcdef", job_body),
+                      config, calls)
+            .status == 200);
+    REQUIRE(calls.queue == "r-2");
+}
+
+// 429 and 503 promise that the job never runs; an unknown outcome must not.
+TEST_CASE("each outcome has the status that callers rely on", "[platform]")
+{
+    const fleet_config config = *decode_config(config_text);
+    fake_calls calls;
+    const http_request post = make_request("POST", job_path, job_body);
+    calls.submitted = submit_verdict::refused;
+    const http_response refused = answer_caller(post, config, calls);
+    REQUIRE(refused.status == 503);
+    REQUIRE(refused.headers.front().first == "Retry-After");
+    REQUIRE(refused.headers.front().second == "4");
+    calls.submitted = submit_verdict::unknown;
+    REQUIRE(answer_caller(post, config, calls).status == 504);
+    const http_request get = make_request("GET", job_path);
+    REQUIRE(answer_caller(get, config, calls).body == R"({"state":"running"})");
+    calls.looked_up = lookup_verdict::absent;
+    REQUIRE(answer_caller(get, config, calls).status == 410);
+    REQUIRE(
+        answer_caller(make_request("DELETE", job_path), config, calls).status ==
+        410);
+    calls.looked_up = lookup_verdict::unknown;
+    REQUIRE(answer_caller(get, config, calls).status == 504);
+    REQUIRE(answer_caller(make_request("GET", "/p/"), config, calls).body ==
+            R"({"pending":12})");
+    REQUIRE(
+        answer_caller(make_request("GET", "/other/"), config, calls).status ==
+        404);
+    REQUIRE(answer_caller(make_request("POST", job_path, "{"), config, calls)
+                .status == 400);
+    REQUIRE(answer_caller(get, fleet_config{}, calls).status == 503);
+}
+
+TEST_CASE("the caller's time bounds the call", "[platform]")
+{
+    const fleet_config config = *decode_config(config_text);
+    fake_calls calls;
+    http_request post = make_request("POST", job_path, job_body);
+    post.headers["egretspindle-deadline-ms"] = "900";
+    static_cast<void>(answer_caller(post, config, calls));
+    REQUIRE(calls.budget < std::chrono::milliseconds(900));
+    post.headers["egretspindle-deadline-ms"] = "junk";
+    static_cast<void>(answer_caller(post, config, calls));
+    REQUIRE(calls.budget <= std::chrono::milliseconds(3'000));
+}
--- /dev/null
+++ b/tests/rack/rack_decision_test.cpp
@@ -0,0 +1,329 @@
+#include "egretspindle/rack/rack_decision.hpp"
+
+#include <catch2/catch.hpp>
+
+using namespace egretspindle;
+
+namespace
+{
+
+const lease_limits limits;
+const pressure_model no_pressure;
+const time_point start = time_point{} + milliseconds(1'000'000);
+
+rack_state make_rack(int targets)
+{
+    rack_state rack;
+    rack.name = "r1";
+    rack.token = 7;
+    rack.taken_over_at = start;
+    rack.verified_at = start;
+    rack.unknown_until = start + milliseconds(11'000);
+    rack.knows_all_targets = true;
+    for (int n = 0; n < targets; ++n)
+    {
+        rack_target target;
+        target.entry.id = "t" + std::to_string(n);
+        target.entry.service = "svc";
+        target.entry.rack = "r1";
+        target.entry.capacity = {4'000, 4'000, 0};
+        target.is_reached = true;
+        target.started_ms = 1;
+        rack.targets[target.entry.id] = target;
+    }
+    return rack;
+}
+
+step_terms make_terms(std::int64_t cpu_milli = 1'000)
+{
+    step_terms terms;
+    terms.step = "job.0.0";
+    terms.service = "svc";
+    terms.size = {cpu_milli, 100, 0};
+    return terms;
+}
+
+queued_start make_start(const std::string& task, const step_terms& terms,
+                        std::int64_t run = 1)
+{
+    queued_start item;
+    item.task = task;
+    item.run = run;
+    item.terms = std::make_shared<const step_terms>(terms);
+    item.queued_at = start;
+    return item;
+}
+
+poll_answer make_answer(std::vector<listed_run> runs,
+                        std::vector<listed_end> ends = {},
+                        std::int64_t started_ms = 1)
+{
+    poll_answer answer;
+    answer.clock_ms = 5'000;
+    answer.started_ms = started_ms;
+    answer.runs = std::move(runs);
+    answer.ends = std::move(ends);
+    return answer;
+}
+
+} // namespace
+
+TEST_CASE("no target is given more than its capacity", "[rack]")
+{
+    rack_state rack = make_rack(2);
+    for (int n = 0; n < 12; ++n)
+    {
+        enqueue(rack, make_start("job.0.0." + std::to_string(n), make_terms()));
+    }
+    const std::vector<placement> placed =
+        place_starts(rack, no_pressure, start);
+    REQUIRE(placed.size() == 8);
+    REQUIRE(rack.queue.size() == 4);
+    for (const auto& [id, target] : rack.targets)
+    {
+        REQUIRE(free_room(target).cpu_milli == 0);
+    }
+}
+
+TEST_CASE("urgent starts go first, then those with the earlier objective",
+          "[rack]")
+{
+    rack_state rack = make_rack(1);
+    step_terms late = make_terms(4'000);
+    late.priority = 2;
+    step_terms urgent = make_terms(4'000);
+    urgent.step = "job.0.1";
+    urgent.rank_ms = 900;
+    enqueue(rack, make_start("job.0.0.0", late));
+    enqueue(rack, make_start("job.0.1.0", urgent));
+    const std::vector<placement> placed =
+        place_starts(rack, no_pressure, start);
+    REQUIRE(placed.size() == 1);
+    REQUIRE(placed.front().start.task == "job.0.1.0");
+}
+
+TEST_CASE("a step is spread as its caller asks", "[rack]")
+{
+    rack_state rack = make_rack(2);
+    step_terms terms = make_terms(100);
+    terms.max_per_target = 1;
+    for (int n = 0; n < 3; ++n)
+    {
+        enqueue(rack, make_start("job.0.0." + std::to_string(n), terms));
+    }
+    REQUIRE(place_starts(rack, no_pressure, start).size() == 2);
+}
+
+TEST_CASE("a gang starts whole or not at all", "[rack]")
+{
+    rack_state rack = make_rack(1);
+    step_terms terms = make_terms(2'000);
+    terms.is_gang = true;
+    terms.gang_size = 3;
+    for (int n = 0; n < 3; ++n)
+    {
+        enqueue(rack, make_start("job.0.0." + std::to_string(n), terms));
+    }
+    REQUIRE(place_starts(rack, no_pressure, start).empty());
+    REQUIRE(free_room(rack.targets["t0"]).cpu_milli == 4'000);
+    rack.targets["t0"].entry.capacity.cpu_milli = 6'000;
+    REQUIRE(place_starts(rack, no_pressure, start).size() == 3);
+}
+
+TEST_CASE("a draining target gets no starts", "[rack]")
+{
+    rack_state rack = make_rack(1);
+    rack.targets["t0"].entry.is_draining = true;
+    enqueue(rack, make_start("job.0.0.0", make_terms()));
+    REQUIRE(place_starts(rack, no_pressure, start).empty());
+}
+
+// A start that is sent again must not run a second time.
+TEST_CASE("a repeated start of a run that ended here is known", "[rack]")
+{
+    rack_state rack = make_rack(1);
+    enqueue(rack, make_start("job.0.0.0", make_terms()));
+    place_starts(rack, no_pressure, start);
+    rack_target& target = rack.targets["t0"];
+    apply_start(rack, target, {"job.0.0.0", 1}, order_verdict::taken, start);
+    const std::vector<run_event> events = apply_poll(
+        rack, target, make_answer({}, {{1, "job.0.0.0", 1, "done", ""}}), start,
+        start);
+    REQUIRE(events.size() == 1);
+    acknowledge(target, 1);
+    REQUIRE(target.acknowledged == 1);
+    REQUIRE(enqueue(rack, make_start("job.0.0.0", make_terms())) ==
+            enqueue_result::known);
+}
+
+TEST_CASE("a repeated start waits for the record", "[rack]")
+{
+    rack_state rack = make_rack(1);
+    queued_start item = make_start("job.0.0.0", make_terms());
+    item.is_repeated = true;
+    enqueue(rack, item);
+    REQUIRE(place_starts(rack, no_pressure, start).empty());
+    SECTION("the record assigns it")
+    {
+        resolve_repeated(rack, {"job.0.0.0", 1}, true);
+        REQUIRE(place_starts(rack, no_pressure, start).size() == 1);
+    }
+    SECTION("the record has moved on")
+    {
+        resolve_repeated(rack, {"job.0.0.0", 1}, false);
+        REQUIRE(rack.queue.empty());
+    }
+}
+
+// trouble-1 of the cooperative: the store turned an owner away, which then
+// reported runs as lost that the new owner kept alive.
+TEST_CASE("leases expire only under confirmed ownership", "[rack]")
+{
+    rack_state rack = make_rack(1);
+    rack_target& target = rack.targets["t0"];
+    note_clock(target, 5'000, limits, start);
+    enqueue(rack, make_start("job.0.0.0", make_terms()));
+    place_starts(rack, no_pressure, start);
+    extend_lease(target, limits, start);
+    apply_start(rack, target, {"job.0.0.0", 1}, order_verdict::taken, start);
+    REQUIRE(target.expires_at >= start + milliseconds(6'500));
+    const time_point later = target.expires_at + milliseconds(2'000);
+    REQUIRE(expire_leases(rack, later).empty());
+    rack.verified_at = target.expires_at + milliseconds(1);
+    SECTION("a refused owner concludes nothing")
+    {
+        rack.is_fenced = true;
+        REQUIRE(expire_leases(rack, later).empty());
+        REQUIRE(place_starts(rack, no_pressure, later).empty());
+    }
+    SECTION("the owner concludes that the run is gone")
+    {
+        const std::vector<run_event> events = expire_leases(rack, later);
+        REQUIRE(events.size() == 1);
+        REQUIRE(events.front().how == run_end::lost);
+    }
+}
+
+// A target's clock may be 2% slow, so a lease of 6 s lasts up to 6.12 s here.
+TEST_CASE("the expiry of a lease allows for a slow clock", "[rack]")
+{
+    rack_target target;
+    note_clock(target, 100'000, limits, start);
+    extend_lease(target, limits, start);
+    REQUIRE(target.expires_at >=
+            start + milliseconds(6'122) + limits.expiry_slack);
+}
+
+TEST_CASE("a restarted target has lost its runs but not the starts on their "
+          "way",
+          "[rack]")
+{
+    rack_state rack = make_rack(1);
+    enqueue(rack, make_start("job.0.0.0", make_terms()));
+    enqueue(rack, make_start("job.0.0.1", make_terms()));
+    place_starts(rack, no_pressure, start);
+    rack_target& target = rack.targets["t0"];
+    apply_start(rack, target, {"job.0.0.0", 1}, order_verdict::taken, start);
+    const std::vector<run_event> events =
+        apply_poll(rack, target, make_answer({}, {}, 2), start, start);
+    REQUIRE(events.size() == 1);
+    REQUIRE(events.front().task == "job.0.0.0");
+    REQUIRE(events.front().how == run_end::lost);
+    REQUIRE(target.runs.size() == 1);
+}
+
+TEST_CASE("a confirmed run that a later list lacks is gone", "[rack]")
+{
+    rack_state rack = make_rack(1);
+    enqueue(rack, make_start("job.0.0.0", make_terms()));
+    place_starts(rack, no_pressure, start);
+    rack_target& target = rack.targets["t0"];
+    apply_start(rack, target, {"job.0.0.0", 1}, order_verdict::taken, start);
+    // The list may be older than the start.
+    REQUIRE(apply_poll(rack, target, make_answer({}), start, start).empty());
+    const time_point later = start + milliseconds(1'500);
+    REQUIRE(apply_poll(rack, target, make_answer({}), later, later).size() ==
+            1);
+}
+
+TEST_CASE("an unknown run at work is reported once and blocks its target",
+          "[rack]")
+{
+    rack_state rack = make_rack(1);
+    rack_target& target = rack.targets["t0"];
+    const poll_answer answer = make_answer({{"job.0.0.9", 4, "", 10, 0}});
+    const std::vector<run_event> events =
+        apply_poll(rack, target, answer, start, start);
+    REQUIRE(events.size() == 1);
+    REQUIRE(events.front().what == run_event::kind::seen);
+    REQUIRE(apply_poll(rack, target, answer, start, start).empty());
+    REQUIRE_FALSE(accepts_starts(target, start));
+}
+
+TEST_CASE("a stop of a run that may be on an unreached target is not answered",
+          "[rack]")
+{
+    rack_state rack = make_rack(2);
+    rack.targets["t1"].is_reached = false;
+    std::string target;
+    REQUIRE(withdraw(rack, {"job.0.0.0", 1}, target).empty());
+    REQUIRE(target.empty());
+    REQUIRE(settle_stops(rack, start).empty());
+    // It turns up there and has to be stopped.
+    rack_target& late = rack.targets["t1"];
+    apply_poll(rack, late, make_answer({{"job.0.0.0", 1, "", 0, 0}}), start,
+               start);
+    REQUIRE(late.runs.at({"job.0.0.0", 1}).is_stopping);
+    REQUIRE(rack.stops.empty());
+}
+
+TEST_CASE("a stop of a run that is nowhere is answered when all is known",
+          "[rack]")
+{
+    rack_state rack = make_rack(1);
+    std::string target;
+    REQUIRE(withdraw(rack, {"job.0.0.0", 1}, target).empty());
+    REQUIRE(settle_stops(rack, start).size() == 1);
+    REQUIRE(enqueue(rack, make_start("job.0.0.0", make_terms())) ==
+            enqueue_result::known);
+}
+
+TEST_CASE("a start that a target refuses goes elsewhere", "[rack]")
+{
+    rack_state rack = make_rack(2);
+    enqueue(rack, make_start("job.0.0.0", make_terms()));
+    const std::vector<placement> first = place_starts(rack, no_pressure, start);
+    rack_target& target = rack.targets[first.front().target];
+    apply_start(rack, target, {"job.0.0.0", 1}, order_verdict::unhealthy,
+                start);
+    const std::vector<placement> second =
+        place_starts(rack, no_pressure, start);
+    REQUIRE(second.size() == 1);
+    REQUIRE(second.front().target != first.front().target);
+}
+
+TEST_CASE("only waiting starts that fit elsewhere are handed back, few at once",
+          "[rack]")
+{
+    rack_state rack = make_rack(1);
+    for (int n = 0; n < 20; ++n)
+    {
+        enqueue(rack,
+                make_start("job.0.0." + std::to_string(n), make_terms(4'000)));
+    }
+    const auto everywhere = [](const step_terms&)
+    {
+        return true;
+    };
+    const milliseconds patience(700);
+    REQUIRE(hand_back(rack, patience, everywhere, start).empty());
+    const time_point later = start + milliseconds(800);
+    const auto nowhere = [](const step_terms&)
+    {
+        return false;
+    };
+    REQUIRE(hand_back(rack, patience, nowhere, later).empty());
+    const std::size_t n = hand_back(rack, patience, everywhere, later).size();
+    REQUIRE(n > 0);
+    REQUIRE(n <= 5);
+}
--- /dev/null
+++ b/tests/scheduler/job_coordinator_test.cpp
@@ -0,0 +1,287 @@
+#include "egretspindle/jobs/job_machine.hpp"
+#include "egretspindle/jobs/job_record.hpp"
+#include "egretspindle/scheduler/job_coordinator.hpp"
+#include "egretspindle/scheduler/shard.hpp"
+
+#include "fake_store.hpp"
+
+#include <catch2/catch.hpp>
+
+#include <condition_variable>
+#include <mutex>
+
+using namespace egretspindle;
+
+namespace
+{
+
+const std::string job_id = "0123456789abcdef";
+
+// Records what a coordinator sends, and plays the rest of the system.
+struct surroundings
+{
+    std::mutex mutex;
+    std::condition_variable changed;
+    std::vector<rack_orders> sent;
+    std::int64_t token = 5;
+
+    job_coordinator_hooks hooks()
+    {
+        job_coordinator_hooks result;
+        result.config = []
+        {
+            fleet_config config;
+            config.version = 1;
+            queue_config queue;
+            queue.name = "queue";
+            queue.service = "svc";
+            queue.max_attempts = 2;
+            config.queues = {queue};
+            return std::make_shared<const fleet_config>(config);
+        };
+        result.choose_racks =
+            [](const step_terms&, std::size_t count, const std::string&)
+        {
+            return std::vector<std::string>(count, "r1");
+        };
+        result.rack_token = [this](const std::string&)
+        {
+            return token;
+        };
+        result.send = [this](rack_orders orders)
+        {
+            const std::lock_guard<std::mutex> lock(mutex);
+            sent.push_back(std::move(orders));
+            changed.notify_all();
+        };
+        return result;
+    }
+
+    // Returns the orders once there are `count`.
+    std::vector<rack_orders> wait_sent(std::size_t count)
+    {
+        std::unique_lock<std::mutex> lock(mutex);
+        changed.wait_for(lock, std::chrono::seconds(20),
+                         [&] { return sent.size() >= count; });
+        return sent;
+    }
+};
+
+job_call make_call()
+{
+    job_call call;
+    call.id = job_id;
+    call.queue = "queue";
+    step_spec step;
+    step.count = 1;
+    step.cpu_milli = 1'000;
+    call.spec.steps = {step};
+    call.budget_ms = 20'000;
+    return call;
+}
+
+run_report make_report(const std::string& how, std::int64_t number,
+                       std::int64_t token = 5)
+{
+    run_report report;
+    report.what = "ended";
+    report.task = job_id + ".0.0.0";
+    report.run = 1;
+    report.how = how;
+    report.rack = "r1";
+    report.token = token;
+    report.number = number;
+    return report;
+}
+
+table_row row_of(fake_store& store)
+{
+    return store.row(std::string(jobs_table), shard_of(job_id), job_id);
+}
+
+} // namespace
+
+TEST_CASE("a submission is accepted once its row and its run are durable",
+          "[scheduler]")
+{
+    fake_store store;
+    surroundings around;
+    job_coordinator coordinator(store, around.hooks(), {});
+    coordinator.take_shard(shard_of(job_id));
+    REQUIRE(coordinator.submit(make_call()).verdict == "accepted");
+    const absl::StatusOr<job> recorded =
+        decode_job(job_id, row_of(store).value);
+    REQUIRE(recorded.ok());
+    REQUIRE(assigned_runs(*recorded).size() == 1);
+    const std::vector<rack_orders> sent = around.wait_sent(1);
+    REQUIRE(sent.front().starts.size() == 1);
+    REQUIRE(sent.front().starts.front().runs.front().run == 1);
+    REQUIRE_FALSE(sent.front().starts.front().runs.front().is_repeated);
+}
+
+TEST_CASE("the same id again is the same job", "[scheduler]")
+{
+    fake_store store;
+    surroundings around;
+    job_coordinator coordinator(store, around.hooks(), {});
+    coordinator.take_shard(shard_of(job_id));
+    REQUIRE(coordinator.submit(make_call()).verdict == "accepted");
+    const std::int64_t version = row_of(store).version;
+    REQUIRE(coordinator.submit(make_call()).verdict == "accepted");
+    REQUIRE(row_of(store).version == version);
+}
+
+TEST_CASE("a host without the shard does not answer for it", "[scheduler]")
+{
+    fake_store store;
+    surroundings around;
+    job_coordinator coordinator(store, around.hooks(), {});
+    REQUIRE(coordinator.submit(make_call()).verdict == "not_owner");
+    REQUIRE(coordinator.query(make_call()).verdict == "not_owner");
+    REQUIRE(row_of(store).version == 0);
+}
+
+// The write took effect although no answer came; "refused" would be untrue.
+TEST_CASE("a lost answer of the store is not taken for a refusal",
+          "[scheduler]")
+{
+    fake_store store;
+    surroundings around;
+    job_coordinator coordinator(store, around.hooks(), {});
+    coordinator.take_shard(shard_of(job_id));
+    store.set_fault(write_fault::answer_lost);
+    REQUIRE(coordinator.submit(make_call()).verdict == "accepted");
+}
+
+TEST_CASE("a job that the store refuses is refused, and never runs",
+          "[scheduler]")
+{
+    fake_store store;
+    surroundings around;
+    coordinator_limits limits;
+    limits.refuse_after = milliseconds(50);
+    job_coordinator coordinator(store, around.hooks(), limits);
+    coordinator.take_shard(shard_of(job_id));
+    store.set_fault(write_fault::refused);
+    const job_call_reply reply = coordinator.submit(make_call());
+    REQUIRE(reply.verdict == "refused");
+    REQUIRE(reply.retry_after_ms > 0);
+    store.set_fault(write_fault::none);
+    coordinator.tick();
+    REQUIRE(coordinator.query(make_call()).verdict == "absent");
+    REQUIRE(around.sent.empty());
+}
+
+TEST_CASE("an end is recorded before it is confirmed", "[scheduler]")
+{
+    fake_store store;
+    surroundings around;
+    coordinator_limits limits;
+    limits.report_wait = milliseconds(100);
+    job_coordinator coordinator(store, around.hooks(), limits);
+    coordinator.take_shard(shard_of(job_id));
+    REQUIRE(coordinator.submit(make_call()).verdict == "accepted");
+    store.set_fault(write_fault::refused);
+    const report_batch batch{{make_report("done", 1)}};
+    REQUIRE(coordinator.report(batch).verdicts.front().verdict == "retry");
+    REQUIRE(coordinator.query(make_call()).state != "completed");
+    store.set_fault(write_fault::none);
+    report_reply reply = coordinator.report(batch);
+    for (int n = 0; n < 100 && reply.verdicts.front().verdict == "retry"; ++n)
+    {
+        reply = coordinator.report(batch);
+    }
+    REQUIRE(reply.verdicts.front().verdict == "recorded");
+    REQUIRE(coordinator.query(make_call()).state == "completed");
+}
+
+// A former owner of a rack concludes from leases that the new one renewed.
+TEST_CASE("conclusions of a former owner of a rack are ignored", "[scheduler]")
+{
+    fake_store store;
+    surroundings around;
+    job_coordinator coordinator(store, around.hooks(), {});
+    coordinator.take_shard(shard_of(job_id));
+    REQUIRE(coordinator.submit(make_call()).verdict == "accepted");
+    around.token = 9;
+    const report_batch concluded{{make_report("lost", 0, 5)}};
+    REQUIRE(coordinator.report(concluded).verdicts.front().verdict ==
+            "recorded");
+    const absl::StatusOr<job> recorded =
+        decode_job(job_id, row_of(store).value);
+    REQUIRE(assigned_runs(*recorded).front().run == 1);
+    // What a target has listed is certain, whoever reports it.
+    const report_batch listed{{make_report("done", 3, 5)}};
+    REQUIRE(coordinator.report(listed).verdicts.front().verdict == "recorded");
+    REQUIRE(coordinator.query(make_call()).state == "completed");
+}
+
+TEST_CASE("a new owner of a shard repeats recorded starts, and the former one "
+          "can record no more",
+          "[scheduler]")
+{
+    fake_store store;
+    surroundings first_around;
+    surroundings second_around;
+    coordinator_limits limits;
+    limits.report_wait = milliseconds(2'000);
+    job_coordinator first(store, first_around.hooks(), limits);
+    first.take_shard(shard_of(job_id));
+    REQUIRE(first.submit(make_call()).verdict == "accepted");
+
+    job_coordinator second(store, second_around.hooks(), limits);
+    second.take_shard(shard_of(job_id));
+    const std::vector<rack_orders> sent = second_around.wait_sent(1);
+    REQUIRE(sent.front().starts.front().runs.front().is_repeated);
+
+    // The former owner does not know of the new one. Its conclusion must not
+    // lead to a second run.
+    const report_batch batch{{make_report("not_started", 0)}};
+    static_cast<void>(first.report(batch));
+    const absl::StatusOr<job> recorded =
+        decode_job(job_id, row_of(store).value);
+    REQUIRE(assigned_runs(*recorded).front().run == 1);
+}
+
+TEST_CASE("a cancelled job is stopped once that is durable", "[scheduler]")
+{
+    fake_store store;
+    surroundings around;
+    job_coordinator coordinator(store, around.hooks(), {});
+    coordinator.take_shard(shard_of(job_id));
+    REQUIRE(coordinator.submit(make_call()).verdict == "accepted");
+    around.wait_sent(1);
+    const job_call_reply reply = coordinator.cancel(make_call());
+    REQUIRE(reply.verdict == "known");
+    REQUIRE(reply.state == "cancelled");
+    const std::vector<rack_orders> sent = around.wait_sent(2);
+    REQUIRE(sent.back().stops.size() == 1);
+    REQUIRE(sent.back().stops.front().run == 1);
+    REQUIRE(coordinator.cancel(make_call()).state == "cancelled");
+}
+
+TEST_CASE("a job is absent only if the store says so", "[scheduler]")
+{
+    fake_store store;
+    surroundings around;
+    job_coordinator coordinator(store, around.hooks(), {});
+    coordinator.take_shard(shard_of(job_id));
+    job_call call = make_call();
+    REQUIRE(coordinator.query(call).verdict == "absent");
+    store.set_unreadable(true);
+    REQUIRE(coordinator.query(call).verdict == "unknown");
+}
+
+TEST_CASE("jobs whose tasks have not begun are pending", "[scheduler]")
+{
+    fake_store store;
+    surroundings around;
+    job_coordinator coordinator(store, around.hooks(), {});
+    coordinator.take_shard(shard_of(job_id));
+    REQUIRE(coordinator.submit(make_call()).verdict == "accepted");
+    REQUIRE(coordinator.pending().at("queue") == 1);
+    run_report report = make_report("done", 0);
+    report.what = "started";
+    static_cast<void>(coordinator.report({{report}}));
+    REQUIRE(coordinator.pending().empty());
+}
