Let starts that can still meet their objective go first; split long functions

Within a priority, starts whose declared work no longer fits before the objective now wait for the others.

--- a/include/egretspindle/jobs/job_machine.hpp
+++ b/include/egretspindle/jobs/job_machine.hpp
@@ -90,6 +90,11 @@
 /// \returns milliseconds
 [[nodiscard]] std::int64_t remaining_chain_ms(const job& value);
 
+/// Returns the declared work of the longest chain of all steps.
+///
+/// \returns milliseconds
+[[nodiscard]] std::int64_t whole_chain_ms(const job& value);
+
 /// Formats the state of a job for its caller: `queued`, `running`,
 /// `completed`, `failed` or `cancelled`.
 [[nodiscard]] std::string_view shown_state(const job& value) noexcept;
--- a/include/egretspindle/net/http_request.hpp
+++ b/include/egretspindle/net/http_request.hpp
@@ -13,12 +13,12 @@
 /// A received HTTP request, with the body read whole.
 struct http_request
 {
-    std::string method;                       ///< `GET`, `POST`, ...
-    std::string path;                         ///< without the query
-    std::map<std::string, std::string> query; ///< decoded parameters
-    std::string content_type;                 ///< empty when absent
-    std::string authorization;                ///< empty when absent
-    std::string body;                         ///< within the size limit
+    std::string method;                         ///< `GET`, `POST`, ...
+    std::string path;                           ///< without the query
+    std::map<std::string, std::string> query;   ///< decoded parameters
+    std::string content_type;                   ///< empty when absent
+    std::string authorization;                  ///< empty when absent
+    std::string body;                           ///< within the size limit
     std::map<std::string, std::string> headers; ///< by name in lower case
 };
 
--- a/include/egretspindle/rack/queued_start.hpp
+++ b/include/egretspindle/rack/queued_start.hpp
@@ -23,6 +23,8 @@
     task_size size;
     std::int64_t priority = 0; ///< 0 comes first
     std::int64_t rank_ms = 0;  ///< Unix time of the objective
+    /// Unix time after which the objective is missed by the declared work.
+    std::int64_t latest_start_ms = 0;
     std::string required_label;
     std::int64_t max_per_target = 0; ///< 0: no limit
     bool is_gang = false;
@@ -47,6 +49,7 @@
     visit("accelerators", value.size.accelerators);
     visit("priority", value.priority);
     visit("rank_ms", value.rank_ms);
+    visit("latest_start_ms", value.latest_start_ms);
     visit("required_label", value.required_label);
     visit("max_per_target", value.max_per_target);
     visit("gang", value.is_gang);
--- a/include/egretspindle/rack/rack_decision.hpp
+++ b/include/egretspindle/rack/rack_decision.hpp
@@ -58,8 +58,10 @@
 /// Answers the load of a step that becomes due while targets are partly free:
 /// starts go by priority and objective, each to the target that keeps most
 /// room; tasks that use idle processors avoid targets that serve users.
-[[nodiscard]] std::vector<placement>
-place_starts(rack_state& rack, const pressure_model& model, time_point now);
+[[nodiscard]] std::vector<placement> place_starts(rack_state& rack,
+                                                  const pressure_model& model,
+                                                  time_point now,
+                                                  std::int64_t now_ms);
 
 /// Takes over the lists of a target.
 ///
--- a/include/egretspindle/scheduler/host_outbox.hpp
+++ b/include/egretspindle/scheduler/host_outbox.hpp
@@ -26,7 +26,7 @@
 public:
     /// Delivers a batch; may block, and may post items again.
     using deliver_function =
-        std::function<void(const std::string& host, std::vector<Item> items)>;
+        std::function<void(const std::string& host, std::vector<Item>& items)>;
 
     host_outbox(std::size_t max_batch, deliver_function deliver)
         : max_batch_(max_batch), deliver_(std::move(deliver))
@@ -108,7 +108,7 @@
                 std::make_move_iterator(end));
             entry.items.erase(entry.items.begin(), end);
             lock.unlock();
-            deliver_(host, std::move(batch));
+            deliver_(host, batch);
             lock.lock();
         }
     }
--- a/src/jobs/job_machine.cpp
+++ b/src/jobs/job_machine.cpp
@@ -110,6 +110,28 @@
     }
 }
 
+// Declared work along the longest chain of the steps that count.
+template <typename Counts>
+std::int64_t longest_chain(const job_spec& spec, Counts counts)
+{
+    std::int64_t longest = 0;
+    std::vector<std::int64_t> chain(spec.steps.size(), 0);
+    for (std::size_t n = 0; n < spec.steps.size(); ++n)
+    {
+        for (const std::int64_t earlier : spec.steps[n].after)
+        {
+            chain[n] =
+                std::max(chain[n], chain[static_cast<std::size_t>(earlier)]);
+        }
+        if (counts(n))
+        {
+            chain[n] += spec.steps[n].estimate_ms;
+        }
+        longest = std::max(longest, chain[n]);
+    }
+    return longest;
+}
+
 } // namespace
 
 job make_job(std::string id, std::string queue, job_spec spec,
@@ -295,25 +317,19 @@
     std::int64_t longest = 0;
     for (const occurrence_state& state : value.occurrences)
     {
-        std::vector<std::int64_t> chain(state.steps.size(), 0);
-        for (std::size_t n = 0; n < state.steps.size(); ++n)
-        {
-            const step_spec& step = value.spec.steps[n];
-            for (const std::int64_t earlier : step.after)
-            {
-                chain[n] = std::max(chain[n],
-                                    chain[static_cast<std::size_t>(earlier)]);
-            }
-            if (!is_step_done(state.steps[n]))
-            {
-                chain[n] += step.estimate_ms;
-            }
-            longest = std::max(longest, chain[n]);
-        }
+        longest = std::max(
+            longest,
+            longest_chain(value.spec, [&state](std::size_t step)
+                          { return !is_step_done(state.steps[step]); }));
     }
     return longest;
 }
 
+std::int64_t whole_chain_ms(const job& value)
+{
+    return longest_chain(value.spec, [](std::size_t) { return true; });
+}
+
 std::string_view to_string(job_outcome value) noexcept
 {
     switch (value)
--- a/src/jobs/job_record.cpp
+++ b/src/jobs/job_record.cpp
@@ -235,7 +235,8 @@
     }
     for (const auto& [name, checkpoint] : state->checkpoints)
     {
-        const std::optional<task_key> key = parse_task_key(id + "." + name);
+        const std::optional<task_key> key =
+            parse_task_key(fmt::format("{}.{}", id, name));
         if (!key || find_task(value, *key) == nullptr)
         {
             return malformed(id);
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -42,14 +42,13 @@
 headers_of(const cxxtools::http::Request& request)
 {
     std::map<std::string, std::string> headers;
-    const cxxtools::http::MessageHeader& source = request.header();
-    for (auto it = source.begin(); it != source.end(); ++it)
+    for (const auto& [field, value] : request.header())
     {
-        std::string name = it->first;
+        std::string name = field;
         std::transform(name.begin(), name.end(), name.begin(),
                        [](unsigned char c)
                        { return static_cast<char>(std::tolower(c)); });
-        headers[std::move(name)] = it->second;
+        headers[std::move(name)] = value;
     }
     return headers;
 }
--- a/src/rack/rack_decision.cpp
+++ b/src/rack/rack_decision.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <set>
+#include <string_view>
 #include <tuple>
 
 namespace egretspindle
@@ -21,6 +22,9 @@
 constexpr int max_doublings = 4;
 // Starts that a rack hands back at a time. Other hosts see the same room.
 constexpr std::size_t most_handed_back = 4;
+// Declared run times are rough; a start that is late by less than this may
+// still meet its objective.
+constexpr std::int64_t late_tolerance_ms = 500;
 // Above the processors of any target.
 constexpr std::int64_t target_cpu_bonus = 1'000'000;
 
@@ -106,10 +110,14 @@
     target.runs[{start.task, start.run}] = std::move(run);
 }
 
-bool is_before(const queued_start& lhs, const queued_start& rhs)
+// Starts that can still meet their objective go first within a priority:
+// under a flood, work that is late already would make all others late too.
+auto rank_of(const queued_start& start, std::int64_t now_ms)
 {
-    return std::tie(lhs.terms->priority, lhs.terms->rank_ms, lhs.terms->step) <
-           std::tie(rhs.terms->priority, rhs.terms->rank_ms, rhs.terms->step);
+    const step_terms& terms = *start.terms;
+    return std::make_tuple(terms.priority,
+                           now_ms > terms.latest_start_ms + late_tolerance_ms,
+                           terms.rank_ms, std::string_view(terms.step));
 }
 
 // Finds room for all members of a gang that begins at `first` in the queue.
@@ -358,14 +366,17 @@
 }
 
 std::vector<placement> place_starts(rack_state& rack,
-                                    const pressure_model& model, time_point now)
+                                    const pressure_model& model, time_point now,
+                                    std::int64_t now_ms)
 {
     std::vector<placement> placed;
     if (rack.queue.empty() || rack.is_fenced)
     {
         return placed;
     }
-    std::stable_sort(rack.queue.begin(), rack.queue.end(), is_before);
+    std::stable_sort(rack.queue.begin(), rack.queue.end(),
+                     [now_ms](const queued_start& lhs, const queued_start& rhs)
+                     { return rank_of(lhs, now_ms) < rank_of(rhs, now_ms); });
     std::vector<queued_start> remaining;
     for (std::size_t n = 0; n < rack.queue.size();)
     {
--- a/src/scheduler/job_coordinator.cpp
+++ b/src/scheduler/job_coordinator.cpp
@@ -13,6 +13,7 @@
 #include <condition_variable>
 #include <deque>
 #include <mutex>
+#include <optional>
 #include <random>
 #include <set>
 #include <thread>
@@ -87,7 +88,14 @@
                         time_point now);
     void add_start(job_entry& entry, const assigned_run& run, sent_run& sent,
                    std::map<std::string, rack_orders>& orders, time_point now);
-    void send_all(std::map<std::string, rack_orders> orders);
+    void send_all(const std::map<std::string, rack_orders>& orders);
+    std::optional<report_verdict> find_reported(const run_report& report,
+                                                const task_key& key,
+                                                entry_ptr& found);
+    report_verdict apply_sighting(const run_report& report, const task_key& key,
+                                  job_entry& entry, bool is_current);
+    void apply_end(const run_report& report, const task_key& key,
+                   const entry_ptr& entry);
     report_verdict apply(const run_report& report, entry_ptr& touched,
                          std::uint64_t& change);
     std::int64_t max_attempts(const job& value) const;
@@ -304,16 +312,19 @@
     terms.image = spec.image;
     terms.uses_idle_cpu = spec.uses_idle_cpu;
     terms.max_absent = spec.max_absent;
-    terms.rank_ms = value.accepted_ms + remaining_chain_ms(value);
+    const std::int64_t chain_ms = remaining_chain_ms(value);
+    const std::int64_t whole_ms = whole_chain_ms(value);
+    const double stretch = queue == nullptr ? 1.0 : queue->stretch;
+    terms.rank_ms =
+        value.accepted_ms +
+        static_cast<std::int64_t>(stretch * static_cast<double>(whole_ms));
     if (queue != nullptr)
     {
         terms.service = queue->service;
         terms.priority = queue->priority;
-        terms.rank_ms = value.accepted_ms + queue->target_duration_ms +
-                        static_cast<std::int64_t>(
-                            queue->stretch *
-                            static_cast<double>(remaining_chain_ms(value)));
+        terms.rank_ms += queue->target_duration_ms;
     }
+    terms.latest_start_ms = terms.rank_ms - chain_ms;
     return terms;
 }
 
@@ -507,7 +518,7 @@
         }
         changed.notify_all();
     }
-    send_all(std::move(orders));
+    send_all(orders);
     return true;
 }
 
@@ -656,55 +667,116 @@
     }
 }
 
-void job_coordinator::impl::send_all(std::map<std::string, rack_orders> orders)
+void job_coordinator::impl::send_all(
+    const std::map<std::string, rack_orders>& orders)
 {
-    for (auto& [rack, item] : orders)
+    for (const auto& [rack, item] : orders)
     {
-        item.token = hooks.rack_token(rack);
-        hooks.send(std::move(item));
+        rack_orders message = item;
+        message.token = hooks.rack_token(rack);
+        hooks.send(std::move(message));
     }
 }
 
 // --- reports ---------------------------------------------------------------
 
-report_verdict job_coordinator::impl::apply(const run_report& report,
-                                            entry_ptr& touched,
-                                            std::uint64_t& change)
+// Finds the job of a report; a verdict when the report cannot be applied.
+std::optional<report_verdict>
+job_coordinator::impl::find_reported(const run_report& report,
+                                     const task_key& key, entry_ptr& found)
 {
-    const std::optional<task_key> key = parse_task_key(report.task);
-    if (!key)
-    {
-        log_error("report names no task", {{"task", report.task}});
-        return {report.what == "seen" ? "stop" : "recorded", {}};
-    }
-    const std::string shard = shard_of(key->job);
-    bool is_reachable = true;
+    const std::string shard = shard_of(key.job);
     {
-        std::unique_lock<std::mutex> lock(mutex);
+        const std::lock_guard<std::mutex> lock(mutex);
         const auto it = shards.find(shard);
         if (it == shards.end() || it->second != shard_phase::ready)
         {
-            return {"retry", {}};
+            return report_verdict{"retry", {}};
         }
-        touched = find(key->job);
+        found = find(key.job);
     }
-    if (!touched)
+    bool is_reachable = true;
+    if (!found)
     {
-        touched = fetch(key->job, is_reachable);
+        found = fetch(key.job, is_reachable);
     }
     if (!is_reachable)
     {
-        return {"retry", {}};
+        return report_verdict{"retry", {}};
     }
-    const std::lock_guard<std::mutex> lock(mutex);
-    if (!touched)
+    if (!found)
+    {
+        return report_verdict{report.what == "seen" ? "stop" : "recorded", {}};
+    }
+    return std::nullopt;
+}
+
+report_verdict job_coordinator::impl::apply_sighting(const run_report& report,
+                                                     const task_key& key,
+                                                     job_entry& entry,
+                                                     bool is_current)
+{
+    if (!is_current || entry.value.outcome != job_outcome::open)
+    {
+        return {is_current || report.what == "seen" ? "stop" : "recorded", {}};
+    }
+    entry.value.has_started = true;
+    if (entry.shown == "queued")
+    {
+        entry.shown = "running";
+    }
+    entry.sent[report.task].confirmed_token = hooks.rack_token(report.rack);
+    if (report.what == "started")
+    {
+        return {"recorded", {}};
+    }
+    return {"wanted", terms_of(entry.value, key.occurrence, key.step)};
+}
+
+void job_coordinator::impl::apply_end(const run_report& report,
+                                      const task_key& key,
+                                      const entry_ptr& entry)
+{
+    const run_end how = run_end_from(report.how);
+    if (how != run_end::not_started)
+    {
+        entry->value.has_started = true;
+    }
+    end_run(entry->value, key, report.run, how, report.checkpoint,
+            max_attempts(entry->value), unix_ms());
+    entry->sent.erase(report.task);
+    log_info("run ended", {{"task", report.task},
+                           {"run", report.run},
+                           {"how", report.how},
+                           {"target", report.target},
+                           {"rack", report.rack},
+                           {"job_outcome", to_string(entry->value.outcome)}});
+    mark(entry);
+    assign_due(entry);
+}
+
+report_verdict job_coordinator::impl::apply(const run_report& report,
+                                            entry_ptr& touched,
+                                            std::uint64_t& change)
+{
+    const std::optional<task_key> key = parse_task_key(report.task);
+    if (!key)
     {
+        log_error("report names no task", {{"task", report.task}});
         return {report.what == "seen" ? "stop" : "recorded", {}};
     }
+    const std::optional<report_verdict> verdict =
+        find_reported(report, *key, touched);
+    if (verdict)
+    {
+        return *verdict;
+    }
+    const std::lock_guard<std::mutex> lock(mutex);
     const job_task* task = find_task(touched->value, *key);
     const bool is_at_rest = touched->value.spec.steps.empty();
-    if ((task == nullptr && !is_at_rest) ||
-        (task != nullptr && task->run < report.run))
+    const bool is_later =
+        task == nullptr ? !is_at_rest : task->run < report.run;
+    if (is_later)
     {
         // Another host has assigned a later run; the row tells which.
         if (!touched->is_writing && !touched->is_uncertain)
@@ -717,23 +789,7 @@
                             task->phase == job_task_phase::assigned;
     if (report.what != "ended")
     {
-        if (!is_current || touched->value.outcome != job_outcome::open)
-        {
-            return {is_current || report.what == "seen" ? "stop" : "recorded",
-                    {}};
-        }
-        touched->value.has_started = true;
-        if (touched->shown == "queued")
-        {
-            touched->shown = "running";
-        }
-        sent_run& sent = touched->sent[report.task];
-        sent.confirmed_token = hooks.rack_token(report.rack);
-        if (report.what == "started")
-        {
-            return {"recorded", {}};
-        }
-        return {"wanted", terms_of(touched->value, key->occurrence, key->step)};
+        return apply_sighting(report, *key, *touched, is_current);
     }
     // What a target lists is certain. What the owner of a rack concludes counts
     // only while it is the owner, since a later one may have the run.
@@ -746,27 +802,10 @@
                   {"rack", report.rack}});
         return {"recorded", {}};
     }
-    change = touched->changes;
-    if (!is_current)
+    if (is_current)
     {
-        return {"recorded", {}};
+        apply_end(report, *key, touched);
     }
-    const run_end how = run_end_from(report.how);
-    if (how != run_end::not_started)
-    {
-        touched->value.has_started = true;
-    }
-    end_run(touched->value, *key, report.run, how, report.checkpoint,
-            max_attempts(touched->value), unix_ms());
-    touched->sent.erase(report.task);
-    log_info("run ended", {{"task", report.task},
-                           {"run", report.run},
-                           {"how", report.how},
-                           {"target", report.target},
-                           {"rack", report.rack},
-                           {"job_outcome", to_string(touched->value.outcome)}});
-    mark(touched);
-    assign_due(touched);
     change = touched->changes;
     return {"recorded", {}};
 }
@@ -1017,7 +1056,7 @@
             impl_->collect_orders(*entry, orders, now);
         }
     }
-    impl_->send_all(std::move(orders));
+    impl_->send_all(orders);
     impl_->remove_expired(now);
 }
 
--- a/src/scheduler/job_scheduler.cpp
+++ b/src/scheduler/job_scheduler.cpp
@@ -135,11 +135,11 @@
                    0,
                    {}},
           make_cluster_hooks(), liveness_limits{}),
-      orders_out(max_batch,
-                 [this](const std::string& host, std::vector<rack_orders> items)
+      orders_out(max_batch, [this](const std::string& host,
+                                   const std::vector<rack_orders>& items)
                  { deliver_orders(host, items); }),
-      reports_out(max_batch,
-                  [this](const std::string& host, std::vector<run_report> items)
+      reports_out(max_batch, [this](const std::string& host,
+                                    std::vector<run_report>& items)
                   { deliver_reports(host, std::move(items)); })
 {
 }
--- a/src/scheduler/rack_agent.cpp
+++ b/src/scheduler/rack_agent.cpp
@@ -50,7 +50,7 @@
     std::thread sender;
 };
 
-using session_ptr = std::shared_ptr<target_channel>;
+using channel_ptr = std::shared_ptr<target_channel>;
 
 std::string_view name_of(run_event::kind what)
 {
@@ -129,22 +129,29 @@
     void open_session(const std::string& rack, const std::string& target,
                       std::int64_t token);
     void close_sessions(const std::string& rack,
-                        std::vector<session_ptr>& closed);
+                        std::vector<channel_ptr>& closed);
     void sync_targets(rack_state& rack);
     void place(rack_state& rack);
     void push(const std::string& target, pending_order order);
-    void finish(const std::vector<session_ptr>& closed);
+    void finish(const std::vector<channel_ptr>& closed);
 
-    void poll_loop(const session_ptr& session);
-    bool poll_once(const session_ptr& session);
-    void apply_answer(const session_ptr& session, const poll_answer& answer,
+    void poll_loop(const channel_ptr& session);
+    bool poll_once(const channel_ptr& session);
+    void apply_answer(const channel_ptr& session, const poll_answer& answer,
                       time_point sent_at);
-    void send_loop(const session_ptr& session);
-    void send(const session_ptr& session, pending_order order);
-    void send_start(const session_ptr& session, pending_order order);
-    void send_stop(const session_ptr& session, pending_order order);
-    void send_pace(const session_ptr& session, const pending_order& order);
-    void retry(const session_ptr& session, pending_order order);
+    void send_loop(const channel_ptr& session);
+    void send(const channel_ptr& session, pending_order order);
+    bool prepare_start(const channel_ptr& session, const pending_order& order,
+                       start_run& message, target_entry& entry);
+    void fence_start(const target_channel& session, rack_target& target,
+                     const run_id& id);
+    void take_answer(const channel_ptr& session, const pending_order& order,
+                     const order_answer& answer);
+    void send_start(const channel_ptr& session, pending_order order);
+    void send_stop(const channel_ptr& session, pending_order order);
+    void send_pace(const channel_ptr& session, const pending_order& order);
+    void retry(const channel_ptr& session, pending_order order,
+               bool was_unanswered);
     void fence(const target_channel& session);
     void confirm_repeated();
     void publish(const std::string& rack, std::int64_t token,
@@ -155,10 +162,10 @@
     rack_agent_limits limits;
     mutable std::mutex mutex;
     std::map<std::string, rack_state> racks;
-    std::map<std::string, session_ptr> sessions; ///< by target
+    std::map<std::string, channel_ptr> sessions; ///< by target
     std::map<std::string, target_entry> entries; ///< as listed last
     std::map<std::string, std::pair<target_entry, time_point>> departed;
-    std::vector<session_ptr> retired; ///< threads that are ending
+    std::vector<channel_ptr> retired; ///< threads that are ending
     pressure_model model;
     bool is_stopping = false;
 };
@@ -186,7 +193,7 @@
                                     const std::string& target,
                                     std::int64_t token)
 {
-    session_ptr session = std::make_shared<target_channel>();
+    channel_ptr session = std::make_shared<target_channel>();
     session->rack = rack;
     session->target = target;
     session->token = token;
@@ -196,11 +203,11 @@
 }
 
 void rack_agent::impl::close_sessions(const std::string& rack,
-                                      std::vector<session_ptr>& closed)
+                                      std::vector<channel_ptr>& closed)
 {
     for (auto it = sessions.begin(); it != sessions.end();)
     {
-        const session_ptr session = it->second;
+        const channel_ptr session = it->second;
         if (session->rack != rack)
         {
             ++it;
@@ -215,9 +222,9 @@
 }
 
 // Joins the threads of closed sessions without the lock.
-void rack_agent::impl::finish(const std::vector<session_ptr>& closed)
+void rack_agent::impl::finish(const std::vector<channel_ptr>& closed)
 {
-    for (const session_ptr& session : closed)
+    for (const channel_ptr& session : closed)
     {
         for (std::thread* item : {&session->poller, &session->sender})
         {
@@ -259,7 +266,7 @@
     }
     for (auto it = sessions.begin(); it != sessions.end();)
     {
-        const session_ptr session = it->second;
+        const channel_ptr session = it->second;
         if (session->rack == rack.name &&
             rack.targets.count(session->target) == 0)
         {
@@ -288,7 +295,8 @@
 
 void rack_agent::impl::place(rack_state& rack)
 {
-    for (const placement& item : place_starts(rack, model, steady_clock::now()))
+    for (const placement& item :
+         place_starts(rack, model, steady_clock::now(), unix_ms()))
     {
         pending_order order;
         order.id = {item.start.task, item.start.run};
@@ -316,7 +324,7 @@
 
 // --- polls -----------------------------------------------------------------
 
-void rack_agent::impl::poll_loop(const session_ptr& session)
+void rack_agent::impl::poll_loop(const channel_ptr& session)
 {
     for (;;)
     {
@@ -348,7 +356,7 @@
     }
 }
 
-bool rack_agent::impl::poll_once(const session_ptr& session)
+bool rack_agent::impl::poll_once(const channel_ptr& session)
 {
     poll_target order;
     target_entry entry;
@@ -413,7 +421,7 @@
     return false;
 }
 
-void rack_agent::impl::apply_answer(const session_ptr& session,
+void rack_agent::impl::apply_answer(const channel_ptr& session,
                                     const poll_answer& answer,
                                     time_point sent_at)
 {
@@ -504,7 +512,7 @@
     hooks.lost(session.rack);
 }
 
-void rack_agent::impl::send_loop(const session_ptr& session)
+void rack_agent::impl::send_loop(const channel_ptr& session)
 {
     std::unique_lock<std::mutex> lock(mutex);
     for (;;)
@@ -524,7 +532,7 @@
     }
 }
 
-void rack_agent::impl::send(const session_ptr& session, pending_order order)
+void rack_agent::impl::send(const channel_ptr& session, pending_order order)
 {
     switch (order.what)
     {
@@ -540,9 +548,10 @@
     }
 }
 
-void rack_agent::impl::retry(const session_ptr& session, pending_order order)
+void rack_agent::impl::retry(const channel_ptr& session, pending_order order,
+                             bool was_unanswered)
 {
-    order.was_unanswered = true;
+    order.was_unanswered |= was_unanswered;
     std::unique_lock<std::mutex> lock(mutex);
     session->has_orders.wait_for(lock, limits.order_retry,
                                  [&] { return session->is_stopping; });
@@ -552,63 +561,68 @@
     }
 }
 
-void rack_agent::impl::send_start(const session_ptr& session,
-                                  pending_order order)
+// Makes the message of a start; false when it is not to be sent any more.
+bool rack_agent::impl::prepare_start(const channel_ptr& session,
+                                     const pending_order& order,
+                                     start_run& message, target_entry& entry)
 {
-    start_run message;
-    target_entry entry;
+    const std::lock_guard<std::mutex> lock(mutex);
+    rack_target* target = find_target(*session);
+    if (target == nullptr)
     {
-        const std::lock_guard<std::mutex> lock(mutex);
-        rack_target* target = find_target(*session);
-        if (target == nullptr)
-        {
-            return;
-        }
-        const auto it = target->runs.find(order.id);
-        if (it == target->runs.end() || it->second.is_taken ||
-            !it->second.terms ||
-            (it->second.is_stopping && order.was_unanswered))
-        {
-            return;
-        }
-        entry = target->entry;
-        message.task = order.id.first;
-        message.run = order.id.second;
-        message.text = it->second.terms->text;
-        message.checkpoint = it->second.checkpoint;
-        message.token = session->token;
-        // A target that does not answer gets no longer lease, so that its
-        // runs are certain to end.
-        const time_point now = steady_clock::now();
-        message.lease_until_ms = session->has_contact && !order.was_unanswered
-                                     ? extend_lease(*target, limits.lease, now)
-                                     : target->lease_until_ms;
+        return false;
     }
-    const absl::StatusOr<order_answer> answer =
-        targets.start(entry, message, limits.order_timeout);
-    if (!answer.ok() || answer->verdict == order_verdict::too_late)
+    const auto it = target->runs.find(order.id);
+    if (it == target->runs.end() || it->second.is_taken || !it->second.terms ||
+        (it->second.is_stopping && order.was_unanswered))
     {
-        log_warning(
-            "start was not answered",
-            {{"task", message.task},
-             {"run", message.run},
-             {"target", session->target},
-             {"cause", answer.ok() ? std::string(name_of(answer->verdict))
-                                   : std::string(answer.status().message())}});
-        order.was_unanswered |= !answer.ok();
-        retry(session, std::move(order));
-        return;
+        return false;
+    }
+    entry = target->entry;
+    message.task = order.id.first;
+    message.run = order.id.second;
+    message.text = it->second.terms->text;
+    message.checkpoint = it->second.checkpoint;
+    message.token = session->token;
+    // A target that does not answer gets no longer lease, so that its runs are
+    // certain to end.
+    message.lease_until_ms =
+        session->has_contact && !order.was_unanswered
+            ? extend_lease(*target, limits.lease, steady_clock::now())
+            : target->lease_until_ms;
+    return true;
+}
+
+// An unanswered copy of a refused start may still be carried out; a stop rules
+// that out before the run can go elsewhere.
+void rack_agent::impl::fence_start(const target_channel& session,
+                                   rack_target& target, const run_id& id)
+{
+    const auto it = target.runs.find(id);
+    if (it != target.runs.end())
+    {
+        it->second.is_stopping = true;
+        pending_order fence_order;
+        fence_order.what = pending_order::kind::stop;
+        fence_order.id = id;
+        push(session.target, fence_order);
     }
-    const bool is_refused = answer->verdict != order_verdict::taken &&
-                            answer->verdict != order_verdict::old_run;
+}
+
+void rack_agent::impl::take_answer(const channel_ptr& session,
+                                   const pending_order& order,
+                                   const order_answer& answer)
+{
+    const bool is_refused = answer.verdict != order_verdict::taken &&
+                            answer.verdict != order_verdict::old_run;
     if (is_refused)
     {
-        log_info("start was refused", {{"task", message.task},
-                                       {"run", message.run},
+        log_info("start was refused", {{"task", order.id.first},
+                                       {"run", order.id.second},
                                        {"target", session->target},
-                                       {"verdict", name_of(answer->verdict)}});
+                                       {"verdict", name_of(answer.verdict)}});
     }
-    if (answer->verdict == order_verdict::wrong_token)
+    if (answer.verdict == order_verdict::wrong_token)
     {
         fence(*session);
         return;
@@ -621,26 +635,15 @@
         {
             return;
         }
-        note_clock(*target, answer->clock_ms, limits.lease,
-                   steady_clock::now());
+        const time_point now = steady_clock::now();
+        note_clock(*target, answer.clock_ms, limits.lease, now);
         if (is_refused && order.was_unanswered)
         {
-            // The unanswered copy may still be carried out; a stop rules
-            // that out before the run can go elsewhere.
-            const auto it = target->runs.find(order.id);
-            if (it != target->runs.end())
-            {
-                it->second.is_stopping = true;
-                pending_order fence;
-                fence.what = pending_order::kind::stop;
-                fence.id = order.id;
-                push(session->target, fence);
-            }
+            fence_start(*session, *target, order.id);
             return;
         }
         rack_state& rack = *find_rack(session->rack);
-        events = apply_start(rack, *target, order.id, answer->verdict,
-                             steady_clock::now());
+        events = apply_start(rack, *target, order.id, answer.verdict, now);
         if (is_refused)
         {
             place(rack);
@@ -649,7 +652,33 @@
     publish(session->rack, session->token, events);
 }
 
-void rack_agent::impl::send_stop(const session_ptr& session,
+void rack_agent::impl::send_start(const channel_ptr& session,
+                                  pending_order order)
+{
+    start_run message;
+    target_entry entry;
+    if (!prepare_start(session, order, message, entry))
+    {
+        return;
+    }
+    const absl::StatusOr<order_answer> answer =
+        targets.start(entry, message, limits.order_timeout);
+    if (answer.ok() && answer->verdict != order_verdict::too_late)
+    {
+        take_answer(session, order, *answer);
+        return;
+    }
+    log_warning(
+        "start was not answered",
+        {{"task", message.task},
+         {"run", message.run},
+         {"target", session->target},
+         {"cause", answer.ok() ? std::string(name_of(answer->verdict))
+                               : std::string(answer.status().message())}});
+    retry(session, std::move(order), !answer.ok());
+}
+
+void rack_agent::impl::send_stop(const channel_ptr& session,
                                  pending_order order)
 {
     stop_run message;
@@ -675,7 +704,7 @@
                      {"run", message.run},
                      {"target", session->target},
                      {"cause", std::string(answer.status().message())}});
-        retry(session, std::move(order));
+        retry(session, std::move(order), true);
         return;
     }
     if (answer->verdict == order_verdict::wrong_token)
@@ -695,7 +724,7 @@
     }
 }
 
-void rack_agent::impl::send_pace(const session_ptr& session,
+void rack_agent::impl::send_pace(const channel_ptr& session,
                                  const pending_order& order)
 {
     pace_run message;
@@ -739,7 +768,7 @@
 
 void rack_agent::stop()
 {
-    std::vector<session_ptr> closed;
+    std::vector<channel_ptr> closed;
     {
         const std::lock_guard<std::mutex> lock(impl_->mutex);
         impl_->is_stopping = true;
@@ -757,7 +786,7 @@
 
 void rack_agent::take_rack(const rack_takeover& takeover)
 {
-    std::vector<session_ptr> closed;
+    std::vector<channel_ptr> closed;
     {
         const std::lock_guard<std::mutex> lock(impl_->mutex);
         const rack_state* known = impl_->find_rack(takeover.rack);
@@ -1004,7 +1033,7 @@
     impl_->confirm_repeated();
     std::map<std::string, std::vector<run_event>> events;
     std::map<std::string, std::int64_t> tokens;
-    std::vector<session_ptr> ended;
+    std::vector<channel_ptr> ended;
     {
         const std::lock_guard<std::mutex> lock(impl_->mutex);
         const time_point now = steady_clock::now();
--- a/tests/rack/rack_decision_test.cpp
+++ b/tests/rack/rack_decision_test.cpp
@@ -76,7 +76,7 @@
         enqueue(rack, make_start("job.0.0." + std::to_string(n), make_terms()));
     }
     const std::vector<placement> placed =
-        place_starts(rack, no_pressure, start);
+        place_starts(rack, no_pressure, start, 0);
     REQUIRE(placed.size() == 8);
     REQUIRE(rack.queue.size() == 4);
     for (const auto& [id, target] : rack.targets)
@@ -97,7 +97,27 @@
     enqueue(rack, make_start("job.0.0.0", late));
     enqueue(rack, make_start("job.0.1.0", urgent));
     const std::vector<placement> placed =
-        place_starts(rack, no_pressure, start);
+        place_starts(rack, no_pressure, start, 0);
+    REQUIRE(placed.size() == 1);
+    REQUIRE(placed.front().start.task == "job.0.1.0");
+}
+
+// Under a flood, first come first served makes every job late.
+TEST_CASE("a start that is late already lets others go first", "[rack]")
+{
+    constexpr std::int64_t now_ms = 100'000;
+    rack_state rack = make_rack(1);
+    step_terms late = make_terms(4'000);
+    late.rank_ms = now_ms + 100;
+    late.latest_start_ms = now_ms - 5'000;
+    step_terms timely = make_terms(4'000);
+    timely.step = "job.0.1";
+    timely.rank_ms = now_ms + 9'000;
+    timely.latest_start_ms = now_ms + 4'000;
+    enqueue(rack, make_start("job.0.0.0", late));
+    enqueue(rack, make_start("job.0.1.0", timely));
+    const std::vector<placement> placed =
+        place_starts(rack, no_pressure, start, now_ms);
     REQUIRE(placed.size() == 1);
     REQUIRE(placed.front().start.task == "job.0.1.0");
 }
@@ -111,7 +131,7 @@
     {
         enqueue(rack, make_start("job.0.0." + std::to_string(n), terms));
     }
-    REQUIRE(place_starts(rack, no_pressure, start).size() == 2);
+    REQUIRE(place_starts(rack, no_pressure, start, 0).size() == 2);
 }
 
 TEST_CASE("a gang starts whole or not at all", "[rack]")
@@ -124,10 +144,10 @@
     {
         enqueue(rack, make_start("job.0.0." + std::to_string(n), terms));
     }
-    REQUIRE(place_starts(rack, no_pressure, start).empty());
+    REQUIRE(place_starts(rack, no_pressure, start, 0).empty());
     REQUIRE(free_room(rack.targets["t0"]).cpu_milli == 4'000);
     rack.targets["t0"].entry.capacity.cpu_milli = 6'000;
-    REQUIRE(place_starts(rack, no_pressure, start).size() == 3);
+    REQUIRE(place_starts(rack, no_pressure, start, 0).size() == 3);
 }
 
 TEST_CASE("a draining target gets no starts", "[rack]")
@@ -135,7 +155,7 @@
     rack_state rack = make_rack(1);
     rack.targets["t0"].entry.is_draining = true;
     enqueue(rack, make_start("job.0.0.0", make_terms()));
-    REQUIRE(place_starts(rack, no_pressure, start).empty());
+    REQUIRE(place_starts(rack, no_pressure, start, 0).empty());
 }
 
 // A start that is sent again must not run a second time.
@@ -143,7 +163,7 @@
 {
     rack_state rack = make_rack(1);
     enqueue(rack, make_start("job.0.0.0", make_terms()));
-    place_starts(rack, no_pressure, start);
+    place_starts(rack, no_pressure, start, 0);
     rack_target& target = rack.targets["t0"];
     apply_start(rack, target, {"job.0.0.0", 1}, order_verdict::taken, start);
     const std::vector<run_event> events = apply_poll(
@@ -162,11 +182,11 @@
     queued_start item = make_start("job.0.0.0", make_terms());
     item.is_repeated = true;
     enqueue(rack, item);
-    REQUIRE(place_starts(rack, no_pressure, start).empty());
+    REQUIRE(place_starts(rack, no_pressure, start, 0).empty());
     SECTION("the record assigns it")
     {
         resolve_repeated(rack, {"job.0.0.0", 1}, true);
-        REQUIRE(place_starts(rack, no_pressure, start).size() == 1);
+        REQUIRE(place_starts(rack, no_pressure, start, 0).size() == 1);
     }
     SECTION("the record has moved on")
     {
@@ -183,7 +203,7 @@
     rack_target& target = rack.targets["t0"];
     note_clock(target, 5'000, limits, start);
     enqueue(rack, make_start("job.0.0.0", make_terms()));
-    place_starts(rack, no_pressure, start);
+    place_starts(rack, no_pressure, start, 0);
     extend_lease(target, limits, start);
     apply_start(rack, target, {"job.0.0.0", 1}, order_verdict::taken, start);
     REQUIRE(target.expires_at >= start + milliseconds(6'500));
@@ -194,7 +214,7 @@
     {
         rack.is_fenced = true;
         REQUIRE(expire_leases(rack, later).empty());
-        REQUIRE(place_starts(rack, no_pressure, later).empty());
+        REQUIRE(place_starts(rack, no_pressure, later, 0).empty());
     }
     SECTION("the owner concludes that the run is gone")
     {
@@ -221,7 +241,7 @@
     rack_state rack = make_rack(1);
     enqueue(rack, make_start("job.0.0.0", make_terms()));
     enqueue(rack, make_start("job.0.0.1", make_terms()));
-    place_starts(rack, no_pressure, start);
+    place_starts(rack, no_pressure, start, 0);
     rack_target& target = rack.targets["t0"];
     apply_start(rack, target, {"job.0.0.0", 1}, order_verdict::taken, start);
     const std::vector<run_event> events =
@@ -236,7 +256,7 @@
 {
     rack_state rack = make_rack(1);
     enqueue(rack, make_start("job.0.0.0", make_terms()));
-    place_starts(rack, no_pressure, start);
+    place_starts(rack, no_pressure, start, 0);
     rack_target& target = rack.targets["t0"];
     apply_start(rack, target, {"job.0.0.0", 1}, order_verdict::taken, start);
     // The list may be older than the start.
@@ -292,12 +312,13 @@
 {
     rack_state rack = make_rack(2);
     enqueue(rack, make_start("job.0.0.0", make_terms()));
-    const std::vector<placement> first = place_starts(rack, no_pressure, start);
+    const std::vector<placement> first =
+        place_starts(rack, no_pressure, start, 0);
     rack_target& target = rack.targets[first.front().target];
     apply_start(rack, target, {"job.0.0.0", 1}, order_verdict::unhealthy,
                 start);
     const std::vector<placement> second =
-        place_starts(rack, no_pressure, start);
+        place_starts(rack, no_pressure, start, 0);
     REQUIRE(second.size() == 1);
     REQUIRE(second.front().target != first.front().target);
 }
