Refuse new jobs at once while the store refuses writes; log to standard output

Nothing of such an attempt is stored, so it is refused with a Retry-After, and the caller can turn to another host. A refusal is remembered for 1 s, so that the next job finds out when the store is back.

Logs go to standard output, as the users asked, and a reader that stops costs lines instead of time. Placing measures each target once a pass: a pass measured every target for every queued start.

--- a/include/egretspindle/logging/log.hpp
+++ b/include/egretspindle/logging/log.hpp
@@ -1,5 +1,5 @@
 /// \file
-/// Log lines on standard error.
+/// Log lines on standard output.
 
 #ifndef EGRETSPINDLE_LOGGING_LOG_HPP
 #define EGRETSPINDLE_LOGGING_LOG_HPP
@@ -35,7 +35,8 @@
 /// Returns whether lines of the level are written.
 [[nodiscard]] bool is_logged(log_level level) noexcept;
 
-/// Writes one line with a single system call.
+/// Writes one line, unless standard output does not take it at once. Lines
+/// that were left out are counted and reported with the next one.
 ///
 /// \code
 /// log_info("placed", {{"request", key}, {"rack", rack}, {"wait_ms", 3}});
--- a/include/egretspindle/scheduler/job_coordinator.hpp
+++ b/include/egretspindle/scheduler/job_coordinator.hpp
@@ -41,6 +41,8 @@
 {
     milliseconds commit_timeout{700};  ///< of one write; a slow store takes 360
     milliseconds refuse_after{700};    ///< refused writes of a new job
+    milliseconds outage_after{600};    ///< failed writes: new jobs are refused
+    milliseconds outage_memory{1'000}; ///< then the next new job tries again
     milliseconds report_wait{5'000};   ///< for the record of reported ends
     milliseconds resend_period{1'000}; ///< of orders without confirmation
     milliseconds retention{180'000};   ///< of ended jobs
--- a/src/logging/log.cpp
+++ b/src/logging/log.cpp
@@ -4,9 +4,12 @@
 #include "egretspindle/logging/decision.hpp"
 #include "egretspindle/logging/log_line.hpp"
 
+#include <array>
 #include <atomic>
 #include <cerrno>
+#include <climits>
 #include <mutex>
+#include <poll.h>
 #include <unistd.h>
 #include <vector>
 
@@ -23,6 +26,7 @@
 {
     std::atomic<log_format> format{log_format::logfmt};
     std::atomic<log_level> lowest{log_level::info};
+    std::atomic<std::uint64_t> dropped{0}; // lines that the reader did not take
     std::mutex mutex;
     std::vector<std::string> secrets; // guarded by mutex
 };
@@ -44,16 +48,56 @@
     }
 }
 
-void write_line(std::string_view line)
+// A pipe takes this much at once without blocking, when it is writable at all.
+constexpr std::size_t longest_line = PIPE_BUF;
+
+bool is_writable()
+{
+    pollfd entry{STDOUT_FILENO, POLLOUT, 0};
+    return ::poll(&entry, 1, 0) == 1 && (entry.revents & POLLOUT) != 0;
+}
+
+std::string shortened(std::string line)
+{
+    if (line.size() > longest_line)
+    {
+        line.resize(longest_line - 1);
+        line += '\n';
+    }
+    return line;
+}
+
+// A reader that does not keep up costs lines, never the time of a request.
+// Returns whether the line was written.
+bool write_line(const std::string& line)
+{
+    if (!is_writable())
+    {
+        return false;
+    }
+    ssize_t n = 0;
+    do
+    {
+        n = ::write(STDOUT_FILENO, line.data(), line.size());
+    } while (n < 0 && errno == EINTR);
+    return n >= 0;
+}
+
+// Reports lines that were left out, once the reader takes lines again.
+void report_dropped()
 {
-    while (!line.empty())
+    const std::uint64_t count = state().dropped.exchange(0);
+    if (count == 0)
     {
-        const ssize_t n = ::write(STDERR_FILENO, line.data(), line.size());
-        if (n < 0 && errno != EINTR)
-        {
-            return;
-        }
-        line.remove_prefix(n < 0 ? 0 : static_cast<std::size_t>(n));
+        return;
+    }
+    const std::array<log_field, 1> fields{log_field("lines", count)};
+    const std::string line =
+        format_log_line(state().format, log_level::warning, unix_ms(),
+                        "log lines were left out", fields);
+    if (!write_line(line))
+    {
+        state().dropped += count;
     }
 }
 
@@ -99,7 +143,11 @@
         state().format, level, unix_ms(), message,
         absl::Span<const log_field>(fields.begin(), fields.size()));
     remove_secrets(line);
-    write_line(line);
+    report_dropped();
+    if (!write_line(shortened(std::move(line))))
+    {
+        ++state().dropped;
+    }
 }
 
 void log_debug(std::string_view message, log_fields fields)
--- a/src/rack/rack_decision.cpp
+++ b/src/rack/rack_decision.cpp
@@ -43,18 +43,46 @@
                          });
 }
 
-bool can_take(const rack_target& target, const queued_start& start,
-              const task_size& room, const target_mix& mix,
-              const pressure_model& model, time_point now)
+/// Target that accepts starts, with what placing needs of its tasks.
+struct open_target
 {
-    const step_terms& terms = *start.terms;
-    return accepts_starts(target, now) &&
-           target.entry.service == terms.service &&
-           fits(reservation_of(terms), room) &&
-           holds_label(target.entry, terms.required_label) &&
+    rack_target* target = nullptr;
+    task_size room;
+    target_mix mix;
+};
+
+void measure(open_target& item, const pressure_model& model)
+{
+    item.room = free_room(*item.target);
+    item.mix = mix_of(*item.target, model);
+}
+
+std::vector<open_target>
+find_open_targets(rack_state& rack, const pressure_model& model, time_point now)
+{
+    std::vector<open_target> items;
+    for (auto& [id, target] : rack.targets)
+    {
+        if (accepts_starts(target, now))
+        {
+            items.emplace_back().target = &target;
+            measure(items.back(), model);
+        }
+    }
+    return items;
+}
+
+bool can_take(const open_target& item, const step_terms& terms,
+              const pressure_model& model)
+{
+    const target_entry& entry = item.target->entry;
+    return entry.service == terms.service &&
+           fits(reservation_of(terms), item.room) &&
+           holds_label(entry, terms.required_label) &&
            (terms.max_per_target == 0 ||
-            count_of_step(target, terms.step) < terms.max_per_target) &&
-           (!terms.uses_idle_cpu || finds_idle_cpu(mix, terms, room, model));
+            count_of_step(*item.target, terms.step) < terms.max_per_target) &&
+           (!terms.uses_idle_cpu ||
+            finds_idle_cpu(item.mix, terms, item.room, model));
 }
 
 // Higher is better.
@@ -76,23 +104,21 @@
     return room.cpu_milli + unused_by_serving(mix) - mix.idle_users_milli;
 }
 
-rack_target* choose_target(rack_state& rack, const queued_start& start,
-                           const pressure_model& model, time_point now)
+open_target* choose_target(std::vector<open_target>& items,
+                           const step_terms& terms, const pressure_model& model)
 {
-    rack_target* best = nullptr;
+    open_target* best = nullptr;
     std::int64_t best_score = 0;
-    for (auto& [id, target] : rack.targets)
+    for (open_target& item : items)
     {
-        const task_size room = free_room(target);
-        const target_mix mix = mix_of(target, model);
-        if (!can_take(target, start, room, mix, model, now))
+        if (!can_take(item, terms, model))
         {
             continue;
         }
-        const std::int64_t value = score(mix, *start.terms, room, model);
+        const std::int64_t value = score(item.mix, terms, item.room, model);
         if (best == nullptr || value > best_score)
         {
-            best = &target;
+            best = &item;
             best_score = value;
         }
     }
@@ -120,27 +146,32 @@
                            terms.rank_ms, std::string_view(terms.step));
 }
 
-// Finds room for all members of a gang that begins at `first` in the queue.
-std::vector<placement> place_gang(rack_state& rack, std::size_t first,
-                                  std::size_t count,
-                                  const pressure_model& model, time_point now)
+// Finds room for all members of a gang that begins at `first` in the queue, or
+// for a single start.
+std::vector<placement> place_together(rack_state& rack,
+                                      std::vector<open_target>& items,
+                                      std::size_t first, std::size_t count,
+                                      const pressure_model& model,
+                                      time_point now)
 {
     std::vector<placement> placed;
     for (std::size_t n = first; n < first + count; ++n)
     {
         const queued_start& start = rack.queue[n];
-        rack_target* target = choose_target(rack, start, model, now);
-        if (target == nullptr)
+        open_target* item = choose_target(items, *start.terms, model);
+        if (item == nullptr)
         {
-            for (const placement& item : placed)
+            for (const placement& member : placed)
             {
-                rack.targets[item.target].runs.erase(
-                    {item.start.task, item.start.run});
+                rack.targets[member.target].runs.erase(
+                    {member.start.task, member.start.run});
             }
+            items = find_open_targets(rack, model, now);
             return {};
         }
-        reserve(*target, start, now);
-        placed.push_back({target->entry.id, start});
+        reserve(*item->target, start, now);
+        measure(*item, model);
+        placed.push_back({item->target->entry.id, start});
     }
     return placed;
 }
@@ -377,7 +408,11 @@
     std::stable_sort(rack.queue.begin(), rack.queue.end(),
                      [now_ms](const queued_start& lhs, const queued_start& rhs)
                      { return rank_of(lhs, now_ms) < rank_of(rhs, now_ms); });
+    std::vector<open_target> items = find_open_targets(rack, model, now);
     std::vector<queued_start> remaining;
+    // Tasks of one step ask for the same, so one that fits nowhere stands for
+    // all.
+    const step_terms* refused = nullptr;
     for (std::size_t n = 0; n < rack.queue.size();)
     {
         const queued_start& start = rack.queue[n];
@@ -387,12 +422,13 @@
             !start.terms->is_gang ||
             static_cast<std::int64_t>(count) == start.terms->gang_size;
         std::vector<placement> chosen;
-        if (is_complete && !start.is_repeated)
+        if (is_complete && !start.is_repeated && start.terms.get() != refused)
         {
-            chosen = place_gang(rack, n, count, model, now);
+            chosen = place_together(rack, items, n, count, model, now);
         }
         if (chosen.empty())
         {
+            refused = start.is_repeated ? refused : start.terms.get();
             remaining.insert(
                 remaining.end(),
                 rack.queue.begin() + static_cast<std::ptrdiff_t>(n),
--- a/src/scheduler/job_coordinator.cpp
+++ b/src/scheduler/job_coordinator.cpp
@@ -82,6 +82,7 @@
                        std::uint64_t change);
     bool refuse_new(const std::vector<entry_ptr>& batch);
     void forget(const entry_ptr& entry);
+    [[nodiscard]] bool is_outage(time_point now) const;
 
     void collect_orders(job_entry& entry,
                         std::map<std::string, rack_orders>& orders,
@@ -112,6 +113,8 @@
     std::deque<entry_ptr> dirty;
     std::vector<std::thread> threads;
     std::vector<std::thread> loaders;
+    time_point last_failure;  ///< of a write
+    time_point failing_since; ///< no write has succeeded since; none: {}
     bool is_stopping = false;
 };
 
@@ -486,6 +489,11 @@
         const std::lock_guard<std::mutex> lock(mutex);
         if (!result.ok())
         {
+            last_failure = steady_clock::now();
+            if (failing_since == time_point{})
+            {
+                failing_since = steady_clock::now();
+            }
             const bool is_uncertain = !is_certain_failure(result.status());
             for (const entry_ptr& entry : batch)
             {
@@ -497,6 +505,7 @@
                          {"error", std::string(result.status().message())}});
             return false;
         }
+        failing_since = time_point{};
         if (result->is_committed)
         {
             for (std::size_t n = 0; n < batch.size(); ++n)
@@ -606,6 +615,13 @@
     }
 }
 
+bool job_coordinator::impl::is_outage(time_point now) const
+{
+    return failing_since != time_point{} &&
+           now - failing_since >= limits.outage_after &&
+           now - last_failure < limits.outage_memory;
+}
+
 // --- orders ----------------------------------------------------------------
 
 void job_coordinator::impl::add_start(
@@ -885,6 +901,12 @@
         return {"not_owner", "", 0};
     }
     entry_ptr entry = impl_->find(call.id);
+    if (!entry && impl_->is_outage(steady_clock::now()))
+    {
+        // Nothing of this attempt is stored, so the answer is certain, and
+        // the caller can turn to another host at once.
+        return {"refused", "", refused_retry_ms};
+    }
     if (!entry)
     {
         entry = std::make_shared<job_entry>();
--- a/src/scheduler/rack_agent.cpp
+++ b/src/scheduler/rack_agent.cpp
@@ -825,7 +825,7 @@
         impl_->sync_targets(stored);
         log_info("rack taken over",
                  {{"rack", takeover.rack},
-                  {"token", takeover.token},
+                  {"owner_version", takeover.token},
                   {"former_owner_alive", takeover.is_former_alive},
                   {"targets", stored.targets.size()}});
     }
--- a/tests/logging/logging_test.cpp
+++ b/tests/logging/logging_test.cpp
@@ -22,14 +22,14 @@
                            fields);
 }
 
-// Returns what `action` writes to standard error.
+// Returns what `action` writes to standard output.
 template <typename Action>
 std::string captured(Action action)
 {
     std::array<int, 2> ends{};
     REQUIRE(::pipe(ends.data()) == 0);
-    const int saved = ::dup(STDERR_FILENO);
-    ::dup2(ends[1], STDERR_FILENO);
+    const int saved = ::dup(STDOUT_FILENO);
+    ::dup2(ends[1], STDOUT_FILENO);
     ::close(ends[1]);
     std::string text;
     std::thread reader(
@@ -42,7 +42,7 @@
             }
         });
     action();
-    ::dup2(saved, STDERR_FILENO);
+    ::dup2(saved, STDOUT_FILENO);
     ::close(saved);
     reader.join();
     ::close(ends[0]);
@@ -160,3 +160,31 @@
     CHECK(text.find("dropped") == std::string::npos);
     CHECK(text.find("msg=kept") != std::string::npos);
 }
+
+// A collector that stops reading must not hold up requests.
+TEST_CASE("a reader that stops costs lines and no time", "[logging]")
+{
+    std::array<int, 2> ends{};
+    REQUIRE(::pipe(ends.data()) == 0);
+    const int saved = ::dup(STDOUT_FILENO);
+    ::dup2(ends[1], STDOUT_FILENO);
+    ::close(ends[1]);
+    const std::string text(1'000, 'x');
+    for (int n = 0; n < 1'000; ++n)
+    {
+        log_info("line", {{"text", text}});
+    }
+    // The reader takes up what fits into the pipe, then further lines.
+    std::string buf(1 << 20, '\0');
+    const ssize_t first = ::read(ends[0], buf.data(), buf.size());
+    log_info("after", {});
+    const ssize_t second = ::read(ends[0], buf.data(), buf.size());
+    ::dup2(saved, STDOUT_FILENO);
+    ::close(saved);
+    ::close(ends[0]);
+    REQUIRE(first > 0);
+    REQUIRE(second > 0);
+    const std::string later = buf.substr(0, static_cast<std::size_t>(second));
+    REQUIRE(later.find("log lines were left out") != std::string::npos);
+    REQUIRE(later.find("after") != std::string::npos);
+}
--- a/tests/scheduler/job_coordinator_test.cpp
+++ b/tests/scheduler/job_coordinator_test.cpp
@@ -9,6 +9,7 @@
 
 #include <condition_variable>
 #include <mutex>
+#include <thread>
 
 using namespace egretspindle;
 
@@ -172,6 +173,44 @@
     REQUIRE(around.sent.empty());
 }
 
+// Callers waited 2.9 s for an answer that was known from the start.
+TEST_CASE("new jobs are refused at once during an outage", "[scheduler]")
+{
+    fake_store store;
+    surroundings around;
+    coordinator_limits limits;
+    limits.refuse_after = milliseconds(50);
+    limits.outage_after = milliseconds(10);
+    job_coordinator coordinator(store, around.hooks(), limits);
+    coordinator.take_shard(shard_of(job_id));
+    REQUIRE(coordinator.submit(make_call()).verdict == "accepted");
+    const std::int64_t before = row_of(store).version;
+    store.set_fault(write_fault::refused);
+    // The cancellation cannot be recorded, which shows the outage.
+    job_call cancellation = make_call();
+    cancellation.budget_ms = 200;
+    REQUIRE(coordinator.cancel(cancellation).verdict == "unknown");
+    job_call other = make_call();
+    other.id = "fedcba9876543210";
+    coordinator.take_shard(shard_of(other.id));
+    const time_point begun = steady_clock::now();
+    REQUIRE(coordinator.submit(other).verdict == "refused");
+    REQUIRE(steady_clock::now() - begun < std::chrono::seconds(10));
+    // Later jobs are accepted again once the store is back.
+    store.set_fault(write_fault::none);
+    REQUIRE(coordinator.submit(other).verdict != "unknown");
+    job_call_reply reply = coordinator.submit(other);
+    for (int n = 0; n < 100 && reply.verdict == "refused"; ++n)
+    {
+        std::this_thread::sleep_for(std::chrono::milliseconds(20));
+        reply = coordinator.submit(other);
+    }
+    REQUIRE(reply.verdict == "accepted");
+    // A job that is known is accepted all the same.
+    REQUIRE(coordinator.submit(make_call()).verdict == "accepted");
+    REQUIRE(row_of(store).version >= before);
+}
+
 TEST_CASE("an end is recorded before it is confirmed", "[scheduler]")
 {
     fake_store store;
