Keep the threads of lost racks from holding up heartbeats, and bound what is remembered

The thread that takes and loses racks joined threads that may wait 2.5 s for a target, longer than half the silence after which a host counts as dead. They are collected once they have returned. Ends, departed targets and loaders of shards no longer add up over the life of a process. Tests with a fake target cover repeated, fenced and refused orders.

--- a/include/egretspindle/rack/rack_decision.hpp
+++ b/include/egretspindle/rack/rack_decision.hpp
@@ -117,6 +117,9 @@
 /// again cannot revive them.
 void remember_ends(rack_state& rack, const std::vector<run_event>& events);
 
+/// Forgets ends that are older than any start that may still be sent again.
+void forget_ends(rack_state& rack, time_point now);
+
 } // namespace egretspindle
 
 #endif
--- a/include/egretspindle/rack/rack_state.hpp
+++ b/include/egretspindle/rack/rack_state.hpp
@@ -98,6 +98,8 @@
     /// Latest run of each task whose end was reported by this owner. A start
     /// that is sent again must not revive it.
     std::map<std::string, std::int64_t> ended;
+    std::map<std::string, std::int64_t> ended_earlier;
+    time_point ended_since; ///< start of the period that `ended` covers
 };
 
 /// Returns the room that is left on a target.
--- a/src/rack/rack_decision.cpp
+++ b/src/rack/rack_decision.cpp
@@ -20,6 +20,9 @@
 // twice as long after each further fault.
 constexpr milliseconds first_avoidance{300};
 constexpr int max_doublings = 4;
+// Orders are sent again within seconds; ends are remembered for one to two of
+// these periods.
+constexpr milliseconds ends_memory{60'000};
 // Starts that a rack hands back at a time. Other hosts see the same room.
 constexpr std::size_t most_handed_back = 4;
 // Declared run times are rough; a start that is late by less than this may
@@ -358,13 +361,19 @@
     }
 }
 
+bool has_ended(const std::map<std::string, std::int64_t>& ended,
+               const run_id& id)
+{
+    const auto it = ended.find(id.first);
+    return it != ended.end() && id.second <= it->second;
+}
+
 } // namespace
 
 enqueue_result enqueue(rack_state& rack, queued_start start)
 {
     const run_id id{start.task, start.run};
-    const auto ended = rack.ended.find(start.task);
-    if (ended != rack.ended.end() && start.run <= ended->second)
+    if (has_ended(rack.ended, id) || has_ended(rack.ended_earlier, id))
     {
         return enqueue_result::known;
     }
@@ -690,6 +699,16 @@
     return events;
 }
 
+void forget_ends(rack_state& rack, time_point now)
+{
+    if (now - rack.ended_since > ends_memory)
+    {
+        rack.ended_earlier = std::move(rack.ended);
+        rack.ended.clear();
+        rack.ended_since = now;
+    }
+}
+
 void resolve_repeated(rack_state& rack, const run_id& id, bool is_recorded)
 {
     const auto it =
--- a/src/scheduler/job_coordinator.cpp
+++ b/src/scheduler/job_coordinator.cpp
@@ -28,6 +28,7 @@
 
 constexpr milliseconds first_backoff{50};
 constexpr milliseconds longest_backoff{800};
+constexpr milliseconds load_retry{200};
 // Backlog of a retry: long enough for an outage of seconds to pass, short
 // enough for an objective of a few seconds.
 constexpr std::int64_t refused_retry_ms = 1'000;
@@ -55,6 +56,7 @@
     }
 
     void load(const std::string& shard);
+    void load_loop();
     bool read_shard(const std::string& shard, std::vector<table_row>& rows);
     void insert(const table_row& row, const std::string& shard);
     entry_ptr find(const std::string& id);
@@ -112,7 +114,8 @@
     std::map<std::string, entry_ptr> jobs;
     std::deque<entry_ptr> dirty;
     std::vector<std::thread> threads;
-    std::vector<std::thread> loaders;
+    std::deque<std::string> to_load; ///< shards
+    std::condition_variable has_loads;
     time_point last_failure;  ///< of a write
     time_point failing_since; ///< no write has succeeded since; none: {}
     bool is_stopping = false;
@@ -191,32 +194,49 @@
 
 void job_coordinator::impl::load(const std::string& shard)
 {
-    for (milliseconds pause = first_backoff;;
-         pause = std::min(pause * 2, longest_backoff))
+    std::vector<table_row> rows;
+    const bool is_read = read_shard(shard, rows);
+    std::unique_lock<std::mutex> lock(mutex);
+    const auto it = shards.find(shard);
+    if (it == shards.end() || it->second == shard_phase::ready)
     {
-        std::vector<table_row> rows;
-        const bool is_read = read_shard(shard, rows);
-        std::unique_lock<std::mutex> lock(mutex);
-        if (is_stopping || shards.count(shard) == 0)
+        return;
+    }
+    if (!is_read)
+    {
+        to_load.push_back(shard);
+        has_loads.wait_for(lock, load_retry, [this] { return is_stopping; });
+        return;
+    }
+    for (const table_row& row : rows)
+    {
+        if (jobs.count(row.key) == 0)
         {
-            return;
+            insert(row, shard);
         }
-        if (is_read)
+    }
+    it->second = shard_phase::ready;
+    changed.notify_all();
+    log_info("shard taken over", {{"shard", shard}, {"jobs", rows.size()}});
+}
+
+void job_coordinator::impl::load_loop()
+{
+    for (;;)
+    {
+        std::string shard;
         {
-            for (const table_row& row : rows)
+            std::unique_lock<std::mutex> lock(mutex);
+            has_loads.wait(lock,
+                           [this] { return is_stopping || !to_load.empty(); });
+            if (is_stopping)
             {
-                if (jobs.count(row.key) == 0)
-                {
-                    insert(row, shard);
-                }
+                return;
             }
-            shards[shard] = shard_phase::ready;
-            changed.notify_all();
-            log_info("shard taken over",
-                     {{"shard", shard}, {"jobs", rows.size()}});
-            return;
+            shard = std::move(to_load.front());
+            to_load.pop_front();
         }
-        changed.wait_for(lock, pause);
+        load(shard);
     }
 }
 
@@ -837,6 +857,7 @@
     {
         impl_->threads.emplace_back([this] { impl_->write_loop(); });
     }
+    impl_->threads.emplace_back([this] { impl_->load_loop(); });
 }
 
 job_coordinator::~job_coordinator()
@@ -851,15 +872,13 @@
         impl_->is_stopping = true;
         impl_->changed.notify_all();
         impl_->has_dirty.notify_all();
+        impl_->has_loads.notify_all();
     }
-    for (std::vector<std::thread>* group : {&impl_->threads, &impl_->loaders})
+    for (std::thread& item : impl_->threads)
     {
-        for (std::thread& item : *group)
+        if (item.joinable())
         {
-            if (item.joinable())
-            {
-                item.join();
-            }
+            item.join();
         }
     }
 }
@@ -872,7 +891,8 @@
     {
         return;
     }
-    impl_->loaders.emplace_back([this, shard] { impl_->load(shard); });
+    impl_->to_load.push_back(shard);
+    impl_->has_loads.notify_one();
 }
 
 void job_coordinator::drop_shard(const std::string& shard)
--- a/src/scheduler/rack_agent.cpp
+++ b/src/scheduler/rack_agent.cpp
@@ -48,6 +48,7 @@
     std::condition_variable has_acks;
     std::thread poller;
     std::thread sender;
+    int running = 2; ///< threads that have not returned
 };
 
 using channel_ptr = std::shared_ptr<target_channel>;
@@ -133,6 +134,8 @@
     void sync_targets(rack_state& rack);
     void place(rack_state& rack);
     void push(const std::string& target, pending_order order);
+    void note_return(target_channel& session);
+    std::vector<channel_ptr> take_finished();
     void finish(const std::vector<channel_ptr>& closed);
 
     void poll_loop(const channel_ptr& session);
@@ -198,8 +201,18 @@
     session->target = target;
     session->token = token;
     sessions[target] = session;
-    session->poller = std::thread([this, session] { poll_loop(session); });
-    session->sender = std::thread([this, session] { send_loop(session); });
+    session->poller = std::thread(
+        [this, session]
+        {
+            poll_loop(session);
+            note_return(*session);
+        });
+    session->sender = std::thread(
+        [this, session]
+        {
+            send_loop(session);
+            note_return(*session);
+        });
 }
 
 void rack_agent::impl::close_sessions(const std::string& rack,
@@ -221,6 +234,24 @@
     }
 }
 
+void rack_agent::impl::note_return(target_channel& session)
+{
+    const std::lock_guard<std::mutex> lock(mutex);
+    --session.running;
+}
+
+// Takes closed sessions out whose threads have returned. The others may still
+// wait for a target, which must not hold up the caller.
+std::vector<channel_ptr> rack_agent::impl::take_finished()
+{
+    const auto finished = std::partition(retired.begin(), retired.end(),
+                                         [](const channel_ptr& session)
+                                         { return session->running > 0; });
+    std::vector<channel_ptr> taken(finished, retired.end());
+    retired.erase(finished, retired.end());
+    return taken;
+}
+
 // Joins the threads of closed sessions without the lock.
 void rack_agent::impl::finish(const std::vector<channel_ptr>& closed)
 {
@@ -786,7 +817,6 @@
 
 void rack_agent::take_rack(const rack_takeover& takeover)
 {
-    std::vector<channel_ptr> closed;
     {
         const std::lock_guard<std::mutex> lock(impl_->mutex);
         const rack_state* known = impl_->find_rack(takeover.rack);
@@ -795,7 +825,7 @@
         {
             return;
         }
-        impl_->close_sessions(takeover.rack, closed);
+        impl_->close_sessions(takeover.rack, impl_->retired);
         const time_point now = steady_clock::now();
         const lease_limits& lease = impl_->limits.lease;
         rack_state rack;
@@ -829,7 +859,6 @@
                   {"former_owner_alive", takeover.is_former_alive},
                   {"targets", stored.targets.size()}});
     }
-    impl_->finish(closed);
 }
 
 void rack_agent::verify_rack(const std::string& rack, std::int64_t token,
@@ -865,9 +894,12 @@
             impl_->departed[id] = {entry, now};
         }
     }
-    for (const auto& [id, entry] : targets)
+    for (auto it = impl_->departed.begin(); it != impl_->departed.end();)
     {
-        impl_->departed.erase(id);
+        const bool is_forgotten =
+            targets.count(it->first) > 0 ||
+            now - it->second.second > impl_->limits.lease.longest * 2;
+        it = is_forgotten ? impl_->departed.erase(it) : std::next(it);
     }
     impl_->entries = targets;
     for (auto& [name, rack] : impl_->racks)
@@ -1043,6 +1075,7 @@
             std::vector<run_event>& list = events[name];
             tokens[name] = rack.token;
             list = expire_leases(rack, now);
+            forget_ends(rack, now);
             const std::vector<run_event> settled = settle_stops(rack, now);
             list.insert(list.end(), settled.begin(), settled.end());
             impl_->sync_targets(rack);
@@ -1054,7 +1087,7 @@
                 now);
             list.insert(list.end(), returned.begin(), returned.end());
         }
-        ended.swap(impl_->retired);
+        ended = impl_->take_finished();
     }
     for (const auto& [name, list] : events)
     {
--- /dev/null
+++ b/tests/scheduler/rack_agent_test.cpp
@@ -0,0 +1,234 @@
+#include "egretspindle/core/error.hpp"
+#include "egretspindle/scheduler/rack_agent.hpp"
+
+#include <catch2/catch.hpp>
+
+#include <condition_variable>
+#include <mutex>
+#include <thread>
+
+using namespace egretspindle;
+
+namespace
+{
+
+/// Target whose answers a test sets.
+class fake_targets final : public target_port
+{
+public:
+    absl::StatusOr<order_answer> start(const target_entry& /*target*/,
+                                       const start_run& order,
+                                       std::chrono::milliseconds) override
+    {
+        const std::lock_guard<std::mutex> lock(mutex);
+        starts.push_back(order);
+        changed.notify_all();
+        if (start_silence > 0)
+        {
+            --start_silence;
+            return make_error(error_kind::deadline_exceeded, "no answer");
+        }
+        return order_answer{start_verdict, 1'000};
+    }
+
+    absl::StatusOr<order_answer> stop(const target_entry& /*target*/,
+                                      const stop_run& order,
+                                      std::chrono::milliseconds) override
+    {
+        const std::lock_guard<std::mutex> lock(mutex);
+        stops.push_back(order);
+        changed.notify_all();
+        return order_answer{order_verdict::taken, 1'000};
+    }
+
+    absl::StatusOr<order_answer> pace(const target_entry&, const pace_run&,
+                                      std::chrono::milliseconds) override
+    {
+        return order_answer{order_verdict::taken, 1'000};
+    }
+
+    absl::StatusOr<poll_answer> poll(const target_entry& /*target*/,
+                                     const poll_target& order,
+                                     std::chrono::milliseconds) override
+    {
+        std::unique_lock<std::mutex> lock(mutex);
+        polls.push_back(order);
+        changed.notify_all();
+        changed.wait_for(lock, poll_time,
+                         [this] { return !poll_time.count(); });
+        poll_answer answer;
+        answer.verdict = poll_verdict;
+        answer.clock_ms = 1'000;
+        answer.started_ms = 1;
+        return answer;
+    }
+
+    template <typename Condition>
+    bool wait(Condition condition)
+    {
+        std::unique_lock<std::mutex> lock(mutex);
+        return changed.wait_for(lock, std::chrono::seconds(20), condition);
+    }
+
+    std::mutex mutex;
+    std::condition_variable changed;
+    std::vector<start_run> starts;
+    std::vector<stop_run> stops;
+    std::vector<poll_target> polls;
+    int start_silence = 0; ///< starts that get no answer
+    order_verdict start_verdict = order_verdict::taken;
+    order_verdict poll_verdict = order_verdict::taken;
+    std::chrono::milliseconds poll_time{20};
+};
+
+/// Agent with one rack of one target.
+struct fixture
+{
+    fake_targets targets;
+    std::mutex mutex;
+    std::condition_variable changed;
+    std::vector<run_report> reports;
+    std::vector<std::string> lost;
+    rack_agent agent{targets, hooks(), limits()};
+
+    fixture()
+    {
+        target_entry entry;
+        entry.id = "t1";
+        entry.service = "svc";
+        entry.rack = "r1";
+        entry.capacity = {4'000, 4'000, 0};
+        agent.set_targets({{"t1", entry}});
+        rack_takeover takeover;
+        takeover.rack = "r1";
+        takeover.token = 7;
+        takeover.knows_all_targets = true;
+        agent.take_rack(takeover);
+    }
+
+    rack_agent_hooks hooks()
+    {
+        rack_agent_hooks result;
+        result.report = [this](std::vector<run_report> items)
+        {
+            const std::lock_guard<std::mutex> lock(mutex);
+            reports.insert(reports.end(), items.begin(), items.end());
+            changed.notify_all();
+        };
+        result.lost = [this](const std::string& rack)
+        {
+            const std::lock_guard<std::mutex> lock(mutex);
+            lost.push_back(rack);
+            changed.notify_all();
+        };
+        result.has_room_elsewhere = [](const step_terms&, const std::string&)
+        {
+            return false;
+        };
+        result.is_recorded = [](const run_id&, const std::string&)
+        {
+            return std::optional<bool>(true);
+        };
+        return result;
+    }
+
+    static rack_agent_limits limits()
+    {
+        rack_agent_limits result;
+        result.order_retry = milliseconds(10);
+        return result;
+    }
+
+    rack_orders_reply send(std::int64_t token = 7)
+    {
+        rack_orders orders;
+        orders.rack = "r1";
+        orders.token = token;
+        start_batch batch;
+        batch.terms.step = "job.0.0";
+        batch.terms.service = "svc";
+        batch.terms.size = {1'000, 100, 0};
+        batch.runs.push_back({0, 1, "", false});
+        orders.starts.push_back(batch);
+        return agent.execute(orders);
+    }
+};
+
+} // namespace
+
+TEST_CASE("a start without an answer is repeated as the same run",
+          "[scheduler]")
+{
+    fixture all;
+    all.targets.start_silence = 2;
+    REQUIRE(all.send().is_owner);
+    REQUIRE(all.targets.wait([&] { return all.targets.starts.size() == 3; }));
+    for (const start_run& order : all.targets.starts)
+    {
+        REQUIRE(order.run == 1);
+        REQUIRE(order.token == 7);
+    }
+    // Repeated copies must not extend the lease of a silent target.
+    REQUIRE(all.targets.starts[2].lease_until_ms <=
+            all.targets.starts[1].lease_until_ms);
+}
+
+// The unanswered copy may be carried out seconds later; a second run
+// elsewhere would then be at work at the same time.
+TEST_CASE("a refused start with an unanswered copy is fenced by a stop",
+          "[scheduler]")
+{
+    fixture all;
+    all.targets.start_silence = 1;
+    all.targets.start_verdict = order_verdict::no_room;
+    REQUIRE(all.send().is_owner);
+    REQUIRE(all.targets.wait([&] { return !all.targets.stops.empty(); }));
+    REQUIRE(all.targets.stops.front().run == 1);
+    const std::lock_guard<std::mutex> lock(all.targets.mutex);
+    REQUIRE(all.targets.starts.size() == 2);
+}
+
+TEST_CASE("orders for another ownership of the rack are refused", "[scheduler]")
+{
+    fixture all;
+    REQUIRE_FALSE(all.send(6).is_owner);
+    const std::lock_guard<std::mutex> lock(all.targets.mutex);
+    REQUIRE(all.targets.starts.empty());
+}
+
+TEST_CASE("an owner that a target refuses takes no more orders", "[scheduler]")
+{
+    fixture all;
+    {
+        const std::lock_guard<std::mutex> lock(all.targets.mutex);
+        all.targets.poll_verdict = order_verdict::wrong_token;
+    }
+    {
+        std::unique_lock<std::mutex> lock(all.mutex);
+        REQUIRE(all.changed.wait_for(lock, std::chrono::seconds(20),
+                                     [&] { return !all.lost.empty(); }));
+    }
+    REQUIRE_FALSE(all.send().is_owner);
+}
+
+// The thread that loses a rack also sends the heartbeats.
+TEST_CASE("losing a rack does not wait for its polls", "[scheduler]")
+{
+    fixture all;
+    {
+        const std::lock_guard<std::mutex> lock(all.targets.mutex);
+        all.targets.poll_time = std::chrono::milliseconds(5'000);
+    }
+    REQUIRE(all.targets.wait([&] { return all.targets.polls.size() > 1; }));
+    const time_point begun = steady_clock::now();
+    all.agent.drop_rack("r1");
+    all.agent.tick();
+    const milliseconds taken =
+        std::chrono::duration_cast<milliseconds>(steady_clock::now() - begun);
+    {
+        const std::lock_guard<std::mutex> lock(all.targets.mutex);
+        all.targets.poll_time = std::chrono::milliseconds(0);
+        all.targets.changed.notify_all();
+    }
+    REQUIRE(taken < milliseconds(4'000));
+}
