--- /dev/null
+++ b/src/scheduler/job_coordinator_impl.hpp
@@ -0,0 +1,110 @@
+/// \file
+/// State of a job coordinator.
+
+#ifndef EGRETSPINDLE_SRC_SCHEDULER_JOB_COORDINATOR_IMPL_HPP
+#define EGRETSPINDLE_SRC_SCHEDULER_JOB_COORDINATOR_IMPL_HPP
+
+#include "egretspindle/scheduler/job_coordinator.hpp"
+
+#include "job_entry.hpp"
+
+#include <condition_variable>
+#include <deque>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace egretspindle
+{
+
+using entry_ptr = std::shared_ptr<job_entry>;
+
+/// Whether the jobs of a shard are in memory.
+enum class shard_phase
+{
+    loading,
+    ready,
+};
+
+/// Members are grouped by the files that define them.
+struct job_coordinator::impl
+{
+    impl(table_store& rows, job_coordinator_hooks callbacks,
+         const coordinator_limits& bounds)
+        : store(rows), hooks(std::move(callbacks)), limits(bounds)
+    {
+    }
+
+    void load(const std::string& shard);
+    void load_loop();
+    bool read_shard(const std::string& shard, std::vector<table_row>& rows);
+    void insert(const table_row& row, const std::string& shard);
+    entry_ptr find(const std::string& id);
+    entry_ptr fetch(const std::string& id, bool& is_reachable);
+    bool wait_ready(std::unique_lock<std::mutex>& lock,
+                    const std::string& shard, time_point deadline);
+
+    void mark(const entry_ptr& entry);
+    void assign_due(const entry_ptr& entry);
+    void assign_step(const entry_ptr& entry, const due_step& due);
+    [[nodiscard]] step_terms terms_of(const job& value, std::size_t occurrence,
+                                      std::size_t step) const;
+
+    void write_loop();
+    std::vector<entry_ptr> take_batch();
+    void write(const std::vector<entry_ptr>& batch);
+    bool attempt(const std::vector<entry_ptr>& batch,
+                 const row_transaction& transaction,
+                 const std::vector<std::uint64_t>& changes);
+    void apply_conflict(const std::vector<entry_ptr>& batch,
+                        const row_transaction& transaction,
+                        const std::vector<std::uint64_t>& changes,
+                        const transaction_result& result);
+    void apply_written(const entry_ptr& entry, std::int64_t version,
+                       std::uint64_t change);
+    bool refuse_new(const std::vector<entry_ptr>& batch);
+    void forget(const entry_ptr& entry);
+    [[nodiscard]] bool is_outage(time_point now) const;
+
+    void collect_orders(job_entry& entry,
+                        std::map<std::string, rack_orders>& orders,
+                        time_point now);
+    void add_start(job_entry& entry, const assigned_run& run, sent_run& sent,
+                   std::map<std::string, rack_orders>& orders, time_point now);
+    void send_all(const std::map<std::string, rack_orders>& orders);
+    std::optional<report_verdict> find_reported(const run_report& report,
+                                                const task_key& key,
+                                                entry_ptr& found);
+    report_verdict apply_sighting(const run_report& report, const task_key& key,
+                                  job_entry& entry, bool is_current);
+    void apply_end(const run_report& report, const task_key& key,
+                   const entry_ptr& entry);
+    report_verdict apply(const run_report& report, entry_ptr& touched,
+                         std::uint64_t& change);
+    std::int64_t max_attempts(const job& value) const;
+    void remove_expired(time_point now);
+
+    table_store& store;
+    job_coordinator_hooks hooks;
+    coordinator_limits limits;
+    mutable std::mutex mutex;
+    std::condition_variable changed;   ///< records, shards
+    std::condition_variable has_dirty; ///< queue of the writers
+    std::map<std::string, shard_phase> shards;
+    std::map<std::string, entry_ptr> jobs;
+    std::deque<entry_ptr> dirty;
+    std::vector<std::thread> threads;
+    std::deque<std::string> to_load; ///< shards
+    std::condition_variable has_loads;
+    time_point last_failure;  ///< of a write
+    time_point failing_since; ///< no write has succeeded since; none: {}
+    bool is_stopping = false;
+};
+
+} // namespace egretspindle
+
+#endif
--- /dev/null
+++ b/src/scheduler/job_coordinator_records.cpp
@@ -0,0 +1,316 @@
+#include "egretspindle/core/error.hpp"
+#include "egretspindle/jobs/job_record.hpp"
+#include "egretspindle/logging/log.hpp"
+#include "egretspindle/scheduler/shard.hpp"
+
+#include "job_coordinator_impl.hpp"
+
+#include <algorithm>
+#include <random>
+
+namespace egretspindle
+{
+
+namespace
+{
+
+constexpr milliseconds first_backoff{50};
+constexpr milliseconds longest_backoff{800};
+
+bool is_certain_failure(const absl::Status& status)
+{
+    const error_kind kind = kind_of(status);
+    return kind == error_kind::unavailable || kind == error_kind::overloaded;
+}
+
+} // namespace
+
+std::vector<entry_ptr> job_coordinator::impl::take_batch()
+{
+    std::vector<entry_ptr> batch;
+    std::deque<entry_ptr> others;
+    while (!dirty.empty() && batch.size() < limits.max_batch)
+    {
+        entry_ptr entry = std::move(dirty.front());
+        dirty.pop_front();
+        const bool is_other_part = !limits.may_span_parts && !batch.empty() &&
+                                   entry->shard != batch.front()->shard;
+        if (is_other_part)
+        {
+            others.push_back(std::move(entry));
+            continue;
+        }
+        entry->is_queued = false;
+        entry->is_writing = true;
+        batch.push_back(std::move(entry));
+    }
+    dirty.insert(dirty.begin(), others.begin(), others.end());
+    if (!dirty.empty())
+    {
+        has_dirty.notify_one();
+    }
+    return batch;
+}
+
+void job_coordinator::impl::write_loop()
+{
+    std::unique_lock<std::mutex> lock(mutex);
+    for (;;)
+    {
+        has_dirty.wait(lock, [this] { return is_stopping || !dirty.empty(); });
+        if (is_stopping)
+        {
+            return;
+        }
+        const std::vector<entry_ptr> batch = take_batch();
+        lock.unlock();
+        write(batch);
+        lock.lock();
+        for (const entry_ptr& entry : batch)
+        {
+            entry->is_writing = false;
+            const bool is_known = find(entry->value.id) == entry;
+            if (is_known && entry->durable < entry->changes &&
+                !entry->is_queued)
+            {
+                entry->is_queued = true;
+                dirty.push_back(entry);
+            }
+        }
+    }
+}
+
+void job_coordinator::impl::write(const std::vector<entry_ptr>& batch)
+{
+    row_transaction transaction;
+    std::vector<std::uint64_t> changes;
+    {
+        const std::lock_guard<std::mutex> lock(mutex);
+        for (const entry_ptr& entry : batch)
+        {
+            const std::string& id = entry->value.id;
+            transaction.conditions.push_back(
+                {std::string(jobs_table), entry->shard, id, entry->version});
+            table_row row;
+            row.table = std::string(jobs_table);
+            row.part = entry->shard;
+            row.key = id;
+            row.value = encode_job(entry->value, entry->encoded_spec);
+            transaction.writes.push_back(std::move(row));
+            changes.push_back(entry->changes);
+            transaction.spans_parts |= entry->shard != batch.front()->shard;
+        }
+    }
+    std::minstd_rand random{std::random_device{}()};
+    for (milliseconds pause = first_backoff;;
+         pause = std::min(pause * 2, longest_backoff))
+    {
+        if (attempt(batch, transaction, changes) || refuse_new(batch))
+        {
+            return;
+        }
+        std::uniform_int_distribution<std::int64_t> jitter(pause.count() / 2,
+                                                           pause.count());
+        std::unique_lock<std::mutex> lock(mutex);
+        const auto has_stopped = [this]
+        {
+            return is_stopping;
+        };
+        if (has_dirty.wait_for(lock, milliseconds(jitter(random)), has_stopped))
+        {
+            return;
+        }
+    }
+}
+
+// Returns whether the outcome of the transaction is known.
+bool job_coordinator::impl::attempt(const std::vector<entry_ptr>& batch,
+                                    const row_transaction& transaction,
+                                    const std::vector<std::uint64_t>& changes)
+{
+    const absl::StatusOr<transaction_result> result =
+        store.commit(transaction, limits.commit_timeout);
+    std::map<std::string, rack_orders> orders;
+    {
+        const std::lock_guard<std::mutex> lock(mutex);
+        if (!result.ok())
+        {
+            last_failure = steady_clock::now();
+            if (failing_since == time_point{})
+            {
+                failing_since = steady_clock::now();
+            }
+            const bool is_uncertain = !is_certain_failure(result.status());
+            for (const entry_ptr& entry : batch)
+            {
+                entry->is_uncertain |= is_uncertain;
+            }
+            log_warning("records were not written",
+                        {{"first_job", batch.front()->value.id},
+                         {"jobs", batch.size()},
+                         {"error", std::string(result.status().message())}});
+            return false;
+        }
+        failing_since = time_point{};
+        if (result->is_committed)
+        {
+            for (std::size_t n = 0; n < batch.size(); ++n)
+            {
+                apply_written(batch[n], result->version, changes[n]);
+            }
+        }
+        else
+        {
+            apply_conflict(batch, transaction, changes, *result);
+        }
+        const time_point now = steady_clock::now();
+        for (const entry_ptr& entry : batch)
+        {
+            if (find(entry->value.id) == entry)
+            {
+                collect_orders(*entry, orders, now);
+            }
+        }
+        changed.notify_all();
+    }
+    send_all(orders);
+    return true;
+}
+
+void job_coordinator::impl::apply_written(const entry_ptr& entry,
+                                          std::int64_t version,
+                                          std::uint64_t change)
+{
+    entry->version = version;
+    entry->durable = change;
+    entry->is_uncertain = false;
+    if (change == entry->changes)
+    {
+        entry->shown = std::string(shown_state(entry->value));
+    }
+    else if (entry->shown.empty())
+    {
+        entry->shown = "queued"; // later changes are not durable yet
+    }
+}
+
+void job_coordinator::impl::apply_conflict(
+    const std::vector<entry_ptr>& batch, const row_transaction& transaction,
+    const std::vector<std::uint64_t>& changes, const transaction_result& result)
+{
+    for (std::size_t n = 0; n < batch.size(); ++n)
+    {
+        const table_row& written = transaction.writes[n];
+        const auto current = std::find_if(
+            result.current.begin(), result.current.end(),
+            [&written](const table_row& row)
+            { return row.key == written.key && row.part == written.part; });
+        const std::int64_t version =
+            current == result.current.end() ? 0 : current->version;
+        if (version == transaction.conditions[n].version)
+        {
+            continue; // another row of the transaction failed
+        }
+        if (current != result.current.end() && current->value == written.value)
+        {
+            apply_written(batch[n], version, changes[n]);
+            continue;
+        }
+        log_info("record was changed by another host",
+                 {{"job", written.key},
+                  {"expected_version", transaction.conditions[n].version},
+                  {"version", version}});
+        forget(batch[n]);
+        if (current != result.current.end())
+        {
+            insert(*current, written.part);
+        }
+    }
+}
+
+// A new job whose record the store refuses for certain is given up, so that
+// its caller can be told at once that it will not run.
+bool job_coordinator::impl::refuse_new(const std::vector<entry_ptr>& batch)
+{
+    const std::lock_guard<std::mutex> lock(mutex);
+    const time_point now = steady_clock::now();
+    const bool is_refused =
+        std::all_of(batch.begin(), batch.end(),
+                    [&](const entry_ptr& entry)
+                    {
+                        return entry->version == 0 && !entry->is_uncertain &&
+                               now - entry->created_at >= limits.refuse_after;
+                    });
+    if (is_refused)
+    {
+        for (const entry_ptr& entry : batch)
+        {
+            entry->is_refused = true;
+            forget(entry);
+        }
+        changed.notify_all();
+    }
+    return is_refused;
+}
+
+void job_coordinator::impl::forget(const entry_ptr& entry)
+{
+    const auto it = jobs.find(entry->value.id);
+    if (it != jobs.end() && it->second == entry)
+    {
+        jobs.erase(it);
+    }
+}
+
+bool job_coordinator::impl::is_outage(time_point now) const
+{
+    return failing_since != time_point{} &&
+           now - failing_since >= limits.outage_after &&
+           now - last_failure < limits.outage_memory;
+}
+
+// Removes the records of jobs that ended long ago, a bounded number at a time.
+void job_coordinator::impl::remove_expired(time_point /*now*/)
+{
+    constexpr std::size_t most_removals = 50;
+    row_transaction transaction;
+    std::string shard;
+    {
+        const std::lock_guard<std::mutex> lock(mutex);
+        for (const auto& [id, entry] : jobs)
+        {
+            const bool is_expired =
+                entry->value.outcome != job_outcome::open &&
+                entry->durable == entry->changes && !entry->is_writing &&
+                assigned_runs(entry->value).empty() &&
+                unix_ms() - entry->value.ended_ms > limits.retention.count();
+            if (is_expired && (shard.empty() || shard == entry->shard) &&
+                transaction.removals.size() < most_removals)
+            {
+                shard = entry->shard;
+                transaction.removals.push_back(
+                    {std::string(jobs_table), shard, id, entry->version});
+                transaction.conditions.push_back(transaction.removals.back());
+            }
+        }
+    }
+    if (transaction.removals.empty())
+    {
+        return;
+    }
+    const absl::StatusOr<transaction_result> result =
+        store.commit(transaction, limits.commit_timeout);
+    if (!result.ok() || !result->is_committed)
+    {
+        log_info("expired records were not removed",
+                 {{"shard", shard}, {"jobs", transaction.removals.size()}});
+        return;
+    }
+    const std::lock_guard<std::mutex> lock(mutex);
+    for (const row_condition& row : transaction.removals)
+    {
+        jobs.erase(row.key);
+    }
+}
+
+} // namespace egretspindle
--- /dev/null
+++ b/src/scheduler/job_coordinator_shards.cpp
@@ -0,0 +1,187 @@
+#include "egretspindle/jobs/job_record.hpp"
+#include "egretspindle/logging/log.hpp"
+#include "egretspindle/scheduler/shard.hpp"
+
+#include "job_coordinator_impl.hpp"
+
+namespace egretspindle
+{
+
+namespace
+{
+
+constexpr milliseconds load_retry{200};
+
+} // namespace
+
+bool job_coordinator::impl::read_shard(const std::string& shard,
+                                       std::vector<table_row>& rows)
+{
+    row_range range;
+    range.table = std::string(jobs_table);
+    range.part = shard;
+    for (;;)
+    {
+        absl::StatusOr<table_page> page =
+            store.read(range, milliseconds(1'500));
+        if (!page.ok())
+        {
+            log_warning("shard was not read",
+                        {{"shard", shard},
+                         {"error", std::string(page.status().message())}});
+            return false;
+        }
+        rows.insert(rows.end(), page->rows.begin(), page->rows.end());
+        if (!page->has_more || page->rows.empty())
+        {
+            return true;
+        }
+        range.from = page->rows.back().key + '\0';
+    }
+}
+
+void job_coordinator::impl::insert(const table_row& row,
+                                   const std::string& shard)
+{
+    absl::StatusOr<job> value = decode_job(row.key, row.value);
+    if (!value.ok())
+    {
+        log_error("record was not read",
+                  {{"job", row.key},
+                   {"error", std::string(value.status().message())}});
+        return;
+    }
+    entry_ptr entry = std::make_shared<job_entry>();
+    entry->value = *std::move(value);
+    entry->shard = shard;
+    entry->encoded_spec = encode_spec(entry->value.spec);
+    entry->version = row.version;
+    entry->durable = entry->changes;
+    entry->shown = std::string(shown_state(entry->value));
+    entry->created_at = steady_clock::now();
+    for (const assigned_run& run : assigned_runs(entry->value))
+    {
+        sent_run sent;
+        sent.run = run.run;
+        sent.is_inherited = true;
+        entry->sent[to_string(run.key)] = sent;
+    }
+    jobs[row.key] = entry;
+    add_due_occurrences(entry->value, unix_ms());
+    const bool is_at_rest =
+        entry->value.outcome != job_outcome::open && entry->sent.empty();
+    if (!is_at_rest)
+    {
+        // The write makes later writes of the former owner fail, so that its
+        // conclusions and those of this host cannot mix.
+        mark(entry);
+        for (auto& [task, sent] : entry->sent)
+        {
+            sent.change = entry->changes;
+        }
+    }
+    assign_due(entry);
+}
+
+void job_coordinator::impl::load(const std::string& shard)
+{
+    std::vector<table_row> rows;
+    const bool is_read = read_shard(shard, rows);
+    std::unique_lock<std::mutex> lock(mutex);
+    const auto it = shards.find(shard);
+    if (it == shards.end() || it->second == shard_phase::ready)
+    {
+        return;
+    }
+    if (!is_read)
+    {
+        to_load.push_back(shard);
+        has_loads.wait_for(lock, load_retry, [this] { return is_stopping; });
+        return;
+    }
+    for (const table_row& row : rows)
+    {
+        if (jobs.count(row.key) == 0)
+        {
+            insert(row, shard);
+        }
+    }
+    it->second = shard_phase::ready;
+    changed.notify_all();
+    log_info("shard taken over", {{"shard", shard}, {"jobs", rows.size()}});
+}
+
+void job_coordinator::impl::load_loop()
+{
+    for (;;)
+    {
+        std::string shard;
+        {
+            std::unique_lock<std::mutex> lock(mutex);
+            has_loads.wait(lock,
+                           [this] { return is_stopping || !to_load.empty(); });
+            if (is_stopping)
+            {
+                return;
+            }
+            shard = std::move(to_load.front());
+            to_load.pop_front();
+        }
+        load(shard);
+    }
+}
+
+bool job_coordinator::impl::wait_ready(std::unique_lock<std::mutex>& lock,
+                                       const std::string& shard,
+                                       time_point deadline)
+{
+    const auto is_decided = [&]
+    {
+        const auto it = shards.find(shard);
+        return is_stopping || it == shards.end() ||
+               it->second == shard_phase::ready;
+    };
+    changed.wait_until(lock, deadline, is_decided);
+    const auto it = shards.find(shard);
+    return it != shards.end() && it->second == shard_phase::ready;
+}
+
+entry_ptr job_coordinator::impl::find(const std::string& id)
+{
+    const auto it = jobs.find(id);
+    return it == jobs.end() ? nullptr : it->second;
+}
+
+// Reads the row of a job that is not in memory. Called without the lock.
+entry_ptr job_coordinator::impl::fetch(const std::string& id,
+                                       bool& is_reachable)
+{
+    row_range range;
+    range.table = std::string(jobs_table);
+    range.part = shard_of(id);
+    range.from = id;
+    range.limit = 1;
+    const absl::StatusOr<table_page> page =
+        store.read(range, limits.commit_timeout);
+    is_reachable = page.ok();
+    if (!page.ok())
+    {
+        log_warning(
+            "job was not read",
+            {{"job", id}, {"error", std::string(page.status().message())}});
+        return nullptr;
+    }
+    const std::lock_guard<std::mutex> lock(mutex);
+    if (entry_ptr entry = find(id))
+    {
+        return entry;
+    }
+    if (page->rows.empty() || page->rows.front().key != id)
+    {
+        return nullptr;
+    }
+    insert(page->rows.front(), range.part);
+    return find(id);
+}
+
+} // namespace egretspindle
--- /dev/null
+++ b/src/scheduler/rack_agent_channels.cpp
@@ -0,0 +1,229 @@
+#include "egretspindle/logging/log.hpp"
+
+#include "rack_agent_impl.hpp"
+
+#include <algorithm>
+
+namespace egretspindle
+{
+
+namespace
+{
+
+std::string_view name_of(run_event::kind what)
+{
+    switch (what)
+    {
+    case run_event::kind::started:
+        return "started";
+    case run_event::kind::ended:
+        return "ended";
+    case run_event::kind::seen:
+        break;
+    }
+    return "seen";
+}
+
+std::vector<run_report> to_reports(const std::string& rack, std::int64_t token,
+                                   const std::vector<run_event>& events)
+{
+    std::vector<run_report> reports;
+    reports.reserve(events.size());
+    for (const run_event& event : events)
+    {
+        run_report item;
+        item.what = std::string(name_of(event.what));
+        item.task = event.task;
+        item.run = event.run;
+        item.how = std::string(to_string(event.how));
+        item.checkpoint = event.checkpoint;
+        item.target = event.target;
+        item.rack = rack;
+        item.token = token;
+        item.number = event.number;
+        reports.push_back(std::move(item));
+    }
+    return reports;
+}
+
+} // namespace
+
+rack_state* rack_agent::impl::find_rack(const std::string& name)
+{
+    const auto it = racks.find(name);
+    return it == racks.end() ? nullptr : &it->second;
+}
+
+rack_target* rack_agent::impl::find_target(const target_channel& channel)
+{
+    rack_state* rack = find_rack(channel.rack);
+    if (channel.is_stopping || rack == nullptr || rack->token != channel.token)
+    {
+        return nullptr;
+    }
+    const auto it = rack->targets.find(channel.target);
+    return it == rack->targets.end() ? nullptr : &it->second;
+}
+
+void rack_agent::impl::open_channel(const std::string& rack,
+                                    const std::string& target,
+                                    std::int64_t token)
+{
+    channel_ptr channel = std::make_shared<target_channel>();
+    channel->rack = rack;
+    channel->target = target;
+    channel->token = token;
+    channels[target] = channel;
+    channel->poller = std::thread(
+        [this, channel]
+        {
+            poll_loop(channel);
+            note_return(*channel);
+        });
+    channel->sender = std::thread(
+        [this, channel]
+        {
+            send_loop(channel);
+            note_return(*channel);
+        });
+}
+
+void rack_agent::impl::close_channels(const std::string& rack,
+                                      std::vector<channel_ptr>& closed)
+{
+    for (auto it = channels.begin(); it != channels.end();)
+    {
+        const channel_ptr channel = it->second;
+        if (channel->rack != rack)
+        {
+            ++it;
+            continue;
+        }
+        channel->is_stopping = true;
+        channel->has_orders.notify_all();
+        channel->has_acks.notify_all();
+        closed.push_back(channel);
+        it = channels.erase(it);
+    }
+}
+
+void rack_agent::impl::note_return(target_channel& channel)
+{
+    const std::lock_guard<std::mutex> lock(mutex);
+    --channel.running;
+}
+
+// Takes closed channels out whose threads have returned. The others may still
+// wait for a target, which must not hold up the caller.
+std::vector<channel_ptr> rack_agent::impl::take_finished()
+{
+    const auto finished = std::partition(retired.begin(), retired.end(),
+                                         [](const channel_ptr& channel)
+                                         { return channel->running > 0; });
+    std::vector<channel_ptr> taken(finished, retired.end());
+    retired.erase(finished, retired.end());
+    return taken;
+}
+
+// Joins the threads of closed channels without the lock.
+void rack_agent::impl::finish(const std::vector<channel_ptr>& closed)
+{
+    for (const channel_ptr& channel : closed)
+    {
+        for (std::thread* item : {&channel->poller, &channel->sender})
+        {
+            if (item->joinable() &&
+                item->get_id() != std::this_thread::get_id())
+            {
+                item->join();
+            }
+        }
+    }
+}
+
+void rack_agent::impl::sync_targets(rack_state& rack)
+{
+    for (auto& [id, target] : rack.targets)
+    {
+        const auto it = entries.find(id);
+        target.is_listed = it != entries.end() && it->second.rack == rack.name;
+        if (target.is_listed)
+        {
+            target.entry = it->second;
+        }
+    }
+    for (const auto& [id, entry] : entries)
+    {
+        if (entry.rack == rack.name && rack.targets.count(id) == 0)
+        {
+            rack_target target;
+            target.entry = entry;
+            rack.targets.emplace(id, std::move(target));
+        }
+    }
+    for (const auto& [id, target] : rack.targets)
+    {
+        if (channels.count(id) == 0)
+        {
+            open_channel(rack.name, id, rack.token);
+        }
+    }
+    for (auto it = channels.begin(); it != channels.end();)
+    {
+        const channel_ptr channel = it->second;
+        if (channel->rack == rack.name &&
+            rack.targets.count(channel->target) == 0)
+        {
+            channel->is_stopping = true;
+            channel->has_orders.notify_all();
+            channel->has_acks.notify_all();
+            retired.push_back(channel);
+            it = channels.erase(it);
+        }
+        else
+        {
+            ++it;
+        }
+    }
+}
+
+void rack_agent::impl::push(const std::string& target, pending_order order)
+{
+    const auto it = channels.find(target);
+    if (it != channels.end())
+    {
+        it->second->orders.push_back(std::move(order));
+        it->second->has_orders.notify_one();
+    }
+}
+
+void rack_agent::impl::place(rack_state& rack)
+{
+    for (const placement& item :
+         place_starts(rack, model, steady_clock::now(), unix_ms()))
+    {
+        pending_order order;
+        order.id = {item.start.task, item.start.run};
+        push(item.target, order);
+        log_info("start placed",
+                 {{"task", item.start.task},
+                  {"run", item.start.run},
+                  {"rack", rack.name},
+                  {"target", item.target},
+                  {"priority", item.start.terms->priority},
+                  {"queued", rack.queue.size()},
+                  {"waited_ms",
+                   elapsed_ms(item.start.queued_at, steady_clock::now())}});
+    }
+}
+
+void rack_agent::impl::publish(const std::string& rack, std::int64_t token,
+                               const std::vector<run_event>& events)
+{
+    if (!events.empty())
+    {
+        hooks.report(to_reports(rack, token, events));
+    }
+}
+
+} // namespace egretspindle
--- /dev/null
+++ b/src/scheduler/rack_agent_impl.hpp
@@ -0,0 +1,121 @@
+/// \file
+/// State of a rack agent.
+
+#ifndef EGRETSPINDLE_SRC_SCHEDULER_RACK_AGENT_IMPL_HPP
+#define EGRETSPINDLE_SRC_SCHEDULER_RACK_AGENT_IMPL_HPP
+
+#include "egretspindle/rack/rack_decision.hpp"
+#include "egretspindle/scheduler/rack_agent.hpp"
+
+#include <condition_variable>
+#include <deque>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <string_view>
+#include <thread>
+#include <utility>
+#include <vector>
+
+namespace egretspindle
+{
+
+/// Order that waits to be sent to a target.
+struct pending_order
+{
+    enum class kind
+    {
+        start,
+        stop,
+        pace,
+    };
+
+    kind what = kind::start;
+    run_id id;
+    std::int64_t percent = 100;
+    bool was_unanswered = false; ///< an earlier copy may be carried out later
+};
+
+/// Threads and queue of one target.
+struct target_channel
+{
+    std::string rack;
+    std::string target;
+    std::int64_t token = 0;
+    bool is_stopping = false;
+    bool has_contact = false; ///< the last poll was answered
+    int failed_polls = 0;     ///< in a row
+    std::deque<pending_order> orders;
+    std::condition_variable has_orders;
+    std::condition_variable has_acks;
+    std::thread poller;
+    std::thread sender;
+    int running = 2; ///< threads that have not returned
+};
+
+using channel_ptr = std::shared_ptr<target_channel>;
+
+/// Returns the name of a verdict for a log line.
+[[nodiscard]] std::string_view name_of(order_verdict verdict);
+
+/// Members are grouped by the files that define them.
+struct rack_agent::impl
+{
+    impl(target_port& port, rack_agent_hooks callbacks,
+         const rack_agent_limits& bounds)
+        : targets(port), hooks(std::move(callbacks)), limits(bounds)
+    {
+    }
+
+    rack_state* find_rack(const std::string& name);
+    rack_target* find_target(const target_channel& channel);
+    void open_channel(const std::string& rack, const std::string& target,
+                      std::int64_t token);
+    void close_channels(const std::string& rack,
+                        std::vector<channel_ptr>& closed);
+    void sync_targets(rack_state& rack);
+    void place(rack_state& rack);
+    void push(const std::string& target, pending_order order);
+    void note_return(target_channel& channel);
+    std::vector<channel_ptr> take_finished();
+    void finish(const std::vector<channel_ptr>& closed);
+
+    void poll_loop(const channel_ptr& channel);
+    bool poll_once(const channel_ptr& channel);
+    void apply_answer(const channel_ptr& channel, const poll_answer& answer,
+                      time_point sent_at);
+    void send_loop(const channel_ptr& channel);
+    void send(const channel_ptr& channel, pending_order order);
+    bool prepare_start(const channel_ptr& channel, const pending_order& order,
+                       start_run& message, target_entry& entry);
+    void fence_start(const target_channel& channel, rack_target& target,
+                     const run_id& id);
+    void take_answer(const channel_ptr& channel, const pending_order& order,
+                     const order_answer& answer);
+    void send_start(const channel_ptr& channel, pending_order order);
+    void send_stop(const channel_ptr& channel, pending_order order);
+    void send_pace(const channel_ptr& channel, const pending_order& order);
+    void retry(const channel_ptr& channel, pending_order order,
+               bool was_unanswered);
+    void fence(const target_channel& channel);
+    void confirm_repeated();
+    void publish(const std::string& rack, std::int64_t token,
+                 const std::vector<run_event>& events);
+
+    target_port& targets;
+    rack_agent_hooks hooks;
+    rack_agent_limits limits;
+    mutable std::mutex mutex;
+    std::map<std::string, rack_state> racks;
+    std::map<std::string, channel_ptr> channels; ///< by target
+    std::map<std::string, target_entry> entries; ///< as listed last
+    std::map<std::string, std::pair<target_entry, time_point>> departed;
+    std::vector<channel_ptr> retired; ///< threads that are ending
+    pressure_model model;
+    bool is_stopping = false;
+};
+
+} // namespace egretspindle
+
+#endif
--- /dev/null
+++ b/src/scheduler/rack_agent_orders.cpp
@@ -0,0 +1,292 @@
+#include "egretspindle/logging/log.hpp"
+
+#include "rack_agent_impl.hpp"
+
+namespace egretspindle
+{
+
+std::string_view name_of(order_verdict verdict)
+{
+    switch (verdict)
+    {
+    case order_verdict::taken:
+        return "taken";
+    case order_verdict::wrong_token:
+        return "wrong_token";
+    case order_verdict::old_run:
+        return "old_run";
+    case order_verdict::too_late:
+        return "too_late";
+    case order_verdict::no_room:
+        return "no_room";
+    case order_verdict::no_permission:
+        return "no_permission";
+    case order_verdict::other_life:
+        return "other_life";
+    case order_verdict::unhealthy:
+        return "unhealthy";
+    case order_verdict::malformed:
+        break;
+    }
+    return "malformed";
+}
+
+// Nothing may be concluded about the rack from now on, and nothing sent.
+void rack_agent::impl::fence(const target_channel& channel)
+{
+    {
+        const std::lock_guard<std::mutex> lock(mutex);
+        rack_state* rack = find_rack(channel.rack);
+        if (rack == nullptr || rack->token != channel.token || rack->is_fenced)
+        {
+            return;
+        }
+        rack->is_fenced = true;
+        log_info("rack is owned by another host",
+                 {{"rack", channel.rack}, {"target", channel.target}});
+    }
+    hooks.lost(channel.rack);
+}
+
+void rack_agent::impl::send_loop(const channel_ptr& channel)
+{
+    std::unique_lock<std::mutex> lock(mutex);
+    for (;;)
+    {
+        channel->has_orders.wait(
+            lock,
+            [&] { return channel->is_stopping || !channel->orders.empty(); });
+        if (channel->is_stopping)
+        {
+            return;
+        }
+        pending_order order = std::move(channel->orders.front());
+        channel->orders.pop_front();
+        lock.unlock();
+        send(channel, std::move(order));
+        lock.lock();
+    }
+}
+
+void rack_agent::impl::send(const channel_ptr& channel, pending_order order)
+{
+    switch (order.what)
+    {
+    case pending_order::kind::start:
+        send_start(channel, std::move(order));
+        break;
+    case pending_order::kind::stop:
+        send_stop(channel, std::move(order));
+        break;
+    case pending_order::kind::pace:
+        send_pace(channel, order);
+        break;
+    }
+}
+
+void rack_agent::impl::retry(const channel_ptr& channel, pending_order order,
+                             bool was_unanswered)
+{
+    order.was_unanswered |= was_unanswered;
+    std::unique_lock<std::mutex> lock(mutex);
+    channel->has_orders.wait_for(lock, limits.order_retry,
+                                 [&] { return channel->is_stopping; });
+    if (!channel->is_stopping)
+    {
+        channel->orders.push_back(std::move(order));
+    }
+}
+
+// Makes the message of a start; false when it is not to be sent any more.
+bool rack_agent::impl::prepare_start(const channel_ptr& channel,
+                                     const pending_order& order,
+                                     start_run& message, target_entry& entry)
+{
+    const std::lock_guard<std::mutex> lock(mutex);
+    rack_target* target = find_target(*channel);
+    if (target == nullptr)
+    {
+        return false;
+    }
+    const auto it = target->runs.find(order.id);
+    if (it == target->runs.end() || it->second.is_taken || !it->second.terms ||
+        (it->second.is_stopping && order.was_unanswered))
+    {
+        return false;
+    }
+    entry = target->entry;
+    message.task = order.id.first;
+    message.run = order.id.second;
+    message.text = it->second.terms->text;
+    message.checkpoint = it->second.checkpoint;
+    message.token = channel->token;
+    // A target that does not answer gets no longer lease, so that its runs are
+    // certain to end.
+    message.lease_until_ms =
+        channel->has_contact && !order.was_unanswered
+            ? extend_lease(*target, limits.lease, steady_clock::now())
+            : target->lease_until_ms;
+    return true;
+}
+
+// An unanswered copy of a refused start may still be carried out; a stop rules
+// that out before the run can go elsewhere.
+void rack_agent::impl::fence_start(const target_channel& channel,
+                                   rack_target& target, const run_id& id)
+{
+    const auto it = target.runs.find(id);
+    if (it != target.runs.end())
+    {
+        it->second.is_stopping = true;
+        pending_order fence_order;
+        fence_order.what = pending_order::kind::stop;
+        fence_order.id = id;
+        push(channel.target, fence_order);
+    }
+}
+
+void rack_agent::impl::take_answer(const channel_ptr& channel,
+                                   const pending_order& order,
+                                   const order_answer& answer)
+{
+    const bool is_refused = answer.verdict != order_verdict::taken &&
+                            answer.verdict != order_verdict::old_run;
+    if (is_refused)
+    {
+        log_info("start was refused", {{"task", order.id.first},
+                                       {"run", order.id.second},
+                                       {"target", channel->target},
+                                       {"verdict", name_of(answer.verdict)}});
+    }
+    if (answer.verdict == order_verdict::wrong_token)
+    {
+        fence(*channel);
+        return;
+    }
+    std::vector<run_event> events;
+    {
+        const std::lock_guard<std::mutex> lock(mutex);
+        rack_target* target = find_target(*channel);
+        if (target == nullptr)
+        {
+            return;
+        }
+        const time_point now = steady_clock::now();
+        note_clock(*target, answer.clock_ms, limits.lease, now);
+        if (is_refused && order.was_unanswered)
+        {
+            fence_start(*channel, *target, order.id);
+            return;
+        }
+        rack_state& rack = *find_rack(channel->rack);
+        events = apply_start(rack, *target, order.id, answer.verdict, now);
+        if (is_refused)
+        {
+            place(rack);
+        }
+    }
+    publish(channel->rack, channel->token, events);
+}
+
+void rack_agent::impl::send_start(const channel_ptr& channel,
+                                  pending_order order)
+{
+    start_run message;
+    target_entry entry;
+    if (!prepare_start(channel, order, message, entry))
+    {
+        return;
+    }
+    const absl::StatusOr<order_answer> answer =
+        targets.start(entry, message, limits.order_timeout);
+    if (answer.ok() && answer->verdict != order_verdict::too_late)
+    {
+        take_answer(channel, order, *answer);
+        return;
+    }
+    log_warning(
+        "start was not answered",
+        {{"task", message.task},
+         {"run", message.run},
+         {"target", channel->target},
+         {"cause", answer.ok() ? std::string(name_of(answer->verdict))
+                               : std::string(answer.status().message())}});
+    retry(channel, std::move(order), !answer.ok());
+}
+
+void rack_agent::impl::send_stop(const channel_ptr& channel,
+                                 pending_order order)
+{
+    stop_run message;
+    target_entry entry;
+    {
+        const std::lock_guard<std::mutex> lock(mutex);
+        rack_target* target = find_target(*channel);
+        if (target == nullptr || target->runs.count(order.id) == 0)
+        {
+            return;
+        }
+        entry = target->entry;
+        message.task = order.id.first;
+        message.run = order.id.second;
+        message.token = channel->token;
+    }
+    const absl::StatusOr<order_answer> answer =
+        targets.stop(entry, message, limits.order_timeout);
+    if (!answer.ok())
+    {
+        log_warning("stop was not answered",
+                    {{"task", message.task},
+                     {"run", message.run},
+                     {"target", channel->target},
+                     {"cause", std::string(answer.status().message())}});
+        retry(channel, std::move(order), true);
+        return;
+    }
+    if (answer->verdict == order_verdict::wrong_token)
+    {
+        fence(*channel);
+        return;
+    }
+    const std::lock_guard<std::mutex> lock(mutex);
+    rack_target* target = find_target(*channel);
+    const auto it = target == nullptr ? std::map<run_id, placed_run>::iterator{}
+                                      : target->runs.find(order.id);
+    if (target != nullptr && it != target->runs.end() && !it->second.is_taken)
+    {
+        // From now on it is either listed or will never start.
+        it->second.is_taken = true;
+        it->second.taken_at = steady_clock::now();
+    }
+}
+
+void rack_agent::impl::send_pace(const channel_ptr& channel,
+                                 const pending_order& order)
+{
+    pace_run message;
+    target_entry entry;
+    {
+        const std::lock_guard<std::mutex> lock(mutex);
+        rack_target* target = find_target(*channel);
+        if (target == nullptr || target->runs.count(order.id) == 0)
+        {
+            return;
+        }
+        entry = target->entry;
+        message.task = order.id.first;
+        message.run = order.id.second;
+        message.percent = order.percent;
+        message.token = channel->token;
+    }
+    const absl::StatusOr<order_answer> answer =
+        targets.pace(entry, message, limits.order_timeout);
+    if (!answer.ok())
+    {
+        log_warning("pace was not answered",
+                    {{"task", message.task},
+                     {"target", channel->target},
+                     {"cause", std::string(answer.status().message())}});
+    }
+}
+
+} // namespace egretspindle
--- /dev/null
+++ b/src/scheduler/rack_agent_polls.cpp
@@ -0,0 +1,180 @@
+#include "egretspindle/logging/log.hpp"
+#include "egretspindle/rack/interference.hpp"
+
+#include "rack_agent_impl.hpp"
+
+#include <algorithm>
+
+namespace egretspindle
+{
+
+void rack_agent::impl::poll_loop(const channel_ptr& channel)
+{
+    for (;;)
+    {
+        const bool is_answered = poll_once(channel);
+        std::unique_lock<std::mutex> lock(mutex);
+        rack_target* target = find_target(*channel);
+        if (target == nullptr)
+        {
+            return;
+        }
+        if (!is_answered)
+        {
+            channel->has_acks.wait_for(lock, limits.poll_retry,
+                                       [&] { return channel->is_stopping; });
+        }
+        else if (!target->ends.empty())
+        {
+            // The target answers at once while ends are not acknowledged.
+            const std::int64_t before = target->acknowledged;
+            channel->has_acks.wait_for(
+                lock, limits.ack_wait,
+                [&]
+                {
+                    const rack_target* current = find_target(*channel);
+                    return current == nullptr ||
+                           current->acknowledged != before;
+                });
+        }
+    }
+}
+
+bool rack_agent::impl::poll_once(const channel_ptr& channel)
+{
+    poll_target order;
+    target_entry entry;
+    time_point sent_at;
+    {
+        const std::lock_guard<std::mutex> lock(mutex);
+        rack_target* target = find_target(*channel);
+        if (target == nullptr)
+        {
+            return true;
+        }
+        sent_at = steady_clock::now();
+        entry = target->entry;
+        order.token = channel->token;
+        order.acknowledged = target->acknowledged;
+        if (channel->has_contact)
+        {
+            order.lease_until_ms = extend_lease(*target, limits.lease, sent_at);
+            bool is_serving = false;
+            bool is_filling = false;
+            for (const auto& [id, run] : target->runs)
+            {
+                is_serving |= run.terms && run.terms->response_target_ms > 0;
+                is_filling |= run.terms && run.terms->uses_idle_cpu;
+            }
+            order.wait = is_serving && is_filling ? limits.mixed_poll_wait
+                                                  : limits.poll_wait;
+        }
+    }
+    const absl::StatusOr<poll_answer> answer =
+        targets.poll(entry, order, limits.poll_timeout);
+    if (answer.ok() && answer->verdict == order_verdict::taken)
+    {
+        apply_answer(channel, *answer, sent_at);
+        return true;
+    }
+    const bool is_refused =
+        answer.ok() && answer->verdict == order_verdict::wrong_token;
+    {
+        const std::lock_guard<std::mutex> lock(mutex);
+        if (channel->has_contact || channel->failed_polls == 0)
+        {
+            log_warning(
+                "target did not answer a poll",
+                {{"target", channel->target},
+                 {"rack", channel->rack},
+                 {"cause", answer.ok()
+                               ? std::string(name_of(answer->verdict))
+                               : std::string(answer.status().message())}});
+        }
+        channel->has_contact = false;
+        ++channel->failed_polls;
+        if (rack_target* target = find_target(*channel))
+        {
+            target->avoid_until = steady_clock::now() + limits.poll_timeout;
+        }
+    }
+    if (is_refused)
+    {
+        fence(*channel);
+    }
+    return false;
+}
+
+void rack_agent::impl::apply_answer(const channel_ptr& channel,
+                                    const poll_answer& answer,
+                                    time_point sent_at)
+{
+    std::vector<run_event> events;
+    {
+        const std::lock_guard<std::mutex> lock(mutex);
+        rack_target* target = find_target(*channel);
+        if (target == nullptr)
+        {
+            return;
+        }
+        const time_point now = steady_clock::now();
+        const bool is_reborn =
+            target->started_ms != 0 && target->started_ms != answer.started_ms;
+        if (is_reborn || !channel->has_contact)
+        {
+            log_info("target answers", {{"target", channel->target},
+                                        {"rack", channel->rack},
+                                        {"restarted", is_reborn},
+                                        {"runs", answer.runs.size()},
+                                        {"ends", answer.ends.size()}});
+        }
+        if (!channel->has_contact)
+        {
+            target->avoid_until = now;
+        }
+        channel->has_contact = true;
+        channel->failed_polls = 0;
+        rack_state& rack = *find_rack(channel->rack);
+        events = apply_poll(rack, *target, answer, sent_at, now);
+        note_clock(*target, answer.clock_ms, limits.lease, now);
+        for (const run_id& id : decide_evictions(*target, now))
+        {
+            log_info("run evicted", {{"task", id.first},
+                                     {"run", id.second},
+                                     {"target", channel->target},
+                                     {"reason", "slowed for a serving task"}});
+        }
+        for (const auto& [id, run] : target->runs)
+        {
+            if (run.is_stopping)
+            {
+                const bool is_pending = std::any_of(
+                    channel->orders.begin(), channel->orders.end(),
+                    [&id = id](const pending_order& order) {
+                        return order.what == pending_order::kind::stop &&
+                               order.id == id;
+                    });
+                if (!is_pending)
+                {
+                    pending_order order;
+                    order.what = pending_order::kind::stop;
+                    order.id = id;
+                    push(channel->target, order);
+                }
+            }
+        }
+        observe_target(*target, model, now);
+        for (const pace_change& change : decide_pace(*target, model, now))
+        {
+            pending_order order;
+            order.what = pending_order::kind::pace;
+            order.id = {change.task, change.run};
+            order.percent = change.percent;
+            push(channel->target, order);
+        }
+        place(rack);
+    }
+    publish(channel->rack, channel->token, events);
+}
+
+} // namespace egretspindle
