--- a/include/egretspindle/core/toml.hpp
+++ b/include/egretspindle/core/toml.hpp
@@ -4,14 +4,12 @@
 /// the whole program.
 ///
 /// toml++ 3.3 asserts properties of its input: a header such as `[=x]` ends
-/// the process, or is undefined behaviour with `NDEBUG`.
+/// the process, or is undefined behaviour with `NDEBUG`. The assertions are
+/// kept in release builds as well.
 
 #ifndef EGRETSPINDLE_CORE_TOML_HPP
 #define EGRETSPINDLE_CORE_TOML_HPP
 
-#ifdef NDEBUG
-#error "toml++ needs its assertions on malformed input; build without NDEBUG"
-#endif
 #ifdef TOML_ASSERT
 #error "include egretspindle/core/toml.hpp in place of toml++/toml.h"
 #endif
@@ -27,7 +25,11 @@
 #define TOML_ASSERT(expr)                                                      \
     ((expr) ? static_cast<void>(0) : ::egretspindle::fail_toml_assertion(#expr))
 
+// With NDEBUG the library would drop the assertions and assume that they hold.
+#pragma push_macro("NDEBUG")
+#undef NDEBUG
 #include <toml++/toml.h>
+#pragma pop_macro("NDEBUG")
 
 inline void egretspindle::fail_toml_assertion(const char* /*condition*/)
 {
