Write a job that no target can take only once

Each tick marked such a job as changed, which wrote its record four times a second. Found in reading; the test counts the versions of the row.

--- a/src/scheduler/job_coordinator_impl.hpp
+++ b/src/scheduler/job_coordinator_impl.hpp
@@ -30,7 +30,7 @@
     ready,
 };
 
-/// Members are grouped by the files that define them.
+/// State and functions; each group of functions has a file of its own.
 struct job_coordinator::impl
 {
     impl(table_store& rows, job_coordinator_hooks callbacks,
@@ -39,6 +39,7 @@
     {
     }
 
+    // job_coordinator_shards.cpp: what is in memory
     void load(const std::string& shard);
     void load_loop();
     bool read_shard(const std::string& shard, std::vector<table_row>& rows);
@@ -48,12 +49,30 @@
     bool wait_ready(std::unique_lock<std::mutex>& lock,
                     const std::string& shard, time_point deadline);
 
-    void mark(const entry_ptr& entry);
+    // job_coordinator_runs.cpp: assignment, orders to racks, reports of runs
     void assign_due(const entry_ptr& entry);
     void assign_step(const entry_ptr& entry, const due_step& due);
     [[nodiscard]] step_terms terms_of(const job& value, std::size_t occurrence,
                                       std::size_t step) const;
+    void collect_orders(job_entry& entry,
+                        std::map<std::string, rack_orders>& orders,
+                        time_point now);
+    void add_start(job_entry& entry, const assigned_run& run, sent_run& sent,
+                   std::map<std::string, rack_orders>& orders, time_point now);
+    void send_all(const std::map<std::string, rack_orders>& orders);
+    std::optional<report_verdict> find_reported(const run_report& report,
+                                                const task_key& key,
+                                                entry_ptr& found);
+    report_verdict apply_sighting(const run_report& report, const task_key& key,
+                                  job_entry& entry, bool is_current);
+    void apply_end(const run_report& report, const task_key& key,
+                   const entry_ptr& entry);
+    report_verdict apply(const run_report& report, entry_ptr& touched,
+                         std::uint64_t& change);
+    std::int64_t max_attempts(const job& value) const;
 
+    // job_coordinator_records.cpp: writes of records
+    void mark(const entry_ptr& entry);
     void write_loop();
     std::vector<entry_ptr> take_batch();
     void write(const std::vector<entry_ptr>& batch);
@@ -70,22 +89,6 @@
     void forget(const entry_ptr& entry);
     [[nodiscard]] bool is_outage(time_point now) const;
 
-    void collect_orders(job_entry& entry,
-                        std::map<std::string, rack_orders>& orders,
-                        time_point now);
-    void add_start(job_entry& entry, const assigned_run& run, sent_run& sent,
-                   std::map<std::string, rack_orders>& orders, time_point now);
-    void send_all(const std::map<std::string, rack_orders>& orders);
-    std::optional<report_verdict> find_reported(const run_report& report,
-                                                const task_key& key,
-                                                entry_ptr& found);
-    report_verdict apply_sighting(const run_report& report, const task_key& key,
-                                  job_entry& entry, bool is_current);
-    void apply_end(const run_report& report, const task_key& key,
-                   const entry_ptr& entry);
-    report_verdict apply(const run_report& report, entry_ptr& touched,
-                         std::uint64_t& change);
-    std::int64_t max_attempts(const job& value) const;
     void remove_expired(time_point now);
 
     table_store& store;
--- a/src/scheduler/job_coordinator_records.cpp
+++ b/src/scheduler/job_coordinator_records.cpp
@@ -25,6 +25,17 @@
 
 } // namespace
 
+void job_coordinator::impl::mark(const entry_ptr& entry)
+{
+    ++entry->changes;
+    if (!entry->is_queued && !entry->is_writing)
+    {
+        entry->is_queued = true;
+        dirty.push_back(entry);
+        has_dirty.notify_one();
+    }
+}
+
 std::vector<entry_ptr> job_coordinator::impl::take_batch()
 {
     std::vector<entry_ptr> batch;
--- a/src/scheduler/job_coordinator_runs.cpp
+++ b/src/scheduler/job_coordinator_runs.cpp
@@ -10,17 +10,6 @@
 namespace egretspindle
 {
 
-void job_coordinator::impl::mark(const entry_ptr& entry)
-{
-    ++entry->changes;
-    if (!entry->is_queued && !entry->is_writing)
-    {
-        entry->is_queued = true;
-        dirty.push_back(entry);
-        has_dirty.notify_one();
-    }
-}
-
 std::int64_t job_coordinator::impl::max_attempts(const job& value) const
 {
     const std::shared_ptr<const fleet_config> config = hooks.config();
@@ -77,10 +66,13 @@
     }
     const std::vector<std::string> racks =
         hooks.choose_racks(terms, due.tasks.size(), spec.data_rack);
-    const bool has_rack = !racks.front().empty();
-    if (spec.is_gang && !has_rack)
+    const bool has_rack = spec.is_gang ? !racks.front().empty()
+                                       : std::any_of(racks.begin(), racks.end(),
+                                                     [](const std::string& rack)
+                                                     { return !rack.empty(); });
+    if (!has_rack)
     {
-        return;
+        return; // no target can take it now; the next tick asks again
     }
     std::int64_t gang_run = 0;
     if (spec.is_gang)
--- a/tests/scheduler/job_coordinator_test.cpp
+++ b/tests/scheduler/job_coordinator_test.cpp
@@ -333,6 +333,29 @@
     REQUIRE(coordinator.query(call).verdict == "unknown");
 }
 
+// Each tick wrote the record of a job that no target could take.
+TEST_CASE("a job without room is not written again and again", "[scheduler]")
+{
+    fake_store store;
+    surroundings around;
+    job_coordinator_hooks hooks = around.hooks();
+    hooks.choose_racks =
+        [](const step_terms&, std::size_t count, const std::string&)
+    {
+        return std::vector<std::string>(count);
+    };
+    job_coordinator coordinator(store, hooks, {});
+    coordinator.take_shard(shard_of(job_id));
+    REQUIRE(coordinator.submit(make_call()).verdict == "accepted");
+    const std::int64_t version = row_of(store).version;
+    for (int n = 0; n < 20; ++n)
+    {
+        coordinator.tick();
+        std::this_thread::sleep_for(std::chrono::milliseconds(2));
+    }
+    REQUIRE(row_of(store).version == version);
+}
+
 TEST_CASE("jobs whose tasks have not begun are pending", "[scheduler]")
 {
     fake_store store;
