Take an old run for one that may have run

A one-way cut lost the answers to starts, the tasks ran and ended, and the repeated starts were answered as old, which counted as never started. The target's next list decides now. The new test failed before. Ruled out: takeovers, as one owner held the rack throughout.

--- a/src/rack/rack_decision.cpp
+++ b/src/rack/rack_decision.cpp
@@ -301,11 +301,12 @@
         }
         break;
     case order_verdict::old_run:
-        // Listed as ended, or fenced by a stop: it will never start here.
+        // An earlier copy has run and ended, or a stop keeps the run out. The
+        // target's next list tells which.
         if (!run.is_taken)
         {
-            events.push_back(ended(run, target.entry.id, run_end::not_started));
-            target.runs.erase(it);
+            run.is_taken = true;
+            run.taken_at = now;
         }
         break;
     case order_verdict::no_room:
--- a/tests/rack/rack_decision_test.cpp
+++ b/tests/rack/rack_decision_test.cpp
@@ -323,6 +323,36 @@
     REQUIRE(second.front().target != first.front().target);
 }
 
+// Archive, mix --seed 16056621355: the answer to a start was lost in a one-way
+// cut, the task ran and ended, and the repeated start was answered as old. The
+// task was started again elsewhere.
+TEST_CASE("an old run may have run: its target's list tells", "[rack]")
+{
+    rack_state rack = make_rack(1);
+    enqueue(rack, make_start("job.0.0.0", make_terms()));
+    place_starts(rack, no_pressure, start, 0);
+    rack_target& target = rack.targets["t0"];
+    REQUIRE(apply_start(rack, target, {"job.0.0.0", 1}, order_verdict::old_run,
+                        start)
+                .empty());
+    SECTION("it has ended as done")
+    {
+        const std::vector<run_event> events = apply_poll(
+            rack, target, make_answer({}, {{1, "job.0.0.0", 1, "done", ""}}),
+            start, start);
+        REQUIRE(events.size() == 1);
+        REQUIRE(events.front().how == run_end::done);
+    }
+    SECTION("it was kept from starting")
+    {
+        const time_point later = start + milliseconds(1'500);
+        const std::vector<run_event> events =
+            apply_poll(rack, target, make_answer({}), later, later);
+        REQUIRE(events.size() == 1);
+        REQUIRE(events.front().how == run_end::lost);
+    }
+}
+
 TEST_CASE("only waiting starts that fit elsewhere are handed back, few at once",
           "[rack]")
 {
