Keep targets for images that few targets suit

Targets are rated by the hardest image that works there without harm, and one that suits an image whose starts wait is not given to easier ones.

Ruled out: memory (57 of 3352 samples), processors (1030 samples had both free).

--- a/include/egretspindle/rack/fleet_load.hpp
+++ b/include/egretspindle/rack/fleet_load.hpp
@@ -13,6 +13,7 @@
 #include <cstdint>
 #include <map>
 #include <random>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -28,6 +29,8 @@
     std::int64_t unused_milli = 0;     ///< reserved by other tasks, not used
     /// Headroom that company may take, by image of the serving tasks.
     std::map<std::string, double> spare;
+    double scarcity = 0;  ///< see `target_mix`
+    double reserved = 0;  ///< see `target_mix`
     bool is_open = false; ///< accepts starts
 };
 
@@ -42,6 +45,8 @@
     visit("u", value.idle_users_milli);
     visit("s", value.unused_milli);
     visit("h", value.spare);
+    visit("x", value.scarcity);
+    visit("w", value.reserved);
     visit("o", value.is_open);
 }
 
@@ -51,6 +56,8 @@
     std::string rack;
     std::int64_t queued = 0;           ///< starts that wait
     std::int64_t queued_cpu_milli = 0; ///< processors that they want
+    /// Images of starts that have waited for idle processors for a while.
+    std::vector<std::string> waiting;
     std::vector<target_room> targets;
 };
 
@@ -61,6 +68,7 @@
     visit("rack", value.rack);
     visit("queued", value.queued);
     visit("queued_cpu", value.queued_cpu_milli);
+    visit("waiting", value.waiting);
     visit("targets", value.targets);
 }
 
@@ -117,6 +125,11 @@
     pressure_model pressures;
 };
 
+/// Returns the images of starts that wait for idle processors, as reported
+/// lately by the owners of racks.
+[[nodiscard]] std::set<std::string> waiting_images(const fleet_load& fleet,
+                                                   time_point now);
+
 /// Chooses a rack for each of `count` tasks of a step.
 ///
 /// Answers a step that becomes due while the fleet is partly free: as many
--- a/include/egretspindle/rack/interference.hpp
+++ b/include/egretspindle/rack/interference.hpp
@@ -23,6 +23,10 @@
     /// Headroom that company may still take from the serving tasks of an
     /// image, by image.
     std::map<std::string, double> spare;
+    /// How few other places there are for some image that works here without
+    /// harm: the share of serving images that it harms elsewhere.
+    double scarcity = 0;
+    double reserved = 0; ///< the same for images whose starts wait
 };
 
 /// Takes the headroom that `cores` of an image will use off what is spare.
@@ -46,7 +50,8 @@
                               const pressure_model& model);
 
 /// Returns whether a task that uses idle processors would find enough of them,
-/// without taking response times near their targets.
+/// without taking response times near their targets, and without taking them
+/// from a start that waits and has fewer places to go.
 ///
 /// \param room  what is left on the target
 [[nodiscard]] bool finds_idle_cpu(const target_mix& mix,
@@ -55,10 +60,11 @@
                                   const pressure_model& model);
 
 /// Rates a target for a task that uses idle processors; higher is better.
-/// Targets where the task disturbs nobody go first, and those without serving
-/// tasks are left to tasks that would disturb them.
+/// Targets where the task disturbs nobody go first, and among these the ones
+/// that are of least use to images with few such places.
 ///
-/// Answers the load of many images that disturb each other in pairs.
+/// Answers the load of many images that disturb each other in pairs: without
+/// the second rule, an image that harms four of five others queued for 25 s.
 [[nodiscard]] std::int64_t rate_company(const target_mix& mix,
                                         const step_terms& terms,
                                         const task_size& room,
--- a/include/egretspindle/rack/pressure_model.hpp
+++ b/include/egretspindle/rack/pressure_model.hpp
@@ -13,6 +13,7 @@
 
 #include <cstdint>
 #include <map>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -54,6 +55,10 @@
     std::map<std::string, std::vector<pair_pressure>> others;
     /// All of it, by weight; made by `merge_pressures`.
     std::map<image_pair, pair_pressure> merged;
+    /// Share of the serving images that an image harms, by filling image.
+    std::map<std::string, double> hardness;
+    /// Images whose starts wait for idle processors, on any host.
+    std::set<std::string> waiting;
 };
 
 /// Cores that tasks use, by image, at the speed that they work.
@@ -84,6 +89,15 @@
                                    const std::string& serving,
                                    const std::string& filling, double cores);
 
+/// Returns whether an image takes much headroom from a serving image.
+[[nodiscard]] bool is_harmful_pair(const pressure_model& model,
+                                   const std::string& serving,
+                                   const std::string& filling);
+
+/// Returns the share of the serving images that an image harms.
+[[nodiscard]] double hardness_of(const pressure_model& model,
+                                 const std::string& filling);
+
 /// Returns what this host has learned, for other hosts.
 [[nodiscard]] std::vector<pair_pressure>
 learned_pressures(const pressure_model& model);
--- a/include/egretspindle/scheduler/rack_agent.hpp
+++ b/include/egretspindle/scheduler/rack_agent.hpp
@@ -15,6 +15,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -108,6 +109,9 @@
     void set_other_pressures(const std::string& host,
                              std::vector<pair_pressure> pressures);
 
+    /// Sets the images of starts that wait for idle processors on any host.
+    void set_waiting(std::set<std::string> images);
+
     /// Ends the threads.
     void stop();
 
--- a/src/rack/fleet_load.cpp
+++ b/src/rack/fleet_load.cpp
@@ -15,6 +15,8 @@
 
 // Reports come four times a second; a placement shows in the next but one.
 constexpr milliseconds recent_age{450};
+// Starts that find a place at once are not worth a reservation.
+constexpr milliseconds waiting_age{400};
 // A rack whose owner has not reported for this long is not trusted to be free.
 constexpr milliseconds report_age{3'000};
 
@@ -68,6 +70,8 @@
         item.mix.idle_users_milli = room.idle_users_milli;
         item.mix.unused_milli = room.unused_milli;
         item.mix.spare = room.spare;
+        item.mix.scarcity = room.scarcity;
+        item.mix.reserved = room.reserved;
         for (const recent_placement& recent : fleet.recent)
         {
             if (recent.target == room.id)
@@ -94,20 +98,22 @@
            finds_idle_cpu(item.mix, terms, item.room, fleet.pressures);
 }
 
-// Serving tasks go where others serve already, and tasks that do not disturb
-// them too; that leaves whole targets for those that do.
+// Tasks on idle processors go where they disturb nobody, and keep off targets
+// that images with few such places need.
 std::int64_t weight_of(const fleet_load& fleet, const candidate& item,
                        const step_terms& terms)
 {
-    constexpr std::int64_t preferred_weight = 20;
+    constexpr double preferred_weight = 40.0;
     const std::int64_t idle =
         std::max<std::int64_t>(1, idle_cpu(item.mix, item.room));
-    const bool is_serving = !item.mix.spare.empty();
-    const bool is_preferred =
-        is_serving && (terms.response_target_ms > 0 ||
-                       (terms.uses_idle_cpu &&
-                        !is_harmful(terms, item.mix, fleet.pressures)));
-    return is_preferred ? idle * preferred_weight : idle;
+    if (!terms.uses_idle_cpu || is_harmful(terms, item.mix, fleet.pressures))
+    {
+        return idle;
+    }
+    const double use = 1.1 - item.mix.scarcity;
+    return static_cast<std::int64_t>(preferred_weight * use * use *
+                                     static_cast<double>(idle)) +
+           1;
 }
 
 candidate* best_of(const fleet_load& fleet, std::vector<candidate>& items,
@@ -288,11 +294,17 @@
 {
     rack_room room;
     room.rack = rack.name;
+    std::set<std::string> waiting;
     for (const queued_start& start : rack.queue)
     {
         ++room.queued;
         room.queued_cpu_milli += start.terms->size.cpu_milli;
+        if (start.terms->uses_idle_cpu && now - start.queued_at > waiting_age)
+        {
+            waiting.insert(start.terms->image);
+        }
     }
+    room.waiting.assign(waiting.begin(), waiting.end());
     for (const auto& [id, target] : rack.targets)
     {
         target_room item;
@@ -303,11 +315,26 @@
         item.idle_users_milli = mix.idle_users_milli;
         item.unused_milli = mix.unused_milli;
         item.spare = mix.spare;
+        item.scarcity = mix.scarcity;
+        item.reserved = mix.reserved;
         room.targets.push_back(std::move(item));
     }
     return room;
 }
 
+std::set<std::string> waiting_images(const fleet_load& fleet, time_point now)
+{
+    std::set<std::string> images;
+    for (const auto& [name, view] : fleet.racks)
+    {
+        if (now - view.reported_at <= report_age)
+        {
+            images.insert(view.room.waiting.begin(), view.room.waiting.end());
+        }
+    }
+    return images;
+}
+
 std::vector<std::string> choose_racks(fleet_load& fleet,
                                       const step_terms& terms,
                                       std::size_t count,
--- a/src/rack/interference.cpp
+++ b/src/rack/interference.cpp
@@ -25,10 +25,6 @@
 // Reported response times are rounded to milliseconds; beyond this the load
 // does not matter any more.
 constexpr double highest_headroom = 10.0;
-// Headroom that a core takes from which an image counts as harmful to another.
-// Harmless pairs of the users' images take up to 0.02, harmful ones 0.05 and
-// more.
-constexpr double harmful_per_core = 0.035;
 // Headroom that harmful company has to leave beyond that: users' load may rise
 // while it works.
 constexpr double harmful_margin = 0.4;
@@ -209,12 +205,6 @@
     return items;
 }
 
-bool is_harmful_pair(const pressure_model& model, const std::string& serving,
-                     const std::string& filling)
-{
-    return expected_drop(model, serving, filling, 1.0) > harmful_per_core;
-}
-
 // Percentage at which a task leaves enough headroom to one serving task, if
 // all harmful company slows down alike.
 std::int64_t slowed_for(const served& item, const placed_run& run,
@@ -320,6 +310,31 @@
     run.percent = percent;
 }
 
+bool harms_nobody(const target_mix& mix, const pressure_model& model,
+                  const std::string& filling)
+{
+    return std::none_of(mix.spare.begin(), mix.spare.end(),
+                        [&](const auto& item) {
+                            return is_harmful_pair(model, item.first, filling);
+                        });
+}
+
+// Rates a target by the hardest image that can work there without harm, and by
+// the hardest of those that wait.
+void rate_scarcity(target_mix& mix, const pressure_model& model)
+{
+    for (const auto& [image, hardness] : model.hardness)
+    {
+        const bool is_waiting = model.waiting.count(image) > 0;
+        const double rated = is_waiting ? mix.reserved : mix.scarcity;
+        if (hardness > rated && harms_nobody(mix, model, image))
+        {
+            mix.scarcity = std::max(mix.scarcity, hardness);
+            mix.reserved = is_waiting ? hardness : mix.reserved;
+        }
+    }
+}
+
 } // namespace
 
 std::int64_t idle_cpu(const target_mix& mix, const task_size& room) noexcept
@@ -362,22 +377,21 @@
             take_spare(mix, model, run.terms->image, current_cores(run));
         }
     }
+    rate_scarcity(mix, model);
     return mix;
 }
 
 bool is_harmful(const step_terms& terms, const target_mix& mix,
                 const pressure_model& model)
 {
-    return std::any_of(
-        mix.spare.begin(), mix.spare.end(),
-        [&](const auto& item)
-        { return is_harmful_pair(model, item.first, terms.image); });
+    return !harms_nobody(mix, model, terms.image);
 }
 
 bool finds_idle_cpu(const target_mix& mix, const step_terms& terms,
                     const task_size& room, const pressure_model& model)
 {
-    if (idle_cpu(mix, room) < terms.size.cpu_milli)
+    if (idle_cpu(mix, room) < terms.size.cpu_milli ||
+        hardness_of(model, terms.image) < mix.reserved)
     {
         return false;
     }
@@ -398,11 +412,13 @@
                           const task_size& room, const pressure_model& model)
 {
     const std::int64_t idle = idle_cpu(mix, room);
-    if (mix.spare.empty())
+    if (is_harmful(terms, mix, model))
     {
-        return idle + preference;
+        return idle;
     }
-    return is_harmful(terms, mix, model) ? idle : idle + 2 * preference;
+    const double preferred = 2.0 - mix.scarcity;
+    return idle + static_cast<std::int64_t>(preferred *
+                                            static_cast<double>(preference));
 }
 
 void observe_target(rack_target& target, pressure_model& model, time_point now)
--- a/src/rack/pressure_model.cpp
+++ b/src/rack/pressure_model.cpp
@@ -14,6 +14,10 @@
 // ones 0.02.
 constexpr double assumed_per_core = 0.1;
 constexpr double assumed_weight = 30.0;
+// Headroom that a core takes from which an image counts as harmful to another.
+// Harmless pairs of the users' images take up to 0.02, harmful ones 0.05 and
+// more.
+constexpr double harmful_per_core = 0.035;
 // Changes that are smaller than this drown in the noise of response times.
 constexpr double least_change = 0.3;
 // A longer time between two observations has more of the swing of the users'
@@ -40,6 +44,24 @@
     return std::max(0.0, total / (item.weight + assumed_weight));
 }
 
+std::map<std::string, double> measure_hardness(const pressure_model& model)
+{
+    std::map<std::string, std::pair<int, int>> counts; // harmed, known
+    for (const auto& [pair, item] : model.merged)
+    {
+        auto& [harmed, known] = counts[item.filling];
+        harmed += is_harmful_pair(model, item.serving, item.filling) ? 1 : 0;
+        ++known;
+    }
+    std::map<std::string, double> hardness;
+    for (const auto& [image, count] : counts)
+    {
+        hardness[image] = static_cast<double>(count.first) /
+                          static_cast<double>(count.second);
+    }
+    return hardness;
+}
+
 } // namespace
 
 void observe_change(pressure_model& model, const std::string& serving,
@@ -98,6 +120,13 @@
     {
         item.per_core = item.weight > 0 ? item.per_core / item.weight : 0.0;
     }
+    model.hardness = measure_hardness(model);
+}
+
+bool is_harmful_pair(const pressure_model& model, const std::string& serving,
+                     const std::string& filling)
+{
+    return expected_drop(model, serving, filling, 1.0) > harmful_per_core;
 }
 
 double expected_drop(const pressure_model& model, const std::string& serving,
@@ -108,6 +137,12 @@
            estimate(it == model.merged.end() ? pair_pressure{} : it->second);
 }
 
+double hardness_of(const pressure_model& model, const std::string& filling)
+{
+    const auto it = model.hardness.find(filling);
+    return it == model.hardness.end() ? 1.0 : it->second;
+}
+
 std::vector<pair_pressure> learned_pressures(const pressure_model& model)
 {
     std::vector<pair_pressure> items;
--- a/src/scheduler/job_scheduler.cpp
+++ b/src/scheduler/job_scheduler.cpp
@@ -18,6 +18,7 @@
 #include <mutex>
 #include <optional>
 #include <random>
+#include <set>
 #include <thread>
 
 namespace egretspindle
@@ -578,10 +579,14 @@
     report.number = ++report_number;
     report.racks = racks.measure();
     report.pressures = racks.pressures();
+    std::set<std::string> waiting;
     {
         const std::lock_guard<std::mutex> lock(load_mutex);
         merge_pressures(load.pressures);
+        waiting = waiting_images(load, steady_clock::now());
     }
+    // The lock of the racks is taken before that of the load elsewhere.
+    racks.set_waiting(std::move(waiting));
     note_load(report);
     if (!report.racks.empty())
     {
--- a/src/scheduler/rack_agent.cpp
+++ b/src/scheduler/rack_agent.cpp
@@ -330,6 +330,12 @@
     impl_->model.others[host] = std::move(pressures);
 }
 
+void rack_agent::set_waiting(std::set<std::string> images)
+{
+    const std::lock_guard<std::mutex> lock(impl_->mutex);
+    impl_->model.waiting = std::move(images);
+}
+
 std::vector<rack_room> rack_agent::measure() const
 {
     std::vector<rack_room> rooms;
--- a/tests/rack/interference_test.cpp
+++ b/tests/rack/interference_test.cpp
@@ -262,3 +262,30 @@
     REQUIRE(decide_evictions(target, start + milliseconds(2'000)).empty());
     REQUIRE(decide_evictions(target, start + milliseconds(4'500)).size() == 1);
 }
+
+// An image that harms most serving images has few places to go. Images that
+// could go anywhere filled these, and its starts queued for 25 s.
+TEST_CASE("targets are kept for waiting images that few targets suit", "[rack]")
+{
+    pressure_model model;
+    model.others["h2"] = {{"a", "picky", 0.2, 5'000},
+                          {"b", "picky", 0.01, 5'000},
+                          {"a", "easy", 0.01, 5'000},
+                          {"b", "easy", 0.01, 5'000}};
+    merge_pressures(model);
+    REQUIRE(hardness_of(model, "picky") > hardness_of(model, "easy"));
+    rack_target suits_easy;
+    suits_easy.runs[{"s", 1}] = make_run("s", "a", true, 20);
+    rack_target suits_both;
+    suits_both.runs[{"s", 1}] = make_run("s", "b", true, 20);
+    const task_size room{8'000, 30'000, 0};
+    const step_terms easy = *make_run("f", "easy", false).terms;
+    const step_terms picky = *make_run("g", "picky", false).terms;
+    REQUIRE(rate_company(mix_of(suits_easy, model), easy, room, model) >
+            rate_company(mix_of(suits_both, model), easy, room, model));
+    REQUIRE(finds_idle_cpu(mix_of(suits_both, model), easy, room, model));
+    model.waiting = {"picky"};
+    REQUIRE_FALSE(finds_idle_cpu(mix_of(suits_both, model), easy, room, model));
+    REQUIRE(finds_idle_cpu(mix_of(suits_both, model), picky, room, model));
+    REQUIRE(finds_idle_cpu(mix_of(suits_easy, model), easy, room, model));
+}
