Record what the owner of a rack concludes only while it is the owner

A host that had been cut off adopted the job's newer record after a conflict, and then recorded that a run had not started: its view of the rack's owner was 3 s old, and the new owner had started the run.

A write that contains such a conclusion now has the version of the rack's owner row as a condition, so a replaced owner's conclusion cannot become durable. Without transactions over several parts the check of the local view remains.

Ruled out: a late order, an end that was not taken note of.

--- a/include/egretspindle/scheduler/shard.hpp
+++ b/include/egretspindle/scheduler/shard.hpp
@@ -1,5 +1,5 @@
 /// \file
-/// Shards that the jobs are dealt to.
+/// Shards that the jobs are dealt to, and names of rows.
 
 #ifndef EGRETSPINDLE_SCHEDULER_SHARD_HPP
 #define EGRETSPINDLE_SCHEDULER_SHARD_HPP
@@ -20,6 +20,11 @@
 /// Table of heartbeats and owners.
 constexpr std::string_view cluster_table = "cluster";
 
+/// Keys of owner rows begin with these, followed by the name of the shard or
+/// rack. The version of the row is the token of the ownership.
+constexpr std::string_view shard_prefix = "shard/";
+constexpr std::string_view rack_prefix = "rack/";
+
 /// Returns the shard of a job, equal on every host.
 [[nodiscard]] std::string shard_of(std::string_view job_id);
 
--- a/src/rack/pressure_model.cpp
+++ b/src/rack/pressure_model.cpp
@@ -33,6 +33,8 @@
             const pair_pressure& item)
 {
     pair_pressure& sum = sums[{item.serving, item.filling}];
+    sum.serving = item.serving;
+    sum.filling = item.filling;
     sum.per_core += item.per_core * item.weight;
     sum.weight += item.weight;
 }
@@ -49,8 +51,9 @@
     std::map<std::string, std::pair<int, int>> counts; // harmed, known
     for (const auto& [pair, item] : model.merged)
     {
-        auto& [harmed, known] = counts[item.filling];
-        harmed += is_harmful_pair(model, item.serving, item.filling) ? 1 : 0;
+        const auto& [serving, filling] = pair;
+        auto& [harmed, known] = counts[filling];
+        harmed += is_harmful_pair(model, serving, filling) ? 1 : 0;
         ++known;
     }
     std::map<std::string, double> hardness;
--- a/src/scheduler/cluster_agent.cpp
+++ b/src/scheduler/cluster_agent.cpp
@@ -20,8 +20,6 @@
 {
 
 constexpr std::string_view host_prefix = "host/";
-constexpr std::string_view shard_prefix = "shard/";
-constexpr std::string_view rack_prefix = "rack/";
 constexpr std::string_view key_name = "key";
 constexpr milliseconds period{1'000};
 constexpr milliseconds call_timeout{800};
--- a/src/scheduler/job_coordinator_impl.hpp
+++ b/src/scheduler/job_coordinator_impl.hpp
@@ -79,6 +79,8 @@
     bool attempt(const std::vector<entry_ptr>& batch,
                  const row_transaction& transaction,
                  const std::vector<std::uint64_t>& changes);
+    void add_owner_conditions(const std::vector<entry_ptr>& batch,
+                              row_transaction& transaction) const;
     void apply_conflict(const std::vector<entry_ptr>& batch,
                         const row_transaction& transaction,
                         const std::vector<std::uint64_t>& changes,
--- a/src/scheduler/job_coordinator_records.cpp
+++ b/src/scheduler/job_coordinator_records.cpp
@@ -23,6 +23,25 @@
     return kind == error_kind::unavailable || kind == error_kind::overloaded;
 }
 
+// Returns whether a job relies on the conclusion of an owner that has been
+// replaced since.
+bool has_lost_owner(const job_entry& entry, const transaction_result& result)
+{
+    return std::any_of(
+        entry.relied.begin(), entry.relied.end(),
+        [&result](const auto& item)
+        {
+            const std::string key = std::string(rack_prefix) + item.first;
+            const auto row = std::find_if(
+                result.current.begin(), result.current.end(),
+                [&key](const table_row& current) {
+                    return current.table == cluster_table && current.key == key;
+                });
+            return row == result.current.end() ||
+                   row->version != item.second.token;
+        });
+}
+
 } // namespace
 
 void job_coordinator::impl::mark(const entry_ptr& entry)
@@ -111,6 +130,7 @@
             changes.push_back(entry->changes);
             transaction.spans_parts |= entry->shard != batch.front()->shard;
         }
+        add_owner_conditions(batch, transaction);
     }
     std::minstd_rand random{std::random_device{}()};
     for (milliseconds pause = first_backoff;;
@@ -134,6 +154,36 @@
     }
 }
 
+// What the owner of a rack concludes holds only if it is still the owner when
+// that becomes durable: a later owner may have started the run. Owner rows lie
+// in another part than jobs, so this needs transactions over several parts;
+// without them, what this host knows of owners is all there is.
+void job_coordinator::impl::add_owner_conditions(
+    const std::vector<entry_ptr>& batch, row_transaction& transaction) const
+{
+    if (!limits.may_span_parts)
+    {
+        return;
+    }
+    std::map<std::string, std::int64_t> tokens;
+    for (const entry_ptr& entry : batch)
+    {
+        for (const auto& [rack, owner] : entry->relied)
+        {
+            // Of two tokens the lower one is outdated for certain.
+            const auto it = tokens.emplace(rack, owner.token).first;
+            it->second = std::min(it->second, owner.token);
+        }
+    }
+    for (const auto& [rack, token] : tokens)
+    {
+        transaction.conditions.push_back({std::string(cluster_table), "",
+                                          std::string(rack_prefix) + rack,
+                                          token});
+        transaction.spans_parts = true;
+    }
+}
+
 // Returns whether the outcome of the transaction is known.
 bool job_coordinator::impl::attempt(const std::vector<entry_ptr>& batch,
                                     const row_transaction& transaction,
@@ -195,6 +245,11 @@
     entry->version = version;
     entry->durable = change;
     entry->is_uncertain = false;
+    for (auto it = entry->relied.begin(); it != entry->relied.end();)
+    {
+        it = it->second.change <= change ? entry->relied.erase(it)
+                                         : std::next(it);
+    }
     if (change == entry->changes)
     {
         entry->shown = std::string(shown_state(entry->value));
@@ -218,11 +273,13 @@
             { return row.key == written.key && row.part == written.part; });
         const std::int64_t version =
             current == result.current.end() ? 0 : current->version;
-        if (version == transaction.conditions[n].version)
+        const bool is_expected = version == transaction.conditions[n].version;
+        if (is_expected && !has_lost_owner(*batch[n], result))
         {
             continue; // another row of the transaction failed
         }
-        if (current != result.current.end() && current->value == written.value)
+        if (!is_expected && current != result.current.end() &&
+            current->value == written.value)
         {
             apply_written(batch[n], version, changes[n]);
             continue;
@@ -230,7 +287,8 @@
         log_info("record was changed by another host",
                  {{"job", written.key},
                   {"expected_version", transaction.conditions[n].version},
-                  {"version", version}});
+                  {"version", version},
+                  {"owner_changed", is_expected}});
         forget(batch[n]);
         if (current != result.current.end())
         {
--- a/src/scheduler/job_coordinator_runs.cpp
+++ b/src/scheduler/job_coordinator_runs.cpp
@@ -299,6 +299,14 @@
     if (is_current)
     {
         apply_end(report, *key, touched);
+        if (report.number == 0)
+        {
+            relied_owner& owner = touched->relied[report.rack];
+            owner.token = owner.token == 0
+                              ? report.token
+                              : std::min(owner.token, report.token);
+            owner.change = touched->changes;
+        }
     }
     change = touched->changes;
     return {"recorded", {}};
--- a/src/scheduler/job_entry.hpp
+++ b/src/scheduler/job_entry.hpp
@@ -26,6 +26,13 @@
     bool is_inherited = false; ///< read from the store
 };
 
+/// Conclusion of the owner of a rack that the next write contains.
+struct relied_owner
+{
+    std::int64_t token = 0;   ///< of its ownership
+    std::uint64_t change = 0; ///< latest change that relies on it
+};
+
 /// Job with the state of its record.
 struct job_entry
 {
@@ -42,6 +49,8 @@
     time_point created_at;
     std::string shown; ///< state as of the row; empty: no row yet
     std::map<std::string, sent_run> sent; ///< by task
+    /// Owners whose conclusions are not durable yet, by rack.
+    std::map<std::string, relied_owner> relied;
 };
 
 } // namespace egretspindle
--- a/src/scheduler/job_scheduler.cpp
+++ b/src/scheduler/job_scheduler.cpp
@@ -49,12 +49,12 @@
 
 std::string shard_resource(const std::string& id)
 {
-    return "shard/" + shard_of(id);
+    return std::string(shard_prefix) + shard_of(id);
 }
 
 std::string rack_resource(const std::string& rack)
 {
-    return "rack/" + rack;
+    return std::string(rack_prefix) + rack;
 }
 
 std::int64_t remaining_ms(time_point deadline)
@@ -221,10 +221,10 @@
     hooks.verified = [this](const std::string& resource, std::int64_t token,
                             time_point read_at)
     {
-        const std::string_view prefix = "rack/";
-        if (resource.compare(0, prefix.size(), prefix) == 0)
+        if (resource.compare(0, rack_prefix.size(), rack_prefix) == 0)
         {
-            racks.verify_rack(resource.substr(prefix.size()), token, read_at);
+            racks.verify_rack(resource.substr(rack_prefix.size()), token,
+                              read_at);
         }
     };
     hooks.pending = [this]
--- a/tests/rack/interference_test.cpp
+++ b/tests/rack/interference_test.cpp
@@ -268,10 +268,12 @@
 TEST_CASE("targets are kept for waiting images that few targets suit", "[rack]")
 {
     pressure_model model;
-    model.others["h2"] = {{"a", "picky", 0.2, 5'000},
-                          {"b", "picky", 0.01, 5'000},
-                          {"a", "easy", 0.01, 5'000},
-                          {"b", "easy", 0.01, 5'000}};
+    std::vector<pair_pressure> learned;
+    learned.push_back({"a", "picky", 0.2, 5'000});
+    learned.push_back({"b", "picky", 0.01, 5'000});
+    learned.push_back({"a", "easy", 0.01, 5'000});
+    learned.push_back({"b", "easy", 0.01, 5'000});
+    model.others["h2"] = learned;
     merge_pressures(model);
     REQUIRE(hardness_of(model, "picky") > hardness_of(model, "easy"));
     rack_target suits_easy;
--- a/tests/scheduler/job_coordinator_test.cpp
+++ b/tests/scheduler/job_coordinator_test.cpp
@@ -277,6 +277,63 @@
     REQUIRE(coordinator.query(make_call()).state == "completed");
 }
 
+// A host that was cut off took a run for not started that the new owner of the
+// rack had started and seen done; the task was started again after its end.
+TEST_CASE("a conclusion is recorded only while its owner is the owner",
+          "[scheduler]")
+{
+    fake_store store;
+    row_transaction ownership;
+    table_row row;
+    row.table = std::string(cluster_table);
+    row.key = std::string(rack_prefix) + "r1";
+    ownership.writes.push_back(row);
+    const std::int64_t token = store.commit(ownership, {})->version;
+    surroundings around;
+    around.token = token;
+    coordinator_limits limits;
+    limits.may_span_parts = true;
+    job_coordinator coordinator(store, around.hooks(), limits);
+    coordinator.take_shard(shard_of(job_id));
+    REQUIRE(coordinator.submit(make_call()).verdict == "accepted");
+    // Another host takes the rack over; this one has not read that yet.
+    REQUIRE(store.commit(ownership, {}).ok());
+    const report_reply reply =
+        coordinator.report({{make_report("not_started", 0, token)}});
+    REQUIRE(reply.verdicts.front().verdict == "retry");
+    const absl::StatusOr<job> recorded =
+        decode_job(job_id, row_of(store).value);
+    REQUIRE(assigned_runs(*recorded).front().run == 1);
+    // What a target lists is certain, whoever reports it.
+    REQUIRE(coordinator.report({{make_report("done", 1, token)}})
+                .verdicts.front()
+                .verdict == "recorded");
+}
+
+TEST_CASE("a conclusion of the present owner is recorded", "[scheduler]")
+{
+    fake_store store;
+    row_transaction ownership;
+    table_row row;
+    row.table = std::string(cluster_table);
+    row.key = std::string(rack_prefix) + "r1";
+    ownership.writes.push_back(row);
+    const std::int64_t token = store.commit(ownership, {})->version;
+    surroundings around;
+    around.token = token;
+    coordinator_limits limits;
+    limits.may_span_parts = true;
+    job_coordinator coordinator(store, around.hooks(), limits);
+    coordinator.take_shard(shard_of(job_id));
+    REQUIRE(coordinator.submit(make_call()).verdict == "accepted");
+    REQUIRE(coordinator.report({{make_report("not_started", 0, token)}})
+                .verdicts.front()
+                .verdict == "recorded");
+    const absl::StatusOr<job> recorded =
+        decode_job(job_id, row_of(store).value);
+    REQUIRE(assigned_runs(*recorded).front().run == 2);
+}
+
 TEST_CASE("a new owner of a shard repeats recorded starts, and the former one "
           "can record no more",
           "[scheduler]")
