Keep a share of the processors for short tasks, which go first

A job whose tasks last is refused at once, with Retry-After, while only 8% of the processors would be left. Within a priority, short tasks go before tasks that last.

Ruled out: racks that are closed or not settled (none from 16 to 36 s), store, refused starts.

--- a/include/egretspindle/rack/fleet_load.hpp
+++ b/include/egretspindle/rack/fleet_load.hpp
@@ -145,6 +145,18 @@
              const std::string& data_rack, time_point now,
              std::minstd_rand& random);
 
+/// Returns whether tasks that last may take processors of a service.
+///
+/// Answers the load of more lasting tasks than the fleet can carry: they would
+/// hold all room for minutes, and short tasks of the same priority would find
+/// none. A share of the capacity is kept for those. Without recent reports of
+/// most of the fleet the answer is yes.
+///
+/// \param cpu_milli  wanted by all tasks of a step together
+[[nodiscard]] bool has_room_to_last(const fleet_load& fleet,
+                                    const std::string& service,
+                                    std::int64_t cpu_milli, time_point now);
+
 /// Returns whether a target of another rack has room for a task now.
 [[nodiscard]] bool has_room_elsewhere(const fleet_load& fleet,
                                       const step_terms& terms,
--- a/include/egretspindle/scheduler/job_coordinator.hpp
+++ b/include/egretspindle/scheduler/job_coordinator.hpp
@@ -22,7 +22,8 @@
 {
 
 /// What the coordinator needs of other parts. Called without its lock, except
-/// `choose_racks` and `rack_token`, which must not call back.
+/// `choose_racks`, `has_room_to_last` and `rack_token`, which must not call
+/// back.
 struct job_coordinator_hooks
 {
     std::function<std::shared_ptr<const fleet_config>()> config;
@@ -30,6 +31,9 @@
                                            std::size_t count,
                                            const std::string& data_rack)>
         choose_racks;
+    /// Whether the tasks of a step that lasts may take room of the fleet.
+    std::function<bool(const step_terms& terms, std::size_t count)>
+        has_room_to_last;
     /// Token of the current owner of a rack; 0: none known.
     std::function<std::int64_t(const std::string& rack)> rack_token;
     /// Sends orders to the owner of a rack, without waiting.
--- a/src/rack/fleet_load.cpp
+++ b/src/rack/fleet_load.cpp
@@ -17,6 +17,9 @@
 constexpr milliseconds recent_age{450};
 // Starts that find a place at once are not worth a reservation.
 constexpr milliseconds waiting_age{400};
+// Share of the processors that tasks that last leave to short ones. Urgent
+// short tasks of the users take 5% on average and twice that in bursts.
+constexpr std::int64_t short_percent = 8;
 // A rack whose owner has not reported for this long is not trusted to be free.
 constexpr milliseconds report_age{3'000};
 
@@ -378,6 +381,40 @@
     return chosen;
 }
 
+bool has_room_to_last(const fleet_load& fleet, const std::string& service,
+                      std::int64_t cpu_milli, time_point now)
+{
+    std::int64_t capacity = 0;
+    std::int64_t reported = 0;
+    std::int64_t free = 0;
+    for (const auto& [id, entry] : fleet.targets)
+    {
+        capacity += entry.service == service ? entry.capacity.cpu_milli : 0;
+    }
+    for (const auto& [name, view] : fleet.racks)
+    {
+        if (now - view.reported_at > report_age)
+        {
+            continue;
+        }
+        for (const target_room& room : view.room.targets)
+        {
+            const auto it = fleet.targets.find(room.id);
+            if (it != fleet.targets.end() && it->second.service == service)
+            {
+                reported += it->second.capacity.cpu_milli;
+                free += std::max<std::int64_t>(0, room.room.cpu_milli);
+            }
+        }
+    }
+    for (const recent_placement& item : fleet.recent)
+    {
+        free -= item.size.cpu_milli;
+    }
+    const bool is_known = reported * 4 >= capacity * 3;
+    return !is_known || (free - cpu_milli) * 100 >= capacity * short_percent;
+}
+
 bool has_room_elsewhere(const fleet_load& fleet, const step_terms& terms,
                         const std::string& rack, time_point now)
 {
--- a/src/rack/place_starts.cpp
+++ b/src/rack/place_starts.cpp
@@ -135,12 +135,14 @@
     target.runs[{start.task, start.run}] = std::move(run);
 }
 
-// Starts that can still meet their objective go first within a priority:
-// under a flood, work that is late already would make all others late too.
+// Within a priority, tasks that end soon go before tasks that last: they give
+// their room back within a second. Then come starts that can still meet their
+// objective: under a flood, work that is late already would make all others
+// late too.
 auto rank_of(const queued_start& start, std::int64_t now_ms)
 {
     const step_terms& terms = *start.terms;
-    return std::make_tuple(terms.priority,
+    return std::make_tuple(terms.priority, terms.is_long_running,
                            now_ms > terms.latest_start_ms + late_tolerance_ms,
                            terms.rank_ms, std::string_view(terms.step));
 }
--- a/src/scheduler/job_coordinator.cpp
+++ b/src/scheduler/job_coordinator.cpp
@@ -17,6 +17,8 @@
 // Backlog of a retry: long enough for an outage of seconds to pass, short
 // enough for an objective of a few seconds.
 constexpr std::int64_t refused_retry_ms = 1'000;
+// Tasks that last free room every few seconds; a caller asks a few times.
+constexpr std::int64_t full_retry_ms = 5'000;
 
 } // namespace
 
@@ -99,6 +101,15 @@
         // the caller can turn to another host at once.
         return {"refused", "", refused_retry_ms};
     }
+    if (!entry && !impl_->has_room(call))
+    {
+        log_info("job refused", {{"job", call.id},
+                                 {"queue", call.queue},
+                                 {"reason", "its tasks last, and the room "
+                                            "left is for short tasks"},
+                                 {"retry_after_ms", full_retry_ms}});
+        return {"refused", "", full_retry_ms};
+    }
     if (!entry)
     {
         entry = std::make_shared<job_entry>();
--- a/src/scheduler/job_coordinator_impl.hpp
+++ b/src/scheduler/job_coordinator_impl.hpp
@@ -52,6 +52,7 @@
     // job_coordinator_runs.cpp: assignment, orders to racks, reports of runs
     void assign_due(const entry_ptr& entry);
     void assign_step(const entry_ptr& entry, const due_step& due);
+    [[nodiscard]] bool has_room(const job_call& call) const;
     [[nodiscard]] step_terms terms_of(const job& value, std::size_t occurrence,
                                       std::size_t step) const;
     void collect_orders(job_entry& entry,
--- a/src/scheduler/job_coordinator_runs.cpp
+++ b/src/scheduler/job_coordinator_runs.cpp
@@ -55,6 +55,28 @@
     return terms;
 }
 
+// Returns whether a new job fits the fleet. Only tasks that last are refused:
+// all others end, and leave their room to what waits.
+bool job_coordinator::impl::has_room(const job_call& call) const
+{
+    if (!hooks.has_room_to_last)
+    {
+        return true;
+    }
+    const job value = make_job(call.id, call.queue, call.spec, unix_ms());
+    for (std::size_t n = 0; n < call.spec.steps.size(); ++n)
+    {
+        const step_spec& step = call.spec.steps[n];
+        if (step.is_long_running &&
+            !hooks.has_room_to_last(terms_of(value, 0, n),
+                                    static_cast<std::size_t>(step.count)))
+        {
+            return false;
+        }
+    }
+    return true;
+}
+
 void job_coordinator::impl::assign_step(const entry_ptr& entry,
                                         const due_step& due)
 {
--- a/src/scheduler/job_scheduler.cpp
+++ b/src/scheduler/job_scheduler.cpp
@@ -164,6 +164,14 @@
         return choose_racks(load, terms, count, data_rack, steady_clock::now(),
                             random);
     };
+    hooks.has_room_to_last = [this](const step_terms& terms, std::size_t count)
+    {
+        const std::lock_guard<std::mutex> lock(load_mutex);
+        return has_room_to_last(load, terms.service,
+                                terms.size.cpu_milli *
+                                    static_cast<std::int64_t>(count),
+                                steady_clock::now());
+    };
     hooks.rack_token = [this](const std::string& rack) -> std::int64_t
     {
         const std::optional<owner_location> owner =
