Say not run of a job only when no former owner can have stored it

A host that has just taken a shard over does not know of a write that the former owner sent, and refused during the outage.

Such a host now answers that it cannot tell (504) for 12 s after the takeover, at once, and a host that lost a shard stops writing its new jobs.

Ruled out: refused messages between hosts, writes without an answer.

--- a/include/egretspindle/scheduler/exchange.hpp
+++ b/include/egretspindle/scheduler/exchange.hpp
@@ -195,8 +195,9 @@
 /// Answer to a `job_call`.
 struct job_call_reply
 {
-    /// Of a submission: `accepted`, `refused`, `unknown`; else `known`,
-    /// `absent`, `unknown`; `not_owner` from a host that lacks the shard.
+    /// Of a submission: `accepted`, `refused`, `uncertain` (this attempt is not
+    /// stored, an earlier one may be), `unknown`; else `known`, `absent`,
+    /// `unknown`; `not_owner` from a host that lacks the shard.
     std::string verdict;
     std::string state;
     std::int64_t retry_after_ms = 0;
--- a/include/egretspindle/scheduler/job_coordinator.hpp
+++ b/include/egretspindle/scheduler/job_coordinator.hpp
@@ -47,6 +47,9 @@
     milliseconds refuse_after{700};    ///< refused writes of a new job
     milliseconds outage_after{600};    ///< failed writes: new jobs are refused
     milliseconds outage_memory{1'000}; ///< then the next new job tries again
+    /// After a takeover of a shard, until writes of its former owner have
+    /// certainly taken effect: 3 s until it stops, and up to 6 s of delay.
+    milliseconds former_writes{12'000};
     milliseconds report_wait{5'000};   ///< for the record of reported ends
     milliseconds resend_period{1'000}; ///< of orders without confirmation
     milliseconds retention{180'000};   ///< of ended jobs
--- a/src/scheduler/job_coordinator.cpp
+++ b/src/scheduler/job_coordinator.cpp
@@ -61,7 +61,10 @@
 {
     const std::lock_guard<std::mutex> lock(impl_->mutex);
     if (impl_->is_stopping ||
-        !impl_->shards.emplace(shard, shard_phase::loading).second)
+        !impl_->shards
+             .emplace(shard,
+                      shard_state{shard_phase::loading, steady_clock::now()})
+             .second)
     {
         return;
     }
@@ -97,11 +100,12 @@
     entry_ptr entry = impl_->find(call.id);
     if (!entry && impl_->is_outage(steady_clock::now()))
     {
-        // Nothing of this attempt is stored, so the answer is certain, and
-        // the caller can turn to another host at once.
-        return {"refused", "", refused_retry_ms};
+        // Nothing of this attempt is stored, and the caller can turn to another
+        // host at once.
+        return impl_->refuse(shard, refused_retry_ms);
     }
-    if (!entry && !impl_->has_room(call))
+    if (!entry && impl_->may_refuse(shard, steady_clock::now()) &&
+        !impl_->has_room(call))
     {
         log_info("job refused", {{"job", call.id},
                                  {"queue", call.queue},
@@ -134,7 +138,8 @@
     }
     // A job that was forgotten for another reason, such as a lost shard, may
     // have a write under way.
-    return {entry->is_refused ? "refused" : "unknown", "", refused_retry_ms};
+    return entry->is_refused ? impl_->refuse(shard, refused_retry_ms)
+                             : job_call_reply{"unknown", "", refused_retry_ms};
 }
 
 job_call_reply job_coordinator::query(const job_call& call)
--- a/src/scheduler/job_coordinator_impl.hpp
+++ b/src/scheduler/job_coordinator_impl.hpp
@@ -30,6 +30,13 @@
     ready,
 };
 
+/// Shard of this host.
+struct shard_state
+{
+    shard_phase phase = shard_phase::loading;
+    time_point taken_at;
+};
+
 /// State and functions; each group of functions has a file of its own.
 struct job_coordinator::impl
 {
@@ -88,6 +95,11 @@
                         const transaction_result& result);
     void apply_written(const entry_ptr& entry, std::int64_t version,
                        std::uint64_t change);
+    [[nodiscard]] bool may_refuse(const std::string& shard,
+                                  time_point now) const;
+    [[nodiscard]] job_call_reply refuse(const std::string& shard,
+                                        std::int64_t retry_after_ms) const;
+    [[nodiscard]] bool is_abandoned(const std::vector<entry_ptr>& batch);
     bool refuse_new(const std::vector<entry_ptr>& batch);
     void forget(const entry_ptr& entry);
     [[nodiscard]] bool is_outage(time_point now) const;
@@ -100,7 +112,7 @@
     mutable std::mutex mutex;
     std::condition_variable changed;   ///< records, shards
     std::condition_variable has_dirty; ///< queue of the writers
-    std::map<std::string, shard_phase> shards;
+    std::map<std::string, shard_state> shards;
     std::map<std::string, entry_ptr> jobs;
     std::deque<entry_ptr> dirty;
     std::vector<std::thread> threads;
--- a/src/scheduler/job_coordinator_records.cpp
+++ b/src/scheduler/job_coordinator_records.cpp
@@ -136,7 +136,8 @@
     for (milliseconds pause = first_backoff;;
          pause = std::min(pause * 2, longest_backoff))
     {
-        if (attempt(batch, transaction, changes) || refuse_new(batch))
+        if (attempt(batch, transaction, changes) || refuse_new(batch) ||
+            is_abandoned(batch))
         {
             return;
         }
@@ -297,6 +298,36 @@
     }
 }
 
+// A job that this host does not know may be stored by a write that a former
+// owner of its shard sent: such a write can take effect seconds later.
+bool job_coordinator::impl::may_refuse(const std::string& shard,
+                                       time_point now) const
+{
+    const auto it = shards.find(shard);
+    return it != shards.end() &&
+           now - it->second.taken_at >= limits.former_writes;
+}
+
+// Answer to a submission of which this host stores nothing.
+job_call_reply job_coordinator::impl::refuse(const std::string& shard,
+                                             std::int64_t retry_after_ms) const
+{
+    const bool is_certain = may_refuse(shard, steady_clock::now());
+    return {is_certain ? "refused" : "uncertain", "", retry_after_ms};
+}
+
+// Returns whether the jobs of a batch are all new and belong to another host
+// by now, which must not find them stored long after it has begun.
+bool job_coordinator::impl::is_abandoned(const std::vector<entry_ptr>& batch)
+{
+    const std::lock_guard<std::mutex> lock(mutex);
+    return std::all_of(batch.begin(), batch.end(),
+                       [this](const entry_ptr& entry) {
+                           return entry->version == 0 &&
+                                  find(entry->value.id) != entry;
+                       });
+}
+
 // A new job whose record the store refuses for certain is given up, so that
 // its caller can be told at once that it will not run.
 bool job_coordinator::impl::refuse_new(const std::vector<entry_ptr>& batch)
--- a/src/scheduler/job_coordinator_runs.cpp
+++ b/src/scheduler/job_coordinator_runs.cpp
@@ -205,7 +205,7 @@
     {
         const std::lock_guard<std::mutex> lock(mutex);
         const auto it = shards.find(shard);
-        if (it == shards.end() || it->second != shard_phase::ready)
+        if (it == shards.end() || it->second.phase != shard_phase::ready)
         {
             return report_verdict{"retry", {}};
         }
--- a/src/scheduler/job_coordinator_shards.cpp
+++ b/src/scheduler/job_coordinator_shards.cpp
@@ -89,7 +89,7 @@
     const bool is_read = read_shard(shard, rows);
     std::unique_lock<std::mutex> lock(mutex);
     const auto it = shards.find(shard);
-    if (it == shards.end() || it->second == shard_phase::ready)
+    if (it == shards.end() || it->second.phase == shard_phase::ready)
     {
         return;
     }
@@ -106,7 +106,7 @@
             insert(row, shard);
         }
     }
-    it->second = shard_phase::ready;
+    it->second.phase = shard_phase::ready;
     changed.notify_all();
     log_info("shard taken over", {{"shard", shard}, {"jobs", rows.size()}});
 }
@@ -139,11 +139,11 @@
     {
         const auto it = shards.find(shard);
         return is_stopping || it == shards.end() ||
-               it->second == shard_phase::ready;
+               it->second.phase == shard_phase::ready;
     };
     changed.wait_until(lock, deadline, is_decided);
     const auto it = shards.find(shard);
-    return it != shards.end() && it->second == shard_phase::ready;
+    return it != shards.end() && it->second.phase == shard_phase::ready;
 }
 
 entry_ptr job_coordinator::impl::find(const std::string& id)
--- a/tests/rack/fleet_load_test.cpp
+++ b/tests/rack/fleet_load_test.cpp
@@ -86,3 +86,17 @@
     // Nothing is left, so the third waits in a queue, which counts as well.
     REQUIRE_FALSE(has_room_elsewhere(fleet, heavy, "none", start));
 }
+
+TEST_CASE("tasks that last leave a share of the processors", "[rack]")
+{
+    fleet_load fleet = make_fleet(2); // 128 cores
+    REQUIRE(has_room_to_last(fleet, "svc", 100'000, start));
+    REQUIRE_FALSE(has_room_to_last(fleet, "svc", 120'000, start));
+    fleet.racks["r0"].room.targets[0].room.cpu_milli = 0;
+    fleet.racks["r0"].room.targets[1].room.cpu_milli = 0;
+    fleet.racks["r1"].room.targets[0].room.cpu_milli = 0;
+    REQUIRE_FALSE(has_room_to_last(fleet, "svc", 24'000, start));
+    // Nothing is refused on outdated reports.
+    REQUIRE(
+        has_room_to_last(fleet, "svc", 24'000, start + milliseconds(10'000)));
+}
--- a/tests/scheduler/job_coordinator_test.cpp
+++ b/tests/scheduler/job_coordinator_test.cpp
@@ -162,6 +162,7 @@
     surroundings around;
     coordinator_limits limits;
     limits.refuse_after = milliseconds(50);
+    limits.former_writes = milliseconds(0);
     job_coordinator coordinator(store, around.hooks(), limits);
     coordinator.take_shard(shard_of(job_id));
     store.set_fault(write_fault::refused);
@@ -174,6 +175,22 @@
     REQUIRE(around.sent.empty());
 }
 
+// A former owner of the shard may have sent a write of the same job that takes
+// effect later: trouble-2 of the cooperative started a job that had been
+// answered with "not run" (REFUSED, 4 times in one play of four).
+TEST_CASE("a host that has just taken a shard over refuses nothing for certain",
+          "[scheduler]")
+{
+    fake_store store;
+    surroundings around;
+    coordinator_limits limits;
+    limits.refuse_after = milliseconds(50);
+    job_coordinator coordinator(store, around.hooks(), limits);
+    coordinator.take_shard(shard_of(job_id));
+    store.set_fault(write_fault::refused);
+    REQUIRE(coordinator.submit(make_call()).verdict == "uncertain");
+}
+
 // hunt-0069-35 of the cooperative: REFUSED 5 times. A shard was lost while the
 // write of a new job was under way, and the caller was told that it never runs.
 TEST_CASE("a job whose shard is lost during its write is not refused",
@@ -202,6 +219,7 @@
     surroundings around;
     coordinator_limits limits;
     limits.refuse_after = milliseconds(50);
+    limits.former_writes = milliseconds(0);
     limits.outage_after = milliseconds(10);
     job_coordinator coordinator(store, around.hooks(), limits);
     coordinator.take_shard(shard_of(job_id));
@@ -233,6 +251,35 @@
     REQUIRE(row_of(store).version >= before);
 }
 
+// Tasks that last held all room of an overloaded fleet, and short ones of the
+// same priority found none.
+TEST_CASE("a job whose tasks last is refused while the rest is for short tasks",
+          "[scheduler]")
+{
+    fake_store store;
+    surroundings around;
+    job_coordinator_hooks hooks = around.hooks();
+    std::size_t asked = 0;
+    hooks.has_room_to_last = [&asked](const step_terms&, std::size_t count)
+    {
+        asked = count;
+        return false;
+    };
+    coordinator_limits limits;
+    limits.former_writes = milliseconds(0);
+    job_coordinator coordinator(store, hooks, limits);
+    coordinator.take_shard(shard_of(job_id));
+    job_call lasting = make_call();
+    lasting.spec.steps.front().is_long_running = true;
+    lasting.spec.steps.front().count = 6;
+    const job_call_reply reply = coordinator.submit(lasting);
+    REQUIRE(reply.verdict == "refused");
+    REQUIRE(reply.retry_after_ms >= 1'000);
+    REQUIRE(asked == 6);
+    REQUIRE(row_of(store).version == 0);
+    REQUIRE(coordinator.submit(make_call()).verdict == "accepted");
+}
+
 TEST_CASE("an end is recorded before it is confirmed", "[scheduler]")
 {
     fake_store store;
