--- a/include/egretspindle/scheduler/cluster_agent.hpp
+++ b/include/egretspindle/scheduler/cluster_agent.hpp
@@ -13,7 +13,6 @@
 #include <memory>
 #include <optional>
 #include <string>
-#include <string_view>
 #include <vector>
 
 namespace egretspindle
@@ -36,9 +35,6 @@
     restart, ///< an earlier life of this host, which ended before this one
 };
 
-/// Returns the name of a former owner for a log line.
-[[nodiscard]] std::string_view to_string(former_owner value) noexcept;
-
 /// What the agent tells of ownership. Called from its thread, without its
 /// lock.
 struct cluster_hooks
--- a/src/scheduler/cluster_agent.cpp
+++ b/src/scheduler/cluster_agent.cpp
@@ -54,20 +54,6 @@
 
 } // namespace
 
-std::string_view to_string(former_owner value) noexcept
-{
-    switch (value)
-    {
-    case former_owner::alive:
-        return "alive";
-    case former_owner::restart:
-        return "restart";
-    case former_owner::none:
-        break;
-    }
-    return "none";
-}
-
 struct cluster_agent::impl
 {
     impl(table_store& rows, host_row row, cluster_hooks callbacks,
--- a/src/scheduler/job_coordinator_records.cpp
+++ b/src/scheduler/job_coordinator_records.cpp
@@ -318,8 +318,8 @@
     return {is_certain ? "refused" : "uncertain", "", retry_after_ms};
 }
 
-// Returns whether the jobs of a batch are all new and belong to another host
-// by now, which must not find them stored long after it has begun.
+// Returns whether all jobs of a batch are new and their shard was lost. Its new
+// owner may refuse them, so they must not be stored much later.
 bool job_coordinator::impl::is_abandoned(const std::vector<entry_ptr>& batch)
 {
     const std::lock_guard<std::mutex> lock(mutex);
--- a/tests/scheduler/job_coordinator_test.cpp
+++ b/tests/scheduler/job_coordinator_test.cpp
@@ -101,6 +101,17 @@
     return store.row(std::string(jobs_table), shard_of(job_id), job_id);
 }
 
+// Makes some host the owner of rack `r1`, and returns its token.
+std::int64_t claim_rack(fake_store& store)
+{
+    row_transaction ownership;
+    table_row row;
+    row.table = std::string(cluster_table);
+    row.key = std::string(rack_prefix) + "r1";
+    ownership.writes.push_back(row);
+    return store.commit(ownership, {})->version;
+}
+
 } // namespace
 
 TEST_CASE("a submission is accepted once its row and its run are durable",
@@ -331,12 +342,7 @@
           "[scheduler]")
 {
     fake_store store;
-    row_transaction ownership;
-    table_row row;
-    row.table = std::string(cluster_table);
-    row.key = std::string(rack_prefix) + "r1";
-    ownership.writes.push_back(row);
-    const std::int64_t token = store.commit(ownership, {})->version;
+    const std::int64_t token = claim_rack(store);
     surroundings around;
     around.token = token;
     coordinator_limits limits;
@@ -345,7 +351,7 @@
     coordinator.take_shard(shard_of(job_id));
     REQUIRE(coordinator.submit(make_call()).verdict == "accepted");
     // Another host takes the rack over; this one has not read that yet.
-    REQUIRE(store.commit(ownership, {}).ok());
+    claim_rack(store);
     const report_reply reply =
         coordinator.report({{make_report("not_started", 0, token)}});
     REQUIRE(reply.verdicts.front().verdict == "retry");
@@ -361,12 +367,7 @@
 TEST_CASE("a conclusion of the present owner is recorded", "[scheduler]")
 {
     fake_store store;
-    row_transaction ownership;
-    table_row row;
-    row.table = std::string(cluster_table);
-    row.key = std::string(rack_prefix) + "r1";
-    ownership.writes.push_back(row);
-    const std::int64_t token = store.commit(ownership, {})->version;
+    const std::int64_t token = claim_rack(store);
     surroundings around;
     around.token = token;
     coordinator_limits limits;
