Take another life at a target's address for the end of the former one

After the loss of all hosts, the poll of a crashed target was answered with 421, its address belonged to its next life; the owner waited a whole lease all the same, from 33.9 s until 44.2 s.

Ruled out: the count of the lease from the start of the process, which the second loss of power of one host made irrelevant (the rack was taken over from a live host).

--- a/include/egretspindle/rack/rack_decision.hpp
+++ b/include/egretspindle/rack/rack_decision.hpp
@@ -78,6 +78,11 @@
 apply_start(rack_state& rack, rack_target& target, const run_id& id,
             order_verdict verdict, time_point now);
 
+/// Ends all runs of a target whose address answers for another life: nothing
+/// of the life that they belong to is left.
+[[nodiscard]] std::vector<run_event>
+end_life(rack_state& rack, rack_target& target, time_point now);
+
 /// Ends the runs of targets whose leases have certainly expired.
 [[nodiscard]] std::vector<run_event> expire_leases(rack_state& rack,
                                                    time_point now);
--- a/src/rack/rack_decision.cpp
+++ b/src/rack/rack_decision.cpp
@@ -345,6 +345,22 @@
     return events;
 }
 
+std::vector<run_event> end_life(rack_state& rack, rack_target& target,
+                                time_point now)
+{
+    std::vector<run_event> events;
+    if (rack.is_fenced)
+    {
+        return events;
+    }
+    drop_all(target, run_end::lost, events);
+    target.is_reached = true;
+    target.lease_until_ms = 0;
+    target.expires_at = now;
+    remember_ends(rack, events);
+    return events;
+}
+
 std::vector<run_event> expire_leases(rack_state& rack, time_point now)
 {
     std::vector<run_event> events;
--- a/src/scheduler/rack_agent_polls.cpp
+++ b/src/scheduler/rack_agent_polls.cpp
@@ -79,6 +79,7 @@
     }
     const bool is_refused =
         answer.ok() && answer->verdict == order_verdict::wrong_token;
+    std::vector<run_event> events;
     {
         const std::lock_guard<std::mutex> lock(mutex);
         if (channel->has_contact || channel->failed_polls == 0)
@@ -95,9 +96,15 @@
         ++channel->failed_polls;
         if (rack_target* target = find_target(*channel))
         {
-            target->avoid_until = steady_clock::now() + limits.poll_timeout;
+            const time_point now = steady_clock::now();
+            target->avoid_until = now + limits.poll_timeout;
+            if (answer.ok() && answer->verdict == order_verdict::other_life)
+            {
+                events = end_life(*find_rack(channel->rack), *target, now);
+            }
         }
     }
+    publish(channel->rack, channel->token, events);
     if (is_refused)
     {
         fence(*channel);
--- a/tests/rack/rack_decision_test.cpp
+++ b/tests/rack/rack_decision_test.cpp
@@ -408,3 +408,40 @@
         REQUIRE(images.size() <= 1);
     }
 }
+
+// After the loss of all hosts a new owner waited 10 s for the lease of a target
+// whose address belonged to its next life already (LOST, mix seed 675697743824
+// of the cooperative).
+TEST_CASE("an address with another life ends the runs of the former one",
+          "[rack]")
+{
+    rack_state rack = make_rack(2);
+    rack_target& target = rack.targets["t0"];
+    target.is_listed = false;
+    target.is_reached = false;
+    placed_run run;
+    run.task = "job.0.0.0";
+    run.run = 1;
+    run.is_taken = true;
+    target.runs[{"job.0.0.0", 1}] = run;
+    REQUIRE_FALSE(is_settled(rack, start));
+    const std::vector<run_event> events = end_life(rack, target, start);
+    REQUIRE(events.size() == 1);
+    REQUIRE(events.front().how == run_end::lost);
+    REQUIRE(is_settled(rack, start));
+    REQUIRE(expire_leases(rack, start).empty());
+    REQUIRE(rack.targets.count("t0") == 0);
+}
+
+TEST_CASE("a refused owner concludes nothing from another life", "[rack]")
+{
+    rack_state rack = make_rack(1);
+    rack.is_fenced = true;
+    rack_target& target = rack.targets["t0"];
+    placed_run run;
+    run.task = "job.0.0.0";
+    run.run = 1;
+    target.runs[{"job.0.0.0", 1}] = run;
+    REQUIRE(end_life(rack, target, start).empty());
+    REQUIRE(target.runs.size() == 1);
+}
