Log what a rack owner concludes, and the activity of a host

An end that a rack owner concluded without having seen it in a list could not be traced to its reason. A line names it now. One line every 5 s tells a host that is short of processor time or link capacity from one whose racks are full.

--- a/include/egretspindle/core/clock.hpp
+++ b/include/egretspindle/core/clock.hpp
@@ -20,6 +20,12 @@
     return std::chrono::duration_cast<milliseconds>(to - from).count();
 }
 
+/// Returns the time since a time point.
+[[nodiscard]] inline milliseconds elapsed(time_point from)
+{
+    return std::chrono::duration_cast<milliseconds>(steady_clock::now() - from);
+}
+
 /// Returns milliseconds since the Unix epoch, for records and logs.
 [[nodiscard]] inline std::int64_t unix_ms()
 {
--- a/include/egretspindle/rack/rack_decision.hpp
+++ b/include/egretspindle/rack/rack_decision.hpp
@@ -12,11 +12,28 @@
 #include <cstdint>
 #include <functional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace egretspindle
 {
 
+/// Why the owner of a rack concludes that a run has ended without having seen
+/// the end in a list.
+enum class end_cause
+{
+    listed,        ///< nothing was concluded, the target lists the end
+    other_life,    ///< the target has started again
+    lease_expired, ///< on a target that was not reached
+    not_in_list,   ///< the target had confirmed the start
+    refused,       ///< the target refused the start
+    withdrawn,     ///< before it was sent to a target
+    handed_back,   ///< another rack has room
+};
+
+/// Returns the name of a cause for log lines.
+[[nodiscard]] std::string_view to_string(end_cause value) noexcept;
+
 /// What the owner of a job has to learn of a run.
 struct run_event
 {
@@ -31,6 +48,7 @@
     std::string task;
     std::int64_t run = 0;
     run_end how = run_end::done; ///< of an end
+    end_cause cause = end_cause::listed;
     std::string checkpoint;
     std::string target;
     std::int64_t number = 0; ///< of a listed end; 0: not listed
--- a/include/egretspindle/scheduler/load_exchange.hpp
+++ b/include/egretspindle/scheduler/load_exchange.hpp
@@ -8,6 +8,7 @@
 
 #include <absl/status/status.h>
 
+#include <cstddef>
 #include <functional>
 #include <memory>
 #include <string>
@@ -21,7 +22,10 @@
 {
 public:
     /// Called from the receiving thread.
-    using receive_function = std::function<void(const load_report& report)>;
+    ///
+    /// \param bytes  size of the datagram
+    using receive_function =
+        std::function<void(const load_report& report, std::size_t bytes)>;
 
     load_exchange(std::string key, receive_function received);
     ~load_exchange();
@@ -36,7 +40,9 @@
     /// Sends a report to hosts.
     ///
     /// \param peers  `ip:port` of each
-    void send(const load_report& report, const std::vector<std::string>& peers);
+    /// \returns the size of each datagram
+    std::size_t send(const load_report& report,
+                     const std::vector<std::string>& peers);
 
 private:
     struct impl;
--- a/include/egretspindle/scheduler/rack_agent.hpp
+++ b/include/egretspindle/scheduler/rack_agent.hpp
@@ -8,6 +8,7 @@
 #include "egretspindle/fleet/target_port.hpp"
 #include "egretspindle/rack/fleet_load.hpp"
 #include "egretspindle/rack/rack_state.hpp"
+#include "egretspindle/scheduler/activity.hpp"
 #include "egretspindle/scheduler/exchange.hpp"
 
 #include <cstdint>
@@ -124,6 +125,9 @@
     /// Sets the images of starts that wait for idle processors on any host.
     void set_waiting(std::set<std::string> images);
 
+    /// Returns what has been counted since the last log line.
+    [[nodiscard]] host_activity& activity() noexcept;
+
     /// Ends the threads.
     void stop();
 
--- a/src/rack/rack_decision.cpp
+++ b/src/rack/rack_decision.cpp
@@ -22,34 +22,38 @@
 // Starts that a rack hands back at a time. Other hosts see the same room.
 constexpr std::size_t most_handed_back = 4;
 
-run_event ended(const placed_run& run, const std::string& target, run_end how)
+run_event ended(const placed_run& run, const std::string& target, run_end how,
+                end_cause cause)
 {
     run_event event;
     event.what = run_event::kind::ended;
     event.task = run.task;
     event.run = run.run;
     event.how = how;
+    event.cause = cause;
     event.checkpoint = run.checkpoint;
     event.target = target;
     return event;
 }
 
-run_event not_started(const queued_start& start)
+run_event not_started(const queued_start& start, end_cause cause)
 {
     run_event event;
     event.what = run_event::kind::ended;
     event.task = start.task;
     event.run = start.run;
     event.how = run_end::not_started;
+    event.cause = cause;
     event.checkpoint = start.checkpoint;
     return event;
 }
 
-void drop_all(rack_target& target, run_end how, std::vector<run_event>& events)
+void drop_all(rack_target& target, end_cause cause,
+              std::vector<run_event>& events)
 {
     for (const auto& [id, run] : target.runs)
     {
-        events.push_back(ended(run, target.entry.id, how));
+        events.push_back(ended(run, target.entry.id, run_end::lost, cause));
     }
     target.runs.clear();
     target.ends.clear();
@@ -187,7 +191,8 @@
             ++it;
             continue;
         }
-        events.push_back(ended(run, target.entry.id, run_end::lost));
+        events.push_back(
+            ended(run, target.entry.id, run_end::lost, end_cause::not_in_list));
         it = target.runs.erase(it);
     }
 }
@@ -201,6 +206,28 @@
 
 } // namespace
 
+std::string_view to_string(end_cause value) noexcept
+{
+    switch (value)
+    {
+    case end_cause::other_life:
+        return "other_life";
+    case end_cause::lease_expired:
+        return "lease_expired";
+    case end_cause::not_in_list:
+        return "not_in_list";
+    case end_cause::refused:
+        return "refused";
+    case end_cause::withdrawn:
+        return "withdrawn";
+    case end_cause::handed_back:
+        return "handed_back";
+    case end_cause::listed:
+        break;
+    }
+    return "listed";
+}
+
 enqueue_result enqueue(rack_state& rack, queued_start start)
 {
     const run_id id{start.task, start.run};
@@ -257,7 +284,7 @@
         {
             target.runs.erase(id);
         }
-        drop_all(target, run_end::lost, events);
+        drop_all(target, end_cause::other_life, events);
         target.runs = std::move(on_their_way);
         target.lease_until_ms = 0;
     }
@@ -324,7 +351,7 @@
         avoid(target, now);
         if (is_stopping)
         {
-            events.push_back(not_started(again));
+            events.push_back(not_started(again, end_cause::refused));
         }
         else
         {
@@ -334,7 +361,8 @@
     }
     case order_verdict::no_permission:
     case order_verdict::malformed:
-        events.push_back(ended(run, target.entry.id, run_end::not_started));
+        events.push_back(ended(run, target.entry.id, run_end::not_started,
+                               end_cause::refused));
         target.runs.erase(it);
         break;
     case order_verdict::wrong_token:
@@ -353,7 +381,7 @@
     {
         return events;
     }
-    drop_all(target, run_end::lost, events);
+    drop_all(target, end_cause::other_life, events);
     target.is_reached = true;
     target.lease_until_ms = 0;
     target.expires_at = now;
@@ -378,7 +406,7 @@
         const bool is_expired = now >= expiry && rack.verified_at >= expiry;
         if (is_expired && !target.runs.empty())
         {
-            drop_all(target, run_end::lost, events);
+            drop_all(target, end_cause::lease_expired, events);
         }
         if (is_expired && !target.is_listed)
         {
@@ -420,7 +448,7 @@
     const bool is_certain = queued != rack.queue.end() && !queued->is_repeated;
     if (is_certain)
     {
-        events.push_back(not_started(*queued));
+        events.push_back(not_started(*queued, end_cause::withdrawn));
     }
     else
     {
@@ -446,7 +474,7 @@
         queued_start start;
         start.task = id.first;
         start.run = id.second;
-        events.push_back(not_started(start));
+        events.push_back(not_started(start, end_cause::withdrawn));
     }
     rack.stops.clear();
     remember_ends(rack, events);
@@ -494,7 +522,7 @@
         if (events.size() < most_handed_back && !start.is_repeated &&
             now - start.queued_at > patience && has_room(*start.terms))
         {
-            events.push_back(not_started(start));
+            events.push_back(not_started(start, end_cause::handed_back));
             continue;
         }
         remaining.push_back(std::move(start));
--- a/src/scheduler/job_scheduler.cpp
+++ b/src/scheduler/job_scheduler.cpp
@@ -37,6 +37,7 @@
 // itself replaced; a slow read takes up to its time-out on top.
 constexpr milliseconds former_owner_reads{2'500};
 constexpr milliseconds tick_period{250};
+constexpr milliseconds activity_period{5'000};
 constexpr milliseconds orders_timeout{1'500};
 // Longer than the wait of the coordinator for the record.
 constexpr milliseconds reports_timeout{3'000};
@@ -106,6 +107,7 @@
     fleet_load load;
     std::minstd_rand random{std::random_device{}()};
     std::int64_t report_number = 0;
+    time_point activity_logged_at;
     std::atomic<bool> has_targets{false};
     std::atomic<bool> is_leaving{false};
 
@@ -601,7 +603,20 @@
     note_load(report);
     if (!report.racks.empty())
     {
-        loads->send(report, agent.peers());
+        const std::vector<std::string> peers = agent.peers();
+        const std::size_t bytes = loads->send(report, peers);
+        note_datagram(racks.activity().reports_out, bytes * peers.size());
+    }
+    if (elapsed(activity_logged_at) >= activity_period)
+    {
+        activity_logged_at = steady_clock::now();
+        queue_lengths queues;
+        queues.racks = report.racks.size();
+        for (const rack_room& room : report.racks)
+        {
+            queues.queued_starts += room.queued;
+        }
+        log_activity(racks.activity(), queues);
     }
 }
 
@@ -609,9 +624,12 @@
 {
     for (;;)
     {
+        const time_point begun = steady_clock::now();
         racks.tick();
         share_load();
         coordinator.tick();
+        std::atomic<std::int64_t>& longest = racks.activity().longest_tick_ms;
+        longest = std::max(longest.load(), elapsed(begun).count());
         std::unique_lock<std::mutex> lock(tick_mutex);
         if (tick_wake.wait_for(lock, tick_period,
                                [this] { return is_stopping; }))
@@ -652,7 +670,12 @@
         return status;
     }
     impl_->loads = std::make_unique<load_exchange>(
-        key, [this](const load_report& report) { impl_->note_load(report); });
+        key,
+        [this](const load_report& report, std::size_t bytes)
+        {
+            note_datagram(impl_->racks.activity().reports_in, bytes);
+            impl_->note_load(report);
+        });
     status = impl_->loads->start(impl_->options.peer_address,
                                  impl_->options.peer_port);
     if (!status.ok())
--- a/src/scheduler/load_exchange.cpp
+++ b/src/scheduler/load_exchange.cpp
@@ -69,7 +69,7 @@
             from_json<load_report>(payload);
         if (report.ok())
         {
-            received(*report);
+            received(*report, text.size());
         }
     }
 }
@@ -120,8 +120,8 @@
     }
 }
 
-void load_exchange::send(const load_report& report,
-                         const std::vector<std::string>& peers)
+std::size_t load_exchange::send(const load_report& report,
+                                const std::vector<std::string>& peers)
 {
     const std::string payload = to_json(report);
     const std::string text =
@@ -138,6 +138,7 @@
                 reinterpret_cast<const sockaddr*>(&address), sizeof address));
         }
     }
+    return text.size();
 }
 
 } // namespace egretspindle
--- a/src/scheduler/rack_agent.cpp
+++ b/src/scheduler/rack_agent.cpp
@@ -374,6 +374,11 @@
     impl_->model.waiting = std::move(images);
 }
 
+host_activity& rack_agent::activity() noexcept
+{
+    return impl_->activity;
+}
+
 std::vector<rack_room> rack_agent::measure() const
 {
     std::vector<rack_room> rooms;
--- a/src/scheduler/rack_agent_channels.cpp
+++ b/src/scheduler/rack_agent_channels.cpp
@@ -220,10 +220,25 @@
 void rack_agent::impl::publish(const std::string& rack, std::int64_t token,
                                const std::vector<run_event>& events)
 {
-    if (!events.empty())
+    if (events.empty())
     {
-        hooks.report(to_reports(rack, token, events));
+        return;
     }
+    for (const run_event& event : events)
+    {
+        if (event.what == run_event::kind::ended &&
+            event.cause != end_cause::listed)
+        {
+            log_info("end concluded", {{"task", event.task},
+                                       {"run", event.run},
+                                       {"how", to_string(event.how)},
+                                       {"cause", to_string(event.cause)},
+                                       {"target", event.target},
+                                       {"rack", rack},
+                                       {"owner_version", token}});
+        }
+    }
+    hooks.report(to_reports(rack, token, events));
 }
 
 } // namespace egretspindle
--- a/src/scheduler/rack_agent_impl.hpp
+++ b/src/scheduler/rack_agent_impl.hpp
@@ -113,6 +113,7 @@
     std::map<std::string, target_entry> entries; ///< as listed last
     std::vector<channel_ptr> retired;            ///< threads that are ending
     pressure_model model;
+    host_activity activity;
     bool is_stopping = false;
 };
 
--- a/src/scheduler/rack_agent_orders.cpp
+++ b/src/scheduler/rack_agent_orders.cpp
@@ -197,8 +197,10 @@
     {
         return;
     }
+    const time_point sent_at = steady_clock::now();
     const absl::StatusOr<order_answer> answer =
         targets.start(entry, message, limits.order_timeout);
+    note_call(activity.orders, elapsed(sent_at), answer.ok());
     if (answer.ok() && answer->verdict != order_verdict::too_late)
     {
         take_answer(channel, order, *answer);
@@ -231,8 +233,10 @@
         message.run = order.id.second;
         message.token = channel->token;
     }
+    const time_point sent_at = steady_clock::now();
     const absl::StatusOr<order_answer> answer =
         targets.stop(entry, message, limits.order_timeout);
+    note_call(activity.orders, elapsed(sent_at), answer.ok());
     if (!answer.ok())
     {
         log_warning("stop was not answered",
@@ -278,8 +282,10 @@
         message.percent = order.percent;
         message.token = channel->token;
     }
+    const time_point sent_at = steady_clock::now();
     const absl::StatusOr<order_answer> answer =
         targets.pace(entry, message, limits.order_timeout);
+    note_call(activity.orders, elapsed(sent_at), answer.ok());
     if (!answer.ok())
     {
         log_warning("pace was not answered",
