Grant leases only while the store has confirmed the owner of a rack lately

Callers saw a task run on two targets at once. A host that misses its heartbeats, because it is starved, rejected by the store or cut off from it, goes on renewing leases; the host that takes its rack over cannot reach a target that the former owner reaches, gives it one lease, and starts its runs again while they go on. On a suspended host the steady clock stands still as well, so it renewed leases after waking up before it read the owner rows.

An owner now grants leases only within 4 s of the start of a read that showed it as owner, on a clock that counts suspensions, and a later owner counts the leases from 4 s after its claim, whether or not the former owner sends heartbeats. A grant is an absolute time on the target's clock, so one that is delayed on its way ends no later.

Fencing tokens alone do not help here: the target has not seen the new one.

--- a/include/egretspindle/rack/rack_state.hpp
+++ b/include/egretspindle/rack/rack_state.hpp
@@ -4,6 +4,7 @@
 #ifndef EGRETSPINDLE_RACK_RACK_STATE_HPP
 #define EGRETSPINDLE_RACK_RACK_STATE_HPP
 
+#include "egretspindle/core/boot_clock.hpp"
 #include "egretspindle/core/clock.hpp"
 #include "egretspindle/fleet/target_entry.hpp"
 #include "egretspindle/rack/queued_start.hpp"
@@ -26,6 +27,10 @@
     milliseconds longest{10'000};   ///< granted by a target at most
     milliseconds expiry_slack{500}; ///< thaw of a target and delivery
     double clock_drift = 0.02;      ///< a target's clock may be this slow
+    /// An owner grants leases for this long after the start of a read that
+    /// confirmed it. With the lease that was granted last, tasks outlive an
+    /// outage of the store of 7 s; a later owner waits this long in addition.
+    milliseconds authority{4'000};
 };
 
 /// Run on a target, from the order until its end is listed.
@@ -93,7 +98,8 @@
     time_point taken_over_at;
     /// Start of the last read of the owner rows that showed this owner.
     time_point verified_at;
-    bool is_fenced = false; ///< a target has seen a newer owner
+    boot_time_point may_grant_until; ///< leases, see `lease_limits::authority`
+    bool is_fenced = false;          ///< a target has seen a newer owner
     /// Targets that this owner has not reached may run work until then. All
     /// that an earlier owner can have started work on are in the table.
     time_point unknown_until;
@@ -108,6 +114,19 @@
     time_point ended_since; ///< start of the period that `ended` covers
 };
 
+/// Notes that the store showed this host as owner.
+///
+/// \param read_at  start of the read, or of the write that claimed the rack
+void note_ownership(rack_state& rack, const moment& read_at,
+                    const lease_limits& limits);
+
+/// Returns whether the owner may grant leases now.
+///
+/// A later owner counts on it that the former one stops: it has no other way
+/// to learn what runs on a target that only the former one reaches.
+[[nodiscard]] bool may_grant(const rack_state& rack,
+                             boot_time_point now) noexcept;
+
 /// Returns the room that is left on a target.
 [[nodiscard]] task_size free_room(const rack_target& target);
 
--- a/include/egretspindle/scheduler/cluster_agent.hpp
+++ b/include/egretspindle/scheduler/cluster_agent.hpp
@@ -5,6 +5,7 @@
 #define EGRETSPINDLE_SCHEDULER_CLUSTER_AGENT_HPP
 
 #include "egretspindle/cluster/cluster_view.hpp"
+#include "egretspindle/core/boot_clock.hpp"
 #include "egretspindle/fleet/table_store.hpp"
 
 #include <cstdint>
@@ -30,8 +31,8 @@
 /// Former owner of a resource, as seen when it was claimed.
 enum class former_owner
 {
-    none,    ///< nobody, or a host that is not live
-    alive,   ///< a live host, which learns of the claim at its next read
+    none,    ///< nobody
+    other,   ///< another host, which may live and not know of the claim yet
     restart, ///< an earlier life of this host, which ended before this one
 };
 
@@ -39,13 +40,15 @@
 /// lock.
 struct cluster_hooks
 {
+    /// A read or a write that began at `confirmed_at` showed this host as
+    /// owner.
     std::function<void(const std::string& resource, std::int64_t token,
-                       former_owner former)>
+                       former_owner former, const moment& confirmed_at)>
         taken;
     std::function<void(const std::string& resource)> lost;
     /// A read that began at `read_at` showed this host as owner.
     std::function<void(const std::string& resource, std::int64_t token,
-                       time_point read_at)>
+                       const moment& read_at)>
         verified;
     std::function<std::map<std::string, std::int64_t>()> pending;
 };
--- a/include/egretspindle/scheduler/rack_agent.hpp
+++ b/include/egretspindle/scheduler/rack_agent.hpp
@@ -70,6 +70,8 @@
     std::int64_t token = 0;
     /// The former owner has certainly granted no lease since then.
     time_point former_stopped_at;
+    /// Start of the read or write that showed this host as owner.
+    moment confirmed_at;
     /// Addresses of the targets that earlier owners may have used, by id.
     rack_roster roster;
 };
@@ -97,7 +99,7 @@
     ///
     /// \param read_at  when the read was begun
     void verify_rack(const std::string& rack, std::int64_t token,
-                     time_point read_at);
+                     const moment& read_at);
 
     /// Takes over the platform's list of targets.
     void set_targets(const std::map<std::string, target_entry>& targets);
--- a/src/rack/rack_state.cpp
+++ b/src/rack/rack_state.cpp
@@ -25,6 +25,19 @@
 
 } // namespace
 
+void note_ownership(rack_state& rack, const moment& read_at,
+                    const lease_limits& limits)
+{
+    rack.verified_at = std::max(rack.verified_at, read_at.steady);
+    rack.may_grant_until =
+        std::max(rack.may_grant_until, read_at.boot + limits.authority);
+}
+
+bool may_grant(const rack_state& rack, boot_time_point now) noexcept
+{
+    return !rack.is_fenced && now < rack.may_grant_until;
+}
+
 task_size free_room(const rack_target& target)
 {
     task_size room = target.entry.capacity;
--- a/src/scheduler/cluster_agent.cpp
+++ b/src/scheduler/cluster_agent.cpp
@@ -68,12 +68,11 @@
     bool read();
     void apply(const std::vector<table_row>& rows, time_point now);
     void claim();
-    void announce();
-    void verify(time_point read_at);
+    void announce(const moment& confirmed_at);
+    void verify(const moment& read_at);
     resource& find_resource(const std::string& name);
     [[nodiscard]] bool is_owned(const resource& item) const;
-    [[nodiscard]] former_owner former_of(const resource& item,
-                                         time_point now) const;
+    [[nodiscard]] former_owner former_of(const resource& item) const;
 
     table_store& store;
     host_row self;
@@ -97,8 +96,7 @@
     return owns(item, self.name, self.boot);
 }
 
-former_owner cluster_agent::impl::former_of(const resource& item,
-                                            time_point now) const
+former_owner cluster_agent::impl::former_of(const resource& item) const
 {
     if (item.version == 0)
     {
@@ -109,8 +107,7 @@
         return item.owner.boot == self.boot ? former_owner::none
                                             : former_owner::restart;
     }
-    return is_live(view, item.owner.host, limits, now) ? former_owner::alive
-                                                       : former_owner::none;
+    return former_owner::other;
 }
 
 resource& cluster_agent::impl::find_resource(const std::string& name)
@@ -265,8 +262,9 @@
                      std::string(roster_prefix) + rack,
                      view.rosters[rack].version});
             }
-            former.push_back(former_of(item, now));
-            if (former.back() == former_owner::alive)
+            former.push_back(former_of(item));
+            if (former.back() == former_owner::other &&
+                is_live(view, item.owner.host, limits, now))
             {
                 view.last_rebalance = now;
             }
@@ -297,7 +295,7 @@
 }
 
 // Tells what has been taken over or lost since the last call.
-void cluster_agent::impl::announce()
+void cluster_agent::impl::announce(const moment& confirmed_at)
 {
     std::vector<std::tuple<std::string, std::int64_t, former_owner>> taken;
     std::vector<std::string> lost;
@@ -325,11 +323,11 @@
     }
     for (const auto& [name, token, former] : taken)
     {
-        hooks.taken(name, token, former);
+        hooks.taken(name, token, former, confirmed_at);
     }
 }
 
-void cluster_agent::impl::verify(time_point read_at)
+void cluster_agent::impl::verify(const moment& read_at)
 {
     std::map<std::string, std::int64_t> owned;
     {
@@ -348,13 +346,14 @@
     {
         const time_point begun = steady_clock::now();
         beat();
-        const time_point read_at = steady_clock::now();
+        const moment read_at = current_moment();
         if (read())
         {
-            announce();
+            announce(read_at);
             verify(read_at);
+            const moment claimed_at = current_moment();
             claim();
-            announce();
+            announce(claimed_at);
         }
         std::unique_lock<std::mutex> lock(mutex);
         // A failed claim or a lost rack is looked at again soon, but not at
--- a/src/scheduler/job_scheduler.cpp
+++ b/src/scheduler/job_scheduler.cpp
@@ -33,9 +33,6 @@
 constexpr std::string_view orders_message = "rack_orders";
 constexpr std::string_view reports_message = "run_reports";
 
-// A live former owner of a rack reads the owner rows every second and finds
-// itself replaced; a slow read takes up to its time-out on top.
-constexpr milliseconds former_owner_reads{2'500};
 constexpr milliseconds tick_period{250};
 constexpr milliseconds activity_period{5'000};
 constexpr milliseconds orders_timeout{1'500};
@@ -87,7 +84,7 @@
     void tick_loop();
     void share_load();
     void on_taken(const std::string& resource, std::int64_t token,
-                  former_owner former);
+                  former_owner former, const moment& confirmed_at);
     void on_lost(const std::string& resource);
     [[nodiscard]] time_point stop_of(former_owner former) const;
     job_coordinator_hooks make_coordinator_hooks();
@@ -225,16 +222,16 @@
 {
     cluster_hooks hooks;
     hooks.taken = [this](const std::string& resource, std::int64_t token,
-                         former_owner former)
+                         former_owner former, const moment& confirmed_at)
     {
-        on_taken(resource, token, former);
+        on_taken(resource, token, former, confirmed_at);
     };
     hooks.lost = [this](const std::string& resource)
     {
         on_lost(resource);
     };
     hooks.verified = [this](const std::string& resource, std::int64_t token,
-                            time_point read_at)
+                            const moment& read_at)
     {
         if (resource.compare(0, rack_prefix.size(), rack_prefix) == 0)
         {
@@ -251,15 +248,16 @@
 
 // --- ownership -------------------------------------------------------------
 
-// When a former owner has certainly granted its last lease.
+// When a former owner has certainly granted its last lease. One that is silent
+// may be cut off from the store and live.
 time_point job_scheduler::impl::stop_of(former_owner former) const
 {
     switch (former)
     {
     case former_owner::restart:
         return started_at;
-    case former_owner::alive:
-        return steady_clock::now() + former_owner_reads;
+    case former_owner::other:
+        return steady_clock::now() + options.racks.lease.authority;
     case former_owner::none:
         break;
     }
@@ -267,7 +265,8 @@
 }
 
 void job_scheduler::impl::on_taken(const std::string& resource,
-                                   std::int64_t token, former_owner former)
+                                   std::int64_t token, former_owner former,
+                                   const moment& confirmed_at)
 {
     const std::size_t slash = resource.find('/');
     const std::string name = resource.substr(slash + 1);
@@ -280,6 +279,7 @@
     takeover.rack = name;
     takeover.token = token;
     takeover.former_stopped_at = stop_of(former);
+    takeover.confirmed_at = confirmed_at;
     takeover.roster = agent.roster_of(name);
     racks.take_rack(takeover);
 }
--- a/src/scheduler/rack_agent.cpp
+++ b/src/scheduler/rack_agent.cpp
@@ -57,6 +57,7 @@
         rack.recorded_targets = takeover.roster.size();
         rack.token = takeover.token;
         rack.taken_over_at = now;
+        note_ownership(rack, takeover.confirmed_at, impl_->limits.lease);
         rack.unknown_until =
             takeover.former_stopped_at + whole_lease(impl_->limits.lease);
         for (const auto& [id, address] : takeover.roster)
@@ -83,13 +84,13 @@
 }
 
 void rack_agent::verify_rack(const std::string& rack, std::int64_t token,
-                             time_point read_at)
+                             const moment& read_at)
 {
     const std::lock_guard<std::mutex> lock(impl_->mutex);
     rack_state* known = impl_->find_rack(rack);
     if (known != nullptr && known->token == token)
     {
-        known->verified_at = std::max(known->verified_at, read_at);
+        note_ownership(*known, read_at, impl_->limits.lease);
     }
 }
 
--- a/src/scheduler/rack_agent_channels.cpp
+++ b/src/scheduler/rack_agent_channels.cpp
@@ -199,6 +199,10 @@
 
 void rack_agent::impl::place(rack_state& rack)
 {
+    if (!may_grant(rack, boot_clock::now()))
+    {
+        return; // a start needs a lease
+    }
     for (const placement& item :
          place_starts(rack, model, steady_clock::now(), unix_ms()))
     {
--- a/src/scheduler/rack_agent_orders.cpp
+++ b/src/scheduler/rack_agent_orders.cpp
@@ -123,7 +123,8 @@
     // A target that does not answer gets no longer lease, so that its runs are
     // certain to end.
     message.lease_until_ms =
-        channel->has_contact && !order.was_unanswered
+        channel->has_contact && !order.was_unanswered &&
+                may_grant(*find_rack(channel->rack), boot_clock::now())
             ? extend_lease(*target, limits.lease, steady_clock::now())
             : target->lease_until_ms;
     return true;
--- a/src/scheduler/rack_agent_polls.cpp
+++ b/src/scheduler/rack_agent_polls.cpp
@@ -58,7 +58,11 @@
         order.acknowledged = target->acknowledged;
         if (channel->has_contact)
         {
-            order.lease_until_ms = extend_lease(*target, limits.lease, sent_at);
+            if (may_grant(*find_rack(channel->rack), boot_clock::now()))
+            {
+                order.lease_until_ms =
+                    extend_lease(*target, limits.lease, sent_at);
+            }
             bool is_serving = false;
             bool is_filling = false;
             for (const auto& [id, run] : target->runs)
--- a/tests/rack/rack_decision_test.cpp
+++ b/tests/rack/rack_decision_test.cpp
@@ -445,3 +445,19 @@
     REQUIRE(end_life(rack, target, start).empty());
     REQUIRE(target.runs.size() == 1);
 }
+
+// The steady clock stands still while a host is suspended: it renewed leases
+// after its racks had been taken over.
+TEST_CASE("the right to grant leases ends during a suspension", "[rack]")
+{
+    rack_state rack;
+    const lease_limits limits;
+    const moment read_at{start, boot_time_point(std::chrono::seconds(50))};
+    note_ownership(rack, read_at, limits);
+    REQUIRE(may_grant(rack, read_at.boot));
+    REQUIRE_FALSE(may_grant(rack, read_at.boot + limits.authority));
+    note_ownership(rack, {start, read_at.boot + milliseconds(1'000)}, limits);
+    REQUIRE(may_grant(rack, read_at.boot + limits.authority));
+    rack.is_fenced = true;
+    REQUIRE_FALSE(may_grant(rack, read_at.boot));
+}
--- a/tests/scheduler/cluster_agent_test.cpp
+++ b/tests/scheduler/cluster_agent_test.cpp
@@ -43,7 +43,7 @@
     {
         cluster_hooks result;
         result.taken = [this](const std::string& resource, std::int64_t,
-                              former_owner former)
+                              former_owner former, const moment&)
         {
             const std::lock_guard<std::mutex> lock(mutex);
             taken[resource] = former;
@@ -51,7 +51,7 @@
         };
         result.lost = [](const std::string&) {
         };
-        result.verified = [](const std::string&, std::int64_t, time_point) {
+        result.verified = [](const std::string&, std::int64_t, const moment&) {
         };
         result.pending = []
         {
@@ -95,12 +95,14 @@
     host.agent.stop();
 }
 
-// A dead host is no earlier life of this one; when it stopped is not known.
-TEST_CASE("a host that has vanished is no former life", "[scheduler]")
+// A host without heartbeats may live, be cut off from the store, and go on
+// renewing leases: tasks ran twice.
+TEST_CASE("a former owner without heartbeats is not taken for stopped",
+          "[scheduler]")
 {
     fake_store store;
     write_owner(store, {"h9", 1});
     claims host(store);
-    REQUIRE(host.wait_for_rack() == former_owner::none);
+    REQUIRE(host.wait_for_rack() == former_owner::other);
     host.agent.stop();
 }
--- a/tests/scheduler/rack_agent_test.cpp
+++ b/tests/scheduler/rack_agent_test.cpp
@@ -3,6 +3,7 @@
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
 #include <condition_variable>
 #include <mutex>
 #include <thread>
@@ -67,6 +68,14 @@
         return answer;
     }
 
+    /// Polls that granted a lease; called under the lock.
+    [[nodiscard]] int renewals() const
+    {
+        return static_cast<int>(std::count_if(
+            polls.begin(), polls.end(),
+            [](const poll_target& order) { return order.lease_until_ms > 0; }));
+    }
+
     template <typename Condition>
     bool wait(Condition condition)
     {
@@ -96,9 +105,10 @@
     std::vector<std::string> lost;
     std::vector<rack_roster> rosters; ///< that were to be recorded
     bool is_recordable = true;
-    rack_agent agent{targets, hooks(), limits()};
+    rack_agent agent;
 
-    fixture()
+    explicit fixture(milliseconds authority = std::chrono::minutes(1))
+        : agent(targets, hooks(), limits(authority))
     {
         target_entry entry;
         entry.id = "t1";
@@ -107,6 +117,7 @@
         entry.capacity = {4'000, 4'000, 0};
         agent.set_targets({{"t1", entry}});
         rack_takeover takeover;
+        takeover.confirmed_at = current_moment();
         takeover.rack = "r1";
         takeover.token = 7;
         takeover.roster = {{"t1", "127.0.0.1:1"}};
@@ -127,12 +138,13 @@
         }
         agent.set_targets({{"t1", entry}});
         rack_takeover takeover;
+        takeover.confirmed_at = current_moment();
         takeover.rack = "r1";
         takeover.token = 8;
         takeover.roster = {{"t1", "127.0.0.1:1"}, {"t2", "127.0.0.1:2"}};
         takeover.former_stopped_at = former_stopped_at;
         agent.take_rack(takeover);
-        agent.verify_rack("r1", 8, steady_clock::now());
+        agent.verify_rack("r1", 8, current_moment());
     }
 
     rack_agent_hooks hooks()
@@ -168,9 +180,10 @@
         return result;
     }
 
-    static rack_agent_limits limits()
+    static rack_agent_limits limits(milliseconds authority)
     {
         rack_agent_limits result;
+        result.lease.authority = authority;
         result.order_retry = milliseconds(10);
         return result;
     }
@@ -302,6 +315,7 @@
 {
     fixture all;
     rack_takeover takeover;
+    takeover.confirmed_at = current_moment();
     takeover.rack = "r1";
     takeover.token = 8;
     takeover.roster = {{"t1", "127.0.0.1:1"}};
@@ -324,6 +338,7 @@
     fixture all;
     all.is_recordable = false;
     rack_takeover takeover;
+    takeover.confirmed_at = current_moment();
     takeover.rack = "r1";
     takeover.token = 8;
     all.agent.take_rack(takeover);
@@ -339,3 +354,36 @@
     REQUIRE(all.rosters.back() == rack_roster{{"t1", ""}});
     REQUIRE(all.targets.wait([&] { return !all.targets.starts.empty(); }));
 }
+
+// A host that the store rejected went on renewing the leases of a target that
+// the new owner of the rack did not reach: its tasks ran twice.
+TEST_CASE("an owner that the store has not confirmed lately renews no lease",
+          "[scheduler]")
+{
+    fixture all(milliseconds(400));
+    REQUIRE(all.targets.wait([&] { return all.targets.renewals() > 0; }));
+    // The first poll makes contact and grants nothing.
+    REQUIRE(all.targets.wait(
+        [&]
+        {
+            const std::vector<poll_target>& polls = all.targets.polls;
+            return all.targets.renewals() > 0 &&
+                   polls.back().lease_until_ms == 0;
+        }));
+    const std::size_t count = all.targets.polls.size();
+    REQUIRE(
+        all.targets.wait([&] { return all.targets.polls.size() > count + 3; }));
+    {
+        const std::lock_guard<std::mutex> lock(all.targets.mutex);
+        REQUIRE(all.targets.polls.back().lease_until_ms == 0);
+    }
+    REQUIRE(all.send().is_owner);
+    all.agent.tick();
+    {
+        const std::lock_guard<std::mutex> lock(all.targets.mutex);
+        REQUIRE(all.targets.starts.empty());
+    }
+    all.agent.verify_rack("r1", 7, current_moment());
+    all.agent.tick();
+    REQUIRE(all.targets.wait([&] { return !all.targets.starts.empty(); }));
+}
