Repeat stops that a target did not carry out

A run could start again elsewhere although its first copy could still start: after a start without an answer and a refusal of its second copy, the owner of the rack sends a stop, and took every answer but "wrong token" for carried out. One second later a list without the run counted as the end (lost, not_in_list).

429 and 503 mean that the target has done nothing; 400, "late", "room" and "ticket" prove nothing either. 421 says that the address answers for another life; what became of the runs is left to the next poll, which ends all of them on 421 or on a new start time.

Only 200 and "old" count now. After every other answer the stop is sent again after the pause of retries. Stops are asked for from several places, so a stop that is queued already is not queued again; an unhealthy target gets at most one stop in each pause.

The test failed before for all six verdicts: the run was reported as lost 1.0 to 1.1 s after the stop.

--- a/src/scheduler/rack_agent_channels.cpp
+++ b/src/scheduler/rack_agent_channels.cpp
@@ -48,6 +48,16 @@
 
 } // namespace
 
+bool is_queued_stop(const target_channel& channel, const pending_order& order)
+{
+    return order.what == pending_order::kind::stop &&
+           std::any_of(channel.orders.begin(), channel.orders.end(),
+                       [&order](const pending_order& item) {
+                           return item.what == order.what &&
+                                  item.id == order.id;
+                       });
+}
+
 rack_state* rack_agent::impl::find_rack(const std::string& name)
 {
     const auto it = racks.find(name);
@@ -190,7 +200,7 @@
 void rack_agent::impl::push(const std::string& target, pending_order order)
 {
     const auto it = channels.find(target);
-    if (it != channels.end())
+    if (it != channels.end() && !is_queued_stop(*it->second, order))
     {
         it->second->orders.push_back(std::move(order));
         it->second->has_orders.notify_one();
--- a/src/scheduler/rack_agent_impl.hpp
+++ b/src/scheduler/rack_agent_impl.hpp
@@ -59,6 +59,11 @@
 /// Returns the name of a verdict for a log line.
 [[nodiscard]] std::string_view name_of(order_verdict verdict);
 
+/// Returns whether an order is a stop that is queued already. Stops are asked
+/// for and repeated from several places, and one is enough.
+[[nodiscard]] bool is_queued_stop(const target_channel& channel,
+                                  const pending_order& order);
+
 /// Members are grouped by the files that define them.
 struct rack_agent::impl
 {
--- a/src/scheduler/rack_agent_orders.cpp
+++ b/src/scheduler/rack_agent_orders.cpp
@@ -31,6 +31,20 @@
     return "malformed";
 }
 
+namespace
+{
+
+// Whether a run is either listed or will never start in this life of the
+// target after a stop with this answer. Every other answer may come from a
+// target that has done nothing. After `other_life`, the next poll tells what
+// became of the target.
+bool keeps_run_out(order_verdict verdict)
+{
+    return verdict == order_verdict::taken || verdict == order_verdict::old_run;
+}
+
+} // namespace
+
 // Nothing may be concluded about the rack from now on, and nothing sent.
 void rack_agent::impl::fence(const target_channel& channel)
 {
@@ -91,7 +105,7 @@
     std::unique_lock<std::mutex> lock(mutex);
     channel->has_orders.wait_for(lock, limits.order_retry,
                                  [&] { return channel->is_stopping; });
-    if (!channel->is_stopping)
+    if (!channel->is_stopping && !is_queued_stop(*channel, order))
     {
         channel->orders.push_back(std::move(order));
     }
@@ -238,19 +252,21 @@
     const absl::StatusOr<order_answer> answer =
         targets.stop(entry, message, limits.order_timeout);
     note_call(activity.orders, elapsed(sent_at), answer.ok());
-    if (!answer.ok())
+    if (answer.ok() && answer->verdict == order_verdict::wrong_token)
     {
-        log_warning("stop was not answered",
-                    {{"task", message.task},
-                     {"run", message.run},
-                     {"target", channel->target},
-                     {"cause", std::string(answer.status().message())}});
-        retry(channel, std::move(order), true);
+        fence(*channel);
         return;
     }
-    if (answer->verdict == order_verdict::wrong_token)
+    if (!answer.ok() || !keeps_run_out(answer->verdict))
     {
-        fence(*channel);
+        log_warning(
+            "stop was not carried out",
+            {{"task", message.task},
+             {"run", message.run},
+             {"target", channel->target},
+             {"cause", answer.ok() ? std::string(name_of(answer->verdict))
+                                   : std::string(answer.status().message())}});
+        retry(channel, std::move(order), true);
         return;
     }
     const std::lock_guard<std::mutex> lock(mutex);
--- a/src/scheduler/rack_agent_polls.cpp
+++ b/src/scheduler/rack_agent_polls.cpp
@@ -3,8 +3,6 @@
 
 #include "rack_agent_impl.hpp"
 
-#include <algorithm>
-
 namespace egretspindle
 {
 
@@ -160,19 +158,10 @@
         {
             if (run.is_stopping)
             {
-                const bool is_pending = std::any_of(
-                    channel->orders.begin(), channel->orders.end(),
-                    [&id = id](const pending_order& order) {
-                        return order.what == pending_order::kind::stop &&
-                               order.id == id;
-                    });
-                if (!is_pending)
-                {
-                    pending_order order;
-                    order.what = pending_order::kind::stop;
-                    order.id = id;
-                    push(channel->target, order);
-                }
+                pending_order order;
+                order.what = pending_order::kind::stop;
+                order.id = id;
+                push(channel->target, order);
             }
         }
         observe_target(*target, model, now);
--- a/tests/scheduler/rack_agent_test.cpp
+++ b/tests/scheduler/rack_agent_test.cpp
@@ -39,7 +39,7 @@
         const std::lock_guard<std::mutex> lock(mutex);
         stops.push_back(order);
         changed.notify_all();
-        return order_answer{order_verdict::taken, 1'000};
+        return order_answer{stop_verdict, 1'000};
     }
 
     absl::StatusOr<order_answer> pace(const target_entry&, const pace_run&,
@@ -91,6 +91,7 @@
     std::string unreachable; ///< id of a target that answers no poll
     int start_silence = 0;   ///< starts that get no answer
     order_verdict start_verdict = order_verdict::taken;
+    order_verdict stop_verdict = order_verdict::taken;
     order_verdict poll_verdict = order_verdict::taken;
     std::chrono::milliseconds poll_time{20};
 };
@@ -237,6 +238,46 @@
     REQUIRE(all.targets.starts.size() == 2);
 }
 
+// The run was reported as lost 1 s later, while its first copy could still
+// start.
+TEST_CASE("a stop that was not carried out is repeated and ends no run",
+          "[scheduler]")
+{
+    const order_verdict verdict =
+        GENERATE(order_verdict::unhealthy, order_verdict::malformed,
+                 order_verdict::too_late, order_verdict::no_room,
+                 order_verdict::no_permission, order_verdict::other_life);
+    fixture all;
+    all.targets.start_silence = 1;
+    all.targets.start_verdict = order_verdict::no_room;
+    all.targets.stop_verdict = verdict;
+    REQUIRE(all.send().is_owner);
+    REQUIRE(all.targets.wait([&] { return !all.targets.stops.empty(); }));
+    std::this_thread::sleep_for(milliseconds(1'500));
+    {
+        const std::lock_guard<std::mutex> lock(all.mutex);
+        REQUIRE(all.reports.empty());
+    }
+    const std::lock_guard<std::mutex> lock(all.targets.mutex);
+    REQUIRE(all.targets.stops.size() >= 3);
+    // At most one in each pause between repetitions, which is 10 ms here.
+    REQUIRE(all.targets.stops.size() <= 160);
+    all.targets.stop_verdict = order_verdict::taken;
+}
+
+TEST_CASE("a run that a stop keeps out is reported as ended", "[scheduler]")
+{
+    fixture all;
+    all.targets.start_silence = 1;
+    all.targets.start_verdict = order_verdict::no_room;
+    REQUIRE(all.send().is_owner);
+    std::unique_lock<std::mutex> lock(all.mutex);
+    REQUIRE(all.changed.wait_for(lock, std::chrono::seconds(20),
+                                 [&] { return !all.reports.empty(); }));
+    REQUIRE(all.reports.front().what == "ended");
+    REQUIRE(all.reports.front().how == "lost");
+}
+
 TEST_CASE("orders for another ownership of the rack are refused", "[scheduler]")
 {
     fixture all;
