Count the longest lease where a lease is not known

A run could start again up to 4 s too early while it was at work. The owner of a rack assumed leases of 6 s where the target may have granted 10 s: after a target had restarted under the same id, and for targets that a new owner had not reached. The clock of a restarted target begins anew, so an order that was made with the former clock names a time far ahead, and the target grants its longest lease. A target that a new owner had just reached counted as having no lease at all until the next poll was sent; with the target silent from then on, its runs were lost 0.5 s later.

Three changes. whole_lease counts the longest lease. A target that is reached for the first time may hold a lease of that length from then; it refuses the orders of former owners from then on, so nothing later can come from them. A target that shows a new life may hold one from 12 s after the discovery.

Counting from the discovery alone does not suffice: an order without an answer may be carried out 12 s later, and one for the former life then gets the longest lease. No such order is made after the discovery, because it replaces the clock, so 12 s and one longest lease bound them all. Tracking which orders got no answer was ruled out, since the HTTP library may have sent a poll twice.

The three tests failed before: the expiry was 0.5 s after the discovery, the run on the reached target was lost within 10 s, and whole_lease gave 6.6 s.

--- a/include/egretspindle/rack/rack_state.hpp
+++ b/include/egretspindle/rack/rack_state.hpp
@@ -33,6 +33,10 @@
     milliseconds authority{4'000};
 };
 
+/// An order that got no response may be carried out this much later. Stated by
+/// the platform.
+constexpr milliseconds order_delay{12'000};
+
 /// Run on a target, from the order until its end is listed.
 struct placed_run
 {
@@ -77,10 +81,14 @@
     std::int64_t clock_ms = 0;       ///< its clock at `clock_at`
     time_point clock_at;             ///< when that reply arrived
     std::int64_t lease_until_ms = 0; ///< longest lease ever sent to it
-    time_point expires_at;           ///< all leases have certainly expired then
-    time_point avoid_until;          ///< no starts before, after a fault
-    int faults = 0;                  ///< in a row
-    time_point paced_at;             ///< latest change of a task speed
+    /// Latest time at which it may have granted a lease that is not counted in
+    /// `lease_until_ms`: to an earlier owner, or to an order that was made for
+    /// an earlier life of it.
+    time_point unknown_lease_at;
+    time_point expires_at;  ///< all leases have certainly expired then
+    time_point avoid_until; ///< no starts before, after a fault
+    int faults = 0;         ///< in a row
+    time_point paced_at;    ///< latest change of a task speed
     std::int64_t acknowledged = 0;
     std::map<std::int64_t, open_end> ends; ///< by number
     std::map<run_id, placed_run> runs;
@@ -142,8 +150,9 @@
 std::int64_t extend_lease(rack_target& target, const lease_limits& limits,
                           time_point now);
 
-/// Returns the time after which a lease that is granted now has certainly
-/// expired on a target whose clock is not known. All hosts grant the same.
+/// Returns the time after which every lease that is granted now has certainly
+/// expired. A target grants the longest lease to an order that was made for an
+/// earlier life of it, whose clock was ahead.
 [[nodiscard]] milliseconds whole_lease(const lease_limits& limits);
 
 /// Takes over a target's clock from a reply.
--- a/src/rack/rack_decision.cpp
+++ b/src/rack/rack_decision.cpp
@@ -287,6 +287,13 @@
         drop_all(target, end_cause::other_life, events);
         target.runs = std::move(on_their_way);
         target.lease_until_ms = 0;
+        // Orders with a lease for the earlier life may still be on their way.
+        target.unknown_lease_at = now + order_delay;
+    }
+    if (!target.is_reached)
+    {
+        // From now on the target refuses the orders of earlier owners.
+        target.unknown_lease_at = std::max(target.unknown_lease_at, now);
     }
     target.started_ms = answer.started_ms;
     target.is_reached = true;
--- a/src/rack/rack_state.cpp
+++ b/src/rack/rack_state.cpp
@@ -20,7 +20,8 @@
 {
     const std::int64_t left =
         std::max<std::int64_t>(0, target.lease_until_ms - target.clock_ms);
-    target.expires_at = target.clock_at + with_drift(left, limits);
+    target.expires_at = std::max(target.clock_at + with_drift(left, limits),
+                                 target.unknown_lease_at + whole_lease(limits));
 }
 
 } // namespace
@@ -76,7 +77,7 @@
 
 milliseconds whole_lease(const lease_limits& limits)
 {
-    return with_drift(limits.lease.count(), limits);
+    return with_drift(limits.longest.count(), limits);
 }
 
 void note_clock(rack_target& target, std::int64_t clock_ms,
--- a/tests/rack/rack_decision_test.cpp
+++ b/tests/rack/rack_decision_test.cpp
@@ -237,6 +237,55 @@
             start + milliseconds(6'122) + limits.expiry_slack);
 }
 
+// A lease of 10 s was taken for one of 6 s, and a run started again elsewhere
+// while it was at work.
+TEST_CASE("a new life may grant the longest lease to orders for the former one",
+          "[rack]")
+{
+    const milliseconds longest(10'000 * 100 / 98);
+    rack_state rack = make_rack(1);
+    rack_target& target = rack.targets["t0"];
+    note_clock(target, 900'000, limits, start);
+    extend_lease(target, limits, start);
+    (void)apply_poll(rack, target, make_answer({}, {}, 2), start, start);
+    note_clock(target, 5'000, limits, start);
+    // The last order for the former life may be carried out 12 s later.
+    const time_point latest = start + milliseconds(12'000) + longest;
+    REQUIRE(target.expires_at >= latest);
+    extend_lease(target, limits, start);
+    REQUIRE(target.expires_at >= latest);
+    // Later leases count as usual.
+    const time_point later = start + milliseconds(20'000);
+    note_clock(target, 25'000, limits, later);
+    extend_lease(target, limits, later);
+    REQUIRE(target.expires_at < later + milliseconds(7'000));
+}
+
+// The lease may be the former owner's, and the target may fall silent before
+// it gets the first one of this owner.
+TEST_CASE("a target that is reached first may hold the longest lease", "[rack]")
+{
+    rack_state rack = make_rack(1);
+    rack_target& target = rack.targets["t0"];
+    target.is_reached = false;
+    target.started_ms = 0;
+    (void)apply_poll(rack, target, make_answer({{"job.0.0.0", 1, "", 0, 0}}),
+                     start, start);
+    note_clock(target, 5'000, limits, start);
+    rack.verified_at = start + milliseconds(10'000);
+    REQUIRE(expire_leases(rack, rack.verified_at).empty());
+    rack.verified_at = start + milliseconds(10'800);
+    REQUIRE(expire_leases(rack, rack.verified_at).size() == 1);
+}
+
+// The former owner may have renewed leases of a target that had restarted
+// without the owner knowing.
+TEST_CASE("an unreached target may hold the longest lease", "[rack]")
+{
+    REQUIRE(whole_lease(limits) >=
+            milliseconds(10'000 * 100 / 98) + limits.expiry_slack);
+}
+
 TEST_CASE("a restarted target has lost its runs but not the starts on their "
           "way",
           "[rack]")
