Keep runs that a restarted target has started already

A run was reported as lost while it was at work, so it started a second time elsewhere. A start may reach a restarted target (same id) before the first poll does. The answer to an order does not name the life, so the run counted as confirmed in the former life, and the poll that showed the new life ended it.

On a new life, a confirmed run is now kept when the list names it, as at work or as ended, or when it was confirmed so late that the list may have been made before. In the latter case the next list decides, as it does for any confirmed run.

Telling the lives apart by the clock in the answer was ruled out: the clocks of two young lives may be alike.

--- a/src/rack/rack_decision.cpp
+++ b/src/rack/rack_decision.cpp
@@ -1,6 +1,7 @@
 #include "egretspindle/rack/rack_decision.hpp"
 
 #include <algorithm>
+#include <iterator>
 #include <set>
 
 namespace egretspindle
@@ -197,6 +198,39 @@
     }
 }
 
+bool is_named(const poll_answer& answer, const run_id& id)
+{
+    const auto is_same = [&id](const auto& row)
+    {
+        return row.task == id.first && row.run == id.second;
+    };
+    return std::any_of(answer.runs.begin(), answer.runs.end(), is_same) ||
+           std::any_of(answer.ends.begin(), answer.ends.end(), is_same);
+}
+
+// Ends the runs of the former life of a target. Starts that are on their way
+// name the target only, so they start in the new life, and one that has been
+// confirmed may have been confirmed by the new life before its first list.
+void begin_life(rack_target& target, const poll_answer& answer,
+                time_point sent_at, std::vector<run_event>& events)
+{
+    std::map<run_id, placed_run> kept;
+    for (auto it = target.runs.begin(); it != target.runs.end();)
+    {
+        const placed_run& run = it->second;
+        const bool may_be_new = !run.is_taken || is_named(answer, it->first) ||
+                                run.taken_at + list_delay >= sent_at;
+        const auto next = std::next(it);
+        if (may_be_new)
+        {
+            kept.insert(target.runs.extract(it));
+        }
+        it = next;
+    }
+    drop_all(target, end_cause::other_life, events);
+    target.runs = std::move(kept);
+}
+
 bool has_ended(const std::map<std::string, std::int64_t>& ended,
                const run_id& id)
 {
@@ -270,22 +304,7 @@
     std::vector<run_event> events;
     if (target.started_ms != 0 && answer.started_ms != target.started_ms)
     {
-        // Starts that are still on their way name the earlier life or are
-        // repeated until they are answered; their runs stay reserved.
-        std::map<run_id, placed_run> on_their_way;
-        for (const auto& [id, run] : target.runs)
-        {
-            if (!run.is_taken)
-            {
-                on_their_way.emplace(id, run);
-            }
-        }
-        for (const auto& [id, run] : on_their_way)
-        {
-            target.runs.erase(id);
-        }
-        drop_all(target, end_cause::other_life, events);
-        target.runs = std::move(on_their_way);
+        begin_life(target, answer, sent_at, events);
         target.lease_until_ms = 0;
         // Orders with a lease for the earlier life may still be on their way.
         target.unknown_lease_at = now + order_delay;
