Acknowledge an end only when that end was recorded

An end could be forgotten by its target before it was recorded. The numbers of a target's ends begin anew when it restarts. An answer of the job's owner that arrived after that was matched by number alone, so the record of an end of the former life acknowledged an end of the new life. If the rack changed hands before that end was recorded, the run was found on no list and could start again.

An answer now has to name the task and run that the number stands for.

With this comparison switched off, the test fails: the end of the other run is acknowledged.

--- a/include/egretspindle/rack/rack_decision.hpp
+++ b/include/egretspindle/rack/rack_decision.hpp
@@ -117,7 +117,9 @@
                                                   time_point now);
 
 /// Notes that the end of a number is recorded, and moves the acknowledgement.
-void acknowledge(rack_target& target, std::int64_t number);
+/// Does nothing if the number stands for another run: the target has restarted,
+/// and its numbers have begun anew.
+void acknowledge(rack_target& target, std::int64_t number, const run_id& id);
 
 /// Returns whether every run that an earlier owner may have started is known.
 [[nodiscard]] bool is_settled(const rack_state& rack, time_point now);
--- a/src/rack/rack_decision.cpp
+++ b/src/rack/rack_decision.cpp
@@ -507,10 +507,11 @@
     return events;
 }
 
-void acknowledge(rack_target& target, std::int64_t number)
+void acknowledge(rack_target& target, std::int64_t number, const run_id& id)
 {
     const auto it = target.ends.find(number);
-    if (it != target.ends.end())
+    if (it != target.ends.end() && it->second.task == id.first &&
+        it->second.run == id.second)
     {
         it->second.is_recorded = true;
     }
--- a/src/scheduler/rack_agent.cpp
+++ b/src/scheduler/rack_agent.cpp
@@ -186,16 +186,16 @@
         {
             continue;
         }
+        const run_id id{report.task, report.run};
         if (report.number > 0 && verdict.verdict == "recorded")
         {
-            acknowledge(target->second, report.number);
+            acknowledge(target->second, report.number, id);
             const auto channel = impl_->channels.find(report.target);
             if (channel != impl_->channels.end())
             {
                 channel->second->has_acks.notify_all();
             }
         }
-        const run_id id{report.task, report.run};
         const auto run = target->second.runs.find(id);
         if (run == target->second.runs.end())
         {
--- a/tests/rack/rack_decision_test.cpp
+++ b/tests/rack/rack_decision_test.cpp
@@ -173,12 +173,30 @@
         rack, target, make_answer({}, {{1, "job.0.0.0", 1, "done", ""}}), start,
         start);
     REQUIRE(events.size() == 1);
-    acknowledge(target, 1);
+    acknowledge(target, 1, {"job.0.0.0", 1});
     REQUIRE(target.acknowledged == 1);
     REQUIRE(enqueue(rack, make_start("job.0.0.0", make_terms())) ==
             enqueue_result::known);
 }
 
+// The record of an end of the former life arrived late, and an end of the new
+// life with the same number was forgotten by the target before it was recorded.
+TEST_CASE("an end is acknowledged only when that end is recorded", "[rack]")
+{
+    rack_state rack = make_rack(1);
+    rack_target& target = rack.targets["t0"];
+    (void)apply_poll(rack, target,
+                     make_answer({}, {{1, "job.0.0.0", 1, "done", ""}}), start,
+                     start);
+    (void)apply_poll(rack, target,
+                     make_answer({}, {{1, "job.0.0.1", 1, "done", ""}}, 2),
+                     start, start);
+    acknowledge(target, 1, {"job.0.0.0", 1});
+    REQUIRE(target.acknowledged == 0);
+    acknowledge(target, 1, {"job.0.0.1", 1});
+    REQUIRE(target.acknowledged == 1);
+}
+
 TEST_CASE("a repeated start waits for the record", "[rack]")
 {
     rack_state rack = make_rack(1);
