Acknowledge ends only to a target that answers

The next life of a target could forget an end that nobody had seen, and the run, found on no list, would be started again. Each poll repeats the number of the last recorded end. A target that restarts numbers its ends anew, and polls that were sent while it was away, or arrive late, acknowledged ends of the new life.

A poll to a target that did not answer the last one now acknowledges nothing, as it renews no lease. Ends that are listed again are known by their number.

Not covered: a poll that was sent before contact was lost and arrives in the new life. Nothing in a poll names the life.

The test failed before: the second poll without an answer acknowledged 5.

--- a/src/scheduler/rack_agent_polls.cpp
+++ b/src/scheduler/rack_agent_polls.cpp
@@ -53,9 +53,11 @@
         sent_at = steady_clock::now();
         entry = target->entry;
         order.token = channel->token;
-        order.acknowledged = target->acknowledged;
         if (channel->has_contact)
         {
+            // The target may have restarted since the last contact, and its
+            // ends have other numbers then.
+            order.acknowledged = target->acknowledged;
             if (may_grant(*find_rack(channel->rack), boot_clock::now()))
             {
                 order.lease_until_ms =
--- a/tests/scheduler/rack_agent_test.cpp
+++ b/tests/scheduler/rack_agent_test.cpp
@@ -55,6 +55,7 @@
         std::unique_lock<std::mutex> lock(mutex);
         if (target.id == unreachable)
         {
+            lost_polls.push_back(order);
             return make_error(error_kind::deadline_exceeded, "no answer");
         }
         polls.push_back(order);
@@ -65,6 +66,10 @@
         answer.verdict = poll_verdict;
         answer.clock_ms = 1'000;
         answer.started_ms = 1;
+        if (order.acknowledged == 0)
+        {
+            answer.ends = ends;
+        }
         return answer;
     }
 
@@ -88,8 +93,10 @@
     std::vector<start_run> starts;
     std::vector<stop_run> stops;
     std::vector<poll_target> polls;
-    std::string unreachable; ///< id of a target that answers no poll
-    int start_silence = 0;   ///< starts that get no answer
+    std::vector<poll_target> lost_polls;
+    std::vector<listed_end> ends; ///< listed until one is acknowledged
+    std::string unreachable;      ///< id of a target that answers no poll
+    int start_silence = 0;        ///< starts that get no answer
     order_verdict start_verdict = order_verdict::taken;
     order_verdict stop_verdict = order_verdict::taken;
     order_verdict poll_verdict = order_verdict::taken;
@@ -278,6 +285,45 @@
     REQUIRE(all.reports.front().how == "lost");
 }
 
+// The acknowledgement reached the next life of a target, which then forgot an
+// end of the same number that nobody had seen.
+TEST_CASE("nothing is acknowledged to a target that does not answer",
+          "[scheduler]")
+{
+    fixture all;
+    {
+        const std::lock_guard<std::mutex> lock(all.targets.mutex);
+        all.targets.ends = {{5, "job.0.0.7", 1, "done", ""}};
+    }
+    std::vector<run_report> reports;
+    {
+        std::unique_lock<std::mutex> lock(all.mutex);
+        REQUIRE(all.changed.wait_for(lock, std::chrono::seconds(20),
+                                     [&] { return !all.reports.empty(); }));
+        reports = all.reports;
+    }
+    report_reply reply;
+    reply.verdicts.resize(reports.size());
+    reply.verdicts.front().verdict = "recorded";
+    all.agent.settle(reports, reply);
+    REQUIRE(all.targets.wait(
+        [&] { return all.targets.polls.back().acknowledged == 5; }));
+    {
+        const std::lock_guard<std::mutex> lock(all.targets.mutex);
+        all.targets.unreachable = "t1";
+    }
+    const time_point limit = steady_clock::now() + std::chrono::seconds(20);
+    for (std::size_t n = 0; n < 2;)
+    {
+        REQUIRE(steady_clock::now() < limit);
+        std::this_thread::sleep_for(milliseconds(20));
+        const std::lock_guard<std::mutex> lock(all.targets.mutex);
+        n = all.targets.lost_polls.size();
+    }
+    const std::lock_guard<std::mutex> lock(all.targets.mutex);
+    REQUIRE(all.targets.lost_polls[1].acknowledged == 0);
+}
+
 TEST_CASE("orders for another ownership of the rack are refused", "[scheduler]")
 {
     fixture all;
