Keep late copies of a start out of the next life of a target

A run could start after its end: a start without an answer may be carried out up to 12 s later. Within one life of a target this starts nothing twice. A target that has restarted knows neither the run nor the stop that kept it out, so a late copy starts the run there, although it was reported as lost when the new life was seen, or had ended as done before.

The owner of a rack now remembers the starts without an answer for 12 s for each target. When the target shows a new life, each of these runs is stopped there before it counts as lost; a run that had ended already is stopped without a report. Starts that are not confirmed yet are sent again as before.

Not covered: the copy may arrive in the new life before the first poll of it, and a later owner does not know of the copy. Orders name the id of a target and not its life, so the target cannot refuse them.

With the new step switched off the test fails: the run is not stopped in the new life, whether it was at work or had ended.

--- a/include/egretspindle/rack/rack_decision.hpp
+++ b/include/egretspindle/rack/rack_decision.hpp
@@ -96,6 +96,9 @@
 apply_start(rack_state& rack, rack_target& target, const run_id& id,
             order_verdict verdict, time_point now);
 
+/// Notes that a start got no answer.
+void note_unanswered(rack_target& target, const run_id& id, time_point now);
+
 /// Ends all runs of a target whose address answers for another life: nothing
 /// of the life that they belong to is left.
 [[nodiscard]] std::vector<run_event>
--- a/include/egretspindle/rack/rack_state.hpp
+++ b/include/egretspindle/rack/rack_state.hpp
@@ -47,6 +47,7 @@
     bool is_taken = false;    ///< the target has confirmed the start
     bool is_reported = false; ///< the job's owner knows that it has started
     bool is_stopping = false;
+    bool is_ended = false; ///< and kept until a stop keeps late copies out
     time_point ordered_at;
     time_point taken_at;
     std::int64_t load = 0;      ///< as listed by the target
@@ -92,6 +93,9 @@
     std::int64_t acknowledged = 0;
     std::map<std::int64_t, open_end> ends; ///< by number
     std::map<run_id, placed_run> runs;
+    /// Starts that got no answer, with the time until which they may be carried
+    /// out. In this life that starts nothing twice, but in the next one it may.
+    std::map<run_id, time_point> late_copies;
     time_point missed_since; ///< a serving task misses its target; none: {}
     /// Cores by image of the tasks on idle processors, averaged lately.
     std::map<std::string, double> company;
--- a/src/rack/rack_decision.cpp
+++ b/src/rack/rack_decision.cpp
@@ -54,7 +54,10 @@
 {
     for (const auto& [id, run] : target.runs)
     {
-        events.push_back(ended(run, target.entry.id, run_end::lost, cause));
+        if (!run.is_ended)
+        {
+            events.push_back(ended(run, target.entry.id, run_end::lost, cause));
+        }
     }
     target.runs.clear();
     target.ends.clear();
@@ -192,8 +195,11 @@
             ++it;
             continue;
         }
-        events.push_back(
-            ended(run, target.entry.id, run_end::lost, end_cause::not_in_list));
+        if (!run.is_ended)
+        {
+            events.push_back(ended(run, target.entry.id, run_end::lost,
+                                   end_cause::not_in_list));
+        }
         it = target.runs.erase(it);
     }
 }
@@ -208,6 +214,44 @@
            std::any_of(answer.ends.begin(), answer.ends.end(), is_same);
 }
 
+void forget_late_copies(rack_target& target, time_point now)
+{
+    for (auto it = target.late_copies.begin(); it != target.late_copies.end();)
+    {
+        it = it->second < now ? target.late_copies.erase(it) : std::next(it);
+    }
+}
+
+// A copy of a start that got no answer may reach the new life, which knows
+// neither the run nor a stop of it. A stop there rules that out before the run
+// counts as lost.
+void stop_late_copies(const rack_target& target, const poll_answer& answer,
+                      std::map<run_id, placed_run>& kept)
+{
+    for (const auto& [id, until] : target.late_copies)
+    {
+        if (is_named(answer, id))
+        {
+            continue;
+        }
+        auto it = kept.find(id);
+        if (it == kept.end())
+        {
+            placed_run run;
+            run.task = id.first;
+            run.run = id.second;
+            run.terms = std::make_shared<const step_terms>();
+            run.is_reported = true;
+            run.is_ended = true;
+            run.is_stopping = true;
+            it = kept.emplace(id, std::move(run)).first;
+        }
+        // A start that is not confirmed yet is being sent again.
+        it->second.is_stopping |= it->second.is_taken;
+        it->second.is_taken = false;
+    }
+}
+
 // Ends the runs of the former life of a target. Starts that are on their way
 // name the target only, so they start in the new life, and one that has been
 // confirmed may have been confirmed by the new life before its first list.
@@ -219,7 +263,8 @@
     {
         const placed_run& run = it->second;
         const bool may_be_new = !run.is_taken || is_named(answer, it->first) ||
-                                run.taken_at + list_delay >= sent_at;
+                                run.taken_at + list_delay >= sent_at ||
+                                target.late_copies.count(it->first) > 0;
         const auto next = std::next(it);
         if (may_be_new)
         {
@@ -227,6 +272,7 @@
         }
         it = next;
     }
+    stop_late_copies(target, answer, kept);
     drop_all(target, end_cause::other_life, events);
     target.runs = std::move(kept);
 }
@@ -302,6 +348,7 @@
                                   time_point now)
 {
     std::vector<run_event> events;
+    forget_late_copies(target, now);
     if (target.started_ms != 0 && answer.started_ms != target.started_ms)
     {
         begin_life(target, answer, sent_at, events);
@@ -399,6 +446,11 @@
     return events;
 }
 
+void note_unanswered(rack_target& target, const run_id& id, time_point now)
+{
+    target.late_copies[id] = now + order_delay;
+}
+
 std::vector<run_event> end_life(rack_state& rack, rack_target& target,
                                 time_point now)
 {
--- a/src/scheduler/rack_agent_orders.cpp
+++ b/src/scheduler/rack_agent_orders.cpp
@@ -228,6 +228,14 @@
          {"target", channel->target},
          {"cause", answer.ok() ? std::string(name_of(answer->verdict))
                                : std::string(answer.status().message())}});
+    if (!answer.ok())
+    {
+        const std::lock_guard<std::mutex> lock(mutex);
+        if (rack_target* target = find_target(*channel))
+        {
+            note_unanswered(*target, order.id, steady_clock::now());
+        }
+    }
     retry(channel, std::move(order), !answer.ok());
 }
 
--- a/tests/rack/rack_decision_test.cpp
+++ b/tests/rack/rack_decision_test.cpp
@@ -361,6 +361,58 @@
     }
 }
 
+// The copy started the run in the new life, up to 12 s later, after the run had
+// been reported as lost or as done.
+TEST_CASE("a late copy of a start is kept out of the next life", "[rack]")
+{
+    const run_id id{"job.0.0.0", 1};
+    rack_state rack = make_rack(1);
+    enqueue(rack, make_start(id.first, make_terms()));
+    place_starts(rack, no_pressure, start, 0);
+    rack_target& target = rack.targets["t0"];
+    note_unanswered(target, id, start);
+    apply_start(rack, target, id, order_verdict::taken, start);
+    SECTION("it was at work")
+    {
+        const time_point later = start + milliseconds(GENERATE(0, 3'000));
+        REQUIRE(apply_poll(rack, target, make_answer({}, {}, 2), later, later)
+                    .empty());
+        REQUIRE(target.runs.at(id).is_stopping);
+        REQUIRE_FALSE(target.runs.at(id).is_taken);
+        target.runs.at(id).is_taken = true; // by the stop
+        target.runs.at(id).taken_at = later;
+        const time_point last = later + milliseconds(1'500);
+        const std::vector<run_event> events =
+            apply_poll(rack, target, make_answer({}, {}, 2), last, last);
+        REQUIRE(events.size() == 1);
+        REQUIRE(events.front().how == run_end::lost);
+    }
+    SECTION("it had ended")
+    {
+        const time_point later = start + milliseconds(3'000);
+        REQUIRE(apply_poll(rack, target,
+                           make_answer({}, {{1, id.first, 1, "done", ""}}),
+                           later, later)
+                    .size() == 1);
+        REQUIRE(apply_poll(rack, target, make_answer({}, {}, 2), later, later)
+                    .empty());
+        REQUIRE(target.runs.at(id).is_stopping);
+        target.runs.at(id).is_taken = true;
+        target.runs.at(id).taken_at = later;
+        const time_point last = later + milliseconds(1'500);
+        REQUIRE(apply_poll(rack, target, make_answer({}, {}, 2), last, last)
+                    .empty());
+        REQUIRE(target.runs.empty());
+    }
+    SECTION("no copy can be on its way any more")
+    {
+        const time_point last = start + milliseconds(12'001);
+        REQUIRE(apply_poll(rack, target, make_answer({}, {}, 2), last, last)
+                    .size() == 1);
+        REQUIRE(target.runs.empty());
+    }
+}
+
 TEST_CASE("a confirmed run that a later list lacks is gone", "[rack]")
 {
     rack_state rack = make_rack(1);
