Keep transactions within the size that the store takes

After the loss of most hosts, racks stayed without an owner until others came back. A host claims all racks that are dealt to it in one transaction: a condition and a write for the owner row and a condition for the list of targets, so 34 racks make 102 entries, and the store takes 100. It refused each try as malformed.

A host claims at most 33 resources at a time now, the others after the next read. Batches of job records count their entries as well; 16 jobs that rely on more than 68 owners of racks would have been refused for good. The fake store refuses large transactions like the real one. The test failed before: a host alone with 80 racks never owned one.

--- a/include/egretspindle/fleet/table_store.hpp
+++ b/include/egretspindle/fleet/table_store.hpp
@@ -7,6 +7,7 @@
 #include <absl/status/statusor.h>
 
 #include <chrono>
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <string_view>
@@ -35,6 +36,10 @@
     std::int64_t version = 0;
 };
 
+/// Conditions, writes and removals of one transaction. Stated by the platform,
+/// which refuses a larger one for good.
+constexpr std::size_t most_transaction_entries = 100;
+
 /// Changes that take effect together or not at all.
 struct row_transaction
 {
@@ -47,6 +52,14 @@
     bool is_sent_once = false;
 };
 
+/// Returns the size of a transaction as `most_transaction_entries` counts it.
+[[nodiscard]] inline std::size_t
+entries_of(const row_transaction& transaction) noexcept
+{
+    return transaction.conditions.size() + transaction.writes.size() +
+           transaction.removals.size();
+}
+
 /// What became of a transaction.
 struct transaction_result
 {
--- a/src/scheduler/cluster_agent.cpp
+++ b/src/scheduler/cluster_agent.cpp
@@ -267,8 +267,11 @@
             }
         }
         distrusted.clear();
-        constexpr std::size_t most_rows = 50;
-        names.resize(std::min(names.size(), most_rows));
+        // What does not fit is claimed after the next read.
+        constexpr std::size_t entries_of_claim = 3;
+        constexpr std::size_t most_claims =
+            most_transaction_entries / entries_of_claim;
+        names.resize(std::min(names.size(), most_claims));
         const resource_owner owner{self.name, self.boot};
         for (const std::string& name : names)
         {
--- a/src/scheduler/job_coordinator_records.cpp
+++ b/src/scheduler/job_coordinator_records.cpp
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <random>
+#include <set>
 
 namespace egretspindle
 {
@@ -59,17 +60,28 @@
 {
     std::vector<entry_ptr> batch;
     std::deque<entry_ptr> others;
+    std::set<std::string> racks;
     while (!dirty.empty() && batch.size() < limits.max_batch)
     {
         entry_ptr entry = std::move(dirty.front());
         dirty.pop_front();
         const bool is_other_part = !limits.may_span_parts && !batch.empty() &&
                                    entry->shard != batch.front()->shard;
-        if (is_other_part)
+        // A condition and a write for each job, a condition for each rack.
+        std::set<std::string> together = racks;
+        for (const auto& [rack, owner] : entry->relied)
+        {
+            together.insert(rack);
+        }
+        const bool is_too_large =
+            !batch.empty() &&
+            2 * (batch.size() + 1) + together.size() > most_transaction_entries;
+        if (is_other_part || is_too_large)
         {
             others.push_back(std::move(entry));
             continue;
         }
+        racks = std::move(together);
         entry->is_queued = false;
         entry->is_writing = true;
         batch.push_back(std::move(entry));
--- a/tests/scheduler/cluster_agent_test.cpp
+++ b/tests/scheduler/cluster_agent_test.cpp
@@ -6,6 +6,7 @@
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
 #include <atomic>
 #include <condition_variable>
 #include <mutex>
@@ -217,3 +218,30 @@
     REQUIRE(store.watches() >= 2);
     host.agent.stop();
 }
+
+// After the loss of most hosts a survivor claimed more rows than the store
+// takes in a transaction: the store refused each try, and nobody owned them.
+TEST_CASE("a host claims more racks than one transaction holds", "[scheduler]")
+{
+    fake_store store;
+    claims host(store);
+    constexpr std::size_t count = 80;
+    std::map<std::string, std::string> racks;
+    for (std::size_t n = 0; n < count; ++n)
+    {
+        racks["many" + std::to_string(n)] = "dc";
+    }
+    host.agent.set_racks(racks);
+    std::unique_lock<std::mutex> lock(host.mutex);
+    const auto has_all = [&]
+    {
+        return std::count_if(host.taken.begin(), host.taken.end(),
+                             [](const auto& item) {
+                                 return item.first.find("/many") !=
+                                        std::string::npos;
+                             }) == static_cast<std::ptrdiff_t>(count);
+    };
+    REQUIRE(host.changed.wait_for(lock, std::chrono::seconds(20), has_all));
+    lock.unlock();
+    host.agent.stop();
+}
--- a/tests/scheduler/fake_store.hpp
+++ b/tests/scheduler/fake_store.hpp
@@ -49,6 +49,10 @@
         {
             return make_error(error_kind::unavailable, "refused");
         }
+        if (entries_of(transaction) > most_transaction_entries)
+        {
+            return make_error(error_kind::internal, "too many entries");
+        }
         transaction_result result;
         result.is_committed = true;
         for (const row_condition& item : transaction.conditions)
