Deal racks and job shards in proportion to processor shares

On the grown sites 35 hosts have 0.12 of a core and 8 have 0.5, yet all got the same number of racks and job shards, since decide_claims compared counts only. The small hosts were late with heartbeats and answers.

Heartbeat rows carry a weight, the host's processor share (setting processor_share; 1 when absent), and loads are compared per weight, in exact integers of thousandths so that every host names the same claimant. Weights are bounded to 0.01 to 64. A resource without an owner goes to the host with the least load plus one half per weight. With a whole resource added instead, most of what is left over would go to the heavy hosts: 4 shards each where 1.95 is their part.

A resource moves between live hosts if the load per weight of its claimant after the move is below that of its owner now by half a resource of the owner. That is the former rule (at least two fewer) for equal weights. Each move lowers the sum of load * load / weight, so moves come to an end. Only the candidate that would have the least load per weight claims; before, every host with two fewer claimed the same resource, and all but one failed.

Not reached: hosts of large weight that owned everything alone keep 4 shards each when the small hosts return, since a move would not lower the larger load per weight.

--- a/include/egretspindle/cluster/cluster_view.hpp
+++ b/include/egretspindle/cluster/cluster_view.hpp
@@ -24,6 +24,7 @@
     bool is_leaving = false; ///< stops soon; takes nothing over
     std::int64_t beat = 0;
     std::map<std::string, std::int64_t> pending; ///< jobs not begun, by queue
+    double weight = 1.0; ///< share of the resources, in cores
 };
 
 /// Visits the fields of `host_row` for the codec.
@@ -37,6 +38,7 @@
     visit("leaving", value.is_leaving);
     visit("beat", value.beat);
     visit("pending", value.pending);
+    visit("weight", value.weight);
 }
 
 /// Owner row of a job shard or a rack.
@@ -121,9 +123,12 @@
 
 /// Returns the resources that a host should claim now.
 ///
-/// Resources without a live owner are dealt to the live hosts, racks to those
-/// of their data centre first. Every host with the same view names the same
-/// claimant. A host that owns at least two fewer than another takes one over.
+/// Resources without a live owner are dealt to the live hosts in proportion to
+/// their weights, racks to those of their data centre first. Every host with
+/// the same view names the same claimant. A resource moves between live hosts
+/// only if that lowers the larger of their loads per weight by at least half a
+/// resource of the loaded one; with equal weights, if the claimant owns at
+/// least two fewer.
 [[nodiscard]] std::vector<std::string>
 decide_claims(const cluster_view& view, const std::string& self,
               std::int64_t boot, const liveness_limits& limits, time_point now);
--- a/include/egretspindle/scheduler/job_scheduler.hpp
+++ b/include/egretspindle/scheduler/job_scheduler.hpp
@@ -27,6 +27,7 @@
     std::string data_center;
     std::string peer_address;     ///< IP number for messages of other hosts
     unsigned short peer_port = 0; ///< TCP for messages, UDP for load reports
+    double weight = 1.0; ///< share of the racks and job shards, in cores
     coordinator_limits coordinator;
     rack_agent_limits racks;
 };
--- a/include/egretspindle/settings/scheduler_settings.hpp
+++ b/include/egretspindle/settings/scheduler_settings.hpp
@@ -26,6 +26,7 @@
     std::int64_t longest_lease_ms = 10'000; ///< granted by a target at most
     std::int64_t thaw_slack_ms = 300; ///< a target may wake late by this much
     std::int64_t drain_ms = 2'000; ///< no start on a draining target after it
+    double processor_share = 1.0;  ///< cores of this host; its share of work
 };
 
 /// Returns whether TOML text has a `[scheduler]` table.
--- a/src/cluster/cluster_view.cpp
+++ b/src/cluster/cluster_view.cpp
@@ -3,7 +3,7 @@
 #include "egretspindle/core/rendezvous_hash.hpp"
 
 #include <algorithm>
-#include <tuple>
+#include <cmath>
 
 namespace egretspindle
 {
@@ -61,62 +61,108 @@
            now - it->second.boot_seen_at < limits.reclaim;
 }
 
-// Racks and job shards are dealt separately, racks by data centre.
-std::string kind_of(const resource& item)
+// Resources owned by each host. Racks and job shards are dealt separately,
+// racks by data centre.
+struct load_table
 {
-    return item.data_center.empty() ? "shard" : "rack";
-}
+    std::map<std::string, std::int64_t> racks;
+    std::map<std::string, std::int64_t> shards;
 
-using load_map = std::map<std::pair<std::string, std::string>, int>;
+    std::map<std::string, std::int64_t>& of(const resource& item)
+    {
+        return item.data_center.empty() ? shards : racks;
+    }
+};
 
-load_map count_owned(const cluster_view& view, const liveness_limits& limits,
-                     time_point now)
+load_table count_owned(const cluster_view& view, const liveness_limits& limits,
+                       time_point now)
 {
-    load_map loads;
+    load_table loads;
     for (const auto& [name, item] : view.resources)
     {
         if (has_current_owner(view, item, limits, now))
         {
-            ++loads[{kind_of(item), item.owner.host}];
+            ++loads.of(item)[item.owner.host];
         }
     }
     return loads;
 }
 
-std::string least_loaded(const std::vector<std::string>& candidates,
-                         const resource& item, load_map& loads)
+// In thousandths, so that comparisons are exact on every host.
+std::int64_t weight_of(const cluster_view& view, const std::string& host)
+{
+    // A hundredth of a core, and more cores than an entry host has; a weight
+    // outside is a mistake in the settings.
+    constexpr double lowest = 0.01;
+    constexpr double highest = 64;
+    const auto it = view.hosts.find(host);
+    const double weight = it == view.hosts.end() ? 1.0 : it->second.row.weight;
+    if (!std::isfinite(weight))
+    {
+        return 1'000;
+    }
+    return std::llround(std::clamp(weight, lowest, highest) * 1'000);
+}
+
+// Returns the candidate with the least load per weight, with `extra` halves of
+// a resource added to each load. Equal ones are told apart by a hash.
+std::string least_loaded(const cluster_view& view,
+                         const std::vector<std::string>& candidates,
+                         const resource& item, load_table& loads,
+                         std::int64_t extra)
 {
-    const std::string kind = kind_of(item);
+    std::map<std::string, std::int64_t>& owned = loads.of(item);
     return *std::min_element(
         candidates.begin(), candidates.end(),
         [&](const std::string& lhs, const std::string& rhs)
         {
-            return std::make_tuple(loads[{kind, lhs}],
-                                   stable_hash(item.name + "/" + lhs)) <
-                   std::make_tuple(loads[{kind, rhs}],
-                                   stable_hash(item.name + "/" + rhs));
+            const std::int64_t left =
+                (2 * owned[lhs] + extra) * weight_of(view, rhs);
+            const std::int64_t right =
+                (2 * owned[rhs] + extra) * weight_of(view, lhs);
+            return left != right ? left < right
+                                 : stable_hash(item.name + "/" + lhs) <
+                                       stable_hash(item.name + "/" + rhs);
         });
 }
 
-// Resource of the most loaded host that this host should relieve.
+// Half a resource added to each load deals in proportion to the weights; a
+// whole one would give most of what is left over to the heavy hosts.
+constexpr std::int64_t dealing_extra = 1;
+// The load after a move.
+constexpr std::int64_t moving_extra = 2;
+
+// Whether the load per weight of `claimant` after a move is below that of
+// `owner` now by half a resource of the owner. Each move lowers the sum of
+// load * load / weight, so moves come to an end.
+bool is_relief(const cluster_view& view, const resource& item,
+               const std::string& claimant, load_table& loads)
+{
+    std::map<std::string, std::int64_t>& owned = loads.of(item);
+    return (2 * owned[claimant] + 2) * weight_of(view, item.owner.host) <=
+           (2 * owned[item.owner.host] - 1) * weight_of(view, claimant);
+}
+
+// Resource of a loaded host that this host should relieve.
 std::string rebalance(const cluster_view& view, const std::string& self,
-                      const std::vector<std::string>& live, load_map& loads)
+                      const std::vector<std::string>& live, load_table& loads)
 {
     for (const auto& [name, item] : view.resources)
     {
         const std::vector<std::string> candidates =
             candidates_for(view, item, live);
-        const bool is_candidate =
-            std::find(candidates.begin(), candidates.end(), self) !=
-            candidates.end();
-        const bool is_misplaced =
-            std::find(candidates.begin(), candidates.end(), item.owner.host) ==
-            candidates.end();
-        const std::string kind = kind_of(item);
-        const int own = loads[{kind, self}];
-        const int other = loads[{kind, item.owner.host}];
-        if (is_candidate && item.owner.host != self &&
-            (other >= own + 2 || is_misplaced))
+        const auto contains = [&](const std::string& host)
+        {
+            return std::find(candidates.begin(), candidates.end(), host) !=
+                   candidates.end();
+        };
+        if (item.owner.host == self || !contains(self))
+        {
+            continue;
+        }
+        const bool is_misplaced = !contains(item.owner.host);
+        if ((is_misplaced || is_relief(view, item, self, loads)) &&
+            least_loaded(view, candidates, item, loads, moving_extra) == self)
         {
             return name;
         }
@@ -180,7 +226,7 @@
     {
         return claims;
     }
-    load_map loads = count_owned(view, limits, now);
+    load_table loads = count_owned(view, limits, now);
     bool has_orphans = false;
     for (const auto& [name, item] : view.resources)
     {
@@ -194,7 +240,7 @@
         if (is_own)
         {
             claims.push_back(name);
-            ++loads[{kind_of(item), self}];
+            ++loads.of(item)[self];
             continue;
         }
         if (now - view.first_read < limits.first_claim ||
@@ -202,9 +248,9 @@
         {
             continue;
         }
-        const std::string claimant =
-            least_loaded(candidates_for(view, item, live), item, loads);
-        ++loads[{kind_of(item), claimant}];
+        const std::string claimant = least_loaded(
+            view, candidates_for(view, item, live), item, loads, dealing_extra);
+        ++loads.of(item)[claimant];
         if (claimant == self)
         {
             claims.push_back(name);
--- a/src/settings/parse_scheduler_settings.cpp
+++ b/src/settings/parse_scheduler_settings.cpp
@@ -18,6 +18,8 @@
 constexpr std::int64_t longest_lease_bound_ms = 600'000;
 // A longer time than a minute is a mistake in the unit.
 constexpr std::int64_t longest_drain_bound_ms = 60'000;
+// Far more than any entry host has; more is a mistake in the unit.
+constexpr double most_processors = 1'024;
 
 std::optional<toml::table> parse(std::string_view text, std::string& error)
 {
@@ -87,6 +89,7 @@
     reader.number("thaw_slack_ms", value.thaw_slack_ms, 0,
                   longest_lease_bound_ms);
     reader.number("drain_ms", value.drain_ms, 0, longest_drain_bound_ms);
+    reader.real("processor_share", value.processor_share, 0.0, most_processors);
     reader.check_unknown();
     if (!errors.lines.empty())
     {
--- a/src/settings/settings_reader.cpp
+++ b/src/settings/settings_reader.cpp
@@ -85,6 +85,27 @@
     value = node->as_integer()->get();
 }
 
+void table_reader::real(const char* name, double& value, double lowest,
+                        double highest)
+{
+    const toml::node* node = find(name);
+    if (node == nullptr)
+    {
+        return;
+    }
+    const double found = node->is_number()
+                             ? node->value<double>().value_or(lowest - 1)
+                             : lowest - 1;
+    // Written so that a value that is not a number fails too.
+    if (!(found >= lowest && found <= highest))
+    {
+        fail(name, describe(node),
+             fmt::format("a number from {} to {}", lowest, highest));
+        return;
+    }
+    value = found;
+}
+
 void table_reader::fail(std::string_view name, std::string_view found,
                         std::string_view expected)
 {
--- a/src/settings/settings_reader.hpp
+++ b/src/settings/settings_reader.hpp
@@ -57,6 +57,9 @@
     void number(const char* name, std::int64_t& value, std::int64_t lowest,
                 std::int64_t highest);
 
+    /// Reads a number that may have a fraction.
+    void real(const char* name, double& value, double lowest, double highest);
+
     /// Records an error for a member of this table.
     void fail(std::string_view name, std::string_view found,
               std::string_view expected);
--- a/tests/scheduler/cluster_rows_test.cpp
+++ b/tests/scheduler/cluster_rows_test.cpp
@@ -160,3 +160,18 @@
     REQUIRE(view.rosters.at("r1").targets.empty());
     REQUIRE(view.rosters.at("r1").version == 4);
 }
+
+// Rows of hosts of the former version have no weight.
+TEST_CASE("the weight of a host is read from its row", "[scheduler]")
+{
+    host_row host;
+    host.name = "h1";
+    host.weight = 0.12;
+    cluster_view view;
+    apply_whole(view,
+                {make_row("host/h1", to_json(host), 1),
+                 make_row("host/h2", R"({"name":"h2","boot":1})", 1)},
+                1);
+    REQUIRE(view.hosts.at("h1").row.weight == Approx(0.12));
+    REQUIRE(view.hosts.at("h2").row.weight == Approx(1.0));
+}
--- a/tests/settings/scheduler_settings_test.cpp
+++ b/tests/settings/scheduler_settings_test.cpp
@@ -36,3 +36,22 @@
                 .ok());
     }
 }
+
+// Hosts with a quarter of the processor got as many racks as the others.
+TEST_CASE("the processor share is read", "[settings]")
+{
+    REQUIRE(parse_scheduler_settings(required)->processor_share == Approx(1.0));
+    const absl::StatusOr<scheduler_settings> value =
+        parse_scheduler_settings(required + "processor_share = 0.12\n");
+    REQUIRE(value.ok());
+    REQUIRE(value->processor_share == Approx(0.12));
+    REQUIRE(parse_scheduler_settings(required + "processor_share = 2\n")
+                ->processor_share == Approx(2.0));
+    for (const char* wrong : {"-0.1", "nan", "inf", "true", "\"0.12\"", "9999"})
+    {
+        CAPTURE(wrong);
+        REQUIRE_FALSE(parse_scheduler_settings(
+                          required + "processor_share = " + wrong + "\n")
+                          .ok());
+    }
+}
