Bound the load messages between hosts

Cause: each host sent to each other one, every 250 ms, the room of its targets and all pairs of images that it had learned. With 12 targets and 180 pairs that is a datagram of 17,771 bytes (3,366 without the pairs), and 2,986 KB/s received by each host: 2.4 times what its link carries.

Now rooms and pairs are messages of their own, in short arrays with rounded numbers and a list of images. The period of rooms follows from the number of peers and targets (`report_period`: 250 ms for 9 hosts, 602 ms for 43 with 490 targets, 1 s at most). Pairs go out every 2 s or less often, 40 at a time: those that changed, and each again after 30 s.

A placement was forgotten after 450 ms; it now counts until a report of its rack was received 300 ms or more after it, so it follows the period. The age at which a report is not trusted is 3 s or 5 periods.

Pairs were merged in every tick, by the racks and under the lock of the load view. They are now merged by the racks, if something has changed and at most once a second, and the result is handed over. Reports are decoded outside of that lock and swapped in.

Not tried: reports of changed targets only. In a busy fleet the spare headroom of most targets should change from report to report.

Three tests set `pressure_model::others` directly and now use `note_pressures`; what they check is the same.

--- a/include/egretspindle/rack/fleet_load.hpp
+++ b/include/egretspindle/rack/fleet_load.hpp
@@ -6,9 +6,10 @@
 
 #include "egretspindle/core/clock.hpp"
 #include "egretspindle/fleet/target_entry.hpp"
+#include "egretspindle/rack/load_period.hpp"
 #include "egretspindle/rack/pressure_model.hpp"
 #include "egretspindle/rack/queued_start.hpp"
-#include "egretspindle/rack/rack_state.hpp"
+#include "egretspindle/rack/rack_room.hpp"
 
 #include <cstdint>
 #include <map>
@@ -20,84 +21,6 @@
 namespace egretspindle
 {
 
-/// Room on one target.
-struct target_room
-{
-    std::string id;
-    task_size room;                    ///< negative when it is overcommitted
-    std::int64_t idle_users_milli = 0; ///< wanted by tasks on idle processors
-    std::int64_t unused_milli = 0;     ///< reserved by other tasks, not used
-    /// Headroom that company may take, by image of the serving tasks.
-    std::map<std::string, double> spare;
-    double scarcity = 0;  ///< see `target_mix`
-    double reserved = 0;  ///< see `target_mix`
-    bool is_open = false; ///< accepts starts
-};
-
-/// Visits the fields of `target_room` for the codec.
-template <typename Visitor, typename Value>
-void visit_fields(Visitor&& visit, Value& value, const target_room* /*tag*/)
-{
-    visit("i", value.id);
-    visit("c", value.room.cpu_milli);
-    visit("m", value.room.memory_mb);
-    visit("a", value.room.accelerators);
-    visit("u", value.idle_users_milli);
-    visit("s", value.unused_milli);
-    visit("h", value.spare);
-    visit("x", value.scarcity);
-    visit("w", value.reserved);
-    visit("o", value.is_open);
-}
-
-/// Room and queue of a rack.
-struct rack_room
-{
-    std::string rack;
-    std::int64_t queued = 0;           ///< starts that wait
-    std::int64_t queued_cpu_milli = 0; ///< processors that they want
-    /// Images of starts that have waited for idle processors for a while.
-    std::vector<std::string> waiting;
-    std::vector<target_room> targets;
-};
-
-/// Visits the fields of `rack_room` for the codec.
-template <typename Visitor, typename Value>
-void visit_fields(Visitor&& visit, Value& value, const rack_room* /*tag*/)
-{
-    visit("rack", value.rack);
-    visit("queued", value.queued);
-    visit("queued_cpu", value.queued_cpu_milli);
-    visit("waiting", value.waiting);
-    visit("targets", value.targets);
-}
-
-/// Room of all racks that one host owns.
-struct load_report
-{
-    std::string host;
-    std::int64_t number = 0; ///< rises within one life of the host
-    std::int64_t boot = 0;   ///< life of the host
-    std::vector<rack_room> racks;
-    std::vector<pair_pressure> pressures; ///< learned by the host
-};
-
-/// Visits the fields of `load_report` for the codec.
-template <typename Visitor, typename Value>
-void visit_fields(Visitor&& visit, Value& value, const load_report* /*tag*/)
-{
-    visit("host", value.host);
-    visit("number", value.number);
-    visit("boot", value.boot);
-    visit("racks", value.racks);
-    visit("pressures", value.pressures);
-}
-
-/// Returns the room of a rack for a report.
-[[nodiscard]] rack_room measure_room(const rack_state& rack,
-                                     const pressure_model& model,
-                                     time_point now);
-
 /// Placement of this host that no report shows yet.
 struct recent_placement
 {
@@ -122,9 +45,22 @@
     std::map<std::string, rack_view> racks;
     std::map<std::string, target_entry> targets; ///< by id
     std::vector<recent_placement> recent;
+    /// What is known of pairs of images; only the merged part is used.
     pressure_model pressures;
+    milliseconds period{250}; ///< of the reports; see `report_period`
+    std::map<std::string, std::int64_t> lives; ///< of the other hosts
 };
 
+/// Notes the life that a message of another host names.
+///
+/// \returns whether it was not known, so that the host has heard of nothing
+bool note_life(fleet_load& fleet, const std::string& host, std::int64_t boot);
+
+/// Takes over a report. `rooms` then holds the replaced rooms, so that the
+/// caller can free them without a lock.
+void note_rooms(fleet_load& fleet, std::vector<rack_room>& rooms,
+                time_point now);
+
 /// Returns the images of starts that wait for idle processors, as reported
 /// lately by the owners of racks.
 [[nodiscard]] std::set<std::string> waiting_images(const fleet_load& fleet,
--- a/include/egretspindle/rack/pressure_model.hpp
+++ b/include/egretspindle/rack/pressure_model.hpp
@@ -30,19 +30,16 @@
     double weight = 0;   ///< observed changes behind it, in square cores
 };
 
-/// Visits the fields of `pair_pressure` for the codec.
-template <typename Visitor, typename Value>
-void visit_fields(Visitor&& visit, Value& value, const pair_pressure* /*tag*/)
-{
-    visit("s", value.serving);
-    visit("f", value.filling);
-    visit("p", value.per_core);
-    visit("w", value.weight);
-}
-
 /// Serving and filling image.
 using image_pair = std::pair<std::string, std::string>;
 
+/// What another host has learned.
+struct host_pressures
+{
+    std::int64_t boot = 0; ///< life of the host
+    std::map<image_pair, pair_pressure> items;
+};
+
 /// Linear model of each pair of images, learned online from what changes when
 /// company comes and goes.
 struct pressure_model
@@ -52,13 +49,15 @@
     double low_headroom = 1.5;
     std::map<image_pair, pair_pressure> own;
     /// Learned by other hosts, by host.
-    std::map<std::string, std::vector<pair_pressure>> others;
+    std::map<std::string, host_pressures> others;
     /// All of it, by weight; made by `merge_pressures`.
     std::map<image_pair, pair_pressure> merged;
     /// Share of the serving images that an image harms, by filling image.
     std::map<std::string, double> hardness;
     /// Images whose starts wait for idle processors, on any host.
     std::set<std::string> waiting;
+    bool is_changed = false; ///< since `merged` was made
+    time_point merged_at;
 };
 
 /// Cores that tasks use, by image, at the speed that they work.
@@ -79,9 +78,27 @@
 /// Notes the headroom of a serving task without its company.
 void observe_headroom(pressure_model& model, double own_headroom);
 
+/// Takes over pairs that another host has learned. Pairs that are not named
+/// stay as they are, unless they are of an earlier life of the host.
+void note_pressures(pressure_model& model, const std::string& host,
+                    std::int64_t boot, const std::vector<pair_pressure>& items);
+
 /// Combines what this host and others have learned.
 void merge_pressures(pressure_model& model);
 
+/// Combines it when something has changed, at most once a second.
+///
+/// \returns whether `merged` was made anew
+bool refresh_pressures(pressure_model& model, time_point now);
+
+/// Returns what `expected_drop` and `hardness_of` need, without what it was
+/// combined from.
+[[nodiscard]] pressure_model merged_part(const pressure_model& model);
+
+/// Returns the headroom that a core takes by one host's observations of a pair
+/// and the assumption that all pairs start from.
+[[nodiscard]] double estimate_of(const pair_pressure& item);
+
 /// Returns the headroom that `cores` of one image take from a serving image.
 ///
 /// A pair that has hardly been observed counts as moderately harmful.
@@ -98,10 +115,6 @@
 [[nodiscard]] double hardness_of(const pressure_model& model,
                                  const std::string& filling);
 
-/// Returns what this host has learned, for other hosts.
-[[nodiscard]] std::vector<pair_pressure>
-learned_pressures(const pressure_model& model);
-
 } // namespace egretspindle
 
 #endif
--- /dev/null
+++ b/include/egretspindle/rack/rack_room.hpp
@@ -0,0 +1,52 @@
+/// \file
+/// Free capacity of a rack as its owner reports it.
+
+#ifndef EGRETSPINDLE_RACK_RACK_ROOM_HPP
+#define EGRETSPINDLE_RACK_RACK_ROOM_HPP
+
+#include "egretspindle/core/clock.hpp"
+#include "egretspindle/fleet/target_entry.hpp"
+#include "egretspindle/rack/pressure_model.hpp"
+#include "egretspindle/rack/rack_state.hpp"
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace egretspindle
+{
+
+/// Room on one target.
+struct target_room
+{
+    std::string id;
+    task_size room;                    ///< negative when it is overcommitted
+    std::int64_t idle_users_milli = 0; ///< wanted by tasks on idle processors
+    std::int64_t unused_milli = 0;     ///< reserved by other tasks, not used
+    /// Headroom that company may take, by image of the serving tasks.
+    std::map<std::string, double> spare;
+    double scarcity = 0;  ///< see `target_mix`
+    double reserved = 0;  ///< see `target_mix`
+    bool is_open = false; ///< accepts starts
+};
+
+/// Room and queue of a rack.
+struct rack_room
+{
+    std::string rack;
+    std::int64_t queued = 0;           ///< starts that wait
+    std::int64_t queued_cpu_milli = 0; ///< processors that they want
+    /// Images of starts that have waited for idle processors for a while.
+    std::vector<std::string> waiting;
+    std::vector<target_room> targets;
+};
+
+/// Returns the room of a rack for a report.
+[[nodiscard]] rack_room measure_room(const rack_state& rack,
+                                     const pressure_model& model,
+                                     time_point now);
+
+} // namespace egretspindle
+
+#endif
--- a/include/egretspindle/scheduler/load_exchange.hpp
+++ b/include/egretspindle/scheduler/load_exchange.hpp
@@ -4,7 +4,7 @@
 #ifndef EGRETSPINDLE_SCHEDULER_LOAD_EXCHANGE_HPP
 #define EGRETSPINDLE_SCHEDULER_LOAD_EXCHANGE_HPP
 
-#include "egretspindle/rack/fleet_load.hpp"
+#include "egretspindle/rack/load_message.hpp"
 
 #include <absl/status/status.h>
 
@@ -17,7 +17,7 @@
 namespace egretspindle
 {
 
-/// Sends and receives load reports. Lost datagrams are replaced by the next.
+/// Sends and receives load messages. Lost datagrams are replaced by the next.
 class load_exchange
 {
 public:
@@ -25,7 +25,7 @@
     ///
     /// \param bytes  size of the datagram
     using receive_function =
-        std::function<void(const load_report& report, std::size_t bytes)>;
+        std::function<void(const load_message& message, std::size_t bytes)>;
 
     load_exchange(std::string key, receive_function received);
     ~load_exchange();
@@ -37,11 +37,11 @@
                                      unsigned short port);
     void stop();
 
-    /// Sends a report to hosts.
+    /// Sends a message to hosts.
     ///
     /// \param peers  `ip:port` of each
     /// \returns the size of each datagram
-    std::size_t send(const load_report& report,
+    std::size_t send(const load_message& message,
                      const std::vector<std::string>& peers);
 
 private:
--- a/include/egretspindle/scheduler/rack_agent.hpp
+++ b/include/egretspindle/scheduler/rack_agent.hpp
@@ -7,6 +7,7 @@
 #include "egretspindle/core/clock.hpp"
 #include "egretspindle/fleet/target_port.hpp"
 #include "egretspindle/rack/fleet_load.hpp"
+#include "egretspindle/rack/pair_outbox.hpp"
 #include "egretspindle/rack/rack_state.hpp"
 #include "egretspindle/scheduler/activity.hpp"
 #include "egretspindle/scheduler/exchange.hpp"
@@ -117,12 +118,18 @@
     /// Returns the room of all racks of this host.
     [[nodiscard]] std::vector<rack_room> measure() const;
 
-    /// Returns what this host has learned of tasks on idle processors.
-    [[nodiscard]] std::vector<pair_pressure> pressures() const;
+    /// Returns what this host has learned of tasks on idle processors and has
+    /// to send now.
+    [[nodiscard]] std::vector<pair_pressure>
+    take_due_pairs(pair_outbox& outbox) const;
 
     /// Takes over what another host has learned.
-    void set_other_pressures(const std::string& host,
-                             std::vector<pair_pressure> pressures);
+    void note_pressures(const std::string& host, std::int64_t boot,
+                        const std::vector<pair_pressure>& pressures);
+
+    /// Returns what is known of pairs of images if it has changed since the
+    /// last call.
+    [[nodiscard]] std::optional<pressure_model> take_merged();
 
     /// Sets the images of starts that wait for idle processors on any host.
     void set_waiting(std::set<std::string> images);
--- a/src/rack/fleet_load.cpp
+++ b/src/rack/fleet_load.cpp
@@ -13,15 +13,12 @@
 namespace
 {
 
-// Reports come four times a second; a placement shows in the next but one.
-constexpr milliseconds recent_age{450};
-// Starts that find a place at once are not worth a reservation.
-constexpr milliseconds waiting_age{400};
+// Time from the choice of a rack until its owner has queued the start: the
+// record of the assignment and one message. Reports that arrive later show it.
+constexpr milliseconds placement_transit{300};
 // Share of the processors that tasks that last leave to short ones. Urgent
 // short tasks of the users take 5% on average and twice that in bursts.
 constexpr std::int64_t short_percent = 8;
-// A rack whose owner has not reported for this long is not trusted to be free.
-constexpr milliseconds report_age{3'000};
 
 /// Room of one target, less what this host has placed since its report.
 struct candidate
@@ -32,6 +29,24 @@
     std::int64_t taken_by_step = 0;
 };
 
+// A rack whose owner has not reported lately is not trusted to be free.
+bool is_recent(const fleet_load& fleet, const rack_view& view, time_point now)
+{
+    return now - view.reported_at <= report_age(fleet.period);
+}
+
+// Reports come at different ages, so a placement counts until one of its rack
+// can show it, and not for a fixed time.
+bool is_shown(const fleet_load& fleet, const recent_placement& item,
+              time_point now)
+{
+    const auto view = fleet.racks.find(item.rack);
+    const bool is_reported =
+        view != fleet.racks.end() &&
+        view->second.reported_at >= item.at + placement_transit;
+    return is_reported || now - item.at > report_age(fleet.period);
+}
+
 bool matches(const target_entry& entry, const step_terms& terms)
 {
     const bool has_label =
@@ -55,7 +70,7 @@
                                      const step_terms& terms, time_point now)
 {
     std::vector<candidate> found;
-    if (now - view.reported_at > report_age)
+    if (!is_recent(fleet, view, now))
     {
         return found;
     }
@@ -248,8 +263,7 @@
     for (const auto& [rack, cpu] : capacity)
     {
         const auto view = fleet.racks.find(rack);
-        if (view == fleet.racks.end() ||
-            now - view->second.reported_at > report_age)
+        if (view == fleet.racks.end() || !is_recent(fleet, view->second, now))
         {
             continue;
         }
@@ -275,8 +289,8 @@
 void forget_old(fleet_load& fleet, time_point now)
 {
     fleet.recent.erase(std::remove_if(fleet.recent.begin(), fleet.recent.end(),
-                                      [now](const recent_placement& item)
-                                      { return now - item.at > recent_age; }),
+                                      [&](const recent_placement& item)
+                                      { return is_shown(fleet, item, now); }),
                        fleet.recent.end());
 }
 
@@ -296,37 +310,23 @@
 
 } // namespace
 
-rack_room measure_room(const rack_state& rack, const pressure_model& model,
-                       time_point now)
+bool note_life(fleet_load& fleet, const std::string& host, std::int64_t boot)
 {
-    rack_room room;
-    room.rack = rack.name;
-    std::set<std::string> waiting;
-    for (const queued_start& start : rack.queue)
-    {
-        ++room.queued;
-        room.queued_cpu_milli += start.terms->size.cpu_milli;
-        if (start.terms->uses_idle_cpu && now - start.queued_at > waiting_age)
-        {
-            waiting.insert(start.terms->image);
-        }
-    }
-    room.waiting.assign(waiting.begin(), waiting.end());
-    for (const auto& [id, target] : rack.targets)
+    std::int64_t& known = fleet.lives[host];
+    const bool is_new = known != boot;
+    known = boot;
+    return is_new;
+}
+
+void note_rooms(fleet_load& fleet, std::vector<rack_room>& rooms,
+                time_point now)
+{
+    for (rack_room& room : rooms)
     {
-        target_room item;
-        item.id = id;
-        item.room = free_room(target);
-        item.is_open = accepts_starts(target, now);
-        const target_mix mix = mix_of(target, model);
-        item.idle_users_milli = mix.idle_users_milli;
-        item.unused_milli = mix.unused_milli;
-        item.spare = mix.spare;
-        item.scarcity = mix.scarcity;
-        item.reserved = mix.reserved;
-        room.targets.push_back(std::move(item));
+        rack_view& view = fleet.racks[room.rack];
+        std::swap(view.room, room);
+        view.reported_at = now;
     }
-    return room;
 }
 
 std::set<std::string> waiting_images(const fleet_load& fleet, time_point now)
@@ -334,7 +334,7 @@
     std::set<std::string> images;
     for (const auto& [name, view] : fleet.racks)
     {
-        if (now - view.reported_at <= report_age)
+        if (is_recent(fleet, view, now))
         {
             images.insert(view.room.waiting.begin(), view.room.waiting.end());
         }
@@ -397,7 +397,7 @@
     }
     for (const auto& [name, view] : fleet.racks)
     {
-        if (now - view.reported_at > report_age)
+        if (!is_recent(fleet, view, now))
         {
             continue;
         }
--- a/src/rack/pressure_model.cpp
+++ b/src/rack/pressure_model.cpp
@@ -28,6 +28,9 @@
 // Steps of the estimate of the 5% quantile of the headroom without company.
 constexpr double quantile_step = 0.02;
 constexpr double quantile = 0.05;
+// With 43 hosts and 180 pairs a merge takes about 8,000 sums. A pair is
+// learned over tens of seconds.
+constexpr milliseconds merge_period{1'000};
 
 void add_to(std::map<image_pair, pair_pressure>& sums,
             const pair_pressure& item)
@@ -39,13 +42,6 @@
     sum.weight += item.weight;
 }
 
-double estimate(const pair_pressure& item)
-{
-    const double total =
-        item.per_core * item.weight + assumed_per_core * assumed_weight;
-    return std::max(0.0, total / (item.weight + assumed_weight));
-}
-
 std::map<std::string, double> measure_hardness(const pressure_model& model)
 {
     std::map<std::string, std::pair<int, int>> counts; // harmed, known
@@ -95,6 +91,7 @@
             (item.per_core * item.weight + certainty * cores * drop) /
             (item.weight + weight);
         item.weight = std::min(item.weight + weight, longest_memory);
+        model.is_changed = true;
     }
 }
 
@@ -105,6 +102,22 @@
                               : quantile_step * quantile;
 }
 
+void note_pressures(pressure_model& model, const std::string& host,
+                    std::int64_t boot, const std::vector<pair_pressure>& items)
+{
+    host_pressures& known = model.others[host];
+    if (known.boot != boot)
+    {
+        known.boot = boot;
+        known.items.clear();
+    }
+    for (const pair_pressure& item : items)
+    {
+        known.items[{item.serving, item.filling}] = item;
+    }
+    model.is_changed = true;
+}
+
 void merge_pressures(pressure_model& model)
 {
     model.merged.clear();
@@ -112,9 +125,9 @@
     {
         add_to(model.merged, item);
     }
-    for (const auto& [host, items] : model.others)
+    for (const auto& [host, learned] : model.others)
     {
-        for (const pair_pressure& item : items)
+        for (const auto& [pair, item] : learned.items)
         {
             add_to(model.merged, item);
         }
@@ -124,6 +137,34 @@
         item.per_core = item.weight > 0 ? item.per_core / item.weight : 0.0;
     }
     model.hardness = measure_hardness(model);
+    model.is_changed = false;
+}
+
+bool refresh_pressures(pressure_model& model, time_point now)
+{
+    if (!model.is_changed || now - model.merged_at < merge_period)
+    {
+        return false;
+    }
+    merge_pressures(model);
+    model.merged_at = now;
+    return true;
+}
+
+pressure_model merged_part(const pressure_model& model)
+{
+    pressure_model part;
+    part.low_headroom = model.low_headroom;
+    part.merged = model.merged;
+    part.hardness = model.hardness;
+    return part;
+}
+
+double estimate_of(const pair_pressure& item)
+{
+    const double total =
+        item.per_core * item.weight + assumed_per_core * assumed_weight;
+    return std::max(0.0, total / (item.weight + assumed_weight));
 }
 
 bool is_harmful_pair(const pressure_model& model, const std::string& serving,
@@ -137,7 +178,7 @@
 {
     const auto it = model.merged.find({serving, filling});
     return cores *
-           estimate(it == model.merged.end() ? pair_pressure{} : it->second);
+           estimate_of(it == model.merged.end() ? pair_pressure{} : it->second);
 }
 
 double hardness_of(const pressure_model& model, const std::string& filling)
@@ -146,15 +187,4 @@
     return it == model.hardness.end() ? 1.0 : it->second;
 }
 
-std::vector<pair_pressure> learned_pressures(const pressure_model& model)
-{
-    std::vector<pair_pressure> items;
-    items.reserve(model.own.size());
-    for (const auto& [pair, item] : model.own)
-    {
-        items.push_back(item);
-    }
-    return items;
-}
-
 } // namespace egretspindle
--- /dev/null
+++ b/src/rack/rack_room.cpp
@@ -0,0 +1,52 @@
+#include "egretspindle/rack/rack_room.hpp"
+
+#include "egretspindle/rack/interference.hpp"
+
+#include <set>
+#include <utility>
+
+namespace egretspindle
+{
+
+namespace
+{
+
+// Starts that find a place at once are not worth a reservation.
+constexpr milliseconds waiting_age{400};
+
+} // namespace
+
+rack_room measure_room(const rack_state& rack, const pressure_model& model,
+                       time_point now)
+{
+    rack_room room;
+    room.rack = rack.name;
+    std::set<std::string> waiting;
+    for (const queued_start& start : rack.queue)
+    {
+        ++room.queued;
+        room.queued_cpu_milli += start.terms->size.cpu_milli;
+        if (start.terms->uses_idle_cpu && now - start.queued_at > waiting_age)
+        {
+            waiting.insert(start.terms->image);
+        }
+    }
+    room.waiting.assign(waiting.begin(), waiting.end());
+    for (const auto& [id, target] : rack.targets)
+    {
+        target_room item;
+        item.id = id;
+        item.room = free_room(target);
+        item.is_open = accepts_starts(target, now);
+        const target_mix mix = mix_of(target, model);
+        item.idle_users_milli = mix.idle_users_milli;
+        item.unused_milli = mix.unused_milli;
+        item.spare = mix.spare;
+        item.scarcity = mix.scarcity;
+        item.reserved = mix.reserved;
+        room.targets.push_back(std::move(item));
+    }
+    return room;
+}
+
+} // namespace egretspindle
--- a/src/scheduler/job_scheduler.cpp
+++ b/src/scheduler/job_scheduler.cpp
@@ -79,7 +79,10 @@
     void post_reports(std::vector<run_report> reports);
     void deliver_reports(const std::string& host,
                          std::vector<run_report> reports);
-    void note_load(const load_report& report);
+    void note_load(const load_message& message);
+    void note_own_load(std::vector<rack_room> rooms);
+    void send_load(const std::vector<load_message>& messages,
+                   const std::vector<std::string>& peers);
     void add_handlers();
     void tick_loop();
     void share_load();
@@ -103,10 +106,14 @@
     std::mutex load_mutex;
     fleet_load load;
     std::minstd_rand random{std::random_device{}()};
-    std::int64_t report_number = 0;
+    // Used by the ticking thread only.
+    send_schedule room_schedule;
+    send_schedule pair_schedule;
+    pair_outbox pairs_out;
     time_point activity_logged_at;
     std::atomic<bool> has_targets{false};
     std::atomic<bool> is_leaving{false};
+    std::atomic<bool> has_new_peer{false}; ///< since pairs were sent
 
     job_coordinator coordinator;
     rack_agent racks;
@@ -570,50 +577,88 @@
 
 // --- load ------------------------------------------------------------------
 
-void job_scheduler::impl::note_load(const load_report& report)
+// Takes over a message of another host.
+void job_scheduler::impl::note_load(const load_message& message)
 {
-    if (report.host != options.host)
+    std::vector<rack_room> rooms = rooms_of(message);
+    const std::vector<pair_pressure> pairs = pairs_of(message);
+    if (!pairs.empty())
     {
-        racks.set_other_pressures(report.host, report.pressures);
+        racks.note_pressures(message.host, message.boot, pairs);
     }
     const std::lock_guard<std::mutex> lock(load_mutex);
-    load.pressures.others[report.host] = report.pressures;
-    const time_point now = steady_clock::now();
-    for (const rack_room& room : report.racks)
+    note_rooms(load, rooms, steady_clock::now());
+    if (note_life(load, message.host, message.boot))
     {
-        load.racks[room.rack] = {room, now};
+        has_new_peer = true;
     }
 }
 
-void job_scheduler::impl::share_load()
+// Shows the load of this host's racks to the other parts of this host.
+void job_scheduler::impl::note_own_load(std::vector<rack_room> rooms)
 {
-    load_report report;
-    report.host = options.host;
-    report.boot = boot;
-    report.number = ++report_number;
-    report.racks = racks.measure();
-    report.pressures = racks.pressures();
+    std::optional<pressure_model> merged = racks.take_merged();
     std::set<std::string> waiting;
     {
         const std::lock_guard<std::mutex> lock(load_mutex);
-        merge_pressures(load.pressures);
-        waiting = waiting_images(load, steady_clock::now());
+        const time_point now = steady_clock::now();
+        note_rooms(load, rooms, now);
+        waiting = waiting_images(load, now);
+        if (merged)
+        {
+            std::swap(load.pressures, *merged);
+        }
     }
     // The lock of the racks is taken before that of the load elsewhere.
     racks.set_waiting(std::move(waiting));
-    note_load(report);
-    if (!report.racks.empty())
+}
+
+void job_scheduler::impl::send_load(const std::vector<load_message>& messages,
+                                    const std::vector<std::string>& peers)
+{
+    for (const load_message& message : messages)
     {
-        const std::vector<std::string> peers = agent.peers();
-        const std::size_t bytes = loads->send(report, peers);
+        const std::size_t bytes = loads->send(message, peers);
         note_datagram(racks.activity().reports_out, bytes * peers.size());
     }
+}
+
+void job_scheduler::impl::share_load()
+{
+    const std::vector<rack_room> rooms = racks.measure();
+    note_own_load(rooms);
+    const std::vector<std::string> peers = agent.peers();
+    fleet_size size;
+    size.peers = peers.size();
+    {
+        const std::lock_guard<std::mutex> lock(load_mutex);
+        size.targets = load.targets.size();
+        load.period = report_period(size);
+    }
+    const time_point now = steady_clock::now();
+    if (take_due(room_schedule, report_period(size), now))
+    {
+        send_load(room_messages(options.host, boot, rooms), peers);
+    }
+    if (take_due(pair_schedule, pair_period(size), now))
+    {
+        if (has_new_peer.exchange(false))
+        {
+            send_all_again(pairs_out);
+        }
+        const std::vector<pair_pressure> pairs =
+            racks.take_due_pairs(pairs_out);
+        if (!pairs.empty())
+        {
+            send_load({pair_message(options.host, boot, pairs)}, peers);
+        }
+    }
     if (elapsed(activity_logged_at) >= activity_period)
     {
         activity_logged_at = steady_clock::now();
         queue_lengths queues;
-        queues.racks = report.racks.size();
-        for (const rack_room& room : report.racks)
+        queues.racks = rooms.size();
+        for (const rack_room& room : rooms)
         {
             queues.queued_starts += room.queued;
         }
@@ -672,10 +717,10 @@
     }
     impl_->loads = std::make_unique<load_exchange>(
         key,
-        [this](const load_report& report, std::size_t bytes)
+        [this](const load_message& message, std::size_t bytes)
         {
             note_datagram(impl_->racks.activity().reports_in, bytes);
-            impl_->note_load(report);
+            impl_->note_load(message);
         });
     status = impl_->loads->start(impl_->options.peer_address,
                                  impl_->options.peer_port);
--- a/src/scheduler/load_exchange.cpp
+++ b/src/scheduler/load_exchange.cpp
@@ -65,11 +65,11 @@
         {
             continue; // not from a host of this cluster
         }
-        const absl::StatusOr<load_report> report =
-            from_json<load_report>(payload);
-        if (report.ok())
+        const absl::StatusOr<load_message> message =
+            from_json<load_message>(payload);
+        if (message.ok())
         {
-            received(*report, text.size());
+            received(*message, text.size());
         }
     }
 }
@@ -120,10 +120,10 @@
     }
 }
 
-std::size_t load_exchange::send(const load_report& report,
+std::size_t load_exchange::send(const load_message& message,
                                 const std::vector<std::string>& peers)
 {
-    const std::string payload = to_json(report);
+    const std::string payload = to_json(message);
     const std::string text =
         reply_tag(message_mac(impl_->key, message_type, "", payload)) + payload;
     for (const std::string& peer : peers)
--- a/src/scheduler/rack_agent.cpp
+++ b/src/scheduler/rack_agent.cpp
@@ -329,7 +329,10 @@
     {
         const std::lock_guard<std::mutex> lock(impl_->mutex);
         const time_point now = steady_clock::now();
-        merge_pressures(impl_->model);
+        if (refresh_pressures(impl_->model, now))
+        {
+            impl_->is_model_taken = false;
+        }
         for (auto& [name, rack] : impl_->racks)
         {
             std::vector<run_event>& list = events[name];
@@ -356,17 +359,29 @@
     impl_->finish(ended);
 }
 
-std::vector<pair_pressure> rack_agent::pressures() const
+std::vector<pair_pressure> rack_agent::take_due_pairs(pair_outbox& outbox) const
+{
+    const std::lock_guard<std::mutex> lock(impl_->mutex);
+    return egretspindle::take_due_pairs(outbox, impl_->model,
+                                        steady_clock::now());
+}
+
+void rack_agent::note_pressures(const std::string& host, std::int64_t boot,
+                                const std::vector<pair_pressure>& pressures)
 {
     const std::lock_guard<std::mutex> lock(impl_->mutex);
-    return learned_pressures(impl_->model);
+    egretspindle::note_pressures(impl_->model, host, boot, pressures);
 }
 
-void rack_agent::set_other_pressures(const std::string& host,
-                                     std::vector<pair_pressure> pressures)
+std::optional<pressure_model> rack_agent::take_merged()
 {
     const std::lock_guard<std::mutex> lock(impl_->mutex);
-    impl_->model.others[host] = std::move(pressures);
+    if (impl_->is_model_taken)
+    {
+        return std::nullopt;
+    }
+    impl_->is_model_taken = true;
+    return merged_part(impl_->model);
 }
 
 void rack_agent::set_waiting(std::set<std::string> images)
--- a/src/scheduler/rack_agent_impl.hpp
+++ b/src/scheduler/rack_agent_impl.hpp
@@ -118,6 +118,7 @@
     std::map<std::string, target_entry> entries; ///< as listed last
     std::vector<channel_ptr> retired;            ///< threads that are ending
     pressure_model model;
+    bool is_model_taken = true; ///< by `take_merged`, as it is
     host_activity activity;
     bool is_stopping = false;
 };
--- a/tests/rack/fleet_load_test.cpp
+++ b/tests/rack/fleet_load_test.cpp
@@ -77,7 +77,7 @@
     {
         room.spare["s"] = 2.0;
     }
-    fleet.pressures.others["h2"] = {{"s", "heavy", 0.2, 1'000'000}};
+    note_pressures(fleet.pressures, "h2", 1, {{"s", "heavy", 0.2, 1'000'000}});
     merge_pressures(fleet.pressures);
     std::minstd_rand random(1);
     const step_terms heavy = make_terms("heavy", false);
--- a/tests/rack/interference_test.cpp
+++ b/tests/rack/interference_test.cpp
@@ -34,8 +34,9 @@
 pressure_model learned_model()
 {
     pressure_model model;
-    model.others["h2"] = {{"serving", "heavy", 0.2, 5'000},
-                          {"serving", "light", 0.01, 5'000}};
+    note_pressures(
+        model, "h2", 1,
+        {{"serving", "heavy", 0.2, 5'000}, {"serving", "light", 0.01, 5'000}});
     merge_pressures(model);
     return model;
 }
@@ -126,7 +127,7 @@
 {
     pressure_model model;
     const double assumed = expected_drop(model, "s", "f", 1.0);
-    model.others["h2"] = {{"s", "f", 0.5, 1'000'000}};
+    note_pressures(model, "h2", 1, {{"s", "f", 0.5, 1'000'000}});
     merge_pressures(model);
     REQUIRE(expected_drop(model, "s", "f", 2.0) == Approx(1.0).epsilon(0.01));
     REQUIRE(expected_drop(model, "s", "other", 1.0) == Approx(assumed));
@@ -273,7 +274,7 @@
     learned.push_back({"b", "picky", 0.01, 5'000});
     learned.push_back({"a", "easy", 0.01, 5'000});
     learned.push_back({"b", "easy", 0.01, 5'000});
-    model.others["h2"] = learned;
+    note_pressures(model, "h2", 1, learned);
     merge_pressures(model);
     REQUIRE(hardness_of(model, "picky") > hardness_of(model, "easy"));
     rack_target suits_easy;
