Validate ASCII text in blocks of eight bytes

is_valid_utf8 called utf8_sequence_length for every byte.

Eight bytes without a high bit are valid UTF-8, whatever precedes them: the loop is always at the start of a sequence.

--- a/src/core/utf8.cpp
+++ b/src/core/utf8.cpp
@@ -1,6 +1,7 @@
 #include "egretspindle/core/utf8.hpp"
 
 #include <cstdint>
+#include <cstring>
 
 namespace egretspindle
 {
@@ -45,6 +46,18 @@
     }
 }
 
+// Returns whether the text starts with eight bytes below 0x80.
+bool starts_with_ascii_block(std::string_view text) noexcept
+{
+    std::uint64_t block = 0;
+    if (text.size() < sizeof block)
+    {
+        return false;
+    }
+    std::memcpy(&block, text.data(), sizeof block);
+    return (block & 0x8080808080808080U) == 0;
+}
+
 } // namespace
 
 std::size_t utf8_sequence_length(std::string_view text) noexcept
@@ -76,6 +89,12 @@
 {
     while (!text.empty())
     {
+        // Nearly all text is ASCII; blocks of it are passed over at once.
+        if (starts_with_ascii_block(text))
+        {
+            text.remove_prefix(sizeof(std::uint64_t));
+            continue;
+        }
         const std::size_t n = utf8_sequence_length(text);
         if (n == 0)
         {
