Keep leases during an outage of the store that concerns all hosts

With the bound of 4 s on the authority of owners, all running tasks would end in an outage of the store of 10 s, though nobody can take their racks over. Hosts now tell each other when they do not reach the store. While every host that was live says so, an owner that may grant leases goes on; a host that is rejected or cut off alone gets no such reports, and stops. A report holds for 2 s and an extension for 1 s, so that an owner stops before the 4 s have passed that a later owner waits for.

Peers for load messages are those that were live when the store was read last; before, an outage of 3 s ended the exchange of load.

--- a/include/egretspindle/rack/load_message.hpp
+++ b/include/egretspindle/rack/load_message.hpp
@@ -50,6 +50,8 @@
 {
     std::string host;
     std::int64_t boot = 0; ///< life of the host
+    /// The host has not read the store lately.
+    bool is_without_store = false;
     std::vector<std::string> images;
     std::vector<rack_row> racks;
     /// Four numbers a pair: serving image, filling image, headroom that a core
@@ -66,6 +68,10 @@
     visit("h", value.host);
     visit("b", value.boot);
     visit("i", value.images);
+    if (is_reading || value.is_without_store)
+    {
+        visit("s", value.is_without_store);
+    }
     if (is_reading || !value.racks.empty())
     {
         visit("r", value.racks);
--- a/include/egretspindle/rack/rack_state.hpp
+++ b/include/egretspindle/rack/rack_state.hpp
@@ -31,6 +31,9 @@
     /// confirmed it. With the lease that was granted last, tasks outlive an
     /// outage of the store of 7 s; a later owner waits this long in addition.
     milliseconds authority{4'000};
+    /// Added while no host reaches the store. With the age of the reports that
+    /// say so it is well below `authority`, which later owners wait for.
+    milliseconds outage_step{1'000};
 };
 
 /// An order that got no response may be carried out this much later. Stated by
@@ -132,6 +135,12 @@
 void note_ownership(rack_state& rack, const moment& read_at,
                     const lease_limits& limits);
 
+/// Lets an owner that may grant leases now do so for another
+/// `lease_limits::outage_step`. Called while no host reaches the store, so that
+/// nobody can take the rack over.
+void extend_authority(rack_state& rack, boot_time_point now,
+                      const lease_limits& limits);
+
 /// Returns whether the owner may grant leases now.
 ///
 /// A later owner counts on it that the former one stops: it has no other way
--- a/include/egretspindle/scheduler/cluster_agent.hpp
+++ b/include/egretspindle/scheduler/cluster_agent.hpp
@@ -97,7 +97,17 @@
     [[nodiscard]] std::optional<owner_location>
     owner_of(const std::string& resource) const;
 
-    /// Returns the addresses of other live hosts for messages.
+    /// Notes what another host says of its contact with the store.
+    void note_contact(const std::string& host, bool has_contact);
+
+    /// Returns whether this host has not read the store lately.
+    [[nodiscard]] bool is_without_store() const;
+
+    /// Returns whether no host reaches the store; see `is_outage_for_all`.
+    [[nodiscard]] bool is_outage() const;
+
+    /// Returns the addresses of other hosts, those that were live when the
+    /// store was read last.
     [[nodiscard]] std::vector<std::string> peers() const;
 
     /// Returns the jobs of a queue that have not begun, on other hosts.
--- a/include/egretspindle/scheduler/rack_agent.hpp
+++ b/include/egretspindle/scheduler/rack_agent.hpp
@@ -102,6 +102,10 @@
     void verify_rack(const std::string& rack, std::int64_t token,
                      const moment& read_at);
 
+    /// Lets all racks go on granting leases for a moment; see
+    /// `extend_authority`.
+    void extend_authority();
+
     /// Takes over the platform's list of targets.
     void set_targets(const std::map<std::string, target_entry>& targets);
 
--- a/src/rack/rack_state.cpp
+++ b/src/rack/rack_state.cpp
@@ -34,6 +34,16 @@
         std::max(rack.may_grant_until, read_at.boot + limits.authority);
 }
 
+void extend_authority(rack_state& rack, boot_time_point now,
+                      const lease_limits& limits)
+{
+    if (may_grant(rack, now))
+    {
+        rack.may_grant_until =
+            std::max(rack.may_grant_until, now + limits.outage_step);
+    }
+}
+
 bool may_grant(const rack_state& rack, boot_time_point now) noexcept
 {
     return !rack.is_fenced && now < rack.may_grant_until;
--- a/src/scheduler/cluster_agent.cpp
+++ b/src/scheduler/cluster_agent.cpp
@@ -1,5 +1,6 @@
 #include "egretspindle/scheduler/cluster_agent.hpp"
 
+#include "egretspindle/cluster/store_contact.hpp"
 #include "egretspindle/codec/json.hpp"
 #include "egretspindle/core/error.hpp"
 #include "egretspindle/logging/log.hpp"
@@ -89,6 +90,7 @@
     bool is_refresh_wanted = false;
     bool has_failed = false;
     cluster_view view;
+    contact_reports contacts;
     bool has_table = false;         ///< changes can be read; of the thread
     std::int64_t table_version = 0; ///< read so far; of the thread
     time_point whole_read_at;       ///< latest attempt; of the thread
@@ -565,7 +567,8 @@
 {
     std::vector<std::string> peers;
     const std::lock_guard<std::mutex> lock(impl_->mutex);
-    const time_point now = steady_clock::now();
+    // Heartbeats are not seen during an outage of the store.
+    const time_point now = impl_->view.last_read;
     for (const auto& [name, host] : impl_->view.hosts)
     {
         if (name != impl_->self.name &&
@@ -594,6 +597,26 @@
     return sum;
 }
 
+void cluster_agent::note_contact(const std::string& host, bool has_contact)
+{
+    const std::lock_guard<std::mutex> lock(impl_->mutex);
+    impl_->contacts[host] = {boot_clock::now(), has_contact};
+}
+
+bool cluster_agent::is_without_store() const
+{
+    const std::lock_guard<std::mutex> lock(impl_->mutex);
+    return steady_clock::now() - impl_->view.last_read >= contact_silence;
+}
+
+bool cluster_agent::is_outage() const
+{
+    const std::lock_guard<std::mutex> lock(impl_->mutex);
+    return steady_clock::now() - impl_->view.last_read >= contact_silence &&
+           is_outage_for_all(impl_->view, impl_->self.name, impl_->contacts,
+                             impl_->limits, boot_clock::now());
+}
+
 bool cluster_agent::has_contact() const
 {
     const std::lock_guard<std::mutex> lock(impl_->mutex);
--- a/src/scheduler/job_scheduler.cpp
+++ b/src/scheduler/job_scheduler.cpp
@@ -580,6 +580,7 @@
 // Takes over a message of another host.
 void job_scheduler::impl::note_load(const load_message& message)
 {
+    agent.note_contact(message.host, !message.is_without_store);
     std::vector<rack_room> rooms = rooms_of(message);
     const std::vector<pair_pressure> pairs = pairs_of(message);
     if (!pairs.empty())
@@ -636,9 +637,22 @@
         load.period = report_period(size);
     }
     const time_point now = steady_clock::now();
+    if (agent.is_outage())
+    {
+        racks.extend_authority();
+    }
     if (take_due(room_schedule, report_period(size), now))
     {
-        send_load(room_messages(options.host, boot, rooms), peers);
+        std::vector<load_message> messages =
+            room_messages(options.host, boot, rooms);
+        if (agent.is_without_store())
+        {
+            messages.resize(std::max<std::size_t>(1, messages.size()));
+            messages.front().host = options.host;
+            messages.front().boot = boot;
+            messages.front().is_without_store = true;
+        }
+        send_load(messages, peers);
     }
     if (take_due(pair_schedule, pair_period(size), now))
     {
--- a/src/scheduler/rack_agent.cpp
+++ b/src/scheduler/rack_agent.cpp
@@ -94,6 +94,16 @@
     }
 }
 
+void rack_agent::extend_authority()
+{
+    const std::lock_guard<std::mutex> lock(impl_->mutex);
+    const boot_time_point now = boot_clock::now();
+    for (auto& [name, rack] : impl_->racks)
+    {
+        egretspindle::extend_authority(rack, now, impl_->limits.lease);
+    }
+}
+
 void rack_agent::drop_rack(const std::string& rack)
 {
     const std::lock_guard<std::mutex> lock(impl_->mutex);
--- a/tests/rack/rack_decision_test.cpp
+++ b/tests/rack/rack_decision_test.cpp
@@ -619,3 +619,23 @@
     rack.is_fenced = true;
     REQUIRE_FALSE(may_grant(rack, read_at.boot));
 }
+
+// Tasks were stopped in an outage of the store that lasted longer than a lease.
+TEST_CASE("an owner keeps the right to grant leases during an outage for all",
+          "[rack]")
+{
+    rack_state rack;
+    const lease_limits limits;
+    boot_time_point now{std::chrono::seconds(50)};
+    note_ownership(rack, {start, now}, limits);
+    for (int n = 0; n < 60; ++n)
+    {
+        now += milliseconds(500);
+        extend_authority(rack, now, limits);
+        REQUIRE(may_grant(rack, now));
+    }
+    // Once it has ended, another host may have claimed the rack.
+    now += limits.authority;
+    extend_authority(rack, now, limits);
+    REQUIRE_FALSE(may_grant(rack, now));
+}
