Ignore answers to orders for a former life of a target

A start or stop that is answered while a poll finds the target in a new life may have been answered by the former one. The answer counted all the same: the run was confirmed although the new life did not know it, and was reported as lost 1 s later; a stop counted although its mark was gone; and the clock of the former life replaced that of the new one, so leases were sent, and counted by the owner, for a time far ahead. The longest lease sent never falls, so a target that died then kept its runs in the books until that time.

Each order now notes the life for which it is made. If the target has shown another one when the answer arrives, a start counts as not answered and is repeated as the same run, and a stop is repeated. Such a start may have been sent after the discovery of the new life, so 12 s and the longest lease count from then.

The test failed before: the start was not repeated. Answers of the new life that arrive before the discovery are covered by the tests of a new life.

--- a/include/egretspindle/rack/rack_state.hpp
+++ b/include/egretspindle/rack/rack_state.hpp
@@ -168,6 +168,10 @@
 /// earlier life of it, whose clock was ahead.
 [[nodiscard]] milliseconds whole_lease(const lease_limits& limits);
 
+/// Notes that an order for an earlier life of a target was sent until now.
+void note_stale_order(rack_target& target, const lease_limits& limits,
+                      time_point now);
+
 /// Takes over a target's clock from a reply.
 void note_clock(rack_target& target, std::int64_t clock_ms,
                 const lease_limits& limits, time_point now);
--- a/src/rack/rack_state.cpp
+++ b/src/rack/rack_state.cpp
@@ -90,6 +90,13 @@
     return with_drift(limits.longest.count(), limits);
 }
 
+void note_stale_order(rack_target& target, const lease_limits& limits,
+                      time_point now)
+{
+    target.unknown_lease_at = now + order_delay;
+    update_expiry(target, limits);
+}
+
 void note_clock(rack_target& target, std::int64_t clock_ms,
                 const lease_limits& limits, time_point now)
 {
--- a/src/scheduler/rack_agent_impl.hpp
+++ b/src/scheduler/rack_agent_impl.hpp
@@ -35,6 +35,7 @@
     run_id id;
     std::int64_t percent = 100;
     bool was_unanswered = false; ///< an earlier copy may be carried out later
+    std::int64_t life = 0;       ///< of the target, when the order was made
 };
 
 /// Threads and queue of one target.
@@ -92,11 +93,13 @@
                       time_point sent_at);
     void send_loop(const channel_ptr& channel);
     void send(const channel_ptr& channel, pending_order order);
-    bool prepare_start(const channel_ptr& channel, const pending_order& order,
+    bool prepare_start(const channel_ptr& channel, pending_order& order,
                        start_run& message, target_entry& entry);
+    void note_silence(const target_channel& channel,
+                      const pending_order& order);
     void fence_start(const target_channel& channel, rack_target& target,
                      const run_id& id);
-    void take_answer(const channel_ptr& channel, const pending_order& order,
+    bool take_answer(const channel_ptr& channel, const pending_order& order,
                      const order_answer& answer);
     void send_start(const channel_ptr& channel, pending_order order);
     void send_stop(const channel_ptr& channel, pending_order order);
--- a/src/scheduler/rack_agent_orders.cpp
+++ b/src/scheduler/rack_agent_orders.cpp
@@ -113,8 +113,8 @@
 
 // Makes the message of a start; false when it is not to be sent any more.
 bool rack_agent::impl::prepare_start(const channel_ptr& channel,
-                                     const pending_order& order,
-                                     start_run& message, target_entry& entry)
+                                     pending_order& order, start_run& message,
+                                     target_entry& entry)
 {
     const std::lock_guard<std::mutex> lock(mutex);
     rack_target* target = find_target(*channel);
@@ -129,6 +129,7 @@
         return false;
     }
     entry = target->entry;
+    order.life = target->started_ms;
     message.task = order.id.first;
     message.run = order.id.second;
     message.text = it->second.terms->text;
@@ -144,6 +145,24 @@
     return true;
 }
 
+// Notes that a start may be carried out later.
+void rack_agent::impl::note_silence(const target_channel& channel,
+                                    const pending_order& order)
+{
+    const std::lock_guard<std::mutex> lock(mutex);
+    rack_target* target = find_target(channel);
+    if (target == nullptr)
+    {
+        return;
+    }
+    const time_point now = steady_clock::now();
+    note_unanswered(*target, order.id, now);
+    if (order.life != target->started_ms)
+    {
+        note_stale_order(*target, limits.lease, now);
+    }
+}
+
 // An unanswered copy of a refused start may still be carried out; a stop rules
 // that out before the run can go elsewhere.
 void rack_agent::impl::fence_start(const target_channel& channel,
@@ -160,7 +179,9 @@
     }
 }
 
-void rack_agent::impl::take_answer(const channel_ptr& channel,
+// Returns whether the answer counts. After a new life has been seen, it may be
+// that of the former one, which proves nothing.
+bool rack_agent::impl::take_answer(const channel_ptr& channel,
                                    const pending_order& order,
                                    const order_answer& answer)
 {
@@ -176,7 +197,7 @@
     if (answer.verdict == order_verdict::wrong_token)
     {
         fence(*channel);
-        return;
+        return true;
     }
     std::vector<run_event> events;
     {
@@ -184,14 +205,18 @@
         rack_target* target = find_target(*channel);
         if (target == nullptr)
         {
-            return;
+            return true;
+        }
+        if (target->started_ms != order.life)
+        {
+            return false;
         }
         const time_point now = steady_clock::now();
         note_clock(*target, answer.clock_ms, limits.lease, now);
         if (is_refused && order.was_unanswered)
         {
             fence_start(*channel, *target, order.id);
-            return;
+            return true;
         }
         rack_state& rack = *find_rack(channel->rack);
         events = apply_start(rack, *target, order.id, answer.verdict, now);
@@ -201,6 +226,7 @@
         }
     }
     publish(channel->rack, channel->token, events);
+    return true;
 }
 
 void rack_agent::impl::send_start(const channel_ptr& channel,
@@ -216,9 +242,10 @@
     const absl::StatusOr<order_answer> answer =
         targets.start(entry, message, limits.order_timeout);
     note_call(activity.orders, elapsed(sent_at), answer.ok());
-    if (answer.ok() && answer->verdict != order_verdict::too_late)
+    const bool is_late =
+        answer.ok() && answer->verdict == order_verdict::too_late;
+    if (answer.ok() && !is_late && take_answer(channel, order, *answer))
     {
-        take_answer(channel, order, *answer);
         return;
     }
     log_warning(
@@ -228,15 +255,11 @@
          {"target", channel->target},
          {"cause", answer.ok() ? std::string(name_of(answer->verdict))
                                : std::string(answer.status().message())}});
-    if (!answer.ok())
+    if (!is_late)
     {
-        const std::lock_guard<std::mutex> lock(mutex);
-        if (rack_target* target = find_target(*channel))
-        {
-            note_unanswered(*target, order.id, steady_clock::now());
-        }
+        note_silence(*channel, order);
     }
-    retry(channel, std::move(order), !answer.ok());
+    retry(channel, std::move(order), !is_late);
 }
 
 void rack_agent::impl::send_stop(const channel_ptr& channel,
@@ -252,6 +275,7 @@
             return;
         }
         entry = target->entry;
+        order.life = target->started_ms;
         message.task = order.id.first;
         message.run = order.id.second;
         message.token = channel->token;
@@ -277,16 +301,27 @@
         retry(channel, std::move(order), true);
         return;
     }
-    const std::lock_guard<std::mutex> lock(mutex);
-    rack_target* target = find_target(*channel);
-    const auto it = target == nullptr ? std::map<run_id, placed_run>::iterator{}
-                                      : target->runs.find(order.id);
-    if (target != nullptr && it != target->runs.end() && !it->second.is_taken)
     {
-        // From now on it is either listed or will never start.
-        it->second.is_taken = true;
-        it->second.taken_at = steady_clock::now();
+        const std::lock_guard<std::mutex> lock(mutex);
+        rack_target* target = find_target(*channel);
+        if (target == nullptr)
+        {
+            return;
+        }
+        if (target->started_ms == order.life)
+        {
+            const auto it = target->runs.find(order.id);
+            if (it != target->runs.end() && !it->second.is_taken)
+            {
+                // From now on it is either listed or will never start.
+                it->second.is_taken = true;
+                it->second.taken_at = steady_clock::now();
+            }
+            return;
+        }
     }
+    // The former life may have answered, and the mark is gone with it.
+    retry(channel, std::move(order), true);
 }
 
 void rack_agent::impl::send_pace(const channel_ptr& channel,
--- a/tests/scheduler/rack_agent_test.cpp
+++ b/tests/scheduler/rack_agent_test.cpp
@@ -21,9 +21,17 @@
                                        const start_run& order,
                                        std::chrono::milliseconds) override
     {
-        const std::lock_guard<std::mutex> lock(mutex);
+        std::unique_lock<std::mutex> lock(mutex);
         starts.push_back(order);
         changed.notify_all();
+        if (is_reborn_in_start && starts.size() == 1)
+        {
+            life = 2;
+            const std::size_t n = polls.size();
+            changed.wait_for(lock, std::chrono::seconds(20),
+                             [&] { return polls.size() > n + 2; });
+            return order_answer{start_verdict, former_clock_ms};
+        }
         if (start_silence > 0)
         {
             --start_silence;
@@ -65,7 +73,7 @@
         poll_answer answer;
         answer.verdict = poll_verdict;
         answer.clock_ms = 1'000;
-        answer.started_ms = 1;
+        answer.started_ms = life;
         if (order.acknowledged == 0)
         {
             answer.ends = ends;
@@ -96,7 +104,10 @@
     std::vector<poll_target> lost_polls;
     std::vector<listed_end> ends; ///< listed until one is acknowledged
     std::string unreachable;      ///< id of a target that answers no poll
-    int start_silence = 0;        ///< starts that get no answer
+    static constexpr std::int64_t former_clock_ms = 900'000;
+    std::int64_t life = 1;           ///< its start time
+    bool is_reborn_in_start = false; ///< before the first start is answered
+    int start_silence = 0;           ///< starts that get no answer
     order_verdict start_verdict = order_verdict::taken;
     order_verdict stop_verdict = order_verdict::taken;
     order_verdict poll_verdict = order_verdict::taken;
@@ -324,6 +335,27 @@
     REQUIRE(all.targets.lost_polls[1].acknowledged == 0);
 }
 
+// The run was reported as lost although the repeated start was at work, and
+// leases were sent for the clock of the former life.
+TEST_CASE("an answer of a former life of the target proves nothing",
+          "[scheduler]")
+{
+    fixture all;
+    all.targets.is_reborn_in_start = true;
+    REQUIRE(all.send().is_owner);
+    REQUIRE(all.targets.wait([&] { return all.targets.starts.size() == 2; }));
+    REQUIRE(all.targets.starts.back().run == 1);
+    std::size_t n = 0;
+    {
+        const std::lock_guard<std::mutex> lock(all.targets.mutex);
+        n = all.targets.polls.size();
+    }
+    REQUIRE(all.targets.wait([&] { return all.targets.polls.size() > n + 3; }));
+    const std::lock_guard<std::mutex> lock(all.targets.mutex);
+    REQUIRE(all.targets.polls.back().lease_until_ms <
+            fake_targets::former_clock_ms);
+}
+
 TEST_CASE("orders for another ownership of the rack are refused", "[scheduler]")
 {
     fixture all;
