Test that a start that came too late is repeated with a pause

A start that a target refuses as "late" is sent again. This was checked for a second copy and for a loop without a pause, and is no fault: the same run goes to the same target, which starts a run once, each repetition waits for the pause of retries, and an earlier copy without an answer is still remembered. When the estimate of the clock is behind, the next poll corrects it; when the target answers no polls, the lease is not extended and its expiry ends the run.

--- a/tests/scheduler/rack_agent_test.cpp
+++ b/tests/scheduler/rack_agent_test.cpp
@@ -356,6 +356,33 @@
             fake_targets::former_clock_ms);
 }
 
+// Guards against a loop without a pause, and a second run, while the owner's
+// estimate of the target's clock is behind.
+TEST_CASE("a start that came too late is repeated as the same run with a pause",
+          "[scheduler]")
+{
+    fixture all;
+    all.targets.start_verdict = order_verdict::too_late;
+    REQUIRE(all.send().is_owner);
+    std::this_thread::sleep_for(milliseconds(500));
+    {
+        const std::lock_guard<std::mutex> lock(all.targets.mutex);
+        REQUIRE(all.targets.starts.size() >= 3);
+        REQUIRE(all.targets.starts.size() <= 51); // one in 10 ms
+        for (const start_run& order : all.targets.starts)
+        {
+            REQUIRE(order.run == 1);
+        }
+        REQUIRE(all.targets.stops.empty());
+        all.targets.start_verdict = order_verdict::taken;
+    }
+    std::unique_lock<std::mutex> lock(all.mutex);
+    REQUIRE(all.changed.wait_for(lock, std::chrono::seconds(20),
+                                 [&] { return !all.reports.empty(); }));
+    REQUIRE(all.reports.front().what == "started");
+    REQUIRE(all.reports.front().run == 1);
+}
+
 TEST_CASE("orders for another ownership of the rack are refused", "[scheduler]")
 {
     fixture all;
