Trust no answer from a former address of a target

A poll that was sent to the former address and answered with 421 ended the runs at the present address. And the durable list of a rack's targets kept the former address, since only added and removed targets were written; a later owner that has not read the list of targets yet asked there, got 421 from another target, and took the runs for lost.

A 421 from an address that is not the present one is ignored now, and a target whose address has changed gets no starts until the durable list has it.

Both tests failed before: the start was sent although the list could not be written, and the run was reported as ended. The fixture lists its target at the address of the durable list now; before, it had none, which counts as a move.

--- a/src/scheduler/rack_agent.cpp
+++ b/src/scheduler/rack_agent.cpp
@@ -323,7 +323,7 @@
             const auto it = rack->targets.find(id);
             if (it != rack->targets.end())
             {
-                it->second.is_recorded = true;
+                it->second.is_recorded = it->second.entry.address == address;
             }
         }
     }
--- a/src/scheduler/rack_agent_channels.cpp
+++ b/src/scheduler/rack_agent_channels.cpp
@@ -159,6 +159,8 @@
         target.is_listed = it != entries.end() && it->second.rack == rack.name;
         if (target.is_listed)
         {
+            // A later owner would look for it at the former address.
+            target.is_recorded &= target.entry.address == it->second.address;
             target.entry = it->second;
         }
     }
--- a/src/scheduler/rack_agent_polls.cpp
+++ b/src/scheduler/rack_agent_polls.cpp
@@ -103,7 +103,9 @@
         {
             const time_point now = steady_clock::now();
             target->avoid_until = now + limits.poll_timeout;
-            if (answer.ok() && answer->verdict == order_verdict::other_life)
+            // An answer from a former address tells nothing.
+            if (answer.ok() && answer->verdict == order_verdict::other_life &&
+                entry.address == target->entry.address)
             {
                 events = end_life(*find_rack(channel->rack), *target, now);
             }
--- a/tests/scheduler/rack_agent_test.cpp
+++ b/tests/scheduler/rack_agent_test.cpp
@@ -72,6 +72,11 @@
                          [this] { return !poll_time.count(); });
         poll_answer answer;
         answer.verdict = poll_verdict;
+        if (other_life_polls > 0)
+        {
+            --other_life_polls;
+            answer.verdict = order_verdict::other_life;
+        }
         answer.clock_ms = 1'000;
         answer.started_ms = life;
         if (order.acknowledged == 0)
@@ -111,6 +116,7 @@
     order_verdict start_verdict = order_verdict::taken;
     order_verdict stop_verdict = order_verdict::taken;
     order_verdict poll_verdict = order_verdict::taken;
+    int other_life_polls = 0; ///< that are answered so
     std::chrono::milliseconds poll_time{20};
 };
 
@@ -133,6 +139,7 @@
         entry.id = "t1";
         entry.service = "svc";
         entry.rack = "r1";
+        entry.address = "127.0.0.1:1";
         entry.capacity = {4'000, 4'000, 0};
         agent.set_targets({{"t1", entry}});
         rack_takeover takeover;
@@ -143,6 +150,18 @@
         agent.take_rack(takeover);
     }
 
+    /// Lists the target at another address.
+    void move_target()
+    {
+        target_entry entry;
+        entry.id = "t1";
+        entry.service = "svc";
+        entry.rack = "r1";
+        entry.address = "127.0.0.1:9";
+        entry.capacity = {4'000, 4'000, 0};
+        agent.set_targets({{"t1", entry}});
+    }
+
     /// Takes the rack over again, with a second target that is gone.
     void take_over_with_lost_target(time_point former_stopped_at)
     {
@@ -150,6 +169,7 @@
         entry.id = "t1";
         entry.service = "svc";
         entry.rack = "r1";
+        entry.address = "127.0.0.1:1";
         entry.capacity = {4'000, 4'000, 0};
         {
             const std::lock_guard<std::mutex> lock(targets.mutex);
@@ -497,10 +517,60 @@
     }
     all.is_recordable = true;
     all.agent.tick();
-    REQUIRE(all.rosters.back() == rack_roster{{"t1", ""}});
+    REQUIRE(all.rosters.back() == rack_roster{{"t1", "127.0.0.1:1"}});
     REQUIRE(all.targets.wait([&] { return !all.targets.starts.empty(); }));
 }
 
+// A later owner asked at the former address, where another target had started,
+// and took the runs for lost.
+TEST_CASE("a target that has moved gets no starts before that is recorded",
+          "[scheduler]")
+{
+    fixture all;
+    all.is_recordable = false;
+    all.move_target();
+    REQUIRE(all.send().is_owner);
+    REQUIRE(all.targets.wait([&] { return all.targets.polls.size() > 3; }));
+    all.agent.tick();
+    {
+        const std::lock_guard<std::mutex> lock(all.targets.mutex);
+        REQUIRE(all.targets.starts.empty());
+    }
+    all.is_recordable = true;
+    all.agent.tick();
+    REQUIRE(all.rosters.back() == rack_roster{{"t1", "127.0.0.1:9"}});
+    REQUIRE(all.targets.wait([&] { return !all.targets.starts.empty(); }));
+}
+
+// Runs at the present address were reported as lost.
+TEST_CASE("another life at a former address of a target ends no runs",
+          "[scheduler]")
+{
+    fixture all;
+    REQUIRE(all.send().is_owner);
+    REQUIRE(all.targets.wait([&] { return !all.targets.starts.empty(); }));
+    std::size_t n = 0;
+    {
+        const std::lock_guard<std::mutex> lock(all.targets.mutex);
+        all.targets.poll_time = std::chrono::milliseconds(5'000);
+        n = all.targets.polls.size();
+    }
+    REQUIRE(all.targets.wait([&] { return all.targets.polls.size() > n; }));
+    all.move_target();
+    {
+        const std::lock_guard<std::mutex> lock(all.targets.mutex);
+        all.targets.other_life_polls = 1;
+        all.targets.poll_time = std::chrono::milliseconds(0);
+        all.targets.changed.notify_all();
+    }
+    REQUIRE(all.targets.wait([&] { return all.targets.polls.size() > n + 1; }));
+    const std::lock_guard<std::mutex> lock(all.mutex);
+    for (const run_report& report : all.reports)
+    {
+        REQUIRE(report.what == "started");
+    }
+}
+
 // A host that the store rejected went on renewing the leases of a target that
 // the new owner of the rack did not reach: its tasks ran twice.
 TEST_CASE("an owner that the store has not confirmed lately renews no lease",
