Repeat starts only to targets that answer polls

A run could start again while it was at work. In a cut that loses only answers, the owner of a rack went on sending an unanswered start every 150 ms, with the lease of the former life if the target had restarted in the cut. The new life then started the run, and each repetition renewed its lease by up to the longest one, while the owner counted the lease of the former life and started the run elsewhere after that.

A start without an answer is now held back until the target answers a poll again. That poll shows a new life before anything else is sent. It also costs less: a target that does not answer gets polls without a lease only.

Not covered: copies that were sent before the first poll without an answer was noticed, which takes up to 2.5 s.

--- a/src/scheduler/rack_agent_impl.hpp
+++ b/src/scheduler/rack_agent_impl.hpp
@@ -36,6 +36,7 @@
     std::int64_t percent = 100;
     bool was_unanswered = false; ///< an earlier copy may be carried out later
     std::int64_t life = 0;       ///< of the target, when the order was made
+    bool is_held = false;        ///< until the target answers a poll again
 };
 
 /// Threads and queue of one target.
--- a/src/scheduler/rack_agent_orders.cpp
+++ b/src/scheduler/rack_agent_orders.cpp
@@ -130,6 +130,7 @@
     }
     entry = target->entry;
     order.life = target->started_ms;
+    order.is_held = order.was_unanswered && !channel->has_contact;
     message.task = order.id.first;
     message.run = order.id.second;
     message.text = it->second.terms->text;
@@ -238,6 +239,11 @@
     {
         return;
     }
+    if (order.is_held)
+    {
+        retry(channel, std::move(order), false);
+        return;
+    }
     const time_point sent_at = steady_clock::now();
     const absl::StatusOr<order_answer> answer =
         targets.start(entry, message, limits.order_timeout);
--- a/tests/scheduler/rack_agent_test.cpp
+++ b/tests/scheduler/rack_agent_test.cpp
@@ -403,6 +403,34 @@
     REQUIRE(all.reports.front().run == 1);
 }
 
+// A target that had restarted in a one-way cut took the repeated start with a
+// lease that nobody counted, and the run started again elsewhere meanwhile.
+TEST_CASE("a start is not repeated while its target answers no polls",
+          "[scheduler]")
+{
+    fixture all;
+    all.targets.start_silence = 1'000;
+    REQUIRE(all.send().is_owner);
+    REQUIRE(all.targets.wait([&] { return all.targets.starts.size() > 2; }));
+    {
+        const std::lock_guard<std::mutex> lock(all.targets.mutex);
+        all.targets.unreachable = "t1";
+    }
+    std::this_thread::sleep_for(milliseconds(100));
+    std::size_t n = 0;
+    {
+        const std::lock_guard<std::mutex> lock(all.targets.mutex);
+        n = all.targets.starts.size();
+    }
+    std::this_thread::sleep_for(milliseconds(100));
+    {
+        const std::lock_guard<std::mutex> lock(all.targets.mutex);
+        REQUIRE(all.targets.starts.size() == n);
+        all.targets.unreachable.clear();
+    }
+    REQUIRE(all.targets.wait([&] { return all.targets.starts.size() > n; }));
+}
+
 TEST_CASE("orders for another ownership of the rack are refused", "[scheduler]")
 {
     fixture all;
