Refuse escaped halves of surrogate pairs in all JSON

RapidJSON refuses a first half without a second, but decodes a lone second half such as `\udf44` to bytes that are not UTF-8; the writer then turned them into `???`. 300,000 damaged documents, decoded and encoded again under the address and undefined-behaviour sanitizers, showed it. The check that submissions already had moves into the codec.

The sanitizers also reported memcpy from a null pointer for an empty string_view; it is std::copy now.

--- a/src/adapters/caller_request.cpp
+++ b/src/adapters/caller_request.cpp
@@ -1,6 +1,7 @@
 #include "egretspindle/adapters/caller_request.hpp"
 
 #include "egretspindle/codec/json.hpp"
+#include "egretspindle/codec/surrogate_pairs.hpp"
 #include "egretspindle/core/error.hpp"
 #include "egretspindle/core/utf8.hpp"
 
@@ -8,7 +9,6 @@
 
 #include <algorithm>
 #include <array>
-#include <charconv>
 #include <set>
 #include <string>
 #include <utility>
@@ -79,41 +79,6 @@
         { return (lhs >= 'A' && lhs <= 'Z' ? lhs + 32 : lhs) == rhs; });
 }
 
-// Returns the code unit of a `\\uXXXX` escape at the start of `text`, or 0.
-unsigned escaped_unit(std::string_view text)
-{
-    unsigned unit = 0;
-    if (text.size() >= 6 && text[0] == '\\' && text[1] == 'u')
-    {
-        std::from_chars(text.data() + 2, text.data() + 6, unit, 16);
-    }
-    return unit;
-}
-
-// Halves of surrogate pairs are no text. They are refused here, as the parser's
-// message would not say what to send instead.
-bool has_whole_surrogate_pairs(std::string_view text)
-{
-    for (std::size_t n = text.find('\\'); n != std::string_view::npos;
-         n = text.find('\\', n))
-    {
-        const unsigned unit = escaped_unit(text.substr(n));
-        if (unit < 0xD800 || unit > 0xDFFF)
-        {
-            n += 2;
-            continue;
-        }
-        const unsigned next =
-            n + 6 < text.size() ? escaped_unit(text.substr(n + 6)) : 0;
-        if (unit > 0xDBFF || next < 0xDC00 || next > 0xDFFF)
-        {
-            return false;
-        }
-        n += 12;
-    }
-    return true;
-}
-
 absl::Status check_envelope(const http_request& request,
                             const caller_limits& limits)
 {
@@ -136,6 +101,7 @@
         return invalid("the request is not valid UTF-8; encode text as UTF-8 "
                        "and binary data as Base64");
     }
+    // The message of the parser does not say what to send instead.
     if (!has_whole_surrogate_pairs(request.body))
     {
         return invalid("the request holds half of an escaped surrogate pair; "
--- a/src/codec/json_document.cpp
+++ b/src/codec/json_document.cpp
@@ -1,5 +1,6 @@
 #include "egretspindle/codec/json_document.hpp"
 
+#include "egretspindle/codec/surrogate_pairs.hpp"
 #include "egretspindle/core/error.hpp"
 #include "egretspindle/core/utf8.hpp"
 
@@ -8,7 +9,6 @@
 #include <rapidjson/reader.h>
 
 #include <algorithm>
-#include <cstring>
 #include <utility>
 
 namespace egretspindle
@@ -98,8 +98,8 @@
       allocator_(std::make_unique<json_value::AllocatorType>(
           std::clamp(2 * text.size(), min_block_bytes, max_block_bytes)))
 {
-    std::memcpy(text_.get(), text.data(), text.size());
-    std::memset(text_.get() + text.size(), 0, padding);
+    std::fill_n(std::copy(text.begin(), text.end(), text_.get()), padding,
+                '\0');
 }
 
 absl::StatusOr<json_document> parse_json(std::string_view text)
@@ -109,6 +109,10 @@
     {
         return malformed("the text is not UTF-8");
     }
+    if (!has_whole_surrogate_pairs(text))
+    {
+        return malformed("it holds half of an escaped surrogate pair");
+    }
     json_document result(text);
     rapidjson::InsituStringStream in(result.text_.get());
     bounded_document tree(result.allocator_.get());
--- a/tests/codec/json_test.cpp
+++ b/tests/codec/json_test.cpp
@@ -297,8 +297,9 @@
     {
         rejection_of(std::string(R"({"text":")") + bytes + R"("})");
     }
-    for (const char* escape : {R"(\ud800)", R"(\ud800x)", R"(\ud800\u0041)",
-                               R"(\udf44\ud83c)", R"(\u00g0)", R"(\x)"})
+    for (const char* escape :
+         {R"(\ud800)", R"(\ud800x)", R"(\ud800\u0041)", R"(\udf44\ud83c)",
+          R"(\udf44)", R"(\uDC00x)", R"(\u00g0)", R"(\x)"})
     {
         rejection_of(std::string(R"({"text":")") + escape + R"("})");
     }
