Count the longest lease for a life that only the list shows

A run could start again while it was at work. The owner of a rack learned of a restarted target only from a poll. When the polls got no answer, for example in a cut that loses answers only, the new life could take a start that had got no answer, with the longest lease, while the owner waited for the lease of the former life and then started the run elsewhere.

The list of targets names the start time of each life, and the target writes it over another path. Only start times of the list are compared with each other. The other targets expire as before, so a target that is gone delays nothing.

Not covered: a target that restarts while it reaches neither its owner nor the store.

Both tests failed before: the run was reported as lost by the lease of the former life. The section without a restart requires that report, and passed before, too.

--- a/include/egretspindle/rack/rack_state.hpp
+++ b/include/egretspindle/rack/rack_state.hpp
@@ -77,9 +77,11 @@
 struct rack_target
 {
     target_entry entry;
-    bool is_listed = true;           ///< the platform lists it
-    bool is_recorded = false;        ///< is in the durable list of the rack
-    bool is_inherited = false;       ///< an earlier owner may have used it
+    bool is_listed = true;     ///< the platform lists it
+    bool is_recorded = false;  ///< is in the durable list of the rack
+    bool is_inherited = false; ///< an earlier owner may have used it
+    /// When the platform's list showed a new life; {}: not since the last poll.
+    time_point listed_reborn_at;
     bool is_reached = false;         ///< has answered a poll of this owner
     std::int64_t started_ms = 0;     ///< its life, from the last poll
     std::int64_t clock_ms = 0;       ///< its clock at `clock_at`
--- a/src/rack/rack_decision.cpp
+++ b/src/rack/rack_decision.cpp
@@ -363,6 +363,10 @@
     }
     target.started_ms = answer.started_ms;
     target.is_reached = true;
+    if (sent_at > target.listed_reborn_at)
+    {
+        target.listed_reborn_at = {};
+    }
     apply_ends(rack, target, answer, events);
     apply_runs(rack, target, answer, events, now);
     drop_unlisted(target, answer, events, sent_at);
--- a/src/scheduler/rack_agent_channels.cpp
+++ b/src/scheduler/rack_agent_channels.cpp
@@ -161,6 +161,18 @@
         {
             // A later owner would look for it at the former address.
             target.is_recorded &= target.entry.address == it->second.address;
+            // Polls may show the new life later, or never.
+            const bool is_reborn =
+                target.entry.started_ms != 0 &&
+                target.entry.started_ms != it->second.started_ms;
+            if (is_reborn)
+            {
+                target.listed_reborn_at = steady_clock::now();
+            }
+            if (is_reborn && !target.late_copies.empty())
+            {
+                note_stale_order(target, limits.lease, steady_clock::now());
+            }
             target.entry = it->second;
         }
     }
--- a/src/scheduler/rack_agent_orders.cpp
+++ b/src/scheduler/rack_agent_orders.cpp
@@ -158,7 +158,8 @@
     }
     const time_point now = steady_clock::now();
     note_unanswered(*target, order.id, now);
-    if (order.life != target->started_ms)
+    if (order.life != target->started_ms ||
+        target->listed_reborn_at != time_point{})
     {
         note_stale_order(*target, limits.lease, now);
     }
--- a/tests/scheduler/rack_agent_test.cpp
+++ b/tests/scheduler/rack_agent_test.cpp
@@ -132,14 +132,17 @@
     bool is_recordable = true;
     rack_agent agent;
 
-    explicit fixture(milliseconds authority = std::chrono::minutes(1))
-        : agent(targets, hooks(), limits(authority))
+    fixture() : fixture(limits()) {}
+
+    explicit fixture(const rack_agent_limits& bounds)
+        : agent(targets, hooks(), bounds)
     {
         target_entry entry;
         entry.id = "t1";
         entry.service = "svc";
         entry.rack = "r1";
         entry.address = "127.0.0.1:1";
+        entry.started_ms = 1;
         entry.capacity = {4'000, 4'000, 0};
         agent.set_targets({{"t1", entry}});
         rack_takeover takeover;
@@ -150,14 +153,15 @@
         agent.take_rack(takeover);
     }
 
-    /// Lists the target at another address.
-    void move_target()
+    /// Lists the target at an address, in the life that began at `started_ms`.
+    void list_target(const std::string& address, std::int64_t started_ms)
     {
         target_entry entry;
         entry.id = "t1";
         entry.service = "svc";
         entry.rack = "r1";
-        entry.address = "127.0.0.1:9";
+        entry.address = address;
+        entry.started_ms = started_ms;
         entry.capacity = {4'000, 4'000, 0};
         agent.set_targets({{"t1", entry}});
     }
@@ -219,7 +223,8 @@
         return result;
     }
 
-    static rack_agent_limits limits(milliseconds authority)
+    static rack_agent_limits
+    limits(milliseconds authority = std::chrono::minutes(1))
     {
         rack_agent_limits result;
         result.lease.authority = authority;
@@ -431,6 +436,65 @@
     REQUIRE(all.targets.wait([&] { return all.targets.starts.size() > n; }));
 }
 
+// The new life may have taken the start, with a lease that nobody renews. The
+// run was started elsewhere when the lease of the former life was over.
+TEST_CASE("a lease of a former life ends no start that may be in the next one",
+          "[scheduler]")
+{
+    const bool is_reborn = GENERATE(false, true);
+    rack_agent_limits bounds = fixture::limits();
+    bounds.lease.lease = milliseconds(200);
+    bounds.lease.longest = milliseconds(300);
+    bounds.lease.expiry_slack = milliseconds(50);
+    fixture all(bounds);
+    all.targets.start_silence = 1'000;
+    REQUIRE(all.send().is_owner);
+    REQUIRE(all.targets.wait([&] { return !all.targets.starts.empty(); }));
+    {
+        const std::lock_guard<std::mutex> lock(all.targets.mutex);
+        all.targets.unreachable = "t1";
+    }
+    std::this_thread::sleep_for(milliseconds(50));
+    all.list_target("127.0.0.1:1", is_reborn ? 2 : 1);
+    std::this_thread::sleep_for(milliseconds(1'000));
+    all.agent.verify_rack("r1", 7, current_moment());
+    all.agent.tick();
+    const std::lock_guard<std::mutex> lock(all.mutex);
+    REQUIRE(all.reports.size() == (is_reborn ? 0 : 1));
+}
+
+TEST_CASE("a start to a life that only the list has shown is not ended by the "
+          "lease of the former one",
+          "[scheduler]")
+{
+    rack_agent_limits bounds = fixture::limits();
+    bounds.lease.lease = milliseconds(200);
+    bounds.lease.longest = milliseconds(300);
+    bounds.lease.expiry_slack = milliseconds(50);
+    fixture all(bounds);
+    all.targets.start_silence = 1'000;
+    {
+        const std::lock_guard<std::mutex> lock(all.targets.mutex);
+        all.targets.poll_time = std::chrono::milliseconds(5'000);
+    }
+    REQUIRE(all.targets.wait([&] { return all.targets.polls.size() > 1; }));
+    all.list_target("127.0.0.1:1", 2);
+    REQUIRE(all.send().is_owner);
+    REQUIRE(all.targets.wait([&] { return !all.targets.starts.empty(); }));
+    {
+        // The poll that is waiting was answered by the former life.
+        const std::lock_guard<std::mutex> lock(all.targets.mutex);
+        all.targets.unreachable = "t1";
+        all.targets.poll_time = std::chrono::milliseconds(0);
+        all.targets.changed.notify_all();
+    }
+    std::this_thread::sleep_for(milliseconds(1'000));
+    all.agent.verify_rack("r1", 7, current_moment());
+    all.agent.tick();
+    const std::lock_guard<std::mutex> lock(all.mutex);
+    REQUIRE(all.reports.empty());
+}
+
 TEST_CASE("orders for another ownership of the rack are refused", "[scheduler]")
 {
     fixture all;
@@ -556,7 +620,7 @@
 {
     fixture all;
     all.is_recordable = false;
-    all.move_target();
+    all.list_target("127.0.0.1:9", 1);
     REQUIRE(all.send().is_owner);
     REQUIRE(all.targets.wait([&] { return all.targets.polls.size() > 3; }));
     all.agent.tick();
@@ -584,7 +648,7 @@
         n = all.targets.polls.size();
     }
     REQUIRE(all.targets.wait([&] { return all.targets.polls.size() > n; }));
-    all.move_target();
+    all.list_target("127.0.0.1:9", 1);
     {
         const std::lock_guard<std::mutex> lock(all.targets.mutex);
         all.targets.other_life_polls = 1;
@@ -604,7 +668,7 @@
 TEST_CASE("an owner that the store has not confirmed lately renews no lease",
           "[scheduler]")
 {
-    fixture all(milliseconds(400));
+    fixture all(fixture::limits(milliseconds(400)));
     REQUIRE(all.targets.wait([&] { return all.targets.renewals() > 0; }));
     // The first poll makes contact and grants nothing.
     REQUIRE(all.targets.wait(
