--- /dev/null
+++ b/bench/soak/checks.hpp
@@ -0,0 +1,44 @@
+/// \file
+/// Checks of a finished soak.
+
+#ifndef EGRETSPINDLE_BENCH_SOAK_CHECKS_HPP
+#define EGRETSPINDLE_BENCH_SOAK_CHECKS_HPP
+
+#include "cut_call.hpp"
+#include "fault_window.hpp"
+#include "history.hpp"
+#include "host_process.hpp"
+#include "soak_job.hpp"
+
+#include <map>
+#include <string>
+#include <vector>
+
+namespace egretspindle::bench
+{
+
+/// Failure of a check.
+struct finding
+{
+    std::string check;
+    std::string what;
+};
+
+/// What the checks judge.
+struct evidence
+{
+    history runs;
+    std::map<std::string, const soak_job*> jobs; ///< by id
+    std::vector<cut_call> cut_calls;
+    std::vector<fault_window> faults;
+    std::int64_t healed_ms = 0;   ///< all faults have ended
+    std::int64_t finished_ms = 0; ///< the clients have ended
+    std::map<std::string, std::vector<planned_stop>> stops; ///< by host
+};
+
+/// Runs all checks.
+[[nodiscard]] std::vector<finding> judge(const evidence& all);
+
+} // namespace egretspindle::bench
+
+#endif
--- /dev/null
+++ b/bench/soak/fault_runner.cpp
@@ -0,0 +1,160 @@
+#include "fault_runner.hpp"
+
+#include "common/line_file.hpp"
+#include "common/platform_event.hpp"
+
+#include "soak_fault.hpp"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <list>
+#include <random>
+#include <thread>
+
+namespace egretspindle::bench
+{
+
+namespace
+{
+
+using standin::steady_ms;
+using std::chrono::milliseconds;
+
+constexpr milliseconds step{20};
+// Faults begin this far apart; some overlap, others follow one another.
+constexpr long min_gap_ms = 100;
+constexpr long max_gap_ms = 1'500;
+constexpr std::size_t most_active = 4;
+
+/// Fault in force.
+struct active_fault
+{
+    soak_fault fault;
+    fault_window window;
+};
+
+/// State of the injection.
+struct injection
+{
+    std::mt19937 random;
+    stage& scene;
+    standin::line_file log;
+    std::int64_t version = 1;
+    std::list<active_fault> active;
+    std::vector<fault_window> past;
+};
+
+soak_fault choose_fault(injection& state)
+{
+    const long kind = choose(state.random, 0, 99);
+    if (kind < 40)
+    {
+        return choose_host_fault(state.random, state.scene);
+    }
+    if (kind < 47)
+    {
+        return choose_mass_fault(state.random, state.scene);
+    }
+    if (kind < 80)
+    {
+        return choose_target_fault(state.random, state.scene);
+    }
+    return choose_store_fault(state.random, state.scene, state.version);
+}
+
+bool is_host(const std::string& victim)
+{
+    return victim == "hosts" || victim.front() == 'h';
+}
+
+// A fault of many hosts and one of a single host exclude each other.
+bool is_free(const injection& state, const soak_fault& fault)
+{
+    return std::none_of(
+        state.active.begin(), state.active.end(),
+        [&](const active_fault& item)
+        {
+            const std::string& other = item.fault.victim;
+            return other == fault.victim ||
+                   (fault.victim == "hosts" && is_host(other)) ||
+                   (other == "hosts" && is_host(fault.victim));
+        });
+}
+
+void remove_fault(injection& state, const active_fault& item)
+{
+    if (item.fault.remove)
+    {
+        item.fault.remove();
+    }
+    fault_window window = item.window;
+    window.ended_ms = steady_ms();
+    state.log.append(
+        fmt::format("{} end {}", window.ended_ms, window.text));
+    state.past.push_back(std::move(window));
+}
+
+void remove_due(injection& state, bool are_all)
+{
+    const std::int64_t now = steady_ms();
+    for (auto it = state.active.begin(); it != state.active.end();)
+    {
+        if (are_all ||
+            now - it->window.begun_ms >= it->fault.length.count())
+        {
+            remove_fault(state, *it);
+            it = state.active.erase(it);
+        }
+        else
+        {
+            ++it;
+        }
+    }
+}
+
+void inject_next(injection& state)
+{
+    soak_fault fault = choose_fault(state);
+    if (!is_free(state, fault))
+    {
+        return;
+    }
+    fault_window window{fault.text, fault.victim, steady_ms(), 0};
+    state.log.append(fmt::format("{} begin {} for {} ms", window.begun_ms,
+                                 window.text, fault.length.count()));
+    fault.inject();
+    state.active.push_back({std::move(fault), std::move(window)});
+}
+
+} // namespace
+
+std::vector<fault_window> inject_faults(const soak_options& options,
+                                        stage& scene)
+{
+    injection state{std::mt19937(options.seed),
+                    scene,
+                    standin::line_file(scene.directory().file("faults")),
+                    1,
+                    {},
+                    {}};
+    const std::int64_t end = steady_ms() + options.seconds * 1'000;
+    std::int64_t next = steady_ms();
+    while (steady_ms() < end)
+    {
+        scene.poll();
+        remove_due(state, false);
+        if (!options.is_without_faults && steady_ms() >= next &&
+            state.active.size() < most_active)
+        {
+            inject_next(state);
+            next = steady_ms() + choose(state.random, min_gap_ms, max_gap_ms);
+        }
+        std::this_thread::sleep_for(step);
+    }
+    remove_due(state, true);
+    scene.heal();
+    return std::move(state.past);
+}
+
+} // namespace egretspindle::bench
--- /dev/null
+++ b/bench/soak/history.cpp
@@ -0,0 +1,110 @@
+#include "history.hpp"
+
+#include "egretspindle/codec/json.hpp"
+
+#include "common/platform_event.hpp"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <fstream>
+#include <stdexcept>
+
+namespace egretspindle::bench
+{
+
+namespace
+{
+
+execution* find_run(std::vector<execution>& runs,
+                    const standin::platform_event& event)
+{
+    const auto it = std::find_if(
+        runs.rbegin(), runs.rend(),
+        [&](const execution& item)
+        {
+            return item.target == event.target && item.born == event.born &&
+                   item.run == event.run;
+        });
+    return it == runs.rend() ? nullptr : &*it;
+}
+
+void apply(history& result, const standin::platform_event& event)
+{
+    if (event.task.empty())
+    {
+        return;
+    }
+    std::vector<execution>& runs = result[event.task];
+    if (event.event == "begun")
+    {
+        execution item;
+        item.target = event.target;
+        item.id = event.id;
+        item.born = event.born;
+        item.run = event.run;
+        item.token = event.token;
+        item.begun_ms = event.at_ms;
+        runs.push_back(std::move(item));
+        return;
+    }
+    execution* const item = find_run(runs, event);
+    if (item == nullptr)
+    {
+        throw std::runtime_error("the journal has an end without a begin of " +
+                                 event.task);
+    }
+    if (event.event == "ended")
+    {
+        item->ended_ms = event.at_ms;
+        item->how = event.how;
+    }
+    else if (event.event == "acknowledged" && event.detail != "void")
+    {
+        item->acknowledged_ms = event.at_ms;
+    }
+}
+
+} // namespace
+
+history read_history(const std::string& file)
+{
+    history result;
+    std::ifstream in(file);
+    std::string line;
+    while (std::getline(in, line))
+    {
+        const absl::StatusOr<standin::platform_event> event =
+            from_json<standin::platform_event>(line);
+        if (!event.ok())
+        {
+            throw std::runtime_error("the journal has a malformed line: " +
+                                     line);
+        }
+        apply(result, *event);
+    }
+    for (auto& [task, runs] : result)
+    {
+        std::stable_sort(runs.begin(), runs.end(),
+                         [](const execution& a, const execution& b)
+                         { return a.begun_ms < b.begun_ms; });
+    }
+    return result;
+}
+
+std::string job_of(const std::string& task)
+{
+    return task.substr(0, task.find('.'));
+}
+
+std::string describe(const execution& item)
+{
+    return fmt::format(
+        "run {} on {} (born {}, token {}) from {} to {}{}", item.run, item.id,
+        item.born, item.token, item.begun_ms,
+        item.ended_ms == still_running ? "now"
+                                       : std::to_string(item.ended_ms),
+        item.how.empty() ? "" : " (" + item.how + ")");
+}
+
+} // namespace egretspindle::bench
--- /dev/null
+++ b/bench/soak/options.hpp
@@ -0,0 +1,31 @@
+/// \file
+/// Options of a soak.
+
+#ifndef EGRETSPINDLE_BENCH_SOAK_OPTIONS_HPP
+#define EGRETSPINDLE_BENCH_SOAK_OPTIONS_HPP
+
+#include <string>
+
+namespace egretspindle::bench
+{
+
+/// Options of a soak.
+struct soak_options
+{
+    unsigned seed = 1;
+    int seconds = 20; ///< of faults
+    int hosts = 5;
+    int targets = 16;
+    int clients = 5;
+    bool is_without_faults = false;
+    bool keeps_logs = false; ///< also after a pass
+};
+
+/// Reads the command line.
+///
+/// \returns false when it is malformed, after printing the usage
+[[nodiscard]] bool parse_options(int argc, char** argv, soak_options& result);
+
+} // namespace egretspindle::bench
+
+#endif
--- /dev/null
+++ b/bench/soak/soak_fault.hpp
@@ -0,0 +1,51 @@
+/// \file
+/// Fault of a soak.
+
+#ifndef EGRETSPINDLE_BENCH_SOAK_SOAK_FAULT_HPP
+#define EGRETSPINDLE_BENCH_SOAK_SOAK_FAULT_HPP
+
+#include "stage.hpp"
+
+#include <chrono>
+#include <functional>
+#include <random>
+#include <string>
+
+namespace egretspindle::bench
+{
+
+/// A fault that is injected and removed once.
+struct soak_fault
+{
+    std::string text;
+    std::string victim; ///< carries at most one fault at a time
+    std::chrono::milliseconds length{0};
+    std::function<void()> inject;
+    std::function<void()> remove; ///< may be empty
+};
+
+/// Returns a random number between two bounds, which are included.
+[[nodiscard]] inline long choose(std::mt19937& random, long least, long most)
+{
+    return std::uniform_int_distribution<long>(least, most)(random);
+}
+
+/// Chooses a fault of a host or of its links.
+[[nodiscard]] soak_fault choose_host_fault(std::mt19937& random, stage& scene);
+
+/// Chooses a fault of several hosts at once.
+[[nodiscard]] soak_fault choose_mass_fault(std::mt19937& random, stage& scene);
+
+/// Chooses a fault of a target or of its link.
+[[nodiscard]] soak_fault choose_target_fault(std::mt19937& random,
+                                             stage& scene);
+
+/// Chooses a fault of the store or a change of the configuration.
+///
+/// \param version  of the last configuration
+[[nodiscard]] soak_fault choose_store_fault(std::mt19937& random, stage& scene,
+                                            std::int64_t& version);
+
+} // namespace egretspindle::bench
+
+#endif
--- /dev/null
+++ b/bench/soak/soak_job.cpp
@@ -0,0 +1,77 @@
+#include "soak_job.hpp"
+
+#include <fmt/format.h>
+#include <fmt/ranges.h>
+
+#include <cstdint>
+
+namespace egretspindle::bench
+{
+
+namespace
+{
+
+int choose(std::mt19937& random, int least, int most)
+{
+    return std::uniform_int_distribution<int>(least, most)(random);
+}
+
+// Longer than any run of the soak.
+constexpr std::int64_t lasting_ms = 3'600'000;
+// One job in this many lasts until it is cancelled.
+constexpr int lasting_share = 15;
+
+} // namespace
+
+soak_job choose_job(std::mt19937& random)
+{
+    soak_job job;
+    const std::uint64_t high = random();
+    job.id = fmt::format("{:016x}", high << 32U | random());
+    job.lasts = choose(random, 1, lasting_share) == 1;
+    const int count = job.lasts ? 1 : choose(random, 1, 3);
+    for (int n = 0; n < count; ++n)
+    {
+        soak_step step;
+        step.count = choose(random, 1, job.lasts ? 2 : 6);
+        step.cpu_milli = 500 * choose(random, 1, job.lasts ? 2 : 6);
+        step.duration_ms = job.lasts ? lasting_ms : choose(random, 50, 1'500);
+        for (int earlier = 0; earlier < n; ++earlier)
+        {
+            if (choose(random, 0, 2) > 0)
+            {
+                step.after.push_back(earlier);
+            }
+        }
+        job.steps.push_back(std::move(step));
+    }
+    return job;
+}
+
+std::string submission_of(const soak_job& job)
+{
+    std::string text;
+    std::string steps;
+    for (const soak_step& step : job.steps)
+    {
+        text += fmt::format("{}{}:{}", text.empty() ? "" : " ", step.cpu_milli,
+                            step.duration_ms);
+        steps += fmt::format(
+            R"({}{{"count":{},"cpu":{},"memMb":100,"estimateMs":{})",
+            steps.empty() ? "" : ",", step.count, step.cpu_milli,
+            job.lasts ? 0 : step.duration_ms);
+        if (!step.after.empty())
+        {
+            steps += fmt::format(R"(,"after":[{}])", fmt::join(step.after, ","));
+        }
+        steps += job.lasts ? R"(,"longRunning":true})" : "}";
+    }
+    return fmt::format(R"({{"spec":"{}","steps":[{}]}})", text, steps);
+}
+
+std::string task_name(const std::string& job, std::size_t step, int index)
+{
+    return fmt::format("{}.0.{}.{}", job, step, index);
+}
+
+} // namespace egretspindle::bench
--- /dev/null
+++ b/bench/soak/soak_job.hpp
@@ -0,0 +1,69 @@
+/// \file
+/// Job of a client and what its client was told.
+
+#ifndef EGRETSPINDLE_BENCH_SOAK_SOAK_JOB_HPP
+#define EGRETSPINDLE_BENCH_SOAK_SOAK_JOB_HPP
+
+#include <cstdint>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace egretspindle::bench
+{
+
+/// Step of a job.
+struct soak_step
+{
+    int count = 1;
+    std::int64_t cpu_milli = 1'000;
+    std::int64_t duration_ms = 100;
+    std::vector<int> after; ///< earlier steps
+};
+
+/// One request about a job and its answer.
+struct job_call
+{
+    std::string method;
+    std::string host;
+    int status = 0;    ///< 0: no response
+    std::string state; ///< of a job, if the answer shows one
+    std::int64_t sent_ms = 0;
+    std::int64_t answered_ms = 0;
+};
+
+/// Job of a client. Only its client's thread uses it while clients run.
+struct soak_job
+{
+    std::string id;
+    std::vector<soak_step> steps;
+    bool lasts = false; ///< until it is cancelled
+    std::vector<job_call> calls;
+
+    bool is_given_up = false;      ///< after refusals only
+    std::int64_t accepted_ms = 0;  ///< first 2xx to a submission; 0: none
+    std::int64_t cancelled_ms = 0; ///< first 2xx `cancelled`; 0: none
+    std::int64_t cancel_due_ms = 0; ///< when its client cancels it; 0: never
+    std::string last_state;
+};
+
+/// Returns whether the job was shown in a final state.
+[[nodiscard]] inline bool is_final(const soak_job& job)
+{
+    return job.last_state == "completed" || job.last_state == "cancelled" ||
+           job.last_state == "failed";
+}
+
+/// Chooses a job of one to three steps.
+[[nodiscard]] soak_job choose_job(std::mt19937& random);
+
+/// Returns the body of a submission.
+[[nodiscard]] std::string submission_of(const soak_job& job);
+
+/// Returns the name of a task, as targets list it.
+[[nodiscard]] std::string task_name(const std::string& job, std::size_t step,
+                                    int index);
+
+} // namespace egretspindle::bench
+
+#endif
--- /dev/null
+++ b/bench/soak/stage.cpp
@@ -0,0 +1,312 @@
+#include "stage.hpp"
+
+#include "support/json_http.hpp"
+#include "support/wait_until.hpp"
+
+#include "common/platform_event.hpp"
+
+#include <fmt/format.h>
+
+#include <csignal>
+#include <stdexcept>
+#include <sys/wait.h>
+
+namespace egretspindle::bench
+{
+
+namespace
+{
+
+using standin::steady_ms;
+
+constexpr int targets_per_rack = 4;
+constexpr std::int64_t longest_lease_ms = 10'000;
+constexpr std::int64_t thaw_slack_ms = 300;
+// The platform kills a process this long after SIGTERM.
+constexpr std::int64_t stop_grace_ms = 15'000;
+constexpr std::chrono::milliseconds probe_timeout{500};
+
+std::string data_center_of(int n)
+{
+    return n % 2 == 0 ? "a" : "b";
+}
+
+} // namespace
+
+stage::stage(const soak_options& options)
+{
+    reserve_ports(options);
+    start_platform(options);
+    start_proxy();
+    for (host_process& host : hosts_)
+    {
+        write_settings(host);
+        start_host(host);
+    }
+    for (const host_process& host : hosts_)
+    {
+        if (!test::wait_until([&] { return is_ready(host); }))
+        {
+            throw std::runtime_error(host.name + " did not become ready");
+        }
+    }
+}
+
+void stage::reserve_ports(const soak_options& options)
+{
+    platform_control_ = ports_.reserve_address();
+    proxy_control_ = ports_.reserve_address();
+    for (int n = 0; n < options.hosts; ++n)
+    {
+        host_process host;
+        host.name = fmt::format("h{}", n);
+        host.data_center = data_center_of(n);
+        host.callers = ports_.reserve_address();
+        host.front = ports_.reserve_address();
+        host.ready = ports_.reserve_address();
+        host.peer = ports_.reserve_address();
+        host.store = ports_.reserve_address();
+        host.store_server = ports_.reserve_address();
+        links_.push_back(fmt::format("front-{}={}->{}", host.name, host.front,
+                                     host.callers));
+        links_.push_back(fmt::format("store-{}={}->{}", host.name, host.store,
+                                     host.store_server));
+        hosts_.push_back(std::move(host));
+    }
+    for (int n = 0; n < options.targets; ++n)
+    {
+        const std::string name = fmt::format("t{:02}", n);
+        const std::string listen = ports_.reserve_address();
+        const std::string address = ports_.reserve_address();
+        const int rack = n / targets_per_rack;
+        target_arguments_.push_back(fmt::format("{},{},{},{},rack{}", name,
+                                                listen, address,
+                                                data_center_of(rack), rack));
+        links_.push_back(
+            fmt::format("target-{}={}->{}", name, address, listen));
+        targets_.push_back(name);
+    }
+}
+
+void stage::start_platform(const soak_options& options)
+{
+    std::vector<std::string> arguments{"--control",
+                                       platform_control_,
+                                       "--journal",
+                                       directory_.file("journal"),
+                                       "--longest-lease-ms",
+                                       std::to_string(longest_lease_ms),
+                                       "--seed",
+                                       std::to_string(options.seed)};
+    for (const host_process& host : hosts_)
+    {
+        arguments.push_back("--store");
+        arguments.push_back(host.name + "=" + host.store_server);
+    }
+    for (const std::string& text : target_arguments_)
+    {
+        arguments.push_back("--target");
+        arguments.push_back(text);
+    }
+    platform_ = std::make_unique<test::child_process>(
+        "standin_platform", arguments, directory_.file("platform.log"));
+    const auto is_serving = [&]
+    { return test::send_http(platform_control_, "GET", "/").ok(); };
+    if (!test::wait_until(is_serving))
+    {
+        throw std::runtime_error("the stand-in of the platform did not start");
+    }
+}
+
+void stage::start_proxy()
+{
+    std::vector<std::string> arguments{"--control", proxy_control_};
+    for (const std::string& text : links_)
+    {
+        arguments.push_back("--link");
+        arguments.push_back(text);
+    }
+    proxy_ = std::make_unique<test::child_process>(
+        "fault_proxy", arguments, directory_.file("proxy.log"));
+    const auto is_serving = [&]
+    { return test::send_http(proxy_control_, "GET", "/control").ok(); };
+    if (!test::wait_until(is_serving))
+    {
+        throw std::runtime_error("the proxy did not start");
+    }
+}
+
+void stage::write_settings(const host_process& host)
+{
+    test::write_file(
+        directory_.file(host.name + ".toml"),
+        fmt::format("[scheduler]\nhost = \"{}\"\ndata_center = \"{}\"\n"
+                    "callers = \"{}\"\nready = \"{}\"\npeer = \"{}\"\n"
+                    "store = \"{}\"\ntransactions_span_parts = true\n"
+                    "longest_lease_ms = {}\nthaw_slack_ms = {}\n",
+                    host.name, host.data_center, host.callers, host.ready,
+                    host.peer, host.store, longest_lease_ms, thaw_slack_ms));
+}
+
+std::vector<front> stage::fronts() const
+{
+    std::vector<front> result;
+    for (const host_process& host : hosts_)
+    {
+        result.push_back({host.name, host.front});
+    }
+    return result;
+}
+
+void stage::start_host(host_process& host)
+{
+    if (host.process && host.process->is_running())
+    {
+        return;
+    }
+    host.is_stopping = false;
+    host.is_killed = false;
+    host.process = std::make_unique<test::child_process>(
+        "egretspindle",
+        std::vector<std::string>{"--settings",
+                                 directory_.file(host.name + ".toml")},
+        directory_.file(host.name + ".log"));
+}
+
+void stage::kill_host(host_process& host)
+{
+    host.is_killed = true;
+    host.process->kill();
+    host.is_stopping = false;
+}
+
+void stage::stop_host(host_process& host)
+{
+    if (!host.process->is_running() || host.is_stopping)
+    {
+        return;
+    }
+    host.is_stopping = true;
+    host.stops.push_back({steady_ms(), 0});
+    host.process->signal(SIGTERM);
+}
+
+void stage::signal_host(host_process& host, int number)
+{
+    host.process->signal(number);
+}
+
+void stage::restart_in_turn()
+{
+    turn_ = 0;
+    is_turning_ = true;
+    stop_host(hosts_.front());
+}
+
+void stage::end_turn()
+{
+    is_turning_ = false;
+}
+
+void stage::poll_turn()
+{
+    if (hosts_[turn_].is_stopping || !is_ready(hosts_[turn_]))
+    {
+        return;
+    }
+    is_turning_ = ++turn_ < hosts_.size();
+    if (is_turning_)
+    {
+        stop_host(hosts_[turn_]);
+    }
+}
+
+void stage::poll_host(host_process& host)
+{
+    const bool is_running = host.process->is_running();
+    if (!host.is_stopping)
+    {
+        if (!host.is_killed && !is_running)
+        {
+            problems_.push_back(
+                fmt::format("{} ended by itself with wait status {}", host.name,
+                            host.process->wait_exit({}).value_or(0)));
+            start_host(host);
+        }
+        return;
+    }
+    planned_stop& stop = host.stops.back();
+    if (!is_running)
+    {
+        stop.gone_ms = steady_ms();
+        const int status = host.process->wait_exit({}).value_or(0);
+        // A process that has not yet blocked the signal dies of it.
+        const bool is_clean =
+            WIFEXITED(status) ? WEXITSTATUS(status) == 0
+                              : WIFSIGNALED(status) && WTERMSIG(status) == SIGTERM;
+        if (!is_clean)
+        {
+            problems_.push_back(
+                fmt::format("{} ended with wait status {} after SIGTERM at {}",
+                            host.name, status, stop.begun_ms));
+        }
+        start_host(host);
+    }
+    else if (steady_ms() - stop.begun_ms > stop_grace_ms)
+    {
+        problems_.push_back(fmt::format("{} still ran {} ms after SIGTERM at "
+                                        "{}",
+                                        host.name, stop_grace_ms,
+                                        stop.begun_ms));
+        kill_host(host);
+        start_host(host);
+    }
+}
+
+void stage::poll()
+{
+    for (host_process& host : hosts_)
+    {
+        poll_host(host);
+    }
+    if (is_turning_)
+    {
+        poll_turn();
+    }
+}
+
+bool stage::is_ready(const host_process& host) const
+{
+    const absl::StatusOr<http_response> response = test::send_http(
+        host.ready, "GET", "/egretspindle/ready", "", probe_timeout);
+    return response.ok() && response->status == 200;
+}
+
+void stage::set_link(const std::string& pattern, const std::string& mode,
+                     long delay_ms)
+{
+    (void)test::post_control(
+        proxy_control_,
+        fmt::format(R"({{"link":"{}","mode":"{}","delay_ms":{}}})", pattern,
+                    mode, delay_ms));
+}
+
+void stage::command(const std::string& body)
+{
+    (void)test::post_control(platform_control_, body);
+}
+
+void stage::heal()
+{
+    set_link("*", "pass");
+    command(R"({"what":"store","action":"pass"})");
+    command(R"({"what":"target","action":"pass"})");
+    command(R"({"what":"target","action":"boot"})");
+    for (host_process& host : hosts_)
+    {
+        signal_host(host, SIGCONT);
+        start_host(host);
+    }
+}
+
+} // namespace egretspindle::bench
--- /dev/null
+++ b/bench/soak/stage.hpp
@@ -0,0 +1,114 @@
+/// \file
+/// Processes of a soak.
+
+#ifndef EGRETSPINDLE_BENCH_SOAK_STAGE_HPP
+#define EGRETSPINDLE_BENCH_SOAK_STAGE_HPP
+
+#include "support/child_process.hpp"
+#include "support/port_reservation.hpp"
+#include "support/temporary_directory.hpp"
+
+#include "client.hpp"
+#include "host_process.hpp"
+#include "options.hpp"
+
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace egretspindle::bench
+{
+
+/// The stand-in of the platform, the proxies and the hosts. Use it from the
+/// main thread only: children end with the thread that started them.
+class stage
+{
+public:
+    /// Starts everything; throws when it does not become ready.
+    explicit stage(const soak_options& options);
+
+    [[nodiscard]] std::vector<front> fronts() const;
+
+    [[nodiscard]] std::vector<host_process>& hosts()
+    {
+        return hosts_;
+    }
+
+    [[nodiscard]] const std::vector<std::string>& targets() const
+    {
+        return targets_;
+    }
+
+    [[nodiscard]] test::temporary_directory& directory()
+    {
+        return directory_;
+    }
+
+    /// Starts a host that is not running.
+    void start_host(host_process& host);
+
+    /// Kills a host.
+    void kill_host(host_process& host);
+
+    /// Sends SIGTERM; the host is started again after its exit.
+    void stop_host(host_process& host);
+
+    /// Begins to stop and restart the hosts one after another.
+    void restart_in_turn();
+
+    /// Leaves the hosts that were not yet restarted in turn as they are.
+    void end_turn();
+
+    /// Sends a signal such as SIGSTOP.
+    void signal_host(host_process& host, int number);
+
+    /// Notes hosts that have exited and starts them again.
+    void poll();
+
+    /// Returns whether a host asks for connections.
+    [[nodiscard]] bool is_ready(const host_process& host) const;
+
+    /// Sets the mode of links, by pattern.
+    void set_link(const std::string& pattern, const std::string& mode,
+                  long delay_ms = 0);
+
+    /// Sends a command to the stand-in.
+    void command(const std::string& body);
+
+    /// Takes all faults of links and of the stand-in away, and resumes or
+    /// starts all hosts.
+    void heal();
+
+    /// Returns what has gone wrong with processes, such as an exit that nobody
+    /// asked for.
+    [[nodiscard]] const std::vector<std::string>& problems() const
+    {
+        return problems_;
+    }
+
+private:
+    void reserve_ports(const soak_options& options);
+    void start_platform(const soak_options& options);
+    void start_proxy();
+    void write_settings(const host_process& host);
+    void poll_host(host_process& host);
+    void poll_turn();
+
+    test::temporary_directory directory_;
+    test::port_reservation ports_;
+    std::vector<host_process> hosts_;
+    std::vector<std::string> targets_;
+    std::vector<std::string> links_; ///< arguments of the proxy
+    std::vector<std::string> target_arguments_;
+    std::string platform_control_;
+    std::string proxy_control_;
+    std::unique_ptr<test::child_process> platform_;
+    std::unique_ptr<test::child_process> proxy_;
+    std::size_t turn_ = 0; ///< host to restart in turn
+    bool is_turning_ = false;
+    std::vector<std::string> problems_;
+};
+
+} // namespace egretspindle::bench
+
+#endif
--- /dev/null
+++ b/bench/soak/store_faults.cpp
@@ -0,0 +1,93 @@
+#include "soak_fault.hpp"
+
+#include <fmt/format.h>
+
+namespace egretspindle::bench
+{
+
+namespace
+{
+
+using std::chrono::milliseconds;
+
+std::string store_command(const std::string& names, const std::string& mode,
+                          long delay)
+{
+    return fmt::format(
+        R"({{"what":"store","names":[{}],"action":"{}","delay_ms":{}}})", names,
+        mode, delay);
+}
+
+// Names a random part of the hosts as a JSON list; empty means all.
+std::string choose_names(std::mt19937& random, stage& scene)
+{
+    std::string names;
+    if (choose(random, 0, 2) == 0)
+    {
+        return names;
+    }
+    for (const host_process& host : scene.hosts())
+    {
+        if (choose(random, 0, 2) == 0)
+        {
+            names += fmt::format(R"({}"{}")", names.empty() ? "" : ",",
+                                 host.name);
+        }
+    }
+    return names;
+}
+
+} // namespace
+
+soak_fault choose_store_fault(std::mt19937& random, stage& scene,
+                              std::int64_t& version)
+{
+    soak_fault item;
+    const long kind = choose(random, 0, 9);
+    if (kind == 0)
+    {
+        version += choose(random, 1, 5);
+        const bool has_second = choose(random, 0, 1) == 0;
+        item.text = fmt::format("configuration {}", version);
+        item.victim = "config";
+        item.inject = [&scene, version, has_second]
+        {
+            scene.command(fmt::format(
+                R"({{"what":"config","version":{},"second_queue":{}}})",
+                version, has_second));
+        };
+        return item;
+    }
+    if (kind == 1)
+    {
+        item.text = "drop the history of the store";
+        item.victim = "history";
+        item.inject = [&scene]
+        { scene.command(R"({"what":"drop_history"})"); };
+        return item;
+    }
+    const char* const modes[] = {"unavailable", "overloaded",   "slow",
+                                 "silent",      "lose_answers", "late_writes"};
+    const std::string mode = modes[choose(random, 0, 5)];
+    const std::string names = choose_names(random, scene);
+    long delay = 0;
+    if (mode == "slow")
+    {
+        delay = choose(random, 50, 900);
+    }
+    else if (mode == "late_writes")
+    {
+        delay = choose(random, 200, 5'000);
+    }
+    item.text = fmt::format("store {} {} for {}", mode, delay,
+                            names.empty() ? "all" : names);
+    item.victim = "store";
+    item.length = milliseconds(choose(random, 100, 6'000));
+    item.inject = [&scene, names, mode, delay]
+    { scene.command(store_command(names, mode, delay)); };
+    item.remove = [&scene, names]
+    { scene.command(store_command(names, "pass", 0)); };
+    return item;
+}
+
+} // namespace egretspindle::bench
--- a/cmake/packages.cmake
+++ b/cmake/packages.cmake
@@ -97,6 +97,7 @@
 egret_program(tools standin_store egret_standin)
 egret_program(tools standin_host_list egret_standin)
 egret_program(tools fault_proxy egret_standin)
+egret_program(tools standin_platform egret_standin absl::strings)
 
 # Helpers for tests and benchmarks that start real processes.
 file(GLOB support_sources CONFIGURE_DEPENDS
@@ -153,3 +154,8 @@
     egret_program(bench ${name} egret_test_support egret_node)
   endif()
 endforeach()
+
+# Randomized faults against the job scheduler, see docs/OPERATIONS.md.
+if(TARGET soak)
+  add_dependencies(soak standin_platform fault_proxy egretspindle)
+endif()
--- /dev/null
+++ b/tools/common/platform_event.hpp
@@ -0,0 +1,62 @@
+/// \file
+/// Line of the journal of the platform's stand-in.
+
+#ifndef EGRETSPINDLE_TOOLS_COMMON_PLATFORM_EVENT_HPP
+#define EGRETSPINDLE_TOOLS_COMMON_PLATFORM_EVENT_HPP
+
+#include <chrono>
+#include <cstdint>
+#include <string>
+
+namespace egretspindle::standin
+{
+
+/// What happened on a target. Events:
+/// - `life`: a life of the target begins
+/// - `dead`: the life ends; every run has ended before
+/// - `begun`: a run starts
+/// - `ended`: a run ends, `how` as in the target's list, or `crashed`
+/// - `acknowledged`: an end leaves the list; `detail` is `void` when the lease
+///   expired between the end and its acknowledgement
+/// - `expired`: the lease of the target expires
+struct platform_event
+{
+    std::int64_t at_ms = 0; ///< steady clock, the same for all processes
+    std::string event;
+    std::string target; ///< name of the machine; stays over lives
+    std::string id;     ///< id under which this life is registered
+    std::int64_t born = 0;
+    std::string task;
+    std::int64_t run = 0;
+    std::string how;
+    std::int64_t token = 0; ///< of the order
+    std::string detail;
+};
+
+/// Visits the fields of `platform_event` for the codec.
+template <typename Visitor, typename Value>
+void visit_fields(Visitor&& visit, Value& value, const platform_event* /*tag*/)
+{
+    visit("at_ms", value.at_ms);
+    visit("event", value.event);
+    visit("target", value.target);
+    visit("id", value.id);
+    visit("born", value.born);
+    visit("task", value.task);
+    visit("run", value.run);
+    visit("how", value.how);
+    visit("token", value.token);
+    visit("detail", value.detail);
+}
+
+/// Returns the time of the machine's steady clock.
+[[nodiscard]] inline std::int64_t steady_ms()
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(
+               std::chrono::steady_clock::now().time_since_epoch())
+        .count();
+}
+
+} // namespace egretspindle::standin
+
+#endif
--- /dev/null
+++ b/tools/standin_platform/machine.cpp
@@ -0,0 +1,389 @@
+#include "machine.hpp"
+
+#include "task_work.hpp"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <chrono>
+
+namespace egretspindle::standin
+{
+
+namespace
+{
+
+// Ends in one answer.
+constexpr std::size_t page_ends = 500;
+// The clock of a target may be this much slow, in thousandths.
+constexpr int max_clock_slowness = 20;
+constexpr std::int64_t drain_ms = 6'000;
+
+std::int64_t unix_ms()
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(
+               std::chrono::system_clock::now().time_since_epoch())
+        .count();
+}
+
+} // namespace
+
+machine::machine(machine_options options, journal& events)
+    : options_(std::move(options)), journal_(events), random_(options_.seed)
+{
+}
+
+void machine::note(std::int64_t at, const std::string& event,
+                   const std::string& task, std::int64_t run,
+                   const std::string& how, std::int64_t token,
+                   const std::string& detail)
+{
+    const std::string id = fmt::format("{}-{}", options_.name, identity_);
+    journal_.write({at, event, options_.name, id, born_, task, run, how, token,
+                    detail});
+}
+
+std::int64_t machine::clock_at(std::int64_t now) const
+{
+    return static_cast<std::int64_t>(static_cast<double>(now - begun_ms_) *
+                                     clock_rate_);
+}
+
+std::int64_t machine::steady_at(std::int64_t clock) const
+{
+    return begun_ms_ +
+           static_cast<std::int64_t>(static_cast<double>(clock) / clock_rate_);
+}
+
+void machine::boot(bool keeps_id)
+{
+    const std::lock_guard<std::mutex> lock(mutex_);
+    if (is_up_)
+    {
+        return;
+    }
+    is_up_ = true;
+    is_draining_ = false;
+    ++life_;
+    identity_ += keeps_id && identity_ > 0 ? 0 : 1;
+    // Two lives have to differ.
+    born_ = std::max(born_ + 1, unix_ms());
+    begun_ms_ = steady_ms();
+    std::uniform_int_distribution<int> slowness(0, max_clock_slowness);
+    clock_rate_ = 1.0 - slowness(random_) / 1'000.0;
+    token_ = 0;
+    lease_until_ = 0;
+    has_lease_ = false;
+    sequence_ = 0;
+    last_end_ = 0;
+    runs_.clear();
+    highest_.clear();
+    ends_.clear();
+    note(begun_ms_, "life");
+}
+
+void machine::crash()
+{
+    const std::lock_guard<std::mutex> lock(mutex_);
+    if (!is_up_)
+    {
+        return;
+    }
+    const std::int64_t now = steady_ms();
+    advance_locked(now);
+    for (const auto& [name, run] : runs_)
+    {
+        note(now, "ended", name.first, name.second, "crashed");
+    }
+    runs_.clear();
+    ends_.clear();
+    note(now, "dead");
+    is_up_ = false;
+    changed_.notify_all();
+}
+
+void machine::drain()
+{
+    const std::lock_guard<std::mutex> lock(mutex_);
+    is_draining_ = true;
+}
+
+void machine::set_faults(const machine_faults& faults)
+{
+    const std::lock_guard<std::mutex> lock(mutex_);
+    faults_ = faults;
+}
+
+machine_faults machine::faults()
+{
+    const std::lock_guard<std::mutex> lock(mutex_);
+    return faults_;
+}
+
+void machine::end_run(const run_name& name, std::int64_t at,
+                      const std::string& how)
+{
+    const auto& [task, run] = name;
+    note(at, "ended", task, run, how);
+    std::int64_t& highest = highest_[task];
+    highest = std::max(highest, run);
+    ends_.push_back({++last_end_, task, run, how, false});
+}
+
+void machine::advance_locked(std::int64_t now)
+{
+    if (!is_up_)
+    {
+        return;
+    }
+    const std::int64_t expiry =
+        has_lease_ ? steady_at(lease_until_) : now + 1;
+    const std::int64_t until = std::min(now, expiry);
+    bool has_ended = false;
+    for (auto it = runs_.begin(); it != runs_.end();)
+    {
+        if (it->second.ends_ms <= until)
+        {
+            end_run(it->first, it->second.ends_ms, it->second.how);
+            it = runs_.erase(it);
+            has_ended = true;
+        }
+        else
+        {
+            ++it;
+        }
+    }
+    if (has_lease_ && expiry <= now)
+    {
+        has_lease_ = false;
+        note(expiry, "expired");
+        for (listed_end& item : ends_)
+        {
+            item.is_void = true;
+        }
+        for (const auto& [name, run] : runs_)
+        {
+            end_run(name, expiry, "lapsed");
+        }
+        runs_.clear();
+        has_ended = true;
+    }
+    if (has_ended)
+    {
+        changed_.notify_all();
+    }
+}
+
+void machine::advance()
+{
+    const std::lock_guard<std::mutex> lock(mutex_);
+    advance_locked(steady_ms());
+}
+
+void machine::renew(std::int64_t lease_until_ms, std::int64_t now)
+{
+    const std::int64_t longest = clock_at(now) + options_.longest_lease_ms;
+    const std::int64_t until = std::min(lease_until_ms, longest);
+    if (until > clock_at(now))
+    {
+        lease_until_ = has_lease_ ? std::max(lease_until_, until) : until;
+        has_lease_ = true;
+    }
+}
+
+order_result machine::start(const start_order& order)
+{
+    const std::lock_guard<std::mutex> lock(mutex_);
+    const std::int64_t now = steady_ms();
+    advance_locked(now);
+    if (!is_up_)
+    {
+        return {421, ""};
+    }
+    if (faults_.is_unhealthy)
+    {
+        return {503, ""};
+    }
+    if (order.token < token_)
+    {
+        return {409, "fence"};
+    }
+    token_ = order.token;
+    if (order.lease_until_ms <= clock_at(now))
+    {
+        return {409, "late"};
+    }
+    renew(order.lease_until_ms, now);
+    const run_name name{order.task, order.run};
+    if (runs_.count(name) > 0)
+    {
+        return {200, ""};
+    }
+    const auto highest = highest_.find(order.task);
+    const auto later = runs_.upper_bound(name);
+    if ((highest != highest_.end() && order.run <= highest->second) ||
+        (later != runs_.end() && later->first.first == order.task))
+    {
+        return {409, "old"};
+    }
+    const task_work work = work_of(order.spec, order.task);
+    std::int64_t used = work.cpu_milli;
+    for (const auto& [other, run] : runs_)
+    {
+        used += run.cpu;
+    }
+    if (used > options_.cpu_milli)
+    {
+        return {409, "room"};
+    }
+    live_run run;
+    run.cpu = work.cpu_milli;
+    run.begun_ms = now;
+    run.ends_ms = now + work.duration_ms * faults_.slowness;
+    if (faults_.fails_runs)
+    {
+        run.how = "failed";
+        run.ends_ms = now + 1;
+    }
+    note(now, "begun", order.task, order.run, "", order.token);
+    runs_[name] = run;
+    return {200, ""};
+}
+
+order_result machine::stop(const std::string& task, std::int64_t run,
+                           std::int64_t token)
+{
+    const std::lock_guard<std::mutex> lock(mutex_);
+    const std::int64_t now = steady_ms();
+    advance_locked(now);
+    if (!is_up_)
+    {
+        return {421, ""};
+    }
+    if (faults_.is_unhealthy)
+    {
+        return {503, ""};
+    }
+    if (token < token_)
+    {
+        return {409, "fence"};
+    }
+    token_ = token;
+    std::int64_t& highest = highest_[task];
+    highest = std::max(highest, run);
+    for (auto it = runs_.lower_bound({task, 0});
+         it != runs_.upper_bound({task, run}); ++it)
+    {
+        it->second.how = "stopped";
+        it->second.ends_ms =
+            std::min(it->second.ends_ms, now + options_.stop_time_ms);
+    }
+    return {200, ""};
+}
+
+order_result machine::hold(const hold_order& order, std::string& body)
+{
+    std::unique_lock<std::mutex> lock(mutex_);
+    const std::int64_t now = steady_ms();
+    advance_locked(now);
+    if (!is_up_)
+    {
+        return {421, ""};
+    }
+    if (faults_.is_unhealthy)
+    {
+        return {503, ""};
+    }
+    if (order.token < token_)
+    {
+        return {409, "fence"};
+    }
+    token_ = order.token;
+    while (!ends_.empty() && ends_.front().number <= order.acknowledged)
+    {
+        const listed_end& item = ends_.front();
+        note(now, "acknowledged", item.task, item.run, item.how, order.token,
+             item.is_void ? "void" : "");
+        ends_.pop_front();
+    }
+    if (order.lease_until_ms > 0)
+    {
+        renew(order.lease_until_ms, now);
+    }
+    const int life = life_;
+    const auto end = std::chrono::steady_clock::now() +
+                     std::chrono::milliseconds(order.wait_ms);
+    changed_.wait_until(
+        lock, end,
+        [&] { return !ends_.empty() || !is_up_ || life_ != life; });
+    if (!is_up_ || life_ != life)
+    {
+        return {421, ""};
+    }
+    body = lists();
+    return {200, ""};
+}
+
+std::string machine::lists() const
+{
+    const std::int64_t now = steady_ms();
+    std::string body =
+        fmt::format(R"({{"clockMs":{},"born":{},"running":[)", clock_at(now),
+                    born_);
+    bool is_first = true;
+    for (const auto& [name, run] : runs_)
+    {
+        const std::int64_t length =
+            std::max<std::int64_t>(1, run.ends_ms - run.begun_ms);
+        body += fmt::format(R"({}["{}",{},"",{},{}])", is_first ? "" : ",",
+                            name.first, name.second,
+                            (now - run.begun_ms) * 100 / length, run.cpu);
+        is_first = false;
+    }
+    body += R"(],"finished":[)";
+    for (std::size_t n = 0; n < std::min(ends_.size(), page_ends); ++n)
+    {
+        const listed_end& item = ends_[n];
+        body += fmt::format(R"({}[{},"{}",{},"{}",""])", n == 0 ? "" : ",",
+                            item.number, item.task, item.run, item.how);
+    }
+    return body + "]}";
+}
+
+std::string machine::answer_body(const std::string& reason)
+{
+    const std::lock_guard<std::mutex> lock(mutex_);
+    return reason.empty()
+               ? fmt::format(R"({{"clockMs":{}}})", clock_at(steady_ms()))
+               : fmt::format(R"({{"clockMs":{},"reason":"{}"}})",
+                             clock_at(steady_ms()), reason);
+}
+
+int machine::life()
+{
+    const std::lock_guard<std::mutex> lock(mutex_);
+    return life_;
+}
+
+std::string machine::live_id()
+{
+    const std::lock_guard<std::mutex> lock(mutex_);
+    return is_up_ ? fmt::format("{}-{}", options_.name, identity_) : "";
+}
+
+std::string machine::row_value()
+{
+    const std::lock_guard<std::mutex> lock(mutex_);
+    ++sequence_;
+    return fmt::format(
+        R"({{"service":"work","address":"{}","zone":"{}","version":"1",)"
+        R"("slots":8,"state":"{}","coldRemainingMs":0,"seq":{},"born":{},)"
+        R"("capacity":{{"cpu":{},"memMb":{},"gpu":0}},)"
+        R"("labels":["general","{}"]{}}})",
+        options_.address, options_.data_center,
+        is_draining_ ? "draining" : "ready", sequence_, born_,
+        options_.cpu_milli, options_.memory_mb, options_.rack,
+        is_draining_ ? fmt::format(R"(,"remainingMs":{})", drain_ms) : "");
+}
+
+} // namespace egretspindle::standin
--- /dev/null
+++ b/tools/standin_platform/machine.hpp
@@ -0,0 +1,163 @@
+/// \file
+/// Simulated target.
+
+#ifndef EGRETSPINDLE_TOOLS_STANDIN_PLATFORM_MACHINE_HPP
+#define EGRETSPINDLE_TOOLS_STANDIN_PLATFORM_MACHINE_HPP
+
+#include "journal.hpp"
+#include "machine_options.hpp"
+
+#include <condition_variable>
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <mutex>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace egretspindle::standin
+{
+
+/// What a target does with the orders it receives.
+struct machine_faults
+{
+    bool is_unhealthy = false;  ///< answers 503 and does nothing
+    bool delays_orders = false; ///< gives no answer, executes orders later
+    bool fails_runs = false;    ///< ends each new run as failed at once
+    std::int64_t slowness = 1;  ///< factor on the time of runs
+};
+
+/// Result of an order: a status and, for 409, the reason.
+struct order_result
+{
+    int status = 200;
+    std::string reason;
+};
+
+/// Order to start a run.
+struct start_order
+{
+    std::string task;
+    std::int64_t run = 0;
+    std::string spec;
+    std::int64_t lease_until_ms = 0; ///< on the clock of the target
+    std::int64_t token = 0;
+};
+
+/// Renewal of the lease, acknowledgement and request for the lists.
+struct hold_order
+{
+    std::int64_t token = 0;
+    std::int64_t acknowledged = 0;
+    std::int64_t lease_until_ms = 0; ///< 0: no renewal
+    std::int64_t wait_ms = 0;
+};
+
+/// One target over all its lives. Usable from several threads.
+class machine
+{
+public:
+    machine(machine_options options, journal& events);
+
+    /// Begins a life.
+    ///
+    /// \param keeps_id  whether it is registered as in the former life
+    void boot(bool keeps_id);
+
+    /// Ends the life at once; everything that runs is gone.
+    void crash();
+
+    /// Announces the end of the life.
+    void drain();
+
+    void set_faults(const machine_faults& faults);
+    [[nodiscard]] machine_faults faults();
+
+    /// Ends runs whose time has come, and the lease.
+    void advance();
+
+    [[nodiscard]] order_result start(const start_order& order);
+    [[nodiscard]] order_result stop(const std::string& task, std::int64_t run,
+                                    std::int64_t token);
+
+    /// \param body  receives the lists
+    [[nodiscard]] order_result hold(const hold_order& order,
+                                    std::string& body);
+
+    /// Returns the body of an answer to an order.
+    [[nodiscard]] std::string answer_body(const std::string& reason);
+
+    /// Returns the number of the present life.
+    [[nodiscard]] int life();
+
+    /// Returns the id of the present life, or an empty text.
+    [[nodiscard]] std::string live_id();
+
+    /// Returns the value of the row in the list of targets.
+    [[nodiscard]] std::string row_value();
+
+    [[nodiscard]] const machine_options& options() const
+    {
+        return options_;
+    }
+
+private:
+    /// Task and run. A second run of a task beside the first one is a fault of
+    /// the scheduler, which the journal has to show.
+    using run_name = std::pair<std::string, std::int64_t>;
+
+    struct live_run
+    {
+        std::int64_t cpu = 0;
+        std::int64_t begun_ms = 0;
+        std::int64_t ends_ms = 0; ///< steady time
+        std::string how = "done";
+    };
+
+    struct listed_end
+    {
+        std::int64_t number = 0;
+        std::string task;
+        std::int64_t run = 0;
+        std::string how;
+        bool is_void = false;
+    };
+
+    void advance_locked(std::int64_t now);
+    void end_run(const run_name& name, std::int64_t at, const std::string& how);
+    void note(std::int64_t at, const std::string& event,
+              const std::string& task = "", std::int64_t run = 0,
+              const std::string& how = "", std::int64_t token = 0,
+              const std::string& detail = "");
+    [[nodiscard]] std::int64_t clock_at(std::int64_t now) const;
+    [[nodiscard]] std::int64_t steady_at(std::int64_t clock) const;
+    void renew(std::int64_t lease_until_ms, std::int64_t now);
+    [[nodiscard]] std::string lists() const;
+
+    machine_options options_;
+    journal& journal_;
+    std::mutex mutex_;
+    std::condition_variable changed_;
+    machine_faults faults_;
+    std::mt19937 random_;
+    bool is_up_ = false;
+    bool is_draining_ = false;
+    int life_ = 0;
+    int identity_ = 0;
+    std::int64_t born_ = 0;     ///< Unix ms
+    std::int64_t begun_ms_ = 0; ///< steady time
+    double clock_rate_ = 1.0;
+    std::int64_t token_ = 0;
+    std::int64_t lease_until_ = 0; ///< on the clock of the target
+    bool has_lease_ = false;
+    std::int64_t sequence_ = 0;
+    std::int64_t last_end_ = 0;
+    std::map<run_name, live_run> runs_;
+    std::map<std::string, std::int64_t> highest_; ///< run stopped or ended
+    std::deque<listed_end> ends_;
+};
+
+} // namespace egretspindle::standin
+
+#endif
--- /dev/null
+++ b/tools/standin_platform/main.cpp
@@ -0,0 +1,137 @@
+// Stand-in for the users' platform: store, configuration and targets. For
+// tests only.
+
+#include "egretspindle/net/endpoint.hpp"
+
+#include "common/serve.hpp"
+#include "platform.hpp"
+
+#include <fmt/format.h>
+
+#include <cstdlib>
+#include <getopt.h>
+#include <sstream>
+
+namespace
+{
+
+using namespace egretspindle;
+using namespace egretspindle::standin;
+
+constexpr std::string_view usage =
+    R"(usage: standin_platform --control IP:PORT [OPTION...]
+  --store NAME=IP:PORT   address of the store for one caller; repeatable
+  --target NAME,LISTEN,ADDRESS,DATA_CENTER,RACK
+                         target that listens on LISTEN and is listed with
+                         ADDRESS; repeatable
+  --journal FILE         one line an event of the targets
+  --longest-lease-ms N   (default 10000)
+  --seed N               clocks and delays of the targets (default 1)
+POST /control accepts
+  {"what":"store","names":[...],"action":MODE,"delay_ms":N}
+      MODE: pass, unavailable (503), overloaded (429), slow, silent,
+      lose_answers (written, no response), late_writes (written after delay_ms,
+      no response)
+  {"what":"target","names":[...],"action":ACTION}
+      ACTION: crash, boot (same id), boot_renamed, drain, unhealthy,
+      delay_orders (no answer, executed up to 12 s later), fail_runs, slow,
+      pass. Connections to a crashed target stay silent; reset them in a proxy.
+  {"what":"config","version":N,"second_queue":BOOL}
+  {"what":"drop_history"}
+Without names a command is for all.
+)";
+
+bool add_store(platform_options& result, const std::string& text)
+{
+    const std::size_t equals = text.find('=');
+    if (equals == std::string::npos)
+    {
+        return false;
+    }
+    result.stores.emplace_back(text.substr(0, equals),
+                               text.substr(equals + 1));
+    return true;
+}
+
+bool add_target(platform_options& result, const std::string& text)
+{
+    machine_options item;
+    std::istringstream in(text);
+    const bool is_read = std::getline(in, item.name, ',') &&
+                         std::getline(in, item.listen, ',') &&
+                         std::getline(in, item.address, ',') &&
+                         std::getline(in, item.data_center, ',') &&
+                         std::getline(in, item.rack, ',');
+    result.targets.push_back(std::move(item));
+    return is_read;
+}
+
+bool parse(int argc, char** argv, platform_options& result)
+{
+    const option known[] = {
+        {"control", required_argument, nullptr, 'c'},
+        {"store", required_argument, nullptr, 's'},
+        {"target", required_argument, nullptr, 't'},
+        {"journal", required_argument, nullptr, 'j'},
+        {"longest-lease-ms", required_argument, nullptr, 'l'},
+        {"seed", required_argument, nullptr, 'r'},
+        {nullptr, 0, nullptr, 0}};
+    int c = 0;
+    bool is_valid = true;
+    while ((c = getopt_long(argc, argv, "", known, nullptr)) != -1)
+    {
+        switch (c)
+        {
+        case 'c':
+            result.control = optarg;
+            break;
+        case 's':
+            is_valid &= add_store(result, optarg);
+            break;
+        case 't':
+            is_valid &= add_target(result, optarg);
+            break;
+        case 'j':
+            result.journal = optarg;
+            break;
+        case 'l':
+            result.longest_lease_ms = std::atol(optarg);
+            break;
+        case 'r':
+            result.seed = static_cast<unsigned>(std::atol(optarg));
+            break;
+        default:
+            return false;
+        }
+    }
+    unsigned n = 0;
+    for (machine_options& item : result.targets)
+    {
+        item.longest_lease_ms = result.longest_lease_ms;
+        item.seed = result.seed * 1'000 + ++n;
+    }
+    return is_valid && !result.control.empty() && optind == argc;
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    platform_options options;
+    if (!parse(argc, argv, options))
+    {
+        fmt::print(stderr, "{}", usage);
+        return 2;
+    }
+    block_stop_signals();
+    platform stand_in(options);
+    const absl::Status status = stand_in.start();
+    if (!status.ok())
+    {
+        fmt::print(stderr, "standin_platform: {}\n", status.ToString());
+        return 3;
+    }
+    return serve("standin_platform", options.control,
+                 [&](const http_request& request)
+                 { return stand_in.control(request); });
+}
--- /dev/null
+++ b/tools/standin_platform/platform.cpp
@@ -0,0 +1,297 @@
+#include "platform.hpp"
+
+#include "egretspindle/net/endpoint.hpp"
+
+#include "common/reply.hpp"
+
+#include <absl/strings/escaping.h>
+#include <fmt/format.h>
+
+namespace egretspindle::standin
+{
+
+namespace
+{
+
+using std::chrono::milliseconds;
+
+constexpr milliseconds tick{10};
+// Interval of the rows of the targets; a row is removed after three of them
+// without a change.
+constexpr std::int64_t row_interval_ms = 1'100;
+constexpr std::int64_t row_lifetime_ms = 3 * row_interval_ms;
+
+/// Command of the control address.
+struct command
+{
+    std::string what; ///< `store`, `target`, `config` or `drop_history`
+    std::vector<std::string> names; ///< stores or targets; empty: all
+    std::string action;             ///< mode of the store, or for a target
+    std::int64_t delay_ms = 0;
+    std::int64_t version = 0; ///< of the configuration
+    bool second_queue = false;
+};
+
+template <typename Visitor, typename Value>
+void visit_fields(Visitor&& visit, Value& value, const command* /*tag*/)
+{
+    visit("what", value.what);
+    visit("names", value.names);
+    visit("action", value.action);
+    visit("delay_ms", value.delay_ms);
+    visit("version", value.version);
+    visit("second_queue", value.second_queue);
+}
+
+absl::Status listen(http_server& server, const std::string& address)
+{
+    const absl::StatusOr<endpoint> where = parse_endpoint(address);
+    return where.ok() ? server.start(where->address, where->port)
+                      : where.status();
+}
+
+http_limits limits_of_door()
+{
+    http_limits limits;
+    limits.min_threads = 2;
+    limits.max_threads = 200;
+    // Hosts may be frozen for seconds and go on with their connections.
+    limits.keep_alive_timeout_ms = 60'000;
+    return limits;
+}
+
+template <typename Map>
+std::vector<std::string> names_or_all(const std::vector<std::string>& names,
+                                      const Map& all)
+{
+    if (!names.empty())
+    {
+        return names;
+    }
+    std::vector<std::string> result;
+    for (const auto& [name, item] : all)
+    {
+        result.push_back(name);
+    }
+    return result;
+}
+
+} // namespace
+
+platform::platform(const platform_options& options)
+    : options_(options), journal_(options.journal)
+{
+    for (const auto& [name, address] : options_.stores)
+    {
+        store_door& door = stores_[name];
+        door.api = std::make_unique<store_api>(rows_);
+        door.server = std::make_unique<http_server>(
+            limits_of_door(), [api = door.api.get()](const http_request& request)
+            { return api->handle(request); });
+    }
+    for (const machine_options& settings : options_.targets)
+    {
+        unit& item = units_[settings.name];
+        item.target = std::make_unique<machine>(settings, journal_);
+        item.api = std::make_unique<machine_api>(*item.target);
+        item.server = std::make_unique<http_server>(
+            limits_of_door(), [api = item.api.get()](const http_request& request)
+            { return api->handle(request); });
+    }
+}
+
+platform::~platform()
+{
+    is_stopping_ = true;
+    if (thread_.joinable())
+    {
+        thread_.join();
+    }
+}
+
+absl::Status platform::start()
+{
+    set_config(1, false);
+    for (auto& [name, item] : units_)
+    {
+        item.target->boot(true);
+        const absl::Status status =
+            listen(*item.server, item.target->options().listen);
+        if (!status.ok())
+        {
+            return status;
+        }
+    }
+    for (const auto& [name, address] : options_.stores)
+    {
+        const absl::Status status = listen(*stores_[name].server, address);
+        if (!status.ok())
+        {
+            return status;
+        }
+    }
+    thread_ = std::thread([this] { run(); });
+    return absl::OkStatus();
+}
+
+void platform::write_row(const std::string& table, const std::string& key,
+                         const std::string& value)
+{
+    row_changes changes;
+    changes.writes.push_back(
+        {{table, "", key}, absl::Base64Escape(value), 0, false});
+    (void)rows_.commit(changes);
+}
+
+void platform::set_config(std::int64_t version, bool has_second_queue)
+{
+    std::string routes =
+        R"({"name":"main","host":"jobs.test","pathPrefix":"/jobs/",)"
+        R"("service":"work","priority":1,"maxAttempts":100000,)"
+        R"("stretch":4,"targetDurationMs":2000,"timeoutMs":3000})";
+    if (has_second_queue)
+    {
+        routes += R"(,{"name":"second","host":"jobs.test",)"
+                  R"("pathPrefix":"/second/","service":"work","priority":0,)"
+                  R"("maxAttempts":100000,"stretch":2,)"
+                  R"("targetDurationMs":1000,"timeoutMs":3000})";
+    }
+    write_row("op", "config",
+              fmt::format(R"({{"version":{},"routes":[{}],"services":)"
+                          R"([{{"name":"work","rejectsOverload":true}}],)"
+                          R"("limits":{{}}}})",
+                          version, routes));
+}
+
+void platform::register_unit(unit& item, std::int64_t now)
+{
+    const std::string id = item.target->live_id();
+    const bool is_gone = !item.row.id.empty() && item.row.id != id;
+    if (is_gone && now - item.row.written_ms > row_lifetime_ms)
+    {
+        row_changes changes;
+        changes.removals.push_back({"servers", "", item.row.id});
+        (void)rows_.commit(changes);
+        item.row = {};
+    }
+    if (!id.empty() && (item.row.id != id ||
+                        now - item.row.written_ms >= row_interval_ms))
+    {
+        if (is_gone && !item.row.id.empty())
+        {
+            row_changes changes;
+            changes.removals.push_back({"servers", "", item.row.id});
+            (void)rows_.commit(changes);
+        }
+        write_row("servers", id, item.target->row_value());
+        item.row = {id, now};
+    }
+}
+
+void platform::run()
+{
+    while (!is_stopping_)
+    {
+        const std::int64_t now = steady_ms();
+        for (auto& [name, item] : units_)
+        {
+            item.target->advance();
+            register_unit(item, now);
+        }
+        std::this_thread::sleep_for(tick);
+    }
+}
+
+bool platform::command_target(const std::string& name,
+                              const std::string& action)
+{
+    const auto it = units_.find(name);
+    if (it == units_.end())
+    {
+        return false;
+    }
+    machine& target = *it->second.target;
+    machine_faults faults;
+    if (action == "crash")
+    {
+        target.crash();
+    }
+    else if (action == "boot" || action == "boot_renamed")
+    {
+        target.boot(action == "boot");
+    }
+    else if (action == "drain")
+    {
+        target.drain();
+    }
+    else if (action == "unhealthy")
+    {
+        faults.is_unhealthy = true;
+    }
+    else if (action == "delay_orders")
+    {
+        faults.delays_orders = true;
+    }
+    else if (action == "fail_runs")
+    {
+        faults.fails_runs = true;
+    }
+    else if (action == "slow")
+    {
+        // Factor on the time of runs that begin under this fault.
+        constexpr std::int64_t slowness = 6;
+        faults.slowness = slowness;
+    }
+    else if (action != "pass")
+    {
+        return false;
+    }
+    target.set_faults(faults);
+    return true;
+}
+
+http_response platform::control(const http_request& request)
+{
+    const absl::StatusOr<command> order =
+        from_json<command>(request.body, codec::unknown_fields::reject);
+    if (request.path != "/control" || !order.ok())
+    {
+        return json_reply(400, "{}");
+    }
+    bool is_known = true;
+    if (order->what == "store")
+    {
+        for (const std::string& name : names_or_all(order->names, stores_))
+        {
+            const auto it = stores_.find(name);
+            is_known &= it != stores_.end();
+            if (it != stores_.end())
+            {
+                it->second.api->set_faults({store_mode_from(order->action),
+                                            milliseconds(order->delay_ms)});
+            }
+        }
+    }
+    else if (order->what == "target")
+    {
+        for (const std::string& name : names_or_all(order->names, units_))
+        {
+            is_known &= command_target(name, order->action);
+        }
+    }
+    else if (order->what == "config")
+    {
+        set_config(order->version, order->second_queue);
+    }
+    else if (order->what == "drop_history")
+    {
+        rows_.drop_history();
+    }
+    else
+    {
+        is_known = false;
+    }
+    return json_reply(is_known ? 200 : 400, "{}");
+}
+
+} // namespace egretspindle::standin
--- /dev/null
+++ b/tools/standin_platform/platform.hpp
@@ -0,0 +1,80 @@
+/// \file
+/// The stand-in as a whole.
+
+#ifndef EGRETSPINDLE_TOOLS_STANDIN_PLATFORM_PLATFORM_HPP
+#define EGRETSPINDLE_TOOLS_STANDIN_PLATFORM_PLATFORM_HPP
+
+#include "egretspindle/net/http_server.hpp"
+
+#include "machine.hpp"
+#include "machine_api.hpp"
+#include "platform_options.hpp"
+#include "store_api.hpp"
+
+#include <absl/status/status.h>
+
+#include <atomic>
+#include <map>
+#include <memory>
+#include <string>
+#include <thread>
+
+namespace egretspindle::standin
+{
+
+/// Store, configuration and targets, each on its own address.
+class platform
+{
+public:
+    explicit platform(const platform_options& options);
+    ~platform();
+    platform(const platform&) = delete;
+    platform& operator=(const platform&) = delete;
+
+    /// Listens on all addresses and registers the targets.
+    [[nodiscard]] absl::Status start();
+
+    /// Executes a command of the control address.
+    [[nodiscard]] http_response control(const http_request& request);
+
+private:
+    struct store_door
+    {
+        std::unique_ptr<store_api> api;
+        std::unique_ptr<http_server> server;
+    };
+
+    struct registration
+    {
+        std::string id;
+        std::int64_t written_ms = 0;
+    };
+
+    struct unit
+    {
+        std::unique_ptr<machine> target;
+        std::unique_ptr<machine_api> api;
+        std::unique_ptr<http_server> server;
+        registration row;
+    };
+
+    void run();
+    void register_unit(unit& item, std::int64_t now);
+    void set_config(std::int64_t version, bool has_second_queue);
+    void write_row(const std::string& table, const std::string& key,
+                   const std::string& value);
+    [[nodiscard]] bool command_target(const std::string& name,
+                                      const std::string& action);
+
+    platform_options options_;
+    journal journal_;
+    row_table rows_;
+    std::map<std::string, store_door> stores_;
+    std::map<std::string, unit> units_;
+    std::atomic<bool> is_stopping_{false};
+    std::thread thread_;
+};
+
+} // namespace egretspindle::standin
+
+#endif
