--- a/bench/soak/client.cpp
+++ b/bench/soak/client.cpp
@@ -25,6 +25,10 @@
 // A client without an answer waits this long before its next attempt.
 constexpr int min_retry_ms = 100;
 constexpr int max_retry_ms = 600;
+// Jobs are cancelled at most this long after their choice. The ones that last
+// outlive a takeover of 3 s, a lease of 6 s and the slack after it.
+constexpr int max_cancel_delay_ms = 6'000;
+constexpr int max_lasting_ms = 20'000;
 constexpr int percent = 100;
 // Share of the calls after which a client goes to another host.
 constexpr int hop_percent = 2;
@@ -201,7 +205,9 @@
         // Jobs that last are all cancelled; so are some of the others.
         if (job.lasts || choose(0, 9) == 0)
         {
-            job.cancel_due_ms = steady_ms() + choose(0, 6'000);
+            job.cancel_due_ms =
+                steady_ms() +
+                choose(0, job.lasts ? max_lasting_ms : max_cancel_delay_ms);
         }
         jobs_.push_back(std::move(job));
         submit(jobs_.back());
--- a/bench/soak/options.cpp
+++ b/bench/soak/options.cpp
@@ -2,9 +2,11 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <cstdio>
 #include <cstdlib>
 #include <getopt.h>
+#include <iterator>
 
 namespace egretspindle::bench
 {
@@ -31,11 +33,6 @@
 constexpr int max_clients = 32;
 constexpr int max_seconds = 3'600;
 
-bool is_between(int value, int least, int most)
-{
-    return value >= least && value <= most;
-}
-
 } // namespace
 
 bool parse_options(int argc, char** argv, soak_options& result)
@@ -67,10 +64,13 @@
     result.seed = static_cast<unsigned>(seed);
     result.is_without_faults = lacks_faults != 0;
     result.keeps_logs = keeps_logs != 0;
-    is_valid &= optind == argc && is_between(result.seconds, 1, max_seconds) &&
-                is_between(result.hosts, 1, max_hosts) &&
-                is_between(result.targets, 1, max_targets) &&
-                is_between(result.clients, 1, max_clients);
+    const int bounds[] = {std::max(seed, 0), max_seconds, max_hosts,
+                          max_targets, max_clients};
+    for (std::size_t n = 0; n < std::size(bounds); ++n)
+    {
+        is_valid &= *numbers[n] >= (n == 0 ? 0 : 1) && *numbers[n] <= bounds[n];
+    }
+    is_valid &= optind == argc;
     if (!is_valid)
     {
         fmt::print(stderr, "{}", usage);
--- a/bench/soak/stage.cpp
+++ b/bench/soak/stage.cpp
@@ -87,6 +87,21 @@
     }
 }
 
+std::unique_ptr<test::child_process>
+stage::start(const std::string& program,
+             const std::vector<std::string>& arguments,
+             const std::string& control)
+{
+    auto process = std::make_unique<test::child_process>(
+        program, arguments, directory_.file(program + ".log"));
+    if (!test::wait_until(
+            [&] { return test::send_http(control, "GET", "/control").ok(); }))
+    {
+        throw std::runtime_error(program + " did not start");
+    }
+    return process;
+}
+
 void stage::start_platform(const soak_options& options)
 {
     std::vector<std::string> arguments{"--control",
@@ -107,16 +122,7 @@
         arguments.push_back("--target");
         arguments.push_back(text);
     }
-    platform_ = std::make_unique<test::child_process>(
-        "standin_platform", arguments, directory_.file("platform.log"));
-    const auto is_serving = [&]
-    {
-        return test::send_http(platform_control_, "GET", "/").ok();
-    };
-    if (!test::wait_until(is_serving))
-    {
-        throw std::runtime_error("the stand-in of the platform did not start");
-    }
+    platform_ = start("standin_platform", arguments, platform_control_);
 }
 
 void stage::start_proxy()
@@ -127,16 +133,7 @@
         arguments.push_back("--link");
         arguments.push_back(text);
     }
-    proxy_ = std::make_unique<test::child_process>(
-        "fault_proxy", arguments, directory_.file("proxy.log"));
-    const auto is_serving = [&]
-    {
-        return test::send_http(proxy_control_, "GET", "/control").ok();
-    };
-    if (!test::wait_until(is_serving))
-    {
-        throw std::runtime_error("the proxy did not start");
-    }
+    proxy_ = start("fault_proxy", arguments, proxy_control_);
 }
 
 void stage::write_settings(const host_process& host)
--- a/bench/soak/stage.hpp
+++ b/bench/soak/stage.hpp
@@ -87,6 +87,9 @@
 
 private:
     void reserve_ports(const soak_options& options);
+    [[nodiscard]] std::unique_ptr<test::child_process>
+    start(const std::string& program, const std::vector<std::string>& arguments,
+          const std::string& control);
     void start_platform(const soak_options& options);
     void start_proxy();
     void write_settings(const host_process& host);
--- a/bench/soak/target_faults.cpp
+++ b/bench/soak/target_faults.cpp
@@ -7,96 +7,145 @@
 namespace egretspindle::bench
 {
 
+namespace
+{
+
 using std::chrono::milliseconds;
 
+// Orders arrive for this long, which is less than a host waits for an answer.
+constexpr milliseconds delayed_time{700};
+// Suffices for the proxy to reset its connections.
+constexpr milliseconds reset_time{20};
+
+void command(stage& scene, const std::string& name, const std::string& action)
+{
+    scene.command(fmt::format(
+        R"({{"what":"target","names":["{}"],"action":"{}"}})", name, action));
+}
+
+// Ends the life of a target together with its connections.
+void crash(stage& scene, const std::string& name)
+{
+    scene.set_link("target-" + name, "reset");
+    command(scene, name, "crash");
+}
+
+void boot(stage& scene, const std::string& name, const std::string& action)
+{
+    command(scene, name, action);
+    scene.set_link("target-" + name, "pass");
+}
+
+soak_fault make_crash(std::mt19937& random, stage& scene,
+                      const std::string& name)
+{
+    const std::string action =
+        choose(random, 0, 1) == 0 ? "boot" : "boot_renamed";
+    soak_fault item;
+    item.text = fmt::format("crash {}, then {}", name, action);
+    item.length = milliseconds(choose(random, 50, 8'000));
+    item.inject = [&scene, name]
+    {
+        crash(scene, name);
+    };
+    item.remove = [&scene, name, action]
+    {
+        boot(scene, name, action);
+    };
+    return item;
+}
+
+soak_fault make_drain(std::mt19937& random, stage& scene,
+                      const std::string& name)
+{
+    soak_fault item;
+    item.text = "drain " + name;
+    item.length = milliseconds(choose(random, 6'000, 8'000));
+    item.inject = [&scene, name]
+    {
+        command(scene, name, "drain");
+    };
+    item.remove = [&scene, name]
+    {
+        crash(scene, name);
+        boot(scene, name, "boot_renamed");
+    };
+    return item;
+}
+
+soak_fault make_trouble(std::mt19937& random, stage& scene,
+                        const std::string& name, const std::string& action)
+{
+    soak_fault item;
+    item.text = fmt::format("{} {}", action, name);
+    item.length = milliseconds(choose(random, 300, 6'000));
+    item.inject = [&scene, name, action]
+    {
+        command(scene, name, action);
+    };
+    item.remove = [&scene, name]
+    {
+        command(scene, name, "pass");
+    };
+    return item;
+}
+
+// Orders whose connection is reset while they wait are sent again and
+// refused; the first copies are executed later.
+soak_fault make_late_copies(std::mt19937& random, stage& scene,
+                            const std::string& name)
+{
+    soak_fault item;
+    item.text = "late first copies at " + name;
+    item.length = milliseconds(choose(random, 1'000, 4'000));
+    item.inject = [&scene, name]
+    {
+        command(scene, name, "delay_orders");
+        std::this_thread::sleep_for(delayed_time);
+        command(scene, name, "unhealthy");
+        scene.set_link("target-" + name, "reset");
+        std::this_thread::sleep_for(reset_time);
+        scene.set_link("target-" + name, "pass");
+    };
+    item.remove = [&scene, name]
+    {
+        command(scene, name, "pass");
+    };
+    return item;
+}
+
+} // namespace
+
 soak_fault choose_target_fault(std::mt19937& random, stage& scene)
 {
+    const char* const troubles[] = {"unhealthy", "delay_orders", "fail_runs",
+                                    "slow"};
     const long last = static_cast<long>(scene.targets().size()) - 1;
     const std::string name =
         scene.targets()[static_cast<std::size_t>(choose(random, 0, last))];
-    const std::string link = "target-" + name;
-    const auto command = [&scene, name](const char* action)
-    {
-        scene.command(
-            fmt::format(R"({{"what":"target","names":["{}"],"action":"{}"}})",
-                        name, action));
-    };
-    soak_fault item;
-    item.victim = link;
     const long kind = choose(random, 0, 9);
+    soak_fault item;
     if (kind <= 1)
     {
-        const bool keeps_id = choose(random, 0, 1) == 0;
-        item.text = fmt::format("crash {}, {}", name,
-                                keeps_id ? "same id" : "another id");
-        item.length = milliseconds(choose(random, 50, 8'000));
-        item.inject = [&scene, link, command]
-        {
-            scene.set_link(link, "reset");
-            command("crash");
-        };
-        item.remove = [&scene, link, command, keeps_id]
-        {
-            command(keeps_id ? "boot" : "boot_renamed");
-            scene.set_link(link, "pass");
-        };
+        item = make_crash(random, scene, name);
     }
     else if (kind == 2)
     {
-        item.text = "drain " + name;
-        item.length = milliseconds(choose(random, 6'000, 8'000));
-        item.inject = [command]
-        {
-            command("drain");
-        };
-        item.remove = [&scene, link, command]
-        {
-            scene.set_link(link, "reset");
-            command("crash");
-            command("boot_renamed");
-            scene.set_link(link, "pass");
-        };
+        item = make_drain(random, scene, name);
     }
     else if (kind <= 6)
     {
-        const char* const actions[] = {"unhealthy", "delay_orders", "fail_runs",
-                                       "slow"};
-        const char* const action = actions[kind - 3];
-        item.text = fmt::format("{} {}", action, name);
-        item.length = milliseconds(choose(random, 300, 6'000));
-        item.inject = [command, action]
-        {
-            command(action);
-        };
-        item.remove = [command]
-        {
-            command("pass");
-        };
+        item = make_trouble(random, scene, name, troubles[kind - 3]);
     }
     else if (kind == 7)
     {
-        // Orders whose connection is reset while they wait are sent again and
-        // refused; the first copies are executed later.
-        item.text = "late first copies at " + name;
-        item.length = milliseconds(choose(random, 1'000, 4'000));
-        item.inject = [&scene, link, command]
-        {
-            command("delay_orders");
-            std::this_thread::sleep_for(milliseconds(700));
-            command("unhealthy");
-            scene.set_link(link, "reset");
-            std::this_thread::sleep_for(milliseconds(20));
-            scene.set_link(link, "pass");
-        };
-        item.remove = [command]
-        {
-            command("pass");
-        };
+        item = make_late_copies(random, scene, name);
     }
     else
     {
-        return make_link_fault(random, scene, link);
+        item = make_link_fault(random, scene, "target-" + name);
     }
+    item.victim = "target-" + name;
     return item;
 }
 
--- a/tools/standin_platform/machine.hpp
+++ b/tools/standin_platform/machine.hpp
@@ -4,7 +4,10 @@
 #ifndef EGRETSPINDLE_TOOLS_STANDIN_PLATFORM_MACHINE_HPP
 #define EGRETSPINDLE_TOOLS_STANDIN_PLATFORM_MACHINE_HPP
 
-#include "journal.hpp"
+#include "egretspindle/codec/json.hpp"
+
+#include "common/line_file.hpp"
+#include "common/platform_event.hpp"
 #include "machine_order.hpp"
 #include "platform_options.hpp"
 
@@ -20,6 +23,23 @@
 namespace egretspindle::standin
 {
 
+/// Appends events to a file; usable from several threads.
+class journal
+{
+public:
+    explicit journal(const std::string& path) : file_(path) {}
+
+    void write(const platform_event& event)
+    {
+        const std::lock_guard<std::mutex> lock(mutex_);
+        file_.append(to_json(event));
+    }
+
+private:
+    std::mutex mutex_;
+    line_file file_;
+};
+
 /// What a target does with the orders it receives.
 struct machine_faults
 {
--- a/tools/standin_platform/platform.cpp
+++ b/tools/standin_platform/platform.cpp
@@ -6,6 +6,8 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
+
 namespace egretspindle::standin
 {
 
@@ -59,20 +61,11 @@
     return limits;
 }
 
-template <typename Map>
-std::vector<std::string> names_or_all(const std::vector<std::string>& names,
-                                      const Map& all)
+bool is_meant(const command& order, const std::string& name)
 {
-    if (!names.empty())
-    {
-        return names;
-    }
-    std::vector<std::string> result;
-    for (const auto& [name, item] : all)
-    {
-        result.push_back(name);
-    }
-    return result;
+    return order.names.empty() ||
+           std::find(order.names.begin(), order.names.end(), name) !=
+               order.names.end();
 }
 
 } // namespace
@@ -158,21 +151,18 @@
 void platform::register_unit(unit& item, std::int64_t now)
 {
     const std::string id = item.target->view().id;
-    const bool is_gone = !item.row.id.empty() && item.row.id != id;
-    if (is_gone && now - item.row.written_ms > row_lifetime_ms)
+    const std::int64_t age = now - item.row_ms;
+    const bool is_former = !item.row_id.empty() && item.row_id != id;
+    if (is_former && (!id.empty() || age > row_lifetime_ms))
     {
-        rows_.remove("servers", item.row.id);
-        item.row = {};
+        rows_.remove("servers", item.row_id);
+        item.row_id.clear();
     }
-    if (!id.empty() &&
-        (item.row.id != id || now - item.row.written_ms >= row_interval_ms))
+    if (!id.empty() && (item.row_id != id || age >= row_interval_ms))
     {
-        if (is_gone && !item.row.id.empty())
-        {
-            rows_.remove("servers", item.row.id);
-        }
         rows_.write("servers", id, item.target->row_value());
-        item.row = {id, now};
+        item.row_id = id;
+        item.row_ms = now;
     }
 }
 
@@ -190,15 +180,8 @@
     }
 }
 
-bool platform::command_target(const std::string& name,
-                              const std::string& action)
+void platform::command_target(machine& target, const std::string& action)
 {
-    const auto it = units_.find(name);
-    if (it == units_.end())
-    {
-        return false;
-    }
-    machine& target = *it->second.target;
     if (action == "crash")
     {
         target.crash();
@@ -220,7 +203,6 @@
     faults.fails_runs = action == "fail_runs";
     faults.slowness = action == "slow" ? slowness : 1;
     target.set_faults(faults);
-    return true;
 }
 
 http_response platform::control(const http_request& request)
@@ -231,40 +213,30 @@
     {
         return json_reply(400, "{}");
     }
-    bool is_known = true;
-    if (order->what == "store")
+    for (auto& [name, door] : stores_)
     {
-        for (const std::string& name : names_or_all(order->names, stores_))
+        if (order->what == "store" && is_meant(*order, name))
         {
-            const auto it = stores_.find(name);
-            is_known &= it != stores_.end();
-            if (it != stores_.end())
-            {
-                it->second.api->set_faults(
-                    {order->action, milliseconds(order->delay_ms)});
-            }
+            door.api->set_faults(
+                {order->action, milliseconds(order->delay_ms)});
         }
     }
-    else if (order->what == "target")
+    for (auto& [name, item] : units_)
     {
-        for (const std::string& name : names_or_all(order->names, units_))
+        if (order->what == "target" && is_meant(*order, name))
         {
-            is_known &= command_target(name, order->action);
+            command_target(*item.target, order->action);
         }
     }
-    else if (order->what == "config")
+    if (order->what == "config")
     {
         set_config(order->version, order->second_queue);
     }
-    else if (order->what == "drop_history")
+    if (order->what == "drop_history")
     {
         rows_.drop_history();
     }
-    else
-    {
-        is_known = false;
-    }
-    return json_reply(is_known ? 200 : 400, "{}");
+    return json_reply(200, "{}");
 }
 
 } // namespace egretspindle::standin
--- a/tools/standin_platform/platform.hpp
+++ b/tools/standin_platform/platform.hpp
@@ -44,25 +44,19 @@
         std::unique_ptr<http_server> server;
     };
 
-    struct registration
-    {
-        std::string id;
-        std::int64_t written_ms = 0;
-    };
-
     struct unit
     {
         std::unique_ptr<machine> target;
         std::unique_ptr<machine_api> api;
         std::unique_ptr<http_server> server;
-        registration row;
+        std::string row_id;      ///< of its row; empty: none
+        std::int64_t row_ms = 0; ///< when the row was written
     };
 
     void run();
     void register_unit(unit& item, std::int64_t now);
     void set_config(std::int64_t version, bool has_second_queue);
-    [[nodiscard]] bool command_target(const std::string& name,
-                                      const std::string& action);
+    static void command_target(machine& target, const std::string& action);
 
     platform_options options_;
     journal journal_;
