--- a/include/egretspindle/rack/load_period.hpp
+++ b/include/egretspindle/rack/load_period.hpp
@@ -33,6 +33,10 @@
 /// Bytes that a target with 4 serving images takes in a report.
 constexpr std::int64_t target_bytes = 80;
 
+/// Time from the choice of a rack until its owner has queued the start: the
+/// record of the assignment and one message. Reports that arrive later show it.
+constexpr milliseconds placement_transit{300};
+
 /// Hosts and targets of the fleet.
 struct fleet_size
 {
