Write heartbeats from a thread of their own

A host that was only slow lost all its racks and shards after 3 s, although it was alive. Its heartbeat, its read, its claims and the hooks of the other parts ran one after the other in one thread; the store's calls take up to 800 ms each, and the hooks wait for locks.

The class heartbeat writes the row every second from its own thread and with its own lock. The agent only hands it the number of jobs that have not begun, which needs the coordinator's lock. The first write still precedes the first read, and leaving writes at once.

A host that cannot write changes no row and is taken over after 3 s as before. A host whose agent thread makes no progress for 10 s writes no heartbeats, so that a host that hangs is taken over still; it was after 3 s before.

Not measured on a site.

--- a/bench/codec/main.cpp
+++ b/bench/codec/main.cpp
@@ -2,7 +2,7 @@
 /// Time to decode and encode a page of the store and a load report.
 
 #include "egretspindle/codec/json.hpp"
-#include "egretspindle/rack/fleet_load.hpp"
+#include "egretspindle/rack/load_message.hpp"
 
 #include <algorithm>
 #include <chrono>
@@ -52,9 +52,9 @@
     return page;
 }
 
-load_report make_report()
+load_message make_report()
 {
-    load_report report{"host-17", 4711, 1'764'826'571'123, {}, {}};
+    std::vector<rack_room> racks;
     for (int rack = 0; rack < 2; ++rack)
     {
         rack_room room{"rack-" + std::to_string(rack), 12, 48'000, {}, {}};
@@ -68,9 +68,9 @@
             target.is_open = true;
             room.targets.push_back(target);
         }
-        report.racks.push_back(room);
+        racks.push_back(room);
     }
-    return report;
+    return room_messages("host-17", 1'764'826'571'123, racks).front();
 }
 
 /// Prints the time of one call in microseconds: minimum, median and maximum.
@@ -106,14 +106,14 @@
 {
     const std::vector<stored_row> page = make_page();
     const std::string page_text = to_json(page);
-    const load_report report = make_report();
+    const load_message report = make_report();
     const std::string report_text = to_json(report);
     measure("decode page", page_text.size(),
             [&] { return from_json<std::vector<stored_row>>(page_text).ok(); });
     measure("encode page", page_text.size(),
             [&] { return !to_json(page).empty(); });
     measure("decode report", report_text.size(),
-            [&] { return from_json<load_report>(report_text).ok(); });
+            [&] { return from_json<load_message>(report_text).ok(); });
     measure("encode report", report_text.size(),
             [&] { return !to_json(report).empty(); });
 }
--- a/include/egretspindle/cluster/cluster_view.hpp
+++ b/include/egretspindle/cluster/cluster_view.hpp
@@ -111,6 +111,9 @@
     /// Between reads of the whole table, which correct a missed change. Changes
     /// are read every second; the whole table is over 200 rows on large sites.
     milliseconds whole_read{30'000};
+    /// No step of a round of reads and claims has ended for this long: the host
+    /// hangs, and writes no heartbeats. Slow calls take up to 3 s.
+    milliseconds stall{10'000};
 };
 
 /// Takes over the rows of one read.
--- a/src/scheduler/cluster_agent.cpp
+++ b/src/scheduler/cluster_agent.cpp
@@ -5,6 +5,7 @@
 #include "egretspindle/core/error.hpp"
 #include "egretspindle/logging/log.hpp"
 #include "egretspindle/scheduler/cluster_rows.hpp"
+#include "egretspindle/scheduler/heartbeat.hpp"
 #include "egretspindle/scheduler/shard.hpp"
 
 #include <fmt/format.h>
@@ -62,13 +63,12 @@
 {
     impl(table_store& rows, host_row row, cluster_hooks callbacks,
          const liveness_limits& bounds)
-        : store(rows), self(std::move(row)), hooks(std::move(callbacks)),
-          limits(bounds)
+        : store(rows), self(std::move(row)), beats(rows, self, bounds.stall),
+          hooks(std::move(callbacks)), limits(bounds)
     {
     }
 
     void run();
-    void beat();
     bool read();
     [[nodiscard]] absl::StatusOr<cluster_rows> read_whole() const;
     [[nodiscard]] absl::StatusOr<cluster_rows> read_changes() const;
@@ -81,14 +81,14 @@
     [[nodiscard]] former_owner former_of(const resource& item) const;
 
     table_store& store;
-    host_row self;
+    const host_row self; ///< as of the start
+    heartbeat beats;
     cluster_hooks hooks;
     liveness_limits limits;
     mutable std::mutex mutex;
     std::condition_variable wake;
     bool is_stopping = false;
     bool is_refresh_wanted = false;
-    bool has_failed = false;
     cluster_view view;
     contact_reports contacts;
     bool has_table = false;         ///< changes can be read; of the thread
@@ -132,34 +132,6 @@
     return item;
 }
 
-void cluster_agent::impl::beat()
-{
-    row_transaction transaction;
-    const std::map<std::string, std::int64_t> pending = hooks.pending();
-    {
-        const std::lock_guard<std::mutex> lock(mutex);
-        self.pending = pending;
-        ++self.beat;
-        transaction.writes.push_back(
-            make_row(std::string(host_prefix) + self.name, to_json(self)));
-    }
-    const absl::StatusOr<transaction_result> result =
-        store.commit(transaction, call_timeout);
-    const std::lock_guard<std::mutex> lock(mutex);
-    if (!result.ok() && !has_failed)
-    {
-        has_failed = true;
-        log_warning("heartbeat was not written",
-                    {{"beat", self.beat},
-                     {"error", std::string(result.status().message())}});
-    }
-    else if (result.ok() && has_failed)
-    {
-        has_failed = false;
-        log_info("heartbeat written again", {{"beat", self.beat}});
-    }
-}
-
 absl::StatusOr<cluster_rows> cluster_agent::impl::read_whole() const
 {
     std::vector<table_row> rows;
@@ -348,10 +320,12 @@
     for (const std::string& name : lost)
     {
         hooks.lost(name);
+        beats.note_progress();
     }
     for (const auto& [name, token, former] : taken)
     {
         hooks.taken(name, token, former, confirmed_at);
+        beats.note_progress();
     }
 }
 
@@ -370,10 +344,13 @@
 
 void cluster_agent::impl::run()
 {
+    // Only a host that the read shows as live may claim.
+    beats.wait_for_first();
     for (;;)
     {
         const time_point begun = steady_clock::now();
-        beat();
+        beats.note_progress();
+        beats.set_pending(hooks.pending());
         const moment read_at = current_moment();
         if (read())
         {
@@ -451,6 +428,7 @@
 
 void cluster_agent::start()
 {
+    impl_->beats.start();
     impl_->thread = std::thread([this] { impl_->run(); });
 }
 
@@ -461,6 +439,7 @@
         impl_->is_stopping = true;
         impl_->wake.notify_all();
     }
+    impl_->beats.stop();
     if (impl_->thread.joinable())
     {
         impl_->thread.join();
@@ -469,10 +448,8 @@
 
 void cluster_agent::leave()
 {
-    const std::lock_guard<std::mutex> lock(impl_->mutex);
-    impl_->self.is_leaving = true;
-    impl_->is_refresh_wanted = true;
-    impl_->wake.notify_all();
+    impl_->beats.leave();
+    refresh();
 }
 
 void cluster_agent::refresh()
--- a/tests/scheduler/fake_store.hpp
+++ b/tests/scheduler/fake_store.hpp
@@ -32,6 +32,9 @@
     /// Called when a write has arrived and is not done yet.
     std::function<void()> before_commit;
 
+    /// Called when a read of rows or changes has arrived.
+    std::function<void()> before_read;
+
     /// Called before a page after the first one is read.
     std::function<void()> before_next_page;
 
@@ -94,6 +97,10 @@
     absl::StatusOr<table_page> read(const row_range& range,
                                     std::chrono::milliseconds) override
     {
+        if (before_read)
+        {
+            before_read();
+        }
         if (before_next_page && !range.from.empty())
         {
             before_next_page();
@@ -132,6 +139,10 @@
     absl::StatusOr<table_page> watch(std::string_view table, std::int64_t after,
                                      std::chrono::milliseconds wait) override
     {
+        if (before_read)
+        {
+            before_read();
+        }
         std::unique_lock<std::mutex> lock(mutex_);
         if (is_unreadable_)
         {
