--- a/cmake/packages.cmake
+++ b/cmake/packages.cmake
@@ -151,7 +151,7 @@
      ${CMAKE_SOURCE_DIR}/bench/*)
 foreach(name IN LISTS bench_names)
   if(IS_DIRECTORY ${CMAKE_SOURCE_DIR}/bench/${name} AND support_sources)
-    egret_program(bench ${name} egret_test_support egret_node)
+    egret_program(bench ${name} egret_test_support egret_node egret_rack)
   endif()
 endforeach()
 
