Give a repeated start another run number when its first copy may have ended

After a takeover the owner of a rack started a recorded run again under the same number once the lease of a target that it had not reached had expired. The target came back and listed the end of the run; the job's owner took it for the end of the copy that was at work, and made a third run.

If a target of an earlier owner was given up without having been reached, the repeated start is now reported as lost, and the job's owner records a run with the next number, so the late end concerns nobody.

--- a/include/egretspindle/rack/rack_decision.hpp
+++ b/include/egretspindle/rack/rack_decision.hpp
@@ -146,8 +146,10 @@
                                                time_point now);
 
 /// Applies what the record says of a repeated start: it may start now, or is
-/// forgotten.
-void resolve_repeated(rack_state& rack, const run_id& id, bool is_recorded);
+/// forgotten. It is reported as lost when it may have run on a target that this
+/// owner has not reached.
+[[nodiscard]] std::vector<run_event>
+resolve_repeated(rack_state& rack, const run_id& id, bool is_recorded);
 
 /// Notes that the ends of runs are reported, so that a start that is sent
 /// again cannot revive them.
--- a/include/egretspindle/rack/rack_state.hpp
+++ b/include/egretspindle/rack/rack_state.hpp
@@ -123,6 +123,9 @@
     std::map<std::string, rack_target> targets; ///< by id
     std::size_t recorded_targets = 0;           ///< in the durable list
     std::vector<queued_start> queue;
+    /// A target of an earlier owner was given up without having been reached.
+    /// It may list the ends of runs of that owner later.
+    bool has_unseen_ends = false;
     std::set<run_id> stops; ///< of runs that are not known here yet
     /// Latest run of each task whose end was reported by this owner. A start
     /// that is sent again must not revive it.
--- a/src/rack/rack_decision.cpp
+++ b/src/rack/rack_decision.cpp
@@ -501,6 +501,8 @@
         {
             drop_all(target, end_cause::lease_expired, events);
         }
+        rack.has_unseen_ends |=
+            is_expired && target.is_inherited && !target.is_reached;
         if (is_expired && !target.is_listed)
         {
             it = rack.targets.erase(it);
@@ -675,8 +677,10 @@
     }
 }
 
-void resolve_repeated(rack_state& rack, const run_id& id, bool is_recorded)
+std::vector<run_event> resolve_repeated(rack_state& rack, const run_id& id,
+                                        bool is_recorded)
 {
+    std::vector<run_event> events;
     const auto it =
         std::find_if(rack.queue.begin(), rack.queue.end(),
                      [&id](const queued_start& item) {
@@ -684,16 +688,31 @@
                      });
     if (it == rack.queue.end())
     {
-        return;
+        return events;
     }
-    if (is_recorded)
+    const bool has_unseen_ends =
+        rack.has_unseen_ends ||
+        std::any_of(rack.targets.begin(), rack.targets.end(),
+                    [](const auto& item) {
+                        return item.second.is_inherited &&
+                               !item.second.is_reached;
+                    });
+    if (is_recorded && !has_unseen_ends)
     {
         it->is_repeated = false;
+        return events;
     }
-    else
+    if (is_recorded)
     {
-        rack.queue.erase(it);
+        // It may have run on a target that was not reached, whose list will
+        // name its end; the next run has a number of its own.
+        run_event event = not_started(*it, end_cause::lease_expired);
+        event.how = run_end::lost;
+        events.push_back(std::move(event));
     }
+    rack.queue.erase(it);
+    remember_ends(rack, events);
+    return events;
 }
 
 void remember_ends(rack_state& rack, const std::vector<run_event>& events)
--- a/src/scheduler/rack_agent.cpp
+++ b/src/scheduler/rack_agent.cpp
@@ -269,11 +269,17 @@
                                                   {"run", id.second},
                                                   {"rack", name},
                                                   {"recorded", *is_recorded}});
-        const std::lock_guard<std::mutex> lock(mutex);
-        if (rack_state* rack = find_rack(name))
+        std::vector<run_event> events;
+        std::int64_t token = 0;
         {
-            resolve_repeated(*rack, id, *is_recorded);
+            const std::lock_guard<std::mutex> lock(mutex);
+            if (rack_state* rack = find_rack(name))
+            {
+                token = rack->token;
+                events = resolve_repeated(*rack, id, *is_recorded);
+            }
         }
+        publish(name, token, events);
     }
 }
 
