Fence the records of a shard against its former owner

A host that has lost a shard and does not know it yet fails to write a job, reads it again and records an end on top of the row of the new owner. The end is acknowledged, and the new owner, whose copy of the job is outdated, waits for it without limit.

The owner of a shard now replaces a row of the shard's part before it reads the jobs, and each write of records has the version of that row as a condition. A host whose write fails on it gives the shard up and confirms its ownership in the store. Where transactions may span parts, the fence is written only under the current owner row. A shard without a written fence answers no calls, so two tests wait for the shard before they make the store refuse writes, and one takes both shards before the outage; their checks are unchanged.

The condition on the owner row itself was ruled out: it would put every record of all shards into one part, which takes 300 writes a second. The new test failed before: the former owner recorded the end at its second try.

--- a/include/egretspindle/scheduler/job_coordinator.hpp
+++ b/include/egretspindle/scheduler/job_coordinator.hpp
@@ -36,6 +36,8 @@
         has_room_to_last;
     /// Token of the current owner of a rack; 0: none known.
     std::function<std::int64_t(const std::string& rack)> rack_token;
+    /// Another host has taken a shard over.
+    std::function<void(const std::string& shard)> lost_shard;
     /// Sends orders to the owner of a rack, without waiting.
     std::function<void(rack_orders orders)> send;
 };
@@ -74,7 +76,8 @@
     job_coordinator& operator=(const job_coordinator&) = delete;
 
     /// Reads the jobs of a shard, and serves it from then on.
-    void take_shard(const std::string& shard);
+    /// \param token  version of the owner row; 0: not checked
+    void take_shard(const std::string& shard, std::int64_t token = 0);
 
     /// Forgets the jobs of a shard.
     void drop_shard(const std::string& shard);
--- a/include/egretspindle/scheduler/shard.hpp
+++ b/include/egretspindle/scheduler/shard.hpp
@@ -28,6 +28,11 @@
 /// Keys of rows with the targets of a rack begin with this.
 constexpr std::string_view roster_prefix = "roster/";
 
+/// Key of the row of a shard that its owner replaces before it reads the jobs.
+/// Each write of job records has its version as a condition. Sorts before all
+/// job ids.
+constexpr std::string_view shard_fence_key = "!owner";
+
 /// Returns the shard of a job, equal on every host.
 [[nodiscard]] std::string shard_of(std::string_view job_id);
 
--- a/src/scheduler/job_coordinator.cpp
+++ b/src/scheduler/job_coordinator.cpp
@@ -57,13 +57,13 @@
     }
 }
 
-void job_coordinator::take_shard(const std::string& shard)
+void job_coordinator::take_shard(const std::string& shard, std::int64_t token)
 {
     const std::lock_guard<std::mutex> lock(impl_->mutex);
     if (impl_->is_stopping ||
         !impl_->shards
-             .emplace(shard,
-                      shard_state{shard_phase::loading, steady_clock::now()})
+             .emplace(shard, shard_state{shard_phase::loading,
+                                         steady_clock::now(), token, 0})
              .second)
     {
         return;
--- a/src/scheduler/job_coordinator_impl.hpp
+++ b/src/scheduler/job_coordinator_impl.hpp
@@ -35,6 +35,8 @@
 {
     shard_phase phase = shard_phase::loading;
     time_point taken_at;
+    std::int64_t token = 0; ///< version of the owner row
+    std::int64_t fence = 0; ///< version of the fence row that this host wrote
 };
 
 /// State and functions; each group of functions has a file of its own.
@@ -49,7 +51,10 @@
     // job_coordinator_shards.cpp: what is in memory
     void load(const std::string& shard);
     void load_loop();
+    bool fence_shard(const std::string& shard, std::int64_t token,
+                     std::int64_t& version);
     bool read_shard(const std::string& shard, std::vector<table_row>& rows);
+    void give_up_shard(const std::string& shard);
     void insert(const table_row& row, const std::string& shard);
     entry_ptr find(const std::string& id);
     entry_ptr fetch(const std::string& id, bool& is_reachable);
@@ -87,6 +92,10 @@
     bool attempt(const std::vector<entry_ptr>& batch,
                  const row_transaction& transaction,
                  const std::vector<std::uint64_t>& changes);
+    void add_fences(const std::vector<entry_ptr>& batch,
+                    row_transaction& transaction) const;
+    std::vector<std::string> drop_fenced(const row_transaction& transaction,
+                                         const transaction_result& result);
     void add_owner_conditions(const std::vector<entry_ptr>& batch,
                               row_transaction& transaction) const;
     void apply_conflict(const std::vector<entry_ptr>& batch,
--- a/src/scheduler/job_coordinator_records.cpp
+++ b/src/scheduler/job_coordinator_records.cpp
@@ -60,15 +60,17 @@
 {
     std::vector<entry_ptr> batch;
     std::deque<entry_ptr> others;
-    std::set<std::string> racks;
+    std::set<std::string> owners;
     while (!dirty.empty() && batch.size() < limits.max_batch)
     {
         entry_ptr entry = std::move(dirty.front());
         dirty.pop_front();
         const bool is_other_part = !limits.may_span_parts && !batch.empty() &&
                                    entry->shard != batch.front()->shard;
-        // A condition and a write for each job, a condition for each rack.
-        std::set<std::string> together = racks;
+        // A condition and a write for each job, a condition for each shard and
+        // each rack.
+        std::set<std::string> together = owners;
+        together.insert("shard/" + entry->shard);
         for (const auto& [rack, owner] : entry->relied)
         {
             together.insert(rack);
@@ -81,7 +83,7 @@
             others.push_back(std::move(entry));
             continue;
         }
-        racks = std::move(together);
+        owners = std::move(together);
         entry->is_queued = false;
         entry->is_writing = true;
         batch.push_back(std::move(entry));
@@ -144,6 +146,7 @@
             // The caller of a new job is told whether it can run.
             transaction.is_sent_once |= entry->version == 0;
         }
+        add_fences(batch, transaction);
         add_owner_conditions(batch, transaction);
     }
     std::minstd_rand random{std::random_device{}()};
@@ -169,6 +172,52 @@
     }
 }
 
+// A former owner of a shard may not have learned yet that it has lost it.
+void job_coordinator::impl::add_fences(const std::vector<entry_ptr>& batch,
+                                       row_transaction& transaction) const
+{
+    std::set<std::string> names;
+    for (const entry_ptr& entry : batch)
+    {
+        names.insert(entry->shard);
+    }
+    for (const std::string& name : names)
+    {
+        // The row exists, so that 0 fails for a shard that this host has
+        // dropped.
+        const auto it = shards.find(name);
+        transaction.conditions.push_back(
+            {std::string(jobs_table), name, std::string(shard_fence_key),
+             it == shards.end() ? 0 : it->second.fence});
+    }
+}
+
+// Gives up the shards whose fence has been replaced, and names them.
+std::vector<std::string>
+job_coordinator::impl::drop_fenced(const row_transaction& transaction,
+                                   const transaction_result& result)
+{
+    std::vector<std::string> dropped;
+    for (const row_condition& condition : transaction.conditions)
+    {
+        const bool is_valid =
+            condition.key != shard_fence_key ||
+            std::any_of(result.current.begin(), result.current.end(),
+                        [&condition](const table_row& row)
+                        {
+                            return row.key == condition.key &&
+                                   row.part == condition.part &&
+                                   row.version == condition.version;
+                        });
+        if (!is_valid)
+        {
+            give_up_shard(condition.part);
+            dropped.push_back(condition.part);
+        }
+    }
+    return dropped;
+}
+
 // What the owner of a rack concludes holds only if it is still the owner when
 // that becomes durable: a later owner may have started the run. Owner rows lie
 // in another part than jobs, so this needs transactions over several parts;
@@ -207,6 +256,7 @@
     const absl::StatusOr<transaction_result> result =
         store.commit(transaction, limits.commit_timeout);
     std::map<std::string, rack_orders> orders;
+    std::vector<std::string> lost;
     {
         const std::lock_guard<std::mutex> lock(mutex);
         if (!result.ok())
@@ -237,7 +287,11 @@
         }
         else
         {
-            apply_conflict(batch, transaction, changes, *result);
+            lost = drop_fenced(transaction, *result);
+            if (lost.empty())
+            {
+                apply_conflict(batch, transaction, changes, *result);
+            }
         }
         const time_point now = steady_clock::now();
         for (const entry_ptr& entry : batch)
@@ -249,6 +303,10 @@
         }
         changed.notify_all();
     }
+    for (const std::string& shard : lost)
+    {
+        hooks.lost_shard(shard);
+    }
     send_all(orders);
     return true;
 }
--- a/src/scheduler/job_coordinator_shards.cpp
+++ b/src/scheduler/job_coordinator_shards.cpp
@@ -14,6 +14,52 @@
 
 } // namespace
 
+// Makes every later write of a former owner of the shard fail, also one that it
+// makes after it has read a job again.
+bool job_coordinator::impl::fence_shard(const std::string& shard,
+                                        std::int64_t token,
+                                        std::int64_t& version)
+{
+    row_range range;
+    range.table = std::string(jobs_table);
+    range.part = shard;
+    range.from = std::string(shard_fence_key);
+    range.limit = 1;
+    const absl::StatusOr<table_page> page =
+        store.read(range, limits.commit_timeout);
+    if (!page.ok())
+    {
+        return false;
+    }
+    const bool is_there =
+        !page->rows.empty() && page->rows.front().key == shard_fence_key;
+    row_transaction transaction;
+    table_row row;
+    row.table = range.table;
+    row.part = shard;
+    row.key = range.from;
+    row.value = std::to_string(unix_ms());
+    transaction.conditions.push_back(
+        {row.table, row.part, row.key,
+         is_there ? page->rows.front().version : 0});
+    transaction.writes.push_back(std::move(row));
+    if (token > 0 && limits.may_span_parts)
+    {
+        transaction.conditions.push_back({std::string(cluster_table), "",
+                                          std::string(shard_prefix) + shard,
+                                          token});
+        transaction.spans_parts = true;
+    }
+    const absl::StatusOr<transaction_result> result =
+        store.commit(transaction, limits.commit_timeout);
+    if (!result.ok() || !result->is_committed)
+    {
+        return false;
+    }
+    version = result->version;
+    return true;
+}
+
 bool job_coordinator::impl::read_shard(const std::string& shard,
                                        std::vector<table_row>& rows)
 {
@@ -43,6 +89,10 @@
 void job_coordinator::impl::insert(const table_row& row,
                                    const std::string& shard)
 {
+    if (shards.count(shard) == 0)
+    {
+        return; // dropped while the row was read
+    }
     absl::StatusOr<job> value = decode_job(row.key, row.value);
     if (!value.ok())
     {
@@ -86,7 +136,19 @@
 void job_coordinator::impl::load(const std::string& shard)
 {
     std::vector<table_row> rows;
-    const bool is_read = read_shard(shard, rows);
+    std::int64_t token = 0;
+    std::int64_t fence = 0;
+    {
+        const std::lock_guard<std::mutex> lock(mutex);
+        const auto it = shards.find(shard);
+        if (it == shards.end())
+        {
+            return;
+        }
+        token = it->second.token;
+    }
+    const bool is_read =
+        fence_shard(shard, token, fence) && read_shard(shard, rows);
     std::unique_lock<std::mutex> lock(mutex);
     const auto it = shards.find(shard);
     if (it == shards.end() || it->second.phase == shard_phase::ready)
@@ -99,9 +161,10 @@
         has_loads.wait_for(lock, load_retry, [this] { return is_stopping; });
         return;
     }
+    it->second.fence = fence;
     for (const table_row& row : rows)
     {
-        if (jobs.count(row.key) == 0)
+        if (row.key != shard_fence_key && jobs.count(row.key) == 0)
         {
             insert(row, shard);
         }
@@ -111,6 +174,20 @@
     log_info("shard taken over", {{"shard", shard}, {"jobs", rows.size()}});
 }
 
+// Forgets a shard whose fence another host has replaced.
+void job_coordinator::impl::give_up_shard(const std::string& shard)
+{
+    if (shards.erase(shard) == 0)
+    {
+        return;
+    }
+    for (auto it = jobs.begin(); it != jobs.end();)
+    {
+        it = it->second->shard == shard ? jobs.erase(it) : std::next(it);
+    }
+    log_info("shard is owned by another host", {{"shard", shard}});
+}
+
 void job_coordinator::impl::load_loop()
 {
     for (;;)
--- a/src/scheduler/job_scheduler.cpp
+++ b/src/scheduler/job_scheduler.cpp
@@ -185,6 +185,15 @@
             agent.owner_of(rack_resource(rack));
         return owner ? owner->token : 0;
     };
+    hooks.lost_shard = [this](const std::string& shard)
+    {
+        const std::string resource = std::string(shard_prefix) + shard;
+        const std::optional<owner_location> owner = agent.owner_of(resource);
+        if (owner && owner->is_self)
+        {
+            agent.distrust(resource, owner->token);
+        }
+    };
     hooks.send = [this](rack_orders orders)
     {
         post_orders(std::move(orders));
@@ -279,7 +288,7 @@
     const std::string name = resource.substr(slash + 1);
     if (resource.compare(0, slash, "shard") == 0)
     {
-        coordinator.take_shard(name);
+        coordinator.take_shard(name, token);
         return;
     }
     rack_takeover takeover;
--- a/tests/scheduler/job_coordinator_test.cpp
+++ b/tests/scheduler/job_coordinator_test.cpp
@@ -7,6 +7,7 @@
 
 #include <catch2/catch.hpp>
 
+#include <atomic>
 #include <condition_variable>
 #include <future>
 #include <mutex>
@@ -50,6 +51,8 @@
         {
             return token;
         };
+        result.lost_shard = [](const std::string&) {
+        };
         result.send = [this](rack_orders orders)
         {
             const std::lock_guard<std::mutex> lock(mutex);
@@ -176,6 +179,7 @@
     limits.former_writes = milliseconds(0);
     job_coordinator coordinator(store, around.hooks(), limits);
     coordinator.take_shard(shard_of(job_id));
+    REQUIRE(coordinator.query(make_call()).verdict == "absent");
     store.set_fault(write_fault::refused);
     const job_call_reply reply = coordinator.submit(make_call());
     REQUIRE(reply.verdict == "refused");
@@ -199,6 +203,7 @@
     limits.refuse_after = milliseconds(50);
     job_coordinator coordinator(store, around.hooks(), limits);
     coordinator.take_shard(shard_of(job_id));
+    REQUIRE(coordinator.query(make_call()).verdict == "absent");
     store.set_fault(write_fault::refused);
     REQUIRE(coordinator.submit(make_call()).verdict == "uncertain");
 }
@@ -214,6 +219,7 @@
     std::shared_future<void> is_answered = answered.get_future().share();
     job_coordinator coordinator(store, around.hooks(), {});
     coordinator.take_shard(shard_of(job_id));
+    REQUIRE(coordinator.query(make_call()).verdict == "absent");
     store.before_commit = [&coordinator, is_answered]
     {
         coordinator.drop_shard(shard_of(job_id));
@@ -234,7 +240,11 @@
     limits.former_writes = milliseconds(0);
     limits.outage_after = milliseconds(10);
     job_coordinator coordinator(store, around.hooks(), limits);
+    job_call other = make_call();
+    other.id = "fedcba9876543210";
     coordinator.take_shard(shard_of(job_id));
+    coordinator.take_shard(shard_of(other.id));
+    REQUIRE(coordinator.query(other).verdict == "absent");
     REQUIRE(coordinator.submit(make_call()).verdict == "accepted");
     const std::int64_t before = row_of(store).version;
     store.set_fault(write_fault::refused);
@@ -242,9 +252,6 @@
     job_call cancellation = make_call();
     cancellation.budget_ms = 200;
     REQUIRE(coordinator.cancel(cancellation).verdict == "unknown");
-    job_call other = make_call();
-    other.id = "fedcba9876543210";
-    coordinator.take_shard(shard_of(other.id));
     const time_point begun = steady_clock::now();
     REQUIRE(coordinator.submit(other).verdict == "refused");
     REQUIRE(steady_clock::now() - begun < std::chrono::seconds(10));
@@ -410,6 +417,33 @@
     REQUIRE(assigned_runs(*recorded).front().run == 1);
 }
 
+// Found by the soak (seed 33): the former owner read the job again and recorded
+// an end, which the new owner then waited for without limit.
+TEST_CASE(
+    "a former owner of a shard records no end of a job that it read again",
+    "[scheduler]")
+{
+    fake_store store;
+    surroundings first_around;
+    surroundings second_around;
+    coordinator_limits limits;
+    limits.report_wait = milliseconds(500);
+    job_coordinator first(store, first_around.hooks(), limits);
+    first.take_shard(shard_of(job_id));
+    REQUIRE(first.submit(make_call()).verdict == "accepted");
+    job_coordinator second(store, second_around.hooks(), limits);
+    second.take_shard(shard_of(job_id));
+    second_around.wait_sent(1);
+
+    const report_batch batch{{make_report("done", 1)}};
+    for (int n = 0; n < 3; ++n)
+    {
+        REQUIRE(first.report(batch).verdicts.front().verdict == "retry");
+    }
+    REQUIRE(second.report(batch).verdicts.front().verdict == "recorded");
+    REQUIRE(second.query(make_call()).state == "completed");
+}
+
 TEST_CASE("a cancelled job is stopped once that is durable", "[scheduler]")
 {
     fake_store store;
