Send no start before the configuration names its service

A host that took a shard over before it had read the configuration sent the recorded starts without a service; they fit no target, and the owner of the rack confirmed them, so they were not sent again. Such a start now waits for the configuration, as a new assignment does. The test failed before: the service sent was empty.

--- a/src/scheduler/job_coordinator_runs.cpp
+++ b/src/scheduler/job_coordinator_runs.cpp
@@ -135,10 +135,14 @@
     job_entry& entry, const assigned_run& run, sent_run& sent,
     std::map<std::string, rack_orders>& orders, time_point now)
 {
-    rack_orders& target = orders[run.rack];
-    target.rack = run.rack;
     const step_terms terms =
         terms_of(entry.value, run.key.occurrence, run.key.step);
+    if (terms.service.empty())
+    {
+        return; // the configuration is not known yet, or has no such queue
+    }
+    rack_orders& target = orders[run.rack];
+    target.rack = run.rack;
     if (target.starts.empty() || target.starts.back().terms.step != terms.step)
     {
         target.starts.push_back({terms, {}});
--- a/tests/scheduler/job_coordinator_test.cpp
+++ b/tests/scheduler/job_coordinator_test.cpp
@@ -444,6 +444,36 @@
     REQUIRE(second.query(make_call()).state == "completed");
 }
 
+// Found by the soak (seeds 8 and 65): a start without a service fits no target,
+// and its job stayed open for good.
+TEST_CASE("a start is not sent before the configuration names its service",
+          "[scheduler]")
+{
+    fake_store store;
+    surroundings first_around;
+    {
+        job_coordinator first(store, first_around.hooks(), {});
+        first.take_shard(shard_of(job_id));
+        REQUIRE(first.submit(make_call()).verdict == "accepted");
+    }
+    surroundings around;
+    std::atomic<bool> is_configured{false};
+    job_coordinator_hooks hooks = around.hooks();
+    const auto config = hooks.config();
+    hooks.config = [&]
+    {
+        return is_configured ? config : std::make_shared<const fleet_config>();
+    };
+    job_coordinator second(store, hooks, {});
+    second.take_shard(shard_of(job_id));
+    REQUIRE(second.query(make_call()).state == "queued");
+    second.tick();
+    is_configured = true;
+    second.tick();
+    const std::vector<rack_orders> sent = around.wait_sent(1);
+    REQUIRE(sent.front().starts.front().terms.service == "svc");
+}
+
 TEST_CASE("a cancelled job is stopped once that is durable", "[scheduler]")
 {
     fake_store store;
