--- a/include/egretspindle/scheduler/host_outbox.hpp
+++ b/include/egretspindle/scheduler/host_outbox.hpp
@@ -4,6 +4,7 @@
 #ifndef EGRETSPINDLE_SCHEDULER_HOST_OUTBOX_HPP
 #define EGRETSPINDLE_SCHEDULER_HOST_OUTBOX_HPP
 
+#include <chrono>
 #include <condition_variable>
 #include <functional>
 #include <iterator>
@@ -19,7 +20,8 @@
 {
 
 /// Delivers items in batches, one thread for each receiver, so that a silent
-/// host delays only what is meant for it.
+/// host delays only what is meant for it. A thread without work ends: on large
+/// clusters every host talks to every other one now and then.
 template <typename Item>
 class host_outbox
 {
@@ -53,12 +55,20 @@
         if (!entry)
         {
             entry = std::make_unique<lane>();
-            lane* const created = entry.get();
-            created->thread =
-                std::thread([this, host, created] { run(host, *created); });
         }
         entry->items.push_back(std::move(item));
         entry->changed.notify_one();
+        if (!entry->is_running)
+        {
+            if (entry->thread.joinable())
+            {
+                entry->thread.join(); // has given up the lock for good
+            }
+            entry->is_running = true;
+            lane* const served = entry.get();
+            entry->thread =
+                std::thread([this, host, served] { run(host, *served); });
+        }
     }
 
     /// Ends the threads; items that are still queued are dropped.
@@ -87,17 +97,22 @@
         std::vector<Item> items;
         std::condition_variable changed;
         std::thread thread;
+        bool is_running = false; ///< the thread takes items
     };
 
+    static constexpr std::chrono::milliseconds idle_time{1'000};
+
     void run(const std::string& host, lane& entry)
     {
         std::unique_lock<std::mutex> lock(mutex_);
         for (;;)
         {
-            entry.changed.wait(
-                lock, [&] { return is_stopping_ || !entry.items.empty(); });
-            if (is_stopping_)
+            const bool has_work = entry.changed.wait_for(
+                lock, idle_time,
+                [&] { return is_stopping_ || !entry.items.empty(); });
+            if (is_stopping_ || !has_work)
             {
+                entry.is_running = false;
                 return;
             }
             const std::size_t n = std::min(max_batch_, entry.items.size());
