--- a/bench/soak/checks.cpp
+++ b/bench/soak/checks.cpp
@@ -88,23 +88,6 @@
     }
 }
 
-bool was_refused_only(const soak_job& job)
-{
-    bool has_submission = false;
-    for (const job_call& item : job.calls)
-    {
-        if (item.method == "POST")
-        {
-            has_submission = true;
-            if (item.status != 429 && item.status != 503)
-            {
-                return false;
-            }
-        }
-    }
-    return has_submission;
-}
-
 // Guards against a refusal of a job that was stored.
 void check_refused_jobs(const evidence& all, std::vector<finding>& found)
 {
--- a/bench/soak/checks.hpp
+++ b/bench/soak/checks.hpp
@@ -4,7 +4,6 @@
 #ifndef EGRETSPINDLE_BENCH_SOAK_CHECKS_HPP
 #define EGRETSPINDLE_BENCH_SOAK_CHECKS_HPP
 
-#include "evidence.hpp"
 #include "history.hpp"
 #include "soak_job.hpp"
 
--- a/bench/soak/client.cpp
+++ b/bench/soak/client.cpp
@@ -45,18 +45,6 @@
     return body.substr(first, body.find('"', first) - first);
 }
 
-bool is_refusal(int status)
-{
-    return status == 429 || status == 503;
-}
-
-bool was_refused_only(const soak_job& job)
-{
-    return std::all_of(job.calls.begin(), job.calls.end(),
-                       [](const job_call& item)
-                       { return is_refusal(item.status); });
-}
-
 } // namespace
 
 client::client(int number, unsigned seed, std::vector<front> fronts,
@@ -131,8 +119,7 @@
         job.accepted_ms =
             job.accepted_ms == 0 ? item.answered_ms : job.accepted_ms;
     }
-    else if (is_refusal(item.status) && was_refused_only(job) &&
-             choose(0, 2) > 0)
+    else if (was_refused_only(job) && choose(0, 2) > 0)
     {
         job.is_given_up = true;
     }
--- a/bench/soak/client.hpp
+++ b/bench/soak/client.hpp
@@ -5,7 +5,7 @@
 #define EGRETSPINDLE_BENCH_SOAK_CLIENT_HPP
 
 #include "common/line_file.hpp"
-#include "evidence.hpp"
+#include "history.hpp"
 #include "http_channel.hpp"
 #include "soak_job.hpp"
 
--- a/bench/soak/host_faults.cpp
+++ b/bench/soak/host_faults.cpp
@@ -71,29 +71,19 @@
     return item;
 }
 
-soak_fault make_pause(std::mt19937& random, stage& scene, host_process& host)
+soak_fault make_signal(stage& scene, const char* text, host_process& host,
+                       int first, int last, long length)
 {
     soak_fault item;
-    item.text = "pause " + host.name;
-    item.length = milliseconds(choose(random, 300, 9'000));
-    item.inject = [&scene, &host]
-    {
-        scene.signal_host(host, SIGSTOP);
-    };
-    item.remove = [&scene, &host]
+    item.text = text_of(text, {&host});
+    item.length = milliseconds(length);
+    item.inject = [&scene, &host, first]
     {
-        scene.signal_host(host, SIGCONT);
+        scene.signal_host(host, first);
     };
-    return item;
-}
-
-soak_fault make_reload(stage& scene, host_process& host)
-{
-    soak_fault item;
-    item.text = "SIGHUP " + host.name;
-    item.inject = [&scene, &host]
+    item.remove = [&scene, &host, last]
     {
-        scene.signal_host(host, SIGHUP);
+        scene.signal_host(host, last);
     };
     return item;
 }
@@ -108,12 +98,13 @@
         return make_kill(scene, {&host}, choose(random, 0, 6'000));
     case 2:
     case 3:
-        return make_pause(random, scene, host);
+        return make_signal(scene, "pause", host, SIGSTOP, SIGCONT,
+                           choose(random, 300, 9'000));
     case 4:
     case 5:
         return make_stop(scene, {&host});
     default:
-        return make_reload(scene, host);
+        return make_signal(scene, "reload", host, SIGHUP, SIGCONT, 0);
     }
 }
 
--- a/bench/soak/http_channel.cpp
+++ b/bench/soak/http_channel.cpp
@@ -6,9 +6,7 @@
 
 #include <fmt/format.h>
 
-#include <algorithm>
 #include <arpa/inet.h>
-#include <cctype>
 #include <cerrno>
 #include <cstdlib>
 #include <netinet/in.h>
@@ -25,16 +23,14 @@
 
 using standin::steady_ms;
 
+// The hosts are the only servers, so the spelling of the name is known.
 std::size_t content_length(const std::string& head)
 {
-    std::string lower = head;
-    std::transform(lower.begin(), lower.end(), lower.begin(),
-                   [](unsigned char c)
-                   { return static_cast<char>(std::tolower(c)); });
-    const std::size_t at = lower.find("content-length:");
+    const std::string name = "Content-Length:";
+    const std::size_t at = head.find(name);
     return at == std::string::npos
                ? 0
-               : std::strtoul(lower.c_str() + at + 15, nullptr, 10);
+               : std::strtoul(head.c_str() + at + name.size(), nullptr, 10);
 }
 
 } // namespace
--- a/bench/soak/main.cpp
+++ b/bench/soak/main.cpp
@@ -10,6 +10,7 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <cstdio>
 #include <cstdlib>
 #include <exception>
@@ -70,26 +71,24 @@
 
 void print_summary(const soak_options& options, const evidence& all)
 {
-    std::size_t accepted = 0;
-    std::size_t refused = 0;
-    std::size_t cancelled = 0;
-    std::size_t calls = 0;
-    std::size_t runs = 0;
-    for (const auto& [id, job] : all.jobs)
+    const auto count = [&all](auto condition)
     {
-        accepted += job->accepted_ms > 0 ? 1 : 0;
-        refused += job->is_given_up ? 1 : 0;
-        cancelled += job->cancelled_ms > 0 ? 1 : 0;
-        calls += job->calls.size();
-    }
+        return std::count_if(all.jobs.begin(), all.jobs.end(),
+                             [&](const auto& item)
+                             { return condition(*item.second); });
+    };
+    std::size_t runs = 0;
     for (const auto& [task, list] : all.runs)
     {
         runs += list.size();
     }
     fmt::print("seed {}: {} jobs, {} accepted, {} refused, {} cancelled; {} "
-               "calls; {} runs of {} tasks; {} faults; settled after {} ms\n",
-               options.seed, all.jobs.size(), accepted, refused, cancelled,
-               calls, runs, all.runs.size(), all.faults.size(),
+               "runs of {} tasks; {} faults; settled after {} ms\n",
+               options.seed, all.jobs.size(),
+               count([](const soak_job& job) { return job.accepted_ms > 0; }),
+               count([](const soak_job& job) { return job.is_given_up; }),
+               count([](const soak_job& job) { return job.cancelled_ms > 0; }),
+               runs, all.runs.size(), all.faults.size(),
                all.finished_ms - all.healed_ms);
 }
 
--- a/bench/soak/soak_fault.hpp
+++ b/bench/soak/soak_fault.hpp
@@ -4,7 +4,7 @@
 #ifndef EGRETSPINDLE_BENCH_SOAK_SOAK_FAULT_HPP
 #define EGRETSPINDLE_BENCH_SOAK_SOAK_FAULT_HPP
 
-#include "evidence.hpp"
+#include "history.hpp"
 #include "options.hpp"
 #include "stage.hpp"
 
--- a/bench/soak/soak_job.cpp
+++ b/bench/soak/soak_job.cpp
@@ -3,6 +3,7 @@
 #include <fmt/format.h>
 #include <fmt/ranges.h>
 
+#include <algorithm>
 #include <cstdint>
 
 namespace egretspindle::bench
@@ -23,6 +24,17 @@
 
 } // namespace
 
+bool was_refused_only(const soak_job& job)
+{
+    const auto is_refused = [](const job_call& item)
+    {
+        return item.method != "POST" || item.status == 429 ||
+               item.status == 503;
+    };
+    return !job.calls.empty() &&
+           std::all_of(job.calls.begin(), job.calls.end(), is_refused);
+}
+
 soak_job choose_job(std::mt19937& random)
 {
     soak_job job;
--- a/bench/soak/soak_job.hpp
+++ b/bench/soak/soak_job.hpp
@@ -54,6 +54,9 @@
            job.last_state == "failed";
 }
 
+/// Returns whether the job was submitted and every submission was refused.
+[[nodiscard]] bool was_refused_only(const soak_job& job);
+
 /// Chooses a job of one to three steps.
 [[nodiscard]] soak_job choose_job(std::mt19937& random);
 
--- a/bench/soak/stage.hpp
+++ b/bench/soak/stage.hpp
@@ -5,12 +5,13 @@
 #define EGRETSPINDLE_BENCH_SOAK_STAGE_HPP
 
 #include "client.hpp"
-#include "host_process.hpp"
+#include "history.hpp"
 #include "options.hpp"
 #include "support/child_process.hpp"
 #include "support/port_reservation.hpp"
 #include "support/temporary_directory.hpp"
 
+#include <cstdint>
 #include <memory>
 #include <string>
 #include <vector>
@@ -18,6 +19,23 @@
 namespace egretspindle::bench
 {
 
+/// Host of a soak and its addresses, each `ip:port`.
+struct host_process
+{
+    std::string name;
+    std::string data_center;
+    std::string callers; ///< of the host itself; clients use `front`
+    std::string front;
+    std::string ready;
+    std::string peer;
+    std::string store; ///< of the proxy
+    std::string store_server;
+    std::unique_ptr<test::child_process> process;
+    bool is_stopping = false; ///< after SIGTERM
+    bool is_killed = false;   ///< by the soak
+    std::vector<planned_stop> stops;
+};
+
 /// The stand-in of the platform, the proxies and the hosts. Use it from the
 /// main thread only: children end with the thread that started them.
 class stage
--- a/tools/standin_platform/machine.cpp
+++ b/tools/standin_platform/machine.cpp
@@ -1,11 +1,11 @@
 #include "machine.hpp"
 
-#include "task_work.hpp"
-
 #include <fmt/format.h>
 
 #include <algorithm>
 #include <chrono>
+#include <cstdio>
+#include <sstream>
 
 namespace egretspindle::standin
 {
@@ -21,6 +21,35 @@
 // Longest wait of a poll.
 constexpr std::int64_t max_wait_ms = 2'000;
 
+/// Simulated work of a task.
+struct task_work
+{
+    std::int64_t cpu_milli = 1'000;
+    std::int64_t duration_ms = 100;
+};
+
+// Finds the work of a task in the text of its job: `CPU:MS` for each step,
+// separated by blanks. The name of a task ends in `.STEP.INDEX`.
+task_work work_of(const std::string& text, const std::string& task)
+{
+    int occurrence = 0;
+    int step = 0;
+    const std::size_t dot = task.find('.');
+    if (dot == std::string::npos ||
+        std::sscanf(task.c_str() + dot, ".%d.%d.", &occurrence, &step) != 2)
+    {
+        return {};
+    }
+    task_work work;
+    char colon = ' ';
+    std::istringstream in(text);
+    for (; step >= 0; --step)
+    {
+        in >> work.cpu_milli >> colon >> work.duration_ms;
+    }
+    return in ? work : task_work{};
+}
+
 std::int64_t unix_ms()
 {
     return std::chrono::duration_cast<std::chrono::milliseconds>(
--- a/tools/standin_platform/machine.hpp
+++ b/tools/standin_platform/machine.hpp
@@ -8,7 +8,6 @@
 
 #include "common/line_file.hpp"
 #include "common/platform_event.hpp"
-#include "machine_order.hpp"
 #include "platform_options.hpp"
 
 #include <condition_variable>
@@ -52,6 +51,31 @@
     std::int64_t slowness = 1; ///< factor on the time of runs
 };
 
+/// Start, stop or poll. Fields that an order does not have keep their values.
+struct machine_order
+{
+    std::string task;
+    std::int64_t run = 0;
+    std::string spec;
+    std::int64_t lease_until_ms = 0; ///< on the target's clock; 0: no renewal
+    std::int64_t token = 0;
+    std::int64_t acknowledged = 0; ///< ends up to this number are forgotten
+    std::int64_t wait_ms = 0;      ///< for an end
+};
+
+/// Visits the fields of `machine_order` for the codec.
+template <typename Visitor, typename Value>
+void visit_fields(Visitor&& visit, Value& value, const machine_order* /*tag*/)
+{
+    visit("task", value.task);
+    visit("run", value.run);
+    visit("spec", value.spec);
+    visit("deadlineMs", value.lease_until_ms);
+    visit("fencingToken", value.token);
+    visit("ackCursor", value.acknowledged);
+    visit("waitMs", value.wait_ms);
+}
+
 /// State of a target that decides how it treats an order.
 struct machine_view
 {
