--- a/bench/soak/fault_runner.cpp
+++ b/bench/soak/fault_runner.cpp
@@ -22,6 +22,8 @@
 // Faults begin this far apart; some overlap, others follow one another.
 constexpr long min_gap_ms = 50;
 constexpr long max_gap_ms = 1'100;
+// Lasting jobs run by then.
+constexpr std::int64_t first_takeover_ms = 4'000;
 constexpr std::size_t most_active = 6;
 
 /// Fault in force.
@@ -42,8 +44,12 @@
     std::vector<fault_window> past;
 };
 
-soak_fault choose_fault(injection& state)
+soak_fault choose_fault(const soak_options& options, injection& state)
 {
+    if (options.has_takeovers_only)
+    {
+        return make_hidden_takeover(state.random, state.scene);
+    }
     const long kind = choose(state.random, 0, 99);
     if (kind < 40)
     {
@@ -113,9 +119,9 @@
 }
 
 // Returns false when the chosen fault excludes one that is in force.
-bool inject_next(injection& state)
+bool inject_next(const soak_options& options, injection& state)
 {
-    soak_fault fault = choose_fault(state);
+    soak_fault fault = choose_fault(options, state);
     if (!is_free(state, fault))
     {
         return false;
@@ -140,13 +146,14 @@
                     {},
                     {}};
     const std::int64_t end = steady_ms() + options.seconds * 1'000;
-    std::int64_t next = steady_ms();
+    std::int64_t next =
+        steady_ms() + (options.has_takeovers_only ? first_takeover_ms : 0);
     while (steady_ms() < end)
     {
         scene.poll();
         remove_due(state, false);
         if (!options.is_without_faults && steady_ms() >= next &&
-            state.active.size() < most_active && inject_next(state))
+            state.active.size() < most_active && inject_next(options, state))
         {
             next = steady_ms() + choose(state.random, min_gap_ms, max_gap_ms);
         }
--- a/bench/soak/host_faults.cpp
+++ b/bench/soak/host_faults.cpp
@@ -2,7 +2,6 @@
 
 #include <fmt/format.h>
 
-#include <algorithm>
 #include <csignal>
 
 namespace egretspindle::bench
@@ -193,9 +192,8 @@
     soak_fault item;
     item.text = "takeover hidden from the targets, store cut from " + host.name;
     item.victim = "targets";
-    // A takeover takes 3 s, and a new owner that reaches no target waits for
-    // a lease of 6 s and some slack.
-    item.length = milliseconds(choose(random, 11'000, 15'000));
+    // A takeover takes 3 s, then the new owner waits for a lease of 6 s.
+    item.length = milliseconds(choose(random, 16'000, 18'000));
     item.inject = [&scene, link]
     {
         scene.command(R"({"what":"target","action":"known_owner_only"})");
--- a/bench/soak/options.cpp
+++ b/bench/soak/options.cpp
@@ -24,6 +24,7 @@
   --targets N    (default 16)
   --clients N    (default 5)
   --no-faults    load only
+  --takeovers    the only faults are takeovers that targets do not notice
   --keep-logs    keep the logs after a pass as well
 )";
 
@@ -39,6 +40,7 @@
 {
     int seed = static_cast<int>(result.seed);
     int lacks_faults = 0;
+    int has_takeovers = 0;
     int keeps_logs = 0;
     int* const numbers[] = {&seed, &result.seconds, &result.hosts,
                             &result.targets, &result.clients};
@@ -48,6 +50,7 @@
                             {"targets", required_argument, nullptr, 3},
                             {"clients", required_argument, nullptr, 4},
                             {"no-faults", no_argument, &lacks_faults, 1},
+                            {"takeovers", no_argument, &has_takeovers, 1},
                             {"keep-logs", no_argument, &keeps_logs, 1},
                             {nullptr, 0, nullptr, 0}};
     int c = 0;
@@ -63,6 +66,7 @@
     }
     result.seed = static_cast<unsigned>(seed);
     result.is_without_faults = lacks_faults != 0;
+    result.has_takeovers_only = has_takeovers != 0;
     result.keeps_logs = keeps_logs != 0;
     const int bounds[] = {std::max(seed, 0), max_seconds, max_hosts,
                           max_targets, max_clients};
--- a/bench/soak/options.hpp
+++ b/bench/soak/options.hpp
@@ -18,7 +18,8 @@
     int targets = 16;
     int clients = 5;
     bool is_without_faults = false;
-    bool keeps_logs = false; ///< also after a pass
+    bool has_takeovers_only = false; ///< the only faults
+    bool keeps_logs = false;         ///< also after a pass
 };
 
 /// Reads the command line.
--- a/bench/soak/soak_job.cpp
+++ b/bench/soak/soak_job.cpp
@@ -4,7 +4,6 @@
 #include <fmt/ranges.h>
 
 #include <algorithm>
-#include <cstdint>
 
 namespace egretspindle::bench
 {
