--- a/apps/egretspindle/main.cpp
+++ b/apps/egretspindle/main.cpp
@@ -135,6 +135,15 @@
     return {std::istreambuf_iterator<char>(in), {}};
 }
 
+// A reload that arrives while the settings are parsed must not end the process.
+void block_reload()
+{
+    sigset_t reload;
+    sigemptyset(&reload);
+    sigaddset(&reload, SIGHUP);
+    pthread_sigmask(SIG_BLOCK, &reload, nullptr);
+}
+
 int run_scheduler(const std::string& text, const command_line& options)
 {
     const absl::StatusOr<egretspindle::scheduler_settings> config =
@@ -150,10 +159,6 @@
         fmt::print("{}: settings are valid\n", options.settings_file);
         return exit_ok;
     }
-    sigset_t reload;
-    sigemptyset(&reload);
-    sigaddset(&reload, SIGHUP);
-    pthread_sigmask(SIG_BLOCK, &reload, nullptr);
     block_signals();
     return egretspindle::platform::run_platform_node(*config,
                                                      options.settings_file);
@@ -163,6 +168,7 @@
 
 int main(int argc, char** argv)
 {
+    block_reload();
     command_line options;
     int exit_code = exit_ok;
     if (!parse(argc, argv, options, exit_code))
