Answer retry for a job whose shard was lost while it was read

Found in review: a former owner of a shard answered a report with recorded when the shard was dropped between the read of the job and its use, so the end was acknowledged and its job's owner never learned of it. No test covers the race.

--- a/src/scheduler/job_coordinator_shards.cpp
+++ b/src/scheduler/job_coordinator_shards.cpp
@@ -257,6 +257,12 @@
     {
         return nullptr;
     }
+    if (shards.count(range.part) == 0)
+    {
+        // Only the new owner of the shard may answer for the job.
+        is_reachable = false;
+        return nullptr;
+    }
     insert(page->rows.front(), range.part);
     return find(id);
 }
