Confirm a distrusted resource until a claim of it succeeds

Found in review: a host that gave up a shard forgot to confirm its ownership when one claim was refused. The owner row kept its version, so the shard was never loaded again. A write from before a shard was lost and won back gives up nothing now.

--- a/src/scheduler/cluster_agent.cpp
+++ b/src/scheduler/cluster_agent.cpp
@@ -227,6 +227,7 @@
     row_transaction transaction;
     std::vector<std::string> names;
     std::vector<former_owner> former;
+    std::map<std::string, std::int64_t> confirming; // distrusted, by resource
     {
         const std::lock_guard<std::mutex> lock(mutex);
         const time_point now = steady_clock::now();
@@ -237,10 +238,10 @@
             if (is_owned(item) && item.version == token &&
                 std::find(names.begin(), names.end(), name) == names.end())
             {
-                names.push_back(name);
+                names.insert(names.begin(), name);
             }
         }
-        distrusted.clear();
+        confirming.swap(distrusted);
         // What does not fit is claimed after the next read.
         constexpr std::size_t entries_of_claim = 3;
         constexpr std::size_t most_claims =
@@ -291,6 +292,11 @@
             item.version = result->version;
         }
     }
+    if (!is_committed)
+    {
+        // Without a new version, what was given up would not be taken again.
+        distrusted.insert(confirming.begin(), confirming.end());
+    }
     is_refresh_wanted |= !is_committed;
 }
 
--- a/src/scheduler/job_coordinator_impl.hpp
+++ b/src/scheduler/job_coordinator_impl.hpp
@@ -95,7 +95,8 @@
     void add_fences(const std::vector<entry_ptr>& batch,
                     row_transaction& transaction) const;
     std::vector<std::string> drop_fenced(const row_transaction& transaction,
-                                         const transaction_result& result);
+                                         const transaction_result& result,
+                                         bool& is_fenced);
     void add_owner_conditions(const std::vector<entry_ptr>& batch,
                               row_transaction& transaction) const;
     void apply_conflict(const std::vector<entry_ptr>& batch,
--- a/src/scheduler/job_coordinator_records.cpp
+++ b/src/scheduler/job_coordinator_records.cpp
@@ -193,11 +193,14 @@
 }
 
 // Gives up the shards whose fence has been replaced, and names them.
+// `is_fenced` tells whether any fence of the transaction was outdated.
 std::vector<std::string>
 job_coordinator::impl::drop_fenced(const row_transaction& transaction,
-                                   const transaction_result& result)
+                                   const transaction_result& result,
+                                   bool& is_fenced)
 {
     std::vector<std::string> dropped;
+    is_fenced = false;
     for (const row_condition& condition : transaction.conditions)
     {
         const bool is_valid =
@@ -209,7 +212,12 @@
                                    row.part == condition.part &&
                                    row.version == condition.version;
                         });
-        if (!is_valid)
+        is_fenced |= !is_valid;
+        // A write from before the shard was lost and won back says nothing of
+        // the present ownership.
+        const auto it = shards.find(condition.part);
+        if (!is_valid && it != shards.end() &&
+            it->second.fence == condition.version)
         {
             give_up_shard(condition.part);
             dropped.push_back(condition.part);
@@ -287,8 +295,9 @@
         }
         else
         {
-            lost = drop_fenced(transaction, *result);
-            if (lost.empty())
+            bool is_fenced = false;
+            lost = drop_fenced(transaction, *result, is_fenced);
+            if (!is_fenced)
             {
                 apply_conflict(batch, transaction, changes, *result);
             }
--- a/tests/scheduler/cluster_agent_test.cpp
+++ b/tests/scheduler/cluster_agent_test.cpp
@@ -245,3 +245,29 @@
     lock.unlock();
     host.agent.stop();
 }
+
+// A shard that was given up stayed without its jobs when the claim that was to
+// confirm it was refused once: its version did not change.
+TEST_CASE("a distrusted resource is confirmed although a claim is refused",
+          "[scheduler]")
+{
+    fake_store store;
+    claims host(store);
+    host.wait_for_rack();
+    std::int64_t token = 0;
+    {
+        const std::optional<owner_location> owner =
+            host.agent.owner_of("rack/r1");
+        REQUIRE(owner);
+        token = owner->token;
+        const std::lock_guard<std::mutex> lock(host.mutex);
+        host.taken.clear();
+    }
+    store.set_fault(write_fault::refused);
+    host.agent.distrust("rack/r1", token);
+    std::this_thread::sleep_for(milliseconds(1'500));
+    store.set_fault(write_fault::none);
+    host.wait_for_rack();
+    REQUIRE(host.agent.owner_of("rack/r1")->token > token);
+    host.agent.stop();
+}
