Count no lease for longer than a target grants

Found in review: an answer of a restarted target before the first poll of its life gave a clock that was far behind the lease sent, so a target that then died kept its runs for as long as it had been up.

--- a/src/rack/rack_state.cpp
+++ b/src/rack/rack_state.cpp
@@ -18,8 +18,9 @@
 
 void update_expiry(rack_target& target, const lease_limits& limits)
 {
-    const std::int64_t left =
-        std::max<std::int64_t>(0, target.lease_until_ms - target.clock_ms);
+    // The lease may have been sent to a former life, whose clock was ahead.
+    const std::int64_t left = std::clamp<std::int64_t>(
+        target.lease_until_ms - target.clock_ms, 0, limits.longest.count());
     target.expires_at = std::max(target.clock_at + with_drift(left, limits),
                                  target.unknown_lease_at + whole_lease(limits));
 }
--- a/tests/rack/rack_decision_test.cpp
+++ b/tests/rack/rack_decision_test.cpp
@@ -716,3 +716,14 @@
     extend_authority(rack, now, limits);
     REQUIRE_FALSE(may_grant(rack, now));
 }
+
+// A start that a restarted target answered before the first poll of its new
+// life left a lease that was counted on the former clock, an hour ahead.
+TEST_CASE("no lease is counted for longer than a target grants", "[rack]")
+{
+    rack_target target;
+    const lease_limits limits;
+    target.lease_until_ms = 3'600'000;
+    note_clock(target, 2'000, limits, start);
+    REQUIRE(target.expires_at <= start + whole_lease(limits));
+}
