Apply a look-up of a repeated start only under the same ownership

Found in review: the look-up runs without the lock. A rack that was lost and won back meanwhile took its answer for one of the present ownership, and reported a run as lost that might be at work. No test covers the race.

--- a/src/scheduler/rack_agent.cpp
+++ b/src/scheduler/rack_agent.cpp
@@ -238,7 +238,13 @@
 // owner of the job may have sent them, after the run had ended.
 void rack_agent::impl::confirm_repeated()
 {
-    std::vector<std::pair<std::string, run_id>> unconfirmed;
+    struct lookup
+    {
+        std::string rack;
+        std::int64_t token = 0;
+        run_id id;
+    };
+    std::vector<lookup> unconfirmed;
     {
         const std::lock_guard<std::mutex> lock(mutex);
         const time_point now = steady_clock::now();
@@ -253,12 +259,13 @@
                 if (start.is_repeated &&
                     unconfirmed.size() < limits.most_lookups)
                 {
-                    unconfirmed.push_back({name, {start.task, start.run}});
+                    unconfirmed.push_back(
+                        {name, rack.token, {start.task, start.run}});
                 }
             }
         }
     }
-    for (const auto& [name, id] : unconfirmed)
+    for (const auto& [name, token, id] : unconfirmed)
     {
         const std::optional<bool> is_recorded = hooks.is_recorded(id, name);
         if (!is_recorded)
@@ -270,12 +277,12 @@
                                                   {"rack", name},
                                                   {"recorded", *is_recorded}});
         std::vector<run_event> events;
-        std::int64_t token = 0;
         {
+            // The rack may have been lost and won back during the look-up.
             const std::lock_guard<std::mutex> lock(mutex);
-            if (rack_state* rack = find_rack(name))
+            rack_state* rack = find_rack(name);
+            if (rack != nullptr && rack->token == token && !rack->is_fenced)
             {
-                token = rack->token;
                 events = resolve_repeated(*rack, id, *is_recorded);
             }
         }
