Take back the spreading of steps and the shared room elsewhere

Cause in outline: choosing racks for a step of tasks costs more with each change of rack, at 490 targets.

--- a/include/egretspindle/rack/fleet_load.hpp
+++ b/include/egretspindle/rack/fleet_load.hpp
@@ -68,11 +68,11 @@
 
 /// Chooses a rack for each of `count` tasks of a step.
 ///
-/// Answers a step that becomes due while the fleet is partly free: tasks go to
-/// racks with room, chosen at random by their free processors, so that hosts
-/// with the same reports do not all choose the same one, and a part of a rack
-/// at a time. Tasks that fit nowhere now go to the shorter of two queues for
-/// the size of the rack. Remembers the choice in `recent`.
+/// Answers a step that becomes due while the fleet is partly free: as many
+/// tasks as fit go to a rack with room, chosen at random by its free
+/// processors, so that hosts with the same reports do not all choose the same
+/// one. Tasks that fit nowhere now go to the rack with the shortest queue for
+/// its size. Remembers the choice in `recent`.
 ///
 /// \param data_rack  rack where the data is; empty: anywhere
 /// \returns a rack for each task; empty text when no target can ever take it
@@ -93,6 +93,11 @@
                                     const std::string& service,
                                     std::int64_t cpu_milli, time_point now);
 
+/// Returns whether a target of another rack has room for a task now.
+[[nodiscard]] bool has_room_elsewhere(const fleet_load& fleet,
+                                      const step_terms& terms,
+                                      const std::string& rack, time_point now);
+
 } // namespace egretspindle
 
 #endif
--- a/include/egretspindle/rack/load_period.hpp
+++ b/include/egretspindle/rack/load_period.hpp
@@ -33,10 +33,6 @@
 /// Bytes that a target with 4 serving images takes in a report.
 constexpr std::int64_t target_bytes = 80;
 
-/// Time from the choice of a rack until its owner has queued the start: the
-/// record of the assignment and one message. Reports that arrive later show it.
-constexpr milliseconds placement_transit{300};
-
 /// Hosts and targets of the fleet.
 struct fleet_size
 {
@@ -52,11 +48,6 @@
 /// Returns the period at which a host sends a datagram of learned pairs.
 [[nodiscard]] milliseconds pair_period(const fleet_size& size) noexcept;
 
-/// Returns how long a start waits in a rack before the room of other racks is
-/// considered, and how often that is done: what was sent elsewhere then shows
-/// in the reports.
-[[nodiscard]] milliseconds hand_back_period(milliseconds period) noexcept;
-
 /// Times of something that is done at a period, in steps of a coarser tick.
 struct send_schedule
 {
--- a/include/egretspindle/rack/rack_decision.hpp
+++ b/include/egretspindle/rack/rack_decision.hpp
@@ -128,21 +128,13 @@
 [[nodiscard]] bool is_settled(const rack_state& rack, time_point now);
 
 /// Returns whether a start would find room in another rack.
-using room_check = std::function<bool(const step_terms& terms)>;
-
-/// Returns whether a queued start has waited for longer than `patience`, so
-/// that `hand_back` would ask for room.
-[[nodiscard]] bool has_impatient(const rack_state& rack, milliseconds patience,
-                                 time_point now);
+using room_elsewhere = std::function<bool(const step_terms& terms)>;
 
 /// Hands queued starts back that have waited longer than `patience`, whose
-/// run has surely not begun, and which fit elsewhere. Starts that have been
-/// handed back before wait longer; a gang goes as a whole.
-///
-/// \param has_room  asked once for each start or gang, until it refuses a step
+/// run has surely not begun, and which fit elsewhere.
 [[nodiscard]] std::vector<run_event> hand_back(rack_state& rack,
                                                milliseconds patience,
-                                               const room_check& has_room,
+                                               const room_elsewhere& has_room,
                                                time_point now);
 
 /// Applies what the record says of a repeated start: it may start now, or is
--- a/include/egretspindle/rack/rack_state.hpp
+++ b/include/egretspindle/rack/rack_state.hpp
@@ -159,10 +159,6 @@
 /// Returns whether starts may be sent to a target.
 [[nodiscard]] bool accepts_starts(const rack_target& target, time_point now);
 
-/// Returns how many starts of one gang follow each other in the queue.
-[[nodiscard]] std::size_t gang_length(const rack_state& rack,
-                                      std::size_t first);
-
 /// Returns the target's clock, estimated from its last reply.
 [[nodiscard]] std::int64_t clock_of(const rack_target& target, time_point now);
 
--- a/include/egretspindle/scheduler/rack_agent.hpp
+++ b/include/egretspindle/scheduler/rack_agent.hpp
@@ -9,7 +9,6 @@
 #include "egretspindle/rack/fleet_load.hpp"
 #include "egretspindle/rack/pair_outbox.hpp"
 #include "egretspindle/rack/rack_state.hpp"
-#include "egretspindle/rack/room_elsewhere.hpp"
 #include "egretspindle/scheduler/activity.hpp"
 #include "egretspindle/scheduler/exchange.hpp"
 
@@ -29,15 +28,15 @@
 using rack_roster = std::map<std::string, std::string>;
 
 /// What the runtime needs of other parts. Called without its lock, except
-/// `offer_room`, which must not call back.
+/// `has_room_elsewhere`, which must not call back.
 struct rack_agent_hooks
 {
     /// Passes reports on to the owners of the jobs, without waiting.
     std::function<void(std::vector<run_report> reports)> report;
     /// A target has seen a newer owner of the rack.
     std::function<void(const std::string& rack)> lost;
-    /// Returns the room that queued starts of this host's racks may count on.
-    std::function<room_elsewhere(const std::set<std::string>& own)> offer_room;
+    std::function<bool(const step_terms& terms, const std::string& rack)>
+        has_room_elsewhere;
     /// Reads whether the record assigns a run to a rack; no value when the
     /// store did not answer.
     std::function<std::optional<bool>(const run_id& run,
@@ -61,7 +60,7 @@
     milliseconds order_retry{150};    ///< after an order without an answer
     milliseconds poll_retry{300};     ///< after a poll without an answer
     milliseconds ack_wait{150};       ///< for the record of listed ends
-    milliseconds queue_patience{700}; ///< before room elsewhere is looked for
+    milliseconds queue_patience{700}; ///< before a start goes elsewhere
     std::size_t most_lookups = 20;    ///< of records in one tick
 };
 
--- a/src/rack/fleet_load.cpp
+++ b/src/rack/fleet_load.cpp
@@ -1,13 +1,11 @@
 #include "egretspindle/rack/fleet_load.hpp"
 
 #include "egretspindle/core/rendezvous_hash.hpp"
-
-#include "candidate.hpp"
+#include "egretspindle/rack/interference.hpp"
 
 #include <algorithm>
 #include <limits>
 #include <set>
-#include <string_view>
 
 namespace egretspindle
 {
@@ -15,70 +13,172 @@
 namespace
 {
 
+// Time from the choice of a rack until its owner has queued the start: the
+// record of the assignment and one message. Reports that arrive later show it.
+constexpr milliseconds placement_transit{300};
 // Share of the processors that tasks that last leave to short ones. Urgent
 // short tasks of the users take 5% on average and twice that in bursts.
 constexpr std::int64_t short_percent = 8;
-// Other hosts choose by the same reports at the same time, so a rack that is
-// given whole steps is overcommitted by whole steps. In a simulated burst of
-// steps of 8 tasks to 90% of 43 hosts' fleet, 8.7% of the starts were handed
-// back with whole steps and 4.3% with 3 tasks at once. Smaller parts cost more
-// messages.
-constexpr std::size_t most_at_once = 3;
 
-/// Rack with its candidates.
-struct option
+/// Room of one target, less what this host has placed since its report.
+struct candidate
 {
-    std::string rack;
-    std::vector<candidate> targets;
-    std::int64_t weight = 0;
+    const target_entry* entry = nullptr;
+    task_size room;
+    target_mix mix;
+    std::int64_t taken_by_step = 0;
 };
 
-void measure(const fleet_load& fleet, option& item, const step_terms& terms)
+// A rack whose owner has not reported lately is not trusted to be free.
+bool is_recent(const fleet_load& fleet, const rack_view& view, time_point now)
 {
-    item.weight = 0;
-    for (const candidate& target : item.targets)
-    {
-        if (is_suitable(fleet.pressures, target, terms))
-        {
-            item.weight += weight_of(fleet.pressures, target, terms);
-        }
-    }
+    return now - view.reported_at <= report_age(fleet.period);
+}
+
+// Reports come at different ages, so a placement counts until one of its rack
+// can show it, and not for a fixed time.
+bool is_shown(const fleet_load& fleet, const recent_placement& item,
+              time_point now)
+{
+    const auto view = fleet.racks.find(item.rack);
+    const bool is_reported =
+        view != fleet.racks.end() &&
+        view->second.reported_at >= item.at + placement_transit;
+    return is_reported || now - item.at > report_age(fleet.period);
+}
+
+bool matches(const target_entry& entry, const step_terms& terms)
+{
+    const bool has_label =
+        terms.required_label.empty() ||
+        std::find(entry.labels.begin(), entry.labels.end(),
+                  terms.required_label) != entry.labels.end();
+    return has_label && entry.service == terms.service && !entry.is_draining;
+}
+
+void add_company(const fleet_load& fleet, candidate& item,
+                 const std::string& image, std::int64_t cpu_milli)
+{
+    constexpr double milli_per_core = 1'000.0;
+    item.mix.idle_users_milli += cpu_milli;
+    take_spare(item.mix, fleet.pressures, image,
+               static_cast<double>(cpu_milli) / milli_per_core);
 }
 
 std::vector<candidate> candidates_of(const fleet_load& fleet,
-                                     const recent_index& recent,
                                      const rack_view& view,
-                                     const step_terms& terms)
+                                     const step_terms& terms, time_point now)
 {
     std::vector<candidate> found;
+    if (!is_recent(fleet, view, now))
+    {
+        return found;
+    }
     for (const target_room& room : view.room.targets)
     {
         const auto entry = fleet.targets.find(room.id);
-        if (room.is_open && entry != fleet.targets.end() &&
-            matches(entry->second, terms))
+        if (!room.is_open || entry == fleet.targets.end() ||
+            !matches(entry->second, terms))
         {
-            found.push_back(make_candidate(fleet, recent, room, entry->second));
+            continue;
         }
+        candidate item;
+        item.entry = &entry->second;
+        item.room = room.room;
+        item.mix.idle_users_milli = room.idle_users_milli;
+        item.mix.unused_milli = room.unused_milli;
+        item.mix.spare = room.spare;
+        item.mix.scarcity = room.scarcity;
+        item.mix.reserved = room.reserved;
+        for (const recent_placement& recent : fleet.recent)
+        {
+            if (recent.target == room.id)
+            {
+                subtract_from(item.room, recent.size);
+                add_company(fleet, item, recent.image, recent.idle_users_milli);
+            }
+        }
+        found.push_back(item);
     }
     return found;
 }
 
-std::vector<option> options_of(const fleet_load& fleet,
-                               const recent_index& recent,
-                               const step_terms& terms, time_point now)
+bool is_suitable(const fleet_load& fleet, const candidate& item,
+                 const step_terms& terms)
+{
+    if (!fits(reservation_of(terms), item.room) ||
+        (terms.max_per_target > 0 &&
+         item.taken_by_step >= terms.max_per_target))
+    {
+        return false;
+    }
+    return !terms.uses_idle_cpu ||
+           finds_idle_cpu(item.mix, terms, item.room, fleet.pressures);
+}
+
+// Tasks on idle processors go where they disturb nobody, and keep off targets
+// that images with few such places need.
+std::int64_t weight_of(const fleet_load& fleet, const candidate& item,
+                       const step_terms& terms)
+{
+    constexpr double preferred_weight = 40.0;
+    const std::int64_t idle =
+        std::max<std::int64_t>(1, idle_cpu(item.mix, item.room));
+    if (!terms.uses_idle_cpu || is_harmful(terms, item.mix, fleet.pressures))
+    {
+        return idle;
+    }
+    const double use = 1.1 - item.mix.scarcity;
+    return static_cast<std::int64_t>(preferred_weight * use * use *
+                                     static_cast<double>(idle)) +
+           1;
+}
+
+candidate* best_of(const fleet_load& fleet, std::vector<candidate>& items,
+                   const step_terms& terms)
+{
+    candidate* best = nullptr;
+    for (candidate& item : items)
+    {
+        if (is_suitable(fleet, item, terms) &&
+            (best == nullptr ||
+             weight_of(fleet, item, terms) > weight_of(fleet, *best, terms)))
+        {
+            best = &item;
+        }
+    }
+    return best;
+}
+
+/// Rack with its candidates.
+struct option
+{
+    std::string rack;
+    std::vector<candidate> targets;
+    std::int64_t free_cpu = 0;
+};
+
+std::vector<option> options_of(const fleet_load& fleet, const step_terms& terms,
+                               time_point now)
 {
     std::vector<option> options;
     for (const auto& [name, view] : fleet.racks)
     {
-        if (name == terms.earlier_rack || !is_recent(fleet, view, now))
+        if (name == terms.earlier_rack)
         {
             continue;
         }
         option item;
         item.rack = name;
-        item.targets = candidates_of(fleet, recent, view, terms);
-        measure(fleet, item, terms);
-        if (item.weight > 0)
+        item.targets = candidates_of(fleet, view, terms, now);
+        for (const candidate& target : item.targets)
+        {
+            if (is_suitable(fleet, target, terms))
+            {
+                item.free_cpu += weight_of(fleet, target, terms);
+            }
+        }
+        if (item.free_cpu > 0)
         {
             options.push_back(std::move(item));
         }
@@ -92,13 +192,13 @@
     std::int64_t total = 0;
     for (const option& item : options)
     {
-        total += item.weight;
+        total += item.free_cpu;
     }
     std::uniform_int_distribution<std::int64_t> any(0, total - 1);
     std::int64_t left = any(random);
     for (std::size_t n = 0; n < options.size(); ++n)
     {
-        left -= options[n].weight;
+        left -= options[n].free_cpu;
         if (left < 0)
         {
             return n;
@@ -145,19 +245,12 @@
     return matches(entry, terms) && fits(reservation_of(terms), entry.capacity);
 }
 
-/// Rack that can take a task at some time.
-struct queue_option
-{
-    std::string_view rack;
-    std::int64_t capacity = 0;
-    std::int64_t wanted = 0;
-};
-
-std::vector<queue_option> queues_of(const fleet_load& fleet,
-                                    const recent_index& recent,
-                                    const step_terms& terms, time_point now)
+// Rack with the shortest queue for its size, among those that can take the
+// task at some time.
+std::string shortest_queue(const fleet_load& fleet, const step_terms& terms,
+                           time_point now)
 {
-    std::map<std::string_view, std::int64_t> capacity;
+    std::map<std::string, std::int64_t> capacity;
     for (const auto& [id, entry] : fleet.targets)
     {
         if (can_ever_take(entry, terms))
@@ -165,46 +258,32 @@
             capacity[entry.rack] += entry.capacity.cpu_milli + 1;
         }
     }
-    std::vector<queue_option> queues;
+    std::string best;
+    double best_load = std::numeric_limits<double>::max();
     for (const auto& [rack, cpu] : capacity)
     {
-        const auto view = fleet.racks.find(std::string(rack));
+        const auto view = fleet.racks.find(rack);
         if (view == fleet.racks.end() || !is_recent(fleet, view->second, now))
         {
             continue;
         }
-        const auto placed = recent.cpu_by_rack.find(rack);
-        const std::int64_t own =
-            placed == recent.cpu_by_rack.end() ? 0 : placed->second;
-        queues.push_back({rack, cpu, view->second.room.queued_cpu_milli + own});
-    }
-    return queues;
-}
-
-double load_of(const queue_option& item)
-{
-    return static_cast<double>(item.wanted) /
-           static_cast<double>(item.capacity);
-}
-
-// The shorter of two queues that are drawn at random. All hosts see the same
-// shortest queue until the next reports, and would all choose it.
-std::string_view choose_queue(std::vector<queue_option>& queues,
-                              const step_terms& terms, std::minstd_rand& random)
-{
-    if (queues.empty())
-    {
-        return {};
-    }
-    std::uniform_int_distribution<std::size_t> any(0, queues.size() - 1);
-    queue_option* best = &queues[any(random)];
-    queue_option& other = queues[any(random)];
-    if (load_of(other) < load_of(*best))
-    {
-        best = &other;
+        std::int64_t wanted = view->second.room.queued_cpu_milli;
+        for (const recent_placement& recent : fleet.recent)
+        {
+            if (recent.rack == rack)
+            {
+                wanted += recent.size.cpu_milli + recent.idle_users_milli;
+            }
+        }
+        const double load =
+            static_cast<double>(wanted) / static_cast<double>(cpu);
+        if (load < best_load)
+        {
+            best_load = load;
+            best = rack;
+        }
     }
-    best->wanted += terms.size.cpu_milli;
-    return best->rack;
+    return best;
 }
 
 void forget_old(fleet_load& fleet, time_point now)
@@ -215,9 +294,9 @@
                        fleet.recent.end());
 }
 
-recent_placement make_placement(const step_terms& terms,
-                                const std::string& rack,
-                                const std::string& target, time_point now)
+void remember(fleet_load& fleet, const step_terms& terms,
+              const std::string& rack, const std::string& target,
+              time_point now)
 {
     recent_placement item;
     item.rack = rack;
@@ -226,17 +305,7 @@
     item.idle_users_milli = terms.uses_idle_cpu ? terms.size.cpu_milli : 0;
     item.image = terms.uses_idle_cpu ? terms.image : "";
     item.at = now;
-    return item;
-}
-
-// Tasks of a step that go to one rack before another is drawn.
-std::size_t tasks_at_once(const option& item, const step_terms& terms,
-                          const std::string& data_rack)
-{
-    const bool stays_together =
-        terms.is_gang || terms.response_target_ms > 0 || item.rack == data_rack;
-    return stays_together ? std::numeric_limits<std::size_t>::max()
-                          : most_at_once;
+    fleet.recent.push_back(std::move(item));
 }
 
 } // namespace
@@ -280,49 +349,39 @@
                                       time_point now, std::minstd_rand& random)
 {
     forget_old(fleet, now);
-    const recent_index recent = index_recent(fleet, now);
     std::vector<std::string> chosen;
-    std::vector<option> options = options_of(fleet, recent, terms, now);
-    std::vector<recent_placement> placed;
+    std::vector<option> options = options_of(fleet, terms, now);
     while (chosen.size() < count && !options.empty())
     {
         const std::size_t n = choose_option(options, terms, data_rack, random);
         option& item = options[n];
-        const std::size_t last = std::min(
-            count, chosen.size() + tasks_at_once(item, terms, data_rack));
-        candidate* target = best_of(fleet.pressures, item.targets, terms);
-        while (chosen.size() < last && target != nullptr)
+        candidate* target = best_of(fleet, item.targets, terms);
+        while (chosen.size() < count && target != nullptr)
         {
-            take_room(fleet.pressures, *target, terms);
-            placed.push_back(
-                make_placement(terms, item.rack, target->entry->id, now));
+            subtract_from(target->room, reservation_of(terms));
+            if (terms.uses_idle_cpu)
+            {
+                add_company(fleet, *target, terms.image, terms.size.cpu_milli);
+            }
+            ++target->taken_by_step;
+            remember(fleet, terms, item.rack, target->entry->id, now);
             chosen.push_back(item.rack);
-            target = best_of(fleet.pressures, item.targets, terms);
-        }
-        measure(fleet, item, terms);
-        if (item.weight <= 0)
-        {
-            options.erase(options.begin() + static_cast<std::ptrdiff_t>(n));
+            target = best_of(fleet, item.targets, terms);
         }
+        options.erase(options.begin() + static_cast<std::ptrdiff_t>(n));
         if (terms.is_gang)
         {
             break;
         }
     }
-    std::vector<queue_option> queues;
-    if (chosen.size() < count)
-    {
-        queues = queues_of(fleet, recent, terms, now);
-    }
     while (chosen.size() < count)
     {
-        chosen.emplace_back(choose_queue(queues, terms, random));
+        chosen.push_back(shortest_queue(fleet, terms, now));
         if (!chosen.back().empty())
         {
-            placed.push_back(make_placement(terms, chosen.back(), "", now));
+            remember(fleet, terms, chosen.back(), "", now);
         }
     }
-    fleet.recent.insert(fleet.recent.end(), placed.begin(), placed.end());
     return chosen;
 }
 
@@ -360,4 +419,17 @@
     return !is_known || (free - cpu_milli) * 100 >= capacity * short_percent;
 }
 
+bool has_room_elsewhere(const fleet_load& fleet, const step_terms& terms,
+                        const std::string& rack, time_point now)
+{
+    for (const option& item : options_of(fleet, terms, now))
+    {
+        if (item.rack != rack)
+        {
+            return true;
+        }
+    }
+    return false;
+}
+
 } // namespace egretspindle
--- a/src/rack/load_period.cpp
+++ b/src/rack/load_period.cpp
@@ -23,9 +23,6 @@
 // of 243 cases.
 constexpr int missed_reports = 5;
 
-// Most short tasks end within this time and make room where the start waits.
-constexpr milliseconds shortest_hand_back_period{700};
-
 milliseconds time_for(std::int64_t amount, std::int64_t each_second)
 {
     return milliseconds((amount * second_ms + each_second - 1) / each_second);
@@ -51,11 +48,6 @@
                     time_for(static_cast<std::int64_t>(bytes), pair_bytes_in));
 }
 
-milliseconds hand_back_period(milliseconds period) noexcept
-{
-    return std::max(shortest_hand_back_period, period + placement_transit);
-}
-
 bool take_due(send_schedule& schedule, milliseconds period,
               time_point now) noexcept
 {
--- a/src/rack/place_starts.cpp
+++ b/src/rack/place_starts.cpp
@@ -177,6 +177,18 @@
     return placed;
 }
 
+std::size_t gang_length(const rack_state& rack, std::size_t first)
+{
+    std::size_t n = first;
+    while (n < rack.queue.size() &&
+           rack.queue[n].terms->step == rack.queue[first].terms->step &&
+           rack.queue[n].run == rack.queue[first].run)
+    {
+        ++n;
+    }
+    return n - first;
+}
+
 } // namespace
 
 std::vector<placement> place_starts(rack_state& rack,
--- a/src/rack/rack_decision.cpp
+++ b/src/rack/rack_decision.cpp
@@ -20,12 +20,8 @@
 // Orders are sent again within seconds; ends are remembered for one to two of
 // these periods.
 constexpr milliseconds ends_memory{60'000};
-// Starts or gangs that a rack hands back at a time, each with a record and two
-// messages.
+// Starts that a rack hands back at a time. Other hosts see the same room.
 constexpr std::size_t most_handed_back = 4;
-// The patience doubles once for a task that has had a run: reports that led it
-// here after it was handed back are likely to mislead it again.
-constexpr std::int64_t most_patience_doublings = 1;
 
 run_event ended(const placed_run& run, const std::string& target, run_end how,
                 end_cause cause)
@@ -53,13 +49,6 @@
     return event;
 }
 
-milliseconds patience_of(const queued_start& start, milliseconds patience)
-{
-    const std::int64_t doublings =
-        std::clamp<std::int64_t>(start.run - 1, 0, most_patience_doublings);
-    return patience * (std::int64_t{1} << doublings);
-}
-
 void drop_all(rack_target& target, end_cause cause,
               std::vector<run_event>& events)
 {
@@ -604,21 +593,8 @@
                        });
 }
 
-bool has_impatient(const rack_state& rack, milliseconds patience,
-                   time_point now)
-{
-    return !rack.is_fenced &&
-           std::any_of(rack.queue.begin(), rack.queue.end(),
-                       [&](const queued_start& item)
-                       {
-                           return !item.is_repeated &&
-                                  now - item.queued_at >
-                                      patience_of(item, patience);
-                       });
-}
-
 std::vector<run_event> hand_back(rack_state& rack, milliseconds patience,
-                                 const room_check& has_room, time_point now)
+                                 const room_elsewhere& has_room, time_point now)
 {
     std::vector<run_event> events;
     if (rack.is_fenced)
@@ -626,41 +602,15 @@
         return events;
     }
     std::vector<queued_start> remaining;
-    // Tasks of one step ask for the same, so one that finds no room stands for
-    // all.
-    const step_terms* refused = nullptr;
-    std::size_t decided = 0;
-    for (std::size_t n = 0; n < rack.queue.size();)
-    {
-        const queued_start& start = rack.queue[n];
-        const std::size_t count =
-            start.terms->is_gang ? gang_length(rack, n) : 1;
-        const auto first = rack.queue.begin() + static_cast<std::ptrdiff_t>(n);
-        const auto last = first + static_cast<std::ptrdiff_t>(count);
-        const bool has_waited =
-            decided < most_handed_back && start.terms.get() != refused &&
-            std::none_of(first, last,
-                         [&](const queued_start& item)
-                         {
-                             return item.is_repeated ||
-                                    now - item.queued_at <=
-                                        patience_of(item, patience);
-                         });
-        const bool is_returned = has_waited && has_room(*start.terms);
-        refused = has_waited && !is_returned ? start.terms.get() : refused;
-        decided += is_returned ? 1 : 0;
-        for (auto it = first; it != last; ++it)
+    for (queued_start& start : rack.queue)
+    {
+        if (events.size() < most_handed_back && !start.is_repeated &&
+            now - start.queued_at > patience && has_room(*start.terms))
         {
-            if (is_returned)
-            {
-                events.push_back(not_started(*it, end_cause::handed_back));
-            }
-            else
-            {
-                remaining.push_back(std::move(*it));
-            }
+            events.push_back(not_started(start, end_cause::handed_back));
+            continue;
         }
-        n += count;
+        remaining.push_back(std::move(start));
     }
     rack.queue = std::move(remaining);
     remember_ends(rack, events);
--- a/src/rack/rack_state.cpp
+++ b/src/rack/rack_state.cpp
@@ -110,16 +110,4 @@
     update_expiry(target, limits);
 }
 
-std::size_t gang_length(const rack_state& rack, std::size_t first)
-{
-    std::size_t n = first;
-    while (n < rack.queue.size() &&
-           rack.queue[n].terms->step == rack.queue[first].terms->step &&
-           rack.queue[n].run == rack.queue[first].run)
-    {
-        ++n;
-    }
-    return n - first;
-}
-
 } // namespace egretspindle
--- a/src/scheduler/rack_agent.cpp
+++ b/src/scheduler/rack_agent.cpp
@@ -366,20 +366,11 @@
             list.insert(list.end(), settled.begin(), settled.end());
             impl_->sync_targets(rack);
             impl_->place(rack);
-        }
-        impl_->renew_offers(now);
-        const milliseconds patience =
-            std::max(impl_->limits.queue_patience, impl_->offers.patience);
-        for (auto& [name, rack] : impl_->racks)
-        {
             const std::vector<run_event> returned = hand_back(
-                rack, patience,
-                [&, &rack_name = name](const step_terms& terms) {
-                    return take_offer(impl_->offers, impl_->model, terms,
-                                      rack_name);
-                },
+                rack, impl_->limits.queue_patience,
+                [&, &rack_name = name](const step_terms& terms)
+                { return impl_->hooks.has_room_elsewhere(terms, rack_name); },
                 now);
-            std::vector<run_event>& list = events[name];
             list.insert(list.end(), returned.begin(), returned.end());
         }
         ended = impl_->take_finished();
--- a/src/scheduler/rack_agent_channels.cpp
+++ b/src/scheduler/rack_agent_channels.cpp
@@ -245,27 +245,6 @@
     }
 }
 
-// Asks for room elsewhere when a start has waited for long. What is handed back
-// shows in the reports only after the time that an offer holds.
-void rack_agent::impl::renew_offers(time_point now)
-{
-    const bool is_wanted = std::any_of(
-        racks.begin(), racks.end(),
-        [&](const auto& item)
-        { return has_impatient(item.second, limits.queue_patience, now); });
-    if (!is_wanted || now - offered_at < offers.patience)
-    {
-        return;
-    }
-    std::set<std::string> own;
-    for (const auto& [name, rack] : racks)
-    {
-        own.insert(name);
-    }
-    offers = hooks.offer_room(own);
-    offered_at = now;
-}
-
 void rack_agent::impl::publish(const std::string& rack, std::int64_t token,
                                const std::vector<run_event>& events)
 {
--- a/src/scheduler/rack_agent_impl.hpp
+++ b/src/scheduler/rack_agent_impl.hpp
@@ -83,7 +83,6 @@
                         std::vector<channel_ptr>& closed);
     void sync_targets(rack_state& rack);
     void place(rack_state& rack);
-    void renew_offers(time_point now);
     void push(const std::string& target, pending_order order);
     void note_return(target_channel& channel);
     std::vector<channel_ptr> take_finished();
@@ -124,8 +123,6 @@
     std::vector<channel_ptr> retired;            ///< threads that are ending
     pressure_model model;
     bool is_model_taken = true; ///< by `take_merged`, as it is
-    room_elsewhere offers;      ///< less what was handed back
-    time_point offered_at;
     host_activity activity;
     bool is_stopping = false;
 };
