Log what queued starts wait for, and which racks a step gets

A line 'rack queue' for each rack with waiting starts every 5 s counts them by the check that the closest target fails: closed, room, limit of the step, idle processors, reservation for a scarcer image, headroom. 'racks chosen' names the racks of each step, 'start placed' the image and whether the task lasts, and 'end concluded' the time that a start waited before it was handed back. The hypotheses on starts that wander and on targets kept for few waiting starts could not be told apart before.

--- a/include/egretspindle/rack/interference.hpp
+++ b/include/egretspindle/rack/interference.hpp
@@ -49,11 +49,24 @@
 [[nodiscard]] bool is_harmful(const step_terms& terms, const target_mix& mix,
                               const pressure_model& model);
 
-/// Returns whether a task that uses idle processors would find enough of them,
-/// without taking response times near their targets, and without taking them
-/// from a start that waits and has fewer places to go.
+/// Why a target cannot take a task that uses idle processors.
+enum class idle_obstacle
+{
+    none,
+    processors, ///< too few are idle
+    reserved,   ///< kept for a start that waits and has fewer places to go
+    headroom,   ///< a serving task would come near its response-time target
+};
+
+/// Returns the first reason against a task on idle processors.
 ///
 /// \param room  what is left on the target
+[[nodiscard]] idle_obstacle find_idle_obstacle(const target_mix& mix,
+                                               const step_terms& terms,
+                                               const task_size& room,
+                                               const pressure_model& model);
+
+/// Returns whether there is no such reason.
 [[nodiscard]] bool finds_idle_cpu(const target_mix& mix,
                                   const step_terms& terms,
                                   const task_size& room,
--- a/include/egretspindle/rack/rack_decision.hpp
+++ b/include/egretspindle/rack/rack_decision.hpp
@@ -52,6 +52,7 @@
     std::string checkpoint;
     std::string target;
     std::int64_t number = 0; ///< of a listed end; 0: not listed
+    milliseconds waited{0};  ///< in the queue, of a start that was handed back
 };
 
 /// Order to start a queued run on a target.
--- a/include/egretspindle/scheduler/rack_agent.hpp
+++ b/include/egretspindle/scheduler/rack_agent.hpp
@@ -122,6 +122,9 @@
     /// Returns the room of all racks of this host.
     [[nodiscard]] std::vector<rack_room> measure() const;
 
+    /// Writes a line for each rack with starts that wait.
+    void log_queues() const;
+
     /// Returns what this host has learned of tasks on idle processors and has
     /// to send now.
     [[nodiscard]] std::vector<pair_pressure>
--- a/src/rack/interference.cpp
+++ b/src/rack/interference.cpp
@@ -126,25 +126,36 @@
     return !harms_nobody(mix, model, terms.image);
 }
 
-bool finds_idle_cpu(const target_mix& mix, const step_terms& terms,
-                    const task_size& room, const pressure_model& model)
+idle_obstacle find_idle_obstacle(const target_mix& mix, const step_terms& terms,
+                                 const task_size& room,
+                                 const pressure_model& model)
 {
-    if (idle_cpu(mix, room) < terms.size.cpu_milli ||
-        hardness_of(model, terms.image) < mix.reserved)
+    if (idle_cpu(mix, room) < terms.size.cpu_milli)
     {
-        return false;
+        return idle_obstacle::processors;
     }
-    return std::all_of(mix.spare.begin(), mix.spare.end(),
-                       [&](const auto& item)
-                       {
-                           const double drop = expected_drop(
-                               model, item.first, terms.image, cores_of(terms));
-                           const double margin =
-                               is_harmful_pair(model, item.first, terms.image)
-                                   ? harmful_margin
-                                   : 0.0;
-                           return drop + margin <= item.second;
-                       });
+    if (hardness_of(model, terms.image) < mix.reserved)
+    {
+        return idle_obstacle::reserved;
+    }
+    const bool has_headroom = std::all_of(
+        mix.spare.begin(), mix.spare.end(),
+        [&](const auto& item)
+        {
+            const double drop =
+                expected_drop(model, item.first, terms.image, cores_of(terms));
+            const double margin =
+                is_harmful_pair(model, item.first, terms.image) ? harmful_margin
+                                                                : 0.0;
+            return drop + margin <= item.second;
+        });
+    return has_headroom ? idle_obstacle::none : idle_obstacle::headroom;
+}
+
+bool finds_idle_cpu(const target_mix& mix, const step_terms& terms,
+                    const task_size& room, const pressure_model& model)
+{
+    return find_idle_obstacle(mix, terms, room, model) == idle_obstacle::none;
 }
 
 std::int64_t rate_company(const target_mix& mix, const step_terms& terms,
--- a/src/rack/place_starts.cpp
+++ b/src/rack/place_starts.cpp
@@ -1,6 +1,8 @@
 #include "egretspindle/rack/interference.hpp"
 #include "egretspindle/rack/rack_decision.hpp"
 
+#include "target_check.hpp"
+
 #include <algorithm>
 #include <string_view>
 #include <tuple>
@@ -17,21 +19,6 @@
 // Above the processors of any target.
 constexpr std::int64_t target_cpu_bonus = 1'000'000;
 
-bool holds_label(const target_entry& entry, const std::string& label)
-{
-    return label.empty() || std::find(entry.labels.begin(), entry.labels.end(),
-                                      label) != entry.labels.end();
-}
-
-std::int64_t count_of_step(const rack_target& target, const std::string& step)
-{
-    return std::count_if(target.runs.begin(), target.runs.end(),
-                         [&step](const auto& item) {
-                             return item.second.terms &&
-                                    item.second.terms->step == step;
-                         });
-}
-
 /// Target that accepts starts, with what placing needs of its tasks.
 struct open_target
 {
@@ -64,14 +51,8 @@
 bool can_take(const open_target& item, const step_terms& terms,
               const pressure_model& model)
 {
-    const target_entry& entry = item.target->entry;
-    return entry.service == terms.service &&
-           fits(reservation_of(terms), item.room) &&
-           holds_label(entry, terms.required_label) &&
-           (terms.max_per_target == 0 ||
-            count_of_step(*item.target, terms.step) < terms.max_per_target) &&
-           (!terms.uses_idle_cpu ||
-            finds_idle_cpu(item.mix, terms, item.room, model));
+    return find_obstacle(*item.target, item.mix, item.room, terms, model) ==
+           start_obstacle::none;
 }
 
 // Targets that serve the image already come first, then those that serve
--- a/src/rack/rack_decision.cpp
+++ b/src/rack/rack_decision.cpp
@@ -608,6 +608,8 @@
             now - start.queued_at > patience && has_room(*start.terms))
         {
             events.push_back(not_started(start, end_cause::handed_back));
+            events.back().waited =
+                std::chrono::duration_cast<milliseconds>(now - start.queued_at);
             continue;
         }
         remaining.push_back(std::move(start));
--- a/src/scheduler/job_coordinator_runs.cpp
+++ b/src/scheduler/job_coordinator_runs.cpp
@@ -10,6 +10,27 @@
 namespace egretspindle
 {
 
+namespace
+{
+
+// Names with the number of times that each occurs, such as `r1-1=4,r2-3=2`.
+std::string counted_names(const std::vector<std::string>& names)
+{
+    std::map<std::string, int> counts;
+    for (const std::string& name : names)
+    {
+        ++counts[name];
+    }
+    std::string text;
+    for (const auto& [name, count] : counts)
+    {
+        text += fmt::format("{}{}={}", text.empty() ? "" : ",", name, count);
+    }
+    return text;
+}
+
+} // namespace
+
 std::int64_t job_coordinator::impl::max_attempts(const job& value) const
 {
     const std::shared_ptr<const fleet_config> config = hooks.config();
@@ -101,6 +122,11 @@
     {
         return; // no target can take it now; the next tick asks again
     }
+    log_info("racks chosen", {{"step", terms.step},
+                              {"tasks", due.tasks.size()},
+                              {"racks", counted_names(racks)},
+                              {"earlier_rack", terms.earlier_rack},
+                              {"image", terms.image}});
     std::int64_t gang_run = 0;
     if (spec.is_gang)
     {
--- a/src/scheduler/job_scheduler.cpp
+++ b/src/scheduler/job_scheduler.cpp
@@ -489,6 +489,11 @@
                     "orders were not answered",
                     {{"rack", orders.rack},
                      {"host", owner->host},
+                     {"first_step", orders.starts.empty()
+                                        ? std::string()
+                                        : orders.starts.front().terms.step},
+                     {"steps", orders.starts.size()},
+                     {"stops", orders.stops.size()},
                      {"error", std::string(answer.status().message())}});
                 continue;
             }
@@ -686,6 +691,7 @@
             queues.queued_starts += room.queued;
         }
         log_activity(racks.activity(), queues);
+        racks.log_queues();
     }
 }
 
--- a/src/scheduler/rack_agent.cpp
+++ b/src/scheduler/rack_agent.cpp
@@ -1,6 +1,7 @@
 #include "egretspindle/scheduler/rack_agent.hpp"
 
 #include "egretspindle/logging/log.hpp"
+#include "egretspindle/rack/queue_summary.hpp"
 
 #include "rack_agent_impl.hpp"
 
@@ -434,4 +435,36 @@
     return rooms;
 }
 
+void rack_agent::log_queues() const
+{
+    std::vector<std::pair<std::string, queue_summary>> queues;
+    {
+        const std::lock_guard<std::mutex> lock(impl_->mutex);
+        const time_point now = steady_clock::now();
+        for (const auto& [name, rack] : impl_->racks)
+        {
+            if (!rack.queue.empty())
+            {
+                queues.emplace_back(name,
+                                    summarize_queue(rack, impl_->model, now));
+            }
+        }
+    }
+    for (const auto& [name, queue] : queues)
+    {
+        log_info("rack queue", {{"rack", name},
+                                {"queued", queue.queued},
+                                {"lasting", queue.lasting},
+                                {"repeated", queue.repeated},
+                                {"oldest_ms", queue.oldest.count()},
+                                {"closed", queue.closed},
+                                {"no_room", queue.room},
+                                {"step_limit", queue.limit},
+                                {"no_processors", queue.processors},
+                                {"reserved", queue.reserved},
+                                {"no_headroom", queue.headroom},
+                                {"placeable", queue.placeable}});
+    }
+}
+
 } // namespace egretspindle
--- a/src/scheduler/rack_agent_channels.cpp
+++ b/src/scheduler/rack_agent_channels.cpp
@@ -239,6 +239,8 @@
                   {"rack", rack.name},
                   {"target", item.target},
                   {"priority", item.start.terms->priority},
+                  {"lasting", item.start.terms->is_long_running},
+                  {"image", item.start.terms->image},
                   {"queued", rack.queue.size()},
                   {"waited_ms",
                    elapsed_ms(item.start.queued_at, steady_clock::now())}});
@@ -263,6 +265,7 @@
                                        {"cause", to_string(event.cause)},
                                        {"target", event.target},
                                        {"rack", rack},
+                                       {"waited_ms", event.waited.count()},
                                        {"owner_version", token}});
         }
     }
--- /dev/null
+++ b/tests/rack/queue_summary_test.cpp
@@ -0,0 +1,81 @@
+#include "egretspindle/rack/queue_summary.hpp"
+
+#include <catch2/catch.hpp>
+
+using namespace egretspindle;
+
+namespace
+{
+
+const time_point start = time_point{} + milliseconds(1'000'000);
+
+rack_state make_rack()
+{
+    rack_state rack;
+    rack_target target;
+    target.entry.id = "t1";
+    target.entry.service = "svc";
+    target.entry.capacity = {4'000, 4'000, 0};
+    target.is_recorded = true;
+    target.is_reached = true;
+    rack.targets["t1"] = target;
+    return rack;
+}
+
+step_terms make_terms(std::int64_t cpu_milli)
+{
+    step_terms terms;
+    terms.step = "job.0.0";
+    terms.service = "svc";
+    terms.size = {cpu_milli, 100, 0};
+    return terms;
+}
+
+void add(rack_state& rack, const step_terms& terms, bool is_repeated = false)
+{
+    queued_start item;
+    item.task = "job.0.0.0";
+    item.run = 1;
+    item.terms = std::make_shared<const step_terms>(terms);
+    item.queued_at = start - milliseconds(900);
+    item.is_repeated = is_repeated;
+    rack.queue.push_back(item);
+}
+
+} // namespace
+
+// The line of a rack has to tell a full rack from one whose targets are kept
+// for other starts; both showed as `queued` only.
+TEST_CASE("the summary of a queue names what each start waits for", "[rack]")
+{
+    pressure_model model;
+    model.hardness["easy"] = 0.0;
+    model.hardness["hard"] = 0.8;
+    model.waiting = {"hard"};
+    rack_state rack = make_rack();
+    step_terms filling = make_terms(1'000);
+    filling.uses_idle_cpu = true;
+    filling.image = "easy";
+    add(rack, make_terms(1'000));
+    add(rack, make_terms(8'000));
+    add(rack, filling);
+    filling.size.cpu_milli = 8'000;
+    add(rack, filling);
+    add(rack, make_terms(1'000), true);
+    const queue_summary summary = summarize_queue(rack, model, start);
+    REQUIRE(summary.queued == 5);
+    REQUIRE(summary.oldest == milliseconds(900));
+    REQUIRE(summary.placeable == 1);
+    REQUIRE(summary.room == 1);
+    REQUIRE(summary.reserved == 1);
+    REQUIRE(summary.processors == 1);
+    REQUIRE(summary.repeated == 1);
+}
+
+TEST_CASE("starts wait for a target that accepts them", "[rack]")
+{
+    rack_state rack = make_rack();
+    rack.targets["t1"].entry.is_draining = true;
+    add(rack, make_terms(1'000));
+    REQUIRE(summarize_queue(rack, pressure_model(), start).closed == 1);
+}
