Read all changes of a table before a watch pauses

Cause: the store cuts a page of changes at 500 rows. 490 targets change 445 rows a second, and the watch read one page and then paused for 1.2 s, so that 623 changes came in each period. The small sites change 60 rows a second and never filled a page.

The platform client marks a full page, and the watch reads on without a pause. The stand-in cuts its pages alike. Class: a reader slower than what it follows, without a measure of its lag. The cluster table is read with the same calls, and changes by about 50 rows a second.

'a watch reads all changes before it pauses' fails without the change.

--- a/include/egretspindle/fleet/table_store.hpp
+++ b/include/egretspindle/fleet/table_store.hpp
@@ -73,7 +73,9 @@
 {
     std::vector<table_row> rows;
     bool has_more = false;
-    std::int64_t version = 0; ///< newest of the store
+    /// Newest of the store; of a page of changes that has more, the last one in
+    /// it.
+    std::int64_t version = 0;
 };
 
 /// Which rows to read.
--- a/src/scheduler/table_watch.cpp
+++ b/src/scheduler/table_watch.cpp
@@ -33,6 +33,7 @@
 
     bool read_all();
     bool follow();
+    [[nodiscard]] milliseconds pause_after(bool is_done) const;
     void note_failure(const absl::Status& status);
     void note_contact();
     void run();
@@ -44,6 +45,7 @@
     row_map rows;
     std::int64_t version = 0;
     bool is_current = false;
+    bool has_more = false; ///< changes that the last answer left out
     bool has_failed = false;
     std::mutex mutex;
     std::condition_variable stopped;
@@ -97,6 +99,7 @@
         range.from = page->rows.back().key + '\0';
     }
     note_contact();
+    has_more = true; // what changed while the pages were read
     rows = std::move(next);
     version = first_version;
     is_current = true;
@@ -108,6 +111,7 @@
 {
     const absl::StatusOr<table_page> page =
         store.watch(table, version, watch_wait);
+    has_more = page.ok() && page->has_more;
     if (!page.ok())
     {
         note_failure(page.status());
@@ -134,13 +138,24 @@
     return true;
 }
 
+// Without a pause after a full page, the rows are as new as the store's answer
+// however fast the table changes.
+milliseconds table_watch::impl::pause_after(bool is_done) const
+{
+    if (!is_done)
+    {
+        return retry_pause;
+    }
+    return has_more ? milliseconds(0) : pause;
+}
+
 void table_watch::impl::run()
 {
     for (;;)
     {
         const bool is_done = is_current ? follow() : read_all();
         std::unique_lock<std::mutex> lock(mutex);
-        if (is_stopping || stopped.wait_for(lock, is_done ? pause : retry_pause,
+        if (is_stopping || stopped.wait_for(lock, pause_after(is_done),
                                             [this] { return is_stopping; }))
         {
             return;
--- a/tests/scheduler/fake_store.hpp
+++ b/tests/scheduler/fake_store.hpp
@@ -161,6 +161,12 @@
                               return !page.rows.empty();
                           });
         page.version = version_;
+        if (page.rows.size() > page_size_)
+        {
+            page.rows.resize(page_size_);
+            page.version = page.rows.back().version;
+            page.has_more = true;
+        }
         return page;
     }
 
@@ -176,7 +182,7 @@
         is_unreadable_ = is_unreadable;
     }
 
-    /// Bounds the rows of one answer to a read.
+    /// Bounds the rows of one answer to a read or a watch.
     void set_page_size(std::size_t rows)
     {
         const std::lock_guard<std::mutex> lock(mutex_);
--- /dev/null
+++ b/tests/scheduler/table_watch_test.cpp
@@ -0,0 +1,84 @@
+#include "egretspindle/scheduler/table_watch.hpp"
+
+#include "fake_store.hpp"
+
+#include <catch2/catch.hpp>
+
+#include <condition_variable>
+#include <mutex>
+
+using namespace egretspindle;
+
+namespace
+{
+
+void write(fake_store& store, const std::string& key, const std::string& value)
+{
+    row_transaction transaction;
+    table_row row;
+    row.table = "servers";
+    row.key = key;
+    row.value = value;
+    transaction.writes.push_back(row);
+    REQUIRE(store.commit(transaction, milliseconds(100)).ok());
+}
+
+/// Rows as a watch has shown them last.
+struct seen_rows
+{
+    std::mutex mutex;
+    std::condition_variable changed;
+    row_map rows;
+
+    bool wait_for_value(const std::string& key, const std::string& value,
+                        milliseconds bound)
+    {
+        std::unique_lock<std::mutex> lock(mutex);
+        return changed.wait_for(lock, bound,
+                                [&]
+                                {
+                                    const auto it = rows.find(key);
+                                    return it != rows.end() &&
+                                           it->second.value == value;
+                                });
+    }
+};
+
+} // namespace
+
+// The list of 490 targets changes 445 times a second and a page of changes has
+// 500 rows. With one page in each pause of 1.2 s the list grew older all day,
+// and targets got starts seconds after they had said that they leave (DRAIN).
+TEST_CASE("a watch reads all changes before it pauses", "[scheduler]")
+{
+    constexpr milliseconds pause{30'000};
+    constexpr std::size_t page_size = 5;
+    fake_store store;
+    seen_rows seen;
+    write(store, "target-00", "ready");
+    table_watch watch(store, "servers", pause,
+                      [&](const row_map& rows)
+                      {
+                          const std::lock_guard<std::mutex> lock(seen.mutex);
+                          seen.rows = rows;
+                          seen.changed.notify_all();
+                      });
+    store.set_page_size(page_size);
+    // Three pages of changes after the version of the whole read.
+    bool is_first_watch = true;
+    store.before_read = [&]
+    {
+        if (!seen.rows.empty() && is_first_watch)
+        {
+            is_first_watch = false;
+            for (int n = 1; n <= 14; ++n)
+            {
+                write(store, "target-" + std::to_string(n), "ready");
+            }
+            write(store, "target-00", "draining");
+        }
+    };
+    watch.start();
+    REQUIRE(seen.wait_for_value("target-00", "draining", pause * 2 / 3));
+    watch.stop();
+}
--- a/tools/standin_platform/row_table.cpp
+++ b/tools/standin_platform/row_table.cpp
@@ -12,6 +12,24 @@
 
 // Changes kept for followers. Hosts follow about a second behind.
 constexpr std::size_t max_history = 20'000;
+// A page of changes has at most so many rows.
+constexpr std::size_t max_changes = 500;
+
+// Cuts a page between two versions, since followers resume after a version.
+void cut_page(row_page& page)
+{
+    if (page.rows.size() <= max_changes)
+    {
+        return;
+    }
+    const std::int64_t left_out = page.rows[max_changes].version;
+    page.rows.resize(max_changes);
+    while (page.rows.size() > 1 && page.rows.back().version == left_out)
+    {
+        page.rows.pop_back();
+    }
+    page.version = page.rows.back().version;
+}
 
 } // namespace
 
@@ -117,6 +135,7 @@
         std::copy_if(it, history_.end(), std::back_inserter(page.rows),
                      [&](const stored_row& row) { return row.table == table; });
         page.version = version_;
+        cut_page(page);
         if (!page.rows.empty() ||
             changed_.wait_until(lock, end) == std::cv_status::timeout)
         {
