--- a/include/egretspindle/rack/pressure_model.hpp
+++ b/include/egretspindle/rack/pressure_model.hpp
@@ -57,6 +57,9 @@
     /// Images whose starts wait for idle processors, on any host, with the
     /// share of the targets that suit them to keep; see `reserved_shares`.
     std::map<std::string, double> waiting;
+    /// Of `merged` and `hardness`. No two merges of the process have the same
+    /// version, so that it also tells models apart.
+    std::uint64_t version = 0;
     bool is_changed = false; ///< since `merged` was made
     time_point merged_at;
 };
