--- /dev/null
+++ b/src/scheduler/load_sight.cpp
@@ -0,0 +1,72 @@
+#include "egretspindle/scheduler/load_sight.hpp"
+
+#include <algorithm>
+#include <set>
+
+namespace egretspindle
+{
+
+rack_sight sight_of_racks(const fleet_load& fleet,
+                          const std::vector<std::string>& racks, time_point now)
+{
+    rack_sight sight;
+    const std::set<std::string> names(racks.begin(), racks.end());
+    for (const std::string& name : names)
+    {
+        const auto it = fleet.racks.find(name);
+        if (it == fleet.racks.end())
+        {
+            sight.unreported += name.empty() ? 0 : 1;
+            continue;
+        }
+        sight.oldest_report_ms = std::max(
+            sight.oldest_report_ms, elapsed_ms(it->second.reported_at, now));
+        sight.queued += it->second.room.queued;
+        for (const target_room& target : it->second.room.targets)
+        {
+            sight.free_cpu_milli +=
+                target.is_open
+                    ? std::max<std::int64_t>(0, target.room.cpu_milli)
+                    : 0;
+        }
+    }
+    return sight;
+}
+
+service_sight sight_of_service(const fleet_load& fleet,
+                               const std::string& service, time_point now)
+{
+    service_sight sight;
+    for (const auto& [id, entry] : fleet.targets)
+    {
+        sight.capacity_milli +=
+            entry.service == service ? entry.capacity.cpu_milli : 0;
+    }
+    for (const auto& [name, view] : fleet.racks)
+    {
+        if (now - view.reported_at > report_age(fleet.period))
+        {
+            ++sight.old_reports;
+            continue;
+        }
+        for (const target_room& room : view.room.targets)
+        {
+            const auto it = fleet.targets.find(room.id);
+            if (it == fleet.targets.end() || it->second.service != service)
+            {
+                continue;
+            }
+            sight.reported_milli += it->second.capacity.cpu_milli;
+            sight.free_milli += std::max<std::int64_t>(0, room.room.cpu_milli);
+            sight.oldest_report_ms = std::max(
+                sight.oldest_report_ms, elapsed_ms(view.reported_at, now));
+        }
+    }
+    for (const recent_placement& item : fleet.recent)
+    {
+        sight.free_milli -= item.size.cpu_milli;
+    }
+    return sight;
+}
+
+} // namespace egretspindle
--- /dev/null
+++ b/tests/scheduler/load_sight_test.cpp
@@ -0,0 +1,91 @@
+#include "egretspindle/scheduler/load_sight.hpp"
+
+#include <catch2/catch.hpp>
+
+using namespace egretspindle;
+
+namespace
+{
+
+target_entry entry_of(const std::string& rack, const std::string& service)
+{
+    target_entry entry;
+    entry.rack = rack;
+    entry.service = service;
+    entry.capacity = {4'000, 4'000, 0};
+    return entry;
+}
+
+rack_view view_of(const std::string& rack, const std::string& target,
+                  std::int64_t free_milli, std::int64_t queued,
+                  time_point reported_at)
+{
+    rack_view view;
+    view.room.rack = rack;
+    view.room.queued = queued;
+    target_room room;
+    room.id = target;
+    room.room.cpu_milli = free_milli;
+    room.is_open = true;
+    view.room.targets = {room};
+    view.reported_at = reported_at;
+    return view;
+}
+
+/// Two racks of one target each, the second with an old report.
+fleet_load make_fleet(time_point now)
+{
+    fleet_load fleet;
+    fleet.targets["t1"] = entry_of("r1", "svc");
+    fleet.targets["t2"] = entry_of("r2", "svc");
+    fleet.targets["t3"] = entry_of("r1", "other");
+    fleet.racks["r1"] = view_of("r1", "t1", 1'500, 3, now - milliseconds(40));
+    fleet.racks["r2"] =
+        view_of("r2", "t2", 2'000, 5, now - std::chrono::hours(1));
+    return fleet;
+}
+
+} // namespace
+
+// Guards against a line that names a fresher report than the one used.
+TEST_CASE("the sight of racks names its oldest report", "[scheduler]")
+{
+    const time_point now = steady_clock::now();
+    const fleet_load fleet = make_fleet(now);
+    const rack_sight one = sight_of_racks(fleet, {"r1", "r1", ""}, now);
+    CHECK(one.oldest_report_ms == 40);
+    CHECK(one.queued == 3);
+    CHECK(one.free_cpu_milli == 1'500);
+    CHECK(one.unreported == 0);
+    const rack_sight all = sight_of_racks(fleet, {"r1", "r2", "r9"}, now);
+    CHECK(all.oldest_report_ms == 3'600'000);
+    CHECK(all.queued == 8);
+    CHECK(all.unreported == 1);
+}
+
+// Guards against a refusal that is explained by other figures than those it
+// was decided by.
+TEST_CASE("the sight of a service has the room that decides", "[scheduler]")
+{
+    const time_point now = steady_clock::now();
+    fleet_load fleet = make_fleet(now);
+    recent_placement placed;
+    placed.rack = "r1";
+    placed.size = {500, 100, 0};
+    placed.at = now;
+    fleet.recent = {placed};
+    const service_sight seen = sight_of_service(fleet, "svc", now);
+    CHECK(seen.capacity_milli == 8'000);
+    CHECK(seen.reported_milli == 4'000);
+    CHECK(seen.free_milli == 1'000);
+    CHECK(seen.oldest_report_ms == 40);
+    CHECK(seen.old_reports == 1);
+    // All reports are recent, so that the room is known and decides.
+    fleet.racks["r2"].reported_at = now;
+    const service_sight whole = sight_of_service(fleet, "svc", now);
+    CHECK(whole.free_milli == 3'000);
+    const std::int64_t kept = whole.capacity_milli * 8 / 100;
+    CHECK(has_room_to_last(fleet, "svc", whole.free_milli - kept, now));
+    CHECK_FALSE(
+        has_room_to_last(fleet, "svc", whole.free_milli - kept + 1, now));
+}
