--- a/include/egretspindle/scheduler/job_coordinator.hpp
+++ b/include/egretspindle/scheduler/job_coordinator.hpp
@@ -8,8 +8,10 @@
 #include "egretspindle/fleet/caller_port.hpp"
 #include "egretspindle/fleet/fleet_config.hpp"
 #include "egretspindle/fleet/table_store.hpp"
+#include "egretspindle/metrics/metric_registry.hpp"
 #include "egretspindle/rack/queued_start.hpp"
 #include "egretspindle/scheduler/exchange.hpp"
+#include "egretspindle/scheduler/load_sight.hpp"
 
 #include <cstdint>
 #include <functional>
@@ -22,8 +24,8 @@
 {
 
 /// What the coordinator needs of other parts. Called without its lock, except
-/// `choose_racks`, `has_room_to_last` and `rack_token`, which must not call
-/// back.
+/// `choose_racks`, `has_room_to_last`, the two sights and `rack_token`, which
+/// must not call back.
 struct job_coordinator_hooks
 {
     std::function<std::shared_ptr<const fleet_config>()> config;
@@ -34,12 +36,18 @@
     /// Whether the tasks of a step that lasts may take room of the fleet.
     std::function<bool(const step_terms& terms, std::size_t count)>
         has_room_to_last;
+    /// What reports say, for log lines. May be left out.
+    std::function<rack_sight(const std::vector<std::string>& racks)> see_racks;
+    std::function<service_sight(const std::string& service)> see_service;
     /// Token of the current owner of a rack; 0: none known.
     std::function<std::int64_t(const std::string& rack)> rack_token;
     /// Another host has taken a shard over.
     std::function<void(const std::string& shard)> lost_shard;
     /// Sends orders to the owner of a rack, without waiting.
     std::function<void(rack_orders orders)> send;
+    /// Registry of the coordinator's metrics.
+    std::shared_ptr<metric_registry> metrics =
+        std::make_shared<metric_registry>();
 };
 
 /// Bounds and periods of the coordinator.
--- /dev/null
+++ b/include/egretspindle/scheduler/job_metrics.hpp
@@ -0,0 +1,77 @@
+/// \file
+/// Metrics of the owner of job shards.
+
+#ifndef EGRETSPINDLE_SCHEDULER_JOB_METRICS_HPP
+#define EGRETSPINDLE_SCHEDULER_JOB_METRICS_HPP
+
+#include "egretspindle/jobs/run_end.hpp"
+#include "egretspindle/metrics/metric_registry.hpp"
+
+#include <array>
+#include <cstddef>
+#include <string_view>
+
+namespace egretspindle
+{
+
+/// Why the owner of a shard stores nothing of a submission.
+enum class refusal
+{
+    no_room,      ///< its tasks last, and the room left is for short ones
+    store_down,   ///< writes of records fail now
+    not_recorded, ///< the store refused the record of this job
+};
+
+/// Returns the name of a reason for labels and log lines.
+[[nodiscard]] std::string_view to_string(refusal value) noexcept;
+
+/// Series by whether tasks last: short ones first.
+template <typename Metric>
+using by_duration = std::array<Metric*, 2>;
+
+/// Returns the series for tasks that last, or for the others.
+template <typename Metric>
+[[nodiscard]] Metric& series_of(const by_duration<Metric>& all,
+                                bool is_lasting) noexcept
+{
+    return *all[is_lasting ? 1 : 0];
+}
+
+/// Metrics of a job coordinator. All series exist from the start, and an
+/// update is an atomic operation or a short lock.
+struct job_metrics
+{
+    explicit job_metrics(metric_registry& registry);
+
+    /// Counts a submission of which nothing is stored.
+    ///
+    /// \param is_certain  no earlier attempt may be stored either
+    void note_refusal(refusal reason, bool is_certain) const noexcept;
+
+    /// Counts the end of a run.
+    void note_end(run_end how) const noexcept;
+
+    static constexpr std::size_t refusals = 3;
+    static constexpr std::size_t run_ends = 8;
+
+    counter& accepted;
+    counter& unknown; ///< the caller's time passed before the record was made
+    std::array<counter*, refusals> refused{};
+    std::array<counter*, refusals> uncertain{};
+    std::array<counter*, run_ends> ended{};
+    by_duration<latency_summary> first_start{};
+    by_duration<gauge> oldest_unstarted{}; ///< ms
+    latency_summary& write_committed;
+    latency_summary& write_conflict;
+    latency_summary& write_failed;
+    gauge& open_jobs;
+    gauge& queued_jobs; ///< open and not begun
+    gauge& steps_without_rack;
+    gauge& unwritten_jobs; ///< changed records that no writer has taken
+    gauge& shards;
+    gauge& loading_shards;
+};
+
+} // namespace egretspindle
+
+#endif
--- a/include/egretspindle/scheduler/job_scheduler.hpp
+++ b/include/egretspindle/scheduler/job_scheduler.hpp
@@ -8,6 +8,7 @@
 #include "egretspindle/fleet/fleet_config.hpp"
 #include "egretspindle/fleet/table_store.hpp"
 #include "egretspindle/fleet/target_port.hpp"
+#include "egretspindle/metrics/metric_registry.hpp"
 #include "egretspindle/scheduler/job_coordinator.hpp"
 #include "egretspindle/scheduler/rack_agent.hpp"
 
@@ -59,6 +60,12 @@
     /// Takes over the platform's list of targets, by id.
     void set_targets(const std::map<std::string, target_entry>& targets);
 
+    /// Returns the metrics of this host in the Prometheus text format.
+    [[nodiscard]] std::string metrics_text() const;
+
+    /// Returns the registry, for metrics of the callers' interface.
+    [[nodiscard]] metric_registry& metrics() noexcept;
+
     /// Returns whether callers can be served.
     [[nodiscard]] bool is_ready() const;
 
--- a/include/egretspindle/scheduler/rack_agent.hpp
+++ b/include/egretspindle/scheduler/rack_agent.hpp
@@ -6,6 +6,7 @@
 
 #include "egretspindle/core/clock.hpp"
 #include "egretspindle/fleet/target_port.hpp"
+#include "egretspindle/metrics/metric_registry.hpp"
 #include "egretspindle/rack/fleet_load.hpp"
 #include "egretspindle/rack/pair_outbox.hpp"
 #include "egretspindle/rack/rack_state.hpp"
@@ -47,6 +48,9 @@
     std::function<bool(const std::string& rack, std::int64_t token,
                        const rack_roster& roster)>
         record_roster;
+    /// Registry of the runtime's metrics.
+    std::shared_ptr<metric_registry> metrics =
+        std::make_shared<metric_registry>();
 };
 
 /// Bounds and periods of the runtime.
@@ -122,7 +126,8 @@
     /// Returns the room of all racks of this host.
     [[nodiscard]] std::vector<rack_room> measure() const;
 
-    /// Writes a line for each rack with starts that wait.
+    /// Writes a line for each rack with starts that wait, and sets the gauges
+    /// of racks and queues.
     void log_queues() const;
 
     /// Returns what this host has learned of tasks on idle processors and has
--- /dev/null
+++ b/src/scheduler/host_metrics.cpp
@@ -0,0 +1,105 @@
+#include "egretspindle/scheduler/host_metrics.hpp"
+
+namespace egretspindle
+{
+
+namespace
+{
+
+constexpr std::array<const char*, 2> kind_names{"rack", "shard"};
+constexpr std::array<const char*, 3> former_names{"none", "other", "restart"};
+constexpr std::array<const char*, 3> result_names{"taken", "not_owner",
+                                                  "failed"};
+
+counter& count_submission(metric_registry& registry, const char* verdict,
+                          const char* reason)
+{
+    return registry.get_counter("egretspindle_job_submissions_total",
+                                "Submissions that this host answered.",
+                                {{"verdict", verdict}, {"reason", reason}});
+}
+
+counter& count_lookup(metric_registry& registry, const char* verdict)
+{
+    return registry.get_counter(
+        "egretspindle_job_lookups_failed_total",
+        "Questions and cancellations that named no known job.",
+        {{"verdict", verdict}});
+}
+
+} // namespace
+
+host_metrics::host_metrics(metric_registry& registry)
+    : accepted(count_submission(registry, "accepted", "")),
+      refused(count_submission(registry, "refused", "owner")),
+      no_owner(count_submission(registry, "refused", "no_owner")),
+      unknown(count_submission(registry, "unknown", "")),
+      lookups_absent(count_lookup(registry, "absent")),
+      lookups_unknown(count_lookup(registry, "unknown")),
+      orders_without_owner(registry.get_counter(
+          "egretspindle_rack_orders_without_owner_total",
+          "Orders that were not sent, since the rack had no owner.")),
+      tick(registry.get_summary("egretspindle_tick_milliseconds",
+                                "Work of one period of the scheduler.")),
+      has_contact(
+          registry.get_gauge("egretspindle_store_contact",
+                             "Whether the store has answered lately, 0 or 1.")),
+      config_version(registry.get_gauge("egretspindle_config_version",
+                                        "Configuration in force."))
+{
+    for (std::size_t n = 0; n < kind_names.size(); ++n)
+    {
+        for (std::size_t m = 0; m < former_names.size(); ++m)
+        {
+            taken[n][m] = &registry.get_counter(
+                "egretspindle_ownership_taken_total",
+                "Racks and shards taken, by former owner.",
+                {{"resource", kind_names[n]}, {"former", former_names[m]}});
+        }
+        lost[n] = &registry.get_counter("egretspindle_ownership_lost_total",
+                                        "Racks and shards lost.",
+                                        {{"resource", kind_names[n]}});
+    }
+    for (std::size_t n = 0; n < result_names.size(); ++n)
+    {
+        rack_orders[n] = &registry.get_summary(
+            "egretspindle_rack_orders_milliseconds",
+            "Duration of orders to the owner of a rack on another host.",
+            {{"result", result_names[n]}});
+    }
+    for (const bool is_answered : {false, true})
+    {
+        run_reports[is_answered ? 1 : 0] = &registry.get_summary(
+            "egretspindle_run_reports_milliseconds",
+            "Duration of reports to the owner of a shard on another host, "
+            "with the record.",
+            {{"result", is_answered ? "answered" : "failed"}});
+    }
+}
+
+void host_metrics::note_taken(resource_kind what,
+                              former_owner former) const noexcept
+{
+    taken[static_cast<std::size_t>(what)][static_cast<std::size_t>(former)]
+        ->add();
+}
+
+void host_metrics::note_lost(resource_kind what) const noexcept
+{
+    lost[static_cast<std::size_t>(what)]->add();
+}
+
+void host_metrics::note_orders(orders_result result,
+                               milliseconds duration) const
+{
+    rack_orders[static_cast<std::size_t>(result)]->observe(
+        static_cast<double>(duration.count()));
+}
+
+void host_metrics::note_reports(bool is_answered, milliseconds duration) const
+{
+    run_reports[is_answered ? 1 : 0]->observe(
+        static_cast<double>(duration.count()));
+}
+
+} // namespace egretspindle
--- a/src/scheduler/job_coordinator.cpp
+++ b/src/scheduler/job_coordinator.cpp
@@ -7,6 +7,7 @@
 #include "job_coordinator_impl.hpp"
 
 #include <algorithm>
+#include <array>
 
 namespace egretspindle
 {
@@ -102,17 +103,18 @@
     {
         // Nothing of this attempt is stored, and the caller can turn to another
         // host at once.
-        return impl_->refuse(shard, refused_retry_ms);
+        return impl_->refuse(call, shard, refusal::store_down,
+                             refused_retry_ms);
     }
-    if (!entry && impl_->may_refuse(shard, steady_clock::now()) &&
-        !impl_->has_room(call))
+    if (!entry && impl_->may_refuse(shard, steady_clock::now()))
     {
-        log_info("job refused", {{"job", call.id},
-                                 {"queue", call.queue},
-                                 {"reason", "its tasks last, and the room "
-                                            "left is for short tasks"},
-                                 {"retry_after_ms", full_retry_ms}});
-        return {"refused", "", full_retry_ms};
+        const std::optional<std::size_t> step = impl_->step_without_room(call);
+        if (step)
+        {
+            impl_->log_no_room(call, *step, full_retry_ms);
+            impl_->metrics.note_refusal(refusal::no_room, true);
+            return {"refused", "", full_retry_ms};
+        }
     }
     if (!entry)
     {
@@ -121,6 +123,7 @@
         entry->shard = shard;
         entry->encoded_spec = encode_spec(call.spec);
         entry->created_at = steady_clock::now();
+        entry->is_accepted_here = true;
         impl_->jobs[call.id] = entry;
         impl_->mark(entry);
         impl_->assign_due(entry);
@@ -134,12 +137,18 @@
     const entry_ptr current = impl_->find(call.id);
     if (current && !current->shown.empty())
     {
+        impl_->metrics.accepted.add();
         return {"accepted", current->shown, 0};
     }
+    if (entry->is_refused)
+    {
+        return impl_->refuse(call, shard, refusal::not_recorded,
+                             refused_retry_ms);
+    }
     // A job that was forgotten for another reason, such as a lost shard, may
     // have a write under way.
-    return entry->is_refused ? impl_->refuse(shard, refused_retry_ms)
-                             : job_call_reply{"unknown", "", refused_retry_ms};
+    impl_->metrics.unknown.add();
+    return {"unknown", "", refused_retry_ms};
 }
 
 job_call_reply job_coordinator::query(const job_call& call)
@@ -276,6 +285,7 @@
     const time_point now = steady_clock::now();
     {
         const std::lock_guard<std::mutex> lock(impl_->mutex);
+        impl_->steps_without_rack = 0;
         for (const auto& [id, entry] : impl_->jobs)
         {
             if (add_due_occurrences(entry->value, unix_ms()))
@@ -285,11 +295,50 @@
             impl_->assign_due(entry);
             impl_->collect_orders(*entry, orders, now);
         }
+        impl_->set_gauges();
     }
     impl_->send_all(orders);
     impl_->remove_expired(now);
 }
 
+// Called with the lock.
+void job_coordinator::impl::set_gauges()
+{
+    std::int64_t open = 0;
+    std::int64_t queued = 0;
+    std::array<std::int64_t, 2> oldest{0, 0};
+    const std::int64_t now_ms = unix_ms();
+    for (const auto& [id, entry] : jobs)
+    {
+        const job& value = entry->value;
+        open += value.outcome == job_outcome::open ? 1 : 0;
+        queued += entry->shown == "queued" ? 1 : 0;
+        // What a former owner of the shard learned of starts may not be in the
+        // record, so that only jobs from here are known not to have begun.
+        if (value.outcome == job_outcome::open && !value.has_started &&
+            entry->is_accepted_here)
+        {
+            std::int64_t& age = oldest[lasts(value) ? 1 : 0];
+            age = std::max(age, now_ms - due_ms(value));
+        }
+    }
+    std::int64_t loading = 0;
+    for (const auto& [name, shard] : shards)
+    {
+        loading += shard.phase == shard_phase::loading ? 1 : 0;
+    }
+    metrics.open_jobs.set(static_cast<double>(open));
+    metrics.queued_jobs.set(static_cast<double>(queued));
+    for (std::size_t n = 0; n < oldest.size(); ++n)
+    {
+        metrics.oldest_unstarted[n]->set(static_cast<double>(oldest[n]));
+    }
+    metrics.steps_without_rack.set(static_cast<double>(steps_without_rack));
+    metrics.unwritten_jobs.set(static_cast<double>(dirty.size()));
+    metrics.shards.set(static_cast<double>(shards.size()));
+    metrics.loading_shards.set(static_cast<double>(loading));
+}
+
 std::map<std::string, std::int64_t> job_coordinator::pending() const
 {
     std::map<std::string, std::int64_t> counts;
--- a/src/scheduler/job_coordinator_impl.hpp
+++ b/src/scheduler/job_coordinator_impl.hpp
@@ -5,6 +5,7 @@
 #define EGRETSPINDLE_SRC_SCHEDULER_JOB_COORDINATOR_IMPL_HPP
 
 #include "egretspindle/scheduler/job_coordinator.hpp"
+#include "egretspindle/scheduler/job_metrics.hpp"
 
 #include "job_entry.hpp"
 
@@ -39,12 +40,19 @@
     std::int64_t fence = 0; ///< version of the fence row that this host wrote
 };
 
+/// Returns whether a task of a job lasts.
+[[nodiscard]] bool lasts(const job& value) noexcept;
+
+/// Returns the Unix time from which a job may start.
+[[nodiscard]] std::int64_t due_ms(const job& value) noexcept;
+
 /// State and functions; each group of functions has a file of its own.
 struct job_coordinator::impl
 {
     impl(table_store& rows, job_coordinator_hooks callbacks,
          const coordinator_limits& bounds)
-        : store(rows), hooks(std::move(callbacks)), limits(bounds)
+        : store(rows), hooks(std::move(callbacks)), limits(bounds),
+          metrics(*hooks.metrics)
     {
     }
 
@@ -64,7 +72,16 @@
     // job_coordinator_runs.cpp: assignment, orders to racks, reports of runs
     void assign_due(const entry_ptr& entry);
     void assign_step(const entry_ptr& entry, const due_step& due);
-    [[nodiscard]] bool has_room(const job_call& call) const;
+    [[nodiscard]] std::optional<std::size_t>
+    step_without_room(const job_call& call) const;
+    void log_no_room(const job_call& call, std::size_t step,
+                     std::int64_t retry_after_ms) const;
+    void log_racks(const step_terms& terms, const due_step& due,
+                   const std::vector<std::string>& racks) const;
+    void log_no_rack(job_entry& entry, const step_terms& terms,
+                     const due_step& due, const std::string& reason);
+    void note_first_start(const job_entry& entry) const;
+    void set_gauges();
     [[nodiscard]] step_terms terms_of(const job& value, std::size_t occurrence,
                                       std::size_t step) const;
     void collect_orders(job_entry& entry,
@@ -107,7 +124,8 @@
                        std::uint64_t change);
     [[nodiscard]] bool may_refuse(const std::string& shard,
                                   time_point now) const;
-    [[nodiscard]] job_call_reply refuse(const std::string& shard,
+    [[nodiscard]] job_call_reply refuse(const job_call& call,
+                                        const std::string& shard, refusal why,
                                         std::int64_t retry_after_ms) const;
     [[nodiscard]] bool is_abandoned(const std::vector<entry_ptr>& batch);
     bool refuse_new(const std::vector<entry_ptr>& batch);
@@ -119,6 +137,7 @@
     table_store& store;
     job_coordinator_hooks hooks;
     coordinator_limits limits;
+    job_metrics metrics;
     mutable std::mutex mutex;
     std::condition_variable changed;   ///< records, shards
     std::condition_variable has_dirty; ///< queue of the writers
@@ -130,6 +149,7 @@
     std::condition_variable has_loads;
     time_point last_failure;  ///< of a write
     time_point failing_since; ///< no write has succeeded since; none: {}
+    std::size_t steps_without_rack = 0; ///< since the last tick began
     bool is_stopping = false;
 };
 
--- a/src/scheduler/job_coordinator_records.cpp
+++ b/src/scheduler/job_coordinator_records.cpp
@@ -261,8 +261,14 @@
                                     const row_transaction& transaction,
                                     const std::vector<std::uint64_t>& changes)
 {
+    const time_point sent_at = steady_clock::now();
     const absl::StatusOr<transaction_result> result =
         store.commit(transaction, limits.commit_timeout);
+    const std::int64_t took_ms = elapsed_ms(sent_at, steady_clock::now());
+    (!result.ok()           ? metrics.write_failed
+     : result->is_committed ? metrics.write_committed
+                            : metrics.write_conflict)
+        .observe(static_cast<double>(took_ms));
     std::map<std::string, rack_orders> orders;
     std::vector<std::string> lost;
     {
@@ -282,6 +288,8 @@
             log_warning("records were not written",
                         {{"first_job", batch.front()->value.id},
                          {"jobs", batch.size()},
+                         {"uncertain", is_uncertain},
+                         {"took_ms", took_ms},
                          {"error", std::string(result.status().message())}});
             return false;
         }
@@ -390,10 +398,27 @@
 }
 
 // Answer to a submission of which this host stores nothing.
-job_call_reply job_coordinator::impl::refuse(const std::string& shard,
+job_call_reply job_coordinator::impl::refuse(const job_call& call,
+                                             const std::string& shard,
+                                             refusal why,
                                              std::int64_t retry_after_ms) const
 {
-    const bool is_certain = may_refuse(shard, steady_clock::now());
+    const time_point now = steady_clock::now();
+    const bool is_certain = may_refuse(shard, now);
+    const auto it = shards.find(shard);
+    log_info(
+        "job refused",
+        {{"job", call.id},
+         {"queue", call.queue},
+         {"reason", to_string(why)},
+         {"certain", is_certain},
+         {"shard", shard},
+         {"owned_ms",
+          it == shards.end() ? 0 : elapsed_ms(it->second.taken_at, now)},
+         {"writes_failing_ms",
+          failing_since == time_point{} ? 0 : elapsed_ms(failing_since, now)},
+         {"retry_after_ms", retry_after_ms}});
+    metrics.note_refusal(why, is_certain);
     return {is_certain ? "refused" : "uncertain", "", retry_after_ms};
 }
 
--- a/src/scheduler/job_coordinator_runs.cpp
+++ b/src/scheduler/job_coordinator_runs.cpp
@@ -13,6 +13,9 @@
 namespace
 {
 
+// A step without a rack is looked at four times a second.
+constexpr milliseconds no_rack_line_period{30'000};
+
 // Names with the number of times that each occurs, such as `r1-1=4,r2-3=2`.
 std::string counted_names(const std::vector<std::string>& names)
 {
@@ -31,6 +34,18 @@
 
 } // namespace
 
+bool lasts(const job& value) noexcept
+{
+    return std::any_of(value.spec.steps.begin(), value.spec.steps.end(),
+                       [](const step_spec& step)
+                       { return step.is_long_running; });
+}
+
+std::int64_t due_ms(const job& value) noexcept
+{
+    return std::max(value.accepted_ms, value.spec.start_at_ms);
+}
+
 std::int64_t job_coordinator::impl::max_attempts(const job& value) const
 {
     const std::shared_ptr<const fleet_config> config = hooks.config();
@@ -76,13 +91,14 @@
     return terms;
 }
 
-// Returns whether a new job fits the fleet. Only tasks that last are refused:
-// all others end, and leave their room to what waits.
-bool job_coordinator::impl::has_room(const job_call& call) const
+// Returns the first step of a new job that does not fit the fleet. Only tasks
+// that last are refused: all others end, and leave their room to what waits.
+std::optional<std::size_t>
+job_coordinator::impl::step_without_room(const job_call& call) const
 {
     if (!hooks.has_room_to_last)
     {
-        return true;
+        return std::nullopt;
     }
     const job value = make_job(call.id, call.queue, call.spec, unix_ms());
     for (std::size_t n = 0; n < call.spec.steps.size(); ++n)
@@ -92,10 +108,93 @@
             !hooks.has_room_to_last(terms_of(value, 0, n),
                                     static_cast<std::size_t>(step.count)))
         {
-            return false;
+            return n;
         }
     }
-    return true;
+    return std::nullopt;
+}
+
+void job_coordinator::impl::log_no_room(const job_call& call, std::size_t step,
+                                        std::int64_t retry_after_ms) const
+{
+    const job value = make_job(call.id, call.queue, call.spec, unix_ms());
+    const step_terms terms = terms_of(value, 0, step);
+    const service_sight seen =
+        hooks.see_service ? hooks.see_service(terms.service) : service_sight{};
+    log_info("job refused", {{"job", call.id},
+                             {"queue", call.queue},
+                             {"reason", to_string(refusal::no_room)},
+                             {"certain", true},
+                             {"step", step},
+                             {"service", terms.service},
+                             {"wanted_milli", terms.size.cpu_milli *
+                                                  call.spec.steps[step].count},
+                             {"free_milli", seen.free_milli},
+                             {"reported_milli", seen.reported_milli},
+                             {"capacity_milli", seen.capacity_milli},
+                             {"report_age_ms", seen.oldest_report_ms},
+                             {"old_reports", seen.old_reports},
+                             {"retry_after_ms", retry_after_ms}});
+}
+
+void job_coordinator::impl::log_racks(
+    const step_terms& terms, const due_step& due,
+    const std::vector<std::string>& racks) const
+{
+    const rack_sight seen =
+        hooks.see_racks ? hooks.see_racks(racks) : rack_sight{};
+    log_info("racks chosen", {{"step", terms.step},
+                              {"tasks", due.tasks.size()},
+                              {"racks", counted_names(racks)},
+                              {"earlier_rack", terms.earlier_rack},
+                              {"image", terms.image},
+                              {"lasting", terms.is_long_running},
+                              {"report_age_ms", seen.oldest_report_ms},
+                              {"unreported", seen.unreported},
+                              {"rack_queued", seen.queued},
+                              {"rack_free_milli", seen.free_cpu_milli}});
+}
+
+// Says what a step waits for that no rack gets. Such a job would otherwise
+// leave no trace after its acceptance.
+void job_coordinator::impl::log_no_rack(job_entry& entry,
+                                        const step_terms& terms,
+                                        const due_step& due,
+                                        const std::string& reason)
+{
+    ++steps_without_rack;
+    const time_point now = steady_clock::now();
+    const bool is_recent = entry.no_rack_logged_at != time_point{} &&
+                           now - entry.no_rack_logged_at < no_rack_line_period;
+    if (is_recent)
+    {
+        return;
+    }
+    entry.no_rack_logged_at = now;
+    log_warning("no rack for a step",
+                {{"step", terms.step},
+                 {"tasks", due.tasks.size()},
+                 {"reason", reason},
+                 {"queue", entry.value.queue},
+                 {"service", terms.service},
+                 {"image", terms.image},
+                 {"lasting", terms.is_long_running},
+                 {"required_label", terms.required_label},
+                 {"cpu_milli", terms.size.cpu_milli},
+                 {"memory_mb", terms.size.memory_mb},
+                 {"accelerators", terms.size.accelerators},
+                 {"config_version", hooks.config()->version},
+                 {"due_for_ms", unix_ms() - due_ms(entry.value)}});
+}
+
+void job_coordinator::impl::note_first_start(const job_entry& entry) const
+{
+    if (!entry.value.has_started && entry.is_accepted_here)
+    {
+        series_of(metrics.first_start, lasts(entry.value))
+            .observe(static_cast<double>(
+                std::max<std::int64_t>(0, unix_ms() - due_ms(entry.value))));
+    }
 }
 
 void job_coordinator::impl::assign_step(const entry_ptr& entry,
@@ -105,7 +204,9 @@
     step_terms terms = terms_of(entry->value, due.occurrence, due.step);
     if (terms.service.empty())
     {
-        return; // its queue was removed; it waits for one of that name
+        // Its queue was removed; it waits for one of that name.
+        log_no_rack(*entry, terms, due, "no queue of that name");
+        return;
     }
     // A rack that handed a task back may look free and still not suit it, such
     // as when each target has a task of the step already.
@@ -120,13 +221,11 @@
                                                      { return !rack.empty(); });
     if (!has_rack)
     {
-        return; // no target can take it now; the next tick asks again
+        // No target can take it now; the next tick asks again.
+        log_no_rack(*entry, terms, due, "no target can take it");
+        return;
     }
-    log_info("racks chosen", {{"step", terms.step},
-                              {"tasks", due.tasks.size()},
-                              {"racks", counted_names(racks)},
-                              {"earlier_rack", terms.earlier_rack},
-                              {"image", terms.image}});
+    log_racks(terms, due, racks);
     std::int64_t gang_run = 0;
     if (spec.is_gang)
     {
@@ -271,6 +370,7 @@
     {
         return {is_current || report.what == "seen" ? "stop" : "recorded", {}};
     }
+    note_first_start(entry);
     entry.value.has_started = true;
     if (entry.shown == "queued")
     {
@@ -291,8 +391,10 @@
     const run_end how = run_end_from(report.how);
     if (how != run_end::not_started)
     {
+        note_first_start(*entry);
         entry->value.has_started = true;
     }
+    metrics.note_end(how);
     end_run(entry->value, key, report.run, how, report.checkpoint,
             max_attempts(entry->value), unix_ms());
     entry->sent.erase(report.task);
@@ -301,6 +403,8 @@
                            {"how", report.how},
                            {"target", report.target},
                            {"rack", report.rack},
+                           {"owner_version", report.token},
+                           {"listed", report.number},
                            {"job_outcome", to_string(entry->value.outcome)}});
     mark(entry);
     assign_due(entry);
@@ -350,7 +454,9 @@
                  {{"task", report.task},
                   {"run", report.run},
                   {"how", report.how},
-                  {"rack", report.rack}});
+                  {"rack", report.rack},
+                  {"owner_version", report.token},
+                  {"newer_version", hooks.rack_token(report.rack)}});
         return {"recorded", {}};
     }
     if (is_current)
--- a/src/scheduler/job_entry.hpp
+++ b/src/scheduler/job_entry.hpp
@@ -46,8 +46,10 @@
     bool is_uncertain = false; ///< an unanswered write may take effect
     bool is_refused = false;   ///< given up; nothing of it is or will be stored
     bool is_queued = false;    ///< in the queue of the writers
+    bool is_accepted_here = false; ///< not read from the store
     time_point created_at;
-    std::string shown; ///< state as of the row; empty: no row yet
+    time_point no_rack_logged_at; ///< {}: never
+    std::string shown;            ///< state as of the row; empty: no row yet
     std::map<std::string, sent_run> sent; ///< by task
     /// Owners whose conclusions are not durable yet, by rack.
     std::map<std::string, relied_owner> relied;
--- /dev/null
+++ b/src/scheduler/job_metrics.cpp
@@ -0,0 +1,100 @@
+#include "egretspindle/scheduler/job_metrics.hpp"
+
+#include <string>
+
+namespace egretspindle
+{
+
+namespace
+{
+
+counter& decided(metric_registry& registry, const char* verdict,
+                 std::string_view reason)
+{
+    return registry.get_counter(
+        "egretspindle_job_verdicts_total",
+        "Submissions by the verdict of the shard's owner.",
+        {{"verdict", verdict}, {"reason", std::string(reason)}});
+}
+
+latency_summary& record_write(metric_registry& registry, const char* result)
+{
+    return registry.get_summary("egretspindle_record_write_milliseconds",
+                                "Duration of a transaction of job records.",
+                                {{"result", result}});
+}
+
+} // namespace
+
+std::string_view to_string(refusal value) noexcept
+{
+    switch (value)
+    {
+    case refusal::no_room:
+        return "no_room";
+    case refusal::store_down:
+        return "store_down";
+    case refusal::not_recorded:
+        break;
+    }
+    return "not_recorded";
+}
+
+job_metrics::job_metrics(metric_registry& registry)
+    : accepted(decided(registry, "accepted", "")),
+      unknown(decided(registry, "unknown", "")),
+      write_committed(record_write(registry, "committed")),
+      write_conflict(record_write(registry, "conflict")),
+      write_failed(record_write(registry, "failed")),
+      open_jobs(registry.get_gauge("egretspindle_open_jobs",
+                                   "Open jobs of the shards of this host.")),
+      queued_jobs(registry.get_gauge("egretspindle_queued_jobs",
+                                     "Open jobs that no target has begun.")),
+      steps_without_rack(registry.get_gauge(
+          "egretspindle_steps_without_rack",
+          "Due steps that no rack can take, at the last look.")),
+      unwritten_jobs(
+          registry.get_gauge("egretspindle_unwritten_jobs",
+                             "Changed records that wait for a writer.")),
+      shards(registry.get_gauge("egretspindle_shards_owned",
+                                "Job shards of this host.")),
+      loading_shards(
+          registry.get_gauge("egretspindle_shards_loading",
+                             "Job shards whose records are being read."))
+{
+    for (std::size_t n = 0; n < refusals; ++n)
+    {
+        const std::string_view reason = to_string(static_cast<refusal>(n));
+        refused[n] = &decided(registry, "refused", reason);
+        uncertain[n] = &decided(registry, "uncertain", reason);
+    }
+    for (std::size_t n = 0; n < run_ends; ++n)
+    {
+        ended[n] = &registry.get_counter(
+            "egretspindle_runs_ended_total", "Recorded ends of runs.",
+            {{"how", std::string(to_string(static_cast<run_end>(n)))}});
+    }
+    for (const bool is_lasting : {false, true})
+    {
+        const metric_labels labels{{"tasks", is_lasting ? "lasting" : "short"}};
+        const std::size_t n = is_lasting ? 1 : 0;
+        first_start[n] = &registry.get_summary(
+            "egretspindle_job_first_start_milliseconds",
+            "Time from the acceptance of a job to its first start.", labels);
+        oldest_unstarted[n] = &registry.get_gauge(
+            "egretspindle_oldest_unstarted_job_milliseconds",
+            "Age of the oldest job that no target has begun.", labels);
+    }
+}
+
+void job_metrics::note_refusal(refusal reason, bool is_certain) const noexcept
+{
+    (is_certain ? refused : uncertain)[static_cast<std::size_t>(reason)]->add();
+}
+
+void job_metrics::note_end(run_end how) const noexcept
+{
+    ended[static_cast<std::size_t>(how)]->add();
+}
+
+} // namespace egretspindle
--- a/src/scheduler/job_scheduler.cpp
+++ b/src/scheduler/job_scheduler.cpp
@@ -4,11 +4,13 @@
 #include "egretspindle/core/error.hpp"
 #include "egretspindle/jobs/job_machine.hpp"
 #include "egretspindle/jobs/job_record.hpp"
+#include "egretspindle/logging/line_limit.hpp"
 #include "egretspindle/logging/log.hpp"
 #include "egretspindle/net/rpc_server.hpp"
 #include "egretspindle/protocol/message_router.hpp"
 #include "egretspindle/protocol/peer_client.hpp"
 #include "egretspindle/scheduler/cluster_agent.hpp"
+#include "egretspindle/scheduler/host_metrics.hpp"
 #include "egretspindle/scheduler/host_outbox.hpp"
 #include "egretspindle/scheduler/load_exchange.hpp"
 #include "egretspindle/scheduler/shard.hpp"
@@ -35,6 +37,8 @@
 
 constexpr milliseconds tick_period{250};
 constexpr milliseconds activity_period{5'000};
+// Each host may have orders for each rack, and sends them every second.
+constexpr milliseconds no_owner_line_period{1'000};
 constexpr milliseconds orders_timeout{1'500};
 // Longer than the wait of the coordinator for the record.
 constexpr milliseconds reports_timeout{3'000};
@@ -55,6 +59,21 @@
     return std::string(rack_prefix) + rack;
 }
 
+/// How a call of a caller went.
+struct call_trace
+{
+    bool was_passed_on = false;
+    std::string owner; ///< host that was asked last
+    std::int64_t owner_version = 0;
+    int attempts = 0;
+};
+
+std::string first_step_of(const rack_orders& orders)
+{
+    return orders.starts.empty() ? std::string()
+                                 : orders.starts.front().terms.step;
+}
+
 std::int64_t remaining_ms(time_point deadline)
 {
     return elapsed_ms(steady_clock::now(), deadline);
@@ -67,7 +86,10 @@
     impl(table_store& rows, target_port& port, scheduler_options settings);
 
     job_call_reply call_owner(std::string_view message, job_call call,
-                              time_point deadline, bool& was_passed_on);
+                              time_point deadline, call_trace& trace);
+    void note_submission(const submit_answer& answer, const call_trace& trace);
+    void note_lookup(const std::string& id, std::string_view verdict,
+                     const call_trace& trace, time_point begun);
     job_call_reply call_self(std::string_view message, const job_call& call);
     std::optional<job_answer> read_state(const std::string& id);
     absl::StatusOr<std::optional<job>> read_job(const std::string& id);
@@ -98,6 +120,10 @@
     scheduler_options options;
     time_point started_at = steady_clock::now();
     std::int64_t boot = unix_ms();
+    std::shared_ptr<metric_registry> registry =
+        std::make_shared<metric_registry>();
+    host_metrics metrics{*registry};
+    line_limit no_owner_lines{no_owner_line_period};
 
     mutable std::mutex config_mutex;
     std::shared_ptr<const fleet_config> config =
@@ -179,6 +205,17 @@
                                     static_cast<std::int64_t>(count),
                                 steady_clock::now());
     };
+    hooks.see_racks = [this](const std::vector<std::string>& names)
+    {
+        const std::lock_guard<std::mutex> lock(load_mutex);
+        return sight_of_racks(load, names, steady_clock::now());
+    };
+    hooks.see_service = [this](const std::string& service)
+    {
+        const std::lock_guard<std::mutex> lock(load_mutex);
+        return sight_of_service(load, service, steady_clock::now());
+    };
+    hooks.metrics = registry;
     hooks.rack_token = [this](const std::string& rack) -> std::int64_t
     {
         const std::optional<owner_location> owner =
@@ -204,6 +241,7 @@
 rack_agent_hooks job_scheduler::impl::make_rack_hooks()
 {
     rack_agent_hooks hooks;
+    hooks.metrics = registry;
     hooks.report = [this](std::vector<run_report> reports)
     {
         post_reports(std::move(reports));
@@ -287,7 +325,10 @@
 {
     const std::size_t slash = resource.find('/');
     const std::string name = resource.substr(slash + 1);
-    if (resource.compare(0, slash, "shard") == 0)
+    const bool is_shard = resource.compare(0, slash, "shard") == 0;
+    metrics.note_taken(is_shard ? resource_kind::shard : resource_kind::rack,
+                       former);
+    if (is_shard)
     {
         coordinator.take_shard(name, token);
         return;
@@ -305,7 +346,9 @@
 {
     const std::size_t slash = resource.find('/');
     const std::string name = resource.substr(slash + 1);
-    if (resource.compare(0, slash, "shard") == 0)
+    const bool is_shard = resource.compare(0, slash, "shard") == 0;
+    metrics.note_lost(is_shard ? resource_kind::shard : resource_kind::rack);
+    if (is_shard)
     {
         coordinator.drop_shard(name);
         return;
@@ -330,7 +373,7 @@
 job_call_reply job_scheduler::impl::call_owner(std::string_view message,
                                                job_call call,
                                                time_point deadline,
-                                               bool& was_passed_on)
+                                               call_trace& trace)
 {
     job_call_reply last{"unknown", "", unavailable_retry_ms};
     const std::string resource = shard_resource(call.id);
@@ -343,10 +386,16 @@
             return last;
         }
         const std::optional<owner_location> owner = agent.owner_of(resource);
+        if (owner)
+        {
+            ++trace.attempts;
+            trace.owner = owner->host;
+            trace.owner_version = owner->token;
+        }
         if (owner && owner->is_self)
         {
             call.budget_ms = left;
-            was_passed_on = true;
+            trace.was_passed_on = true;
             last = call_self(message, call);
         }
         else if (owner)
@@ -357,8 +406,8 @@
             const absl::StatusOr<job_call_reply> reply =
                 call_peer<job_call_reply>(*client, owner->peer, message, call,
                                           milliseconds(budget));
-            was_passed_on |= reply.ok() ||
-                             kind_of(reply.status()) != error_kind::unavailable;
+            trace.was_passed_on |= reply.ok() || kind_of(reply.status()) !=
+                                                     error_kind::unavailable;
             last = reply.ok()
                        ? *reply
                        : job_call_reply{"unknown", "", unavailable_retry_ms};
@@ -373,7 +422,7 @@
         {
             return last;
         }
-        may_be_stored |= was_passed_on && last.verdict == "unknown";
+        may_be_stored |= trace.was_passed_on && last.verdict == "unknown";
         if (last.verdict == "unknown" && message != submit_message)
         {
             return last; // the row itself answers
@@ -384,6 +433,38 @@
     }
 }
 
+void job_scheduler::impl::note_submission(const submit_answer& answer,
+                                          const call_trace& trace)
+{
+    switch (answer.verdict)
+    {
+    case submit_verdict::accepted:
+        metrics.accepted.add();
+        break;
+    case submit_verdict::refused:
+        (trace.was_passed_on ? metrics.refused : metrics.no_owner).add();
+        break;
+    case submit_verdict::unknown:
+        metrics.unknown.add();
+        break;
+    }
+}
+
+void job_scheduler::impl::note_lookup(const std::string& id,
+                                      std::string_view verdict,
+                                      const call_trace& trace, time_point begun)
+{
+    (verdict == "absent" ? metrics.lookups_absent : metrics.lookups_unknown)
+        .add();
+    log_info("job was not found",
+             {{"job", id},
+              {"verdict", verdict},
+              {"passed_on", trace.was_passed_on},
+              {"owner", trace.owner},
+              {"owner_version", trace.owner_version},
+              {"took_ms", elapsed_ms(begun, steady_clock::now())}});
+}
+
 // Reads the record of a job; no job when there is none.
 absl::StatusOr<std::optional<job>>
 job_scheduler::impl::read_job(const std::string& id)
@@ -455,6 +536,17 @@
         agent.owner_of(rack_resource(orders.rack));
     if (!owner)
     {
+        metrics.orders_without_owner.add();
+        const std::optional<std::int64_t> left_out = no_owner_lines.take();
+        if (left_out)
+        {
+            log_warning("orders have no receiver",
+                        {{"rack", orders.rack},
+                         {"first_step", first_step_of(orders)},
+                         {"steps", orders.starts.size()},
+                         {"stops", orders.stops.size()},
+                         {"left_out", *left_out}});
+        }
         agent.refresh(); // the coordinator sends the orders again
         return;
     }
@@ -479,19 +571,23 @@
         }
         else
         {
+            const time_point sent_at = steady_clock::now();
             const absl::StatusOr<rack_orders_reply> answer =
                 call_peer<rack_orders_reply>(*client, owner->peer,
                                              orders_message, orders,
                                              orders_timeout);
+            metrics.note_orders(!answer.ok()       ? orders_result::failed
+                                : answer->is_owner ? orders_result::taken
+                                                   : orders_result::not_owner,
+                                elapsed(sent_at));
             if (!answer.ok())
             {
                 log_warning(
                     "orders were not answered",
                     {{"rack", orders.rack},
                      {"host", owner->host},
-                     {"first_step", orders.starts.empty()
-                                        ? std::string()
-                                        : orders.starts.front().terms.step},
+                     {"owner_version", orders.token},
+                     {"first_step", first_step_of(orders)},
                      {"steps", orders.starts.size()},
                      {"stops", orders.stops.size()},
                      {"error", std::string(answer.status().message())}});
@@ -501,6 +597,13 @@
         }
         if (!reply.is_owner)
         {
+            log_info("orders were refused",
+                     {{"rack", orders.rack},
+                      {"host", owner->host},
+                      {"owner_version", orders.token},
+                      {"first_step", first_step_of(orders)},
+                      {"steps", orders.starts.size()},
+                      {"stops", orders.stops.size()}});
             agent.refresh();
         }
         coordinator.confirm(orders, reply);
@@ -534,14 +637,17 @@
     }
     else if (owner && owner->host == host)
     {
+        const time_point sent_at = steady_clock::now();
         reply = call_peer<report_reply>(*client, owner->peer, reports_message,
                                         batch, reports_timeout);
+        metrics.note_reports(reply.ok(), elapsed(sent_at));
     }
     std::vector<run_report> again;
     if (!reply.ok())
     {
         log_warning("reports were not recorded",
                     {{"host", host},
+                     {"first_task", batch.reports.front().task},
                      {"reports", batch.reports.size()},
                      {"error", std::string(reply.status().message())}});
         again = std::move(batch.reports);
@@ -692,6 +798,7 @@
         }
         log_activity(racks.activity(), queues);
         racks.log_queues();
+        metrics.has_contact.set(agent.has_contact() ? 1 : 0);
     }
 }
 
@@ -705,6 +812,7 @@
         coordinator.tick();
         std::atomic<std::int64_t>& longest = racks.activity().longest_tick_ms;
         longest = std::max(longest.load(), elapsed(begun).count());
+        metrics.tick.observe(static_cast<double>(elapsed(begun).count()));
         std::unique_lock<std::mutex> lock(tick_mutex);
         if (tick_wake.wait_for(lock, tick_period,
                                [this] { return is_stopping; }))
@@ -814,6 +922,7 @@
              {{"version", config.version},
               {"former_version", impl_->config->version},
               {"queues", config.queues.size()}});
+    impl_->metrics.config_version.set(static_cast<double>(config.version));
     impl_->config = std::make_shared<const fleet_config>(std::move(config));
 }
 
@@ -840,6 +949,16 @@
     impl_->has_targets = true;
 }
 
+std::string job_scheduler::metrics_text() const
+{
+    return impl_->registry->prometheus_text();
+}
+
+metric_registry& job_scheduler::metrics() noexcept
+{
+    return *impl_->registry;
+}
+
 bool job_scheduler::is_ready() const
 {
     return !impl_->is_leaving && config()->version > 0 && impl_->has_targets &&
@@ -854,25 +973,30 @@
     call.id = id;
     call.queue = queue;
     call.spec = std::move(spec);
-    bool was_passed_on = false;
+    call_trace trace;
     const time_point begun = steady_clock::now();
     const job_call_reply reply = impl_->call_owner(
-        submit_message, std::move(call), begun + budget, was_passed_on);
+        submit_message, std::move(call), begun + budget, trace);
     submit_answer answer;
     answer.retry_after_ms = reply.retry_after_ms;
     if (reply.verdict == "accepted")
     {
         answer.verdict = submit_verdict::accepted;
     }
-    else if (reply.verdict == "refused" || !was_passed_on)
+    else if (reply.verdict == "refused" || !trace.was_passed_on)
     {
         answer.verdict = submit_verdict::refused;
     }
+    impl_->note_submission(answer, trace);
     log_info("job submitted",
              {{"job", id},
               {"queue", queue},
               {"verdict", reply.verdict},
-              {"passed_on", was_passed_on},
+              {"passed_on", trace.was_passed_on},
+              {"owner", trace.owner},
+              {"owner_version", trace.owner_version},
+              {"attempts", trace.attempts},
+              {"config_version", config()->version},
               {"took_ms", elapsed_ms(begun, steady_clock::now())}});
     return answer;
 }
@@ -882,19 +1006,25 @@
 {
     job_call call;
     call.id = id;
-    bool was_passed_on = false;
-    const job_call_reply reply =
-        impl_->call_owner(query_message, std::move(call),
-                          steady_clock::now() + budget / 2, was_passed_on);
+    call_trace trace;
+    const time_point begun = steady_clock::now();
+    const job_call_reply reply = impl_->call_owner(
+        query_message, std::move(call), begun + budget / 2, trace);
     if (reply.verdict == "known")
     {
         return {lookup_verdict::known, reply.state};
     }
     if (reply.verdict == "absent")
     {
+        impl_->note_lookup(id, "absent", trace, begun);
         return {lookup_verdict::absent, ""};
     }
-    return impl_->read_state(id).value_or(job_answer{});
+    const std::optional<job_answer> recorded = impl_->read_state(id);
+    if (!recorded || recorded->verdict == lookup_verdict::absent)
+    {
+        impl_->note_lookup(id, recorded ? "absent" : "unknown", trace, begun);
+    }
+    return recorded.value_or(job_answer{});
 }
 
 job_answer job_scheduler::cancel(const std::string& id,
@@ -902,11 +1032,17 @@
 {
     job_call call;
     call.id = id;
-    bool was_passed_on = false;
-    const job_call_reply reply =
-        impl_->call_owner(cancel_message, std::move(call),
-                          steady_clock::now() + budget, was_passed_on);
-    log_info("job cancellation", {{"job", id}, {"verdict", reply.verdict}});
+    call_trace trace;
+    const time_point begun = steady_clock::now();
+    const job_call_reply reply = impl_->call_owner(
+        cancel_message, std::move(call), begun + budget, trace);
+    log_info("job cancellation",
+             {{"job", id},
+              {"verdict", reply.verdict},
+              {"passed_on", trace.was_passed_on},
+              {"owner", trace.owner},
+              {"owner_version", trace.owner_version},
+              {"took_ms", elapsed_ms(begun, steady_clock::now())}});
     if (reply.verdict == "known")
     {
         return {lookup_verdict::known, reply.state};
--- a/src/scheduler/rack_agent.cpp
+++ b/src/scheduler/rack_agent.cpp
@@ -12,6 +12,36 @@
 namespace egretspindle
 {
 
+namespace
+{
+
+/// Queue of a rack, with what its owner relies on.
+struct queue_line
+{
+    std::string rack;
+    std::int64_t token = 0;
+    bool may_grant = false; ///< without leases nothing is placed
+    std::int64_t verified_age_ms = 0;
+    queue_summary queue;
+};
+
+void add_queue(queue_summary& all, const queue_summary& item)
+{
+    all.queued += item.queued;
+    all.lasting += item.lasting;
+    all.repeated += item.repeated;
+    all.oldest = std::max(all.oldest, item.oldest);
+    all.closed += item.closed;
+    all.room += item.room;
+    all.limit += item.limit;
+    all.processors += item.processors;
+    all.reserved += item.reserved;
+    all.headroom += item.headroom;
+    all.placeable += item.placeable;
+}
+
+} // namespace
+
 rack_agent::rack_agent(target_port& targets, rack_agent_hooks hooks,
                        const rack_agent_limits& limits)
     : impl_(std::make_unique<impl>(targets, std::move(hooks), limits))
@@ -143,6 +173,7 @@
         const time_point now = steady_clock::now();
         for (const start_batch& batch : orders.starts)
         {
+            std::size_t held = 0;
             const auto terms = std::make_shared<const step_terms>(batch.terms);
             for (const step_run& run : batch.runs)
             {
@@ -153,8 +184,11 @@
                 start.terms = terms;
                 start.queued_at = now;
                 start.is_repeated = run.is_repeated;
-                enqueue(*rack, std::move(start));
+                const bool is_queued =
+                    enqueue(*rack, std::move(start)) == enqueue_result::queued;
+                held += is_queued && run.is_repeated ? 1 : 0;
             }
+            impl_->log_held(*rack, batch, held);
         }
         for (const run_name& name : orders.stops)
         {
@@ -235,6 +269,26 @@
     }
 }
 
+// Says that starts wait for the record of their jobs.
+void rack_agent::impl::log_held(const rack_state& rack,
+                                const start_batch& batch,
+                                std::size_t held) const
+{
+    if (held == 0)
+    {
+        return;
+    }
+    metrics.repeated_held.add(held);
+    log_info("repeated starts are held",
+             {{"step", batch.terms.step},
+              {"starts", held},
+              {"rack", rack.name},
+              {"owner_version", rack.token},
+              {"unknown_for_ms",
+               std::max<std::int64_t>(
+                   0, elapsed_ms(steady_clock::now(), rack.unknown_until))}});
+}
+
 // Looks up repeated starts of runs that are known to be on no target. A former
 // owner of the job may have sent them, after the run had ended.
 void rack_agent::impl::confirm_repeated()
@@ -276,6 +330,7 @@
         log_info("repeated start was looked up", {{"task", id.first},
                                                   {"run", id.second},
                                                   {"rack", name},
+                                                  {"owner_version", token},
                                                   {"recorded", *is_recorded}});
         std::vector<run_event> events;
         {
@@ -285,6 +340,9 @@
             if (rack != nullptr && rack->token == token && !rack->is_fenced)
             {
                 events = resolve_repeated(*rack, id, *is_recorded);
+                (*is_recorded ? metrics.repeated_started
+                              : metrics.repeated_dropped)
+                    .add();
             }
         }
         publish(name, token, events);
@@ -435,24 +493,50 @@
     return rooms;
 }
 
+rack_counts rack_agent::impl::count_racks(time_point now) const
+{
+    rack_counts counts;
+    counts.racks = racks.size();
+    for (const auto& [name, rack] : racks)
+    {
+        counts.fenced += rack.is_fenced ? 1 : 0;
+        counts.unsettled += is_settled(rack, now) ? 0 : 1;
+        counts.targets += rack.targets.size();
+    }
+    for (const auto& [id, channel] : channels)
+    {
+        counts.silent_targets += channel->has_contact ? 0 : 1;
+    }
+    return counts;
+}
+
 void rack_agent::log_queues() const
 {
-    std::vector<std::pair<std::string, queue_summary>> queues;
+    std::vector<queue_line> queues;
     {
         const std::lock_guard<std::mutex> lock(impl_->mutex);
         const time_point now = steady_clock::now();
+        impl_->metrics.set_counts(impl_->count_racks(now));
         for (const auto& [name, rack] : impl_->racks)
         {
             if (!rack.queue.empty())
             {
-                queues.emplace_back(name,
-                                    summarize_queue(rack, impl_->model, now));
+                queues.push_back({name, rack.token,
+                                  may_grant(rack, boot_clock::now()),
+                                  elapsed_ms(rack.verified_at, now),
+                                  summarize_queue(rack, impl_->model, now)});
             }
         }
     }
-    for (const auto& [name, queue] : queues)
+    queue_summary all;
+    for (const queue_line& item : queues)
     {
-        log_info("rack queue", {{"rack", name},
+        const queue_summary& queue = item.queue;
+        add_queue(all, queue);
+        log_info("rack queue", {{"rack", item.rack},
+                                {"owner_version", item.token},
+                                {"may_grant", item.may_grant},
+                                {"verified_age_ms", item.verified_age_ms},
                                 {"queued", queue.queued},
                                 {"lasting", queue.lasting},
                                 {"repeated", queue.repeated},
@@ -465,6 +549,7 @@
                                 {"no_headroom", queue.headroom},
                                 {"placeable", queue.placeable}});
     }
+    impl_->metrics.set_queues(all);
 }
 
 } // namespace egretspindle
--- a/src/scheduler/rack_agent_channels.cpp
+++ b/src/scheduler/rack_agent_channels.cpp
@@ -211,6 +211,34 @@
     }
 }
 
+std::vector<run_id> unconfirmed_runs(const rack_target& target)
+{
+    std::vector<run_id> runs;
+    for (const auto& [id, run] : target.runs)
+    {
+        if (!run.is_taken && !run.is_ended)
+        {
+            runs.push_back(id);
+        }
+    }
+    return runs;
+}
+
+// Called after an answer, with the runs that were not confirmed before it.
+void rack_agent::impl::note_confirmed(
+    const rack_target& target, const std::vector<run_id>& unconfirmed) const
+{
+    for (const run_id& id : unconfirmed)
+    {
+        const auto it = target.runs.find(id);
+        if (it != target.runs.end() && it->second.is_taken)
+        {
+            metrics.confirmed_after.observe(static_cast<double>(
+                elapsed_ms(it->second.ordered_at, it->second.taken_at)));
+        }
+    }
+}
+
 void rack_agent::impl::push(const std::string& target, pending_order order)
 {
     const auto it = channels.find(target);
@@ -225,25 +253,33 @@
 {
     if (!may_grant(rack, boot_clock::now()))
     {
+        if (!rack.queue.empty())
+        {
+            metrics.note_no_lease(lease_use::place);
+        }
         return; // a start needs a lease
     }
-    for (const placement& item :
-         place_starts(rack, model, steady_clock::now(), unix_ms()))
+    const time_point now = steady_clock::now();
+    for (const placement& item : place_starts(rack, model, now, unix_ms()))
     {
         pending_order order;
         order.id = {item.start.task, item.start.run};
         push(item.target, order);
+        metrics.note_placed(item.start, now);
+        // The choice rests on the target's last list.
+        const rack_target& target = rack.targets.at(item.target);
         log_info("start placed",
                  {{"task", item.start.task},
                   {"run", item.start.run},
                   {"rack", rack.name},
                   {"target", item.target},
+                  {"list_age_ms", elapsed_ms(target.clock_at, now)},
+                  {"owner_version", rack.token},
                   {"priority", item.start.terms->priority},
                   {"lasting", item.start.terms->is_long_running},
                   {"image", item.start.terms->image},
                   {"queued", rack.queue.size()},
-                  {"waited_ms",
-                   elapsed_ms(item.start.queued_at, steady_clock::now())}});
+                  {"waited_ms", elapsed_ms(item.start.queued_at, now)}});
     }
 }
 
@@ -259,6 +295,7 @@
         if (event.what == run_event::kind::ended &&
             event.cause != end_cause::listed)
         {
+            metrics.note_concluded(event);
             log_info("end concluded", {{"task", event.task},
                                        {"run", event.run},
                                        {"how", to_string(event.how)},
--- a/src/scheduler/rack_agent_impl.hpp
+++ b/src/scheduler/rack_agent_impl.hpp
@@ -6,6 +6,7 @@
 
 #include "egretspindle/rack/rack_decision.hpp"
 #include "egretspindle/scheduler/rack_agent.hpp"
+#include "egretspindle/scheduler/rack_metrics.hpp"
 
 #include <condition_variable>
 #include <deque>
@@ -58,20 +59,21 @@
 
 using channel_ptr = std::shared_ptr<target_channel>;
 
-/// Returns the name of a verdict for a log line.
-[[nodiscard]] std::string_view name_of(order_verdict verdict);
-
 /// Returns whether an order is a stop that is queued already. Stops are asked
 /// for and repeated from several places, and one is enough.
 [[nodiscard]] bool is_queued_stop(const target_channel& channel,
                                   const pending_order& order);
 
+/// Returns the runs whose starts a target has not confirmed.
+[[nodiscard]] std::vector<run_id> unconfirmed_runs(const rack_target& target);
+
 /// Members are grouped by the files that define them.
 struct rack_agent::impl
 {
     impl(target_port& port, rack_agent_hooks callbacks,
          const rack_agent_limits& bounds)
-        : targets(port), hooks(std::move(callbacks)), limits(bounds)
+        : targets(port), hooks(std::move(callbacks)), limits(bounds),
+          metrics(*hooks.metrics)
     {
     }
 
@@ -108,6 +110,11 @@
     void retry(const channel_ptr& channel, pending_order order,
                bool was_unanswered);
     void fence(const target_channel& channel);
+    void note_confirmed(const rack_target& target,
+                        const std::vector<run_id>& unconfirmed) const;
+    void log_held(const rack_state& rack, const start_batch& batch,
+                  std::size_t held) const;
+    [[nodiscard]] rack_counts count_racks(time_point now) const;
     void confirm_repeated();
     void record_rosters();
     void publish(const std::string& rack, std::int64_t token,
@@ -116,6 +123,7 @@
     target_port& targets;
     rack_agent_hooks hooks;
     rack_agent_limits limits;
+    rack_metrics metrics;
     mutable std::mutex mutex;
     std::map<std::string, rack_state> racks;
     std::map<std::string, channel_ptr> channels; ///< by target
--- a/src/scheduler/rack_agent_orders.cpp
+++ b/src/scheduler/rack_agent_orders.cpp
@@ -5,32 +5,6 @@
 namespace egretspindle
 {
 
-std::string_view name_of(order_verdict verdict)
-{
-    switch (verdict)
-    {
-    case order_verdict::taken:
-        return "taken";
-    case order_verdict::wrong_token:
-        return "wrong_token";
-    case order_verdict::old_run:
-        return "old_run";
-    case order_verdict::too_late:
-        return "too_late";
-    case order_verdict::no_room:
-        return "no_room";
-    case order_verdict::no_permission:
-        return "no_permission";
-    case order_verdict::other_life:
-        return "other_life";
-    case order_verdict::unhealthy:
-        return "unhealthy";
-    case order_verdict::malformed:
-        break;
-    }
-    return "malformed";
-}
-
 namespace
 {
 
@@ -56,8 +30,11 @@
             return;
         }
         rack->is_fenced = true;
+        metrics.fenced.add();
         log_info("rack is owned by another host",
-                 {{"rack", channel.rack}, {"target", channel.target}});
+                 {{"rack", channel.rack},
+                  {"target", channel.target},
+                  {"owner_version", channel.token}});
     }
     hooks.lost(channel.rack);
 }
@@ -138,9 +115,14 @@
     message.token = channel->token;
     // A target that does not answer gets no longer lease, so that its runs are
     // certain to end.
+    const bool is_granted =
+        may_grant(*find_rack(channel->rack), boot_clock::now());
+    if (!is_granted)
+    {
+        metrics.note_no_lease(lease_use::start);
+    }
     message.lease_until_ms =
-        channel->has_contact && !order.was_unanswered &&
-                may_grant(*find_rack(channel->rack), boot_clock::now())
+        channel->has_contact && !order.was_unanswered && is_granted
             ? extend_lease(*target, limits.lease, steady_clock::now())
             : target->lease_until_ms;
     return true;
@@ -191,9 +173,13 @@
                             answer.verdict != order_verdict::old_run;
     if (is_refused)
     {
+        metrics.note_refused(answer.verdict);
         log_info("start was refused", {{"task", order.id.first},
                                        {"run", order.id.second},
                                        {"target", channel->target},
+                                       {"rack", channel->rack},
+                                       {"owner_version", channel->token},
+                                       {"repeated", order.was_unanswered},
                                        {"verdict", name_of(answer.verdict)}});
     }
     if (answer.verdict == order_verdict::wrong_token)
@@ -221,7 +207,9 @@
             return true;
         }
         rack_state& rack = *find_rack(channel->rack);
+        const std::vector<run_id> unconfirmed = unconfirmed_runs(*target);
         events = apply_start(rack, *target, order.id, answer.verdict, now);
+        note_confirmed(*target, unconfirmed);
         if (is_refused)
         {
             place(rack);
@@ -249,6 +237,7 @@
     const absl::StatusOr<order_answer> answer =
         targets.start(entry, message, limits.order_timeout);
     note_call(activity.orders, elapsed(sent_at), answer.ok());
+    metrics.note_order(order_kind::start, elapsed(sent_at), answer.ok());
     const bool is_late =
         answer.ok() && answer->verdict == order_verdict::too_late;
     if (answer.ok() && !is_late && take_answer(channel, order, *answer))
@@ -260,6 +249,9 @@
         {{"task", message.task},
          {"run", message.run},
          {"target", channel->target},
+         {"rack", channel->rack},
+         {"owner_version", channel->token},
+         {"took_ms", elapsed_ms(sent_at, steady_clock::now())},
          {"cause", answer.ok() ? std::string(name_of(answer->verdict))
                                : std::string(answer.status().message())}});
     if (!is_late)
@@ -291,6 +283,7 @@
     const absl::StatusOr<order_answer> answer =
         targets.stop(entry, message, limits.order_timeout);
     note_call(activity.orders, elapsed(sent_at), answer.ok());
+    metrics.note_order(order_kind::stop, elapsed(sent_at), answer.ok());
     if (answer.ok() && answer->verdict == order_verdict::wrong_token)
     {
         fence(*channel);
@@ -303,6 +296,8 @@
             {{"task", message.task},
              {"run", message.run},
              {"target", channel->target},
+             {"rack", channel->rack},
+             {"owner_version", channel->token},
              {"cause", answer.ok() ? std::string(name_of(answer->verdict))
                                    : std::string(answer.status().message())}});
         retry(channel, std::move(order), true);
@@ -353,11 +348,14 @@
     const absl::StatusOr<order_answer> answer =
         targets.pace(entry, message, limits.order_timeout);
     note_call(activity.orders, elapsed(sent_at), answer.ok());
+    metrics.note_order(order_kind::pace, elapsed(sent_at), answer.ok());
     if (!answer.ok())
     {
         log_warning("pace was not answered",
                     {{"task", message.task},
+                     {"run", message.run},
                      {"target", channel->target},
+                     {"percent", message.percent},
                      {"cause", std::string(answer.status().message())}});
     }
 }
--- a/src/scheduler/rack_agent_polls.cpp
+++ b/src/scheduler/rack_agent_polls.cpp
@@ -6,6 +6,23 @@
 namespace egretspindle
 {
 
+namespace
+{
+
+void log_silence(const target_channel& channel,
+                 const absl::StatusOr<poll_answer>& answer)
+{
+    log_warning(
+        "target did not answer a poll",
+        {{"target", channel.target},
+         {"rack", channel.rack},
+         {"owner_version", channel.token},
+         {"cause", answer.ok() ? std::string(name_of(answer->verdict))
+                               : std::string(answer.status().message())}});
+}
+
+} // namespace
+
 void rack_agent::impl::poll_loop(const channel_ptr& channel)
 {
     for (;;)
@@ -63,6 +80,10 @@
                 order.lease_until_ms =
                     extend_lease(*target, limits.lease, sent_at);
             }
+            else
+            {
+                metrics.note_no_lease(lease_use::poll);
+            }
             bool is_serving = false;
             bool is_filling = false;
             for (const auto& [id, run] : target->runs)
@@ -77,6 +98,7 @@
     const absl::StatusOr<poll_answer> answer =
         targets.poll(entry, order, limits.poll_timeout);
     note_call(activity.polls, elapsed(sent_at), answer.ok());
+    metrics.note_poll(elapsed(sent_at), answer.ok());
     if (answer.ok() && answer->verdict == order_verdict::taken)
     {
         apply_answer(channel, *answer, sent_at);
@@ -89,13 +111,7 @@
         const std::lock_guard<std::mutex> lock(mutex);
         if (channel->has_contact || channel->failed_polls == 0)
         {
-            log_warning(
-                "target did not answer a poll",
-                {{"target", channel->target},
-                 {"rack", channel->rack},
-                 {"cause", answer.ok()
-                               ? std::string(name_of(answer->verdict))
-                               : std::string(answer.status().message())}});
+            log_silence(*channel, answer);
         }
         channel->has_contact = false;
         ++channel->failed_polls;
@@ -149,14 +165,22 @@
         channel->has_contact = true;
         channel->failed_polls = 0;
         rack_state& rack = *find_rack(channel->rack);
+        const std::vector<run_id> unconfirmed = unconfirmed_runs(*target);
         events = apply_poll(rack, *target, answer, sent_at, now);
+        note_confirmed(*target, unconfirmed);
         note_clock(*target, answer.clock_ms, limits.lease, now);
         for (const run_id& id : decide_evictions(*target, now))
         {
-            log_info("run evicted", {{"task", id.first},
-                                     {"run", id.second},
-                                     {"target", channel->target},
-                                     {"reason", "slowed for a serving task"}});
+            const placed_run& run = target->runs.at(id);
+            metrics.evicted.add();
+            log_info("run evicted",
+                     {{"task", id.first},
+                      {"run", id.second},
+                      {"target", channel->target},
+                      {"rack", channel->rack},
+                      {"percent", run.percent},
+                      {"slowed_ms", elapsed_ms(run.slowed_at, now)},
+                      {"reason", "slowed for a serving task"}});
         }
         for (const auto& [id, run] : target->runs)
         {
--- /dev/null
+++ b/src/scheduler/rack_metrics.cpp
@@ -0,0 +1,211 @@
+#include "egretspindle/scheduler/rack_metrics.hpp"
+
+#include <string>
+
+namespace egretspindle
+{
+
+namespace
+{
+
+constexpr std::array<const char*, 3> order_names{"start", "stop", "pace"};
+constexpr std::array<const char*, 3> use_names{"poll", "start", "place"};
+constexpr std::array<const char*, rack_metrics::obstacles> obstacle_names{
+    "record",   "closed",        "no_room",     "step_limit",
+    "reserved", "no_processors", "no_headroom", "nothing"};
+
+counter& count_repeated(metric_registry& registry, const char* result)
+{
+    return registry.get_counter(
+        "egretspindle_starts_repeated_total",
+        "Repeated starts: held for a look-up of the record, then started or "
+        "dropped.",
+        {{"result", result}});
+}
+
+} // namespace
+
+std::string_view name_of(order_verdict verdict)
+{
+    switch (verdict)
+    {
+    case order_verdict::taken:
+        return "taken";
+    case order_verdict::wrong_token:
+        return "wrong_token";
+    case order_verdict::old_run:
+        return "old_run";
+    case order_verdict::too_late:
+        return "too_late";
+    case order_verdict::no_room:
+        return "no_room";
+    case order_verdict::no_permission:
+        return "no_permission";
+    case order_verdict::other_life:
+        return "other_life";
+    case order_verdict::unhealthy:
+        return "unhealthy";
+    case order_verdict::malformed:
+        break;
+    }
+    return "malformed";
+}
+
+rack_metrics::rack_metrics(metric_registry& registry)
+    : handed_back_after(registry.get_summary(
+          "egretspindle_start_handed_back_milliseconds",
+          "Time in a rack's queue of starts that were handed back.")),
+      repeated_held(count_repeated(registry, "held")),
+      repeated_started(count_repeated(registry, "started")),
+      repeated_dropped(count_repeated(registry, "dropped")),
+      confirmed_after(registry.get_summary(
+          "egretspindle_start_confirmed_milliseconds",
+          "Time from the choice of a target to its confirmation of the "
+          "start.")),
+      evicted(registry.get_counter("egretspindle_runs_evicted_total",
+                                   "Runs stopped for a serving task.")),
+      fenced(registry.get_counter(
+          "egretspindle_racks_refused_total",
+          "Racks given up because a target had seen a newer owner.")),
+      queued(registry.get_gauge("egretspindle_queue_starts",
+                                "Starts in the queues of racks.")),
+      queued_lasting(
+          registry.get_gauge("egretspindle_queue_lasting_starts",
+                             "Starts in the queues of tasks that last.")),
+      oldest(registry.get_gauge("egretspindle_queue_oldest_milliseconds",
+                                "Longest wait of a start in a queue.")),
+      racks(registry.get_gauge("egretspindle_racks_owned",
+                               "Racks of this host.")),
+      fenced_racks(registry.get_gauge(
+          "egretspindle_racks_fenced",
+          "Racks of this host that a newer owner is known to have.")),
+      unsettled_racks(registry.get_gauge(
+          "egretspindle_racks_unsettled",
+          "Racks where an earlier owner may have unknown runs.")),
+      targets(registry.get_gauge("egretspindle_rack_targets",
+                                 "Targets of the racks of this host.")),
+      silent_targets(
+          registry.get_gauge("egretspindle_rack_targets_silent",
+                             "Targets that did not answer the last poll."))
+{
+    for (const bool is_lasting : {false, true})
+    {
+        const metric_labels labels{{"tasks", is_lasting ? "lasting" : "short"}};
+        const std::size_t n = is_lasting ? 1 : 0;
+        placed[n] = &registry.get_counter("egretspindle_starts_placed_total",
+                                          "Starts sent to a target.", labels);
+        waited[n] = &registry.get_summary(
+            "egretspindle_start_waited_milliseconds",
+            "Time in a rack's queue of starts that were placed.", labels);
+    }
+    for (std::size_t n = 0; n < causes; ++n)
+    {
+        concluded[n] = &registry.get_counter(
+            "egretspindle_ends_concluded_total",
+            "Ends of runs that no list of a target names.",
+            {{"cause", std::string(to_string(static_cast<end_cause>(n)))}});
+    }
+    for (std::size_t n = 0; n < verdicts; ++n)
+    {
+        refused[n] = &registry.get_counter(
+            "egretspindle_starts_refused_total",
+            "Starts that a target refused.",
+            {{"verdict", std::string(name_of(static_cast<order_verdict>(n)))}});
+    }
+    for (std::size_t n = 0; n < orders.size(); ++n)
+    {
+        orders[n] = &registry.get_summary(
+            "egretspindle_target_order_milliseconds",
+            "Duration of an order to a target.", {{"order", order_names[n]}});
+        orders_failed[n] =
+            &registry.get_counter("egretspindle_target_orders_failed_total",
+                                  "Orders to targets without an answer.",
+                                  {{"order", order_names[n]}});
+        leases_not_granted[n] = &registry.get_counter(
+            "egretspindle_leases_not_granted_total",
+            "Leases that were not granted, since the store has not confirmed "
+            "the ownership lately.",
+            {{"use", use_names[n]}});
+    }
+    for (const bool is_answered : {false, true})
+    {
+        polls[is_answered ? 1 : 0] = &registry.get_summary(
+            "egretspindle_poll_milliseconds",
+            "Duration of a poll of a target, with the time that it waits for "
+            "news.",
+            {{"result", is_answered ? "answered" : "failed"}});
+    }
+    for (std::size_t n = 0; n < obstacles; ++n)
+    {
+        waiting[n] =
+            &registry.get_gauge("egretspindle_queue_waiting_starts",
+                                "Starts in the queues by what they wait for.",
+                                {{"for", obstacle_names[n]}});
+    }
+}
+
+void rack_metrics::note_placed(const queued_start& start, time_point now) const
+{
+    const bool is_lasting = start.terms->is_long_running;
+    series_of(placed, is_lasting).add();
+    series_of(waited, is_lasting)
+        .observe(static_cast<double>(elapsed_ms(start.queued_at, now)), now);
+}
+
+void rack_metrics::note_concluded(const run_event& event) const
+{
+    concluded[static_cast<std::size_t>(event.cause)]->add();
+    if (event.cause == end_cause::handed_back)
+    {
+        handed_back_after.observe(static_cast<double>(event.waited.count()));
+    }
+}
+
+void rack_metrics::note_order(order_kind what, milliseconds duration,
+                              bool is_answered) const
+{
+    const std::size_t n = static_cast<std::size_t>(what);
+    orders[n]->observe(static_cast<double>(duration.count()));
+    orders_failed[n]->add(is_answered ? 0 : 1);
+}
+
+void rack_metrics::note_poll(milliseconds duration, bool is_answered) const
+{
+    polls[is_answered ? 1 : 0]->observe(static_cast<double>(duration.count()));
+}
+
+void rack_metrics::note_refused(order_verdict verdict) const noexcept
+{
+    refused[static_cast<std::size_t>(verdict)]->add();
+}
+
+void rack_metrics::note_no_lease(lease_use use) const noexcept
+{
+    leases_not_granted[static_cast<std::size_t>(use)]->add();
+}
+
+void rack_metrics::set_queues(const queue_summary& all) const noexcept
+{
+    queued.set(static_cast<double>(all.queued));
+    queued_lasting.set(static_cast<double>(all.lasting));
+    oldest.set(static_cast<double>(all.oldest.count()));
+    // In the order of `obstacle_names`.
+    const std::array<std::size_t, obstacles> counts{
+        all.repeated, all.closed,     all.room,     all.limit,
+        all.reserved, all.processors, all.headroom, all.placeable};
+    for (std::size_t n = 0; n < obstacles; ++n)
+    {
+        waiting[n]->set(static_cast<double>(counts[n]));
+    }
+}
+
+void rack_metrics::set_counts(const rack_counts& counts) const noexcept
+{
+    racks.set(static_cast<double>(counts.racks));
+    fenced_racks.set(static_cast<double>(counts.fenced));
+    unsettled_racks.set(static_cast<double>(counts.unsettled));
+    targets.set(static_cast<double>(counts.targets));
+    silent_targets.set(static_cast<double>(counts.silent_targets));
+}
+
+} // namespace egretspindle
--- a/tests/metrics/metrics_test.cpp
+++ b/tests/metrics/metrics_test.cpp
@@ -118,3 +118,26 @@
     CHECK(text.find("egretspindle_metrics_dropped_total 91\n") !=
           std::string::npos);
 }
+
+// Guards against a text that grows with what is observed, such as a series for
+// each value. A number takes at most 24 characters.
+TEST_CASE("the size of the text depends on the series only", "[metrics]")
+{
+    constexpr std::size_t longest_number = 24;
+    metric_registry registry;
+    latency_summary& summary = registry.get_summary("s_ms", "S.");
+    counter& count = registry.get_counter("c_total", "C.");
+    gauge& level = registry.get_gauge("g", "G.");
+    const std::string before = registry.prometheus_text();
+    for (int n = 0; n < 50'000; ++n)
+    {
+        summary.observe(n * 1.0e9 / 3);
+        count.add(std::uint64_t{1} << 40);
+        level.add(-1.0e9 / 3);
+    }
+    const std::string after = registry.prometheus_text();
+    CHECK(std::count(after.begin(), after.end(), '\n') ==
+          std::count(before.begin(), before.end(), '\n'));
+    CHECK(after.size() <= before.size() + 7 * longest_number);
+    CHECK(after.find("c_total 54975581388800000\n") != std::string::npos);
+}
--- /dev/null
+++ b/tests/scheduler/job_metrics_test.cpp
@@ -0,0 +1,230 @@
+#include "egretspindle/scheduler/job_coordinator.hpp"
+#include "egretspindle/scheduler/shard.hpp"
+
+#include "fake_store.hpp"
+#include "metric_value.hpp"
+
+#include <catch2/catch.hpp>
+
+#include <thread>
+
+using namespace egretspindle;
+
+namespace
+{
+
+const std::string job_id = "0123456789abcdef";
+
+/// Coordinator that owns the shard of one job.
+struct job_fixture
+{
+    fake_store store;
+    std::shared_ptr<metric_registry> registry =
+        std::make_shared<metric_registry>();
+    std::string rack = "r1"; ///< empty: no rack suits any task
+    bool has_room = true;
+    std::unique_ptr<job_coordinator> coordinator;
+
+    explicit job_fixture(const coordinator_limits& limits = {})
+    {
+        coordinator = std::make_unique<job_coordinator>(store, hooks(), limits);
+        coordinator->take_shard(shard_of(job_id));
+    }
+
+    job_coordinator_hooks hooks()
+    {
+        job_coordinator_hooks result;
+        result.config = []
+        {
+            fleet_config config;
+            config.version = 1;
+            queue_config queue;
+            queue.name = "queue";
+            queue.service = "svc";
+            queue.max_attempts = 2;
+            config.queues = {queue};
+            return std::make_shared<const fleet_config>(config);
+        };
+        result.choose_racks =
+            [this](const step_terms&, std::size_t count, const std::string&)
+        {
+            return std::vector<std::string>(count, rack);
+        };
+        result.has_room_to_last = [this](const step_terms&, std::size_t)
+        {
+            return has_room;
+        };
+        result.rack_token = [](const std::string&)
+        {
+            return std::int64_t{5};
+        };
+        result.lost_shard = [](const std::string&) {
+        };
+        result.send = [](const rack_orders&) {
+        };
+        result.metrics = registry;
+        return result;
+    }
+
+    static job_call call(bool is_lasting, std::int64_t budget_ms = 20'000)
+    {
+        job_call result;
+        result.id = job_id;
+        result.queue = "queue";
+        step_spec step;
+        step.count = 1;
+        step.cpu_milli = 1'000;
+        step.is_long_running = is_lasting;
+        result.spec.steps = {step};
+        result.budget_ms = budget_ms;
+        return result;
+    }
+
+    void report(const std::string& what, const std::string& how)
+    {
+        run_report item;
+        item.what = what;
+        item.task = job_id + ".0.0.0";
+        item.run = 1;
+        item.how = how;
+        item.rack = "r1";
+        item.token = 5;
+        item.number = 1;
+        const report_reply reply = coordinator->report({{item}});
+        REQUIRE(reply.verdicts.front().verdict == "recorded");
+    }
+
+    double value(const std::string& series) const
+    {
+        return metric_value(registry->prometheus_text(), series);
+    }
+};
+
+coordinator_limits certain_limits()
+{
+    coordinator_limits limits;
+    limits.former_writes = milliseconds(0);
+    return limits;
+}
+
+std::string verdict(const std::string& reason, const std::string& name)
+{
+    return "egretspindle_job_verdicts_total{reason=\"" + reason +
+           "\",verdict=\"" + name + "\"}";
+}
+
+} // namespace
+
+// Guards against jobs that are accepted, start and end without a trace, and
+// against a first start that is counted for each report.
+TEST_CASE("a job is counted from its acceptance to its end", "[metrics]")
+{
+    const bool is_lasting = GENERATE(false, true);
+    CAPTURE(is_lasting);
+    const std::string own =
+        is_lasting ? "{tasks=\"lasting\"}" : "{tasks=\"short\"}";
+    const std::string other =
+        is_lasting ? "{tasks=\"short\"}" : "{tasks=\"lasting\"}";
+    const std::string first_start = "egretspindle_job_first_start_milliseconds";
+    const std::string oldest = "egretspindle_oldest_unstarted_job_milliseconds";
+    job_fixture all;
+    REQUIRE(all.coordinator->submit(job_fixture::call(is_lasting)).verdict ==
+            "accepted");
+    std::this_thread::sleep_for(milliseconds(20));
+    all.coordinator->tick();
+    CHECK(all.value(verdict("", "accepted")) == 1);
+    CHECK(all.value("egretspindle_open_jobs") == 1);
+    CHECK(all.value("egretspindle_queued_jobs") == 1);
+    CHECK(all.value("egretspindle_shards_owned") == 1);
+    CHECK(all.value("egretspindle_shards_loading") == 0);
+    CHECK(all.value(oldest + own) >= 20);
+    CHECK(all.value(oldest + other) == 0);
+    CHECK(all.value("egretspindle_record_write_milliseconds_count{result="
+                    "\"committed\"}") >= 1);
+    all.report("started", "");
+    all.report("started", "");
+    all.coordinator->tick();
+    CHECK(all.value(first_start + "_count" + own) == 1);
+    CHECK(all.value(first_start + "_sum" + own) >= 20);
+    CHECK(all.value(first_start + "_count" + other) == 0);
+    CHECK(all.value("egretspindle_queued_jobs") == 0);
+    CHECK(all.value(oldest + own) == 0);
+    all.report("ended", "done");
+    all.coordinator->tick();
+    CHECK(all.value("egretspindle_runs_ended_total{how=\"done\"}") == 1);
+    CHECK(all.value(first_start + "_count" + own) == 1);
+    // A task that lasts starts again after each end.
+    CHECK(all.value("egretspindle_open_jobs") == (is_lasting ? 1 : 0));
+}
+
+// Guards against a job that no rack takes and that no metric shows.
+TEST_CASE("steps without a rack are counted until they have one", "[metrics]")
+{
+    job_fixture all;
+    all.rack.clear();
+    REQUIRE(all.coordinator->submit(job_fixture::call(false)).verdict ==
+            "accepted");
+    all.coordinator->tick();
+    all.coordinator->tick();
+    CHECK(all.value("egretspindle_steps_without_rack") == 1);
+    all.rack = "r1";
+    all.coordinator->tick();
+    CHECK(all.value("egretspindle_steps_without_rack") == 0);
+}
+
+// Guards against refusals whose reasons look alike.
+TEST_CASE("refusals are counted by reason", "[metrics]")
+{
+    job_fixture all(certain_limits());
+    all.has_room = false;
+    REQUIRE(all.coordinator->submit(job_fixture::call(true)).verdict ==
+            "refused");
+    CHECK(all.value(verdict("no_room", "refused")) == 1);
+    all.store.set_fault(write_fault::refused);
+    REQUIRE(all.coordinator->submit(job_fixture::call(false)).verdict ==
+            "refused");
+    CHECK(all.value(verdict("not_recorded", "refused")) == 1);
+    // Now no write has succeeded for a while.
+    REQUIRE(all.coordinator->submit(job_fixture::call(false)).verdict ==
+            "refused");
+    CHECK(all.value(verdict("store_down", "refused")) == 1);
+    CHECK(all.value(verdict("not_recorded", "refused")) == 1);
+    CHECK(all.value(verdict("", "accepted")) == 0);
+    CHECK(all.value("egretspindle_record_write_milliseconds_count{result="
+                    "\"failed\"}") >= 1);
+}
+
+// Guards against a refusal that is counted as certain while an earlier attempt
+// may be stored.
+TEST_CASE("a refusal soon after a takeover is counted as uncertain",
+          "[metrics]")
+{
+    job_fixture all;
+    all.store.set_fault(write_fault::none);
+    // The fence of the shard has to be written first.
+    REQUIRE(all.coordinator->submit(job_fixture::call(false)).verdict ==
+            "accepted");
+    all.store.set_fault(write_fault::refused);
+    job_call other = job_fixture::call(false);
+    for (int n = 0; shard_of(other.id) != shard_of(job_id) || n == 0; ++n)
+    {
+        other.id = "1123456789abc" + std::to_string(100 + n % 900);
+    }
+    REQUIRE(all.coordinator->submit(other).verdict == "uncertain");
+    CHECK(all.value(verdict("not_recorded", "uncertain")) == 1);
+    CHECK(all.value(verdict("not_recorded", "refused")) == 0);
+}
+
+// Guards against submissions that time out and are counted as accepted.
+TEST_CASE("a submission without a record in time is counted as unknown",
+          "[metrics]")
+{
+    job_fixture all;
+    REQUIRE(all.coordinator->query(job_fixture::call(false)).verdict ==
+            "absent"); // the shard is ready
+    all.store.set_fault(write_fault::refused);
+    REQUIRE(all.coordinator->submit(job_fixture::call(false, 50)).verdict ==
+            "unknown");
+    CHECK(all.value(verdict("", "unknown")) == 1);
+    CHECK(all.value(verdict("", "accepted")) == 0);
+}
--- /dev/null
+++ b/tests/scheduler/metric_value.hpp
@@ -0,0 +1,26 @@
+/// \file
+/// Reads single series from the text of a registry.
+
+#ifndef EGRETSPINDLE_TESTS_SCHEDULER_METRIC_VALUE_HPP
+#define EGRETSPINDLE_TESTS_SCHEDULER_METRIC_VALUE_HPP
+
+#include <cstdlib>
+#include <string>
+
+namespace egretspindle
+{
+
+/// Returns the value of a series, for example `a_total{kind="b"}`; -1 when the
+/// text does not have it.
+inline double metric_value(const std::string& text, const std::string& series)
+{
+    const std::string head = "\n" + series + " ";
+    const std::size_t at = text.find(head);
+    return at == std::string::npos
+               ? -1
+               : std::strtod(text.c_str() + at + head.size(), nullptr);
+}
+
+} // namespace egretspindle
+
+#endif
--- /dev/null
+++ b/tests/scheduler/rack_metrics_test.cpp
@@ -0,0 +1,313 @@
+#include "egretspindle/core/error.hpp"
+#include "egretspindle/scheduler/rack_agent.hpp"
+
+#include "metric_value.hpp"
+
+#include <catch2/catch.hpp>
+
+#include <mutex>
+#include <thread>
+
+using namespace egretspindle;
+
+namespace
+{
+
+/// Target that answers every order with one verdict, and lists nothing.
+class plain_target final : public target_port
+{
+public:
+    absl::StatusOr<order_answer> start(const target_entry& /*target*/,
+                                       const start_run& /*order*/,
+                                       std::chrono::milliseconds) override
+    {
+        const std::lock_guard<std::mutex> lock(mutex);
+        if (is_silent)
+        {
+            return make_error(error_kind::deadline_exceeded, "no answer");
+        }
+        return order_answer{start_verdict, 1'000};
+    }
+
+    absl::StatusOr<order_answer> stop(const target_entry&, const stop_run&,
+                                      std::chrono::milliseconds) override
+    {
+        return order_answer{order_verdict::taken, 1'000};
+    }
+
+    absl::StatusOr<order_answer> pace(const target_entry&, const pace_run&,
+                                      std::chrono::milliseconds) override
+    {
+        return order_answer{order_verdict::taken, 1'000};
+    }
+
+    absl::StatusOr<poll_answer> poll(const target_entry& /*target*/,
+                                     const poll_target& /*order*/,
+                                     std::chrono::milliseconds) override
+    {
+        std::this_thread::sleep_for(milliseconds(5));
+        poll_answer answer;
+        answer.clock_ms = 1'000;
+        answer.started_ms = 1;
+        return answer;
+    }
+
+    std::mutex mutex;
+    order_verdict start_verdict = order_verdict::taken;
+    bool is_silent = false;
+};
+
+rack_agent_limits limits_of(milliseconds authority)
+{
+    rack_agent_limits result;
+    result.lease.authority = authority;
+    result.order_retry = milliseconds(10);
+    result.queue_patience = milliseconds(0);
+    return result;
+}
+
+/// Agent with one rack of one target with 4 cores.
+struct rack_fixture
+{
+    plain_target target;
+    std::shared_ptr<metric_registry> registry =
+        std::make_shared<metric_registry>();
+    bool has_room_elsewhere = false;
+    bool is_recorded = true;
+    rack_agent agent;
+
+    explicit rack_fixture(milliseconds authority = std::chrono::minutes(1))
+        : agent(target, hooks(), limits_of(authority))
+    {
+        target_entry entry;
+        entry.id = "t1";
+        entry.service = "svc";
+        entry.rack = "r1";
+        entry.address = "127.0.0.1:1";
+        entry.started_ms = 1;
+        entry.capacity = {4'000, 4'000, 0};
+        agent.set_targets({{"t1", entry}});
+        rack_takeover takeover;
+        takeover.confirmed_at = current_moment();
+        takeover.rack = "r1";
+        takeover.token = 7;
+        takeover.roster = {{"t1", "127.0.0.1:1"}};
+        agent.take_rack(takeover);
+    }
+
+    rack_agent_hooks hooks()
+    {
+        rack_agent_hooks result;
+        result.report = [](const std::vector<run_report>&) {
+        };
+        result.lost = [](const std::string&) {
+        };
+        result.has_room_elsewhere =
+            [this](const step_terms&, const std::string&)
+        {
+            return has_room_elsewhere;
+        };
+        result.is_recorded = [this](const run_id&, const std::string&)
+        {
+            return std::optional<bool>(is_recorded);
+        };
+        result.record_roster =
+            [](const std::string&, std::int64_t, const rack_roster&)
+        {
+            return true;
+        };
+        result.metrics = registry;
+        return result;
+    }
+
+    void send(const std::string& step, std::int64_t cpu_milli,
+              bool is_lasting = false, bool is_repeated = false)
+    {
+        rack_orders orders;
+        orders.rack = "r1";
+        orders.token = 7;
+        start_batch batch;
+        batch.terms.step = step;
+        batch.terms.service = "svc";
+        batch.terms.size = {cpu_milli, 100, 0};
+        batch.terms.is_long_running = is_lasting;
+        batch.runs.push_back({0, 1, "", is_repeated});
+        orders.starts.push_back(batch);
+        REQUIRE(agent.execute(orders).is_owner);
+    }
+
+    void withdraw(const std::string& task)
+    {
+        rack_orders orders;
+        orders.rack = "r1";
+        orders.token = 7;
+        orders.stops.push_back({task, 1});
+        REQUIRE(agent.execute(orders).is_owner);
+    }
+
+    double value(const std::string& series) const
+    {
+        return metric_value(registry->prometheus_text(), series);
+    }
+
+    // Waits, with ticks, until a series has at least a value.
+    bool reaches(const std::string& series, double least)
+    {
+        const time_point until = steady_clock::now() + std::chrono::seconds(20);
+        while (value(series) < least)
+        {
+            if (steady_clock::now() > until)
+            {
+                UNSCOPED_INFO(registry->prometheus_text());
+                return false;
+            }
+            agent.tick();
+            std::this_thread::sleep_for(milliseconds(2));
+        }
+        return true;
+    }
+};
+
+} // namespace
+
+// Guards against starts that no metric shows, and against a confirmation that
+// is counted again when a later list names the run.
+TEST_CASE("placed and confirmed starts are counted once", "[metrics]")
+{
+    rack_fixture all;
+    all.send("a.0.0", 1'000);
+    all.send("b.0.0", 1'000, true);
+    REQUIRE(all.reaches("egretspindle_start_confirmed_milliseconds_count", 2));
+    const double polls =
+        all.value("egretspindle_poll_milliseconds_count{result=\"answered\"}");
+    REQUIRE(
+        all.reaches("egretspindle_poll_milliseconds_count{result=\"answered\"}",
+                    polls + 3));
+    CHECK(all.value("egretspindle_start_confirmed_milliseconds_count") == 2);
+    for (const char* tasks : {"short", "lasting"})
+    {
+        const std::string labels = std::string("{tasks=\"") + tasks + "\"}";
+        CHECK(all.value("egretspindle_starts_placed_total" + labels) == 1);
+        CHECK(all.value("egretspindle_start_waited_milliseconds_count" +
+                        labels) == 1);
+    }
+    CHECK(all.value("egretspindle_target_order_milliseconds_count{order="
+                    "\"start\"}") == 2);
+    CHECK(all.value("egretspindle_target_orders_failed_total{order="
+                    "\"start\"}") == 0);
+}
+
+// Guards against a refusal or a silence of targets that looks like a start.
+TEST_CASE("starts that targets refuse or leave unanswered are counted apart",
+          "[metrics]")
+{
+    rack_fixture all;
+    {
+        const std::lock_guard<std::mutex> lock(all.target.mutex);
+        all.target.start_verdict = order_verdict::no_permission;
+    }
+    all.send("a.0.0", 1'000);
+    REQUIRE(
+        all.reaches("egretspindle_ends_concluded_total{cause=\"refused\"}", 1));
+    CHECK(all.value("egretspindle_starts_refused_total{verdict="
+                    "\"no_permission\"}") == 1);
+    CHECK(all.value("egretspindle_starts_refused_total{verdict=\"no_room\"}") ==
+          0);
+    CHECK(all.value("egretspindle_start_confirmed_milliseconds_count") == 0);
+    {
+        const std::lock_guard<std::mutex> lock(all.target.mutex);
+        all.target.is_silent = true;
+    }
+    all.send("b.0.0", 1'000);
+    REQUIRE(all.reaches(
+        "egretspindle_target_orders_failed_total{order=\"start\"}", 1));
+    CHECK(all.value("egretspindle_start_confirmed_milliseconds_count") == 0);
+}
+
+// Guards against gauges that keep the last queue after it has emptied.
+TEST_CASE("the gauges of queues show what starts wait for", "[metrics]")
+{
+    rack_fixture all;
+    REQUIRE(all.reaches(
+        "egretspindle_poll_milliseconds_count{result=\"answered\"}", 1));
+    all.send("a.0.0", 9'000, true);
+    all.send("b.0.0", 9'000);
+    all.agent.log_queues();
+    CHECK(all.value("egretspindle_queue_starts") == 2);
+    CHECK(all.value("egretspindle_queue_lasting_starts") == 1);
+    CHECK(all.value("egretspindle_queue_waiting_starts{for=\"no_room\"}") == 2);
+    CHECK(all.value("egretspindle_queue_waiting_starts{for=\"nothing\"}") == 0);
+    CHECK(all.value("egretspindle_racks_owned") == 1);
+    CHECK(all.value("egretspindle_rack_targets") == 1);
+    all.withdraw("a.0.0.0");
+    all.withdraw("b.0.0.0");
+    all.agent.log_queues();
+    CHECK(all.value("egretspindle_queue_starts") == 0);
+    CHECK(all.value("egretspindle_queue_waiting_starts{for=\"no_room\"}") == 0);
+    CHECK(all.value("egretspindle_ends_concluded_total{cause=\"withdrawn\"}") ==
+          2);
+    all.agent.drop_rack("r1");
+    all.agent.log_queues();
+    CHECK(all.value("egretspindle_racks_owned") == 0);
+    CHECK(all.value("egretspindle_rack_targets") == 0);
+}
+
+// Guards against starts that wander between racks unseen.
+TEST_CASE("starts that are handed back are counted with their wait",
+          "[metrics]")
+{
+    rack_fixture all;
+    all.has_room_elsewhere = true;
+    all.send("a.0.0", 9'000);
+    REQUIRE(
+        all.reaches("egretspindle_start_handed_back_milliseconds_count", 1));
+    CHECK(all.value(
+              "egretspindle_ends_concluded_total{cause=\"handed_back\"}") == 1);
+    CHECK(all.value("egretspindle_starts_placed_total{tasks=\"short\"}") == 0);
+}
+
+// Guards against held starts whose release nobody can see.
+TEST_CASE("repeated starts are counted as held and as resolved", "[metrics]")
+{
+    const bool is_recorded = GENERATE(true, false);
+    CAPTURE(is_recorded);
+    rack_fixture all;
+    all.is_recorded = is_recorded;
+    all.send("a.0.0", 1'000, false, true);
+    all.send("a.0.0", 1'000, false, true); // known already
+    CHECK(all.value("egretspindle_starts_repeated_total{result=\"held\"}") ==
+          1);
+    const std::string result = is_recorded ? "started" : "dropped";
+    const std::string other = is_recorded ? "dropped" : "started";
+    REQUIRE(all.reaches(
+        "egretspindle_starts_repeated_total{result=\"" + result + "\"}", 1));
+    CHECK(all.value("egretspindle_starts_repeated_total{result=\"" + other +
+                    "\"}") == 0);
+}
+
+// Guards against a host that keeps its racks, cannot use them, and shows
+// nothing of it.
+TEST_CASE("leases that are not granted are counted", "[metrics]")
+{
+    rack_fixture all(milliseconds(0));
+    all.send("a.0.0", 1'000);
+    CHECK(
+        all.reaches("egretspindle_leases_not_granted_total{use=\"poll\"}", 1));
+    CHECK(
+        all.reaches("egretspindle_leases_not_granted_total{use=\"place\"}", 1));
+    CHECK(all.value("egretspindle_starts_placed_total{tasks=\"short\"}") == 0);
+}
+
+TEST_CASE("no lease is counted as withheld while the ownership is confirmed",
+          "[metrics]")
+{
+    rack_fixture all;
+    all.send("a.0.0", 1'000);
+    REQUIRE(all.reaches("egretspindle_start_confirmed_milliseconds_count", 1));
+    for (const char* use : {"poll", "start", "place"})
+    {
+        CHECK(all.value(std::string("egretspindle_leases_not_granted_total{"
+                                    "use=\"") +
+                        use + "\"}") == 0);
+    }
+}
