--- /dev/null
+++ b/tests/platform/probe_interface_test.cpp
@@ -0,0 +1,38 @@
+#include "http_store.hpp"
+#include "http_target.hpp"
+#include "probe_interface.hpp"
+
+#include <catch2/catch.hpp>
+
+using namespace egretspindle;
+using namespace egretspindle::platform;
+
+// Guards against metrics that no address serves, and against a probe that takes
+// another path for readiness.
+TEST_CASE("the address of the probe serves readiness and metrics", "[platform]")
+{
+    http_store store(endpoint{"127.0.0.1", 1});
+    http_target targets;
+    scheduler_options options;
+    options.host = "h1";
+    job_scheduler scheduler(store, targets, options);
+    http_request request;
+    request.method = "GET";
+    request.path = "/metrics";
+    const http_response metrics = answer_probe(request, scheduler);
+    CHECK(metrics.status == 200);
+    CHECK(metrics.content_type == "text/plain; version=0.0.4");
+    for (const char* series :
+         {"\negretspindle_racks_owned 0\n", "\negretspindle_open_jobs 0\n",
+          "\negretspindle_config_version 0\n"})
+    {
+        CAPTURE(series);
+        CHECK(metrics.body.find(series) != std::string::npos);
+    }
+    for (const char* path : {"/egretspindle/ready", "/", "/metrics/other"})
+    {
+        CAPTURE(path);
+        request.path = path;
+        CHECK(answer_probe(request, scheduler).status == 503);
+    }
+}
