--- a/include/egretspindle/metrics/latency_summary.hpp
+++ b/include/egretspindle/metrics/latency_summary.hpp
@@ -7,12 +7,17 @@
 #include "egretspindle/core/clock.hpp"
 
 #include <array>
+#include <chrono>
 #include <cstdint>
 #include <memory>
+#include <ratio>
 
 namespace egretspindle
 {
 
+/// Duration as summaries take it. Many calls on one rack take less than 1 ms.
+using fractional_ms = std::chrono::duration<double, std::milli>;
+
 /// Estimated quantiles of the recent past, and totals since the start.
 struct latency_snapshot
 {
--- a/include/egretspindle/scheduler/host_metrics.hpp
+++ b/include/egretspindle/scheduler/host_metrics.hpp
@@ -39,10 +39,10 @@
     void note_lost(resource_kind what) const noexcept;
 
     /// Notes orders that were sent to another host.
-    void note_orders(orders_result result, milliseconds duration) const;
+    void note_orders(orders_result result, fractional_ms duration) const;
 
     /// Notes ends that were reported to another host.
-    void note_reports(bool is_answered, milliseconds duration) const;
+    void note_reports(bool is_answered, fractional_ms duration) const;
 
     std::array<std::array<counter*, 3>, 2> taken{}; ///< by kind, former owner
     std::array<counter*, 2> lost{};                 ///< by kind
--- a/include/egretspindle/scheduler/rack_metrics.hpp
+++ b/include/egretspindle/scheduler/rack_metrics.hpp
@@ -60,10 +60,10 @@
     void note_concluded(const run_event& event) const;
 
     /// Notes an order to a target.
-    void note_order(order_kind what, milliseconds duration,
+    void note_order(order_kind what, fractional_ms duration,
                     bool is_answered) const;
 
-    void note_poll(milliseconds duration, bool is_answered) const;
+    void note_poll(fractional_ms duration, bool is_answered) const;
     void note_refused(order_verdict verdict) const noexcept;
     void note_no_lease(lease_use use) const noexcept;
 
--- a/src/scheduler/host_metrics.cpp
+++ b/src/scheduler/host_metrics.cpp
@@ -90,16 +90,14 @@
 }
 
 void host_metrics::note_orders(orders_result result,
-                               milliseconds duration) const
+                               fractional_ms duration) const
 {
-    rack_orders[static_cast<std::size_t>(result)]->observe(
-        static_cast<double>(duration.count()));
+    rack_orders[static_cast<std::size_t>(result)]->observe(duration.count());
 }
 
-void host_metrics::note_reports(bool is_answered, milliseconds duration) const
+void host_metrics::note_reports(bool is_answered, fractional_ms duration) const
 {
-    run_reports[is_answered ? 1 : 0]->observe(
-        static_cast<double>(duration.count()));
+    run_reports[is_answered ? 1 : 0]->observe(duration.count());
 }
 
 } // namespace egretspindle
--- a/src/scheduler/job_coordinator_records.cpp
+++ b/src/scheduler/job_coordinator_records.cpp
@@ -6,6 +6,7 @@
 #include "job_coordinator_impl.hpp"
 
 #include <algorithm>
+#include <cmath>
 #include <random>
 #include <set>
 
@@ -264,11 +265,11 @@
     const time_point sent_at = steady_clock::now();
     const absl::StatusOr<transaction_result> result =
         store.commit(transaction, limits.commit_timeout);
-    const std::int64_t took_ms = elapsed_ms(sent_at, steady_clock::now());
+    const fractional_ms took = steady_clock::now() - sent_at;
     (!result.ok()           ? metrics.write_failed
      : result->is_committed ? metrics.write_committed
                             : metrics.write_conflict)
-        .observe(static_cast<double>(took_ms));
+        .observe(took.count());
     std::map<std::string, rack_orders> orders;
     std::vector<std::string> lost;
     {
@@ -289,7 +290,7 @@
                         {{"first_job", batch.front()->value.id},
                          {"jobs", batch.size()},
                          {"uncertain", is_uncertain},
-                         {"took_ms", took_ms},
+                         {"took_ms", std::llround(took.count())},
                          {"error", std::string(result.status().message())}});
             return false;
         }
--- a/src/scheduler/job_scheduler.cpp
+++ b/src/scheduler/job_scheduler.cpp
@@ -579,7 +579,7 @@
             metrics.note_orders(!answer.ok()       ? orders_result::failed
                                 : answer->is_owner ? orders_result::taken
                                                    : orders_result::not_owner,
-                                elapsed(sent_at));
+                                steady_clock::now() - sent_at);
             if (!answer.ok())
             {
                 log_warning(
@@ -640,7 +640,7 @@
         const time_point sent_at = steady_clock::now();
         reply = call_peer<report_reply>(*client, owner->peer, reports_message,
                                         batch, reports_timeout);
-        metrics.note_reports(reply.ok(), elapsed(sent_at));
+        metrics.note_reports(reply.ok(), steady_clock::now() - sent_at);
     }
     std::vector<run_report> again;
     if (!reply.ok())
@@ -812,7 +812,8 @@
         coordinator.tick();
         std::atomic<std::int64_t>& longest = racks.activity().longest_tick_ms;
         longest = std::max(longest.load(), elapsed(begun).count());
-        metrics.tick.observe(static_cast<double>(elapsed(begun).count()));
+        metrics.tick.observe(
+            fractional_ms(steady_clock::now() - begun).count());
         std::unique_lock<std::mutex> lock(tick_mutex);
         if (tick_wake.wait_for(lock, tick_period,
                                [this] { return is_stopping; }))
--- a/src/scheduler/rack_agent_channels.cpp
+++ b/src/scheduler/rack_agent_channels.cpp
@@ -233,8 +233,9 @@
         const auto it = target.runs.find(id);
         if (it != target.runs.end() && it->second.is_taken)
         {
-            metrics.confirmed_after.observe(static_cast<double>(
-                elapsed_ms(it->second.ordered_at, it->second.taken_at)));
+            metrics.confirmed_after.observe(
+                fractional_ms(it->second.taken_at - it->second.ordered_at)
+                    .count());
         }
     }
 }
--- a/src/scheduler/rack_agent_orders.cpp
+++ b/src/scheduler/rack_agent_orders.cpp
@@ -237,7 +237,8 @@
     const absl::StatusOr<order_answer> answer =
         targets.start(entry, message, limits.order_timeout);
     note_call(activity.orders, elapsed(sent_at), answer.ok());
-    metrics.note_order(order_kind::start, elapsed(sent_at), answer.ok());
+    metrics.note_order(order_kind::start, steady_clock::now() - sent_at,
+                       answer.ok());
     const bool is_late =
         answer.ok() && answer->verdict == order_verdict::too_late;
     if (answer.ok() && !is_late && take_answer(channel, order, *answer))
@@ -283,7 +284,8 @@
     const absl::StatusOr<order_answer> answer =
         targets.stop(entry, message, limits.order_timeout);
     note_call(activity.orders, elapsed(sent_at), answer.ok());
-    metrics.note_order(order_kind::stop, elapsed(sent_at), answer.ok());
+    metrics.note_order(order_kind::stop, steady_clock::now() - sent_at,
+                       answer.ok());
     if (answer.ok() && answer->verdict == order_verdict::wrong_token)
     {
         fence(*channel);
@@ -348,7 +350,8 @@
     const absl::StatusOr<order_answer> answer =
         targets.pace(entry, message, limits.order_timeout);
     note_call(activity.orders, elapsed(sent_at), answer.ok());
-    metrics.note_order(order_kind::pace, elapsed(sent_at), answer.ok());
+    metrics.note_order(order_kind::pace, steady_clock::now() - sent_at,
+                       answer.ok());
     if (!answer.ok())
     {
         log_warning("pace was not answered",
--- a/src/scheduler/rack_agent_polls.cpp
+++ b/src/scheduler/rack_agent_polls.cpp
@@ -98,7 +98,7 @@
     const absl::StatusOr<poll_answer> answer =
         targets.poll(entry, order, limits.poll_timeout);
     note_call(activity.polls, elapsed(sent_at), answer.ok());
-    metrics.note_poll(elapsed(sent_at), answer.ok());
+    metrics.note_poll(steady_clock::now() - sent_at, answer.ok());
     if (answer.ok() && answer->verdict == order_verdict::taken)
     {
         apply_answer(channel, *answer, sent_at);
--- a/src/scheduler/rack_metrics.cpp
+++ b/src/scheduler/rack_metrics.cpp
@@ -161,17 +161,17 @@
     }
 }
 
-void rack_metrics::note_order(order_kind what, milliseconds duration,
+void rack_metrics::note_order(order_kind what, fractional_ms duration,
                               bool is_answered) const
 {
     const std::size_t n = static_cast<std::size_t>(what);
-    orders[n]->observe(static_cast<double>(duration.count()));
+    orders[n]->observe(duration.count());
     orders_failed[n]->add(is_answered ? 0 : 1);
 }
 
-void rack_metrics::note_poll(milliseconds duration, bool is_answered) const
+void rack_metrics::note_poll(fractional_ms duration, bool is_answered) const
 {
-    polls[is_answered ? 1 : 0]->observe(static_cast<double>(duration.count()));
+    polls[is_answered ? 1 : 0]->observe(duration.count());
 }
 
 void rack_metrics::note_refused(order_verdict verdict) const noexcept
--- a/tests/scheduler/rack_metrics_test.cpp
+++ b/tests/scheduler/rack_metrics_test.cpp
@@ -5,6 +5,7 @@
 
 #include <catch2/catch.hpp>
 
+#include <cmath>
 #include <mutex>
 #include <thread>
 
@@ -195,6 +196,11 @@
                     "\"start\"}") == 2);
     CHECK(all.value("egretspindle_target_orders_failed_total{order="
                     "\"start\"}") == 0);
+    // Orders of less than 1 ms must not disappear from the sum.
+    const double sum = all.value("egretspindle_target_order_milliseconds_sum{"
+                                 "order=\"start\"}");
+    CHECK(sum > 0);
+    CHECK(sum != std::floor(sum));
 }
 
 // Guards against a refusal or a silence of targets that looks like a start.
