Answer all repeated starts of a job with one read of its record

After a restart of all hosts the owners of racks looked up each repeated start with a read of its own, at most 20 in a tick. The hook now reads all assignments of a job, and the answer resolves the starts of that job in all racks of the host. Jobs that last are read first.

Only settled racks are collected, and token and fence of each rack are checked after the read, so a former owner, a rack that was won back and a frozen owner resolve nothing. A run counts as recorded only if the record is open and names this run on this rack. A store that does not answer resolves nothing. Orders without an answer and restarted targets are not touched: `resolve_repeated` is unchanged.

--- a/include/egretspindle/scheduler/rack_agent.hpp
+++ b/include/egretspindle/scheduler/rack_agent.hpp
@@ -27,6 +27,9 @@
 /// Addresses of targets by id.
 using rack_roster = std::map<std::string, std::string>;
 
+/// Racks to which the record of an open job assigns its runs.
+using run_racks = std::map<run_id, std::string>;
+
 /// What the runtime needs of other parts. Called without its lock, except
 /// `has_room_elsewhere`, which must not call back.
 struct rack_agent_hooks
@@ -37,11 +40,9 @@
     std::function<void(const std::string& rack)> lost;
     std::function<bool(const step_terms& terms, const std::string& rack)>
         has_room_elsewhere;
-    /// Reads whether the record assigns a run to a rack; no value when the
-    /// store did not answer.
-    std::function<std::optional<bool>(const run_id& run,
-                                      const std::string& rack)>
-        is_recorded;
+    /// Reads the record of a job; no value when the store did not answer.
+    std::function<std::optional<run_racks>(const std::string& job)>
+        read_assignments;
     /// Makes the list of a rack's targets durable; false: not now, or not by
     /// this owner.
     std::function<bool(const std::string& rack, std::int64_t token,
@@ -61,7 +62,9 @@
     milliseconds poll_retry{300};     ///< after a poll without an answer
     milliseconds ack_wait{150};       ///< for the record of listed ends
     milliseconds queue_patience{700}; ///< before a start goes elsewhere
-    std::size_t most_lookups = 20;    ///< of records in one tick
+    /// Records of jobs that are read in one tick. Each read takes about 10 ms,
+    /// and answers for all repeated starts of its job.
+    std::size_t most_lookups = 20;
 };
 
 /// How a rack was taken over.
--- a/src/scheduler/job_scheduler.cpp
+++ b/src/scheduler/job_scheduler.cpp
@@ -71,8 +71,7 @@
     job_call_reply call_self(std::string_view message, const job_call& call);
     std::optional<job_answer> read_state(const std::string& id);
     absl::StatusOr<std::optional<job>> read_job(const std::string& id);
-    std::optional<bool> read_assignment(const run_id& run,
-                                        const std::string& rack);
+    std::optional<run_racks> read_assignments(const std::string& id);
     void post_orders(rack_orders orders);
     void deliver_orders(const std::string& host,
                         const std::vector<rack_orders>& items);
@@ -223,9 +222,9 @@
         const std::lock_guard<std::mutex> lock(load_mutex);
         return has_room_elsewhere(load, terms, rack, steady_clock::now());
     };
-    hooks.is_recorded = [this](const run_id& run, const std::string& rack)
+    hooks.read_assignments = [this](const std::string& job)
     {
-        return read_assignment(run, rack);
+        return read_assignments(job);
     };
     hooks.record_roster = [this](const std::string& rack, std::int64_t token,
                                  const rack_roster& roster)
@@ -428,23 +427,23 @@
     return job_answer{lookup_verdict::known, std::string(shown_state(**value))};
 }
 
-std::optional<bool>
-job_scheduler::impl::read_assignment(const run_id& run, const std::string& rack)
+std::optional<run_racks>
+job_scheduler::impl::read_assignments(const std::string& id)
 {
-    const std::optional<task_key> key = parse_task_key(run.first);
-    if (!key)
-    {
-        return false;
-    }
-    const absl::StatusOr<std::optional<job>> value = read_job(key->job);
+    const absl::StatusOr<std::optional<job>> value = read_job(id);
     if (!value.ok())
     {
         return std::nullopt;
     }
-    const job_task* task = *value ? find_task(**value, *key) : nullptr;
-    return task != nullptr && task->phase == job_task_phase::assigned &&
-           task->run == run.second && task->rack == rack &&
-           (*value)->outcome == job_outcome::open;
+    run_racks assigned;
+    if (*value && (*value)->outcome == job_outcome::open)
+    {
+        for (const assigned_run& run : assigned_runs(**value))
+        {
+            assigned[{to_string(run.key), run.run}] = run.rack;
+        }
+    }
+    return assigned;
 }
 
 // --- messages --------------------------------------------------------------
--- a/src/scheduler/rack_agent.cpp
+++ b/src/scheduler/rack_agent.cpp
@@ -235,59 +235,104 @@
     }
 }
 
-// Looks up repeated starts of runs that are known to be on no target. A former
-// owner of the job may have sent them, after the run had ended.
-void rack_agent::impl::confirm_repeated()
+namespace
 {
-    struct lookup
-    {
-        std::string rack;
-        std::int64_t token = 0;
-        run_id id;
-    };
-    std::vector<lookup> unconfirmed;
+
+// Collects the repeated starts of racks whose runs are all known, by job. Jobs
+// that last come first, as they have the tightest bound on their absence.
+std::vector<job_lookup>
+collect_lookups(const std::map<std::string, rack_state>& racks, time_point now)
+{
+    std::vector<job_lookup> lookups;
+    std::map<std::string, std::size_t> places; // in `lookups`, by job
+    for (const auto& [name, rack] : racks)
     {
-        const std::lock_guard<std::mutex> lock(mutex);
-        const time_point now = steady_clock::now();
-        for (const auto& [name, rack] : racks)
+        if (rack.is_fenced || !is_settled(rack, now))
+        {
+            continue;
+        }
+        for (const queued_start& start : rack.queue)
         {
-            if (rack.is_fenced || !is_settled(rack, now))
+            if (!start.is_repeated)
             {
                 continue;
             }
-            for (const queued_start& start : rack.queue)
+            const std::string job = start.task.substr(0, start.task.find('.'));
+            const auto [place, is_new] = places.emplace(job, lookups.size());
+            if (is_new)
             {
-                if (start.is_repeated &&
-                    unconfirmed.size() < limits.most_lookups)
-                {
-                    unconfirmed.push_back(
-                        {name, rack.token, {start.task, start.run}});
-                }
+                lookups.push_back({job, false, {}});
             }
+            job_lookup& item = lookups[place->second];
+            item.is_long_running |= start.terms->is_long_running;
+            item.starts.push_back({name, rack.token, {start.task, start.run}});
         }
     }
-    for (const auto& [name, token, id] : unconfirmed)
+    std::stable_partition(lookups.begin(), lookups.end(),
+                          [](const job_lookup& item)
+                          { return item.is_long_running; });
+    return lookups;
+}
+
+} // namespace
+
+// Looks up repeated starts of runs that are known to be on no target. A former
+// owner of the job may have sent them, after the run had ended. One read
+// answers for all starts of a job that were queued before it: after a restart
+// of all hosts, reads for each start took up to 30 s.
+void rack_agent::impl::confirm_repeated()
+{
+    std::vector<job_lookup> lookups;
     {
-        const std::optional<bool> is_recorded = hooks.is_recorded(id, name);
-        if (!is_recorded)
+        const std::lock_guard<std::mutex> lock(mutex);
+        lookups = collect_lookups(racks, steady_clock::now());
+    }
+    lookups.resize(std::min(lookups.size(), limits.most_lookups));
+    for (const job_lookup& item : lookups)
+    {
+        const std::optional<run_racks> assigned =
+            hooks.read_assignments(item.job);
+        if (!assigned)
         {
             return; // the store does not answer; the next tick tries again
         }
-        log_info("repeated start was looked up", {{"task", id.first},
-                                                  {"run", id.second},
-                                                  {"rack", name},
-                                                  {"recorded", *is_recorded}});
-        std::vector<run_event> events;
+        apply_lookup(item, *assigned);
+    }
+}
+
+// Resolves the starts that a record answers for.
+void rack_agent::impl::apply_lookup(const job_lookup& lookup,
+                                    const run_racks& assigned)
+{
+    std::map<std::pair<std::string, std::int64_t>, std::vector<run_event>>
+        events; // by rack and token
+    std::size_t recorded = 0;
+    {
+        const std::lock_guard<std::mutex> lock(mutex);
+        for (const auto& [name, token, id] : lookup.starts)
         {
-            // The rack may have been lost and won back during the look-up.
-            const std::lock_guard<std::mutex> lock(mutex);
+            const auto found = assigned.find(id);
+            const bool is_recorded =
+                found != assigned.end() && found->second == name;
+            recorded += is_recorded ? 1 : 0;
+            // The rack may have been lost and won back during the read.
             rack_state* rack = find_rack(name);
             if (rack != nullptr && rack->token == token && !rack->is_fenced)
             {
-                events = resolve_repeated(*rack, id, *is_recorded);
+                const std::vector<run_event> resolved =
+                    resolve_repeated(*rack, id, is_recorded);
+                std::vector<run_event>& list = events[{name, token}];
+                list.insert(list.end(), resolved.begin(), resolved.end());
             }
         }
-        publish(name, token, events);
+    }
+    log_info("repeated starts were looked up",
+             {{"job", lookup.job},
+              {"starts", lookup.starts.size()},
+              {"recorded", recorded}});
+    for (const auto& [rack, list] : events)
+    {
+        publish(rack.first, rack.second, list);
     }
 }
 
--- a/src/scheduler/rack_agent_impl.hpp
+++ b/src/scheduler/rack_agent_impl.hpp
@@ -58,6 +58,22 @@
 
 using channel_ptr = std::shared_ptr<target_channel>;
 
+/// Repeated start that waits for a look-up of its run.
+struct unconfirmed_start
+{
+    std::string rack;
+    std::int64_t token = 0;
+    run_id id;
+};
+
+/// Job whose record is to be read.
+struct job_lookup
+{
+    std::string job;
+    bool is_long_running = false; ///< one of the starts lasts
+    std::vector<unconfirmed_start> starts;
+};
+
 /// Returns the name of a verdict for a log line.
 [[nodiscard]] std::string_view name_of(order_verdict verdict);
 
@@ -109,6 +125,7 @@
                bool was_unanswered);
     void fence(const target_channel& channel);
     void confirm_repeated();
+    void apply_lookup(const job_lookup& lookup, const run_racks& assigned);
     void record_rosters();
     void publish(const std::string& rack, std::int64_t token,
                  const std::vector<run_event>& events);
--- a/tests/scheduler/rack_agent_test.cpp
+++ b/tests/scheduler/rack_agent_test.cpp
@@ -130,6 +130,9 @@
     std::vector<std::string> lost;
     std::vector<rack_roster> rosters; ///< that were to be recorded
     bool is_recordable = true;
+    std::map<std::string, run_racks> records = {
+        {"job", {{{"job.0.0.0", 1}, "r1"}}}}; ///< by job
+    std::vector<std::string> lookups;         ///< jobs whose record was read
     rack_agent agent;
 
     fixture() : fixture(limits()) {}
@@ -209,9 +212,13 @@
         {
             return false;
         };
-        result.is_recorded = [](const run_id&, const std::string&)
+        result.read_assignments = [this](const std::string& job)
         {
-            return std::optional<bool>(true);
+            const std::lock_guard<std::mutex> lock(mutex);
+            lookups.push_back(job);
+            const auto it = records.find(job);
+            return it == records.end() ? std::optional<run_racks>()
+                                       : it->second;
         };
         result.record_roster =
             [this](const std::string&, std::int64_t, const rack_roster& roster)
@@ -595,6 +602,74 @@
     }
 }
 
+// After a restart of all hosts of a large fleet, starts waited up to 30 s for
+// reads of records, one for each start.
+TEST_CASE("one read of a record answers for all repeated starts of its job",
+          "[scheduler]")
+{
+    fixture all;
+    constexpr std::int64_t tasks = 30; // more than the reads of one tick
+    rack_orders orders;
+    orders.rack = "r1";
+    orders.token = 7;
+    for (const std::string job : {"a", "b"})
+    {
+        start_batch batch;
+        batch.terms.step = job + ".0.0";
+        batch.terms.service = "svc";
+        batch.terms.size = {10, 10, 0};
+        for (std::int64_t n = 0; n < tasks; ++n)
+        {
+            batch.runs.push_back({n, 1, "", true});
+            const std::string task = batch.terms.step + "." + std::to_string(n);
+            all.records[job][{task, 1}] = "r1";
+        }
+        orders.starts.push_back(batch);
+    }
+    // Look-ups wait until the target has been reached.
+    REQUIRE(all.targets.wait([&] { return all.targets.renewals() > 0; }));
+    REQUIRE(all.agent.execute(orders).is_owner);
+    all.agent.tick();
+    REQUIRE(all.lookups == std::vector<std::string>{"a", "b"});
+    REQUIRE(all.targets.wait(
+        [&] { return all.targets.starts.size() == 2 * tasks; }));
+}
+
+// A run that its record assigns to another rack, or that has ended, would run
+// twice or after its end.
+TEST_CASE("a read of a record starts only the runs that it assigns to the rack",
+          "[scheduler]")
+{
+    fixture all;
+    rack_orders orders;
+    orders.rack = "r1";
+    orders.token = 7;
+    start_batch batch;
+    batch.terms.step = "job.0.0";
+    batch.terms.service = "svc";
+    batch.terms.size = {10, 10, 0};
+    batch.runs = {
+        {0, 1, "", true}, {1, 1, "", true}, {2, 1, "", true}, {3, 1, "", true}};
+    orders.starts = {batch};
+    all.records["job"] = {{{"job.0.0.0", 1}, "r2"},
+                          {{"job.0.0.1", 2}, "r1"},
+                          {{"job.0.0.3", 1}, "r1"}};
+    REQUIRE(all.targets.wait([&] { return all.targets.renewals() > 0; }));
+    REQUIRE(all.agent.execute(orders).is_owner);
+    all.agent.tick();
+    REQUIRE(all.agent.measure().front().queued == 0);
+    REQUIRE(all.targets.wait([&] { return !all.targets.starts.empty(); }));
+    std::size_t n = 0;
+    {
+        const std::lock_guard<std::mutex> lock(all.targets.mutex);
+        n = all.targets.polls.size();
+    }
+    REQUIRE(all.targets.wait([&] { return all.targets.polls.size() > n + 2; }));
+    const std::lock_guard<std::mutex> lock(all.targets.mutex);
+    REQUIRE(all.targets.starts.size() == 1);
+    REQUIRE(all.targets.starts.front().task == "job.0.0.3");
+}
+
 // A later owner could not know that work runs on it.
 TEST_CASE("a target gets no starts before it is recorded", "[scheduler]")
 {
