Send a message between hosts once

The RPC client of cxxtools sends a message again when the connection closes before the reply, on a fresh connection too: "a message is sent once when its connection is dropped" saw 2 copies with it. The answer to the second copy, such as "not the owner" of a host that has restarted, then hides that the former life carried out the first copy, so such an answer proves nothing about a start. The client now writes JSON-RPC to a cxxtools socket itself, once. It uses no kept connection that the server has closed: these calls were answered by the library's second copy before, and would have counted as perhaps received.

No rule relies on the second copy: a lost answer was possible before, and is repeated by the callers of `call`, whose messages are idempotent. What changes is that `unavailable`, and an answer of the receiver, cover every copy.

--- a/include/egretspindle/net/rpc_client.hpp
+++ b/include/egretspindle/net/rpc_client.hpp
@@ -29,8 +29,7 @@
 
     /// Sends a message and waits for its reply.
     ///
-    /// The library may send a message twice when a connection was closed, so
-    /// every message has to be idempotent at its receiver.
+    /// The message is sent once: an answer shows all that became of it.
     ///
     /// \returns the payload of the reply, the error of the receiver,
     ///          `unavailable` when nothing was sent, or `deadline_exceeded`
--- a/src/net/rpc_client.cpp
+++ b/src/net/rpc_client.cpp
@@ -1,17 +1,20 @@
 #include "egretspindle/net/rpc_client.hpp"
 
+#include "egretspindle/codec/json.hpp"
 #include "egretspindle/core/error.hpp"
 #include "egretspindle/net/message_auth.hpp"
 
-#include <cxxtools/json/rpcclient.h>
-#include <cxxtools/remoteexception.h>
-#include <cxxtools/remoteprocedure.h>
-#include <cxxtools/utf8codec.h>
+#include "json_framing.hpp"
+
+#include <cxxtools/net/tcpsocket.h>
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <atomic>
+#include <cerrno>
 #include <map>
 #include <mutex>
+#include <sys/socket.h>
 #include <vector>
 
 namespace egretspindle
@@ -22,29 +25,112 @@
 
 constexpr std::size_t max_idle_connections = 64;
 constexpr std::chrono::milliseconds max_connect_time{500};
+constexpr std::size_t max_reply_bytes = 8 * 1024 * 1024;
+
+using clock = std::chrono::steady_clock;
+using socket_ptr = std::unique_ptr<cxxtools::net::TcpSocket>;
 
-using client_ptr = std::unique_ptr<cxxtools::json::RpcClient>;
-using call_procedure =
-    cxxtools::RemoteProcedure<cxxtools::String, cxxtools::String,
-                              cxxtools::String, cxxtools::String,
-                              cxxtools::String>;
+/// JSON-RPC 2.0 request.
+struct rpc_request
+{
+    std::string jsonrpc = "2.0";
+    std::string method = "call";
+    std::vector<std::string> params; ///< type, sender, payload, mac
+    std::int64_t id = 1;
+};
+
+template <typename Visitor, typename Value>
+void visit_fields(Visitor&& visit, Value& value, const rpc_request* /*tag*/)
+{
+    visit("jsonrpc", value.jsonrpc);
+    visit("method", value.method);
+    visit("params", value.params);
+    visit("id", value.id);
+}
+
+/// Error of a JSON-RPC 2.0 response.
+struct rpc_fault
+{
+    int code = 0; ///< `error_kind`
+    std::string message;
+};
+
+template <typename Visitor, typename Value>
+void visit_fields(Visitor&& visit, Value& value, const rpc_fault* /*tag*/)
+{
+    visit("code", value.code);
+    visit("message", value.message);
+}
+
+/// JSON-RPC 2.0 response, with a result or an error.
+struct rpc_response
+{
+    std::string result;
+    rpc_fault error;
+};
+
+template <typename Visitor, typename Value>
+void visit_fields(Visitor&& visit, Value& value, const rpc_response* /*tag*/)
+{
+    visit("result", value.result);
+    visit("error", value.error);
+}
 
 cxxtools::Milliseconds to_cxxtools(std::chrono::milliseconds value)
 {
     return cxxtools::Milliseconds(static_cast<double>(value.count()));
 }
 
-// The procedure object refers to the client until its destructor, so it has to
-// end before the client goes back to the pool or is destroyed.
-cxxtools::String call_remote(cxxtools::json::RpcClient& client,
-                             std::string_view type, const std::string& sender,
-                             std::string_view payload, const std::string& mac)
-{
-    call_procedure procedure(client, "call");
-    return procedure(cxxtools::Utf8Codec::decode(std::string(type)),
-                     cxxtools::Utf8Codec::decode(sender),
-                     cxxtools::Utf8Codec::decode(std::string(payload)),
-                     cxxtools::Utf8Codec::decode(mac));
+// Returns whether a kept connection can be used. Nothing is expected on it, so
+// bytes are the late reply to another message.
+bool is_open(const cxxtools::net::TcpSocket& socket)
+{
+    char byte = 0;
+    const ssize_t n = ::recv(socket.getFd(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    return n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
+// Limits the next read or write; throws when no time is left.
+void set_timeout(cxxtools::net::TcpSocket& socket, clock::time_point deadline)
+{
+    const std::chrono::milliseconds left =
+        std::chrono::duration_cast<std::chrono::milliseconds>(deadline -
+                                                              clock::now());
+    if (left.count() <= 0)
+    {
+        throw std::runtime_error("timeout");
+    }
+    socket.setTimeout(to_cxxtools(left));
+}
+
+// Writes a request once and reads its response. The client of cxxtools is not
+// used: it sends a request again when the connection closes, and the answer to
+// the second copy hides what became of the first one.
+std::string exchange(cxxtools::net::TcpSocket& socket, std::string_view request,
+                     clock::time_point deadline)
+{
+    while (!request.empty())
+    {
+        set_timeout(socket, deadline);
+        request.remove_prefix(socket.write(request.data(), request.size()));
+    }
+    json_framing framing(max_reply_bytes);
+    char buf[16 * 1024];
+    while (framing.current() == json_framing::state::incomplete)
+    {
+        set_timeout(socket, deadline);
+        const std::size_t n = socket.read(buf, sizeof buf);
+        if (n == 0)
+        {
+            throw std::runtime_error("connection closed");
+        }
+        framing.add(std::string_view(buf, n));
+    }
+    if (framing.current() == json_framing::state::invalid)
+    {
+        throw std::runtime_error("the reply is no JSON object");
+    }
+    return framing.take();
 }
 
 // Removes the tag that ties a reply to its message.
@@ -62,26 +148,30 @@
 
 struct rpc_client::impl
 {
-    client_ptr take(const std::string& server)
+    // Returns a kept connection that the server has not closed.
+    socket_ptr take(const std::string& server)
     {
         const std::lock_guard<std::mutex> lock(mutex);
-        std::vector<client_ptr>& clients = idle[server];
-        if (clients.empty())
+        std::vector<socket_ptr>& sockets = idle[server];
+        while (!sockets.empty())
         {
-            return nullptr;
+            socket_ptr socket = std::move(sockets.back());
+            sockets.pop_back();
+            if (is_open(*socket))
+            {
+                return socket;
+            }
         }
-        client_ptr client = std::move(clients.back());
-        clients.pop_back();
-        return client;
+        return nullptr;
     }
 
-    void give_back(const std::string& server, client_ptr client)
+    void give_back(const std::string& server, socket_ptr socket)
     {
         const std::lock_guard<std::mutex> lock(mutex);
-        std::vector<client_ptr>& clients = idle[server];
-        if (clients.size() < max_idle_connections)
+        std::vector<socket_ptr>& sockets = idle[server];
+        if (sockets.size() < max_idle_connections)
         {
-            clients.push_back(std::move(client));
+            sockets.push_back(std::move(socket));
         }
     }
 
@@ -89,7 +179,7 @@
     std::string sender;
     std::atomic<std::uint64_t> byte_count{0};
     std::mutex mutex;
-    std::map<std::string, std::vector<client_ptr>> idle;
+    std::map<std::string, std::vector<socket_ptr>> idle;
 };
 
 rpc_client::rpc_client(std::string cluster_key, std::string sender)
@@ -112,16 +202,16 @@
                                              std::chrono::milliseconds timeout)
 {
     const std::string server_text = to_string(server);
-    client_ptr client = impl_->take(server_text);
+    const clock::time_point deadline = clock::now() + timeout;
+    socket_ptr socket = impl_->take(server_text);
     try
     {
-        if (!client)
+        if (!socket)
         {
-            client = std::make_unique<cxxtools::json::RpcClient>(server.address,
-                                                                 server.port);
-            client->connectTimeout(
+            socket = std::make_unique<cxxtools::net::TcpSocket>();
+            socket->setTimeout(
                 to_cxxtools(std::min(timeout, max_connect_time)));
-            client->connect();
+            socket->connect(server.address, server.port);
         }
     }
     catch (const std::exception& ex)
@@ -133,30 +223,38 @@
     const std::string mac =
         message_mac(impl_->cluster_key, type, impl_->sender, payload);
     const std::string tag = reply_tag(mac);
+    rpc_request request;
+    request.params = {std::string(type), impl_->sender, std::string(payload),
+                      mac};
     std::string failure;
     try
     {
-        client->timeout(to_cxxtools(timeout));
-        std::string text = cxxtools::Utf8Codec::encode(
-            call_remote(*client, type, impl_->sender, payload, mac));
-        impl_->byte_count += type.size() + impl_->sender.size() +
-                             payload.size() + mac.size() + text.size();
-        if (remove_tag(text, tag))
+        absl::StatusOr<rpc_response> response = from_json<rpc_response>(
+            exchange(*socket, to_json(request), deadline));
+        if (!response.ok())
         {
-            impl_->give_back(server_text, std::move(client));
-            return text;
+            failure = std::string(response.status().message());
         }
-        failure = "the reply belongs to another message";
-    }
-    catch (const cxxtools::RemoteException& ex)
-    {
-        std::string text = ex.text();
-        if (remove_tag(text, tag))
+        else if (remove_tag(response->result, tag))
+        {
+            impl_->byte_count += type.size() + impl_->sender.size() +
+                                 payload.size() + mac.size() + tag.size() +
+                                 response->result.size();
+            impl_->give_back(server_text, std::move(socket));
+            return std::move(response->result);
+        }
+        else if (remove_tag(response->error.message, tag))
+        {
+            impl_->give_back(server_text, std::move(socket));
+            return make_error(static_cast<error_kind>(response->error.code),
+                              response->error.message);
+        }
+        else
         {
-            impl_->give_back(server_text, std::move(client));
-            return make_error(static_cast<error_kind>(ex.rc()), text);
+            failure = response->error.message.empty()
+                          ? "the reply belongs to another message"
+                          : response->error.message;
         }
-        failure = text;
     }
     catch (const std::exception& ex)
     {
