Send a start that reached nobody again as a first one

A task that lasts was away for 14.685 s: its start was sent to a host that was being restarted, and the next attempt counted as repeated, so that it waited for the whole takeover of the rack, 4 s + 10.704 s. The coordinator now counts, for each run, the messages that may have been received. A message is not counted when the rack had no owner, when the connection could not be made, or when the receiver answered that it is not the owner; it has done nothing then, and the client sends no second copy. While the count is 0 the start is sent as a first one, at the next tick instead of after `resend_period`.

What was read from the store stays marked too. - Silent, frozen and thawed owner of the shard: another host may have started the run and recorded its end. Such a start is sent only if a read at least as new as the rack's token (`is_confirmed`) showed this host as owner of the shard. A later owner of the shard then started the run under that token or a newer one. The rack's owner with that token remembers the end for at least 60 s (as for first starts before, a sender that is frozen for longer with the message under way is not covered); a newer one refuses the message. The token is taken before that check and sent as it is. - Silent, frozen and thawed owner of the rack: a first start is placed under the same checks as before (leases only with a confirmed ownership, token checked by the target). Orders to a target without an answer, carried out up to 12 s later, exist only if the rack's owner took the message, which then counts. - Restarted target: unchanged, no order was made for it. - Store outage: starts are sent only for durable runs, as before. A start that has to wait for a read waits until the store is back.

--- a/include/egretspindle/scheduler/cluster_agent.hpp
+++ b/include/egretspindle/scheduler/cluster_agent.hpp
@@ -97,6 +97,12 @@
     [[nodiscard]] std::optional<owner_location>
     owner_of(const std::string& resource) const;
 
+    /// Returns whether a read of the store, which was as new as a token or
+    /// newer, showed this host as owner of a resource. Another owner of the
+    /// resource then took it over after that token was given.
+    [[nodiscard]] bool is_confirmed(const std::string& resource,
+                                    std::int64_t token) const;
+
     /// Notes what another host says of its contact with the store.
     void note_contact(const std::string& host, bool has_contact);
 
--- a/include/egretspindle/scheduler/job_coordinator.hpp
+++ b/include/egretspindle/scheduler/job_coordinator.hpp
@@ -22,8 +22,8 @@
 {
 
 /// What the coordinator needs of other parts. Called without its lock, except
-/// `choose_racks`, `has_room_to_last` and `rack_token`, which must not call
-/// back.
+/// `choose_racks`, `has_room_to_last`, `rack_token` and `is_shard_confirmed`,
+/// which must not call back.
 struct job_coordinator_hooks
 {
     std::function<std::shared_ptr<const fleet_config>()> config;
@@ -36,6 +36,10 @@
         has_room_to_last;
     /// Token of the current owner of a rack; 0: none known.
     std::function<std::int64_t(const std::string& rack)> rack_token;
+    /// Whether a read of the store that was at least as new as the token of a
+    /// rack showed this host as owner of a shard. Always so when absent.
+    std::function<bool(const std::string& shard, std::int64_t token)>
+        is_shard_confirmed;
     /// Another host has taken a shard over.
     std::function<void(const std::string& shard)> lost_shard;
     /// Sends orders to the owner of a rack, without waiting.
@@ -93,6 +97,10 @@
     /// Notes that the owner of a rack has confirmed orders.
     void confirm(const rack_orders& orders, const rack_orders_reply& reply);
 
+    /// Notes that orders have certainly reached nobody who carries them out,
+    /// now or later. Called at most once for each `send`.
+    void note_undelivered(const rack_orders& orders);
+
     /// Starts due occurrences, and repeats orders that are not confirmed.
     void tick();
 
--- a/src/scheduler/cluster_agent.cpp
+++ b/src/scheduler/cluster_agent.cpp
@@ -90,6 +90,7 @@
     bool is_stopping = false;
     bool is_refresh_wanted = false;
     cluster_view view;
+    std::int64_t read_version = 0; ///< of the store, by the last read
     contact_reports contacts;
     bool has_table = false;         ///< changes can be read; of the thread
     std::int64_t table_version = 0; ///< read so far; of the thread
@@ -201,6 +202,7 @@
     table_version = rows->version;
     const std::lock_guard<std::mutex> lock(mutex);
     apply_rows(view, *rows, limits, steady_clock::now());
+    read_version = rows->version;
     list_resources();
     return true;
 }
@@ -546,6 +548,15 @@
     return location;
 }
 
+bool cluster_agent::is_confirmed(const std::string& resource,
+                                 std::int64_t token) const
+{
+    const std::lock_guard<std::mutex> lock(impl_->mutex);
+    const auto it = impl_->view.resources.find(resource);
+    return it != impl_->view.resources.end() && impl_->is_owned(it->second) &&
+           impl_->read_version >= token;
+}
+
 std::vector<std::string> cluster_agent::peers() const
 {
     std::vector<std::string> peers;
--- a/src/scheduler/job_coordinator.cpp
+++ b/src/scheduler/job_coordinator.cpp
@@ -270,6 +270,45 @@
     }
 }
 
+void job_coordinator::note_undelivered(const rack_orders& orders)
+{
+    const std::lock_guard<std::mutex> lock(impl_->mutex);
+    const auto find_sent = [this](const std::string& task, std::int64_t run)
+    {
+        const std::optional<task_key> key = parse_task_key(task);
+        const entry_ptr entry = key ? impl_->find(key->job) : nullptr;
+        if (!entry)
+        {
+            return static_cast<sent_run*>(nullptr);
+        }
+        const auto it = entry->sent.find(task);
+        return it != entry->sent.end() && it->second.run == run ? &it->second
+                                                                : nullptr;
+    };
+    for (const start_batch& batch : orders.starts)
+    {
+        for (const step_run& run : batch.runs)
+        {
+            sent_run* sent = find_sent(
+                fmt::format("{}.{}", batch.terms.step, run.index), run.run);
+            if (sent != nullptr && sent->deliveries > 0)
+            {
+                --sent->deliveries;
+                sent->was_undelivered = true;
+                sent->sent_at = {};
+            }
+        }
+    }
+    for (const run_name& name : orders.stops)
+    {
+        sent_run* sent = find_sent(name.task, name.run);
+        if (sent != nullptr)
+        {
+            sent->stop_sent_at = {};
+        }
+    }
+}
+
 void job_coordinator::tick()
 {
     std::map<std::string, rack_orders> orders;
--- a/src/scheduler/job_coordinator_impl.hpp
+++ b/src/scheduler/job_coordinator_impl.hpp
@@ -70,6 +70,8 @@
     void collect_orders(job_entry& entry,
                         std::map<std::string, rack_orders>& orders,
                         time_point now);
+    rack_orders& orders_for(std::map<std::string, rack_orders>& orders,
+                            const std::string& rack) const;
     void add_start(job_entry& entry, const assigned_run& run, sent_run& sent,
                    std::map<std::string, rack_orders>& orders, time_point now);
     void send_all(const std::map<std::string, rack_orders>& orders);
--- a/src/scheduler/job_coordinator_runs.cpp
+++ b/src/scheduler/job_coordinator_runs.cpp
@@ -157,6 +157,21 @@
     }
 }
 
+// Returns the orders for a rack. The token is that of the time when the first
+// order is added: what is checked later is at least as new.
+rack_orders&
+job_coordinator::impl::orders_for(std::map<std::string, rack_orders>& orders,
+                                  const std::string& rack) const
+{
+    rack_orders& found = orders[rack];
+    if (found.rack.empty())
+    {
+        found.rack = rack;
+        found.token = hooks.rack_token(rack);
+    }
+    return found;
+}
+
 void job_coordinator::impl::add_start(
     job_entry& entry, const assigned_run& run, sent_run& sent,
     std::map<std::string, rack_orders>& orders, time_point now)
@@ -167,8 +182,13 @@
     {
         return; // the configuration is not known yet, or has no such queue
     }
-    rack_orders& target = orders[run.rack];
-    target.rack = run.rack;
+    rack_orders& target = orders_for(orders, run.rack);
+    const bool is_repeated = sent.is_inherited || sent.deliveries > 0;
+    if (!is_repeated && sent.was_undelivered && hooks.is_shard_confirmed &&
+        !hooks.is_shard_confirmed(entry.shard, target.token))
+    {
+        return; // the next read of the owners shows whether the shard is lost
+    }
     if (target.starts.empty() || target.starts.back().terms.step != terms.step)
     {
         target.starts.push_back({terms, {}});
@@ -178,9 +198,10 @@
     item.index = static_cast<std::int64_t>(run.key.index);
     item.run = run.run;
     item.checkpoint = task->checkpoint;
-    item.is_repeated = sent.is_inherited || sent.sent_at != time_point{};
+    item.is_repeated = is_repeated;
     target.starts.back().runs.push_back(std::move(item));
     sent.sent_at = now;
+    ++sent.deliveries;
 }
 
 // Adds the orders of a job that are durable and not confirmed by the current
@@ -206,8 +227,7 @@
             {
                 continue; // the end of the job is not durable yet
             }
-            rack_orders& target = orders[run.rack];
-            target.rack = run.rack;
+            rack_orders& target = orders_for(orders, run.rack);
             target.stops.push_back({to_string(run.key), run.run});
             sent.stop_sent_at = now;
             continue;
@@ -225,9 +245,10 @@
 {
     for (const auto& [rack, item] : orders)
     {
-        rack_orders message = item;
-        message.token = hooks.rack_token(rack);
-        hooks.send(std::move(message));
+        if (!item.starts.empty() || !item.stops.empty())
+        {
+            hooks.send(item);
+        }
     }
 }
 
--- a/src/scheduler/job_entry.hpp
+++ b/src/scheduler/job_entry.hpp
@@ -21,9 +21,12 @@
     std::int64_t run = 0;
     std::uint64_t change = 0; ///< number of the change that assigned it
     std::int64_t confirmed_token = 0;
-    time_point sent_at;        ///< time_point{}: not sent by this host
-    time_point stop_sent_at;   ///< time_point{}: no stop sent
-    bool is_inherited = false; ///< read from the store
+    time_point sent_at; ///< time_point{}: not sent, or undelivered
+    /// Times that the start was sent, less those that surely reached nobody.
+    int deliveries = 0;
+    bool was_undelivered = false; ///< at least once
+    time_point stop_sent_at;      ///< time_point{}: no stop sent
+    bool is_inherited = false;    ///< read from the store
 };
 
 /// Conclusion of the owner of a rack that the next write contains.
--- a/src/scheduler/job_scheduler.cpp
+++ b/src/scheduler/job_scheduler.cpp
@@ -184,6 +184,11 @@
             agent.owner_of(rack_resource(rack));
         return owner ? owner->token : 0;
     };
+    hooks.is_shard_confirmed =
+        [this](const std::string& shard, std::int64_t token)
+    {
+        return agent.is_confirmed(std::string(shard_prefix) + shard, token);
+    };
     hooks.lost_shard = [this](const std::string& shard)
     {
         const std::string resource = std::string(shard_prefix) + shard;
@@ -454,7 +459,8 @@
         agent.owner_of(rack_resource(orders.rack));
     if (!owner)
     {
-        agent.refresh(); // the coordinator sends the orders again
+        agent.refresh();
+        coordinator.note_undelivered(orders);
         return;
     }
     orders_out.post(owner->host, std::move(orders));
@@ -469,6 +475,8 @@
             agent.owner_of(rack_resource(orders.rack));
         if (!owner)
         {
+            agent.refresh();
+            coordinator.note_undelivered(orders);
             continue;
         }
         rack_orders_reply reply;
@@ -494,6 +502,10 @@
                      {"steps", orders.starts.size()},
                      {"stops", orders.stops.size()},
                      {"error", std::string(answer.status().message())}});
+                if (kind_of(answer.status()) == error_kind::unavailable)
+                {
+                    coordinator.note_undelivered(orders); // nothing was sent
+                }
                 continue;
             }
             reply = *answer;
@@ -501,6 +513,7 @@
         if (!reply.is_owner)
         {
             agent.refresh();
+            coordinator.note_undelivered(orders);
         }
         coordinator.confirm(orders, reply);
     }
--- a/tests/scheduler/cluster_agent_test.cpp
+++ b/tests/scheduler/cluster_agent_test.cpp
@@ -137,6 +137,40 @@
     host.agent.stop();
 }
 
+// A start that reached nobody passes for a first one only if no other host can
+// have started the run before the rack's token was given.
+TEST_CASE("a claim is confirmed by the next read, for the owner only",
+          "[scheduler]")
+{
+    fake_store store;
+    std::atomic<bool> is_held{true};
+    store.before_read = [&]
+    {
+        const auto may_read = [&]
+        {
+            return !is_held ||
+                   store.row(std::string(cluster_table), "", "rack/r1")
+                           .version == 0;
+        };
+        wait_until(may_read);
+    };
+    claims host(store);
+    host.wait_for_rack();
+    const std::int64_t token = host.agent.owner_of("rack/r1")->token;
+    REQUIRE_FALSE(host.agent.is_confirmed("rack/r1", token));
+    is_held = false;
+    REQUIRE(
+        wait_until([&] { return host.agent.is_confirmed("rack/r1", token); }));
+    REQUIRE_FALSE(host.agent.is_confirmed("rack/r1", token + 1'000'000));
+    REQUIRE_FALSE(host.agent.is_confirmed("rack/r2", token));
+    write_owner(store, {"h2", 1});
+    write_host(store, "h2", 1);
+    host.agent.refresh();
+    REQUIRE(
+        wait_until([&] { return !host.agent.is_confirmed("rack/r1", token); }));
+    host.agent.stop();
+}
+
 // A host without heartbeats may live, be cut off from the store, and go on
 // renewing leases: tasks ran twice.
 TEST_CASE("a former owner without heartbeats is not taken for stopped",
--- a/tests/scheduler/job_coordinator_test.cpp
+++ b/tests/scheduler/job_coordinator_test.cpp
@@ -27,6 +27,7 @@
     std::condition_variable changed;
     std::vector<rack_orders> sent;
     std::int64_t token = 5;
+    std::int64_t confirmed_token = 5; ///< tokens up to it, for all shards
 
     job_coordinator_hooks hooks()
     {
@@ -51,6 +52,11 @@
         {
             return token;
         };
+        result.is_shard_confirmed =
+            [this](const std::string&, std::int64_t rack_token)
+        {
+            return rack_token <= confirmed_token;
+        };
         result.lost_shard = [](const std::string&) {
         };
         result.send = [this](rack_orders orders)
@@ -135,6 +141,105 @@
     REQUIRE_FALSE(sent.front().starts.front().runs.front().is_repeated);
 }
 
+// The start waited for the whole takeover of its rack, 14.7 s, as if it might
+// be at work: a task that lasts was away for 14.685 s (LOST).
+TEST_CASE("a start that reached nobody is sent again at once as a first one",
+          "[scheduler]")
+{
+    fake_store store;
+    surroundings around;
+    job_coordinator coordinator(store, around.hooks(), {});
+    coordinator.take_shard(shard_of(job_id));
+    REQUIRE(coordinator.submit(make_call()).verdict == "accepted");
+    std::vector<rack_orders> sent = around.wait_sent(1);
+    for (std::size_t n = 1; n < 4; ++n)
+    {
+        coordinator.note_undelivered(sent.back());
+        coordinator.tick();
+        sent = around.wait_sent(n + 1);
+        REQUIRE(sent.size() == n + 1);
+        REQUIRE(sent.back().starts.front().runs.front().run == 1);
+        REQUIRE_FALSE(sent.back().starts.front().runs.front().is_repeated);
+    }
+}
+
+// The message without an answer may be carried out, so that the run would be at
+// work twice if a later one passed for the first.
+TEST_CASE("a start stays a repeated one while any message with it is uncertain",
+          "[scheduler]")
+{
+    fake_store store;
+    surroundings around;
+    coordinator_limits limits;
+    limits.resend_period = milliseconds(0);
+    job_coordinator coordinator(store, around.hooks(), limits);
+    coordinator.take_shard(shard_of(job_id));
+    REQUIRE(coordinator.submit(make_call()).verdict == "accepted");
+    around.wait_sent(1);
+    coordinator.tick();
+    const std::vector<rack_orders> first = around.wait_sent(2);
+    const auto is_repeated = [](const rack_orders& orders)
+    {
+        return orders.starts.front().runs.front().is_repeated;
+    };
+    REQUIRE(is_repeated(first[1]));
+    coordinator.note_undelivered(first[1]);
+    coordinator.tick();
+    const std::vector<rack_orders> second = around.wait_sent(3);
+    REQUIRE(is_repeated(second[2]));
+    // The news of the first message comes last.
+    coordinator.note_undelivered(second[2]);
+    coordinator.note_undelivered(second[0]);
+    coordinator.tick();
+    const std::vector<rack_orders> third = around.wait_sent(4);
+    REQUIRE_FALSE(is_repeated(third[3]));
+}
+
+// A former owner of the shard may have sent the start.
+TEST_CASE("an undelivered start that was read from the store stays a repeated "
+          "one",
+          "[scheduler]")
+{
+    fake_store store;
+    surroundings first_around;
+    surroundings around;
+    job_coordinator first(store, first_around.hooks(), {});
+    first.take_shard(shard_of(job_id));
+    REQUIRE(first.submit(make_call()).verdict == "accepted");
+    job_coordinator coordinator(store, around.hooks(), {});
+    coordinator.take_shard(shard_of(job_id));
+    const std::vector<rack_orders> sent = around.wait_sent(1);
+    coordinator.note_undelivered(sent.front());
+    coordinator.tick();
+    const std::vector<rack_orders> again = around.wait_sent(2);
+    REQUIRE(again.size() == 2);
+    REQUIRE(again.back().starts.front().runs.front().is_repeated);
+}
+
+// A later owner of the shard may have sent the start and recorded its end
+// before the rack's token was given, so that the rack's owner does not know the
+// run.
+TEST_CASE("an undelivered start waits for a read that confirms the shard",
+          "[scheduler]")
+{
+    fake_store store;
+    surroundings around;
+    job_coordinator coordinator(store, around.hooks(), {});
+    coordinator.take_shard(shard_of(job_id));
+    REQUIRE(coordinator.submit(make_call()).verdict == "accepted");
+    const std::vector<rack_orders> sent = around.wait_sent(1);
+    coordinator.note_undelivered(sent.front());
+    around.token = 6; // claimed since the last read
+    coordinator.tick();
+    REQUIRE(around.sent.size() == 1);
+    around.confirmed_token = 6;
+    coordinator.tick();
+    const std::vector<rack_orders> again = around.wait_sent(2);
+    REQUIRE(again.size() == 2);
+    REQUIRE(again.back().token == 6);
+    REQUIRE_FALSE(again.back().starts.front().runs.front().is_repeated);
+}
+
 TEST_CASE("the same id again is the same job", "[scheduler]")
 {
     fake_store store;
