--- a/src/scheduler/job_scheduler.cpp
+++ b/src/scheduler/job_scheduler.cpp
@@ -95,8 +95,7 @@
     job_call_reply call_self(std::string_view message, const job_call& call);
     std::optional<job_answer> read_state(const std::string& id);
     absl::StatusOr<std::optional<job>> read_job(const std::string& id);
-    std::optional<bool> read_assignment(const run_id& run,
-                                        const std::string& rack);
+    std::optional<run_racks> read_assignments(const std::string& id);
     void post_orders(rack_orders orders);
     void deliver_orders(const std::string& host,
                         const std::vector<rack_orders>& items);
@@ -225,6 +224,11 @@
             agent.owner_of(rack_resource(rack));
         return owner ? owner->token : 0;
     };
+    hooks.is_shard_confirmed =
+        [this](const std::string& shard, std::int64_t token)
+    {
+        return agent.is_confirmed(std::string(shard_prefix) + shard, token);
+    };
     hooks.lost_shard = [this](const std::string& shard)
     {
         const std::string resource = std::string(shard_prefix) + shard;
@@ -264,9 +268,9 @@
         const std::lock_guard<std::mutex> lock(load_mutex);
         return has_room_elsewhere(load, terms, rack, steady_clock::now());
     };
-    hooks.is_recorded = [this](const run_id& run, const std::string& rack)
+    hooks.read_assignments = [this](const std::string& job)
     {
-        return read_assignment(run, rack);
+        return read_assignments(job);
     };
     hooks.record_roster = [this](const std::string& rack, std::int64_t token,
                                  const rack_roster& roster)
@@ -512,23 +516,23 @@
     return job_answer{lookup_verdict::known, std::string(shown_state(**value))};
 }
 
-std::optional<bool>
-job_scheduler::impl::read_assignment(const run_id& run, const std::string& rack)
+std::optional<run_racks>
+job_scheduler::impl::read_assignments(const std::string& id)
 {
-    const std::optional<task_key> key = parse_task_key(run.first);
-    if (!key)
-    {
-        return false;
-    }
-    const absl::StatusOr<std::optional<job>> value = read_job(key->job);
+    const absl::StatusOr<std::optional<job>> value = read_job(id);
     if (!value.ok())
     {
         return std::nullopt;
     }
-    const job_task* task = *value ? find_task(**value, *key) : nullptr;
-    return task != nullptr && task->phase == job_task_phase::assigned &&
-           task->run == run.second && task->rack == rack &&
-           (*value)->outcome == job_outcome::open;
+    run_racks assigned;
+    if (*value && (*value)->outcome == job_outcome::open)
+    {
+        for (const assigned_run& run : assigned_runs(**value))
+        {
+            assigned[{to_string(run.key), run.run}] = run.rack;
+        }
+    }
+    return assigned;
 }
 
 // --- messages --------------------------------------------------------------
@@ -550,7 +554,8 @@
                          {"stops", orders.stops.size()},
                          {"left_out", *left_out}});
         }
-        agent.refresh(); // the coordinator sends the orders again
+        agent.refresh();
+        coordinator.note_undelivered(orders);
         return;
     }
     orders_out.post(owner->host, std::move(orders));
@@ -565,6 +570,8 @@
             agent.owner_of(rack_resource(orders.rack));
         if (!owner)
         {
+            agent.refresh();
+            coordinator.note_undelivered(orders);
             continue;
         }
         rack_orders_reply reply;
@@ -594,6 +601,10 @@
                      {"steps", orders.starts.size()},
                      {"stops", orders.stops.size()},
                      {"error", std::string(answer.status().message())}});
+                if (kind_of(answer.status()) == error_kind::unavailable)
+                {
+                    coordinator.note_undelivered(orders); // nothing was sent
+                }
                 continue;
             }
             reply = *answer;
@@ -608,6 +619,7 @@
                       {"steps", orders.starts.size()},
                       {"stops", orders.stops.size()}});
             agent.refresh();
+            coordinator.note_undelivered(orders);
         }
         coordinator.confirm(orders, reply);
     }
--- a/src/scheduler/rack_agent_impl.hpp
+++ b/src/scheduler/rack_agent_impl.hpp
@@ -59,6 +59,22 @@
 
 using channel_ptr = std::shared_ptr<target_channel>;
 
+/// Repeated start that waits for a look-up of its run.
+struct unconfirmed_start
+{
+    std::string rack;
+    std::int64_t token = 0;
+    run_id id;
+};
+
+/// Job whose record is to be read.
+struct job_lookup
+{
+    std::string job;
+    bool is_long_running = false; ///< one of the starts lasts
+    std::vector<unconfirmed_start> starts;
+};
+
 /// Returns whether an order is a stop that is queued already. Stops are asked
 /// for and repeated from several places, and one is enough.
 [[nodiscard]] bool is_queued_stop(const target_channel& channel,
@@ -116,6 +132,7 @@
                   std::size_t held) const;
     [[nodiscard]] rack_counts count_racks(time_point now) const;
     void confirm_repeated();
+    void apply_lookup(const job_lookup& lookup, const run_racks& assigned);
     void record_rosters();
     void publish(const std::string& rack, std::int64_t token,
                  const std::vector<run_event>& events);
--- a/tests/scheduler/rack_metrics_test.cpp
+++ b/tests/scheduler/rack_metrics_test.cpp
@@ -108,9 +108,14 @@
         {
             return has_room_elsewhere;
         };
-        result.is_recorded = [this](const run_id&, const std::string&)
+        result.read_assignments = [this](const std::string&)
         {
-            return std::optional<bool>(is_recorded);
+            run_racks assigned;
+            if (is_recorded)
+            {
+                assigned[{"a.0.0.0", 1}] = "r1";
+            }
+            return std::optional<run_racks>(assigned);
         };
         result.record_roster =
             [](const std::string&, std::int64_t, const rack_roster&)
