Let each host count on its share of the room that all see

Seen: of 1,500 tasks in a second one rack got 100 to 200 where an even share is 25, and handed most of them back. Of a burst of serving tasks that the fleet had room for, starts waited up to 13 s for a place in the simulation.

Cause: reports are 0.6 s old. Each of 32 hosts counted on the whole room that the reports show, all named the same rack for a serving image, and where no room was left, all took the shortest queue by the same reports, which could be that of the rack that had just handed the task back.

Now a host counts on twice its even share of the room, in all and for serving images in each rack. Steps beyond that go, 8 tasks at a time, to the less loaded of two random racks, which doubles the chance of a rack at most. The queues are measured once for a step instead of once for a task.

Ruled out: the shortest queue alone. In the simulation no step reached it before this change, as each host saw free places in a full fleet as well.

The new tests fail on the former code, except the one on the only rack, which guards the exclusion of the earlier rack.

--- a/include/egretspindle/rack/fleet_load.hpp
+++ b/include/egretspindle/rack/fleet_load.hpp
@@ -48,6 +48,7 @@
     /// What is known of pairs of images; only the merged part is used.
     pressure_model pressures;
     milliseconds period{250}; ///< of the reports; see `report_period`
+    std::size_t hosts = 1;    ///< live ones, which see the same reports
     std::map<std::string, std::int64_t> lives; ///< of the other hosts
 };
 
@@ -71,8 +72,9 @@
 /// Answers a step that becomes due while the fleet is partly free: as many
 /// tasks as fit go to a rack with room, chosen at random by its free
 /// processors, so that hosts with the same reports do not all choose the same
-/// one. Tasks that fit nowhere now go to the rack with the shortest queue for
-/// its size. Remembers the choice in `recent`.
+/// one. A host counts only on a share of the room that all see. The other
+/// tasks go, a few together, to the less loaded of two random racks, where
+/// queued work counts less free processors. Remembers the choice in `recent`.
 ///
 /// \param data_rack  rack where the data is; empty: anywhere
 /// \returns a rack for each task; empty text when no target can ever take it
--- a/src/rack/fleet_load.cpp
+++ b/src/rack/fleet_load.cpp
@@ -4,8 +4,8 @@
 #include "egretspindle/rack/interference.hpp"
 
 #include <algorithm>
-#include <limits>
 #include <set>
+#include <string_view>
 
 namespace egretspindle
 {
@@ -19,6 +19,11 @@
 // Share of the processors that tasks that last leave to short ones. Urgent
 // short tasks of the users take 5% on average and twice that in bursts.
 constexpr std::int64_t short_percent = 8;
+// All hosts see the same room for a report period. Each counts on this many
+// times its even share of it, as some have no tasks to place meanwhile.
+constexpr double overcommitment = 2.0;
+// Tasks of a step that go to one queue; smaller parts cost more messages.
+constexpr std::size_t most_queued_at_once = 8;
 
 /// Room of one target, less what this host has placed since its report.
 struct candidate
@@ -156,6 +161,7 @@
     std::string rack;
     std::vector<candidate> targets;
     std::int64_t free_cpu = 0;
+    std::int64_t idle_milli = 0; ///< of the targets that can take a task
 };
 
 std::vector<option> options_of(const fleet_load& fleet, const step_terms& terms,
@@ -176,6 +182,7 @@
             if (is_suitable(fleet, target, terms))
             {
                 item.free_cpu += weight_of(fleet, target, terms);
+                item.idle_milli += idle_cpu(target.mix, target.room);
             }
         }
         if (item.free_cpu > 0)
@@ -222,6 +229,11 @@
     return rendezvous_choice(image, racks);
 }
 
+bool is_chosen_by_image(const step_terms& terms)
+{
+    return terms.response_target_ms > 0 && !terms.image.empty();
+}
+
 std::size_t choose_option(const std::vector<option>& options,
                           const step_terms& terms, const std::string& data_rack,
                           std::minstd_rand& random)
@@ -233,7 +245,7 @@
             return n;
         }
     }
-    if (terms.response_target_ms > 0 && !terms.image.empty())
+    if (is_chosen_by_image(terms))
     {
         return choose_by_image(options, terms.image);
     }
@@ -245,45 +257,181 @@
     return matches(entry, terms) && fits(reservation_of(terms), entry.capacity);
 }
 
-// Rack with the shortest queue for its size, among those that can take the
-// task at some time.
-std::string shortest_queue(const fleet_load& fleet, const step_terms& terms,
-                           time_point now)
+/// Queue of a rack, with the processors of its targets that can ever take a
+/// task of the step.
+struct queue_option
 {
-    std::map<std::string, std::int64_t> capacity;
-    for (const auto& [id, entry] : fleet.targets)
+    std::string rack;
+    std::int64_t capacity = 0;
+    std::int64_t wanted = 0; ///< processors, by its queue and `recent`
+};
+
+// Processors that can ever take a task of the step; 0 without a recent report.
+std::int64_t usable_milli(const fleet_load& fleet, const rack_view& view,
+                          const step_terms& terms, time_point now)
+{
+    std::int64_t sum = 0;
+    if (!is_recent(fleet, view, now))
     {
-        if (can_ever_take(entry, terms))
+        return sum;
+    }
+    for (const target_room& room : view.room.targets)
+    {
+        const auto entry = fleet.targets.find(room.id);
+        if (entry != fleet.targets.end() && can_ever_take(entry->second, terms))
         {
-            capacity[entry.rack] += entry.capacity.cpu_milli + 1;
+            sum += entry->second.capacity.cpu_milli + 1;
         }
     }
-    std::string best;
-    double best_load = std::numeric_limits<double>::max();
-    for (const auto& [rack, cpu] : capacity)
+    return sum;
+}
+
+std::vector<queue_option> queues_of(const fleet_load& fleet,
+                                    const std::vector<option>& options,
+                                    const step_terms& terms, time_point now)
+{
+    std::map<std::string_view, std::int64_t> wanted;
+    for (const recent_placement& recent : fleet.recent)
     {
-        const auto view = fleet.racks.find(rack);
-        if (view == fleet.racks.end() || !is_recent(fleet, view->second, now))
+        if (recent.target.empty())
         {
-            continue;
+            wanted[recent.rack] +=
+                recent.size.cpu_milli + recent.idle_users_milli;
         }
-        std::int64_t wanted = view->second.room.queued_cpu_milli;
-        for (const recent_placement& recent : fleet.recent)
+    }
+    for (const option& item : options)
+    {
+        wanted[item.rack] -= item.idle_milli;
+    }
+    std::vector<queue_option> queues;
+    for (const auto& [rack, view] : fleet.racks)
+    {
+        const std::int64_t capacity = usable_milli(fleet, view, terms, now);
+        if (capacity > 0)
         {
-            if (recent.rack == rack)
-            {
-                wanted += recent.size.cpu_milli + recent.idle_users_milli;
-            }
+            queues.push_back(
+                {rack, capacity, view.room.queued_cpu_milli + wanted[rack]});
         }
-        const double load =
-            static_cast<double>(wanted) / static_cast<double>(cpu);
-        if (load < best_load)
+    }
+    // A rack that handed the task back gets it only if there is no other.
+    const auto earlier =
+        std::find_if(queues.begin(), queues.end(),
+                     [&terms](const queue_option& item)
+                     { return item.rack == terms.earlier_rack; });
+    if (queues.size() > 1 && earlier != queues.end())
+    {
+        queues.erase(earlier);
+    }
+    return queues;
+}
+
+bool is_shorter(const queue_option& lhs, const queue_option& rhs)
+{
+    return static_cast<double>(lhs.wanted) * static_cast<double>(rhs.capacity) <
+           static_cast<double>(rhs.wanted) * static_cast<double>(lhs.capacity);
+}
+
+queue_option& draw_queue(std::vector<queue_option>& queues,
+                         std::minstd_rand& random)
+{
+    std::int64_t total = 0;
+    for (const queue_option& item : queues)
+    {
+        total += item.capacity;
+    }
+    std::uniform_int_distribution<std::int64_t> any(0, total - 1);
+    std::int64_t left = any(random);
+    const auto found = std::find_if(queues.begin(), queues.end(),
+                                    [&left](const queue_option& item)
+                                    {
+                                        left -= item.capacity;
+                                        return left < 0;
+                                    });
+    return *found;
+}
+
+// The shorter of two queues that are drawn at random by the size of the rack.
+// All hosts see the same reports for 0.6 s, and would all choose the shortest;
+// by the better of two, a rack is chosen at most twice as often as by chance.
+std::string choose_queue(std::vector<queue_option>& queues,
+                         const step_terms& terms, std::size_t count,
+                         std::minstd_rand& random)
+{
+    if (queues.empty())
+    {
+        return "";
+    }
+    queue_option& first = draw_queue(queues, random);
+    queue_option& second = draw_queue(queues, random);
+    queue_option& best = is_shorter(second, first) ? second : first;
+    best.wanted += terms.size.cpu_milli * static_cast<std::int64_t>(count);
+    return best.rack;
+}
+
+// Processors that this host has placed by reported room, in one rack or in all,
+// and which no report shows.
+std::int64_t taken_milli(const fleet_load& fleet, const std::string& rack)
+{
+    std::int64_t sum = 0;
+    for (const recent_placement& recent : fleet.recent)
+    {
+        if (!recent.target.empty() && (rack.empty() || recent.rack == rack))
         {
-            best_load = load;
-            best = rack;
+            sum += recent.size.cpu_milli + recent.idle_users_milli;
         }
     }
-    return best;
+    return sum;
+}
+
+// Tasks of a size that this host may place on idle processors, of which
+// `taken` are its own placements already.
+double own_share(const fleet_load& fleet, const step_terms& terms,
+                 std::int64_t idle, std::int64_t taken)
+{
+    const double all = overcommitment * static_cast<double>(idle + taken) /
+                       static_cast<double>(fleet.hosts);
+    return (all - static_cast<double>(taken)) /
+           static_cast<double>(std::max<std::int64_t>(1, terms.size.cpu_milli));
+}
+
+double draw_fraction(std::minstd_rand& random)
+{
+    return std::uniform_real_distribution<double>(0, 1)(random);
+}
+
+// Whether a step goes to racks with room, as a whole: parts would cost more
+// messages. A task that was handed back has had its share counted there.
+bool may_use_room(const fleet_load& fleet, const std::vector<option>& options,
+                  const step_terms& terms, std::size_t count,
+                  const std::string& data_rack, std::minstd_rand& random)
+{
+    if (!data_rack.empty() || !terms.earlier_rack.empty())
+    {
+        return true;
+    }
+    std::int64_t idle = 0;
+    for (const option& item : options)
+    {
+        idle += item.idle_milli;
+    }
+    return draw_fraction(random) * static_cast<double>(count) <=
+           own_share(fleet, terms, idle, taken_milli(fleet, ""));
+}
+
+// Tasks of a step that may go to a rack. All hosts name the same rack for an
+// image that serves.
+std::size_t most_in_rack(const fleet_load& fleet, const option& item,
+                         const step_terms& terms, std::size_t count,
+                         std::minstd_rand& random)
+{
+    if (!is_chosen_by_image(terms) || terms.is_gang)
+    {
+        return count;
+    }
+    const double share =
+        own_share(fleet, terms, item.idle_milli, taken_milli(fleet, item.rack));
+    return static_cast<std::size_t>(
+        std::max(0.0, share + draw_fraction(random)));
 }
 
 void forget_old(fleet_load& fleet, time_point now)
@@ -351,12 +499,20 @@
     forget_old(fleet, now);
     std::vector<std::string> chosen;
     std::vector<option> options = options_of(fleet, terms, now);
+    std::vector<queue_option> queues;
+    if (!may_use_room(fleet, options, terms, count, data_rack, random))
+    {
+        queues = queues_of(fleet, options, terms, now);
+        options.clear();
+    }
     while (chosen.size() < count && !options.empty())
     {
         const std::size_t n = choose_option(options, terms, data_rack, random);
         option& item = options[n];
+        const std::size_t most =
+            chosen.size() + most_in_rack(fleet, item, terms, count, random);
         candidate* target = best_of(fleet, item.targets, terms);
-        while (chosen.size() < count && target != nullptr)
+        while (chosen.size() < std::min(count, most) && target != nullptr)
         {
             subtract_from(target->room, reservation_of(terms));
             if (terms.uses_idle_cpu)
@@ -374,12 +530,22 @@
             break;
         }
     }
+    if (chosen.size() < count && queues.empty())
+    {
+        queues = queues_of(fleet, {}, terms, now);
+    }
     while (chosen.size() < count)
     {
-        chosen.push_back(shortest_queue(fleet, terms, now));
-        if (!chosen.back().empty())
+        const std::size_t part =
+            std::min(most_queued_at_once, count - chosen.size());
+        const std::string rack = choose_queue(queues, terms, part, random);
+        for (std::size_t n = 0; n < part; ++n)
         {
-            remember(fleet, terms, chosen.back(), "", now);
+            chosen.push_back(rack);
+            if (!rack.empty())
+            {
+                remember(fleet, terms, rack, "", now);
+            }
         }
     }
     return chosen;
--- a/src/scheduler/job_scheduler.cpp
+++ b/src/scheduler/job_scheduler.cpp
@@ -649,6 +649,7 @@
         const std::lock_guard<std::mutex> lock(load_mutex);
         size.targets = load.targets.size();
         load.period = report_period(size);
+        load.hosts = size.peers + 1;
     }
     const time_point now = steady_clock::now();
     if (agent.is_outage())
--- a/tests/rack/fleet_load_test.cpp
+++ b/tests/rack/fleet_load_test.cpp
@@ -2,6 +2,8 @@
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
+#include <map>
 #include <set>
 
 using namespace egretspindle;
@@ -117,3 +119,83 @@
     REQUIRE(second != first);
     REQUIRE_FALSE(second.empty());
 }
+
+// All hosts sent their tasks to the rack with the shortest queue of the same
+// reports, and to the first one by name of equal ones.
+TEST_CASE("hosts with the same reports spread tasks over the queues", "[rack]")
+{
+    constexpr int racks = 62;
+    constexpr int hosts = 32;
+    constexpr int steps = 10;
+    constexpr int tasks = 5;
+    const unsigned seed = GENERATE(1u, 2u, 3u);
+    std::minstd_rand queues(seed);
+    std::uniform_int_distribution<std::int64_t> any_length(0, 400'000);
+    fleet_load reported = make_fleet(racks);
+    reported.hosts = hosts;
+    for (auto& [name, view] : reported.racks)
+    {
+        view.room.queued_cpu_milli = any_length(queues);
+        for (target_room& room : view.room.targets)
+        {
+            room.room = {0, 0, 0};
+        }
+    }
+    std::map<std::string, int> given;
+    for (unsigned host = 0; host < hosts; ++host)
+    {
+        std::minstd_rand random(seed * 1'000 + host);
+        fleet_load fleet = reported;
+        for (int n = 0; n < steps; ++n)
+        {
+            for (const std::string& rack : choose_racks(
+                     fleet, make_terms("a", false), tasks, "", start, random))
+            {
+                ++given[rack];
+            }
+        }
+    }
+    const auto most = std::max_element(given.begin(), given.end(),
+                                       [](const auto& lhs, const auto& rhs)
+                                       { return lhs.second < rhs.second; });
+    INFO("seed " << seed << ", rack " << most->first);
+    // The better of two random queues doubles the chance of a rack at most, and
+    // the rest is chance.
+    REQUIRE(given.count("") == 0);
+    REQUIRE(most->second * racks <= 4 * hosts * steps * tasks);
+}
+
+// The shortest queue was that of the rack that had just handed the task back.
+TEST_CASE("a task that was handed back waits in another queue", "[rack]")
+{
+    fleet_load fleet = make_fleet(3);
+    for (auto& [name, view] : fleet.racks)
+    {
+        view.room.queued_cpu_milli = name == "r1" ? 0 : 100'000;
+        for (target_room& room : view.room.targets)
+        {
+            room.room = {0, 0, 0};
+        }
+    }
+    step_terms terms = make_terms("a", false);
+    terms.earlier_rack = "r1";
+    for (unsigned seed = 1; seed <= 20; ++seed)
+    {
+        INFO("seed " << seed);
+        std::minstd_rand random(seed);
+        const std::string rack =
+            choose_racks(fleet, terms, 1, "", start, random).front();
+        REQUIRE(rack != "r1");
+        REQUIRE_FALSE(rack.empty());
+    }
+}
+
+// Without another rack it waited for ever.
+TEST_CASE("a task returns to the only rack that can take it", "[rack]")
+{
+    std::minstd_rand random(1);
+    fleet_load fleet = make_fleet(1);
+    step_terms terms = make_terms("a", false);
+    terms.earlier_rack = "r0";
+    REQUIRE(choose_racks(fleet, terms, 1, "", start, random).front() == "r0");
+}
--- /dev/null
+++ b/tests/rack/fleet_simulation.cpp
@@ -0,0 +1,403 @@
+#include "fleet_simulation.hpp"
+
+#include "egretspindle/rack/load_period.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <functional>
+#include <set>
+#include <utility>
+
+namespace egretspindle
+{
+
+namespace
+{
+
+const time_point start = time_point{} + milliseconds(1'000'000);
+constexpr int serving_images = 18;
+constexpr int filling_images = 10;
+
+std::string rack_name(int n)
+{
+    return "r" + std::to_string(100 + n);
+}
+
+fleet_size size_of(const simulation& sim)
+{
+    return {static_cast<std::size_t>(sim.limits.hosts - 1),
+            static_cast<std::size_t>(sim.limits.targets)};
+}
+
+rack_target make_target(int n, const std::string& rack)
+{
+    rack_target target;
+    target.entry.id = "t" + std::to_string(1'000 + n);
+    target.entry.rack = rack;
+    target.entry.service = "svc";
+    target.entry.capacity = {32'000, 125'000, 0};
+    target.is_recorded = true;
+    target.is_reached = true;
+    return target;
+}
+
+void report(simulation& sim, simulated_host& host)
+{
+    for (const std::string& name : host.racks)
+    {
+        const rack_room room =
+            measure_room(sim.racks.at(name), sim.model, sim.now);
+        for (simulated_host& other : sim.hosts)
+        {
+            std::vector<rack_room> rooms{room};
+            note_rooms(other.load, rooms, sim.now);
+        }
+    }
+}
+
+void send_orders(simulation& sim, std::vector<simulated_task> tasks,
+                 const std::vector<std::string>& racks)
+{
+    std::set<std::string> named;
+    std::map<std::string, int>& given =
+        sim.result.given[(sim.now - start) / report_period(size_of(sim))];
+    for (std::size_t n = 0; n < tasks.size(); ++n)
+    {
+        tasks[n].rack = racks[n];
+        tasks[n].arrives_at = sim.now + sim.limits.order_transit;
+        named.insert(racks[n]);
+        ++given[racks[n]];
+        sim.to_racks.push_back(std::move(tasks[n]));
+    }
+    sim.result.orders += static_cast<int>(named.size());
+}
+
+void submit(simulation& sim, const simulated_step& step, std::size_t chooser)
+{
+    step_terms terms = step.terms;
+    terms.step = "job" + std::to_string(sim.next_job++) + ".0.0";
+    const auto shared = std::make_shared<const step_terms>(terms);
+    std::vector<simulated_task> tasks;
+    for (int n = 0; n < step.tasks; ++n)
+    {
+        simulated_task task;
+        task.terms = shared;
+        task.duration = step.duration;
+        task.chooser = chooser;
+        task.name = terms.step + "." + std::to_string(n);
+        task.run = 1;
+        task.first_at = sim.now;
+        tasks.push_back(std::move(task));
+    }
+    sim.result.submitted += step.tasks;
+    simulated_host& host = sim.hosts[chooser];
+    const std::vector<std::string> racks =
+        choose_racks(host.load, terms, tasks.size(), "", sim.now, host.random);
+    send_orders(sim, std::move(tasks), racks);
+}
+
+// Chooses another rack for a task that was handed back.
+void choose_again(simulation& sim, simulated_task task)
+{
+    simulated_host& host = sim.hosts[task.chooser];
+    step_terms terms = *task.terms;
+    terms.earlier_rack = task.rack;
+    ++task.run;
+    const std::vector<std::string> racks =
+        choose_racks(host.load, terms, 1, "", sim.now, host.random);
+    send_orders(sim, {std::move(task)}, racks);
+}
+
+void place(simulation& sim, rack_state& rack)
+{
+    for (const placement& item : place_starts(rack, sim.model, sim.now, 0))
+    {
+        const run_id id{item.start.task, item.start.run};
+        const simulated_task& task = sim.known.at(id);
+        ++sim.result.placed;
+        sim.result.waits.push_back(
+            std::chrono::duration_cast<milliseconds>(sim.now - task.first_at));
+        sim.ends.insert({sim.now + task.duration, {item.target, id}});
+    }
+}
+
+void tick(simulation& sim, simulated_host& host)
+{
+    for (const std::string& name : host.racks)
+    {
+        rack_state& rack = sim.racks.at(name);
+        place(sim, rack);
+        std::vector<rack_room> rooms{measure_room(rack, sim.model, sim.now)};
+        note_rooms(host.load, rooms, sim.now);
+    }
+    for (const std::string& name : host.racks)
+    {
+        rack_state& rack = sim.racks.at(name);
+        const std::vector<run_event> returned = hand_back(
+            rack, sim.limits.patience,
+            [&](const step_terms& terms)
+            { return has_room_elsewhere(host.load, terms, name, sim.now); },
+            sim.now);
+        for (const run_event& event : returned)
+        {
+            const auto it = sim.known.find({event.task, event.run});
+            simulated_task task = it->second;
+            sim.known.erase(it);
+            task.arrives_at = sim.now + sim.limits.back_transit;
+            sim.to_choosers.push_back(std::move(task));
+            ++sim.result.handed_back;
+        }
+    }
+}
+
+template <typename Use>
+void take_arrived(std::vector<simulated_task>& tasks, time_point now, Use use)
+{
+    const auto first_waiting = std::stable_partition(
+        tasks.begin(), tasks.end(),
+        [now](const simulated_task& item) { return item.arrives_at <= now; });
+    std::vector<simulated_task> arrived(tasks.begin(), first_waiting);
+    tasks.erase(tasks.begin(), first_waiting);
+    for (simulated_task& task : arrived)
+    {
+        use(std::move(task));
+    }
+}
+
+void deliver(simulation& sim)
+{
+    std::set<std::string> changed;
+    take_arrived(sim.to_racks, sim.now,
+                 [&](simulated_task task)
+                 {
+                     queued_start item;
+                     item.task = task.name;
+                     item.run = task.run;
+                     item.terms = task.terms;
+                     item.queued_at = sim.now;
+                     enqueue(sim.racks.at(task.rack), item);
+                     changed.insert(task.rack);
+                     sim.known[{task.name, task.run}] = std::move(task);
+                 });
+    while (!sim.ends.empty() && sim.ends.begin()->first <= sim.now)
+    {
+        const auto [target, id] = sim.ends.begin()->second;
+        const auto it = sim.known.find(id);
+        rack_state& rack = sim.racks.at(it->second.rack);
+        rack.targets.at(target).runs.erase(id);
+        changed.insert(rack.name);
+        sim.known.erase(it);
+        sim.ends.erase(sim.ends.begin());
+    }
+    for (const std::string& name : changed)
+    {
+        place(sim, sim.racks.at(name));
+    }
+    take_arrived(sim.to_choosers, sim.now,
+                 [&](simulated_task task)
+                 { choose_again(sim, std::move(task)); });
+}
+
+// Headroom of a serving task, which follows the load of its users.
+void swing_headroom(simulation& sim)
+{
+    for (auto& [name, rack] : sim.racks)
+    {
+        for (auto& [id, target] : rack.targets)
+        {
+            placed_run& run = target.runs.at({"serving." + id, 1});
+            const double seconds =
+                std::chrono::duration<double>(sim.now - start).count();
+            const double phase =
+                static_cast<double>(std::hash<std::string>{}(id) % 628) / 100.0;
+            run.own_headroom = 2.1 + 0.9 * std::sin(seconds / 5.0 + phase);
+        }
+    }
+}
+
+} // namespace
+
+simulation make_simulation(const simulation_limits& limits)
+{
+    simulation sim;
+    sim.limits = limits;
+    sim.now = start;
+    sim.hosts.resize(static_cast<std::size_t>(limits.hosts));
+    std::map<std::string, target_entry> entries;
+    for (int n = 0; n < limits.targets; ++n)
+    {
+        const std::string rack = rack_name(n * limits.racks / limits.targets);
+        const rack_target target = make_target(n, rack);
+        sim.racks[rack].name = rack;
+        sim.racks[rack].targets[target.entry.id] = target;
+        entries[target.entry.id] = target.entry;
+    }
+    std::size_t owner = 0;
+    for (const auto& [name, rack] : sim.racks)
+    {
+        sim.hosts[owner % sim.hosts.size()].racks.push_back(name);
+        ++owner;
+    }
+    const milliseconds period = report_period(size_of(sim));
+    std::minstd_rand random(limits.seed);
+    std::uniform_int_distribution<int> any_ms(0, 999);
+    for (std::size_t n = 0; n < sim.hosts.size(); ++n)
+    {
+        simulated_host& host = sim.hosts[n];
+        host.random.seed(limits.seed * 1'000 + static_cast<unsigned>(n));
+        host.load.targets = entries;
+        host.load.period = period;
+        host.load.hosts = sim.hosts.size();
+        host.next_tick = start + limits.tick * any_ms(random) / 1'000;
+        host.report_schedule.due_at = start + period * any_ms(random) / 1'000;
+    }
+    for (simulated_host& host : sim.hosts)
+    {
+        report(sim, host);
+    }
+    return sim;
+}
+
+void add_serving_tasks(simulation& sim, std::int64_t cpu_milli)
+{
+    std::minstd_rand random(sim.limits.seed);
+    std::uniform_int_distribution<int> any_image(0, serving_images - 1);
+    std::bernoulli_distribution is_harmful_pair(0.3);
+    std::vector<pair_pressure> pairs;
+    for (int s = 0; s < serving_images; ++s)
+    {
+        for (int f = 0; f < filling_images; ++f)
+        {
+            pairs.push_back({"s" + std::to_string(s), "f" + std::to_string(f),
+                             is_harmful_pair(random) ? 0.2 : 0.01, 4'000.0});
+        }
+    }
+    note_pressures(sim.model, "all", 1, pairs);
+    merge_pressures(sim.model);
+    for (auto& [name, rack] : sim.racks)
+    {
+        for (auto& [id, target] : rack.targets)
+        {
+            step_terms terms;
+            terms.step = "serving";
+            terms.service = "svc";
+            terms.image = "s" + std::to_string(any_image(random));
+            terms.size = {cpu_milli, 1'000, 0};
+            terms.response_target_ms = 50;
+            placed_run run;
+            run.task = "serving." + id;
+            run.run = 1;
+            run.terms = std::make_shared<const step_terms>(terms);
+            run.is_taken = true;
+            target.runs[{run.task, 1}] = run;
+        }
+    }
+    swing_headroom(sim);
+    for (simulated_host& host : sim.hosts)
+    {
+        host.load.pressures = merged_part(sim.model);
+    }
+    for (simulated_host& host : sim.hosts)
+    {
+        report(sim, host);
+    }
+}
+
+void run_simulation(simulation& sim, std::vector<simulated_step> steps,
+                    milliseconds end)
+{
+    std::stable_sort(steps.begin(), steps.end(),
+                     [](const simulated_step& lhs, const simulated_step& rhs)
+                     { return lhs.at < rhs.at; });
+    std::minstd_rand random(sim.limits.seed + 17);
+    std::uniform_int_distribution<int> any_host(0, sim.limits.choosers - 1);
+    const time_point begin = sim.now;
+    std::size_t next = 0;
+    for (; sim.now < begin + end; sim.now += sim.limits.step)
+    {
+        if (!sim.model.merged.empty())
+        {
+            swing_headroom(sim);
+        }
+        deliver(sim);
+        for (; next < steps.size() && begin + steps[next].at <= sim.now; ++next)
+        {
+            submit(sim, steps[next],
+                   static_cast<std::size_t>(any_host(random)));
+        }
+        for (simulated_host& host : sim.hosts)
+        {
+            if (sim.now >= host.next_tick)
+            {
+                host.next_tick += sim.limits.tick;
+                tick(sim, host);
+                if (take_due(host.report_schedule, host.load.period, sim.now))
+                {
+                    report(sim, host);
+                }
+            }
+        }
+    }
+}
+
+std::int64_t total_cpu(const simulation& sim)
+{
+    std::int64_t sum = 0;
+    for (const auto& [name, rack] : sim.racks)
+    {
+        for (const auto& [id, target] : rack.targets)
+        {
+            sum += target.entry.capacity.cpu_milli;
+        }
+    }
+    return sum;
+}
+
+std::int64_t free_cpu(const simulation& sim)
+{
+    std::int64_t sum = 0;
+    for (const auto& [name, rack] : sim.racks)
+    {
+        for (const auto& [id, target] : rack.targets)
+        {
+            sum += free_room(target).cpu_milli;
+        }
+    }
+    return sum;
+}
+
+double largest_share(const simulation& sim, int least)
+{
+    double largest = 0;
+    const auto racks = static_cast<int>(sim.racks.size());
+    for (const auto& [period, given] : sim.result.given)
+    {
+        int sum = 0;
+        int most = 0;
+        for (const auto& [rack, tasks] : given)
+        {
+            sum += tasks;
+            most = std::max(most, tasks);
+        }
+        if (sum >= least * racks)
+        {
+            largest = std::max(largest, static_cast<double>(most) * racks /
+                                            static_cast<double>(sum));
+        }
+    }
+    return largest;
+}
+
+milliseconds wait_quantile(const simulation_result& result, double share)
+{
+    std::vector<milliseconds> waits = result.waits;
+    if (waits.empty())
+    {
+        return milliseconds(0);
+    }
+    std::sort(waits.begin(), waits.end());
+    const auto last = static_cast<double>(waits.size() - 1);
+    return waits[static_cast<std::size_t>(std::llround(share * last))];
+}
+
+} // namespace egretspindle
--- /dev/null
+++ b/tests/rack/wander_test.cpp
@@ -0,0 +1,168 @@
+#include "fleet_simulation.hpp"
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+#include <string>
+
+using namespace egretspindle;
+
+namespace
+{
+
+constexpr std::int64_t cpu_milli = 4'000;
+constexpr int serving_images = 18;
+constexpr int filling_images = 10;
+// About 1,250 tasks in a report period, a little less than in the logs in which
+// one rack got 4 to 8 times its even share.
+constexpr int crowd = 20; // tasks for each rack
+
+/// Load of a simulated fleet.
+struct simulated_load
+{
+    std::string name;
+    double share = 0.9;         ///< of the processors, at any time if tasks end
+    int tasks = 8;              ///< of a step
+    milliseconds length{1'000}; ///< in which steps arrive
+    milliseconds duration{60'000}; ///< of a task
+    bool uses_idle_cpu = false;
+    bool is_serving = false;
+};
+
+step_terms make_terms(const simulated_load& load, int number)
+{
+    step_terms terms;
+    terms.service = "svc";
+    terms.size = {cpu_milli, 100, 0};
+    terms.uses_idle_cpu = load.uses_idle_cpu;
+    terms.response_target_ms = load.is_serving ? 50 : 0;
+    terms.image = load.is_serving
+                      ? "s" + std::to_string(number % serving_images)
+                      : "f" + std::to_string(number % filling_images);
+    return terms;
+}
+
+std::vector<simulated_step> make_steps(const simulation& sim,
+                                       const simulated_load& load)
+{
+    const double rounds =
+        std::max(1.0, static_cast<double>(load.length.count()) /
+                          static_cast<double>(load.duration.count()));
+    const double wanted =
+        load.share * rounds * static_cast<double>(total_cpu(sim));
+    const int count =
+        static_cast<int>(wanted / static_cast<double>(load.tasks * cpu_milli));
+    std::vector<simulated_step> steps;
+    for (int n = 0; n < count; ++n)
+    {
+        simulated_step step;
+        step.terms = make_terms(load, n);
+        step.tasks = load.tasks;
+        step.duration = load.duration;
+        step.at = load.length * n / count;
+        steps.push_back(step);
+    }
+    return steps;
+}
+
+simulation simulate(const simulated_load& load, unsigned seed, milliseconds end)
+{
+    simulation_limits limits;
+    limits.seed = seed;
+    simulation sim = make_simulation(limits);
+    if (load.uses_idle_cpu)
+    {
+        add_serving_tasks(sim, 16'000);
+    }
+    run_simulation(sim, make_steps(sim, load), end);
+    return sim;
+}
+
+std::string to_text(const simulated_load& load, const simulation& sim)
+{
+    const simulation_result& result = sim.result;
+    return load.name + ", seed " + std::to_string(sim.limits.seed) +
+           ": submitted " + std::to_string(result.submitted) + ", placed " +
+           std::to_string(result.placed) + ", handed back " +
+           std::to_string(result.handed_back) + ", orders " +
+           std::to_string(result.orders) + ", largest share " +
+           std::to_string(largest_share(sim, crowd)) + ", waited 50% " +
+           std::to_string(wait_quantile(result, 0.5).count()) + " ms, 95% " +
+           std::to_string(wait_quantile(result, 0.95).count()) + " ms, 99% " +
+           std::to_string(wait_quantile(result, 0.99).count()) + " ms, all " +
+           std::to_string(wait_quantile(result, 1.0).count()) + " ms";
+}
+
+simulated_load burst(double share, int tasks)
+{
+    simulated_load load;
+    load.name = "burst";
+    load.share = share;
+    load.tasks = tasks;
+    return load;
+}
+
+simulated_load serving_burst(double share)
+{
+    simulated_load load = burst(share, 4);
+    load.name = "burst of serving tasks";
+    load.is_serving = true;
+    return load;
+}
+
+simulated_load steady(double share)
+{
+    simulated_load load;
+    load.name = "steady";
+    load.share = share;
+    load.tasks = 5;
+    load.length = milliseconds(10'000);
+    load.duration = milliseconds(2'000);
+    return load;
+}
+
+simulated_load steady_on_idle(double share)
+{
+    simulated_load load = steady(share);
+    load.name = "steady on idle processors";
+    load.uses_idle_cpu = true;
+    return load;
+}
+
+} // namespace
+
+// All hosts saw the same room, and each counted on the whole of it: one rack
+// got 7 to 12 times its share of a burst of serving tasks.
+//
+// Bound: in the logs one rack got 4 to 8 times its share, and handed most of it
+// back. A host overcommits its share of the room by 2, and the better of two
+// random queues doubles the chance of a rack at most; chance adds to both.
+TEST_CASE("no rack gets much more than its share of a burst", "[rack]")
+{
+    const unsigned seed = GENERATE(1u, 2u);
+    const simulated_load load = GENERATE(
+        burst(0.9, 8), burst(1.3, 5), serving_burst(0.6), serving_burst(0.9));
+    const simulation sim = simulate(load, seed, milliseconds(3'000));
+    INFO(to_text(load, sim));
+    REQUIRE(largest_share(sim, crowd) > 0);
+    REQUIRE(largest_share(sim, crowd) <= 4.0);
+}
+
+// Of a burst of serving tasks 40 to 50% were handed back and 5% waited for
+// more than 6 s, in a fleet that had room for all.
+//
+// Bounds: a wrong choice costs a start 0.7 s in the queue, a tick and two
+// messages, together 1.25 s, and 2 s are less than two of these. A hand-back
+// costs as much as a start, so 15% of them are 15% more records and messages.
+TEST_CASE("starts find a place soon while the fleet is partly free", "[rack]")
+{
+    const unsigned seed = GENERATE(1u, 2u);
+    const simulated_load load = GENERATE(
+        burst(0.9, 1), burst(0.9, 8), serving_burst(0.6), serving_burst(0.9),
+        steady(0.7), steady(0.95), steady_on_idle(0.5));
+    const simulation sim = simulate(load, seed, milliseconds(15'000));
+    INFO(to_text(load, sim));
+    REQUIRE(sim.result.placed == sim.result.submitted);
+    REQUIRE(sim.result.handed_back * 100 <= sim.result.submitted * 15);
+    REQUIRE(wait_quantile(sim.result, 0.95) <= milliseconds(2'000));
+}
