Look pressures up by numbers of images instead of their names

Each look-up of a pair of images copied both names and compared them with about eight others, and names of one fleet have long prefixes in common: 26% of a pass was spent in memcmp and 20% in expected_drop itself.

Names of images are interned where a step or a message is decoded, and the merged pressures are also kept as a table of effects by their numbers, filled by merge_pressures. What targets spare is a flat map by number. Messages still carry text. Numbers by position in a sorted list of each merge were ruled out: a mix made before a merge would then mean other images after it. Names are kept for the life of the process, as the learned pairs are.

Sums over images run in the order of first use instead of that of names, so their last bits may differ.

--- a/include/egretspindle/rack/fleet_load.hpp
+++ b/include/egretspindle/rack/fleet_load.hpp
@@ -28,7 +28,7 @@
     std::string target;
     task_size size;
     std::int64_t idle_users_milli = 0;
-    std::string image; ///< of a task on idle processors
+    image_name image; ///< of a task on idle processors
     time_point at;
 };
 
--- a/include/egretspindle/rack/interference.hpp
+++ b/include/egretspindle/rack/interference.hpp
@@ -17,7 +17,7 @@
 
 /// Takes the headroom that `cores` of an image will use off what is spare.
 void take_spare(target_mix& mix, const pressure_model& model,
-                const std::string& filling, double cores);
+                const image_name& filling, double cores);
 
 /// Returns the processors that a target has idle, in thousandths of a core.
 ///
--- a/include/egretspindle/rack/pressure_model.hpp
+++ b/include/egretspindle/rack/pressure_model.hpp
@@ -10,6 +10,8 @@
 #define EGRETSPINDLE_RACK_PRESSURE_MODEL_HPP
 
 #include "egretspindle/core/clock.hpp"
+#include "egretspindle/rack/image_name.hpp"
+#include "egretspindle/rack/pressure_table.hpp"
 
 #include <cstdint>
 #include <map>
@@ -24,14 +26,14 @@
 /// What is known of a pair of images.
 struct pair_pressure
 {
-    std::string serving; ///< image of the task that serves users
-    std::string filling; ///< image of the task on idle processors
+    image_name serving;  ///< image of the task that serves users
+    image_name filling;  ///< image of the task on idle processors
     double per_core = 0; ///< headroom that each core takes
     double weight = 0;   ///< observed changes behind it, in square cores
 };
 
 /// Serving and filling image.
-using image_pair = std::pair<std::string, std::string>;
+using image_pair = std::pair<image_name, image_name>;
 
 /// What another host has learned.
 struct host_pressures
@@ -52,19 +54,20 @@
     std::map<std::string, host_pressures> others;
     /// All of it, by weight; made by `merge_pressures`.
     std::map<image_pair, pair_pressure> merged;
+    pressure_table table; ///< effects by `merged`
     /// Share of the serving images that an image harms, by filling image.
-    std::map<std::string, double> hardness;
+    std::map<image_name, double> hardness;
     /// Images whose starts wait for idle processors, on any host.
     std::set<std::string> waiting;
-    /// Of `merged` and `hardness`. No two merges of the process have the same
-    /// version, so that it also tells models apart.
+    /// Of `merged`, `table` and `hardness`. No two merges of the process have
+    /// the same version, so that it also tells models apart.
     std::uint64_t version = 0;
     bool is_changed = false; ///< since `merged` was made
     time_point merged_at;
 };
 
 /// Cores that tasks use, by image, at the speed that they work.
-using image_cores = std::map<std::string, double>;
+using image_cores = std::map<image_name, double>;
 
 /// Learns from a change of the company of one serving task.
 ///
@@ -74,7 +77,7 @@
 /// \param change     cores that came (above 0) or went, by image
 /// \param headroom_change  of the serving task over the same time
 /// \param duration   between the two observations
-void observe_change(pressure_model& model, const std::string& serving,
+void observe_change(pressure_model& model, const image_name& serving,
                     const image_cores& change, double headroom_change,
                     milliseconds duration);
 
@@ -106,17 +109,17 @@
 ///
 /// A pair that has hardly been observed counts as moderately harmful.
 [[nodiscard]] double expected_drop(const pressure_model& model,
-                                   const std::string& serving,
-                                   const std::string& filling, double cores);
+                                   const image_name& serving,
+                                   const image_name& filling, double cores);
 
 /// Returns whether an image takes much headroom from a serving image.
 [[nodiscard]] bool is_harmful_pair(const pressure_model& model,
-                                   const std::string& serving,
-                                   const std::string& filling);
+                                   const image_name& serving,
+                                   const image_name& filling);
 
 /// Returns the share of the serving images that an image harms.
 [[nodiscard]] double hardness_of(const pressure_model& model,
-                                 const std::string& filling);
+                                 const image_name& filling);
 
 } // namespace egretspindle
 
--- a/include/egretspindle/rack/queued_start.hpp
+++ b/include/egretspindle/rack/queued_start.hpp
@@ -6,6 +6,7 @@
 
 #include "egretspindle/core/clock.hpp"
 #include "egretspindle/fleet/target_entry.hpp"
+#include "egretspindle/rack/image_name.hpp"
 
 #include <cstdint>
 #include <memory>
@@ -32,7 +33,7 @@
     bool is_long_running = false;
     bool is_checkpointing = false;
     std::int64_t response_target_ms = 0; ///< above 0: the task serves users
-    std::string image;                   ///< tasks of one image behave alike
+    image_name image;                    ///< tasks of one image behave alike
     bool uses_idle_cpu = false;          ///< does not count against processors
     std::int64_t max_absent = 0;
     /// Rack of an earlier run, which goes elsewhere now. Matters only to the
--- a/include/egretspindle/rack/rack_room.hpp
+++ b/include/egretspindle/rack/rack_room.hpp
@@ -8,9 +8,9 @@
 #include "egretspindle/fleet/target_entry.hpp"
 #include "egretspindle/rack/pressure_model.hpp"
 #include "egretspindle/rack/rack_state.hpp"
+#include "egretspindle/rack/target_mix.hpp"
 
 #include <cstdint>
-#include <map>
 #include <string>
 #include <vector>
 
@@ -25,7 +25,7 @@
     std::int64_t idle_users_milli = 0; ///< wanted by tasks on idle processors
     std::int64_t unused_milli = 0;     ///< reserved by other tasks, not used
     /// Headroom that company may take, by image of the serving tasks.
-    std::map<std::string, double> spare;
+    image_headroom spare;
     double scarcity = 0;  ///< see `target_mix`
     double reserved = 0;  ///< see `target_mix`
     bool is_open = false; ///< accepts starts
--- a/include/egretspindle/rack/rack_state.hpp
+++ b/include/egretspindle/rack/rack_state.hpp
@@ -104,7 +104,7 @@
     std::map<run_id, time_point> late_copies;
     time_point missed_since; ///< a serving task misses its target; none: {}
     /// Cores by image of the tasks on idle processors, averaged lately.
-    std::map<std::string, double> company;
+    image_cores company;
     time_point observed_at;
     cached_mix cached; ///< see `refresh_mixes`
 };
--- a/include/egretspindle/rack/target_mix.hpp
+++ b/include/egretspindle/rack/target_mix.hpp
@@ -4,13 +4,18 @@
 #ifndef EGRETSPINDLE_RACK_TARGET_MIX_HPP
 #define EGRETSPINDLE_RACK_TARGET_MIX_HPP
 
+#include "egretspindle/rack/image_name.hpp"
+
+#include <boost/container/flat_map.hpp>
+
 #include <cstdint>
-#include <map>
-#include <string>
 
 namespace egretspindle
 {
 
+/// Headroom by image.
+using image_headroom = boost::container::flat_map<image_name, double>;
+
 /// What matters of a target to tasks that use idle processors.
 struct target_mix
 {
@@ -18,7 +23,7 @@
     std::int64_t unused_milli = 0;     ///< reserved by other tasks, not used
     /// Headroom that company may still take from the serving tasks of an
     /// image, by image.
-    std::map<std::string, double> spare;
+    image_headroom spare;
     /// How few other places there are for some image that works here without
     /// harm: the share of serving images that it harms elsewhere.
     double scarcity = 0;
--- a/include/egretspindle/scheduler/exchange.hpp
+++ b/include/egretspindle/scheduler/exchange.hpp
@@ -5,6 +5,7 @@
 #define EGRETSPINDLE_SCHEDULER_EXCHANGE_HPP
 
 #include "egretspindle/jobs/job_spec.hpp"
+#include "egretspindle/rack/image_name_codec.hpp"
 #include "egretspindle/rack/queued_start.hpp"
 
 #include <cstdint>
--- a/src/rack/fleet_load.cpp
+++ b/src/rack/fleet_load.cpp
@@ -57,7 +57,7 @@
 }
 
 void add_company(const fleet_load& fleet, candidate& item,
-                 const std::string& image, std::int64_t cpu_milli)
+                 const image_name& image, std::int64_t cpu_milli)
 {
     constexpr double milli_per_core = 1'000.0;
     item.mix.idle_users_milli += cpu_milli;
@@ -303,7 +303,7 @@
     item.target = target;
     item.size = reservation_of(terms);
     item.idle_users_milli = terms.uses_idle_cpu ? terms.size.cpu_milli : 0;
-    item.image = terms.uses_idle_cpu ? terms.image : "";
+    item.image = terms.uses_idle_cpu ? terms.image : image_name();
     item.at = now;
     fleet.recent.push_back(std::move(item));
 }
--- a/src/rack/interference.cpp
+++ b/src/rack/interference.cpp
@@ -26,7 +26,7 @@
 constexpr std::int64_t preference = 1'000'000;
 
 bool harms_nobody(const target_mix& mix, const pressure_model& model,
-                  const std::string& filling)
+                  const image_name& filling)
 {
     return std::none_of(mix.spare.begin(), mix.spare.end(),
                         [&](const auto& item) {
@@ -79,7 +79,7 @@
 }
 
 void take_spare(target_mix& mix, const pressure_model& model,
-                const std::string& filling, double cores)
+                const image_name& filling, double cores)
 {
     for (auto& [image, spare] : mix.spare)
     {
--- a/src/rack/observe_target.cpp
+++ b/src/rack/observe_target.cpp
@@ -56,7 +56,7 @@
     return change;
 }
 
-double drop_by(const pressure_model& model, const std::string& serving,
+double drop_by(const pressure_model& model, const image_name& serving,
                const image_cores& company)
 {
     double drop = 0;
--- a/src/rack/pacing.cpp
+++ b/src/rack/pacing.cpp
@@ -36,7 +36,7 @@
 /// Serving task that company has to leave room.
 struct served
 {
-    std::string image;
+    image_name image;
     double next = 0; ///< headroom when an order takes effect
 };
 
--- a/src/rack/place_starts.cpp
+++ b/src/rack/place_starts.cpp
@@ -55,7 +55,7 @@
 // none: the fewer images a target serves, the more tasks can use its idle
 // processors without disturbing any.
 std::int64_t rate_serving_neighbours(const target_mix& mix,
-                                     const std::string& image)
+                                     const image_name& image)
 {
     if (mix.spare.count(image) > 0)
     {
--- a/src/rack/pressure_model.cpp
+++ b/src/rack/pressure_model.cpp
@@ -43,15 +43,67 @@
     sum.weight += item.weight;
 }
 
+pair_effect effect_of(const pair_pressure& item)
+{
+    const double per_core = estimate_of(item);
+    return {per_core, per_core > harmful_per_core};
+}
+
+// Of a pair that has not been observed.
+const pair_effect& assumed_effect()
+{
+    static const pair_effect effect = effect_of(pair_pressure{});
+    return effect;
+}
+
+// Numbers the images that have no position yet, in the order of the calls.
+void add_position(std::vector<std::size_t>& positions, std::size_t& count,
+                  const image_name& image)
+{
+    positions.resize(std::max(positions.size(), image.number() + 1));
+    std::size_t& position = positions[image.number()];
+    if (position == 0)
+    {
+        position = ++count;
+    }
+}
+
+pressure_table make_table(const std::map<image_pair, pair_pressure>& merged)
+{
+    pressure_table table;
+    std::size_t height = 0;
+    for (const auto& [pair, item] : merged)
+    {
+        add_position(table.rows, height, pair.first);
+        add_position(table.columns, table.width, pair.second);
+    }
+    table.effects.assign(height * table.width, assumed_effect());
+    for (const auto& [pair, item] : merged)
+    {
+        const std::size_t row = table.rows[pair.first.number()] - 1;
+        const std::size_t column = table.columns[pair.second.number()] - 1;
+        table.effects[row * table.width + column] = effect_of(item);
+    }
+    return table;
+}
+
+const pair_effect& effect_of(const pressure_model& model,
+                             const image_name& serving,
+                             const image_name& filling)
+{
+    const pair_effect* known = find_effect(model.table, serving, filling);
+    return known == nullptr ? assumed_effect() : *known;
+}
+
 std::uint64_t next_version()
 {
     static std::atomic<std::uint64_t> latest{0};
     return ++latest;
 }
 
-std::map<std::string, double> measure_hardness(const pressure_model& model)
+std::map<image_name, double> measure_hardness(const pressure_model& model)
 {
-    std::map<std::string, std::pair<int, int>> counts; // harmed, known
+    std::map<image_name, std::pair<int, int>> counts; // harmed, known
     for (const auto& [pair, item] : model.merged)
     {
         const auto& [serving, filling] = pair;
@@ -59,7 +111,7 @@
         harmed += is_harmful_pair(model, serving, filling) ? 1 : 0;
         ++known;
     }
-    std::map<std::string, double> hardness;
+    std::map<image_name, double> hardness;
     for (const auto& [image, count] : counts)
     {
         hardness[image] = static_cast<double>(count.first) /
@@ -70,7 +122,7 @@
 
 } // namespace
 
-void observe_change(pressure_model& model, const std::string& serving,
+void observe_change(pressure_model& model, const image_name& serving,
                     const image_cores& change, double headroom_change,
                     milliseconds duration)
 {
@@ -143,6 +195,7 @@
     {
         item.per_core = item.weight > 0 ? item.per_core / item.weight : 0.0;
     }
+    model.table = make_table(model.merged);
     model.hardness = measure_hardness(model);
     model.version = next_version();
     model.is_changed = false;
@@ -164,6 +217,7 @@
     pressure_model part;
     part.low_headroom = model.low_headroom;
     part.merged = model.merged;
+    part.table = model.table;
     part.hardness = model.hardness;
     part.version = model.version;
     return part;
@@ -176,21 +230,19 @@
     return std::max(0.0, total / (item.weight + assumed_weight));
 }
 
-bool is_harmful_pair(const pressure_model& model, const std::string& serving,
-                     const std::string& filling)
+bool is_harmful_pair(const pressure_model& model, const image_name& serving,
+                     const image_name& filling)
 {
-    return expected_drop(model, serving, filling, 1.0) > harmful_per_core;
+    return effect_of(model, serving, filling).is_harmful;
 }
 
-double expected_drop(const pressure_model& model, const std::string& serving,
-                     const std::string& filling, double cores)
+double expected_drop(const pressure_model& model, const image_name& serving,
+                     const image_name& filling, double cores)
 {
-    const auto it = model.merged.find({serving, filling});
-    return cores *
-           estimate_of(it == model.merged.end() ? pair_pressure{} : it->second);
+    return cores * effect_of(model, serving, filling).per_core;
 }
 
-double hardness_of(const pressure_model& model, const std::string& filling)
+double hardness_of(const pressure_model& model, const image_name& filling)
 {
     const auto it = model.hardness.find(filling);
     return it == model.hardness.end() ? 1.0 : it->second;
--- a/src/rack/rack_room.cpp
+++ b/src/rack/rack_room.cpp
@@ -28,7 +28,7 @@
         room.queued_cpu_milli += start.terms->size.cpu_milli;
         if (start.terms->uses_idle_cpu && now - start.queued_at > waiting_age)
         {
-            waiting.insert(start.terms->image);
+            waiting.insert(start.terms->image.str());
         }
     }
     room.waiting.assign(waiting.begin(), waiting.end());
--- a/src/scheduler/job_coordinator_runs.cpp
+++ b/src/scheduler/job_coordinator_runs.cpp
@@ -126,7 +126,7 @@
                               {"tasks", due.tasks.size()},
                               {"racks", counted_names(racks)},
                               {"earlier_rack", terms.earlier_rack},
-                              {"image", terms.image}});
+                              {"image", terms.image.str()}});
     std::int64_t gang_run = 0;
     if (spec.is_gang)
     {
--- a/src/scheduler/rack_agent_channels.cpp
+++ b/src/scheduler/rack_agent_channels.cpp
@@ -240,7 +240,7 @@
                   {"target", item.target},
                   {"priority", item.start.terms->priority},
                   {"lasting", item.start.terms->is_long_running},
-                  {"image", item.start.terms->image},
+                  {"image", item.start.terms->image.str()},
                   {"queued", rack.queue.size()},
                   {"waited_ms",
                    elapsed_ms(item.start.queued_at, steady_clock::now())}});
--- /dev/null
+++ b/tests/rack/image_name_test.cpp
@@ -0,0 +1,85 @@
+#include "egretspindle/codec/json.hpp"
+#include "egretspindle/rack/image_name.hpp"
+#include "egretspindle/rack/image_name_codec.hpp"
+#include "egretspindle/rack/pressure_model.hpp"
+#include "egretspindle/rack/queued_start.hpp"
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+#include <thread>
+
+using namespace egretspindle;
+
+// Two names of one text would split what is known of an image.
+TEST_CASE("names of images with the same text are equal", "[rack]")
+{
+    const image_name name("same-text");
+    REQUIRE(name == image_name(std::string("same-") + "text"));
+    REQUIRE(name != image_name("other-text"));
+    REQUIRE(image_name() == image_name(""));
+    REQUIRE(image_name().empty());
+    REQUIRE(name.str() == "same-text");
+}
+
+// Messages are decoded by several threads at once.
+TEST_CASE("threads agree on the names of images", "[rack]")
+{
+    constexpr std::size_t name_count = 500;
+    std::vector<std::vector<image_name>> seen(4);
+    std::vector<std::thread> threads;
+    threads.reserve(seen.size());
+    for (std::vector<image_name>& names : seen)
+    {
+        threads.emplace_back(
+            [&names]
+            {
+                names.reserve(name_count);
+                for (std::size_t n = 0; n < name_count; ++n)
+                {
+                    names.emplace_back("threads-" + std::to_string(n));
+                }
+            });
+    }
+    for (std::thread& item : threads)
+    {
+        item.join();
+    }
+    for (const std::vector<image_name>& names : seen)
+    {
+        REQUIRE(names == seen.front());
+    }
+    REQUIRE(seen.front().back().str() == "threads-499");
+}
+
+// Hosts number names differently, and older hosts write text.
+TEST_CASE("the name of an image is sent as text", "[rack]")
+{
+    step_terms terms;
+    terms.image = "rota \"draft\"";
+    const std::string text = to_json(terms);
+    REQUIRE(text.find(R"("image":"rota \"draft\"")") != std::string::npos);
+    const absl::StatusOr<step_terms> seen = from_json<step_terms>(text);
+    REQUIRE(seen.ok());
+    REQUIRE(seen->image == terms.image);
+    REQUIRE_FALSE(from_json<step_terms>(R"({"image":7})").ok());
+}
+
+// The table of merged pressures has a place for each pair of known images.
+TEST_CASE("a pair that nobody has observed counts as assumed", "[rack]")
+{
+    pressure_model model;
+    const double assumed = expected_drop(model, "any", "other", 1.0);
+    note_pressures(
+        model, "h2", 1,
+        {{"table-a", "table-x", 0.01, 5'000}, {"table-b", "table-y", 0.3, 9}});
+    merge_pressures(model);
+    REQUIRE(expected_drop(model, "table-a", "table-y", 2.0) ==
+            Approx(2.0 * assumed));
+    REQUIRE(expected_drop(model, "table-b", "table-x", 1.0) == Approx(assumed));
+    REQUIRE(is_harmful_pair(model, "table-b", "table-x"));
+    REQUIRE_FALSE(is_harmful_pair(model, "table-a", "table-x"));
+    const pair_pressure known{"table-b", "table-y", 0.3, 9};
+    REQUIRE(expected_drop(merged_part(model), "table-b", "table-y", 1.0) ==
+            Approx(estimate_of(known)));
+}
