--- a/src/rack/rack_room.cpp
+++ b/src/rack/rack_room.cpp
@@ -26,7 +26,7 @@
         room.queued_cpu_milli += start.terms->size.cpu_milli;
         if (start.terms->uses_idle_cpu && now - start.queued_at > waiting_age)
         {
-            ++room.waiting[start.terms->image];
+            ++room.waiting[start.terms->image.str()];
         }
     }
     refresh_mixes(rack, model, now);
