Send a task to racks that can take it by the bound of its step

Cause: the step may have one task on each target. The targets with room had a task of the step already, which reports do not show, so these racks looked free to the coordinator. All tasks of an image go to the same few racks, and only the last rack was left out. The class is a choice that is repeated without what the last answer has told.

The coordinator knows how many tasks of the step it has assigned to each rack, and leaves out racks without a target to spare; it also leaves out, for 5 s, all racks that handed a task of the step back.

The tests 'a rack whose targets all have a task of the step gets no more' and 'a task that was handed back avoids all racks that refused it' fail without it.

--- a/include/egretspindle/rack/queued_start.hpp
+++ b/include/egretspindle/rack/queued_start.hpp
@@ -9,7 +9,9 @@
 #include "egretspindle/rack/image_name.hpp"
 
 #include <cstdint>
+#include <map>
 #include <memory>
+#include <set>
 #include <string>
 
 namespace egretspindle
@@ -36,9 +38,11 @@
     image_name image;                    ///< tasks of one image behave alike
     bool uses_idle_cpu = false;          ///< does not count against processors
     std::int64_t max_absent = 0;
-    /// Rack of an earlier run, which goes elsewhere now. Matters only to the
-    /// choice of a rack, and is not sent.
-    std::string earlier_rack;
+    // The rest matters only to the choice of a rack, and is not sent.
+    std::string earlier_rack; ///< of an earlier run, which goes elsewhere now
+    std::set<std::string> avoided_racks; ///< handed a task back lately
+    /// Tasks of the step that are assigned to each rack.
+    std::map<std::string, std::int64_t> tasks_in_rack;
 };
 
 /// Visits the fields of `step_terms` for the codec.
--- a/src/rack/fleet_load.cpp
+++ b/src/rack/fleet_load.cpp
@@ -161,21 +161,38 @@
     std::string rack;
     std::vector<candidate> targets;
     std::int64_t free_cpu = 0;
-    std::int64_t idle_milli = 0; ///< of the targets that can take a task
+    std::int64_t idle_milli = 0;   ///< of the targets that can take a task
+    std::int64_t most_of_step = 0; ///< tasks that it can still take
 };
 
+// Tasks of a step that a rack can still take by the bound for each target.
+// Reports do not tell which targets have a task of the step already.
+std::int64_t most_of_step(const rack_view& view, const step_terms& terms)
+{
+    if (terms.max_per_target == 0)
+    {
+        return std::numeric_limits<std::int64_t>::max();
+    }
+    const auto it = terms.tasks_in_rack.find(view.room.rack);
+    return terms.max_per_target *
+               static_cast<std::int64_t>(view.room.targets.size()) -
+           (it == terms.tasks_in_rack.end() ? 0 : it->second);
+}
+
 std::vector<option> options_of(const fleet_load& fleet, const step_terms& terms,
                                time_point now)
 {
     std::vector<option> options;
     for (const auto& [name, view] : fleet.racks)
     {
-        if (name == terms.earlier_rack)
+        option item;
+        item.rack = name;
+        item.most_of_step = most_of_step(view, terms);
+        if (name == terms.earlier_rack || terms.avoided_racks.count(name) > 0 ||
+            item.most_of_step <= 0)
         {
             continue;
         }
-        option item;
-        item.rack = name;
         item.targets = candidates_of(fleet, view, terms, now);
         for (const candidate& target : item.targets)
         {
@@ -424,14 +441,16 @@
                          const step_terms& terms, std::size_t count,
                          std::minstd_rand& random)
 {
+    const std::size_t most = static_cast<std::size_t>(std::min<std::int64_t>(
+        item.most_of_step, static_cast<std::int64_t>(count)));
     if (!is_chosen_by_image(terms) || terms.is_gang)
     {
-        return count;
+        return most;
     }
     const double share =
         own_share(fleet, terms, item.idle_milli, taken_milli(fleet, item.rack));
-    return static_cast<std::size_t>(
-        std::max(0.0, share + draw_fraction(random)));
+    return std::min(most, static_cast<std::size_t>(
+                              std::max(0.0, share + draw_fraction(random))));
 }
 
 // Targets where an image takes little headroom from any serving task.
--- a/src/scheduler/job_coordinator_runs.cpp
+++ b/src/scheduler/job_coordinator_runs.cpp
@@ -32,6 +32,47 @@
     return text;
 }
 
+// A rack that handed a task back may look free and still not suit it, such as
+// when its free targets have a task of the step already. In this time a task
+// can try several other racks, and the refusing one has reported new room.
+constexpr milliseconds refusal_memory{5'000};
+
+std::map<std::string, std::int64_t>
+count_by_rack(const std::vector<job_task>& tasks)
+{
+    std::map<std::string, std::int64_t> counts;
+    for (const job_task& task : tasks)
+    {
+        if (task.phase == job_task_phase::assigned)
+        {
+            ++counts[task.rack];
+        }
+    }
+    return counts;
+}
+
+// Returns the racks that handed a task of a step back lately, and forgets
+// older ones.
+std::set<std::string>
+racks_that_refused(job_entry& entry, const std::string& step, time_point now)
+{
+    std::set<std::string> racks;
+    for (auto it = entry.handed_back.begin(); it != entry.handed_back.end();)
+    {
+        if (now - it->second > refusal_memory)
+        {
+            it = entry.handed_back.erase(it);
+            continue;
+        }
+        if (it->first.first == step)
+        {
+            racks.insert(it->first.second);
+        }
+        ++it;
+    }
+    return racks;
+}
+
 } // namespace
 
 bool lasts(const job& value) noexcept
@@ -208,11 +249,12 @@
         log_no_rack(*entry, terms, due, "no queue of that name");
         return;
     }
-    // A rack that handed a task back may look free and still not suit it, such
-    // as when each target has a task of the step already.
-    terms.earlier_rack = entry->value.occurrences[due.occurrence]
-                             .steps[due.step][due.tasks.front()]
-                             .rack;
+    const std::vector<job_task>& tasks =
+        entry->value.occurrences[due.occurrence].steps[due.step];
+    terms.earlier_rack = tasks[due.tasks.front()].rack;
+    terms.tasks_in_rack = count_by_rack(tasks);
+    terms.avoided_racks =
+        racks_that_refused(*entry, terms.step, steady_clock::now());
     const std::vector<std::string> racks =
         hooks.choose_racks(terms, due.tasks.size(), spec.data_rack);
     const bool has_rack = spec.is_gang ? !racks.front().empty()
@@ -415,6 +457,12 @@
         note_first_start(*entry);
         entry->value.has_started = true;
     }
+    else
+    {
+        const std::string step =
+            fmt::format("{}.{}.{}", key.job, key.occurrence, key.step);
+        entry->handed_back[{step, report.rack}] = steady_clock::now();
+    }
     metrics.note_end(how);
     end_run(entry->value, key, report.run, how, report.checkpoint,
             max_attempts(entry->value), unix_ms());
--- a/src/scheduler/job_entry.hpp
+++ b/src/scheduler/job_entry.hpp
@@ -10,6 +10,7 @@
 #include <cstdint>
 #include <map>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace egretspindle
@@ -54,6 +55,8 @@
     time_point no_rack_logged_at; ///< {}: never
     std::string shown;            ///< state as of the row; empty: no row yet
     std::map<std::string, sent_run> sent; ///< by task
+    /// When a rack handed a task of a step back, by step and rack.
+    std::map<std::pair<std::string, std::string>, time_point> handed_back;
     /// Owners whose conclusions are not durable yet, by rack.
     std::map<std::string, relied_owner> relied;
 };
--- a/tests/rack/fleet_load_test.cpp
+++ b/tests/rack/fleet_load_test.cpp
@@ -199,3 +199,36 @@
     terms.earlier_rack = "r0";
     REQUIRE(choose_racks(fleet, terms, 1, "", start, random).front() == "r0");
 }
+
+// Tasks that last went back and forth between three racks whose targets had a
+// task of the step already, 24 times in 20 s (LOST, trouble-1 of the grown
+// cooperative).
+TEST_CASE("a rack whose targets all have a task of the step gets no more",
+          "[rack]")
+{
+    for (const std::string image : {"a", "b", "c", "d", "e", "f"})
+    {
+        CAPTURE(image);
+        std::minstd_rand random(1);
+        fleet_load fleet = make_fleet(4);
+        step_terms serving = make_terms(image, true);
+        serving.max_per_target = 1;
+        serving.tasks_in_rack = {{"r0", 2}, {"r1", 1}, {"r2", 2}};
+        const std::vector<std::string> chosen =
+            choose_racks(fleet, serving, 3, "", start, random);
+        REQUIRE(std::count(chosen.begin(), chosen.end(), "r0") == 0);
+        REQUIRE(std::count(chosen.begin(), chosen.end(), "r1") <= 1);
+        REQUIRE(std::count(chosen.begin(), chosen.end(), "r2") == 0);
+    }
+}
+
+TEST_CASE("racks that handed a task back lately are left out", "[rack]")
+{
+    std::minstd_rand random(1);
+    fleet_load fleet = make_fleet(3);
+    step_terms serving = make_terms("a", true);
+    serving.earlier_rack = "r0";
+    serving.avoided_racks = {"r0", "r1"};
+    REQUIRE(choose_racks(fleet, serving, 1, "", start, random) ==
+            std::vector<std::string>{"r2"});
+}
--- a/tests/scheduler/job_coordinator_test.cpp
+++ b/tests/scheduler/job_coordinator_test.cpp
@@ -644,3 +644,37 @@
     static_cast<void>(coordinator.report({{report}}));
     REQUIRE(coordinator.pending().empty());
 }
+
+// Only the last rack was left out, so that a task alternated between two racks
+// that could not take it.
+TEST_CASE("a task that was handed back avoids all racks that refused it",
+          "[scheduler]")
+{
+    fake_store store;
+    surroundings around;
+    job_coordinator_hooks hooks = around.hooks();
+    std::vector<step_terms> asked;
+    hooks.choose_racks =
+        [&](const step_terms& terms, std::size_t count, const std::string&)
+    {
+        asked.push_back(terms);
+        return std::vector<std::string>(count,
+                                        "r" + std::to_string(asked.size()));
+    };
+    job_coordinator coordinator(store, hooks, {});
+    coordinator.take_shard(shard_of(job_id));
+    REQUIRE(coordinator.submit(make_call()).verdict == "accepted");
+    for (std::int64_t run = 1; run <= 3; ++run)
+    {
+        run_report report = make_report("not_started", 0);
+        report.run = run;
+        report.rack = "r" + std::to_string(run);
+        const report_reply reply = coordinator.report({{report}});
+        REQUIRE(reply.verdicts.front().verdict == "recorded");
+    }
+    REQUIRE(asked.size() == 4);
+    REQUIRE(asked.back().avoided_racks ==
+            std::set<std::string>{"r1", "r2", "r3"});
+    REQUIRE(asked.back().earlier_rack == "r3");
+    REQUIRE(asked.back().tasks_in_rack.empty());
+}
