Find the recent placements on a target by binary search

For each of the fleet's targets `choose_racks` and `has_room_elsewhere` compared its name with those of all recent placements, and half of their time was spent in memcmp. The placements are now sorted by target once for each call, in the order in which they were made. `best_of` also weighs the best target once instead of again for each other one.

--- a/src/rack/fleet_load.cpp
+++ b/src/rack/fleet_load.cpp
@@ -65,7 +65,48 @@
                static_cast<double>(cpu_milli) / milli_per_core);
 }
 
+// Hundreds of placements are recent under load, and a search for those of each
+// target compared its name with all of them.
+using recent_by_target = std::vector<const recent_placement*>;
+
+bool is_before(const recent_placement* lhs, const recent_placement* rhs)
+{
+    return lhs->target < rhs->target;
+}
+
+recent_by_target sort_recent(const fleet_load& fleet)
+{
+    recent_by_target sorted;
+    sorted.reserve(fleet.recent.size());
+    for (const recent_placement& item : fleet.recent)
+    {
+        if (!item.target.empty())
+        {
+            sorted.push_back(&item);
+        }
+    }
+    std::stable_sort(sorted.begin(), sorted.end(), is_before);
+    return sorted;
+}
+
+// Takes what this host has placed on a target off its room.
+void subtract_recent(const fleet_load& fleet, const recent_by_target& recent,
+                     candidate& item)
+{
+    const std::string& id = item.entry->id;
+    auto it = std::lower_bound(
+        recent.begin(), recent.end(), id,
+        [](const recent_placement* placed, const std::string& target)
+        { return placed->target < target; });
+    for (; it != recent.end() && (*it)->target == id; ++it)
+    {
+        subtract_from(item.room, (*it)->size);
+        add_company(fleet, item, (*it)->image, (*it)->idle_users_milli);
+    }
+}
+
 std::vector<candidate> candidates_of(const fleet_load& fleet,
+                                     const recent_by_target& recent,
                                      const rack_view& view,
                                      const step_terms& terms, time_point now)
 {
@@ -90,15 +131,8 @@
         item.mix.spare = room.spare;
         item.mix.scarcity = room.scarcity;
         item.mix.reserved = room.reserved;
-        for (const recent_placement& recent : fleet.recent)
-        {
-            if (recent.target == room.id)
-            {
-                subtract_from(item.room, recent.size);
-                add_company(fleet, item, recent.image, recent.idle_users_milli);
-            }
-        }
-        found.push_back(item);
+        subtract_recent(fleet, recent, item);
+        found.push_back(std::move(item));
     }
     return found;
 }
@@ -138,13 +172,18 @@
                    const step_terms& terms)
 {
     candidate* best = nullptr;
+    std::int64_t best_weight = 0;
     for (candidate& item : items)
     {
-        if (is_suitable(fleet, item, terms) &&
-            (best == nullptr ||
-             weight_of(fleet, item, terms) > weight_of(fleet, *best, terms)))
+        if (!is_suitable(fleet, item, terms))
+        {
+            continue;
+        }
+        const std::int64_t weight = weight_of(fleet, item, terms);
+        if (best == nullptr || weight > best_weight)
         {
             best = &item;
+            best_weight = weight;
         }
     }
     return best;
@@ -162,6 +201,7 @@
                                time_point now)
 {
     std::vector<option> options;
+    const recent_by_target recent = sort_recent(fleet);
     for (const auto& [name, view] : fleet.racks)
     {
         if (name == terms.earlier_rack)
@@ -170,7 +210,7 @@
         }
         option item;
         item.rack = name;
-        item.targets = candidates_of(fleet, view, terms, now);
+        item.targets = candidates_of(fleet, recent, view, terms, now);
         for (const candidate& target : item.targets)
         {
             if (is_suitable(fleet, target, terms))
--- a/tests/rack/fleet_load_test.cpp
+++ b/tests/rack/fleet_load_test.cpp
@@ -87,6 +87,33 @@
     REQUIRE_FALSE(has_room_elsewhere(fleet, heavy, "none", start));
 }
 
+// Placements that count on another target, or on none, fill some targets twice.
+TEST_CASE("placements of the last moments count on their own targets", "[rack]")
+{
+    for (unsigned seed = 1; seed <= 20; ++seed)
+    {
+        CAPTURE(seed);
+        std::minstd_rand random(seed);
+        fleet_load fleet = make_fleet(3); // six targets of 32 cores
+        step_terms terms = make_terms("a", false);
+        terms.uses_idle_cpu = false;
+        terms.size.cpu_milli = 16'000;
+        std::map<std::string, int> placed;
+        for (int n = 0; n < 12; ++n)
+        {
+            REQUIRE(has_room_elsewhere(fleet, terms, "none", start));
+            static_cast<void>(choose_racks(fleet, terms, 1, "", start, random));
+            ++placed[fleet.recent.back().target];
+        }
+        REQUIRE(placed.size() == 6);
+        for (const auto& [target, count] : placed)
+        {
+            REQUIRE(count == 2);
+        }
+        REQUIRE_FALSE(has_room_elsewhere(fleet, terms, "none", start));
+    }
+}
+
 TEST_CASE("tasks that last leave a share of the processors", "[rack]")
 {
     fleet_load fleet = make_fleet(2); // 128 cores
