--- a/tests/scheduler/rack_metrics_test.cpp
+++ b/tests/scheduler/rack_metrics_test.cpp
@@ -73,7 +73,7 @@
     plain_target target;
     std::shared_ptr<metric_registry> registry =
         std::make_shared<metric_registry>();
-    bool has_room_elsewhere = false;
+    std::size_t places_elsewhere = 0;
     bool is_recorded = true;
     rack_agent agent;
 
@@ -103,10 +103,9 @@
         };
         result.lost = [](const std::string&) {
         };
-        result.has_room_elsewhere =
-            [this](const step_terms&, const std::string&)
+        result.places_elsewhere = [this](const step_terms&, const std::string&)
         {
-            return has_room_elsewhere;
+            return places_elsewhere;
         };
         result.read_assignments = [this](const std::string&)
         {
@@ -268,7 +267,7 @@
           "[metrics]")
 {
     rack_fixture all;
-    all.has_room_elsewhere = true;
+    all.places_elsewhere = 1;
     all.send("a.0.0", 9'000);
     REQUIRE(
         all.reaches("egretspindle_start_handed_back_milliseconds_count", 1));
