Send recorded starts only to owners that were read after a takeover

A start that was read from the store now goes to the owner as of a read after the takeover.

A later owner of the shard sends with T or a newer token. The owner with T knows what it has run. Under a newer token the start is marked as repeated, and waits until every target has refused T or T grants no more leases. During an outage of the store right after a takeover such starts wait until it is over.

--- a/include/egretspindle/scheduler/job_coordinator.hpp
+++ b/include/egretspindle/scheduler/job_coordinator.hpp
@@ -36,8 +36,8 @@
         has_room_to_last;
     /// Token of the current owner of a rack; 0: none known.
     std::function<std::int64_t(const std::string& rack)> rack_token;
-    /// Whether a read of the store that was at least as new as the token of a
-    /// rack showed this host as owner of a shard. Always so when absent.
+    /// Whether a read of the store that was at least as new as a token showed
+    /// this host as owner of a shard. Always so when absent.
     std::function<bool(const std::string& shard, std::int64_t token)>
         is_shard_confirmed;
     /// Another host has taken a shard over.
--- a/src/scheduler/cluster_agent.cpp
+++ b/src/scheduler/cluster_agent.cpp
@@ -299,7 +299,8 @@
         // Without a new version, what was given up would not be taken again.
         distrusted.insert(confirming.begin(), confirming.end());
     }
-    is_refresh_wanted |= !is_committed;
+    // Starts of a shard that was taken over wait for a read after the claim.
+    is_refresh_wanted = true;
 }
 
 // Tells what has been taken over or lost since the last call.
--- a/src/scheduler/job_coordinator_impl.hpp
+++ b/src/scheduler/job_coordinator_impl.hpp
@@ -72,6 +72,8 @@
                         time_point now);
     rack_orders& orders_for(std::map<std::string, rack_orders>& orders,
                             const std::string& rack) const;
+    [[nodiscard]] bool may_send(const job_entry& entry, const sent_run& sent,
+                                const rack_orders& orders) const;
     void add_start(job_entry& entry, const assigned_run& run, sent_run& sent,
                    std::map<std::string, rack_orders>& orders, time_point now);
     void send_all(const std::map<std::string, rack_orders>& orders);
--- a/src/scheduler/job_coordinator_runs.cpp
+++ b/src/scheduler/job_coordinator_runs.cpp
@@ -172,6 +172,31 @@
     return found;
 }
 
+// Returns whether the owners are known well enough for a start. A start that
+// was read from the store goes to the owner that the rack had after this host
+// took the shard over, not to an earlier one that does not know that it was
+// replaced. So a former owner of the shard may take a start that it could not
+// deliver for a first one as long as it saw itself as owner after the rack's
+// owner had got its token.
+bool job_coordinator::impl::may_send(const job_entry& entry,
+                                     const sent_run& sent,
+                                     const rack_orders& orders) const
+{
+    if (!hooks.is_shard_confirmed)
+    {
+        return true;
+    }
+    if (sent.is_inherited)
+    {
+        const auto shard = shards.find(entry.shard);
+        return shard != shards.end() &&
+               hooks.is_shard_confirmed(entry.shard, shard->second.token) &&
+               hooks.rack_token(orders.rack) == orders.token;
+    }
+    return !sent.was_undelivered || sent.deliveries > 0 ||
+           hooks.is_shard_confirmed(entry.shard, orders.token);
+}
+
 void job_coordinator::impl::add_start(
     job_entry& entry, const assigned_run& run, sent_run& sent,
     std::map<std::string, rack_orders>& orders, time_point now)
@@ -183,9 +208,7 @@
         return; // the configuration is not known yet, or has no such queue
     }
     rack_orders& target = orders_for(orders, run.rack);
-    const bool is_repeated = sent.is_inherited || sent.deliveries > 0;
-    if (!is_repeated && sent.was_undelivered && hooks.is_shard_confirmed &&
-        !hooks.is_shard_confirmed(entry.shard, target.token))
+    if (!may_send(entry, sent, target))
     {
         return; // the next read of the owners shows whether the shard is lost
     }
@@ -198,7 +221,7 @@
     item.index = static_cast<std::int64_t>(run.key.index);
     item.run = run.run;
     item.checkpoint = task->checkpoint;
-    item.is_repeated = is_repeated;
+    item.is_repeated = sent.is_inherited || sent.deliveries > 0;
     target.starts.back().runs.push_back(std::move(item));
     sent.sent_at = now;
     ++sent.deliveries;
--- a/tests/scheduler/job_coordinator_test.cpp
+++ b/tests/scheduler/job_coordinator_test.cpp
@@ -28,6 +28,7 @@
     std::vector<rack_orders> sent;
     std::int64_t token = 5;
     std::int64_t confirmed_token = 5; ///< tokens up to it, for all shards
+    std::vector<std::int64_t> checked_tokens;
 
     job_coordinator_hooks hooks()
     {
@@ -53,9 +54,12 @@
             return token;
         };
         result.is_shard_confirmed =
-            [this](const std::string&, std::int64_t rack_token)
+            [this](const std::string&, std::int64_t checked)
         {
-            return rack_token <= confirmed_token;
+            const std::lock_guard<std::mutex> lock(mutex);
+            checked_tokens.push_back(checked);
+            changed.notify_all();
+            return checked <= confirmed_token;
         };
         result.lost_shard = [](const std::string&) {
         };
@@ -232,6 +236,7 @@
     around.token = 6; // claimed since the last read
     coordinator.tick();
     REQUIRE(around.sent.size() == 1);
+    REQUIRE(around.checked_tokens.back() == 6);
     around.confirmed_token = 6;
     coordinator.tick();
     const std::vector<rack_orders> again = around.wait_sent(2);
@@ -240,6 +245,38 @@
     REQUIRE_FALSE(again.back().starts.front().runs.front().is_repeated);
 }
 
+// The rack may have got another owner before this host took the shard over. The
+// former one could still start the run, while the new one started it for the
+// former owner of the shard.
+TEST_CASE("a recorded start waits for a read of the owners after the takeover",
+          "[scheduler]")
+{
+    fake_store store;
+    surroundings first_around;
+    surroundings around;
+    job_coordinator first(store, first_around.hooks(), {});
+    first.take_shard(shard_of(job_id));
+    REQUIRE(first.submit(make_call()).verdict == "accepted");
+    job_coordinator coordinator(store, around.hooks(), {});
+    coordinator.take_shard(shard_of(job_id), 9);
+    {
+        // The start is due once the job has been written by this host.
+        std::unique_lock<std::mutex> lock(around.mutex);
+        REQUIRE(around.changed.wait_for(
+            lock, std::chrono::seconds(20),
+            [&] { return !around.checked_tokens.empty(); }));
+        REQUIRE(around.checked_tokens.front() == 9);
+        REQUIRE(around.sent.empty());
+        around.token = 8;
+        around.confirmed_token = 9;
+    }
+    coordinator.tick();
+    const std::vector<rack_orders> sent = around.wait_sent(1);
+    REQUIRE(sent.size() == 1);
+    REQUIRE(sent.front().token == 8);
+    REQUIRE(sent.front().starts.front().runs.front().is_repeated);
+}
+
 TEST_CASE("the same id again is the same job", "[scheduler]")
 {
     fake_store store;
