Send no start while an owner may grant no lease

Found by review of the takeover: no caller saw it yet. An owner that was frozen and thaws, or cannot read the store, places no starts, but orders that were in its channels already were still sent, with the last lease. A target that has restarted in the meantime and has not seen the next owner's token starts the task and grants its longest lease, 10 s, from then on. The next owner counts that lease only from 4 s after the takeover, so it could start the task elsewhere while it runs (TWICE).

Stops are still sent.

'no start is sent by an owner that may grant no lease' fails without it.

--- a/src/scheduler/rack_agent_orders.cpp
+++ b/src/scheduler/rack_agent_orders.cpp
@@ -107,7 +107,12 @@
     }
     entry = target->entry;
     order.life = target->started_ms;
-    order.is_held = order.was_unanswered && !channel->has_contact;
+    const bool is_granted =
+        may_grant(*find_rack(channel->rack), boot_clock::now());
+    // A restarted target grants its longest lease to an order for its former
+    // life, so an owner that may grant none sends no start.
+    order.is_held =
+        !is_granted || (order.was_unanswered && !channel->has_contact);
     message.task = order.id.first;
     message.run = order.id.second;
     message.text = it->second.terms->text;
@@ -115,8 +120,6 @@
     message.token = channel->token;
     // A target that does not answer gets no longer lease, so that its runs are
     // certain to end.
-    const bool is_granted =
-        may_grant(*find_rack(channel->rack), boot_clock::now());
     if (!is_granted)
     {
         metrics.note_no_lease(lease_use::start);
--- a/tests/scheduler/rack_agent_test.cpp
+++ b/tests/scheduler/rack_agent_test.cpp
@@ -775,3 +775,31 @@
     all.agent.tick();
     REQUIRE(all.targets.wait([&] { return !all.targets.starts.empty(); }));
 }
+
+// A later owner counts on it that the former one grants no lease once its
+// authority is over; a restarted target grants 10 s to any order of it.
+TEST_CASE("no start is sent by an owner that may grant no lease", "[scheduler]")
+{
+    rack_agent_limits bounds = fixture::limits();
+    bounds.lease.authority = milliseconds(1'000);
+    fixture all(bounds);
+    all.targets.start_silence = 1'000'000;
+    REQUIRE(all.send().is_owner);
+    REQUIRE(all.targets.wait([&] { return !all.targets.starts.empty(); }));
+    const auto count_unleased = [&]
+    {
+        return std::count_if(all.targets.polls.begin(), all.targets.polls.end(),
+                             [](const poll_target& order)
+                             { return order.lease_until_ms == 0; });
+    };
+    REQUIRE(all.targets.wait([&] { return count_unleased() > 10; }));
+    std::size_t starts = 0;
+    {
+        const std::lock_guard<std::mutex> lock(all.targets.mutex);
+        starts = all.targets.starts.size();
+    }
+    // Starts are repeated every 150 ms, polls every 20 ms.
+    REQUIRE(all.targets.wait([&] { return count_unleased() > 60; }));
+    const std::lock_guard<std::mutex> lock(all.targets.mutex);
+    REQUIRE(all.targets.starts.size() == starts);
+}
