Take back the bound on the room that one host counts on

The bound also counted placements of all kinds against the room for one.

Two cases of wander_test that need the bound are known to fail now, with their bounds and seeds as they were (rack_wander_load, KNOWN-RED.txt). In 'hosts with the same reports spread tasks over the queues' the generators of consecutive seeds began with almost the same number, which only the draws of the bound hid; they discard 10 numbers now.

--- a/cmake/packages.cmake
+++ b/cmake/packages.cmake
@@ -62,6 +62,11 @@
 egret_package(jobs egret_codec)
 egret_package(fleet egret_jobs)
 egret_package(rack egret_fleet)
+if(EGRETSPINDLE_TESTS)
+  # Hidden cases of the program of the package; see KNOWN-RED.txt.
+  add_test(NAME rack_wander_load COMMAND test_rack "[rack_wander_load]")
+  set_tests_properties(rack_wander_load PROPERTIES TIMEOUT 300)
+endif()
 egret_package(cluster egret_core)
 egret_package(scheduler egret_rack egret_cluster egret_protocol egret_metrics)
 
--- a/src/rack/fleet_load.cpp
+++ b/src/rack/fleet_load.cpp
@@ -459,25 +459,6 @@
     return std::uniform_real_distribution<double>(0, 1)(random);
 }
 
-// Whether a step goes to racks with room, as a whole: parts would cost more
-// messages. A task that was handed back has had its share counted there.
-bool may_use_room(const fleet_load& fleet, const std::vector<option>& options,
-                  const step_terms& terms, std::size_t count,
-                  const std::string& data_rack, std::minstd_rand& random)
-{
-    if (!data_rack.empty() || !terms.earlier_rack.empty())
-    {
-        return true;
-    }
-    std::int64_t idle = 0;
-    for (const option& item : options)
-    {
-        idle += item.idle_milli;
-    }
-    return draw_fraction(random) * static_cast<double>(count) <=
-           own_share(fleet, terms, idle, taken_milli(fleet, ""));
-}
-
 // Tasks of a step that may go to a rack. All hosts name the same rack for an
 // image that serves.
 std::size_t most_in_rack(const fleet_load& fleet, const option& item,
@@ -504,10 +485,13 @@
     const auto is_harmed = [&](const auto& item)
     {
         const auto it = harmed.find(item.first);
-        return it != harmed.end()
-                   ? it->second
-                   : harmed[item.first] =
-                         is_harmful_pair(fleet.pressures, item.first, image);
+        if (it != harmed.end())
+        {
+            return it->second;
+        }
+        const bool value = is_harmful_pair(fleet.pressures, item.first, image);
+        harmed.emplace(item.first, value);
+        return value;
     };
     std::int64_t count = 0;
     for (const auto& [name, view] : fleet.racks)
@@ -605,11 +589,6 @@
     std::vector<std::string> chosen;
     std::vector<option> options = options_of(fleet, terms, now);
     std::vector<queue_option> queues;
-    if (!may_use_room(fleet, options, terms, count, data_rack, random))
-    {
-        queues = queues_of(fleet, options, terms, now);
-        options.clear();
-    }
     while (chosen.size() < count && !options.empty())
     {
         const std::size_t n = choose_option(options, terms, data_rack, random);
--- a/tests/rack/fleet_load_test.cpp
+++ b/tests/rack/fleet_load_test.cpp
@@ -172,7 +172,9 @@
     std::map<std::string, int> given;
     for (unsigned host = 0; host < hosts; ++host)
     {
+        // Consecutive seeds begin with almost the same numbers.
         std::minstd_rand random(seed * 1'000 + host);
+        random.discard(10);
         fleet_load fleet = reported;
         for (int n = 0; n < steps; ++n)
         {
