Hand a task that lasts back beside any number of short ones

Cause: the number that may go was asked for each kind of start, but compared with the starts of all kinds that went. Tasks that last come last in a queue, so short ones used the number up at each look. Kinds that last are counted by themselves now.

--- a/src/rack/rack_decision.cpp
+++ b/src/rack/rack_decision.cpp
@@ -286,7 +286,8 @@
 struct kind_places
 {
     const step_terms* terms = nullptr;
-    std::size_t most = 0; ///< counted with those of other kinds
+    std::size_t most = 0;
+    std::size_t gone = 0;
 };
 
 bool is_same_kind(const step_terms& lhs, const step_terms& rhs)
@@ -305,8 +306,8 @@
 
 // Asks once for each kind, since an answer takes a look at every target of the
 // fleet. A gang goes as a whole.
-std::size_t most_to_go(std::vector<kind_places>& kinds, const step_terms& terms,
-                       std::size_t gone, const room_elsewhere& count_places)
+kind_places& find_kind(std::vector<kind_places>& kinds, const step_terms& terms,
+                       const room_elsewhere& count_places)
 {
     const auto known = std::find_if(kinds.begin(), kinds.end(),
                                     [&terms](const kind_places& item) {
@@ -314,15 +315,23 @@
                                     });
     if (known != kinds.end())
     {
-        return known->most;
+        return *known;
     }
     std::size_t most = count_places(terms);
-    if (terms.is_gang && most > gone)
+    if (terms.is_gang && most > 0)
     {
-        most = gone + static_cast<std::size_t>(terms.gang_size);
+        most = static_cast<std::size_t>(terms.gang_size);
     }
-    kinds.push_back({&terms, most});
-    return most;
+    kinds.push_back({&terms, most, 0});
+    return kinds.back();
+}
+
+// Kinds share the room elsewhere. Tasks that last are last in the queue, and
+// would never go while others use the room up.
+bool may_go(const kind_places& kind, std::size_t all_gone)
+{
+    const bool is_alone = kind.terms->is_long_running || kind.terms->is_gang;
+    return (is_alone ? kind.gone : all_gone) < kind.most;
 }
 
 } // namespace
@@ -647,12 +656,13 @@
     std::vector<queued_start> remaining;
     for (queued_start& start : rack.queue)
     {
-        const bool may_go =
-            !start.is_repeated && now - start.queued_at > patience &&
-            events.size() <
-                most_to_go(kinds, *start.terms, events.size(), count_places);
-        if (may_go)
+        kind_places* const kind =
+            !start.is_repeated && now - start.queued_at > patience
+                ? &find_kind(kinds, *start.terms, count_places)
+                : nullptr;
+        if (kind != nullptr && may_go(*kind, events.size()))
         {
+            ++kind->gone;
             events.push_back(not_started(start, end_cause::handed_back));
             events.back().waited =
                 std::chrono::duration_cast<milliseconds>(now - start.queued_at);
--- a/tests/rack/rack_decision_test.cpp
+++ b/tests/rack/rack_decision_test.cpp
@@ -693,3 +693,26 @@
     note_clock(target, 2'000, limits, start);
     REQUIRE(target.expires_at <= start + whole_lease(limits));
 }
+
+// Lasting tasks are last in the queue; short ones used up what might go, and
+// one that lasts waited for 26 s.
+TEST_CASE("a task that lasts goes back beside any number of short ones",
+          "[rack]")
+{
+    rack_state rack = make_rack(0);
+    for (int n = 0; n < 60; ++n)
+    {
+        enqueue(rack, make_start("job.0.0." + std::to_string(n), make_terms()));
+    }
+    step_terms lasting = make_terms(2'000);
+    lasting.step = "job.0.1";
+    lasting.is_long_running = true;
+    enqueue(rack, make_start("job.0.1.0", lasting));
+    const std::vector<run_event> events = hand_back(
+        rack, milliseconds(700),
+        [](const step_terms& terms)
+        { return static_cast<std::size_t>(terms.is_long_running ? 1 : 2); },
+        start + milliseconds(800));
+    REQUIRE(events.size() == 3);
+    REQUIRE(events.back().task == "job.0.1.0");
+}
