Queue no task at a rack that cannot take it by the bound of its step

Such racks get none now; a task that is left over gets no rack and is asked for again in the next tick. The test fails without it.

--- a/src/rack/fleet_load.cpp
+++ b/src/rack/fleet_load.cpp
@@ -323,7 +323,8 @@
 {
     std::string rack;
     std::int64_t capacity = 0;
-    std::int64_t wanted = 0; ///< processors, by its queue and `recent`
+    std::int64_t wanted = 0;       ///< processors, by its queue and `recent`
+    std::int64_t most_of_step = 0; ///< tasks that it can still take
 };
 
 // Processors that can ever take a task of the step; 0 without a recent report.
@@ -347,7 +348,6 @@
 }
 
 std::vector<queue_option> queues_of(const fleet_load& fleet,
-                                    const std::vector<option>& options,
                                     const step_terms& terms, time_point now)
 {
     std::map<std::string_view, std::int64_t> wanted;
@@ -359,28 +359,29 @@
                 recent.size.cpu_milli + recent.idle_users_milli;
         }
     }
-    for (const option& item : options)
-    {
-        wanted[item.rack] -= item.idle_milli;
-    }
     std::vector<queue_option> queues;
     for (const auto& [rack, view] : fleet.racks)
     {
         const std::int64_t capacity = usable_milli(fleet, view, terms, now);
-        if (capacity > 0)
+        const std::int64_t most = most_of_step(view, terms);
+        if (capacity > 0 && most > 0)
         {
-            queues.push_back(
-                {rack, capacity, view.room.queued_cpu_milli + wanted[rack]});
+            queues.push_back({rack, capacity,
+                              view.room.queued_cpu_milli + wanted[rack], most});
         }
     }
-    // A rack that handed the task back gets it only if there is no other.
-    const auto earlier =
-        std::find_if(queues.begin(), queues.end(),
-                     [&terms](const queue_option& item)
-                     { return item.rack == terms.earlier_rack; });
-    if (queues.size() > 1 && earlier != queues.end())
+    // A rack that handed a task of the step back gets it only if there is no
+    // other.
+    const auto others = std::stable_partition(
+        queues.begin(), queues.end(),
+        [&terms](const queue_option& item)
+        {
+            return item.rack != terms.earlier_rack &&
+                   terms.avoided_racks.count(item.rack) == 0;
+        });
+    if (others != queues.begin())
     {
-        queues.erase(earlier);
+        queues.erase(others, queues.end());
     }
     return queues;
 }
@@ -413,19 +414,16 @@
 // The shorter of two queues that are drawn at random by the size of the rack.
 // All hosts see the same reports for 0.6 s, and would all choose the shortest;
 // by the better of two, a rack is chosen at most twice as often as by chance.
-std::string choose_queue(std::vector<queue_option>& queues,
-                         const step_terms& terms, std::size_t count,
-                         std::minstd_rand& random)
+queue_option* choose_queue(std::vector<queue_option>& queues,
+                           std::minstd_rand& random)
 {
     if (queues.empty())
     {
-        return "";
+        return nullptr;
     }
     queue_option& first = draw_queue(queues, random);
     queue_option& second = draw_queue(queues, random);
-    queue_option& best = is_shorter(second, first) ? second : first;
-    best.wanted += terms.size.cpu_milli * static_cast<std::int64_t>(count);
-    return best.rack;
+    return is_shorter(second, first) ? &second : &first;
 }
 
 // Processors that this host has placed by reported room, in one rack or in all,
@@ -533,6 +531,39 @@
     fleet.recent.push_back(std::move(item));
 }
 
+// Sends the rest of a step to queues. Racks that can take no more of it by its
+// bound get none; tasks that are left over get no rack.
+void add_queued(fleet_load& fleet, const step_terms& terms, std::size_t count,
+                time_point now, std::minstd_rand& random,
+                std::vector<std::string>& chosen)
+{
+    std::vector<queue_option> queues = queues_of(fleet, terms, now);
+    while (chosen.size() < count)
+    {
+        queue_option* const queue = choose_queue(queues, random);
+        if (queue == nullptr)
+        {
+            chosen.resize(count);
+            return;
+        }
+        const std::size_t part =
+            std::min({most_queued_at_once, count - chosen.size(),
+                      static_cast<std::size_t>(queue->most_of_step)});
+        queue->wanted += terms.size.cpu_milli * static_cast<std::int64_t>(part);
+        queue->most_of_step -= static_cast<std::int64_t>(part);
+        const std::string rack = queue->rack;
+        for (std::size_t n = 0; n < part; ++n)
+        {
+            chosen.push_back(rack);
+            remember(fleet, terms, rack, "", now);
+        }
+        if (queue->most_of_step == 0)
+        {
+            queues.erase(queues.begin() + (queue - queues.data()));
+        }
+    }
+}
+
 } // namespace
 
 bool note_life(fleet_load& fleet, const std::string& host, std::int64_t boot)
@@ -588,7 +619,6 @@
     forget_old(fleet, now);
     std::vector<std::string> chosen;
     std::vector<option> options = options_of(fleet, terms, now);
-    std::vector<queue_option> queues;
     while (chosen.size() < count && !options.empty())
     {
         const std::size_t n = choose_option(options, terms, data_rack, random);
@@ -614,23 +644,9 @@
             break;
         }
     }
-    if (chosen.size() < count && queues.empty())
-    {
-        queues = queues_of(fleet, {}, terms, now);
-    }
-    while (chosen.size() < count)
+    if (chosen.size() < count)
     {
-        const std::size_t part =
-            std::min(most_queued_at_once, count - chosen.size());
-        const std::string rack = choose_queue(queues, terms, part, random);
-        for (std::size_t n = 0; n < part; ++n)
-        {
-            chosen.push_back(rack);
-            if (!rack.empty())
-            {
-                remember(fleet, terms, rack, "", now);
-            }
-        }
+        add_queued(fleet, terms, count, now, random, chosen);
     }
     return chosen;
 }
--- a/tests/rack/fleet_load_test.cpp
+++ b/tests/rack/fleet_load_test.cpp
@@ -300,3 +300,31 @@
         REQUIRE(places_elsewhere(fleet, terms, "r0", start, random) == 1);
     }
 }
+
+// Starts were queued at racks that could take none by the bound of the step, or
+// that had just refused one.
+TEST_CASE("queues of a full fleet follow the bound of a step", "[rack]")
+{
+    std::minstd_rand random(1);
+    fleet_load fleet = make_fleet(5); // two targets each
+    for (auto& [name, view] : fleet.racks)
+    {
+        for (target_room& room : view.room.targets)
+        {
+            room.room = {0, 0, 0};
+        }
+    }
+    step_terms serving = make_terms("a", true);
+    serving.max_per_target = 1;
+    serving.tasks_in_rack = {{"r0", 2}, {"r1", 1}};
+    serving.avoided_racks = {"r2"};
+    const std::vector<std::string> chosen =
+        choose_racks(fleet, serving, 8, "", start, random);
+    REQUIRE(chosen.size() == 8);
+    REQUIRE(std::count(chosen.begin(), chosen.end(), "r0") == 0);
+    REQUIRE(std::count(chosen.begin(), chosen.end(), "r1") == 1);
+    REQUIRE(std::count(chosen.begin(), chosen.end(), "r2") == 0);
+    REQUIRE(std::count(chosen.begin(), chosen.end(), "r3") == 2);
+    REQUIRE(std::count(chosen.begin(), chosen.end(), "r4") == 2);
+    REQUIRE(std::count(chosen.begin(), chosen.end(), "") == 3);
+}
