Check the shard before every first send of a start

Found by the review, by reading; no caller saw it. The first send of a start skipped the check that a read at least as new as the rack's token showed this host as owner of the shard. A host that freezes while its record is written, and thaws after another host has taken the shard over and the rack has moved, could send the run unmarked to the new owner of the rack before it learns of its loss. Only a start that may have arrived, and so goes out marked as repeated, skips the check now.

--- a/src/scheduler/job_coordinator.cpp
+++ b/src/scheduler/job_coordinator.cpp
@@ -303,7 +303,6 @@
             if (sent != nullptr && sent->deliveries > 0)
             {
                 --sent->deliveries;
-                sent->was_undelivered = true;
                 sent->sent_at = {};
             }
         }
--- a/src/scheduler/job_coordinator_runs.cpp
+++ b/src/scheduler/job_coordinator_runs.cpp
@@ -334,7 +334,7 @@
                hooks.is_shard_confirmed(entry.shard, shard->second.token) &&
                hooks.rack_token(orders.rack) == orders.token;
     }
-    return !sent.was_undelivered || sent.deliveries > 0 ||
+    return sent.deliveries > 0 ||
            hooks.is_shard_confirmed(entry.shard, orders.token);
 }
 
--- a/src/scheduler/job_entry.hpp
+++ b/src/scheduler/job_entry.hpp
@@ -25,9 +25,8 @@
     time_point sent_at; ///< time_point{}: not sent, or undelivered
     /// Times that the start was sent, less those that surely reached nobody.
     int deliveries = 0;
-    bool was_undelivered = false; ///< at least once
-    time_point stop_sent_at;      ///< time_point{}: no stop sent
-    bool is_inherited = false;    ///< read from the store
+    time_point stop_sent_at;   ///< time_point{}: no stop sent
+    bool is_inherited = false; ///< read from the store
 };
 
 /// Conclusion of the owner of a rack that the next write contains.
