Take starts back from a target that leaves, and send stops first

A start waits in the channel of its target behind slow orders, or while its owner may grant no lease. Draining was checked only when it was placed, so it could reach a target seconds after the platform had said that it leaves (DRAIN). A start that no copy of has been sent goes back to the queue of the rack now. A stop goes before the starts of its channel, which may be held.

--- a/src/scheduler/rack_agent_channels.cpp
+++ b/src/scheduler/rack_agent_channels.cpp
@@ -245,7 +245,16 @@
     const auto it = channels.find(target);
     if (it != channels.end() && !is_queued_stop(*it->second, order))
     {
-        it->second->orders.push_back(std::move(order));
+        // Starts may be held; a stop does not wait for them.
+        std::deque<pending_order>& orders = it->second->orders;
+        if (order.what == pending_order::kind::stop)
+        {
+            orders.push_front(std::move(order));
+        }
+        else
+        {
+            orders.push_back(std::move(order));
+        }
         it->second->has_orders.notify_one();
     }
 }
--- a/src/scheduler/rack_agent_impl.hpp
+++ b/src/scheduler/rack_agent_impl.hpp
@@ -120,6 +120,7 @@
                      const run_id& id);
     bool take_answer(const channel_ptr& channel, const pending_order& order,
                      const order_answer& answer);
+    bool take_back(const channel_ptr& channel, const pending_order& order);
     void send_start(const channel_ptr& channel, pending_order order);
     void send_stop(const channel_ptr& channel, pending_order order);
     void send_pace(const channel_ptr& channel, const pending_order& order);
--- a/src/scheduler/rack_agent_orders.cpp
+++ b/src/scheduler/rack_agent_orders.cpp
@@ -222,9 +222,47 @@
     return true;
 }
 
+// Takes a start back that no target has seen when its target leaves: it may
+// have waited in the channel for a slow target or for the right to grant
+// leases. Returns whether it did.
+bool rack_agent::impl::take_back(const channel_ptr& channel,
+                                 const pending_order& order)
+{
+    std::vector<run_event> events;
+    {
+        const std::lock_guard<std::mutex> lock(mutex);
+        rack_target* target = find_target(*channel);
+        if (target == nullptr || order.was_unanswered ||
+            (target->is_listed && !target->entry.is_draining))
+        {
+            return false;
+        }
+        const auto it = target->runs.find(order.id);
+        if (it == target->runs.end() || it->second.is_taken ||
+            !it->second.terms)
+        {
+            return false;
+        }
+        rack_state& rack = *find_rack(channel->rack);
+        events = apply_start(rack, *target, order.id, order_verdict::unhealthy,
+                             steady_clock::now());
+        log_info("start was taken back", {{"task", order.id.first},
+                                          {"run", order.id.second},
+                                          {"target", channel->target},
+                                          {"reason", "the target leaves"}});
+        place(rack);
+    }
+    publish(channel->rack, channel->token, events);
+    return true;
+}
+
 void rack_agent::impl::send_start(const channel_ptr& channel,
                                   pending_order order)
 {
+    if (take_back(channel, order))
+    {
+        return;
+    }
     start_run message;
     target_entry entry;
     if (!prepare_start(channel, order, message, entry))
--- a/tests/scheduler/rack_agent_test.cpp
+++ b/tests/scheduler/rack_agent_test.cpp
@@ -803,3 +803,53 @@
     const std::lock_guard<std::mutex> lock(all.targets.mutex);
     REQUIRE(all.targets.starts.size() == starts);
 }
+
+// A start that was held for a lease reached a target 3 s after the platform had
+// said that it leaves (DRAIN).
+TEST_CASE("a start that was held is not sent to a target that leaves",
+          "[scheduler]")
+{
+    rack_agent_limits bounds = fixture::limits();
+    bounds.lease.authority = milliseconds(1'000);
+    bounds.order_retry = milliseconds(1'500);
+    fixture all(bounds);
+    const auto has_lapsed = [&]
+    {
+        return !all.targets.polls.empty() &&
+               all.targets.polls.back().lease_until_ms == 0;
+    };
+    // The first start keeps the sender busy until the authority is over.
+    all.targets.start_silence = 1;
+    REQUIRE(all.send().is_owner);
+    REQUIRE(all.targets.wait([&] { return !all.targets.starts.empty(); }));
+    rack_orders orders;
+    orders.rack = "r1";
+    orders.token = 7;
+    start_batch batch;
+    batch.terms.step = "job.0.1";
+    batch.terms.service = "svc";
+    batch.terms.size = {10, 10, 0};
+    batch.runs.push_back({0, 1, "", false});
+    orders.starts.push_back(batch);
+    REQUIRE(all.agent.execute(orders).is_owner);
+    REQUIRE(all.targets.wait(has_lapsed));
+    target_entry entry;
+    entry.id = "t1";
+    entry.service = "svc";
+    entry.rack = "r1";
+    entry.address = "127.0.0.1:1";
+    entry.started_ms = 1;
+    entry.capacity = {4'000, 4'000, 0};
+    entry.is_draining = true;
+    all.agent.set_targets({{"t1", entry}});
+    all.agent.verify_rack("r1", 7, current_moment());
+    // The repeated first start shows that the sender has gone on; its copy may
+    // have started, so it stays with the target.
+    REQUIRE(all.targets.wait([&] { return all.targets.starts.size() >= 2; }));
+    REQUIRE(all.agent.measure().front().queued == 1);
+    const std::lock_guard<std::mutex> lock(all.targets.mutex);
+    for (const start_run& order : all.targets.starts)
+    {
+        REQUIRE(order.task != "job.0.1.0");
+    }
+}
