Rename what readers stumbled over

hand_back_quota, remaining_of_step, possible_deliveries and kept_shares say what the former places_elsewhere, most_of_step, deliveries and waiting held.

--- a/bench/placing/main.cpp
+++ b/bench/placing/main.cpp
@@ -53,7 +53,7 @@
     pressure_model model;
     note_pressures(model, "host-2", 1, learned);
     merge_pressures(model);
-    model.waiting = {{filling_name(3), 0.3}, {filling_name(7), 0.3}};
+    model.kept_shares = {{filling_name(3), 0.3}, {filling_name(7), 0.3}};
     return model;
 }
 
--- a/include/egretspindle/rack/cached_mix.hpp
+++ b/include/egretspindle/rack/cached_mix.hpp
@@ -10,6 +10,7 @@
 #include "egretspindle/rack/target_mix.hpp"
 
 #include <cstdint>
+#include <map>
 #include <memory>
 #include <string>
 #include <vector>
@@ -31,7 +32,7 @@
 {
     std::uint64_t number = 0; ///< rises with each change; 0: not known yet
     std::uint64_t version = 0;
-    decltype(pressure_model::waiting) waiting;
+    std::map<std::string, double> kept_shares;
 };
 
 /// Mix and free room of a target with all that they were made from.
--- a/include/egretspindle/rack/fleet_load.hpp
+++ b/include/egretspindle/rack/fleet_load.hpp
@@ -104,11 +104,11 @@
 /// queue, of the places that other racks have for them, since the owners of all
 /// racks see the same places. Rounded at random, so that small parts count; at
 /// least one for tasks that last.
-[[nodiscard]] std::size_t places_elsewhere(const fleet_load& fleet,
-                                           const step_terms& terms,
-                                           const std::string& rack,
-                                           time_point now,
-                                           std::minstd_rand& random);
+[[nodiscard]] std::size_t hand_back_quota(const fleet_load& fleet,
+                                          const step_terms& terms,
+                                          const std::string& rack,
+                                          time_point now,
+                                          std::minstd_rand& random);
 
 } // namespace egretspindle
 
--- a/include/egretspindle/rack/pressure_model.hpp
+++ b/include/egretspindle/rack/pressure_model.hpp
@@ -59,7 +59,7 @@
     std::map<image_name, double> hardness;
     /// Images whose starts wait for idle processors, on any host, with the
     /// share of the targets that suit them to keep; see `reserved_shares`.
-    std::map<std::string, double> waiting;
+    std::map<std::string, double> kept_shares;
     /// Of `merged`, `table` and `hardness`. No two merges of the process have
     /// the same version, so that it also tells models apart.
     std::uint64_t version = 0;
--- a/include/egretspindle/scheduler/rack_agent.hpp
+++ b/include/egretspindle/scheduler/rack_agent.hpp
@@ -32,7 +32,7 @@
 using run_racks = std::map<run_id, std::string>;
 
 /// What the runtime needs of other parts. Called without its lock, except
-/// `places_elsewhere`, which must not call back.
+/// `hand_back_quota`, which must not call back.
 struct rack_agent_hooks
 {
     /// Passes reports on to the owners of the jobs, without waiting.
@@ -40,7 +40,7 @@
     /// A target has seen a newer owner of the rack.
     std::function<void(const std::string& rack)> lost;
     std::function<std::size_t(const step_terms& terms, const std::string& rack)>
-        places_elsewhere;
+        hand_back_quota;
     /// Reads the record of a job; no value when the store did not answer.
     std::function<std::optional<run_racks>(const std::string& job)>
         read_assignments;
--- a/src/rack/fleet_load.cpp
+++ b/src/rack/fleet_load.cpp
@@ -203,13 +203,13 @@
     std::string rack;
     std::vector<candidate> targets;
     std::int64_t free_cpu = 0;
-    std::int64_t idle_milli = 0;   ///< of the targets that can take a task
-    std::int64_t most_of_step = 0; ///< tasks that it can still take
+    std::int64_t idle_milli = 0;        ///< of the targets that can take a task
+    std::int64_t remaining_of_step = 0; ///< tasks that it can still take
 };
 
 // Tasks of a step that a rack can still take by the bound for each target.
 // Reports do not tell which targets have a task of the step already.
-std::int64_t most_of_step(const rack_view& view, const step_terms& terms)
+std::int64_t remaining_of_step(const rack_view& view, const step_terms& terms)
 {
     if (terms.max_per_target == 0)
     {
@@ -230,9 +230,9 @@
     {
         option item;
         item.rack = name;
-        item.most_of_step = most_of_step(view, terms);
+        item.remaining_of_step = remaining_of_step(view, terms);
         if (name == terms.earlier_rack || terms.avoided_racks.count(name) > 0 ||
-            item.most_of_step <= 0)
+            item.remaining_of_step <= 0)
         {
             continue;
         }
@@ -323,8 +323,8 @@
 {
     std::string rack;
     std::int64_t capacity = 0;
-    std::int64_t wanted = 0;       ///< processors, by its queue and `recent`
-    std::int64_t most_of_step = 0; ///< tasks that it can still take
+    std::int64_t wanted = 0; ///< processors, by its queue and `recent`
+    std::int64_t remaining_of_step = 0; ///< tasks that it can still take
 };
 
 // Processors that can ever take a task of the step; 0 without a recent report.
@@ -363,7 +363,7 @@
     for (const auto& [rack, view] : fleet.racks)
     {
         const std::int64_t capacity = usable_milli(fleet, view, terms, now);
-        const std::int64_t most = most_of_step(view, terms);
+        const std::int64_t most = remaining_of_step(view, terms);
         if (capacity > 0 && most > 0)
         {
             queues.push_back({rack, capacity,
@@ -464,7 +464,7 @@
                          std::minstd_rand& random)
 {
     const std::size_t most = static_cast<std::size_t>(std::min<std::int64_t>(
-        item.most_of_step, static_cast<std::int64_t>(count)));
+        item.remaining_of_step, static_cast<std::int64_t>(count)));
     if (!is_chosen_by_image(terms) || terms.is_gang)
     {
         return most;
@@ -548,16 +548,16 @@
         }
         const std::size_t part =
             std::min({most_queued_at_once, count - chosen.size(),
-                      static_cast<std::size_t>(queue->most_of_step)});
+                      static_cast<std::size_t>(queue->remaining_of_step)});
         queue->wanted += terms.size.cpu_milli * static_cast<std::int64_t>(part);
-        queue->most_of_step -= static_cast<std::int64_t>(part);
+        queue->remaining_of_step -= static_cast<std::int64_t>(part);
         const std::string rack = queue->rack;
         for (std::size_t n = 0; n < part; ++n)
         {
             chosen.push_back(rack);
             remember(fleet, terms, rack, "", now);
         }
-        if (queue->most_of_step == 0)
+        if (queue->remaining_of_step == 0)
         {
             queues.erase(queues.begin() + (queue - queues.data()));
         }
@@ -685,9 +685,9 @@
     return !is_known || (free - cpu_milli) * 100 >= capacity * short_percent;
 }
 
-std::size_t places_elsewhere(const fleet_load& fleet, const step_terms& terms,
-                             const std::string& rack, time_point now,
-                             std::minstd_rand& random)
+std::size_t hand_back_quota(const fleet_load& fleet, const step_terms& terms,
+                            const std::string& rack, time_point now,
+                            std::minstd_rand& random)
 {
     double idle = 0;
     for (const option& item : options_of(fleet, terms, now))
--- a/src/rack/interference.cpp
+++ b/src/rack/interference.cpp
@@ -42,8 +42,8 @@
                  const std::string& target)
 {
     constexpr double whole = 18446744073709551616.0; // 2^64
-    const auto it = model.waiting.find(image);
-    if (it == model.waiting.end())
+    const auto it = model.kept_shares.find(image);
+    if (it == model.kept_shares.end())
     {
         return false;
     }
--- a/src/rack/mix_cache.cpp
+++ b/src/rack/mix_cache.cpp
@@ -68,11 +68,11 @@
 {
     mix_basis& basis = rack.basis;
     if (basis.number == 0 || basis.version != model.version ||
-        basis.waiting != model.waiting)
+        basis.kept_shares != model.kept_shares)
     {
         ++basis.number;
         basis.version = model.version;
-        basis.waiting = model.waiting;
+        basis.kept_shares = model.kept_shares;
     }
 }
 
--- a/src/scheduler/job_coordinator.cpp
+++ b/src/scheduler/job_coordinator.cpp
@@ -300,9 +300,9 @@
         {
             sent_run* sent = find_sent(
                 fmt::format("{}.{}", batch.terms.step, run.index), run.run);
-            if (sent != nullptr && sent->deliveries > 0)
+            if (sent != nullptr && sent->possible_deliveries > 0)
             {
-                --sent->deliveries;
+                --sent->possible_deliveries;
                 sent->sent_at = {};
             }
         }
--- a/src/scheduler/job_coordinator_runs.cpp
+++ b/src/scheduler/job_coordinator_runs.cpp
@@ -334,7 +334,7 @@
                hooks.is_shard_confirmed(entry.shard, shard->second.token) &&
                hooks.rack_token(orders.rack) == orders.token;
     }
-    return sent.deliveries > 0 ||
+    return sent.possible_deliveries > 0 ||
            hooks.is_shard_confirmed(entry.shard, orders.token);
 }
 
@@ -362,10 +362,10 @@
     item.index = static_cast<std::int64_t>(run.key.index);
     item.run = run.run;
     item.checkpoint = task->checkpoint;
-    item.is_repeated = sent.is_inherited || sent.deliveries > 0;
+    item.is_repeated = sent.is_inherited || sent.possible_deliveries > 0;
     target.starts.back().runs.push_back(std::move(item));
     sent.sent_at = now;
-    ++sent.deliveries;
+    ++sent.possible_deliveries;
 }
 
 // Adds the orders of a job that are durable and not confirmed by the current
--- a/src/scheduler/job_entry.hpp
+++ b/src/scheduler/job_entry.hpp
@@ -24,7 +24,7 @@
     std::int64_t confirmed_token = 0;
     time_point sent_at; ///< time_point{}: not sent, or undelivered
     /// Times that the start was sent, less those that surely reached nobody.
-    int deliveries = 0;
+    int possible_deliveries = 0;
     time_point stop_sent_at;   ///< time_point{}: no stop sent
     bool is_inherited = false; ///< read from the store
 };
--- a/src/scheduler/job_scheduler.cpp
+++ b/src/scheduler/job_scheduler.cpp
@@ -262,11 +262,11 @@
             agent.distrust(rack_resource(rack), owner->token);
         }
     };
-    hooks.places_elsewhere =
+    hooks.hand_back_quota =
         [this](const step_terms& terms, const std::string& rack)
     {
         const std::lock_guard<std::mutex> lock(load_mutex);
-        return places_elsewhere(load, terms, rack, steady_clock::now(), random);
+        return hand_back_quota(load, terms, rack, steady_clock::now(), random);
     };
     hooks.read_assignments = [this](const std::string& job)
     {
--- a/src/scheduler/rack_agent.cpp
+++ b/src/scheduler/rack_agent.cpp
@@ -472,7 +472,7 @@
             const std::vector<run_event> returned = hand_back(
                 rack, impl_->limits.queue_patience,
                 [&, &rack_name = name](const step_terms& terms)
-                { return impl_->hooks.places_elsewhere(terms, rack_name); },
+                { return impl_->hooks.hand_back_quota(terms, rack_name); },
                 now);
             list.insert(list.end(), returned.begin(), returned.end());
         }
@@ -513,7 +513,7 @@
 void rack_agent::set_reserved_shares(std::map<std::string, double> shares)
 {
     const std::lock_guard<std::mutex> lock(impl_->mutex);
-    impl_->model.waiting = std::move(shares);
+    impl_->model.kept_shares = std::move(shares);
 }
 
 host_activity& rack_agent::activity() noexcept
--- a/tests/rack/fleet_load_test.cpp
+++ b/tests/rack/fleet_load_test.cpp
@@ -86,7 +86,7 @@
     REQUIRE(choose_racks(fleet, heavy, 2, "", start, random) ==
             std::vector<std::string>{"r0", "r0"});
     // Nothing is left, so the third waits in a queue, which counts as well.
-    REQUIRE(places_elsewhere(fleet, heavy, "none", start, random) == 0);
+    REQUIRE(hand_back_quota(fleet, heavy, "none", start, random) == 0);
 }
 
 // Placements that count on another target, or on none, fill some targets twice.
@@ -276,12 +276,12 @@
     std::minstd_rand random(seed);
     for (const std::string rack : {"r0", "r1", "r2"})
     {
-        sum += places_elsewhere(fleet, terms, rack, start, random);
+        sum += hand_back_quota(fleet, terms, rack, start, random);
     }
     REQUIRE(sum > 0);
     REQUIRE(sum <= 100);
-    REQUIRE(places_elsewhere(fleet, terms, "r0", start, random) >
-            places_elsewhere(fleet, terms, "r1", start, random));
+    REQUIRE(hand_back_quota(fleet, terms, "r0", start, random) >
+            hand_back_quota(fleet, terms, "r1", start, random));
 }
 
 // A long queue of short tasks elsewhere left a task that lasts no part of the
@@ -297,7 +297,7 @@
     {
         INFO("seed " << seed);
         std::minstd_rand random(seed);
-        REQUIRE(places_elsewhere(fleet, terms, "r0", start, random) == 1);
+        REQUIRE(hand_back_quota(fleet, terms, "r0", start, random) == 1);
     }
 }
 
--- a/tests/rack/fleet_simulation.cpp
+++ b/tests/rack/fleet_simulation.cpp
@@ -136,8 +136,8 @@
         const std::vector<run_event> returned = hand_back(
             rack, sim.limits.patience,
             [&](const step_terms& terms) {
-                return places_elsewhere(host.load, terms, name, sim.now,
-                                        host.random);
+                return hand_back_quota(host.load, terms, name, sim.now,
+                                       host.random);
             },
             sim.now);
         for (const run_event& event : returned)
--- a/tests/rack/interference_test.cpp
+++ b/tests/rack/interference_test.cpp
@@ -288,7 +288,7 @@
     REQUIRE(rate_company(mix_of(suits_easy, model), easy, room, model) >
             rate_company(mix_of(suits_both, model), easy, room, model));
     REQUIRE(finds_idle_cpu(mix_of(suits_both, model), easy, room, model));
-    model.waiting = {{"picky", 1.0}};
+    model.kept_shares = {{"picky", 1.0}};
     REQUIRE_FALSE(finds_idle_cpu(mix_of(suits_both, model), easy, room, model));
     REQUIRE(finds_idle_cpu(mix_of(suits_both, model), picky, room, model));
     REQUIRE(finds_idle_cpu(mix_of(suits_easy, model), easy, room, model));
@@ -324,7 +324,7 @@
     const auto count_kept = [&]
     {
         pressure_model model = fleet.pressures;
-        model.waiting = reserved_shares(fleet, start);
+        model.kept_shares = reserved_shares(fleet, start);
         const step_terms easy = *make_run("f", "easy", false).terms;
         return std::count_if(suitable.begin(), suitable.end(),
                              [&](const rack_target& target)
--- a/tests/rack/load_message_test.cpp
+++ b/tests/rack/load_message_test.cpp
@@ -446,7 +446,7 @@
     // The second finds no room and waits in the queue of the rack.
     const time_point later = start + milliseconds(900);
     static_cast<void>(choose_racks(fleet, terms, 1, "", later, random));
-    REQUIRE(places_elsewhere(fleet, terms, "none", later, random) == 0);
+    REQUIRE(hand_back_quota(fleet, terms, "none", later, random) == 0);
     REQUIRE(fleet.recent.size() == 2);
     // This report shows the first, and may have been made before the second
     // arrived.
@@ -454,6 +454,6 @@
     note_rooms(fleet, rooms, start + milliseconds(1'000));
     const time_point next = start + milliseconds(1'001);
     REQUIRE(choose_racks(fleet, terms, 1, "", next, random).front() == "r");
-    REQUIRE(places_elsewhere(fleet, terms, "none", next, random) == 0);
+    REQUIRE(hand_back_quota(fleet, terms, "none", next, random) == 0);
     REQUIRE(fleet.recent.size() == 2);
 }
--- a/tests/rack/mix_cache_test.cpp
+++ b/tests/rack/mix_cache_test.cpp
@@ -242,10 +242,10 @@
             merge_pressures(model);
             break;
         case 1:
-            model.waiting = {{filling(), 0.5}};
+            model.kept_shares = {{filling(), 0.5}};
             break;
         case 2:
-            model.waiting.clear();
+            model.kept_shares.clear();
             break;
         default:
             observe_headroom(model, pick_between(0.5, 3.0));
@@ -391,12 +391,12 @@
                     {"draft", "convert", 0.01, 5'000},
                     {"split", "convert", 0.3, 5'000}});
     merge_pressures(model);
-    model.waiting = {{"convert", 1.0}};
+    model.kept_shares = {{"convert", 1.0}};
     rack_state rack = make_rack(1);
     add_serving(rack.targets.at("t0"), "draft", 3.0);
     enqueue(rack, make_start("j.0.0.0", make_filling("j.0.0", "index")));
     REQUIRE(place(rack, model) == 0);
-    model.waiting.clear();
+    model.kept_shares.clear();
     REQUIRE(place(rack, model) == 1);
 }
 
--- a/tests/rack/queue_summary_test.cpp
+++ b/tests/rack/queue_summary_test.cpp
@@ -51,7 +51,7 @@
     pressure_model model;
     model.hardness["easy"] = 0.0;
     model.hardness["hard"] = 0.8;
-    model.waiting = {{"hard", 1.0}};
+    model.kept_shares = {{"hard", 1.0}};
     rack_state rack = make_rack();
     step_terms filling = make_terms(1'000);
     filling.uses_idle_cpu = true;
--- a/tests/scheduler/rack_agent_test.cpp
+++ b/tests/scheduler/rack_agent_test.cpp
@@ -208,7 +208,7 @@
             lost.push_back(rack);
             changed.notify_all();
         };
-        result.places_elsewhere = [](const step_terms&, const std::string&)
+        result.hand_back_quota = [](const step_terms&, const std::string&)
         {
             return std::size_t{0};
         };
--- a/tests/scheduler/rack_metrics_test.cpp
+++ b/tests/scheduler/rack_metrics_test.cpp
@@ -73,7 +73,7 @@
     plain_target target;
     std::shared_ptr<metric_registry> registry =
         std::make_shared<metric_registry>();
-    std::size_t places_elsewhere = 0;
+    std::size_t hand_back_quota = 0;
     bool is_recorded = true;
     rack_agent agent;
 
@@ -103,9 +103,9 @@
         };
         result.lost = [](const std::string&) {
         };
-        result.places_elsewhere = [this](const step_terms&, const std::string&)
+        result.hand_back_quota = [this](const step_terms&, const std::string&)
         {
-            return places_elsewhere;
+            return hand_back_quota;
         };
         result.read_assignments = [this](const std::string&)
         {
@@ -267,7 +267,7 @@
           "[metrics]")
 {
     rack_fixture all;
-    all.places_elsewhere = 1;
+    all.hand_back_quota = 1;
     all.send("a.0.0", 9'000);
     REQUIRE(
         all.reaches("egretspindle_start_handed_back_milliseconds_count", 1));
