--- a/src/net/rpc_client.cpp
+++ b/src/net/rpc_client.cpp
@@ -5,6 +5,7 @@
 #include "egretspindle/net/message_auth.hpp"
 
 #include "json_framing.hpp"
+#include "rpc_fault.hpp"
 
 #include <cxxtools/net/tcpsocket.h>
 #include <fmt/format.h>
@@ -48,20 +49,6 @@
     visit("id", value.id);
 }
 
-/// Error of a JSON-RPC 2.0 response.
-struct rpc_fault
-{
-    int code = 0; ///< `error_kind`
-    std::string message;
-};
-
-template <typename Visitor, typename Value>
-void visit_fields(Visitor&& visit, Value& value, const rpc_fault* /*tag*/)
-{
-    visit("code", value.code);
-    visit("message", value.message);
-}
-
 /// JSON-RPC 2.0 response, with a result or an error.
 struct rpc_response
 {
--- a/src/net/rpc_server.cpp
+++ b/src/net/rpc_server.cpp
@@ -6,6 +6,7 @@
 #include "egretspindle/net/message_auth.hpp"
 
 #include "json_framing.hpp"
+#include "rpc_fault.hpp"
 
 #include <cxxtools/net/tcpserver.h>
 #include <cxxtools/net/tcpsocket.h>
@@ -65,20 +66,6 @@
     visit("id", value.id);
 }
 
-/// Error of a JSON-RPC 2.0 response.
-struct rpc_fault
-{
-    int code = 0; ///< `error_kind`
-    std::string message;
-};
-
-template <typename Visitor, typename Value>
-void visit_fields(Visitor&& visit, Value& value, const rpc_fault* /*tag*/)
-{
-    visit("code", value.code);
-    visit("message", value.message);
-}
-
 /// Failed JSON-RPC 2.0 response.
 struct rpc_failure
 {
--- a/src/rack/fleet_load.cpp
+++ b/src/rack/fleet_load.cpp
@@ -3,6 +3,8 @@
 #include "egretspindle/core/rendezvous_hash.hpp"
 #include "egretspindle/rack/interference.hpp"
 
+#include "recent_view.hpp"
+
 #include <algorithm>
 #include <set>
 #include <string_view>
@@ -37,12 +39,6 @@
     std::int64_t taken_by_step = 0;
 };
 
-// A rack whose owner has not reported lately is not trusted to be free.
-bool is_recent(const fleet_load& fleet, const rack_view& view, time_point now)
-{
-    return now - view.reported_at <= report_age(fleet.period);
-}
-
 // Reports come at different ages, so a placement counts until one of its rack
 // can show it, and not for a fixed time.
 bool is_shown(const fleet_load& fleet, const recent_placement& item,
@@ -475,40 +471,6 @@
                               std::max(0.0, share + draw_fraction(random))));
 }
 
-// Targets where an image takes little headroom from any serving task.
-std::int64_t count_suitable(const fleet_load& fleet, const std::string& image,
-                            time_point now)
-{
-    std::map<image_name, bool> harmed; // by serving image
-    const auto is_harmed = [&](const auto& item)
-    {
-        const auto it = harmed.find(item.first);
-        if (it != harmed.end())
-        {
-            return it->second;
-        }
-        const bool value = is_harmful_pair(fleet.pressures, item.first, image);
-        harmed.emplace(item.first, value);
-        return value;
-    };
-    std::int64_t count = 0;
-    for (const auto& [name, view] : fleet.racks)
-    {
-        if (!is_recent(fleet, view, now))
-        {
-            continue;
-        }
-        for (const target_room& room : view.room.targets)
-        {
-            count +=
-                std::none_of(room.spare.begin(), room.spare.end(), is_harmed)
-                    ? 1
-                    : 0;
-        }
-    }
-    return count;
-}
-
 void forget_old(fleet_load& fleet, time_point now)
 {
     fleet.recent.erase(std::remove_if(fleet.recent.begin(), fleet.recent.end(),
@@ -585,31 +547,6 @@
     }
 }
 
-std::map<std::string, double> reserved_shares(const fleet_load& fleet,
-                                              time_point now)
-{
-    std::map<std::string, std::int64_t> starts;
-    for (const auto& [name, view] : fleet.racks)
-    {
-        if (is_recent(fleet, view, now))
-        {
-            for (const auto& [image, count] : view.room.waiting)
-            {
-                starts[image] += count;
-            }
-        }
-    }
-    std::map<std::string, double> shares;
-    for (const auto& [image, count] : starts)
-    {
-        const std::int64_t suitable = count_suitable(fleet, image, now);
-        shares[image] = suitable > count ? static_cast<double>(count) /
-                                               static_cast<double>(suitable)
-                                         : 1.0;
-    }
-    return shares;
-}
-
 std::vector<std::string> choose_racks(fleet_load& fleet,
                                       const step_terms& terms,
                                       std::size_t count,
--- /dev/null
+++ b/src/rack/reserved_shares.cpp
@@ -0,0 +1,75 @@
+#include "egretspindle/rack/fleet_load.hpp"
+
+#include "recent_view.hpp"
+
+#include <algorithm>
+#include <map>
+
+namespace egretspindle
+{
+
+namespace
+{
+
+// Targets where an image takes little headroom from any serving task.
+std::int64_t count_suitable(const fleet_load& fleet, const std::string& image,
+                            time_point now)
+{
+    std::map<image_name, bool> harmed; // by serving image
+    const auto is_harmed = [&](const auto& item)
+    {
+        const auto it = harmed.find(item.first);
+        if (it != harmed.end())
+        {
+            return it->second;
+        }
+        const bool value = is_harmful_pair(fleet.pressures, item.first, image);
+        harmed.emplace(item.first, value);
+        return value;
+    };
+    std::int64_t count = 0;
+    for (const auto& [name, view] : fleet.racks)
+    {
+        if (!is_recent(fleet, view, now))
+        {
+            continue;
+        }
+        for (const target_room& room : view.room.targets)
+        {
+            count +=
+                std::none_of(room.spare.begin(), room.spare.end(), is_harmed)
+                    ? 1
+                    : 0;
+        }
+    }
+    return count;
+}
+
+} // namespace
+
+std::map<std::string, double> reserved_shares(const fleet_load& fleet,
+                                              time_point now)
+{
+    std::map<std::string, std::int64_t> starts;
+    for (const auto& [name, view] : fleet.racks)
+    {
+        if (is_recent(fleet, view, now))
+        {
+            for (const auto& [image, count] : view.room.waiting)
+            {
+                starts[image] += count;
+            }
+        }
+    }
+    std::map<std::string, double> shares;
+    for (const auto& [image, count] : starts)
+    {
+        const std::int64_t suitable = count_suitable(fleet, image, now);
+        shares[image] = suitable > count ? static_cast<double>(count) /
+                                               static_cast<double>(suitable)
+                                         : 1.0;
+    }
+    return shares;
+}
+
+} // namespace egretspindle
