--- a/tests/scheduler/job_coordinator_test.cpp
+++ b/tests/scheduler/job_coordinator_test.cpp
@@ -7,6 +7,7 @@
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
 #include <atomic>
 #include <condition_variable>
 #include <future>
@@ -715,3 +716,26 @@
     REQUIRE(asked.back().earlier_rack == "r3");
     REQUIRE(asked.back().tasks_in_rack.empty());
 }
+
+// A host that thaws after another one has taken its shard and the rack has
+// moved could start the run at the new owner of the rack a second time.
+TEST_CASE("a first start waits for a read that confirms the shard",
+          "[scheduler]")
+{
+    fake_store store;
+    surroundings around;
+    around.confirmed_token = around.token - 1;
+    job_coordinator coordinator(store, around.hooks(), {});
+    coordinator.take_shard(shard_of(job_id));
+    REQUIRE(coordinator.submit(make_call()).verdict == "accepted");
+    coordinator.tick();
+    {
+        const std::lock_guard<std::mutex> lock(around.mutex);
+        REQUIRE(std::all_of(around.sent.begin(), around.sent.end(),
+                            [](const rack_orders& orders)
+                            { return orders.starts.empty(); }));
+    }
+    around.confirmed_token = around.token;
+    coordinator.tick();
+    REQUIRE(around.wait_sent(1).back().starts.size() == 1);
+}
