Accept only IPv4 addresses with a port as endpoints

A host name or a port out of range in a list passed as well and failed when it was used.

parse_endpoint moves to the core package, checks address and port, and is used for both kinds of settings.

--- a/apps/egretctl/admin_client.hpp
+++ b/apps/egretctl/admin_client.hpp
@@ -5,7 +5,7 @@
 #define EGRETSPINDLE_APPS_EGRETCTL_ADMIN_CLIENT_HPP
 
 #include "egretspindle/codec/json.hpp"
-#include "egretspindle/net/endpoint.hpp"
+#include "egretspindle/core/endpoint.hpp"
 
 #include <absl/status/statusor.h>
 
--- a/bench/soak/http_channel.cpp
+++ b/bench/soak/http_channel.cpp
@@ -1,6 +1,6 @@
 #include "http_channel.hpp"
 
-#include "egretspindle/net/endpoint.hpp"
+#include "egretspindle/core/endpoint.hpp"
 
 #include "common/platform_event.hpp"
 
--- a/include/egretspindle/net/endpoint.hpp
+++ b/include/egretspindle/core/endpoint.hpp
@@ -1,8 +1,8 @@
 /// \file
 /// IP address and port.
 
-#ifndef EGRETSPINDLE_NET_ENDPOINT_HPP
-#define EGRETSPINDLE_NET_ENDPOINT_HPP
+#ifndef EGRETSPINDLE_CORE_ENDPOINT_HPP
+#define EGRETSPINDLE_CORE_ENDPOINT_HPP
 
 #include <absl/status/statusor.h>
 
@@ -15,13 +15,14 @@
 /// Address and port that a server listens on.
 struct endpoint
 {
-    std::string address;     ///< IP address
+    std::string address;     ///< IPv4 address
     unsigned short port = 0; ///< TCP port
 };
 
-/// Parses `address:port`.
+/// Parses `address:port`. Host names are not accepted.
 ///
-/// \returns `invalid_argument` when the text has another form
+/// \returns `invalid_argument` if the address is not an IPv4 address, or the
+///          port not a number from 1 to 65535
 [[nodiscard]] absl::StatusOr<endpoint> parse_endpoint(std::string_view text);
 
 /// Formats an endpoint as `address:port`.
--- a/include/egretspindle/net/rpc_client.hpp
+++ b/include/egretspindle/net/rpc_client.hpp
@@ -4,7 +4,7 @@
 #ifndef EGRETSPINDLE_NET_RPC_CLIENT_HPP
 #define EGRETSPINDLE_NET_RPC_CLIENT_HPP
 
-#include "egretspindle/net/endpoint.hpp"
+#include "egretspindle/core/endpoint.hpp"
 
 #include <absl/status/statusor.h>
 
--- a/src/settings/parse_scheduler_settings.cpp
+++ b/src/settings/parse_scheduler_settings.cpp
@@ -1,3 +1,4 @@
+#include "egretspindle/core/endpoint.hpp"
 #include "egretspindle/core/error.hpp"
 #include "egretspindle/settings/scheduler_settings.hpp"
 
@@ -38,7 +39,7 @@
 std::string read_endpoint(table_reader& reader, const char* name)
 {
     std::string text = reader.text(name, expected_endpoint);
-    if (!text.empty() && text.find(':') == std::string::npos)
+    if (!text.empty() && !parse_endpoint(text).ok())
     {
         reader.add_error(name, fmt::format("\"{}\"", text), expected_endpoint);
     }
--- a/src/settings/parse_settings.cpp
+++ b/src/settings/parse_settings.cpp
@@ -1,3 +1,4 @@
+#include "egretspindle/core/endpoint.hpp"
 #include "egretspindle/core/error.hpp"
 #include "egretspindle/logging/log.hpp"
 #include "egretspindle/settings/settings.hpp"
@@ -6,8 +7,6 @@
 #include "settings_reader.hpp"
 
 #include <algorithm>
-#include <arpa/inet.h>
-#include <charconv>
 #include <fstream>
 #include <iterator>
 #include <optional>
@@ -25,21 +24,6 @@
 constexpr std::string_view expected_secret = "at least 16 characters";
 constexpr std::size_t min_secret_size = 16;
 
-bool is_endpoint(const std::string& text)
-{
-    const std::size_t colon = text.rfind(':');
-    if (colon == std::string::npos)
-    {
-        return false;
-    }
-    in_addr address{};
-    unsigned port = 0;
-    const char* last = text.data() + text.size();
-    const auto [end, ec] = std::from_chars(text.data() + colon + 1, last, port);
-    return ::inet_pton(AF_INET, text.substr(0, colon).c_str(), &address) == 1 &&
-           ec == std::errc() && end == last && port > 0 && port < 65536;
-}
-
 bool is_name(const std::string& text)
 {
     return !text.empty() && text.size() <= 128 &&
@@ -62,7 +46,7 @@
                           bool is_optional = false)
 {
     std::string text = reader.text(name, expected_endpoint, is_optional);
-    if (!text.empty() && !is_endpoint(text))
+    if (!text.empty() && !parse_endpoint(text).ok())
     {
         reader.add_error(name, quoted(text), expected_endpoint);
     }
@@ -203,7 +187,8 @@
     for (std::size_t n = 0; seeds != nullptr && n < seeds->size(); ++n)
     {
         const toml::node* node = seeds->get(n);
-        if (!node->is_string() || !is_endpoint(node->as_string()->get()))
+        if (!node->is_string() ||
+            !parse_endpoint(node->as_string()->get()).ok())
         {
             cluster.add_error(fmt::format("seeds[{}]", n), describe(node),
                               expected_endpoint);
--- a/tests/settings/scheduler_settings_test.cpp
+++ b/tests/settings/scheduler_settings_test.cpp
@@ -57,3 +57,26 @@
                           .ok());
     }
 }
+
+// Guards against settings that pass the check and end the process at its start.
+TEST_CASE("malformed addresses are reported", "[settings]")
+{
+    REQUIRE(parse_scheduler_settings(required).ok());
+    for (const char* name : {"callers", "ready", "peer", "store"})
+    {
+        for (const char* wrong :
+             {"nohost:notaport", "nohost:80", "10.0.0.1:0", "10.0.0.1:65536"})
+        {
+            CAPTURE(name, wrong);
+            std::string text = required;
+            const std::size_t begin =
+                text.find('"', text.find(std::string(name) + " = "));
+            const std::size_t end = text.find('"', begin + 1);
+            text.replace(begin + 1, end - begin - 1, wrong);
+            const absl::Status status = parse_scheduler_settings(text).status();
+            REQUIRE_FALSE(status.ok());
+            CHECK(std::string(status.message()).find(name) !=
+                  std::string::npos);
+        }
+    }
+}
--- a/tools/common/serve.cpp
+++ b/tools/common/serve.cpp
@@ -1,6 +1,6 @@
 #include "serve.hpp"
 
-#include "egretspindle/net/endpoint.hpp"
+#include "egretspindle/core/endpoint.hpp"
 
 #include <fmt/format.h>
 
--- a/tools/fault_proxy/link.hpp
+++ b/tools/fault_proxy/link.hpp
@@ -4,7 +4,7 @@
 #ifndef EGRETSPINDLE_TOOLS_FAULT_PROXY_LINK_HPP
 #define EGRETSPINDLE_TOOLS_FAULT_PROXY_LINK_HPP
 
-#include "egretspindle/net/endpoint.hpp"
+#include "egretspindle/core/endpoint.hpp"
 
 #include "link_mode.hpp"
 
--- a/tools/standin_platform/main.cpp
+++ b/tools/standin_platform/main.cpp
@@ -1,7 +1,7 @@
 // Stand-in for the users' platform: store, configuration and targets. For
 // tests only.
 
-#include "egretspindle/net/endpoint.hpp"
+#include "egretspindle/core/endpoint.hpp"
 
 #include "common/serve.hpp"
 #include "platform.hpp"
--- a/tools/standin_platform/platform.cpp
+++ b/tools/standin_platform/platform.cpp
@@ -1,6 +1,6 @@
 #include "platform.hpp"
 
-#include "egretspindle/net/endpoint.hpp"
+#include "egretspindle/core/endpoint.hpp"
 
 #include "common/reply.hpp"
 
