Leave out odd entries of the list of targets

Another program may write entries to the list. Negative or huge capacity, ports out of range, host names, empty data centres and rack names that are too long for a row key reached the scheduler: a sum of capacities overflowed into an endless draw, a claim of a rack with such a name failed together with all others, and a target without a valid address was polled at an empty endpoint.

--- a/src/rack/rack_load_report.cpp
+++ b/src/rack/rack_load_report.cpp
@@ -35,6 +35,10 @@
     refresh_colocations(rack, model, now);
     for (const auto& [id, target] : rack.targets)
     {
+        if (!target.is_reached)
+        {
+            continue; // nothing shows that it exists
+        }
         target_load_report item;
         item.id = id;
         item.room = target.cached.room;
--- a/tests/platform/target_list_test.cpp
+++ b/tests/platform/target_list_test.cpp
@@ -3,6 +3,9 @@
 #include <catch2/catch.hpp>
 #include <fmt/format.h>
 
+#include <string>
+#include <vector>
+
 using namespace egretspindle;
 using namespace egretspindle::platform;
 
@@ -144,6 +147,96 @@
     REQUIRE(list.entries().size() == 3);
 }
 
+// Another program may write entries to the list. Guards against hosts that end
+// or stop following the list because of one odd entry, and against odd values
+// that reach the scheduler: negative capacity ended in an endless draw, and a
+// rack name that is too long for a row key blocked the claims of all racks.
+TEST_CASE("an odd entry is left out, and the other entries are followed",
+          "[platform]")
+{
+    const std::string valid =
+        R"({"service":"svc","address":"10.0.0.9:80","zone":"z",)"
+        R"("state":"ready","capacity":{"cpu":1,"memMb":1,"gpu":0},)"
+        R"("labels":["a","r1-3"],"born":5})";
+    const auto nested = [](std::size_t depth)
+    {
+        return std::string(depth, '[') + std::string(depth, ']');
+    };
+    const auto with = [&valid](const std::string& old, const std::string& text)
+    {
+        std::string value = valid;
+        return value.replace(value.find(old), old.size(), text);
+    };
+    std::vector<std::string> odd_values = {
+        "",
+        "{",
+        "null",
+        "5",
+        "[]",
+        "{}",
+        "\xff\xfe",
+        std::string(100, '\0'),
+        nested(100'000),
+        "{\"state\":" + nested(100'000) + "}",
+        with("\"ready\"", "\"odd\""),
+        with("\"svc\"", "\"\""),
+        with("\"svc\"", "null"),
+        with("\"z\"", "\"\""),
+        with("\"z\"", "\"" + std::string(200, 'z') + "\""),
+        with("\"r1-3\"", "\"\""),
+        with("\"r1-3\"", "7"),
+        with("\"r1-3\"", "\"" + std::string(256 * 1024, 'r') + "\""),
+        with("[\"a\",\"r1-3\"]", "[]"),
+        with("[\"a\",\"r1-3\"]", "{}"),
+        with("\"svc\"", "\"\\ud800\""),
+        with("5", "1e400"),
+        with("5", "9223372036854775808"),
+        with("5", "5.5")};
+    for (const char* port : {"0", "-1", "65536", "99999999999", "", "x"})
+    {
+        odd_values.push_back(with(":80", std::string(":") + port));
+    }
+    odd_values.push_back(with("10.0.0.9", "nohost"));
+    for (const char* number :
+         {"-1", "9223372036854775807", "9223372036854775808", "1e400", "1e300",
+          "1e-400", "0.5", "true", "\"1\""})
+    {
+        odd_values.push_back(
+            with("\"cpu\":1", std::string("\"cpu\":") + number));
+        odd_values.push_back(
+            with("\"memMb\":1", std::string("\"memMb\":") + number));
+    }
+    for (const std::size_t depth : {64, 65})
+    {
+        odd_values.push_back(with("\"z\"", "\"z\",\"more\":" + nested(depth)));
+    }
+    for (const std::string& value : odd_values)
+    {
+        CAPTURE(value.substr(0, 300));
+        row_map rows = make_rows();
+        target_list list;
+        list.update(rows);
+        rows["i-0"].key = "i-0";
+        rows["i-0"].value = value;
+        rows["i-0"].version = 2;
+        target_changes changes = list.update(rows);
+        CHECK_FALSE(changes.entries_changed);
+        REQUIRE(changes.malformed.size() == 1);
+        CHECK(changes.malformed[0].error.size() < 500);
+        write_row(rows, "i-4", {}, 3);
+        rows["i-0"].version = 3;
+        changes = list.update(rows);
+        CHECK(changes.entries_changed);
+        CHECK(changes.malformed.empty());
+        CHECK(list.entries().size() == 4);
+    }
+    row_map rows;
+    rows["i-0"].value = valid;
+    target_list list;
+    list.update(rows);
+    CHECK(list.entries().size() == 1);
+}
+
 // Guards against a fixed pause: with 700 ms, the list was read more often than
 // a platform with a drain time of 3 s requires.
 TEST_CASE("the pause between reads depends on the drain time", "[platform]")
