Reject jobs with numbers out of range

A schedule of 2^63 occurrences without an interval, or sizes near 2^63, exhausted the memory of a host or overflowed its sums. check_job limits each number, and the tasks of all steps and occurrences together to a million. job_machine_test failed on the former code.

--- a/src/jobs/check_job.cpp
+++ b/src/jobs/check_job.cpp
@@ -12,6 +12,16 @@
 // Limit the memory that one submission takes on a host.
 constexpr std::size_t max_steps = 1'000;
 constexpr std::int64_t max_tasks_per_step = 100'000;
+constexpr std::int64_t max_tasks = 1'000'000; // of all steps and occurrences
+// Largest size, duration or time of a step. Sums over all tasks of a job fit
+// into 64 bits.
+constexpr std::int64_t max_quantity = 1'000'000'000'000;
+constexpr std::int64_t max_unix_ms = 1'000'000'000'000'000;
+
+bool is_quantity(std::int64_t value)
+{
+    return value >= 0 && value <= max_quantity;
+}
 
 absl::Status step_error(std::size_t step, std::string_view message)
 {
@@ -28,10 +38,17 @@
                                       "job",
                                       max_tasks_per_step));
     }
-    if (step.cpu_milli < 0 || step.memory_mb < 0 || step.accelerators < 0 ||
-        step.estimate_ms < 0 || step.max_per_target < 0)
+    for (const std::int64_t value :
+         {step.cpu_milli, step.memory_mb, step.accelerators, step.estimate_ms,
+          step.max_per_target, step.response_target_ms, step.max_absent})
     {
-        return step_error(step_index, "a size is negative; correct it");
+        if (!is_quantity(value))
+        {
+            return step_error(step_index,
+                              fmt::format("a number is outside 0 to {}; "
+                                          "correct it",
+                                          max_quantity));
+        }
     }
     for (const std::int64_t earlier : step.after)
     {
@@ -55,11 +72,7 @@
             error_kind::invalid_argument,
             fmt::format("a job has 1 to {} steps; change it", max_steps));
     }
-    if (spec.repeat_count < 0 || spec.interval_ms < 0)
-    {
-        return make_error(error_kind::invalid_argument,
-                          "the schedule has a negative number; correct it");
-    }
+    std::int64_t tasks = 0; // of one occurrence
     for (std::size_t n = 0; n < spec.steps.size(); ++n)
     {
         const absl::Status status = check_step(spec.steps[n], n);
@@ -67,6 +80,18 @@
         {
             return status;
         }
+        tasks += spec.steps[n].count;
+    }
+    const std::int64_t max_occurrences = max_tasks / tasks;
+    if (spec.repeat_count < 0 || spec.repeat_count > max_occurrences ||
+        !is_quantity(spec.interval_ms) || spec.start_at_ms < -max_unix_ms ||
+        spec.start_at_ms > max_unix_ms)
+    {
+        return make_error(error_kind::invalid_argument,
+                          fmt::format("a number of the schedule is out of "
+                                      "range, or there are more than {} "
+                                      "tasks; correct it or split the job",
+                                      max_tasks));
     }
     return absl::OkStatus();
 }
--- a/tests/jobs/job_machine_test.cpp
+++ b/tests/jobs/job_machine_test.cpp
@@ -257,6 +257,42 @@
     REQUIRE(check_job(spec).ok());
 }
 
+// Guards against submissions that exhaust the memory of a host or overflow its
+// sums.
+TEST_CASE("a job with numbers out of range is rejected", "[jobs]")
+{
+    constexpr std::int64_t large = 9'223'372'036'854'775'807;
+    const auto is_accepted = [](const auto& change)
+    {
+        job_spec spec;
+        spec.steps = {make_step(2)};
+        spec.repeat_count = 2;
+        change(spec);
+        return check_job(spec).ok();
+    };
+    CHECK(is_accepted([](job_spec&) {}));
+    CHECK(is_accepted([](job_spec& it)
+                      { it.start_at_ms = 1'796'000'000'000; })); // 2026
+    CHECK_FALSE(is_accepted([](job_spec& it) { it.repeat_count = large; }));
+    CHECK_FALSE(is_accepted([](job_spec& it) { it.interval_ms = large; }));
+    CHECK_FALSE(is_accepted([](job_spec& it) { it.start_at_ms = large; }));
+    CHECK_FALSE(is_accepted([](job_spec& it) { it.start_at_ms = -large; }));
+    CHECK_FALSE(is_accepted([](job_spec& it) { it.steps[0].count = large; }));
+    for (std::int64_t step_spec::*field :
+         {&step_spec::cpu_milli, &step_spec::memory_mb,
+          &step_spec::accelerators, &step_spec::estimate_ms,
+          &step_spec::max_per_target, &step_spec::response_target_ms,
+          &step_spec::max_absent})
+    {
+        CHECK_FALSE(
+            is_accepted([&](job_spec& it) { it.steps[0].*field = large; }));
+        CHECK_FALSE(
+            is_accepted([&](job_spec& it) { it.steps[0].*field = -1; }));
+    }
+    CHECK_FALSE(is_accepted([](job_spec& it)
+                            { it.steps.assign(1'000, make_step(100'000)); }));
+}
+
 // Reports random ends, some of outdated runs, and reloads the record at random.
 // At any time a task has at most one run that may be executing, and a task that
 // is done never starts again.
