Answer messages and requests whose handler fails

An exception in the handler of a message closed its connection without a reply, so that the sender had to assume that the message may take effect later; one in the handler of a load datagram ended the process; and one while a response was sent left the count of requests in progress raised, so that a shutdown waited in vain. Each is logged now.

--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -2,6 +2,7 @@
 
 #include "egretspindle/codec/json.hpp"
 #include "egretspindle/core/error.hpp"
+#include "egretspindle/logging/log.hpp"
 #include "egretspindle/net/error_reply.hpp"
 
 #include <cxxtools/eventloop.h>
@@ -105,6 +106,28 @@
 namespace
 {
 
+/// Counts a request while it exists, also if sending the reply throws.
+class request_in_progress
+{
+public:
+    explicit request_in_progress(in_progress_counter& counter)
+        : counter_(counter)
+    {
+        counter_.request_begun();
+    }
+
+    ~request_in_progress()
+    {
+        counter_.request_ended();
+    }
+
+    request_in_progress(const request_in_progress&) = delete;
+    request_in_progress& operator=(const request_in_progress&) = delete;
+
+private:
+    in_progress_counter& counter_;
+};
+
 class handler_service;
 
 class handler_responder : public cxxtools::http::Responder
@@ -221,7 +244,7 @@
                               cxxtools::http::Request& request,
                               cxxtools::http::Reply& reply)
 {
-    service_.counter().request_begun();
+    const request_in_progress in_progress(service_.counter());
     http_response response;
     if (is_oversized_)
     {
@@ -250,15 +273,17 @@
         {
             response = service_.handle(converted);
         }
-        catch (const std::exception&)
+        catch (const std::exception& ex)
         {
+            log_error("request failed", {{"method", converted.method},
+                                         {"path", converted.path},
+                                         {"error", ex.what()}});
             response = error_response(500, "internal",
                                       "the request failed; report the log "
                                       "line with this time");
         }
     }
     send(out, reply, response);
-    service_.counter().request_ended();
 }
 
 void handler_responder::replyError(std::ostream& out,
--- a/src/net/rpc_server.cpp
+++ b/src/net/rpc_server.cpp
@@ -122,6 +122,9 @@
     void join_finished();
     void serve(connection& client);
     std::string handle_message(const std::string& text) const;
+    absl::StatusOr<std::string> call_handler(const std::string& type,
+                                             const std::string& sender,
+                                             const std::string& payload) const;
 
     std::string cluster_key;
     rpc_handler handler;
@@ -234,6 +237,26 @@
     client.is_finished = true;
 }
 
+// The sender gets an answer if the handler throws: without one, it would assume
+// that the message may take effect later.
+absl::StatusOr<std::string>
+rpc_server::impl::call_handler(const std::string& type,
+                               const std::string& sender,
+                               const std::string& payload) const
+{
+    try
+    {
+        return handler(type, sender, payload);
+    }
+    catch (const std::exception& ex)
+    {
+        log_error("message from another host failed",
+                  {{"type", type}, {"sender", sender}, {"error", ex.what()}});
+        return make_error(error_kind::internal,
+                          "the message failed; see the log of the receiver");
+    }
+}
+
 std::string rpc_server::impl::handle_message(const std::string& text) const
 {
     const absl::StatusOr<rpc_request> request = from_json<rpc_request>(text);
@@ -260,7 +283,8 @@
                                        "cluster key on all hosts"),
                             tag, request->id);
     }
-    const absl::StatusOr<std::string> reply = handler(type, sender, payload);
+    const absl::StatusOr<std::string> reply =
+        call_handler(type, sender, payload);
     if (!reply.ok())
     {
         return format_error(reply.status(), tag, request->id);
--- a/src/scheduler/load_exchange.cpp
+++ b/src/scheduler/load_exchange.cpp
@@ -1,14 +1,17 @@
 #include "egretspindle/scheduler/load_exchange.hpp"
 
 #include "egretspindle/codec/json.hpp"
+#include "egretspindle/core/endpoint.hpp"
 #include "egretspindle/core/error.hpp"
-#include "egretspindle/net/endpoint.hpp"
+#include "egretspindle/logging/log.hpp"
+#include "egretspindle/logging/log_rate_limit.hpp"
 #include "egretspindle/net/message_auth.hpp"
 
 #include <fmt/format.h>
 
 #include <arpa/inet.h>
 #include <atomic>
+#include <optional>
 #include <sys/socket.h>
 #include <thread>
 #include <unistd.h>
@@ -26,6 +29,8 @@
 constexpr std::size_t max_datagram_size = 60'000;
 // Longest delay until the receiving thread notices `stop`.
 constexpr timeval receive_timeout{0, 500'000};
+// Minimum time between log lines about messages that cannot be used.
+constexpr milliseconds log_period{1'000};
 
 // Returns the address, or 0.0.0.0 if it is no IPv4 address.
 sockaddr_in to_address(const endpoint& server)
@@ -42,7 +47,9 @@
 struct load_exchange::impl
 {
     void receive_all();
+    void log_rejected(std::string_view error);
 
+    log_rate_limit log_limit{log_period};
     std::string authentication_key;
     receive_function on_receive;
     int socket = -1;
@@ -71,10 +78,29 @@
         }
         const absl::StatusOr<load_message> message =
             from_json<load_message>(payload);
-        if (message.ok())
+        if (!message.ok())
+        {
+            log_rejected(std::string(message.status().message()));
+            continue;
+        }
+        try
         {
             on_receive(*message, text.size());
         }
+        catch (const std::exception& ex)
+        {
+            log_rejected(ex.what());
+        }
+    }
+}
+
+void load_exchange::impl::log_rejected(std::string_view error)
+{
+    const std::optional<std::int64_t> suppressed = log_limit.try_acquire();
+    if (suppressed)
+    {
+        log_warning("load message ignored",
+                    {{"error", std::string(error)}, {"left_out", *suppressed}});
     }
 }
 
--- a/tests/net/net_test.cpp
+++ b/tests/net/net_test.cpp
@@ -122,6 +122,30 @@
           error_kind::unauthorized);
 }
 
+// Guards against a message without an answer: its sender has to assume that it
+// may take effect later, and its connection is lost for other messages.
+TEST_CASE("a message whose handler throws gets an error", "[net]")
+{
+    const unsigned short port = test::free_port();
+    rpc_server server("key",
+                      [](const std::string& type, const std::string&,
+                         const std::string&) -> absl::StatusOr<std::string>
+                      {
+                          if (type == "throw")
+                          {
+                              throw std::length_error("odd message");
+                          }
+                          return std::string("reply");
+                      });
+    REQUIRE(server.start("127.0.0.1", port).ok());
+    rpc_client client("key", "a1");
+    const endpoint address{"127.0.0.1", port};
+    const std::chrono::milliseconds timeout(2000);
+    CHECK(kind_of(client.call(address, "throw", "", timeout).status()) ==
+          error_kind::internal);
+    CHECK(client.call(address, "echo", "", timeout).ok());
+}
+
 TEST_CASE("the MAC depends on how a message is split into parts", "[net]")
 {
     CHECK(message_mac("k", "ab", "c", "d") != message_mac("k", "a", "bc", "d"));
