Do not answer a malformed job record as absent

A caller of an accepted job whose record cannot be decoded was told that there is no such job (410). It is told that the state is unknown. job_coordinator_test failed on the former code.

--- a/src/scheduler/job_coordinator_shards.cpp
+++ b/src/scheduler/job_coordinator_shards.cpp
@@ -240,8 +240,8 @@
 }
 
 // Returns a job that was not in memory, read from the store; null if it has no
-// record, or one that cannot be decoded. Sets `is_reachable` to false if that
-// is not certain: the store did not answer, or this host no longer owns the
+// record. Sets `is_reachable` to false if that is not certain: the store did
+// not answer, the record cannot be decoded, or this host no longer owns the
 // shard.
 entry_ptr job_coordinator::impl::fetch_job(const std::string& id,
                                            bool& is_reachable)
@@ -277,7 +277,9 @@
         return nullptr;
     }
     insert_job(page->rows.front(), range.part);
-    return find_job(id);
+    entry_ptr entry = find_job(id);
+    is_reachable = entry != nullptr; // a malformed record is not an absent one
+    return entry;
 }
 
 } // namespace egretspindle
--- a/tests/scheduler/job_coordinator_test.cpp
+++ b/tests/scheduler/job_coordinator_test.cpp
@@ -686,6 +686,25 @@
 
 // Guards against writes of an unchanged record in each tick while no rack can
 // take a task.
+// Guards against telling a caller that an accepted job does not exist.
+TEST_CASE("a job whose record is malformed is unknown rather than absent",
+          "[scheduler]")
+{
+    fake_store store;
+    fake_environment environment;
+    row_transaction transaction;
+    table_row row;
+    row.table = std::string(jobs_table);
+    row.part = shard_of(job_id);
+    row.key = job_id;
+    row.value = "{";
+    transaction.writes.push_back(row);
+    REQUIRE(store.commit(transaction, {}).ok());
+    job_coordinator coordinator(store, environment.hooks(), {});
+    coordinator.take_shard(shard_of(job_id));
+    REQUIRE(coordinator.query(make_request()).verdict == "unknown");
+}
+
 TEST_CASE("a job that fits on no rack is not written at each tick",
           "[scheduler]")
 {
