Record where long-running runs may be before they start

After a takeover of a rack, a start that had been sent before waited until every target of the rack was reached, or 14.7 s for the longest lease, also if it had never left its former owner.

The owner of a rack records the intent to start a long-running run, with its target, before it sends the start, and later that the target has confirmed it.

A target is listed durably from its first answer on, so that takeovers do not wait for entries of targets that do not exist.

--- a/include/egretspindle/rack/rack_state.hpp
+++ b/include/egretspindle/rack/rack_state.hpp
@@ -13,6 +13,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <utility>
@@ -55,6 +56,9 @@
     bool is_confirmed = false; ///< the target has confirmed the start
     bool is_reported = false;  ///< as started, to the owner of the job
     bool is_stopping = false;  ///< a stop of it is requested
+    /// The start is sent once the intent to start the run has been recorded;
+    /// see `start_intents.hpp`.
+    bool awaits_intent = false;
     /// The run has ended. It is kept until a stop is confirmed, which rules out
     /// that a delayed copy of its start runs it again.
     bool is_ended = false;
@@ -82,6 +86,17 @@
 /// Name of a task and number of its run.
 using run_id = std::pair<std::string, std::int64_t>;
 
+/// Intent to start a run on a target.
+struct start_intent
+{
+    std::string target; ///< id
+    /// The target has confirmed the start, and no copy of it can still arrive.
+    bool is_confirmed = false;
+};
+
+/// Intents by run.
+using start_intents = std::map<run_id, start_intent>;
+
 /// Target of a rack as known to the owner of the rack.
 struct rack_target
 {
@@ -134,6 +149,9 @@
     /// Until then, targets that this owner has not reached may run tasks of an
     /// earlier owner. All targets that it can have used are in `targets`.
     time_point unknown_until;
+    /// The same for runs whose start was confirmed: no order to start them is
+    /// under way that a restarted target could grant the longest lease.
+    time_point confirmed_unknown_until;
     std::map<std::string, rack_target> targets; ///< by id
     std::size_t recorded_targets = 0;           ///< in the durable list
     std::vector<queued_start> queue;
@@ -141,6 +159,13 @@
     /// The leases of a target of an earlier owner expired before this owner
     /// reached it. The target may list ends of runs of that owner later.
     bool has_unseen_ends = false;
+    bool has_read_intents = false; ///< recorded by earlier owners
+    /// Long-running runs that earlier owners may have started, with the only
+    /// possible target of each; no value until the record has been read, and if
+    /// it is incomplete.
+    std::optional<start_intents> inherited_intents;
+    start_intents recorded_intents;   ///< as last recorded by this owner
+    std::int64_t intents_version = 0; ///< of the row of the record
     std::set<run_id> stops; ///< pending, of runs that are not known here yet
     /// Latest run of each task whose end this owner has reported, so that a
     /// repeated start does not run it again.
@@ -155,7 +180,9 @@
 
 /// Records that the store showed this host as owner.
 ///
-/// \param read_at  start of the read, or of the write that claimed the rack
+/// \param read_at  start of the read, or of the write that claimed the rack; on
+///                 the boot clock, of the last confirmed heartbeat if that is
+///                 earlier
 void confirm_ownership(rack_state& rack, const clock_reading& read_at,
                        const lease_limits& limits);
 
@@ -192,6 +219,10 @@
 /// order made for its earlier boot: the clock of that one was ahead.
 [[nodiscard]] milliseconds max_lease_duration(const lease_limits& limits);
 
+/// Returns the time after which a lease granted now to a target that does not
+/// restart has certainly expired.
+[[nodiscard]] milliseconds lease_duration(const lease_limits& limits);
+
 /// Allows for leases of orders that were made for an earlier boot of a target
 /// and sent until now.
 void allow_for_stale_order(rack_target& target, const lease_limits& limits,
--- a/include/egretspindle/scheduler/cluster_agent.hpp
+++ b/include/egretspindle/scheduler/cluster_agent.hpp
@@ -36,14 +36,27 @@
     restart, ///< an earlier process of this host, which has ended
 };
 
+/// What is known of the former owner of a resource when it was claimed.
+struct former_ownership
+{
+    former_owner kind = former_owner::none;
+    /// When this host read the last heartbeat of a host that is not live, on
+    /// which the claim depended. The former owner has confirmed no later one.
+    std::optional<time_point> last_heartbeat;
+    /// When this host read that the former owner is a process that has ended.
+    std::optional<time_point> ended_at;
+};
+
 /// Callbacks of the agent for changes of ownership. Called from its thread,
 /// without its lock.
 struct cluster_hooks
 {
     /// This host has become owner, as confirmed by a read or a write that began
-    /// at `confirmed_at`.
+    /// at `confirmed_at`. The boot clock of a reading is that of the last
+    /// confirmed heartbeat if that is earlier.
     std::function<void(const std::string& resource, std::int64_t token,
-                       former_owner former, const clock_reading& confirmed_at)>
+                       const former_ownership& former,
+                       const clock_reading& confirmed_at)>
         taken;
     /// This host is no longer the owner, as shown by a read.
     std::function<void(const std::string& resource)> lost;
--- a/include/egretspindle/scheduler/heartbeat.hpp
+++ b/include/egretspindle/scheduler/heartbeat.hpp
@@ -5,6 +5,7 @@
 #define EGRETSPINDLE_SCHEDULER_HEARTBEAT_HPP
 
 #include "egretspindle/cluster/cluster_view.hpp"
+#include "egretspindle/core/boot_clock.hpp"
 #include "egretspindle/core/clock.hpp"
 #include "egretspindle/fleet/table_store.hpp"
 
@@ -47,6 +48,10 @@
     /// progress. Restarts the time of `stall_timeout`.
     void report_progress();
 
+    /// Returns the start of the last write that the store confirmed; the epoch
+    /// of the clock if there is none.
+    [[nodiscard]] boot_time_point confirmed_at() const;
+
     /// Sets the number of jobs that have not started, by queue, for the next
     /// write.
     void set_pending(std::map<std::string, std::int64_t> pending);
--- a/include/egretspindle/scheduler/rack_agent.hpp
+++ b/include/egretspindle/scheduler/rack_agent.hpp
@@ -11,6 +11,7 @@
 #include "egretspindle/rack/pair_outbox.hpp"
 #include "egretspindle/rack/rack_state.hpp"
 #include "egretspindle/scheduler/activity.hpp"
+#include "egretspindle/scheduler/intent_rows.hpp"
 #include "egretspindle/scheduler/owner_messages.hpp"
 
 #include <cstdint>
@@ -51,6 +52,15 @@
     std::function<bool(const std::string& rack, std::int64_t token,
                        const rack_roster& roster)>
         record_roster;
+    /// Reads the recorded intents of a rack to start long-running runs. If
+    /// absent, intents are neither read nor recorded.
+    std::function<absl::StatusOr<intent_record>(const std::string& rack)>
+        read_intents;
+    /// Replaces the record, see `write_intents`.
+    std::function<absl::StatusOr<intent_write>(const std::string& rack,
+                                               std::int64_t token,
+                                               const intent_record& record)>
+        write_intents;
     /// Registry of the agent's metrics.
     std::shared_ptr<metric_registry> metrics =
         std::make_shared<metric_registry>();
@@ -72,6 +82,11 @@
     /// that must not be sent now.
     milliseconds order_retry{150};
     milliseconds poll_retry{300}; ///< delay after a failed poll
+    /// Delay after a failed read or write of recorded intents.
+    milliseconds intent_retry{100};
+    /// Time after which confirmations of starts are recorded with their
+    /// intents, so that one write serves the starts of a step.
+    milliseconds confirmation_delay{1'000};
     /// Longest delay of the next poll until listed ends are recorded.
     milliseconds ack_wait{150};
     /// Time in the queue after which a start is handed back, if it fits into
@@ -101,8 +116,12 @@
 /// A target gets starts only after it has been recorded in the durable list of
 /// its rack, so that a later owner knows every target that may have runs.
 ///
+/// A long-running run is started only after the intent to start it has been
+/// recorded, so that a later owner knows its target without reaching all.
+///
 /// One mutex guards all racks; it is never held during a remote call. Each
-/// target has a thread that polls it and one that sends orders to it.
+/// target has a thread that polls it and one that sends orders to it. One
+/// thread reads and records intents.
 class rack_agent
 {
 public:
--- a/include/egretspindle/scheduler/shard.hpp
+++ b/include/egretspindle/scheduler/shard.hpp
@@ -20,6 +20,9 @@
 /// Table of heartbeats, owner rows and target lists of racks.
 constexpr std::string_view cluster_table = "cluster";
 
+/// Table of the intents to start long-running runs. The key is the rack.
+constexpr std::string_view intents_table = "start_intents";
+
 /// Prefixes of the keys of owner rows, followed by the name of the shard or
 /// rack. The version of the row is the fencing token of the ownership.
 constexpr std::string_view shard_prefix = "shard/";
--- a/src/rack/rack_decision.cpp
+++ b/src/rack/rack_decision.cpp
@@ -1,5 +1,7 @@
 #include "egretspindle/rack/rack_decision.hpp"
 
+#include "egretspindle/rack/start_intents.hpp"
+
 #include <algorithm>
 #include <iterator>
 #include <set>
@@ -712,13 +714,7 @@
     {
         return events;
     }
-    const bool has_unseen_ends =
-        rack.has_unseen_ends ||
-        std::any_of(rack.targets.begin(), rack.targets.end(),
-                    [](const auto& item) {
-                        return item.second.is_inherited &&
-                               !item.second.is_reached;
-                    });
+    const bool has_unseen_ends = may_have_unseen_end(rack, *it);
     if (is_recorded && !has_unseen_ends)
     {
         it->is_repeated = false;
--- a/src/rack/rack_state.cpp
+++ b/src/rack/rack_state.cpp
@@ -93,6 +93,11 @@
     return with_drift(limits.longest.count(), limits);
 }
 
+milliseconds lease_duration(const lease_limits& limits)
+{
+    return with_drift(limits.lease.count(), limits);
+}
+
 void allow_for_stale_order(rack_target& target, const lease_limits& limits,
                            time_point now)
 {
--- a/src/scheduler/cluster_agent.cpp
+++ b/src/scheduler/cluster_agent.cpp
@@ -84,6 +84,10 @@
     resource& find_resource(const std::string& name);
     [[nodiscard]] bool is_owned(const resource& item) const;
     [[nodiscard]] former_owner former_owner_of(const resource& item) const;
+    [[nodiscard]] former_ownership former_ownership_of(const resource& item,
+                                                       time_point now) const;
+    [[nodiscard]] clock_reading
+    limit_by_heartbeat(const clock_reading& reading) const;
 
     table_store& store;
     const host_row self; ///< initial heartbeat row
@@ -106,7 +110,7 @@
     /// Tokens of the owned resources that `hooks.taken` was called for.
     std::map<std::string, std::int64_t> announced;
     /// By resource, at the latest attempt of this host to claim it.
-    std::map<std::string, former_owner> former_owners;
+    std::map<std::string, former_ownership> former_owners;
     /// Tokens by resource, for resources to claim again; see
     /// `report_newer_token`.
     std::map<std::string, std::int64_t> unconfirmed_tokens;
@@ -132,6 +136,37 @@
     return former_owner::other;
 }
 
+// The last heartbeat counts only for a host that is not live: the claim depends
+// on the row that has it, and that of a live host changes every second.
+former_ownership cluster_agent::impl::former_ownership_of(const resource& item,
+                                                          time_point now) const
+{
+    former_ownership former;
+    former.kind = former_owner_of(item);
+    const auto host = view.hosts.find(item.owner.host);
+    if (former.kind != former_owner::other || host == view.hosts.end())
+    {
+        return former;
+    }
+    if (host->second.row.boot != item.owner.boot)
+    {
+        former.ended_at = host->second.boot_seen_at;
+    }
+    else if (!is_live(view, item.owner.host, limits, now))
+    {
+        former.last_heartbeat = host->second.changed_at;
+    }
+    return former;
+}
+
+// Limits the right to grant leases to a time after the last confirmed
+// heartbeat, which later owners rely on.
+clock_reading
+cluster_agent::impl::limit_by_heartbeat(const clock_reading& reading) const
+{
+    return {reading.steady, std::min(reading.boot, heartbeats.confirmed_at())};
+}
+
 // Returns a resource of the view, which is added if it is missing. The data
 // centre of a rack that has no targets is "-", so that it counts as a rack.
 resource& cluster_agent::impl::find_resource(const std::string& name)
@@ -246,7 +281,8 @@
 {
     row_transaction transaction;
     std::vector<std::string> names;
-    std::vector<former_owner> former;
+    std::vector<former_ownership> former;
+    std::set<std::string> stopped_hosts; // whose heartbeats are conditions
     std::map<std::string, std::int64_t> confirming; // token by resource
     {
         const std::lock_guard<std::mutex> lock(mutex);
@@ -263,8 +299,8 @@
         }
         confirming.swap(unconfirmed_tokens);
         // Claims that do not fit into one transaction follow the next read. A
-        // claim of a rack has two conditions and a write.
-        constexpr std::size_t entries_per_claim = 3;
+        // claim of a rack has up to three conditions and a write.
+        constexpr std::size_t entries_per_claim = 4;
         constexpr std::size_t max_claims =
             max_transaction_entries / entries_per_claim;
         names.resize(std::min(names.size(), max_claims));
@@ -284,8 +320,16 @@
                      std::string(roster_prefix) + rack,
                      view.rosters[rack].version});
             }
-            former.push_back(former_owner_of(item));
-            if (former.back() == former_owner::other &&
+            former.push_back(former_ownership_of(item, now));
+            if (former.back().last_heartbeat &&
+                stopped_hosts.insert(item.owner.host).second)
+            {
+                transaction.conditions.push_back(
+                    {std::string(cluster_table), "",
+                     std::string(host_prefix) + item.owner.host,
+                     view.hosts.at(item.owner.host).version});
+            }
+            if (former.back().kind == former_owner::other &&
                 is_live(view, item.owner.host, limits, now))
             {
                 view.last_rebalance = now;
@@ -327,7 +371,7 @@
 // Calls the hooks for resources that were gained or lost since the last call.
 void cluster_agent::impl::announce(const clock_reading& confirmed_at)
 {
-    std::vector<std::tuple<std::string, std::int64_t, former_owner>> taken;
+    std::vector<std::tuple<std::string, std::int64_t, former_ownership>> taken;
     std::vector<std::string> lost;
     {
         const std::lock_guard<std::mutex> lock(mutex);
@@ -386,11 +430,11 @@
         const clock_reading read_at = read_clocks();
         if (read())
         {
-            announce(read_at);
-            verify(read_at);
+            announce(limit_by_heartbeat(read_at));
+            verify(limit_by_heartbeat(read_at));
             const clock_reading claimed_at = read_clocks();
             claim();
-            announce(claimed_at);
+            announce(limit_by_heartbeat(claimed_at));
         }
         std::unique_lock<std::mutex> lock(mutex);
         // A requested round begins early, but there are at most four a second,
--- a/src/scheduler/heartbeat.cpp
+++ b/src/scheduler/heartbeat.cpp
@@ -42,6 +42,7 @@
     time_point progress_at = steady_clock::now(); ///< see `report_progress`
     bool was_stalled = false;                     ///< at the last check
     bool has_failed = false;                      ///< the last write
+    boot_time_point confirmed_at; ///< start of the last confirmed write
     bool has_tried_write = false; ///< or has skipped a write in a stall
     bool is_write_requested = false;
     bool is_stopping = false;
@@ -79,6 +80,7 @@
     }
     row_transaction transaction;
     transaction.writes.push_back(std::move(row));
+    const boot_time_point begun_at = boot_clock::now();
     const absl::StatusOr<transaction_result> result =
         store.commit(transaction, write_timeout);
     const std::lock_guard<std::mutex> lock(mutex);
@@ -93,6 +95,10 @@
         log_info("heartbeat write succeeded again", {{"beat", self.beat}});
     }
     has_failed = !result.ok();
+    if (result.ok())
+    {
+        confirmed_at = begun_at;
+    }
 }
 
 void heartbeat::impl::run()
@@ -160,6 +166,12 @@
     impl_->progress_at = steady_clock::now();
 }
 
+boot_time_point heartbeat::confirmed_at() const
+{
+    const std::lock_guard<std::mutex> lock(impl_->mutex);
+    return impl_->confirmed_at;
+}
+
 void heartbeat::set_pending(std::map<std::string, std::int64_t> pending)
 {
     const std::lock_guard<std::mutex> lock(impl_->mutex);
--- a/src/scheduler/job_scheduler.cpp
+++ b/src/scheduler/job_scheduler.cpp
@@ -2,6 +2,7 @@
 
 #include "egretspindle/codec/json.hpp"
 #include "egretspindle/core/error.hpp"
+#include "egretspindle/fleet/locate_racks.hpp"
 #include "egretspindle/jobs/job_machine.hpp"
 #include "egretspindle/jobs/job_record.hpp"
 #include "egretspindle/logging/log.hpp"
@@ -121,9 +122,11 @@
     void tick_loop();
     void share_load();
     void on_taken(const std::string& resource, std::int64_t token,
-                  former_owner former, const clock_reading& confirmed_at);
+                  const former_ownership& former,
+                  const clock_reading& confirmed_at);
     void on_lost(const std::string& resource);
-    [[nodiscard]] time_point former_stop_time(former_owner former) const;
+    [[nodiscard]] time_point
+    former_stop_time(const former_ownership& former) const;
     job_coordinator_hooks make_coordinator_hooks();
     rack_agent_hooks make_rack_hooks();
     cluster_hooks make_cluster_hooks();
@@ -291,6 +294,16 @@
         return agent.has_store_contact() &&
                agent.record_roster(rack, token, roster);
     };
+    hooks.read_intents = [this](const std::string& rack)
+    {
+        return read_intents(store, rack, options.coordinator.commit_timeout);
+    };
+    hooks.write_intents = [this](const std::string& rack, std::int64_t token,
+                                 const intent_record& record)
+    {
+        return write_intents(store, rack, token, record,
+                             options.coordinator.commit_timeout);
+    };
     return hooks;
 }
 
@@ -298,7 +311,8 @@
 {
     cluster_hooks hooks;
     hooks.taken = [this](const std::string& resource, std::int64_t token,
-                         former_owner former, const clock_reading& confirmed_at)
+                         const former_ownership& former,
+                         const clock_reading& confirmed_at)
     {
         on_taken(resource, token, former, confirmed_at);
     };
@@ -326,15 +340,21 @@
 
 // Returns the time after which a former owner grants no more leases. Another
 // host may still be running although it is cut off from the store; it then
-// grants leases for up to `lease_limits::authority`.
-time_point job_scheduler::impl::former_stop_time(former_owner former) const
+// grants leases for up to `lease_limits::authority` after its last heartbeat.
+time_point
+job_scheduler::impl::former_stop_time(const former_ownership& former) const
 {
-    switch (former)
+    switch (former.kind)
     {
     case former_owner::restart:
         return started_at;
     case former_owner::other:
-        return steady_clock::now() + options.racks.lease.authority;
+        if (former.ended_at)
+        {
+            return *former.ended_at;
+        }
+        return former.last_heartbeat.value_or(steady_clock::now()) +
+               options.racks.lease.authority;
     case former_owner::none:
         break;
     }
@@ -342,14 +362,15 @@
 }
 
 void job_scheduler::impl::on_taken(const std::string& resource,
-                                   std::int64_t token, former_owner former,
+                                   std::int64_t token,
+                                   const former_ownership& former,
                                    const clock_reading& confirmed_at)
 {
     const std::size_t slash = resource.find('/');
     const std::string name = resource.substr(slash + 1);
     const bool is_shard = resource.compare(0, slash, "shard") == 0;
     metrics.count_taken(is_shard ? resource_kind::shard : resource_kind::rack,
-                        former);
+                        former.kind);
     if (is_shard)
     {
         coordinator.take_shard(name, token);
@@ -997,12 +1018,7 @@
 void job_scheduler::set_targets(
     const std::map<std::string, target_entry>& targets)
 {
-    std::map<std::string, std::string> racks;
-    for (const auto& [id, entry] : targets)
-    {
-        racks[entry.rack] = entry.data_center;
-    }
-    impl_->agent.set_racks(racks);
+    impl_->agent.set_racks(locate_racks(targets));
     {
         const std::lock_guard<std::mutex> lock(impl_->load_mutex);
         impl_->load.targets = targets;
--- a/src/scheduler/rack_agent.cpp
+++ b/src/scheduler/rack_agent.cpp
@@ -2,6 +2,7 @@
 
 #include "egretspindle/logging/log.hpp"
 #include "egretspindle/rack/queue_summary.hpp"
+#include "egretspindle/rack/start_intents.hpp"
 
 #include "rack_agent_impl.hpp"
 
@@ -47,6 +48,10 @@
                        const rack_agent_limits& limits)
     : impl_(std::make_unique<impl>(targets, std::move(hooks), limits))
 {
+    if (impl_->hooks.read_intents)
+    {
+        impl_->intent_thread = std::thread([this] { impl_->intent_loop(); });
+    }
 }
 
 rack_agent::~rack_agent()
@@ -68,8 +73,13 @@
                       impl_->closed_channels.end());
         impl_->closed_channels.clear();
         impl_->racks.clear();
+        impl_->intents_changed.notify_all();
     }
     impl_->join_threads(closed);
+    if (impl_->intent_thread.joinable())
+    {
+        impl_->intent_thread.join();
+    }
 }
 
 void rack_agent::take_rack(const rack_takeover& takeover)
@@ -92,6 +102,8 @@
         confirm_ownership(rack, takeover.confirmed_at, impl_->limits.lease);
         rack.unknown_until = takeover.former_stopped_at +
                              max_lease_duration(impl_->limits.lease);
+        rack.confirmed_unknown_until =
+            takeover.former_stopped_at + lease_duration(impl_->limits.lease);
         for (const auto& [id, address] : takeover.roster)
         {
             rack_target target;
@@ -105,6 +117,8 @@
         }
         rack_state& stored = impl_->racks[takeover.rack] = std::move(rack);
         impl_->sync_targets(stored);
+        impl_->has_intent_work = true;
+        impl_->intents_changed.notify_one();
         log_info(
             "rack taken over",
             {{"rack", takeover.rack},
@@ -296,7 +310,7 @@
 namespace
 {
 
-// Collects the repeated starts of racks whose runs are all known, by job. Jobs
+// Collects the repeated starts of runs that are known, by job. Jobs
 // with long-running tasks come first, as these may be interrupted for the
 // shortest time.
 std::vector<job_lookup>
@@ -306,13 +320,11 @@
     std::map<std::string, std::size_t> indexes; // in `lookups`, by job
     for (const auto& [name, rack] : racks)
     {
-        if (rack.is_fenced || !knows_all_runs(rack, now))
-        {
-            continue;
-        }
+        const bool is_all_known = knows_all_runs(rack, now);
         for (const queued_start& start : rack.queue)
         {
-            if (!start.is_repeated)
+            if (!start.is_repeated || rack.is_fenced ||
+                (!is_all_known && !is_run_known(rack, start, now)))
             {
                 continue;
             }
@@ -399,7 +411,9 @@
     }
 }
 
-// Stores changed lists of the racks' targets durably.
+// Stores changed lists of the racks' targets durably. A target is listed from
+// its first answer to a poll on: it gets no start before, and a takeover would
+// wait for the leases of one that never answers.
 void rack_agent::impl::record_rosters()
 {
     struct change
@@ -417,8 +431,11 @@
             bool is_changed = false;
             for (const auto& [id, target] : rack.targets)
             {
-                item.roster[id] = target.entry.address;
-                is_changed |= !target.is_recorded;
+                if (target.is_reached || target.is_inherited)
+                {
+                    item.roster[id] = target.entry.address;
+                    is_changed |= !target.is_recorded;
+                }
             }
             if (!rack.is_fenced &&
                 (is_changed || item.roster.size() != rack.recorded_targets))
@@ -471,6 +488,8 @@
             tokens[name] = rack.token;
             list = expire_leases(rack, now);
             forget_ends(rack, now);
+            impl_->has_intent_work |= has_unrecorded_confirmations(
+                rack, impl_->limits.confirmation_delay, now);
             const std::vector<run_event> settled =
                 report_settled_stops(rack, now);
             list.insert(list.end(), settled.begin(), settled.end());
@@ -484,6 +503,10 @@
             list.insert(list.end(), returned.begin(), returned.end());
         }
         ended = impl_->remove_finished();
+        if (impl_->has_intent_work)
+        {
+            impl_->intents_changed.notify_one();
+        }
     }
     for (const auto& [name, list] : events)
     {
--- a/src/scheduler/rack_agent_channels.cpp
+++ b/src/scheduler/rack_agent_channels.cpp
@@ -288,7 +288,16 @@
     {
         pending_order order;
         order.id = {item.start.task, item.start.run};
-        queue_order(item.target, order);
+        if (hooks.write_intents && item.start.terms->is_long_running)
+        {
+            rack.targets.at(item.target).runs.at(order.id).awaits_intent = true;
+            has_intent_work = true;
+            intents_changed.notify_one();
+        }
+        else
+        {
+            queue_order(item.target, order);
+        }
         metrics.count_placed(item.start, now);
         // `list_age_ms` is the age of the target's latest response, to a poll
         // or to a start, at the time of the choice.
--- a/src/scheduler/rack_agent_impl.hpp
+++ b/src/scheduler/rack_agent_impl.hpp
@@ -89,6 +89,8 @@
 /// `rack_target`, and `find_rack`, `find_target`, `open_channel`,
 /// `close_channels`, `queue_order`, `remove_finished` and `count_racks`, are
 /// called with `mutex` locked; the others without, and lock it as needed.
+///
+/// `intent_thread` exists if the hooks for intents are set.
 struct rack_agent::impl
 {
     impl(target_port& port, rack_agent_hooks callbacks,
@@ -157,6 +159,11 @@
     void look_up_repeated_starts();
     void apply_lookup(const job_lookup& lookup, const run_racks& assigned);
     void record_rosters();
+    [[nodiscard]] bool has_intents_to_record(const rack_state& rack) const;
+    void intent_loop();
+    bool update_intents();
+    bool read_inherited_intents(const std::string& name, std::int64_t token);
+    bool record_intents(const std::string& name, std::int64_t token);
     /// Reports events to the owners of the jobs. Called without the lock.
     void publish(const std::string& rack, std::int64_t token,
                  const std::vector<run_event>& events);
@@ -174,6 +181,9 @@
     bool is_model_copied = true; ///< `copy_changed_model` has returned `model`
     host_activity activity;
     bool is_stopping = false;
+    std::condition_variable intents_changed; ///< wakes `intent_thread`
+    bool has_intent_work = false;
+    std::thread intent_thread;
 };
 
 } // namespace egretspindle
--- a/tests/scheduler/cluster_agent_test.cpp
+++ b/tests/scheduler/cluster_agent_test.cpp
@@ -25,7 +25,7 @@
     milliseconds whole_read_interval;
     std::mutex mutex;
     std::condition_variable changed;
-    std::map<std::string, former_owner> taken;
+    std::map<std::string, former_ownership> taken;
     cluster_agent agent{store,
                         host_row{"h1", 2, "127.0.0.1:1", "dc", false, 0, {}},
                         hooks(), limits()};
@@ -51,7 +51,8 @@
     {
         cluster_hooks result;
         result.taken = [this](const std::string& resource, std::int64_t,
-                              former_owner former, const clock_reading&)
+                              const former_ownership& former,
+                              const clock_reading&)
         {
             const std::lock_guard<std::mutex> lock(mutex);
             taken[resource] = former;
@@ -71,7 +72,7 @@
 
     /// Waits until the rack `r1` has been taken over, and returns its former
     /// owner.
-    former_owner wait_for_rack()
+    former_ownership wait_for_rack()
     {
         std::unique_lock<std::mutex> lock(mutex);
         REQUIRE(changed.wait_for(lock, std::chrono::seconds(20),
@@ -80,9 +81,11 @@
     }
 };
 
-void write_host(fake_store& store, const std::string& name, std::int64_t beat)
+void write_host(fake_store& store, const std::string& name, std::int64_t beat,
+                bool is_leaving = false)
 {
     host_row host;
+    host.is_leaving = is_leaving;
     host.name = name;
     host.boot = 1;
     host.peer = "peer-of-" + name;
@@ -139,7 +142,7 @@
     fake_store store;
     write_owner(store, {"h1", 1});
     agent_fixture host(store);
-    REQUIRE(host.wait_for_rack() == former_owner::restart);
+    REQUIRE(host.wait_for_rack().kind == former_owner::restart);
     host.agent.stop();
 }
 
@@ -187,7 +190,7 @@
     fake_store store;
     write_owner(store, {"h9", 1});
     agent_fixture host(store);
-    REQUIRE(host.wait_for_rack() == former_owner::other);
+    REQUIRE(host.wait_for_rack().kind == former_owner::other);
     host.agent.stop();
 }
 
@@ -215,7 +218,7 @@
 {
     fake_store store;
     agent_fixture host(store);
-    REQUIRE(host.wait_for_rack() == former_owner::none);
+    REQUIRE(host.wait_for_rack().kind == former_owner::none);
     write_host(store, "h2", 1);
     store.forget_history();
     REQUIRE(wait_until([&] { return host.agent.peers().size() == 1; }));
@@ -319,3 +322,49 @@
     REQUIRE(host.agent.owner_of("rack/r1")->token > token);
     host.agent.stop();
 }
+
+// A former owner may grant leases for some seconds after its last heartbeat.
+// Guards against counting from a heartbeat that was not its last one.
+TEST_CASE("a claim from a stopped host depends on its last heartbeat",
+          "[scheduler]")
+{
+    fake_store store;
+    write_owner(store, {"h9", 1});
+    write_host(store, "h9", 1, true);
+    std::atomic<bool> writes_heartbeats{true};
+    std::atomic<int> commits{0};
+    thread_local bool is_nested = false;
+    store.before_commit = [&]
+    {
+        if (!is_nested && writes_heartbeats)
+        {
+            is_nested = true;
+            write_host(store, "h9", ++commits, true);
+            is_nested = false;
+        }
+    };
+    agent_fixture host(store);
+    REQUIRE(wait_until([&] { return commits >= 5; }));
+    {
+        const std::lock_guard<std::mutex> lock(host.mutex);
+        CHECK(host.taken.count("rack/r1") == 0);
+    }
+    writes_heartbeats = false;
+    const former_ownership former = host.wait_for_rack();
+    CHECK(former.kind == former_owner::other);
+    CHECK(former.last_heartbeat.has_value());
+    CHECK_FALSE(former.ended_at.has_value());
+}
+
+// Guards against waiting for leases that a process cannot have granted after
+// its end.
+TEST_CASE("a restarted owner is known to have ended", "[scheduler]")
+{
+    fake_store store;
+    write_owner(store, {"h9", 0});
+    write_host(store, "h9", 1, true);
+    agent_fixture host(store);
+    const former_ownership former = host.wait_for_rack();
+    CHECK(former.kind == former_owner::other);
+    CHECK(former.ended_at.has_value());
+}
--- a/tests/scheduler/heartbeat_test.cpp
+++ b/tests/scheduler/heartbeat_test.cpp
@@ -34,7 +34,7 @@
 cluster_hooks make_hooks()
 {
     cluster_hooks hooks;
-    hooks.taken = [](const std::string&, std::int64_t, former_owner,
+    hooks.taken = [](const std::string&, std::int64_t, const former_ownership&,
                      const clock_reading&) {
     };
     hooks.lost = [](const std::string&) {
@@ -87,8 +87,8 @@
     // progress.
     SECTION("slow takeovers of 32 shards")
     {
-        hooks.taken = [](const std::string&, std::int64_t, former_owner,
-                         const clock_reading&)
+        hooks.taken = [](const std::string&, std::int64_t,
+                         const former_ownership&, const clock_reading&)
         {
             std::this_thread::sleep_for(milliseconds(250));
         };
--- a/tests/scheduler/rack_agent_test.cpp
+++ b/tests/scheduler/rack_agent_test.cpp
@@ -146,12 +146,16 @@
     std::map<std::string, run_racks> job_records = {
         {"job", {{{"job.0.0.0", 1}, "r1"}}}};
     std::vector<std::string> looked_up_jobs; ///< whose record was read
+    const bool records_intents;              ///< the hooks for intents are set
+    intent_record intents;
+    bool intents_are_writable = true;
     rack_agent agent;
 
     fixture() : fixture(make_limits()) {}
 
-    explicit fixture(const rack_agent_limits& limits)
-        : agent(targets, hooks(), limits)
+    explicit fixture(const rack_agent_limits& limits,
+                     bool has_intent_hooks = false)
+        : records_intents(has_intent_hooks), agent(targets, hooks(), limits)
     {
         target_entry entry;
         entry.id = "t1";
@@ -235,6 +239,28 @@
             return it == job_records.end() ? std::optional<run_racks>()
                                            : it->second;
         };
+        if (records_intents)
+        {
+            result.read_intents =
+                [this](const std::string&) -> absl::StatusOr<intent_record>
+            {
+                const std::lock_guard<std::mutex> lock(mutex);
+                return intents;
+            };
+            result.write_intents = [this](const std::string&, std::int64_t,
+                                          const intent_record& record)
+                -> absl::StatusOr<intent_write>
+            {
+                const std::lock_guard<std::mutex> lock(mutex);
+                if (!intents_are_writable)
+                {
+                    return make_error(error_kind::unavailable, "refused");
+                }
+                intents = record;
+                ++intents.version;
+                return intent_write{true, intents.version, false};
+            };
+        }
         result.record_roster =
             [this](const std::string&, std::int64_t, const rack_roster& roster)
         {
@@ -259,7 +285,9 @@
     /// Sends the start of run 1 of the task `job.0.0.0`.
     ///
     /// \param is_repeated  the start may have been sent before
-    rack_orders_reply send(std::int64_t token = 7, bool is_repeated = false)
+    /// \param is_long_running  of the task
+    rack_orders_reply send(std::int64_t token = 7, bool is_repeated = false,
+                           bool is_long_running = false)
     {
         rack_orders orders;
         orders.rack = "r1";
@@ -268,6 +296,7 @@
         batch.terms.step = "job.0.0";
         batch.terms.service = "svc";
         batch.terms.size = {1'000, 100, 0};
+        batch.terms.is_long_running = is_long_running;
         batch.runs.push_back({0, 1, "", is_repeated});
         orders.starts.push_back(batch);
         return agent.execute(orders);
@@ -927,3 +956,121 @@
         REQUIRE(order.task != "job.0.1.0");
     }
 }
+
+// An entry of the list may name a target that does not exist. Guards against
+// takeovers that wait for the leases of such a target (14.7 s), which is long
+// enough for a long-running task to count as lost.
+TEST_CASE("a target is recorded once it has answered a poll", "[scheduler]")
+{
+    fixture env;
+    {
+        const std::lock_guard<std::mutex> lock(env.targets.mutex);
+        env.targets.unreachable_id = "t2";
+    }
+    target_entry entry;
+    entry.id = "t2";
+    entry.service = "svc";
+    entry.rack = "r1";
+    entry.address = "127.0.0.1:2";
+    entry.capacity = {4'000, 4'000, 0};
+    target_entry other = entry;
+    other.id = "t1";
+    other.address = "127.0.0.1:1";
+    env.agent.set_targets({{"t1", other}, {"t2", entry}});
+    REQUIRE(env.targets.wait_until(
+        [&] { return !env.targets.unanswered_polls.empty(); }));
+    env.agent.tick();
+    {
+        const std::lock_guard<std::mutex> lock(env.mutex);
+        CHECK(env.recorded_targets.empty());
+    }
+    {
+        const std::lock_guard<std::mutex> lock(env.targets.mutex);
+        env.targets.unreachable_id.clear();
+    }
+    const auto is_recorded = [&]
+    {
+        env.agent.tick();
+        const std::lock_guard<std::mutex> lock(env.mutex);
+        return !env.recorded_targets.empty() &&
+               env.recorded_targets.back().count("t2") == 1;
+    };
+    bool was_recorded = false;
+    for (int n = 0; n < 2'000 && !was_recorded; ++n)
+    {
+        was_recorded = is_recorded();
+        std::this_thread::sleep_for(milliseconds(10));
+    }
+    CHECK(was_recorded);
+}
+
+// Guards against a run that a later owner does not know of: it would start the
+// task a second time.
+TEST_CASE("a long-running start is sent after its intent is recorded",
+          "[scheduler]")
+{
+    fixture env(fixture::make_limits(), true);
+    {
+        const std::lock_guard<std::mutex> lock(env.mutex);
+        env.intents_are_writable = false;
+    }
+    REQUIRE(env.targets.wait_until([&] { return !env.targets.polls.empty(); }));
+    REQUIRE(env.send(7, false, true).is_owner);
+    for (int n = 0; n < 10; ++n)
+    {
+        env.agent.tick();
+        std::this_thread::sleep_for(milliseconds(20));
+    }
+    {
+        const std::lock_guard<std::mutex> lock(env.targets.mutex);
+        CHECK(env.targets.starts.empty());
+    }
+    {
+        const std::lock_guard<std::mutex> lock(env.mutex);
+        env.intents_are_writable = true;
+    }
+    REQUIRE(
+        env.targets.wait_until([&] { return env.targets.starts.size() == 1; }));
+    const std::lock_guard<std::mutex> lock(env.mutex);
+    REQUIRE(env.intents.intents.size() == 1);
+    CHECK(env.intents.intents.at({"job.0.0.0", 1}).target == "t1");
+}
+
+// Guards against a long-running task that is away for 14.7 s, because its start
+// got no answer before its rack was taken over.
+TEST_CASE("a repeated start without an intent does not wait for leases",
+          "[scheduler]")
+{
+    fixture env(fixture::make_limits(), true);
+    env.take_over_with_unreachable_target(steady_clock::now());
+    REQUIRE(env.send(8, true, true).is_owner);
+    bool is_started = false;
+    for (int n = 0; n < 300 && !is_started; ++n)
+    {
+        env.agent.tick();
+        std::this_thread::sleep_for(milliseconds(10));
+        const std::lock_guard<std::mutex> lock(env.targets.mutex);
+        is_started = !env.targets.starts.empty();
+    }
+    CHECK(is_started);
+}
+
+// The former owner may have started the run on the target that does not answer.
+// Guards against a second run beside it.
+TEST_CASE("a repeated start waits for the target in its intent", "[scheduler]")
+{
+    fixture env(fixture::make_limits(), true);
+    {
+        const std::lock_guard<std::mutex> lock(env.mutex);
+        env.intents.intents = {{{"job.0.0.0", 1}, {"t2"}}};
+    }
+    env.take_over_with_unreachable_target(steady_clock::now());
+    REQUIRE(env.send(8, true, true).is_owner);
+    for (int n = 0; n < 20; ++n)
+    {
+        env.agent.tick();
+        std::this_thread::sleep_for(milliseconds(20));
+    }
+    const std::lock_guard<std::mutex> lock(env.targets.mutex);
+    CHECK(env.targets.starts.empty());
+}
