Read the list of targets on two hosts of each data centre only

The two live hosts of a data centre with the largest weights read the list; the others follow the copy of the first by long polls for changes, and that of the second, or the store, when it does not answer before the list would be out of date.

A rack that moves between live hosts: its former owner tells the new one when its leases on each target end (rack_handover). Without it the new owner counted 4 s of authority and a lease from the claim.

The number of waiting jobs that a caller asks for counts those of silent hosts until their shards are taken over, and is the largest of the last 2 s, which the platform allows: while shards moved, no host counted their jobs.

--- a/include/egretspindle/cluster/cluster_view.hpp
+++ b/include/egretspindle/cluster/cluster_view.hpp
@@ -171,6 +171,17 @@
 decide_claims(const cluster_view& view, const std::string& self,
               std::int64_t boot, const liveness_limits& limits, time_point now);
 
+/// Number of hosts of a data centre that read the list of targets for the
+/// others; the second one takes the place of the first at once when that fails.
+constexpr std::size_t reader_count = 2;
+
+/// Returns the live hosts of a data centre that read the list of targets for
+/// the others, the preferred one first: those with the largest weights, by a
+/// hash among equal ones. All hosts with the same view choose the same ones.
+[[nodiscard]] std::vector<std::string>
+choose_readers(const cluster_view& view, const std::string& data_center,
+               const liveness_limits& limits, time_point now);
+
 /// Returns whether the process `boot` of the host `self` owns a resource, as
 /// last read or claimed.
 [[nodiscard]] bool owns(const resource& item, const std::string& self,
--- a/include/egretspindle/fleet/target_entry.hpp
+++ b/include/egretspindle/fleet/target_entry.hpp
@@ -62,6 +62,28 @@
     std::int64_t started_ms = 0; ///< Unix time in ms when its process started
 };
 
+/// Visits the fields of `target_entry` for the codec.
+template <typename Visitor, typename Value>
+void visit_fields(Visitor&& visit, Value& value, const target_entry* /*tag*/)
+{
+    visit("id", value.id);
+    visit("service", value.service);
+    visit("address", value.address);
+    visit("data_center", value.data_center);
+    visit("rack", value.rack);
+    visit("labels", value.labels);
+    visit("cpu_milli", value.capacity.cpu_milli);
+    visit("memory_mb", value.capacity.memory_mb);
+    visit("accelerators", value.capacity.accelerators);
+    visit("draining", value.is_draining);
+    visit("remaining_ms", value.remaining_ms);
+    visit("started_ms", value.started_ms);
+}
+
+/// Returns whether two entries differ in anything but `remaining_ms`, which
+/// decreases while a target drains.
+[[nodiscard]] bool differs(const target_entry& lhs, const target_entry& rhs);
+
 } // namespace egretspindle
 
 #endif
--- a/include/egretspindle/rack/rack_state.hpp
+++ b/include/egretspindle/rack/rack_state.hpp
@@ -106,7 +106,10 @@
     bool is_inherited = false; ///< an earlier owner may have used it
     /// When the platform listed a restart; {}: not since the last poll.
     time_point listed_restart_at;
-    bool is_reached = false;     ///< has replied to a poll of this owner
+    bool is_reached = false; ///< has replied to a poll of this owner
+    /// When all leases of earlier owners have expired, as the last of them has
+    /// told this owner; replaces `rack_state::unknown_until`.
+    std::optional<time_point> former_leases_end;
     std::int64_t started_ms = 0; ///< start of its boot, from the last poll
     std::int64_t clock_ms = 0;   ///< its clock at `clock_at`
     time_point clock_at;         ///< when that reply arrived
@@ -139,8 +142,9 @@
 struct rack_state
 {
     std::string name;
-    std::int64_t token = 0;   ///< fencing token
-    time_point taken_over_at; ///< when this host became the owner
+    std::int64_t token = 0;        ///< fencing token
+    std::int64_t former_token = 0; ///< of the last earlier owner; 0: unknown
+    time_point taken_over_at;      ///< when this host became the owner
     /// Start of the last read of the owner rows that confirmed this owner.
     time_point verified_at;
     /// When the right to grant leases ends; see `lease_limits::authority`.
--- a/include/egretspindle/scheduler/cluster_agent.hpp
+++ b/include/egretspindle/scheduler/cluster_agent.hpp
@@ -40,6 +40,7 @@
 struct former_ownership
 {
     former_owner kind = former_owner::none;
+    std::int64_t token = 0; ///< of its ownership; 0: none
     /// When this host read the last heartbeat of a host that is not live, on
     /// which the claim depended. The former owner has confirmed no later one.
     std::optional<time_point> last_heartbeat;
@@ -151,10 +152,13 @@
     /// the last successful read of the store.
     [[nodiscard]] std::vector<std::string> peers() const;
 
-    /// Returns the number of jobs of a queue that have not started on other
-    /// live hosts, by their latest heartbeat rows.
-    [[nodiscard]] std::int64_t
-    pending_elsewhere(const std::string& queue) const;
+    /// Returns the addresses of the hosts of this data centre that read the
+    /// list of targets, see `choose_readers`; none if this is one of them.
+    [[nodiscard]] std::vector<std::string> list_readers() const;
+
+    /// Returns the number of jobs by queue that have not started on other hosts
+    /// that are live or own job shards, by their latest heartbeat rows.
+    [[nodiscard]] std::map<std::string, std::int64_t> pending_elsewhere() const;
 
     /// Returns whether the last successful read of the store is less than 3 s
     /// ago. Only then is this host ready for callers.
--- a/include/egretspindle/scheduler/job_scheduler.hpp
+++ b/include/egretspindle/scheduler/job_scheduler.hpp
@@ -11,9 +11,11 @@
 #include "egretspindle/metrics/metric_registry.hpp"
 #include "egretspindle/scheduler/job_coordinator.hpp"
 #include "egretspindle/scheduler/rack_agent.hpp"
+#include "egretspindle/scheduler/table_replica.hpp"
 
 #include <absl/status/status.h>
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
@@ -64,6 +66,17 @@
     void set_config(fleet_config config);
     [[nodiscard]] std::shared_ptr<const fleet_config> config() const;
 
+    /// Starts to follow the platform's list of targets, after `start`.
+    ///
+    /// \param table   of the list in the store
+    /// \param pause   between reads of the store
+    /// \param decode  see `target_list_hooks::decode`
+    void
+    follow_targets(std::string table, milliseconds pause,
+                   std::function<const std::map<std::string, target_entry>&(
+                       const row_map&)>
+                       decode);
+
     /// Sets the platform's list of targets, by id.
     void set_targets(const std::map<std::string, target_entry>& targets);
 
--- a/include/egretspindle/scheduler/rack_agent.hpp
+++ b/include/egretspindle/scheduler/rack_agent.hpp
@@ -9,6 +9,7 @@
 #include "egretspindle/metrics/metric_registry.hpp"
 #include "egretspindle/rack/fleet_load.hpp"
 #include "egretspindle/rack/pair_outbox.hpp"
+#include "egretspindle/rack/rack_handover.hpp"
 #include "egretspindle/rack/rack_state.hpp"
 #include "egretspindle/scheduler/activity.hpp"
 #include "egretspindle/scheduler/intent_rows.hpp"
@@ -101,7 +102,8 @@
 struct rack_takeover
 {
     std::string rack;
-    std::int64_t token = 0; ///< fencing token of the ownership
+    std::int64_t token = 0;        ///< fencing token of the ownership
+    std::int64_t former_token = 0; ///< of the former owner; 0: none
     /// The former owner certainly grants no lease after this time, which may be
     /// in the future.
     time_point former_stopped_at;
@@ -137,7 +139,14 @@
 
     /// Gives a rack up. Pending calls to its targets are not waited for; `tick`
     /// joins their threads.
-    void drop_rack(const std::string& rack);
+    ///
+    /// \returns the message for the new owner, or nothing if the agent does not
+    ///          have the rack
+    std::optional<rack_handover> drop_rack(const std::string& rack);
+
+    /// Applies the message of the former owner of a rack. Replies that this
+    /// host is not the owner if it does not have the rack (yet).
+    rack_handover_reply apply_handover(const rack_handover& handover);
 
     /// Records that the store has confirmed this host as owner of a rack, which
     /// renews its right to grant leases. Has no effect if the agent does not
--- a/include/egretspindle/scheduler/table_watch.hpp
+++ b/include/egretspindle/scheduler/table_watch.hpp
@@ -6,18 +6,15 @@
 
 #include "egretspindle/core/clock.hpp"
 #include "egretspindle/fleet/table_store.hpp"
+#include "egretspindle/scheduler/table_replica.hpp"
 
 #include <functional>
-#include <map>
 #include <memory>
 #include <string>
 
 namespace egretspindle
 {
 
-/// Rows of a table by key.
-using row_map = std::map<std::string, table_row>;
-
 /// Reads a whole table and then its changes, from a thread of its own.
 ///
 /// Failed calls are repeated after 150 ms. If the store has discarded the
--- a/src/cluster/cluster_view.cpp
+++ b/src/cluster/cluster_view.cpp
@@ -233,6 +233,33 @@
            now - it->second.changed_at < limits.heartbeat_timeout;
 }
 
+std::vector<std::string> choose_readers(const cluster_view& view,
+                                        const std::string& data_center,
+                                        const liveness_limits& limits,
+                                        time_point now)
+{
+    std::vector<std::string> readers;
+    for (const std::string& name : live_hosts(view, limits, now))
+    {
+        if (view.hosts.at(name).row.data_center == data_center)
+        {
+            readers.push_back(name);
+        }
+    }
+    const auto is_preferred =
+        [&view](const std::string& lhs, const std::string& rhs)
+    {
+        const std::int64_t left = weight_of(view, lhs);
+        const std::int64_t right = weight_of(view, rhs);
+        return left != right ? left > right
+                             : stable_hash("reader/" + lhs) <
+                                   stable_hash("reader/" + rhs);
+    };
+    std::sort(readers.begin(), readers.end(), is_preferred);
+    readers.resize(std::min(readers.size(), reader_count));
+    return readers;
+}
+
 bool owns(const resource& item, const std::string& self,
           std::int64_t boot) noexcept
 {
--- a/src/rack/rack_decision.cpp
+++ b/src/rack/rack_decision.cpp
@@ -1,5 +1,6 @@
 #include "egretspindle/rack/rack_decision.hpp"
 
+#include "egretspindle/rack/rack_handover.hpp"
 #include "egretspindle/rack/start_intents.hpp"
 
 #include <algorithm>
@@ -543,8 +544,9 @@
     for (auto it = rack.targets.begin(); it != rack.targets.end();)
     {
         rack_target& target = it->second;
-        const time_point expiry =
-            target.is_reached ? target.expires_at : rack.unknown_until;
+        const time_point expiry = target.is_reached
+                                      ? target.expires_at
+                                      : former_leases_end(rack, target);
         // A newer owner may have renewed the leases, so the ownership has to be
         // confirmed by a read that began after the expiry.
         const bool is_expired = now >= expiry && rack.verified_at >= expiry;
@@ -649,9 +651,13 @@
         return true;
     }
     return std::all_of(rack.targets.begin(), rack.targets.end(),
-                       [](const auto& item) {
+                       [&](const auto& item)
+                       {
+                           const time_point end =
+                               former_leases_end(rack, item.second);
                            return item.second.is_reached ||
-                                  !item.second.is_inherited;
+                                  !item.second.is_inherited ||
+                                  (now >= end && rack.verified_at >= end);
                        });
 }
 
--- a/src/rack/start_intents.cpp
+++ b/src/rack/start_intents.cpp
@@ -1,6 +1,7 @@
 #include "egretspindle/rack/start_intents.hpp"
 
 #include "egretspindle/rack/rack_decision.hpp"
+#include "egretspindle/rack/rack_handover.hpp"
 
 #include <algorithm>
 #include <utility>
@@ -83,6 +84,18 @@
     return it != rack.targets.end() && it->second.is_reached;
 }
 
+// Returns the time after which a run of an earlier owner has certainly ended on
+// a target that this owner has not reached.
+time_point lease_end_of(const rack_state& rack, const start_intent& intent)
+{
+    const auto target = rack.targets.find(intent.target);
+    const time_point end = target == rack.targets.end()
+                               ? rack.unknown_until
+                               : former_leases_end(rack, target->second);
+    return intent.is_confirmed ? std::min(end, rack.confirmed_unknown_until)
+                               : end;
+}
+
 } // namespace
 
 start_intents collect_intents(const rack_state& rack)
@@ -173,8 +186,8 @@
         {
             return true;
         }
-        const time_point expiry = rack.confirmed_unknown_until;
-        if (intent->is_confirmed && now >= expiry && rack.verified_at >= expiry)
+        const time_point expiry = lease_end_of(rack, *intent);
+        if (now >= expiry && rack.verified_at >= expiry)
         {
             return true;
         }
--- a/src/scheduler/cluster_agent.cpp
+++ b/src/scheduler/cluster_agent.cpp
@@ -78,6 +78,9 @@
     [[nodiscard]] absl::StatusOr<cluster_rows> read_whole_table() const;
     [[nodiscard]] absl::StatusOr<cluster_rows> read_changes() const;
     void list_resources();
+    former_ownership add_claim(const std::string& name, time_point now,
+                               std::set<std::string>& stopped_hosts,
+                               row_transaction& transaction);
     void claim();
     void announce(const clock_reading& confirmed_at);
     void verify(const clock_reading& read_at);
@@ -143,6 +146,7 @@
 {
     former_ownership former;
     former.kind = former_owner_of(item);
+    former.token = item.version;
     const auto host = view.hosts.find(item.owner.host);
     if (former.kind != former_owner::other || host == view.hosts.end())
     {
@@ -275,6 +279,44 @@
     }
 }
 
+// Adds the claim of a resource to a transaction. Returns what is known of its
+// former owner.
+//
+// \param stopped_hosts  hosts whose last heartbeat is a condition already
+former_ownership
+cluster_agent::impl::add_claim(const std::string& name, time_point now,
+                               std::set<std::string>& stopped_hosts,
+                               row_transaction& transaction)
+{
+    const resource_owner owner{self.name, self.boot};
+    const resource& item = find_resource(name);
+    transaction.conditions.push_back(
+        {std::string(cluster_table), "", name, item.version});
+    transaction.writes.push_back(make_row(name, to_json(owner)));
+    if (starts_with(name, rack_prefix))
+    {
+        // Fails if the former owner has added a target since the read.
+        const std::string rack = name.substr(rack_prefix.size());
+        transaction.conditions.push_back({std::string(cluster_table), "",
+                                          std::string(roster_prefix) + rack,
+                                          view.rosters[rack].version});
+    }
+    const former_ownership former = former_ownership_of(item, now);
+    if (former.last_heartbeat && stopped_hosts.insert(item.owner.host).second)
+    {
+        transaction.conditions.push_back(
+            {std::string(cluster_table), "",
+             std::string(host_prefix) + item.owner.host,
+             view.hosts.at(item.owner.host).version});
+    }
+    if (former.kind == former_owner::other &&
+        is_live(view, item.owner.host, limits, now))
+    {
+        view.last_rebalance = now;
+    }
+    return former;
+}
+
 // Claims the resources that `decide_claims` returns and those to be confirmed
 // with a new token, in one transaction.
 void cluster_agent::impl::claim()
@@ -304,36 +346,9 @@
         constexpr std::size_t max_claims =
             max_transaction_entries / entries_per_claim;
         names.resize(std::min(names.size(), max_claims));
-        const resource_owner owner{self.name, self.boot};
         for (const std::string& name : names)
         {
-            const resource& item = find_resource(name);
-            transaction.conditions.push_back(
-                {std::string(cluster_table), "", name, item.version});
-            transaction.writes.push_back(make_row(name, to_json(owner)));
-            if (starts_with(name, rack_prefix))
-            {
-                // Fails if the former owner has added a target since the read.
-                const std::string rack = name.substr(rack_prefix.size());
-                transaction.conditions.push_back(
-                    {std::string(cluster_table), "",
-                     std::string(roster_prefix) + rack,
-                     view.rosters[rack].version});
-            }
-            former.push_back(former_ownership_of(item, now));
-            if (former.back().last_heartbeat &&
-                stopped_hosts.insert(item.owner.host).second)
-            {
-                transaction.conditions.push_back(
-                    {std::string(cluster_table), "",
-                     std::string(host_prefix) + item.owner.host,
-                     view.hosts.at(item.owner.host).version});
-            }
-            if (former.back().kind == former_owner::other &&
-                is_live(view, item.owner.host, limits, now))
-            {
-                view.last_rebalance = now;
-            }
+            former.push_back(add_claim(name, now, stopped_hosts, transaction));
         }
     }
     if (names.empty())
@@ -645,21 +660,49 @@
     return peers;
 }
 
-std::int64_t cluster_agent::pending_elsewhere(const std::string& queue) const
+std::vector<std::string> cluster_agent::list_readers() const
+{
+    const std::lock_guard<std::mutex> lock(impl_->mutex);
+    std::vector<std::string> addresses;
+    for (const std::string& name :
+         choose_readers(impl_->view, impl_->self.data_center, impl_->limits,
+                        impl_->view.last_read))
+    {
+        if (name == impl_->self.name)
+        {
+            return {};
+        }
+        addresses.push_back(impl_->view.hosts.at(name).row.peer);
+    }
+    return addresses;
+}
+
+std::map<std::string, std::int64_t> cluster_agent::pending_elsewhere() const
 {
-    std::int64_t sum = 0;
+    std::map<std::string, std::int64_t> counts;
     const std::lock_guard<std::mutex> lock(impl_->mutex);
     const time_point now = steady_clock::now();
+    std::set<std::string> shard_owners;
+    for (const auto& [name, item] : impl_->view.resources)
+    {
+        if (starts_with(name, shard_prefix) && item.version != 0)
+        {
+            shard_owners.insert(item.owner.host);
+        }
+    }
     for (const auto& [name, host] : impl_->view.hosts)
     {
-        const auto it = host.row.pending.find(queue);
-        if (name != impl_->self.name && it != host.row.pending.end() &&
-            is_live(impl_->view, name, impl_->limits, now))
+        // Jobs of a silent host still wait until its shards are taken over.
+        const bool is_counted =
+            name != impl_->self.name &&
+            (shard_owners.count(name) > 0 ||
+             is_live(impl_->view, name, impl_->limits, now));
+        for (const auto& [queue, count] : host.row.pending)
         {
-            sum += it->second;
+            counts[queue] += is_counted ? count : 0;
         }
     }
-    return sum;
+    return counts;
 }
 
 void cluster_agent::record_store_contact(const std::string& host,
--- a/src/scheduler/job_scheduler.cpp
+++ b/src/scheduler/job_scheduler.cpp
@@ -15,9 +15,13 @@
 #include "egretspindle/scheduler/host_outbox.hpp"
 #include "egretspindle/scheduler/load_exchange.hpp"
 #include "egretspindle/scheduler/shard.hpp"
+#include "egretspindle/scheduler/target_list_replica.hpp"
+#include "egretspindle/scheduler/value_window.hpp"
 
+#include <algorithm>
 #include <atomic>
 #include <condition_variable>
+#include <iterator>
 #include <mutex>
 #include <optional>
 #include <random>
@@ -35,6 +39,8 @@
 constexpr std::string_view cancel_message = "job_cancel";
 constexpr std::string_view orders_message = "rack_orders";
 constexpr std::string_view reports_message = "run_reports";
+constexpr std::string_view target_list_message = "target_list";
+constexpr std::string_view handover_message = "rack_handover";
 
 constexpr milliseconds tick_period{250};
 // Period of the log lines about activity and queues.
@@ -58,6 +64,10 @@
 constexpr milliseconds forward_timeout{1'200};
 // Orders or reports per delivery to a host.
 constexpr std::size_t max_batch = 64;
+// Attempts to tell the new owner of a rack about the leases on its targets.
+constexpr int max_handover_attempts = 10;
+// The platform allows this age for the number of jobs that wait.
+constexpr milliseconds max_pending_age{2'000};
 // Advice to callers when no owner answered.
 constexpr std::int64_t unavailable_retry_ms = 1'000;
 
@@ -80,6 +90,13 @@
     int attempts = 0;               ///< attempts with a known owner
 };
 
+/// Message to the new owner of a rack.
+struct pending_handover
+{
+    rack_handover handover;
+    int attempts = 0; ///< failed so far
+};
+
 std::string first_step_of(const rack_orders& orders)
 {
     return orders.starts.empty() ? std::string()
@@ -111,6 +128,8 @@
     void post_orders(rack_orders orders);
     void deliver_orders(const std::string& host,
                         const std::vector<rack_orders>& items);
+    void deliver_handovers(const std::string& host,
+                           std::vector<pending_handover>& items);
     void post_reports(std::vector<run_report> reports);
     void deliver_reports(const std::string& host,
                          std::vector<run_report> reports);
@@ -120,6 +139,8 @@
                    const std::vector<std::string>& peers);
     void add_handlers();
     void tick_loop();
+    [[nodiscard]] std::map<std::string, std::int64_t> count_pending() const;
+    void record_pending();
     void share_load();
     void on_taken(const std::string& resource, std::int64_t token,
                   const former_ownership& former,
@@ -163,10 +184,18 @@
     cluster_agent agent;
     host_outbox<rack_orders> orders_outbox;
     host_outbox<run_report> reports_outbox;
+    host_outbox<pending_handover> handovers_outbox;
     message_router router;
     std::unique_ptr<rpc_client> client;
     std::unique_ptr<rpc_server> server;
     std::unique_ptr<load_exchange> load_exchanger;
+    /// Set once, by `follow_targets`; other hosts may ask before.
+    std::atomic<target_list_replica*> target_list{nullptr};
+    std::unique_ptr<target_list_replica> target_list_owner;
+
+    std::mutex pending_mutex;
+    /// Numbers of jobs that have not started, by queue.
+    std::map<std::string, value_window> pending_windows;
 
     std::mutex tick_mutex;
     std::condition_variable tick_wake;
@@ -195,7 +224,10 @@
                     { deliver_orders(host, items); }),
       reports_outbox(max_batch, [this](const std::string& host,
                                        std::vector<run_report>& items)
-                     { deliver_reports(host, std::move(items)); })
+                     { deliver_reports(host, std::move(items)); }),
+      handovers_outbox(max_batch, [this](const std::string& host,
+                                         std::vector<pending_handover>& items)
+                       { deliver_handovers(host, items); })
 {
 }
 
@@ -379,6 +411,7 @@
     rack_takeover takeover;
     takeover.rack = name;
     takeover.token = token;
+    takeover.former_token = former.token;
     takeover.former_stopped_at = former_stop_time(former);
     takeover.confirmed_at = confirmed_at;
     takeover.roster = agent.roster_of(name);
@@ -396,7 +429,50 @@
         coordinator.drop_shard(name);
         return;
     }
-    racks.drop_rack(name);
+    const std::optional<rack_handover> handover = racks.drop_rack(name);
+    const std::optional<owner_location> owner = agent.owner_of(resource);
+    if (handover && owner && !owner->is_self)
+    {
+        handovers_outbox.post(owner->host, {*handover});
+    }
+}
+
+// Delivers releases to the present owners of their racks. They are repeated a
+// few times: a new owner may not know of its claim yet.
+void job_scheduler::impl::deliver_handovers(
+    const std::string& host, std::vector<pending_handover>& items)
+{
+    for (pending_handover& item : items)
+    {
+        const std::optional<owner_location> owner =
+            agent.owner_of(rack_resource(item.handover.rack));
+        if (!owner || owner->host != host || owner->is_self)
+        {
+            continue; // a later owner does not wait for leases of this host
+        }
+        const absl::StatusOr<rack_handover_reply> reply =
+            call_peer<rack_handover_reply>(*client, owner->peer,
+                                           handover_message, item.handover,
+                                           orders_timeout);
+        if (reply.ok() && reply->is_owner)
+        {
+            continue;
+        }
+        const bool is_last = ++item.attempts >= max_handover_attempts;
+        log_info(
+            "handover of a rack was not applied",
+            {{"rack", item.handover.rack},
+             {"host", host},
+             {"owner_version", item.handover.token},
+             {"attempts", item.attempts},
+             {"error", reply.ok() ? std::string("not the owner yet")
+                                  : std::string(reply.status().message())}});
+        if (!is_last)
+        {
+            std::this_thread::sleep_for(retry_delay);
+            handovers_outbox.post(host, std::move(item));
+        }
+    }
 }
 
 // --- requests of callers ---------------------------------------------------
@@ -763,6 +839,21 @@
         [this](const std::string& /*sender*/,
                const report_batch& batch) -> absl::StatusOr<report_reply>
         { return coordinator.report(batch); });
+    router.on<rack_handover, rack_handover_reply>(
+        handover_message,
+        [this](const std::string& /*sender*/, const rack_handover& handover)
+            -> absl::StatusOr<rack_handover_reply>
+        { return racks.apply_handover(handover); });
+    router.on<target_list_request, target_list_reply>(
+        target_list_message,
+        [this](const std::string& /*sender*/,
+               const target_list_request& request)
+            -> absl::StatusOr<target_list_reply>
+        {
+            target_list_replica* list = target_list;
+            return list == nullptr ? target_list_reply{}
+                                   : list->answer(request);
+        });
 }
 
 // --- load ------------------------------------------------------------------
@@ -823,6 +914,36 @@
     }
 }
 
+// Returns the number of jobs of all hosts that have not started, by queue.
+std::map<std::string, std::int64_t> job_scheduler::impl::count_pending() const
+{
+    std::map<std::string, std::int64_t> counts = coordinator.pending();
+    for (const auto& [queue, count] : agent.pending_elsewhere())
+    {
+        counts[queue] += count;
+    }
+    return counts;
+}
+
+// Remembers how many jobs of each queue wait: while a shard moves, no host
+// counts its jobs.
+void job_scheduler::impl::record_pending()
+{
+    const std::map<std::string, std::int64_t> counts = count_pending();
+    const time_point now = steady_clock::now();
+    const std::lock_guard<std::mutex> lock(pending_mutex);
+    for (const auto& [queue, count] : counts)
+    {
+        add_value(pending_windows[queue], count, max_pending_age, now);
+    }
+    for (auto it = pending_windows.begin(); it != pending_windows.end();)
+    {
+        const bool is_old = max_value(it->second, max_pending_age, now) == 0 &&
+                            counts.count(it->first) == 0;
+        it = is_old ? pending_windows.erase(it) : std::next(it);
+    }
+}
+
 // Measures the load of this host's racks, and sends reports and learned pairs
 // to the other hosts as far as they are due.
 void job_scheduler::impl::share_load()
@@ -892,6 +1013,7 @@
         racks.tick();
         share_load();
         coordinator.tick();
+        record_pending();
         std::atomic<std::int64_t>& longest = racks.activity().longest_tick_ms;
         longest = std::max(longest.load(), elapsed(begun_at).count());
         metrics.tick.observe(
@@ -978,11 +1100,16 @@
     {
         impl_->tick_thread.join();
     }
+    if (impl_->target_list_owner)
+    {
+        impl_->target_list_owner->stop();
+    }
     impl_->agent.stop();
     impl_->coordinator.stop();
     impl_->racks.stop();
     impl_->orders_outbox.stop();
     impl_->reports_outbox.stop();
+    impl_->handovers_outbox.stop();
     if (impl_->server)
     {
         impl_->server->stop();
@@ -1015,6 +1142,34 @@
     return impl_->config;
 }
 
+void job_scheduler::follow_targets(
+    std::string table, milliseconds pause,
+    std::function<const std::map<std::string, target_entry>&(const row_map&)>
+        decode)
+{
+    target_list_hooks hooks;
+    hooks.decode = std::move(decode);
+    hooks.sources = [this]
+    {
+        return impl_->agent.list_readers();
+    };
+    hooks.call = [this](const std::string& peer,
+                        const target_list_request& request,
+                        milliseconds timeout)
+    {
+        return call_peer<target_list_reply>(
+            *impl_->client, peer, target_list_message, request, timeout);
+    };
+    hooks.on_change = [this](const std::map<std::string, target_entry>& entries)
+    {
+        set_targets(entries);
+    };
+    impl_->target_list_owner = std::make_unique<target_list_replica>(
+        impl_->store, std::move(table), impl_->boot, pause, std::move(hooks));
+    impl_->target_list = impl_->target_list_owner.get();
+    impl_->target_list_owner->start();
+}
+
 void job_scheduler::set_targets(
     const std::map<std::string, target_entry>& targets)
 {
@@ -1133,11 +1288,15 @@
 
 std::int64_t job_scheduler::pending(const std::string& queue)
 {
-    const std::map<std::string, std::int64_t> own =
-        impl_->coordinator.pending();
-    const auto it = own.find(queue);
-    return (it == own.end() ? 0 : it->second) +
-           impl_->agent.pending_elsewhere(queue);
+    const std::map<std::string, std::int64_t> counts = impl_->count_pending();
+    const auto count = counts.find(queue);
+    const std::lock_guard<std::mutex> lock(impl_->pending_mutex);
+    const auto window = impl_->pending_windows.find(queue);
+    const std::int64_t latest =
+        window == impl_->pending_windows.end()
+            ? 0
+            : max_value(window->second, max_pending_age, steady_clock::now());
+    return std::max(latest, count == counts.end() ? 0 : count->second);
 }
 
 } // namespace egretspindle
--- a/src/scheduler/rack_agent.cpp
+++ b/src/scheduler/rack_agent.cpp
@@ -98,6 +98,7 @@
         rack.name = takeover.rack;
         rack.recorded_targets = takeover.roster.size();
         rack.token = takeover.token;
+        rack.former_token = takeover.former_token;
         rack.taken_over_at = now;
         confirm_ownership(rack, takeover.confirmed_at, impl_->limits.lease);
         rack.unknown_until = takeover.former_stopped_at +
@@ -150,15 +151,38 @@
     }
 }
 
-void rack_agent::drop_rack(const std::string& rack)
+std::optional<rack_handover> rack_agent::drop_rack(const std::string& rack)
 {
     const std::lock_guard<std::mutex> lock(impl_->mutex);
-    if (impl_->racks.erase(rack) == 0)
+    const rack_state* known = impl_->find_rack(rack);
+    if (known == nullptr)
     {
-        return;
+        return std::nullopt;
     }
+    // The leases of orders that are being sent are included.
+    rack_handover handover = make_handover(*known, steady_clock::now());
+    impl_->racks.erase(rack);
     impl_->close_channels(rack, impl_->closed_channels);
-    log_info("rack lost", {{"rack", rack}});
+    log_info("rack lost", {{"rack", rack}, {"owner_version", handover.token}});
+    return handover;
+}
+
+rack_handover_reply rack_agent::apply_handover(const rack_handover& handover)
+{
+    const std::lock_guard<std::mutex> lock(impl_->mutex);
+    rack_state* rack = impl_->find_rack(handover.rack);
+    if (rack == nullptr)
+    {
+        return {};
+    }
+    egretspindle::apply_handover(*rack, handover, steady_clock::now());
+    log_info("former owner has released a rack",
+             {{"rack", handover.rack},
+              {"owner_version", rack->token},
+              {"former_version", handover.token},
+              {"expected_version", rack->former_token},
+              {"targets", handover.targets.size()}});
+    return {true};
 }
 
 void rack_agent::set_targets(const std::map<std::string, target_entry>& targets)
--- a/tests/cluster/cluster_view_test.cpp
+++ b/tests/cluster/cluster_view_test.cpp
@@ -445,3 +445,28 @@
     const std::map<std::string, int> loads = site.loads("shard/");
     REQUIRE(std::abs(loads.at("h1") - loads.at("h2")) <= 1);
 }
+
+// Guards against hosts of a data centre that follow different sources, and
+// against a source that is gone or in another data centre.
+TEST_CASE("the live hosts with the largest weights read the list of targets",
+          "[cluster]")
+{
+    using names = std::vector<std::string>;
+    cluster_view view;
+    CHECK(choose_readers(view, "a", limits, start).empty());
+    for (const char* name : {"a1", "a2", "a3", "b1"})
+    {
+        view.hosts[name] = make_host(name, 1, 1, std::string(name, 1));
+        view.hosts[name].changed_at = start;
+    }
+    view.hosts["b1"].row.weight = 9;
+    view.hosts["a1"].row.weight = 0.12;
+    view.hosts["a2"].row.weight = 0.25;
+    view.hosts["a3"].row.weight = 0.5;
+    CHECK(choose_readers(view, "a", limits, start) == names{"a3", "a2"});
+    CHECK(choose_readers(view, "b", limits, start) == names{"b1"});
+    view.hosts["a3"].row.is_leaving = true;
+    CHECK(choose_readers(view, "a", limits, start) == names{"a2", "a1"});
+    view.hosts.erase("a2");
+    CHECK(choose_readers(view, "a", limits, start) == names{"a1"});
+}
--- /dev/null
+++ b/tests/rack/rack_handover_test.cpp
@@ -0,0 +1,100 @@
+#include "egretspindle/rack/rack_decision.hpp"
+#include "egretspindle/rack/rack_handover.hpp"
+
+#include <catch2/catch.hpp>
+
+using namespace egretspindle;
+
+namespace
+{
+
+const time_point now = steady_clock::now();
+
+rack_target& add_target(rack_state& rack, const std::string& id)
+{
+    rack_target& target = rack.targets[id];
+    target.entry.id = id;
+    target.is_inherited = true;
+    return target;
+}
+
+// Rack whose former owner had the token 7, and whose leases end in 14.7 s for
+// all that the new owner knows.
+rack_state make_new_owner()
+{
+    rack_state rack;
+    rack.name = "r1";
+    rack.token = 8;
+    rack.former_token = 7;
+    rack.unknown_until = now + milliseconds(14'700);
+    add_target(rack, "t1").is_reached = true;
+    add_target(rack, "t2");
+    return rack;
+}
+
+rack_state make_former_owner()
+{
+    rack_state rack;
+    rack.name = "r1";
+    rack.token = 7;
+    rack.unknown_until = now + milliseconds(9'000);
+    rack_target& reached = add_target(rack, "t2");
+    reached.is_reached = true;
+    reached.expires_at = now + milliseconds(5'000);
+    add_target(rack, "t3");
+    return rack;
+}
+
+bool knows_all_after(rack_state& rack, milliseconds time)
+{
+    rack.verified_at = now + time;
+    return knows_all_runs(rack, now + time);
+}
+
+} // namespace
+
+// A long-running task whose target is gone was away for 12.2 s when its rack
+// moved to another host 1.4 s after the loss: the new owner did not know that
+// the former one had given the rack up. Guards against that, and against
+// counting a lease as expired too early.
+TEST_CASE("a new owner waits for the leases that the former one granted",
+          "[rack]")
+{
+    rack_state rack = make_new_owner();
+    REQUIRE_FALSE(knows_all_after(rack, milliseconds(14'600)));
+    const rack_handover handover = make_handover(make_former_owner(), now);
+    REQUIRE(handover.targets.size() == 2);
+    CHECK(handover.targets[1].remaining_ms == 9'000);
+    apply_handover(rack, handover, now);
+    CHECK_FALSE(knows_all_after(rack, milliseconds(4'999)));
+    CHECK(knows_all_after(rack, milliseconds(5'002)));
+}
+
+// Guards against a message of an earlier owner, which does not know the leases
+// that a later one granted.
+TEST_CASE("only the last earlier owner can handover a rack", "[rack]")
+{
+    rack_state rack = make_new_owner();
+    rack_handover handover = make_handover(make_former_owner(), now);
+    handover.token = 6;
+    apply_handover(rack, handover, now);
+    CHECK_FALSE(knows_all_after(rack, milliseconds(14'600)));
+    rack.former_token = 0;
+    handover.token = 0;
+    apply_handover(rack, handover, now);
+    CHECK_FALSE(knows_all_after(rack, milliseconds(14'600)));
+}
+
+// Guards against runs that end on a target which still has a lease.
+TEST_CASE("runs on a released target end with its leases", "[rack]")
+{
+    rack_state rack = make_new_owner();
+    apply_handover(rack, make_handover(make_former_owner(), now), now);
+    rack.targets["t2"].is_listed = false;
+    rack.verified_at = now + milliseconds(4'000);
+    CHECK(expire_leases(rack, now + milliseconds(4'000)).empty());
+    CHECK(rack.targets.count("t2") == 1);
+    rack.verified_at = now + milliseconds(6'000);
+    CHECK(expire_leases(rack, now + milliseconds(6'000)).empty());
+    CHECK(rack.targets.count("t2") == 0);
+}
--- a/tests/scheduler/cluster_agent_test.cpp
+++ b/tests/scheduler/cluster_agent_test.cpp
@@ -86,6 +86,7 @@
 {
     host_row host;
     host.is_leaving = is_leaving;
+    host.pending = {{"queue", 40}};
     host.name = name;
     host.boot = 1;
     host.peer = "peer-of-" + name;
@@ -368,3 +369,25 @@
     CHECK(former.kind == former_owner::other);
     CHECK(former.ended_at.has_value());
 }
+
+// Guards against telling callers that far fewer jobs wait than do, until the
+// shards of a silent host have been taken over.
+TEST_CASE("jobs of a host that is not live count while it owns their shard",
+          "[scheduler]")
+{
+    fake_store store;
+    row_transaction transaction;
+    table_row row;
+    row.table = std::string(cluster_table);
+    row.key = std::string(shard_prefix) + "j00";
+    row.value = to_json(resource_owner{"h9", 1});
+    transaction.writes.push_back(row);
+    REQUIRE(store.commit(transaction, milliseconds(100)).ok());
+    write_host(store, "h9", 1, true);
+    // Claims are refused, so that the shard stays with `h9`.
+    store.set_fault(write_fault::refused);
+    agent_fixture host(store);
+    REQUIRE(wait_until(
+        [&] { return host.agent.owner_of("shard/j00").has_value(); }));
+    CHECK(host.agent.pending_elsewhere()["queue"] == 40);
+}
