Leave out odd entries of the host list

One entry with a field of another type hid the whole list of /v1, so that hosts stopped following it. Each entry is decoded for itself; host_list_test covers odd types, numbers and ports.

--- a/include/egretspindle/adapters/host_list_client.hpp
+++ b/include/egretspindle/adapters/host_list_client.hpp
@@ -10,6 +10,7 @@
 
 #include <memory>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace egretspindle
@@ -26,6 +27,11 @@
     [[nodiscard]] virtual absl::StatusOr<std::vector<host_entry>> hosts() = 0;
 };
 
+/// Decodes a host list. Another program may write entries, so malformed ones,
+/// and targets without a usable address, are left out.
+[[nodiscard]] absl::StatusOr<std::vector<host_entry>>
+decode_host_list(std::string_view text);
+
 /// Creates an HTTP client of the host list at `address` (`ip:port`).
 ///
 /// \returns `invalid_argument` when the address is not valid
--- a/src/adapters/http_host_list_client.cpp
+++ b/src/adapters/http_host_list_client.cpp
@@ -1,4 +1,5 @@
 #include "egretspindle/adapters/host_list_client.hpp"
+#include "egretspindle/core/error.hpp"
 
 #include "json_call.hpp"
 
@@ -8,15 +9,10 @@
 namespace
 {
 
-struct host_list_body
+bool is_usable(const host_entry& entry)
 {
-    std::vector<host_entry> hosts;
-};
-
-template <typename Visitor, typename Value>
-void visit_fields(Visitor&& visit, Value& value, const host_list_body* /*tag*/)
-{
-    visit("hosts", value.hosts);
+    return !entry.name.empty() &&
+           (entry.role != "target" || parse_endpoint(entry.address).ok());
 }
 
 class http_host_list_client : public host_list_client
@@ -30,13 +26,13 @@
     {
         http_call call;
         call.path = "/v1/hosts";
-        absl::StatusOr<host_list_body> body =
-            json_call<host_list_body>(client_, call);
-        if (!body.ok())
+        const absl::StatusOr<http_response> response = client_.send(call);
+        if (!response.ok())
         {
-            return body.status();
+            return response.status();
         }
-        return std::move(body->hosts);
+        const absl::Status status = error_from_response(*response);
+        return status.ok() ? decode_host_list(response->body) : status;
     }
 
 private:
@@ -45,6 +41,33 @@
 
 } // namespace
 
+absl::StatusOr<std::vector<host_entry>> decode_host_list(std::string_view text)
+{
+    const absl::StatusOr<json_document> document = parse_json(text);
+    if (!document.ok())
+    {
+        return document.status();
+    }
+    const json_value* list = find_member(document->root(), "hosts");
+    if (list == nullptr || !list->IsArray())
+    {
+        return make_error(error_kind::internal,
+                          "the host list has no array 'hosts'");
+    }
+    std::vector<host_entry> hosts;
+    for (const json_value& value : list->GetArray())
+    {
+        host_entry entry;
+        const absl::Status status = codec::read(
+            value, entry, codec::unknown_fields::ignore, codec::field_path{});
+        if (status.ok() && is_usable(entry))
+        {
+            hosts.push_back(std::move(entry));
+        }
+    }
+    return hosts;
+}
+
 absl::StatusOr<std::unique_ptr<host_list_client>>
 make_http_host_list_client(const std::string& address)
 {
