--- a/tests/rack/rack_decision_test.cpp
+++ b/tests/rack/rack_decision_test.cpp
@@ -261,6 +261,47 @@
     }
 }
 
+// The platform removes the entry of a target that is silent for some seconds.
+// Guards against work that is started again although it goes on there.
+TEST_CASE("a target that leaves the list keeps its runs while it answers",
+          "[rack]")
+{
+    rack_state rack = make_rack(1);
+    rack_target& target = rack.targets["t0"];
+    update_clock(target, 5'000, limits, start_time);
+    enqueue(rack, make_start("job.0.0.0", make_terms()));
+    REQUIRE(place_starts(rack, no_interference, start_time, 0).size() == 1);
+    REQUIRE(apply_start(rack, target, {"job.0.0.0", 1}, order_verdict::taken,
+                        start_time)
+                .size() == 1);
+    target.is_listed = false;
+    time_point now = start_time;
+    for (int n = 0; n < 20; ++n)
+    {
+        extend_lease(target, limits, now);
+        now += milliseconds(3'000);
+        rack.verified_at = now;
+        REQUIRE(expire_leases(rack, now).empty());
+        REQUIRE(rack.targets.count("t0") == 1);
+        update_clock(target, 5'000 + elapsed_ms(start_time, now), limits, now);
+        REQUIRE(apply_poll(rack, target,
+                           make_answer({{"job.0.0.0", 1, "", 100, 0}}), now,
+                           now)
+                    .empty());
+    }
+    CHECK(target.runs.count({"job.0.0.0", 1}) == 1);
+}
+
+// The durable list of a rack names targets that have left since. Guards against
+// their use after a restart of the owner.
+TEST_CASE("a recorded target that is not listed gets no starts", "[rack]")
+{
+    rack_state rack = make_rack(1);
+    rack.targets["t0"].is_listed = false;
+    enqueue(rack, make_start("job.0.0.0", make_terms()));
+    CHECK(place_starts(rack, no_interference, start_time, 0).empty());
+}
+
 // A target's clock may be 2% slow, so a lease of 6 s lasts up to 6.12 s on the
 // clock of the owner.
 TEST_CASE("the expiry of a lease allows for a slow clock", "[rack]")
