Use the leases of a handover for targets that were reached, too

A new owner that reached a target for a moment before the target was gone kept its runs for the longest lease from then on.

From the first answer on, a target refuses orders of earlier owners; what they granted before is what the handover says. The time of the first answer and that of orders for an earlier boot are kept apart, since only the former is known from the handover. rack_handover_test plays both orders of handover and first answer.

--- a/include/egretspindle/rack/rack_handover.hpp
+++ b/include/egretspindle/rack/rack_handover.hpp
@@ -66,10 +66,10 @@
 [[nodiscard]] rack_handover make_handover(const rack_state& rack,
                                           time_point now);
 
-/// Applies the message of the last earlier owner to the targets that this owner
-/// has not reached. Has no effect if another owner sent it.
+/// Applies the message of the last earlier owner to the targets of the rack.
+/// Has no effect if another owner sent it.
 void apply_handover(rack_state& rack, const rack_handover& handover,
-                    time_point now);
+                    const lease_limits& limits, time_point now);
 
 /// Returns the time until which a target that this owner has not reached may
 /// run tasks of an earlier owner.
--- a/include/egretspindle/rack/rack_state.hpp
+++ b/include/egretspindle/rack/rack_state.hpp
@@ -108,16 +108,20 @@
     time_point listed_restart_at;
     bool is_reached = false; ///< has replied to a poll of this owner
     /// When all leases of earlier owners have expired, as the last of them has
-    /// told this owner; replaces `rack_state::unknown_until`.
+    /// told this owner; replaces `rack_state::unknown_until` and the longest
+    /// lease from `reached_at` on.
     std::optional<time_point> former_leases_end;
     std::int64_t started_ms = 0; ///< start of its boot, from the last poll
     std::int64_t clock_ms = 0;   ///< its clock at `clock_at`
     time_point clock_at;         ///< when that reply arrived
     /// Latest end of all leases sent to it, on its own clock.
     std::int64_t lease_until_ms = 0;
+    /// When this owner first reached it. From then on it refuses orders of
+    /// earlier owners, which may have got the longest lease just before.
+    time_point reached_at;
     /// Latest time at which it may have granted a lease that `lease_until_ms`
-    /// does not include: to an earlier owner, or to an order that was made for
-    /// an earlier boot of the target.
+    /// does not include, to an order that was made for an earlier boot of the
+    /// target.
     time_point unknown_lease_at;
     time_point expires_at;  ///< when all leases have certainly expired
     time_point avoid_until; ///< gets no starts before this time, after a fault
@@ -232,6 +236,10 @@
 void allow_for_stale_order(rack_target& target, const lease_limits& limits,
                            time_point now);
 
+/// Records when all leases of earlier owners on a target have expired.
+void set_former_leases_end(rack_target& target, time_point end,
+                           const lease_limits& limits);
+
 /// Updates the clock of a target from a reply.
 void update_clock(rack_target& target, std::int64_t clock_ms,
                   const lease_limits& limits, time_point now);
--- a/src/rack/rack_decision.cpp
+++ b/src/rack/rack_decision.cpp
@@ -421,8 +421,7 @@
     }
     if (!target.is_reached)
     {
-        // From now on the target refuses orders of earlier owners.
-        target.unknown_lease_at = std::max(target.unknown_lease_at, now);
+        target.reached_at = now;
     }
     target.started_ms = answer.started_ms;
     target.is_reached = true;
--- a/src/rack/rack_handover.cpp
+++ b/src/rack/rack_handover.cpp
@@ -22,7 +22,7 @@
 }
 
 void apply_handover(rack_state& rack, const rack_handover& handover,
-                    time_point now)
+                    const lease_limits& limits, time_point now)
 {
     if (rack.former_token == 0 || handover.token != rack.former_token)
     {
@@ -31,13 +31,12 @@
     for (const handed_over_target& item : handover.targets)
     {
         const auto it = rack.targets.find(item.target);
-        if (it != rack.targets.end() && !it->second.is_reached)
+        if (it != rack.targets.end())
         {
             // Rounding and the transfer make the time later, never earlier.
-            it->second.former_leases_end =
-                now +
-                milliseconds(std::max<std::int64_t>(0, item.remaining_ms)) +
-                milliseconds(1);
+            const milliseconds left(
+                std::max<std::int64_t>(0, item.remaining_ms) + 1);
+            set_former_leases_end(it->second, now + left, limits);
         }
     }
 }
--- a/src/rack/rack_state.cpp
+++ b/src/rack/rack_state.cpp
@@ -22,9 +22,11 @@
     // whose clock was ahead; the target grants at most the longest lease.
     const std::int64_t left = std::clamp<std::int64_t>(
         target.lease_until_ms - target.clock_ms, 0, limits.longest.count());
-    target.expires_at =
-        std::max(target.clock_at + with_drift(left, limits),
-                 target.unknown_lease_at + max_lease_duration(limits));
+    const time_point former_end = target.former_leases_end.value_or(
+        target.reached_at + max_lease_duration(limits));
+    target.expires_at = std::max(
+        {target.clock_at + with_drift(left, limits),
+         target.unknown_lease_at + max_lease_duration(limits), former_end});
 }
 
 } // namespace
@@ -105,6 +107,16 @@
     update_expiry(target, limits);
 }
 
+void set_former_leases_end(rack_target& target, time_point end,
+                           const lease_limits& limits)
+{
+    target.former_leases_end = end;
+    if (target.is_reached)
+    {
+        update_expiry(target, limits);
+    }
+}
+
 void update_clock(rack_target& target, std::int64_t clock_ms,
                   const lease_limits& limits, time_point now)
 {
--- a/src/scheduler/rack_agent.cpp
+++ b/src/scheduler/rack_agent.cpp
@@ -175,7 +175,8 @@
     {
         return {};
     }
-    egretspindle::apply_handover(*rack, handover, steady_clock::now());
+    egretspindle::apply_handover(*rack, handover, impl_->limits.lease,
+                                 steady_clock::now());
     log_info("former owner has released a rack",
              {{"rack", handover.rack},
               {"owner_version", rack->token},
--- a/tests/rack/rack_handover_test.cpp
+++ b/tests/rack/rack_handover_test.cpp
@@ -8,6 +8,7 @@
 namespace
 {
 
+const lease_limits limits;
 const time_point now = steady_clock::now();
 
 rack_target& add_target(rack_state& rack, const std::string& id)
@@ -65,7 +66,7 @@
     const rack_handover handover = make_handover(make_former_owner(), now);
     REQUIRE(handover.targets.size() == 2);
     CHECK(handover.targets[1].remaining_ms == 9'000);
-    apply_handover(rack, handover, now);
+    apply_handover(rack, handover, limits, now);
     CHECK_FALSE(knows_all_after(rack, milliseconds(4'999)));
     CHECK(knows_all_after(rack, milliseconds(5'002)));
 }
@@ -77,11 +78,11 @@
     rack_state rack = make_new_owner();
     rack_handover handover = make_handover(make_former_owner(), now);
     handover.token = 6;
-    apply_handover(rack, handover, now);
+    apply_handover(rack, handover, limits, now);
     CHECK_FALSE(knows_all_after(rack, milliseconds(14'600)));
     rack.former_token = 0;
     handover.token = 0;
-    apply_handover(rack, handover, now);
+    apply_handover(rack, handover, limits, now);
     CHECK_FALSE(knows_all_after(rack, milliseconds(14'600)));
 }
 
@@ -89,7 +90,7 @@
 TEST_CASE("runs on a released target end with its leases", "[rack]")
 {
     rack_state rack = make_new_owner();
-    apply_handover(rack, make_handover(make_former_owner(), now), now);
+    apply_handover(rack, make_handover(make_former_owner(), now), limits, now);
     rack.targets["t2"].is_listed = false;
     rack.verified_at = now + milliseconds(4'000);
     CHECK(expire_leases(rack, now + milliseconds(4'000)).empty());
@@ -98,3 +99,38 @@
     CHECK(expire_leases(rack, now + milliseconds(6'000)).empty());
     CHECK(rack.targets.count("t2") == 0);
 }
+
+// A target that the new owner reached for a moment before it was gone kept its
+// runs for the longest lease, 10.7 s. Guards against that, and against ends of
+// runs while a lease of the former owner is valid.
+TEST_CASE("a target that is lost after a handover has no longer leases",
+          "[rack]")
+{
+    const bool is_reached_first = GENERATE(true, false);
+    CAPTURE(is_reached_first);
+    rack_state rack = make_new_owner();
+    rack_target& target = rack.targets["t2"];
+    poll_answer answer;
+    answer.clock_ms = 50'000;
+    answer.started_ms = 1;
+    const auto reach = [&]
+    {
+        REQUIRE(apply_poll(rack, target, answer, now, now).empty());
+        update_clock(target, answer.clock_ms, limits, now);
+    };
+    if (is_reached_first)
+    {
+        reach();
+        CHECK(target.expires_at >= now + max_lease_duration(limits));
+    }
+    apply_handover(rack, make_handover(make_former_owner(), now), limits, now);
+    if (!is_reached_first)
+    {
+        reach();
+    }
+    CHECK(target.expires_at >= now + milliseconds(5'000));
+    CHECK(target.expires_at < now + milliseconds(5'100));
+    extend_lease(target, limits, now);
+    CHECK(target.expires_at >= now + lease_duration(limits));
+    CHECK(target.expires_at < now + max_lease_duration(limits));
+}
