Count a failed run without failing the job while its queue is not configured

Cause: max_attempts returned 1 for a queue that is not in the present configuration, so that end_run closed the job at the first failure. A host without its first configuration was in the same state.

The limit is now unknown in that state. The failure is counted and the task waits, as its start does anyway; apply_attempt_limit is checked before the task is assigned again, so no start exceeds the limit.

The two new tests of test_scheduler failed before: "failed" == "running".

--- a/include/egretspindle/jobs/job_machine.hpp
+++ b/include/egretspindle/jobs/job_machine.hpp
@@ -10,6 +10,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -63,12 +64,24 @@
 /// Records the end of a run, and the end of the job if it follows from it.
 ///
 /// \param max_attempts  failed runs of one task or gang after which the job
-///                      fails; long-running tasks have no limit
+///                      fails; no value: not known now, see
+///                      `apply_attempt_limit`. Long-running tasks have no limit
 /// \param now_ms        Unix time in ms
 /// \returns the effect; the job is unchanged unless it is `changed`
 end_effect end_run(job& value, const task_key& key, std::int64_t run,
                    run_end how, const std::string& checkpoint,
-                   std::int64_t max_attempts, std::int64_t now_ms);
+                   std::optional<std::int64_t> max_attempts,
+                   std::int64_t now_ms);
+
+/// Ends an open job as failed if the failures of one of its waiting tasks or
+/// gangs have reached the limit. They may have been recorded while the limit
+/// was not known.
+///
+/// \param max_attempts  see `end_run`
+/// \param now_ms        Unix time in ms
+/// \returns whether the job has failed
+bool apply_attempt_limit(job& value, std::int64_t max_attempts,
+                         std::int64_t now_ms);
 
 /// Cancels a job if it is open. Its assigned runs remain until they end.
 ///
--- a/src/jobs/job_machine.cpp
+++ b/src/jobs/job_machine.cpp
@@ -223,7 +223,8 @@
 
 end_effect end_run(job& value, const task_key& key, std::int64_t run,
                    run_end how, const std::string& checkpoint,
-                   std::int64_t max_attempts, std::int64_t now_ms)
+                   std::optional<std::int64_t> max_attempts,
+                   std::int64_t now_ms)
 {
     job_task* task = find_mutable_task(value, key);
     if (task == nullptr || run > task->run)
@@ -252,7 +253,8 @@
         // A gang fails as a whole, so its failures are counted at its first
         // member.
         job_task& counted_task = step.is_gang ? tasks.front() : *task;
-        if (++counted_task.failures >= max_attempts)
+        ++counted_task.failures;
+        if (max_attempts && counted_task.failures >= *max_attempts)
         {
             task->phase = job_task_phase::failed;
             if (value.outcome == job_outcome::open)
@@ -268,6 +270,35 @@
     return end_effect::changed;
 }
 
+bool apply_attempt_limit(job& value, std::int64_t max_attempts,
+                         std::int64_t now_ms)
+{
+    if (value.outcome != job_outcome::open)
+    {
+        return false;
+    }
+    for (occurrence_state& occurrence : value.occurrences)
+    {
+        for (std::size_t n = 0; n < occurrence.steps.size(); ++n)
+        {
+            for (job_task& task : occurrence.steps[n])
+            {
+                const bool is_exhausted =
+                    !value.spec.steps[n].is_long_running &&
+                    task.phase == job_task_phase::waiting &&
+                    task.failures >= max_attempts;
+                if (is_exhausted)
+                {
+                    task.phase = job_task_phase::failed;
+                    close_job(value, job_outcome::failed, now_ms);
+                    return true;
+                }
+            }
+        }
+    }
+    return false;
+}
+
 bool cancel_job(job& value, std::int64_t now_ms)
 {
     if (value.outcome != job_outcome::open)
--- a/src/scheduler/job_coordinator_impl.hpp
+++ b/src/scheduler/job_coordinator_impl.hpp
@@ -113,7 +113,7 @@
                           const entry_ptr& entry);
     report_verdict apply_report(const run_report& report, entry_ptr& entry,
                                 std::uint64_t& change);
-    std::int64_t max_attempts(const job& value) const;
+    std::optional<std::int64_t> max_attempts(const job& value) const;
 
     // job_coordinator_records.cpp: writes and removal of records
     void mark_changed(const entry_ptr& entry);
--- a/src/scheduler/job_coordinator_runs.cpp
+++ b/src/scheduler/job_coordinator_runs.cpp
@@ -95,13 +95,17 @@
 }
 
 // Returns the attempts of a task as configured for the queue of its job, at
-// least 1; also 1 if the queue is not configured.
-std::int64_t job_coordinator::impl::max_attempts(const job& value) const
+// least 1; no value if the queue is not configured.
+std::optional<std::int64_t>
+job_coordinator::impl::max_attempts(const job& value) const
 {
     const std::shared_ptr<const fleet_config> config = hooks.config();
     const queue_config* queue = find_queue_named(*config, value.queue);
-    return queue == nullptr ? 1
-                            : std::max<std::int64_t>(1, queue->max_attempts);
+    if (queue == nullptr)
+    {
+        return std::nullopt;
+    }
+    return std::max<std::int64_t>(1, queue->max_attempts);
 }
 
 // Returns the terms under which racks run the tasks of a step. `service` is
@@ -316,9 +320,27 @@
     }
 }
 
+// Assigns the waiting tasks of a job, unless one of them has used up its
+// attempts while the queue of the job was not configured.
 void job_coordinator::impl::assign_due_steps(const entry_ptr& entry)
 {
-    for (const due_step& due : due_steps(entry->value))
+    const std::vector<due_step> due_now = due_steps(entry->value);
+    if (due_now.empty())
+    {
+        return;
+    }
+    const std::optional<std::int64_t> limit = max_attempts(entry->value);
+    if (limit && apply_attempt_limit(entry->value, *limit, unix_ms()))
+    {
+        log_info("job failed: attempts were used up before its queue was "
+                 "configured again",
+                 {{"job", entry->value.id},
+                  {"queue", entry->value.queue},
+                  {"max_attempts", *limit}});
+        mark_changed(entry);
+        return;
+    }
+    for (const due_step& due : due_now)
     {
         assign_step(entry, due);
     }
@@ -521,8 +543,9 @@
         entry->handed_back_at[{step, report.rack}] = steady_clock::now();
     }
     metrics.count_end(how);
-    end_run(entry->value, key, report.run, how, report.checkpoint,
-            max_attempts(entry->value), unix_ms());
+    const std::optional<std::int64_t> limit = max_attempts(entry->value);
+    end_run(entry->value, key, report.run, how, report.checkpoint, limit,
+            unix_ms());
     entry->sent.erase(report.task);
     log_info("run ended", {{"task", report.task},
                            {"run", report.run},
@@ -531,6 +554,7 @@
                            {"rack", report.rack},
                            {"owner_version", report.token},
                            {"listed", report.number},
+                           {"max_attempts", limit.value_or(0)},
                            {"job_outcome", to_string(entry->value.outcome)}});
     mark_changed(entry);
     assign_due_steps(entry);
--- a/tests/scheduler/job_coordinator_test.cpp
+++ b/tests/scheduler/job_coordinator_test.cpp
@@ -34,11 +34,13 @@
     /// Tokens for which the coordinator has asked whether its shard is
     /// confirmed.
     std::vector<std::int64_t> checked_tokens;
+    /// The configuration contains the queue of the jobs.
+    std::atomic<bool> has_queue{true};
 
     job_coordinator_hooks hooks()
     {
         job_coordinator_hooks result;
-        result.config = []
+        result.config = [this]
         {
             fleet_config config;
             config.version = 1;
@@ -46,7 +48,10 @@
             queue.name = "queue";
             queue.service = "svc";
             queue.max_attempts = 2;
-            config.queues = {queue};
+            if (has_queue)
+            {
+                config.queues = {queue};
+            }
             return std::make_shared<const fleet_config>(config);
         };
         result.choose_racks =
@@ -623,6 +628,68 @@
     REQUIRE(second.query(make_request()).state == "completed");
 }
 
+// Guards against jobs that fail for good after their first failed run because
+// their queue is removed and added again.
+TEST_CASE("a run that fails while its queue is not configured uses up one "
+          "attempt",
+          "[scheduler]")
+{
+    fake_store store;
+    fake_environment environment;
+    job_coordinator coordinator(store, environment.hooks(), {});
+    coordinator.take_shard(shard_of(job_id));
+    REQUIRE(coordinator.submit(make_request()).verdict == "accepted");
+    environment.has_queue = false;
+    REQUIRE(coordinator.report({{make_report("failed", 1)}})
+                .verdicts.front()
+                .verdict == "recorded");
+    coordinator.tick();
+    CHECK(coordinator.query(make_request()).state == "running");
+    environment.has_queue = true;
+    coordinator.tick();
+    run_report second = make_report("failed", 2);
+    second.run = 2;
+    REQUIRE(coordinator.report({{second}}).verdicts.front().verdict ==
+            "recorded");
+    CHECK(coordinator.query(make_request()).state == "failed");
+}
+
+// Guards against a start beyond the limit of the queue, which is not known when
+// the last failure is reported.
+TEST_CASE("a job whose attempts were used up while its queue was not "
+          "configured fails once it is",
+          "[scheduler]")
+{
+    fake_store store;
+    fake_environment environment;
+    job_coordinator coordinator(store, environment.hooks(), {});
+    coordinator.take_shard(shard_of(job_id));
+    REQUIRE(coordinator.submit(make_request()).verdict == "accepted");
+    REQUIRE(coordinator.report({{make_report("failed", 1)}})
+                .verdicts.front()
+                .verdict == "recorded");
+    environment.has_queue = false;
+    run_report second = make_report("failed", 2);
+    second.run = 2;
+    REQUIRE(coordinator.report({{second}}).verdicts.front().verdict ==
+            "recorded");
+    CHECK(coordinator.query(make_request()).state == "running");
+    environment.has_queue = true;
+    coordinator.tick();
+    const absl::StatusOr<job> recorded =
+        decode_job(job_id, job_row(store).value);
+    CHECK(assigned_runs(*recorded).empty());
+    const auto is_failed = [&]
+    {
+        return coordinator.query(make_request()).state == "failed";
+    };
+    for (int n = 0; n < 2'000 && !is_failed(); ++n)
+    {
+        std::this_thread::sleep_for(milliseconds(10));
+    }
+    CHECK(is_failed());
+}
+
 // Without the configuration, the service of a start is not known. A start
 // without a service fits no target, so its job would stay open forever.
 TEST_CASE("a start is not sent before the configuration is loaded",
