Withdraw a waiting start when its run is to be stopped

Cause: prepare_start sent a start that waited in the queue of its target although the run was to be stopped, unless an earlier attempt had been sent. A stop goes to the front of the queue, but one without an answer is queued again behind the start. Ruled out: a start carried out late by the target, which would have been logged as unanswered.

An unsent start of such a run is now cancelled and reported as not started. No copy of it can be under way, so no stop is needed.

The new test failed before: the target got the start.

--- a/include/egretspindle/rack/rack_decision.hpp
+++ b/include/egretspindle/rack/rack_decision.hpp
@@ -101,6 +101,13 @@
 apply_start(rack_state& rack, rack_target& target, const run_id& id,
             order_verdict verdict, time_point now);
 
+/// Ends a run that is to be stopped and whose start was never sent to its
+/// target.
+///
+/// \returns events for the owner of the job
+[[nodiscard]] std::vector<run_event>
+withdraw_unsent_start(rack_state& rack, rack_target& target, const run_id& id);
+
 /// Remembers a start that got no reply, and may still be carried out for
 /// `max_order_delay` from `now`.
 void add_unanswered_start(rack_target& target, const run_id& id,
--- a/src/rack/rack_decision.cpp
+++ b/src/rack/rack_decision.cpp
@@ -512,6 +512,25 @@
     return events;
 }
 
+std::vector<run_event>
+withdraw_unsent_start(rack_state& rack, rack_target& target, const run_id& id)
+{
+    std::vector<run_event> events;
+    const auto it = target.runs.find(id);
+    if (it == target.runs.end())
+    {
+        return events;
+    }
+    queued_start start;
+    start.task = it->second.task;
+    start.run = it->second.run;
+    start.checkpoint = it->second.checkpoint;
+    events.push_back(not_started(start, end_cause::withdrawn));
+    target.runs.erase(it);
+    remember_ends(rack, events);
+    return events;
+}
+
 void add_unanswered_start(rack_target& target, const run_id& id, time_point now)
 {
     target.unanswered_starts[id] = now + max_order_delay;
--- a/src/scheduler/rack_agent_orders.cpp
+++ b/src/scheduler/rack_agent_orders.cpp
@@ -230,9 +230,10 @@
     return true;
 }
 
-// Cancels a start that has not been sent yet if its target is draining or not
-// listed any more. The start may have waited in the channel for a slow target
-// or for the right to grant leases. Returns whether it was cancelled.
+// Cancels a start that has not been sent yet if its run is to be stopped, or if
+// its target is draining or not listed any more. The start may have waited in
+// the channel for a slow target or for the right to grant leases. Returns
+// whether it was cancelled.
 bool rack_agent::impl::cancel_unsent_start(const channel_ptr& channel,
                                            const pending_order& order)
 {
@@ -240,8 +241,7 @@
     {
         const std::lock_guard<std::mutex> lock(mutex);
         rack_target* target = find_target(*channel);
-        if (target == nullptr || order.was_unanswered ||
-            (target->is_listed && !target->entry.is_draining))
+        if (target == nullptr || order.was_unanswered)
         {
             return false;
         }
@@ -251,14 +251,23 @@
         {
             return false;
         }
+        const bool is_stopping = it->second.is_stopping;
+        const bool is_leaving = !target->is_listed || target->entry.is_draining;
+        if (!is_stopping && !is_leaving)
+        {
+            return false;
+        }
         rack_state& rack = *find_rack(channel->rack);
-        events = apply_start(rack, *target, order.id, order_verdict::unhealthy,
-                             steady_clock::now());
+        events = is_stopping ? withdraw_unsent_start(rack, *target, order.id)
+                             : apply_start(rack, *target, order.id,
+                                           order_verdict::unhealthy,
+                                           steady_clock::now());
         log_info("unsent start cancelled",
                  {{"task", order.id.first},
                   {"run", order.id.second},
                   {"target", channel->target},
-                  {"reason", "the target is leaving"}});
+                  {"reason", is_stopping ? "the run is to be stopped"
+                                         : "the target is leaving"}});
         place(rack);
     }
     publish(channel->rack, channel->token, events);
--- a/tests/scheduler/rack_agent_test.cpp
+++ b/tests/scheduler/rack_agent_test.cpp
@@ -957,6 +957,65 @@
     }
 }
 
+// Guards against starts of cancelled jobs that are sent seconds after the
+// cancellation, since they waited behind orders that their target left
+// unanswered.
+TEST_CASE("a waiting start is not sent once its run is to be stopped",
+          "[scheduler]")
+{
+    rack_agent_limits limits = fixture::make_limits();
+    limits.order_retry = milliseconds(300);
+    fixture env(limits);
+    env.targets.starts_to_ignore = 1;
+    env.targets.stop_verdict = order_verdict::unhealthy;
+    REQUIRE(env.send().is_owner);
+    REQUIRE(
+        env.targets.wait_until([&] { return !env.targets.starts.empty(); }));
+    {
+        // Each answer to a poll would queue the stop again, before the start.
+        const std::lock_guard<std::mutex> lock(env.targets.mutex);
+        env.targets.poll_duration = std::chrono::seconds(60);
+    }
+    // The retry delay of the first start occupies the sender thread.
+    rack_orders orders;
+    orders.rack = "r1";
+    orders.token = 7;
+    start_batch batch;
+    batch.terms.step = "job.0.1";
+    batch.terms.service = "svc";
+    batch.terms.size = {10, 10, 0};
+    batch.runs.push_back({0, 1, "", false});
+    orders.starts.push_back(batch);
+    REQUIRE(env.agent.execute(orders).is_owner);
+    rack_orders stop;
+    stop.rack = "r1";
+    stop.token = 7;
+    stop.stops.push_back({"job.0.1.0", 1});
+    REQUIRE(env.agent.execute(stop).is_owner);
+    {
+        std::unique_lock<std::mutex> lock(env.mutex);
+        const auto is_reported = [&]
+        {
+            return std::any_of(env.reports.begin(), env.reports.end(),
+                               [](const run_report& report) {
+                                   return report.task == "job.0.1.0" &&
+                                          report.how == "not_started";
+                               });
+        };
+        CHECK(
+            env.changed.wait_for(lock, std::chrono::seconds(20), is_reported));
+    }
+    REQUIRE(
+        env.targets.wait_until([&] { return env.targets.starts.size() >= 2; }));
+    const std::lock_guard<std::mutex> lock(env.targets.mutex);
+    for (const start_order& order : env.targets.starts)
+    {
+        CHECK(order.task != "job.0.1.0");
+    }
+    env.targets.poll_duration = {};
+    env.targets.changed.notify_all();
+}
+
 // An entry of the list may name a target that does not exist. Guards against
 // takeovers that wait for the leases of such a target (14.7 s), which is long
 // enough for a long-running task to count as lost.
