Leave outdated starts out of orders that have waited for their host

Each message is compared with the jobs when it is sent: starts of runs that are not assigned any more, or whose job is not open, are left out, and a message without content is not sent. New test in test_scheduler; it fails without the comparison.

--- a/include/egretspindle/scheduler/job_coordinator.hpp
+++ b/include/egretspindle/scheduler/job_coordinator.hpp
@@ -136,6 +136,10 @@
     /// the rack has the same owner.
     void confirm(const rack_orders& orders, const rack_orders_reply& reply);
 
+    /// Removes the starts of runs that are not assigned any more or whose job
+    /// is not open, from orders that have waited to be delivered.
+    void remove_outdated_starts(rack_orders& orders) const;
+
     /// Records that orders have not been and will not be carried out by any
     /// host. Called at most once per `send`.
     void mark_undelivered(const rack_orders& orders);
--- a/src/scheduler/job_coordinator.cpp
+++ b/src/scheduler/job_coordinator.cpp
@@ -288,6 +288,37 @@
     }
 }
 
+void job_coordinator::remove_outdated_starts(rack_orders& orders) const
+{
+    const std::lock_guard<std::mutex> lock(impl_->mutex);
+    for (start_batch& batch : orders.starts)
+    {
+        const auto is_outdated = [&](const step_run& run)
+        {
+            const std::optional<task_key> key = parse_task_key(
+                fmt::format("{}.{}", batch.terms.step, run.index));
+            const auto it =
+                key ? impl_->jobs.find(key->job) : impl_->jobs.end();
+            if (it == impl_->jobs.end() ||
+                it->second->value.outcome != job_outcome::open)
+            {
+                return true;
+            }
+            const job_task* task = find_task(it->second->value, *key);
+            return task == nullptr || task->run != run.run ||
+                   task->phase != job_task_phase::assigned;
+        };
+        batch.runs.erase(
+            std::remove_if(batch.runs.begin(), batch.runs.end(), is_outdated),
+            batch.runs.end());
+    }
+    orders.starts.erase(std::remove_if(orders.starts.begin(),
+                                       orders.starts.end(),
+                                       [](const start_batch& batch)
+                                       { return batch.runs.empty(); }),
+                        orders.starts.end());
+}
+
 void job_coordinator::mark_undelivered(const rack_orders& orders)
 {
     const std::lock_guard<std::mutex> lock(impl_->mutex);
--- a/src/scheduler/job_scheduler.cpp
+++ b/src/scheduler/job_scheduler.cpp
@@ -127,7 +127,7 @@
     std::optional<run_racks> read_assignments(const std::string& id);
     void post_orders(rack_orders orders);
     void deliver_orders(const std::string& host,
-                        const std::vector<rack_orders>& items);
+                        std::vector<rack_orders>& items);
     void deliver_handovers(const std::string& host,
                            std::vector<pending_handover>& items);
     void post_reports(std::vector<run_report> reports);
@@ -220,7 +220,7 @@
                    options.weight},
           make_cluster_hooks(), liveness_limits{}),
       orders_outbox(max_batch, [this](const std::string& host,
-                                      const std::vector<rack_orders>& items)
+                                      std::vector<rack_orders>& items)
                     { deliver_orders(host, items); }),
       reports_outbox(max_batch, [this](const std::string& host,
                                        std::vector<run_report>& items)
@@ -685,12 +685,18 @@
 
 // Delivers orders to the present owners of their racks and tells the
 // coordinator the result. Orders that may have arrived count as neither
-// confirmed nor undelivered.
+// confirmed nor undelivered. The orders may have waited for earlier ones that
+// were not answered, so starts that are not wanted any more are left out.
 void job_scheduler::impl::deliver_orders(const std::string& /*host*/,
-                                         const std::vector<rack_orders>& items)
+                                         std::vector<rack_orders>& items)
 {
-    for (const rack_orders& orders : items)
+    for (rack_orders& orders : items)
     {
+        coordinator.remove_outdated_starts(orders);
+        if (orders.starts.empty() && orders.stops.empty())
+        {
+            continue;
+        }
         const std::optional<owner_location> owner =
             agent.owner_of(rack_resource(orders.rack));
         if (!owner)
--- a/tests/scheduler/job_coordinator_test.cpp
+++ b/tests/scheduler/job_coordinator_test.cpp
@@ -738,6 +738,29 @@
     REQUIRE(coordinator.cancel(make_request()).state == "cancelled");
 }
 
+// Orders to a host that does not answer wait behind each other. Guards against
+// starts of cancelled jobs that are delivered seconds later.
+TEST_CASE("orders that have waited do not start runs of cancelled jobs",
+          "[scheduler]")
+{
+    fake_store store;
+    fake_environment environment;
+    job_coordinator coordinator(store, environment.hooks(), {});
+    coordinator.take_shard(shard_of(job_id));
+    REQUIRE(coordinator.submit(make_request()).verdict == "accepted");
+    const rack_orders sent = environment.wait_for_orders(1).front();
+    rack_orders waiting = sent;
+    coordinator.remove_outdated_starts(waiting);
+    REQUIRE(waiting.starts.size() == 1);
+    CHECK(waiting.starts.front().runs.size() == 1);
+    REQUIRE(coordinator.cancel(make_request()).verdict == "known");
+    waiting = sent;
+    waiting.stops.push_back({job_id + ".0.0.0", 1});
+    coordinator.remove_outdated_starts(waiting);
+    CHECK(waiting.starts.empty());
+    CHECK(waiting.stops.size() == 1);
+}
+
 TEST_CASE("a job is unknown rather than absent when the store cannot be read",
           "[scheduler]")
 {
