Apply ends of runs only from the present owner of their rack

Cause: the former owner of a rack had read the end of a run, could not have it recorded, and reported it after the new owner had started the run again under the same number. apply_report took listed ends for certain, whichever host reported them. Ruled out: a write by a former owner of the shard; the report was applied by the present one.

An end is now applied only from the present owner. Other listed ends get the verdict "ignored" and are not acknowledged, so that a target that still has them lists them to the present owner. A host sends starts only to rack owners that it knows; for starts of an earlier owner of the shard, ends wait until a read has confirmed the takeover.

Two tests stated that a listed end is certain, whichever host sends it; that is the fault. They now require that the former owner's end is not applied, that the present owner's is, and that an end that was recorded may be acknowledged by both.

--- a/src/scheduler/job_coordinator_impl.hpp
+++ b/src/scheduler/job_coordinator_impl.hpp
@@ -109,6 +109,8 @@
     report_verdict apply_active_report(const run_report& report,
                                        const task_key& key, job_entry& entry,
                                        bool is_current);
+    [[nodiscard]] bool knows_rack_owners(const job_entry& entry,
+                                         const std::string& task) const;
     void apply_end_report(const run_report& report, const task_key& key,
                           const entry_ptr& entry);
     report_verdict apply_report(const run_report& report, entry_ptr& entry,
--- a/src/scheduler/job_coordinator_runs.cpp
+++ b/src/scheduler/job_coordinator_runs.cpp
@@ -524,6 +524,22 @@
     return {"wanted", terms_of(entry.value, key.occurrence, key.step)};
 }
 
+// Returns whether this host knows all rack owners that an earlier owner of the
+// shard may have sent the start of an assigned run to.
+bool job_coordinator::impl::knows_rack_owners(const job_entry& entry,
+                                              const std::string& task) const
+{
+    const auto sent = entry.sent.find(task);
+    if (!hooks.is_shard_confirmed || sent == entry.sent.end() ||
+        !sent->second.is_from_store)
+    {
+        return true;
+    }
+    const auto shard = shards.find(entry.shard);
+    return shard != shards.end() &&
+           hooks.is_shard_confirmed(entry.shard, shard->second.token);
+}
+
 // Applies the report `ended` of the assigned run of a task, and assigns the
 // steps that are due after it.
 void job_coordinator::impl::apply_end_report(const run_report& report,
@@ -599,19 +615,24 @@
     {
         return apply_active_report(report, *key, *entry, is_current);
     }
-    // An end that a target reported is certain. An end that the owner of a rack
-    // inferred is valid only while it is the owner, since a later owner may
-    // have started the run.
-    if (report.number == 0 && report.token < hooks.rack_token(report.rack))
+    if (is_current && !knows_rack_owners(*entry, report.task))
+    {
+        return {"retry", {}};
+    }
+    // A later owner of the rack may have started the run again. It lists an end
+    // that the target has not forgotten by a restart.
+    const std::int64_t rack_token = hooks.rack_token(report.rack);
+    if (is_current && report.token < rack_token)
     {
         log_info("ignored report of former rack owner",
                  {{"task", report.task},
                   {"run", report.run},
                   {"how", report.how},
                   {"rack", report.rack},
+                  {"listed", report.number},
                   {"owner_version", report.token},
-                  {"newer_version", hooks.rack_token(report.rack)}});
-        return {"recorded", {}};
+                  {"newer_version", rack_token}});
+        return {"ignored", {}};
     }
     if (is_current)
     {
--- a/tests/scheduler/job_coordinator_test.cpp
+++ b/tests/scheduler/job_coordinator_test.cpp
@@ -511,16 +511,64 @@
     REQUIRE(coordinator.submit(make_request()).verdict == "accepted");
     environment.token = 9;
     const report_batch inferred{{make_report("lost", 0, 5)}};
-    REQUIRE(coordinator.report(inferred).verdicts.front().verdict ==
-            "recorded");
+    REQUIRE(coordinator.report(inferred).verdicts.front().verdict == "ignored");
     const absl::StatusOr<job> recorded =
         decode_job(job_id, job_row(store).value);
     REQUIRE(assigned_runs(*recorded).front().run == 1);
-    // An end that the target reported is certain, whichever host sends it.
-    const report_batch reported{{make_report("done", 3, 5)}};
-    REQUIRE(coordinator.report(reported).verdicts.front().verdict ==
-            "recorded");
+}
+
+// A target may restart after a former owner of its rack has read the end of a
+// run. The new owner then starts the run again under the same number. Guards
+// against a second run beside that one, and against an acknowledgement of an
+// end that is not recorded.
+TEST_CASE("ends listed for a former owner of a rack are left to its new owner",
+          "[scheduler]")
+{
+    fake_store store;
+    fake_environment environment;
+    job_coordinator coordinator(store, environment.hooks(), {});
+    coordinator.take_shard(shard_of(job_id));
+    REQUIRE(coordinator.submit(make_request()).verdict == "accepted");
+    environment.token = 9;
+    const report_batch late{{make_report("failed", 3, 5)}};
+    REQUIRE(coordinator.report(late).verdicts.front().verdict == "ignored");
+    const absl::StatusOr<job> recorded =
+        decode_job(job_id, job_row(store).value);
+    REQUIRE(assigned_runs(*recorded).front().run == 1);
+    // An end that the target still lists is reported by the new owner.
+    const report_batch listed{{make_report("done", 3, 9)}};
+    REQUIRE(coordinator.report(listed).verdicts.front().verdict == "recorded");
     REQUIRE(coordinator.query(make_request()).state == "completed");
+    // The run has ended, so the former owner may acknowledge its end.
+    REQUIRE(coordinator.report(late).verdicts.front().verdict == "recorded");
+}
+
+// The former owner of a shard may have sent a start to a rack owner that this
+// host does not know yet. Guards against an end of an earlier start of that
+// run, which would lead to a second run.
+TEST_CASE("a listed end waits until the rack owners are known that the former "
+          "owner of the shard may have used",
+          "[scheduler]")
+{
+    fake_store store;
+    fake_environment first_environment;
+    {
+        job_coordinator first(store, first_environment.hooks(), {});
+        first.take_shard(shard_of(job_id), 5);
+        REQUIRE(first.submit(make_request()).verdict == "accepted");
+    }
+    fake_environment environment;
+    job_coordinator second(store, environment.hooks(), {});
+    second.take_shard(shard_of(job_id), 7);
+    REQUIRE(second.query(make_request()).verdict == "known");
+    const report_batch batch{{make_report("done", 1)}};
+    REQUIRE(second.report(batch).verdicts.front().verdict == "retry");
+    {
+        const std::lock_guard<std::mutex> lock(environment.mutex);
+        environment.confirmed_token = 7;
+    }
+    REQUIRE(second.report(batch).verdicts.front().verdict == "recorded");
+    REQUIRE(second.query(make_request()).state == "completed");
 }
 
 // A former owner of a rack that is cut off may report a run as not started that
@@ -546,7 +594,8 @@
     const absl::StatusOr<job> recorded =
         decode_job(job_id, job_row(store).value);
     REQUIRE(assigned_runs(*recorded).front().run == 1);
-    // An end that the target reported is certain, whichever host sends it.
+    // A listed end does not depend on the owner row: the coordinator has sent
+    // the start to no later owner.
     REQUIRE(coordinator.report({{make_report("done", 1, token)}})
                 .verdicts.front()
                 .verdict == "recorded");
