Count a confirmation of a start for the rack owner that sent it

The report that a run has started, sent by a former owner of its rack, was taken for a confirmation by the present one, to which the start was then not sent again. A run that the present owner does not know would never start (LOST).

The confirmation has the version of the owner that reports it, and a start is sent again while that is below the version of the present owner. The new test failed before: no second order was sent.

--- a/src/scheduler/job_coordinator_runs.cpp
+++ b/src/scheduler/job_coordinator_runs.cpp
@@ -449,7 +449,7 @@
             continue;
         }
         if (sent.confirmed_token == 0 ||
-            sent.confirmed_token != hooks.rack_token(run.rack))
+            sent.confirmed_token < hooks.rack_token(run.rack))
         {
             add_start(entry, run, sent, orders, now);
         }
@@ -516,7 +516,8 @@
     {
         entry.visible_state = "running";
     }
-    entry.sent[report.task].confirmed_token = hooks.rack_token(report.rack);
+    std::int64_t& confirmed_token = entry.sent[report.task].confirmed_token;
+    confirmed_token = std::max(confirmed_token, report.token);
     if (report.what == "started")
     {
         return {"recorded", {}};
--- a/tests/scheduler/job_coordinator_test.cpp
+++ b/tests/scheduler/job_coordinator_test.cpp
@@ -739,6 +739,33 @@
     CHECK(is_failed());
 }
 
+// Guards against a run that its rack's new owner never starts, because a late
+// report of the former owner counts as the confirmation of the new one.
+TEST_CASE("a start is resent to a new rack owner after a late report of the "
+          "former one",
+          "[scheduler]")
+{
+    fake_store store;
+    fake_environment environment;
+    coordinator_limits limits;
+    limits.resend_period = milliseconds(1);
+    job_coordinator coordinator(store, environment.hooks(), limits);
+    coordinator.take_shard(shard_of(job_id));
+    REQUIRE(coordinator.submit(make_request()).verdict == "accepted");
+    const std::size_t n = environment.wait_for_orders(1).size();
+    environment.token = 9;
+    run_report late = make_report("", 0, 5);
+    late.what = "started";
+    REQUIRE(coordinator.report({{late}}).verdicts.front().verdict ==
+            "recorded");
+    std::this_thread::sleep_for(milliseconds(5));
+    coordinator.tick();
+    const std::vector<rack_orders> sent = environment.wait_for_orders(n + 1);
+    REQUIRE(sent.size() == n + 1);
+    CHECK(sent.back().token == 9);
+    CHECK(sent.back().starts.size() == 1);
+}
+
 // Without the configuration, the service of a start is not known. A start
 // without a service fits no target, so its job would stay open forever.
 TEST_CASE("a start is not sent before the configuration is loaded",
