Log runs that are at work or end although they were closed

A task that ran twice could not be traced to the conclusion that closed its first run: the later list of a target that names the run was dropped without a line.

The lines are written only for runs that are not the assigned one, and for ends that differ from what is recorded.

--- a/src/scheduler/job_coordinator_impl.hpp
+++ b/src/scheduler/job_coordinator_impl.hpp
@@ -113,6 +113,7 @@
                                          const std::string& task) const;
     void apply_end_report(const run_report& report, const task_key& key,
                           const entry_ptr& entry);
+    void log_outdated_end(const run_report& report, const job_task& task) const;
     report_verdict apply_report(const run_report& report, entry_ptr& entry,
                                 std::uint64_t& change);
     std::optional<std::int64_t> max_attempts(const job& value) const;
--- a/src/scheduler/job_coordinator_runs.cpp
+++ b/src/scheduler/job_coordinator_runs.cpp
@@ -508,6 +508,14 @@
 {
     if (!is_current || entry.value.outcome != job_outcome::open)
     {
+        log_info("run is at work but not assigned",
+                 {{"task", report.task},
+                  {"run", report.run},
+                  {"report", report.what},
+                  {"target", report.target},
+                  {"rack", report.rack},
+                  {"owner_version", report.token},
+                  {"job_outcome", to_string(entry.value.outcome)}});
         return {is_current || report.what == "seen" ? "stop" : "recorded", {}};
     }
     observe_first_start(entry);
@@ -577,6 +585,23 @@
     assign_due_steps(entry);
 }
 
+// Logs a listed end of a run that was closed without it. If its `how` is
+// `done`, the task may run twice.
+void job_coordinator::impl::log_outdated_end(const run_report& report,
+                                             const job_task& task) const
+{
+    log_info("target lists the end of a run that was closed without it",
+             {{"task", report.task},
+              {"run", report.run},
+              {"how", report.how},
+              {"target", report.target},
+              {"rack", report.rack},
+              {"owner_version", report.token},
+              {"listed", report.number},
+              {"latest_run", task.run},
+              {"phase", std::string(1, static_cast<char>(task.phase))}});
+}
+
 // Applies one report. Sets `entry` to its job, if found, and `change` to the
 // change that must be durable before the verdict is sent; 0: none.
 report_verdict job_coordinator::impl::apply_report(const run_report& report,
@@ -635,6 +660,13 @@
                   {"newer_version", rack_token}});
         return {"ignored", {}};
     }
+    const bool is_repeated =
+        task != nullptr && task->run == report.run &&
+        (task->phase == job_task_phase::done || report.how != "done");
+    if (!is_current && task != nullptr && report.number > 0 && !is_repeated)
+    {
+        log_outdated_end(report, *task);
+    }
     if (is_current)
     {
         apply_end_report(report, *key, entry);
