Wait for the heartbeats of others after an outage of the own ones

Cause: a slow store stops the heartbeats of all hosts for 5 s. The first host whose heartbeat is written and read again finds all others silent for more than 3 s and claims their resources, half a second before their heartbeats arrive. Ruled out: hosts that ended; all 30 wrote a heartbeat between 28.5 and 29 s.

A host that becomes live again claims from hosts that are not live only after 2 s, one period of heartbeats and one of reads. The new test failed before: the first host claimed at once.

--- a/include/egretspindle/cluster/cluster_view.hpp
+++ b/include/egretspindle/cluster/cluster_view.hpp
@@ -67,6 +67,9 @@
     /// more than `liveness_limits::max_read_gap`.
     time_point changed_at;
     time_point boot_seen_at; ///< when a read first showed this `boot`
+    /// When a read last showed a heartbeat after the host had not been live;
+    /// {}: never.
+    time_point resumed_at;
 };
 
 /// Resource that has at most one owner at a time: a job shard or a rack.
@@ -119,6 +122,12 @@
     /// Time from the first read of a process to its first claim of a resource
     /// that an earlier process of the same host did not own.
     milliseconds first_claim_delay{1'500};
+    /// Time from the first heartbeat of this host after it was not live to its
+    /// first claim from a host that is not live. A store that is slow for some
+    /// seconds stops the heartbeats of all hosts at once. The others write
+    /// theirs within a period of heartbeats (1 s), and the next read (1 s)
+    /// shows them.
+    milliseconds resumed_claim_delay{2'000};
     /// After a read has first shown the restart of an owner, no other host
     /// claims its resources for this long.
     milliseconds reclaim_period{3'000};
--- a/src/cluster/cluster_view.cpp
+++ b/src/cluster/cluster_view.cpp
@@ -194,6 +194,16 @@
     return {};
 }
 
+// Returns whether this host has only just become live again, so that others may
+// seem not to be live for the same reason.
+bool has_just_resumed(const cluster_view& view, const std::string& self,
+                      const liveness_limits& limits, time_point now)
+{
+    const auto it = view.hosts.find(self);
+    return it != view.hosts.end() && it->second.resumed_at != time_point{} &&
+           now - it->second.resumed_at < limits.resumed_claim_delay;
+}
+
 } // namespace
 
 void apply_read(cluster_view& view, const std::vector<known_host>& hosts,
@@ -215,6 +225,12 @@
         host.boot_seen_at = is_known && it->second.row.boot == read.row.boot
                                 ? it->second.boot_seen_at
                                 : now;
+        const bool is_resumed =
+            is_known && !is_unchanged &&
+            now - it->second.changed_at >= limits.heartbeat_timeout;
+        const time_point resumed_before =
+            is_known ? it->second.resumed_at : time_point{};
+        host.resumed_at = is_resumed ? now : resumed_before;
         next[read.row.name] = std::move(host);
     }
     view.hosts = std::move(next);
@@ -295,6 +311,7 @@
             continue;
         }
         if (now - view.first_read < limits.first_claim_delay ||
+            has_just_resumed(view, self, limits, now) ||
             is_reserved(view, item, limits, now))
         {
             continue;
--- a/tests/cluster/cluster_view_test.cpp
+++ b/tests/cluster/cluster_view_test.cpp
@@ -254,6 +254,41 @@
     REQUIRE(decide_claims(view, "h2", 1, limits, now).empty());
 }
 
+// A slow store stops the heartbeats of all hosts at once. Guards against the
+// first host that writes one again and takes over the resources of all others.
+TEST_CASE("a host that becomes live again waits for the heartbeats of others",
+          "[cluster]")
+{
+    cluster_view view;
+    view.first_read = start;
+    view.last_read = start;
+    for (const char* name : {"h1", "h2", "h3"})
+    {
+        view.hosts[name] = make_host(name, 1, 1);
+        view.hosts[name].changed_at = start;
+    }
+    add_resource(view, "shard/j00", "h1", 1);
+    add_resource(view, "shard/j01", "h2", 1);
+    add_resource(view, "shard/j02", "h3", 1);
+    time_point now = simulate_reads(view, {}, 5, start);
+    REQUIRE(decide_claims(view, "h1", 1, limits, now).empty());
+    now = simulate_reads(view, {"h1"}, 1, now);
+    REQUIRE(is_live(view, "h1", limits, now));
+    CHECK(decide_claims(view, "h1", 1, limits, now).empty());
+    // The next heartbeat of h2 comes within a second; h3 has ended.
+    now = simulate_reads(view, {"h1", "h2"}, 1, now);
+    CHECK(decide_claims(view, "h1", 1, limits, now).empty());
+    CHECK(decide_claims(view, "h2", 1, limits, now).empty());
+    now = simulate_reads(view, {"h1", "h2"}, 2, now);
+    const std::vector<std::string> h1 =
+        decide_claims(view, "h1", 1, limits, now);
+    const std::vector<std::string> h2 =
+        decide_claims(view, "h2", 1, limits, now);
+    std::set<std::string> claimed(h1.begin(), h1.end());
+    claimed.insert(h2.begin(), h2.end());
+    CHECK(claimed == std::set<std::string>{"shard/j02"});
+}
+
 TEST_CASE("a restarted host reclaims its resources at once", "[cluster]")
 {
     cluster_view view;
