Count the longest lease from the order that grants it

Cause: update_expiry limited what is left of a lease to the longest lease of the platform, counted from the latest answer of the target. A host that is short of processor time has answers that are seconds old; a lease that it sent after such an answer counted as expired up to that time too early. Ruled out: a former owner, a restart of the target, and a lapsed lease.

The limit now counts from the latest order with a lease, if that is later than the answer. The end of the lease on the target's clock bounds it as before. The new test failed before, for answers 1.5 s and 6.5 s old.

--- a/include/egretspindle/rack/rack_state.hpp
+++ b/include/egretspindle/rack/rack_state.hpp
@@ -116,6 +116,7 @@
     time_point clock_at;         ///< when that reply arrived
     /// Latest end of all leases sent to it, on its own clock.
     std::int64_t lease_until_ms = 0;
+    time_point lease_sent_at; ///< when the latest lease was sent to it
     /// When this owner first reached it. From then on it refuses orders of
     /// earlier owners, which may have got the longest lease just before.
     time_point reached_at;
--- a/src/rack/rack_state.cpp
+++ b/src/rack/rack_state.cpp
@@ -18,15 +18,20 @@
 
 void update_expiry(rack_target& target, const lease_limits& limits)
 {
-    // The lease may have been sent to an earlier boot of the target,
-    // whose clock was ahead; the target grants at most the longest lease.
-    const std::int64_t left = std::clamp<std::int64_t>(
-        target.lease_until_ms - target.clock_ms, 0, limits.longest.count());
+    const std::int64_t left =
+        std::max<std::int64_t>(0, target.lease_until_ms - target.clock_ms);
+    // The lease may have been sent to an earlier boot of the target, whose
+    // clock was ahead; the target grants at most the longest lease, counted
+    // from the latest order or answer.
+    const time_point lease_end =
+        std::min(target.clock_at + with_drift(left, limits),
+                 std::max(target.clock_at, target.lease_sent_at) +
+                     max_lease_duration(limits));
     const time_point former_end = target.former_leases_end.value_or(
         target.reached_at + max_lease_duration(limits));
     target.expires_at = std::max(
-        {target.clock_at + with_drift(left, limits),
-         target.unknown_lease_at + max_lease_duration(limits), former_end});
+        {lease_end, target.unknown_lease_at + max_lease_duration(limits),
+         former_end});
 }
 
 } // namespace
@@ -86,6 +91,7 @@
 {
     const std::int64_t until = clock_of(target, now) + limits.lease.count();
     target.lease_until_ms = std::max(target.lease_until_ms, until);
+    target.lease_sent_at = now;
     update_expiry(target, limits);
     return until;
 }
--- a/tests/rack/rack_decision_test.cpp
+++ b/tests/rack/rack_decision_test.cpp
@@ -748,6 +748,32 @@
     REQUIRE(target.expires_at <= start_time + max_lease_duration(limits));
 }
 
+// A busy host may have the latest answer of a target for seconds when it sends
+// the next lease. Guards against runs that count as lost, and are started again
+// elsewhere, while that lease lasts.
+TEST_CASE("a lease counts from when it was sent, not from the latest answer",
+          "[rack]")
+{
+    const milliseconds answer_age =
+        GENERATE(milliseconds(1'500), milliseconds(6'500));
+    lease_limits short_limits;
+    short_limits.longest = short_limits.lease;
+    rack_state rack = make_rack(1);
+    rack_target& target = rack.targets["t0"];
+    target.former_leases_end = start_time;
+    update_clock(target, 5'000, short_limits, start_time);
+    const time_point sent_at = start_time + answer_age;
+    enqueue(rack, make_start("job.0.0.0", make_terms()));
+    place_starts(rack, no_interference, sent_at, 0);
+    extend_lease(target, short_limits, sent_at);
+    apply_start(rack, target, {"job.0.0.0", 1}, order_verdict::taken, sent_at);
+    const time_point end = sent_at + short_limits.lease;
+    CHECK(target.expires_at >= end);
+    CHECK(target.expires_at <= sent_at + max_lease_duration(short_limits));
+    rack.verified_at = end;
+    CHECK(expire_leases(rack, end).empty());
+}
+
 // Long-running tasks are last in the queue. If short ones used up the quota, a
 // long-running one could stay in the queue for 26 s.
 TEST_CASE("short tasks do not keep a long-running one from being handed back",
