Log which headroom and memory queued starts wait for

A long queue of starts said `no_headroom` or `no_room` without the values that the decision was made by, so that a serving task near its target, a wrong prediction, and memory held by slowed tasks looked the same.

The line `rack queue` now has `no_memory`, the longest wait of a long-running start, and for the start that has waited longest for headroom the required and the spare one at the closest target, with the lowest headroom that is expected without a report. The decision is unchanged.

--- a/include/egretspindle/rack/interference.hpp
+++ b/include/egretspindle/rack/interference.hpp
@@ -13,6 +13,7 @@
 #include "egretspindle/rack/rack_state.hpp"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -64,6 +65,21 @@
                         const step_terms& terms, const task_size& room,
                         const interference_model& model);
 
+/// Headroom that a backfill task has to find at the tasks of a serving image.
+struct headroom_check
+{
+    image_name serving;  ///< image of the serving tasks
+    double required = 0; ///< expected drop, and the margin of a harmful pair
+    double spare = 0;    ///< see `colocation_summary::spare_headroom`
+};
+
+/// Returns the check of the serving image that lacks the most headroom for a
+/// backfill task, or has the least left over; no value without serving tasks.
+[[nodiscard]] std::optional<headroom_check>
+find_tightest_headroom(const colocation_summary& colocation,
+                       const step_terms& terms,
+                       const interference_model& model);
+
 /// Returns whether a target can take a backfill task.
 [[nodiscard]] bool can_take_backfill(const colocation_summary& colocation,
                                      const step_terms& terms,
--- a/include/egretspindle/rack/queue_summary.hpp
+++ b/include/egretspindle/rack/queue_summary.hpp
@@ -5,10 +5,12 @@
 #define EGRETSPINDLE_RACK_QUEUE_SUMMARY_HPP
 
 #include "egretspindle/core/clock.hpp"
+#include "egretspindle/rack/interference.hpp"
 #include "egretspindle/rack/interference_model.hpp"
 #include "egretspindle/rack/rack_state.hpp"
 
 #include <cstddef>
+#include <optional>
 
 namespace egretspindle
 {
@@ -23,13 +25,19 @@
                               ///< not counted by a reason
     milliseconds oldest{0};   ///< longest time in the queue
     std::size_t closed = 0;   ///< no target accepts starts
-    std::size_t room = 0;  ///< too little free capacity, other service or label
-    std::size_t limit = 0; ///< maximum of tasks of the step per target
+    std::size_t room = 0;   ///< too few free processors, other service or label
+    std::size_t memory = 0; ///< too little free memory, too few accelerators
+    std::size_t limit = 0;  ///< maximum of tasks of the step per target
     // Of backfill tasks; see `backfill_rejection`.
     std::size_t processors = 0;
     std::size_t reserved = 0;
     std::size_t headroom = 0;
     std::size_t placeable = 0; ///< a target can take it now
+    /// Longest wait of a start of a long-running task.
+    milliseconds oldest_long_running{0};
+    /// The target closest to taking the start that has waited longest for
+    /// headroom; no value if none waits for it.
+    std::optional<headroom_check> closest_headroom;
 };
 
 /// Summarizes the queue of a rack.
--- a/include/egretspindle/scheduler/rack_metrics.hpp
+++ b/include/egretspindle/scheduler/rack_metrics.hpp
@@ -84,7 +84,7 @@
 
     static constexpr std::size_t cause_count = 7;       ///< of `end_cause`
     static constexpr std::size_t verdict_count = 9;     ///< of `order_verdict`
-    static constexpr std::size_t wait_reason_count = 8; ///< in `queue_summary`
+    static constexpr std::size_t wait_reason_count = 9; ///< in `queue_summary`
 
     by_task_kind<counter> placed{};
     by_task_kind<latency_summary> waited{}; ///< of placed starts, in the queue
--- a/src/rack/interference.cpp
+++ b/src/rack/interference.cpp
@@ -174,19 +174,32 @@
     {
         return backfill_rejection::reserved;
     }
-    const bool has_headroom = std::all_of(
-        colocation.spare_headroom.begin(), colocation.spare_headroom.end(),
-        [&](const auto& item)
+    const std::optional<headroom_check> tightest =
+        find_tightest_headroom(colocation, terms, model);
+    return !tightest || tightest->required <= tightest->spare
+               ? backfill_rejection::none
+               : backfill_rejection::headroom;
+}
+
+std::optional<headroom_check>
+find_tightest_headroom(const colocation_summary& colocation,
+                       const step_terms& terms, const interference_model& model)
+{
+    std::optional<headroom_check> tightest;
+    for (const auto& [image, spare] : colocation.spare_headroom)
+    {
+        const double drop =
+            expected_headroom_drop(model, image, terms.image, cores_of(terms));
+        const double margin =
+            is_harmful_pair(model, image, terms.image) ? harmful_margin : 0.0;
+        const headroom_check item{image, drop + margin, spare};
+        if (!tightest ||
+            item.spare - item.required < tightest->spare - tightest->required)
         {
-            const double drop = expected_headroom_drop(
-                model, item.first, terms.image, cores_of(terms));
-            const double margin =
-                is_harmful_pair(model, item.first, terms.image) ? harmful_margin
-                                                                : 0.0;
-            return drop + margin <= item.second;
-        });
-    return has_headroom ? backfill_rejection::none
-                        : backfill_rejection::headroom;
+            tightest = item;
+        }
+    }
+    return tightest;
 }
 
 bool can_take_backfill(const colocation_summary& colocation,
--- a/src/rack/queue_summary.cpp
+++ b/src/rack/queue_summary.cpp
@@ -49,6 +49,31 @@
     return best;
 }
 
+// Returns the tightest headroom at the target that is closest to taking a start
+// which waits for headroom.
+std::optional<headroom_check>
+find_closest_headroom(const std::vector<summarized_target>& items,
+                      const step_terms& terms, const interference_model& model)
+{
+    std::optional<headroom_check> closest;
+    for (const summarized_target& item : items)
+    {
+        if (find_start_rejection(*item.target, item.colocation, item.room,
+                                 terms, model) != start_rejection::headroom)
+        {
+            continue;
+        }
+        const std::optional<headroom_check> tightest =
+            find_tightest_headroom(item.colocation, terms, model);
+        if (!closest || tightest->spare - tightest->required >
+                            closest->spare - closest->required)
+        {
+            closest = tightest;
+        }
+    }
+    return closest;
+}
+
 void count_rejection(queue_summary& summary, start_rejection rejection)
 {
     switch (rejection)
@@ -59,6 +84,9 @@
     case start_rejection::room:
         ++summary.room;
         break;
+    case start_rejection::memory:
+        ++summary.memory;
+        break;
     case start_rejection::limit:
         ++summary.limit;
         break;
@@ -91,13 +119,19 @@
         summarize_open_targets(rack, model, now);
     // Tasks of a step have the same requirements.
     std::map<const step_terms*, start_rejection> known;
+    const queued_start* waits_for_headroom = nullptr;
     for (const queued_start& start : rack.queue)
     {
         ++summary.queued;
         summary.long_running += start.terms->is_long_running ? 1 : 0;
-        summary.oldest = std::max(
-            summary.oldest,
-            std::chrono::duration_cast<milliseconds>(now - start.queued_at));
+        const milliseconds waited =
+            std::chrono::duration_cast<milliseconds>(now - start.queued_at);
+        summary.oldest = std::max(summary.oldest, waited);
+        if (start.terms->is_long_running)
+        {
+            summary.oldest_long_running =
+                std::max(summary.oldest_long_running, waited);
+        }
         if (start.is_repeated)
         {
             ++summary.repeated;
@@ -111,6 +145,17 @@
                      .first;
         }
         count_rejection(summary, it->second);
+        if (it->second == start_rejection::headroom &&
+            (waits_for_headroom == nullptr ||
+             start.queued_at < waits_for_headroom->queued_at))
+        {
+            waits_for_headroom = &start;
+        }
+    }
+    if (waits_for_headroom != nullptr)
+    {
+        summary.closest_headroom =
+            find_closest_headroom(items, *waits_for_headroom->terms, model);
     }
     return summary;
 }
--- a/src/rack/target_check.cpp
+++ b/src/rack/target_check.cpp
@@ -32,11 +32,16 @@
                                      const interference_model& model)
 {
     const target_entry& entry = target.entry;
-    if (entry.service != terms.service || !fits(reservation_of(terms), room) ||
+    const task_size wanted = reservation_of(terms);
+    if (entry.service != terms.service || wanted.cpu_milli > room.cpu_milli ||
         !has_label(entry, terms.required_label))
     {
         return start_rejection::room;
     }
+    if (!fits(wanted, room))
+    {
+        return start_rejection::memory;
+    }
     if (terms.max_per_target > 0 &&
         count_of_step(target, terms.step) >= terms.max_per_target)
     {
--- a/src/rack/target_check.hpp
+++ b/src/rack/target_check.hpp
@@ -14,7 +14,8 @@
 enum class start_rejection
 {
     closed,     ///< the target accepts no starts
-    room,       ///< too little free capacity, or another service or label
+    room,       ///< too few free processors, or another service or label
+    memory,     ///< too little free memory, or too few accelerators
     limit,      ///< maximum of tasks of the step per target
     processors, ///< see `backfill_rejection` for this and the next two
     reserved,
--- a/src/scheduler/rack_agent.cpp
+++ b/src/scheduler/rack_agent.cpp
@@ -21,7 +21,8 @@
 {
     std::string rack;
     std::int64_t token = 0;
-    bool may_grant = false; ///< may grant leases; else nothing is placed
+    bool may_grant = false;       ///< may grant leases; else nothing is placed
+    double baseline_headroom = 0; ///< see `interference_model`
     std::int64_t verified_age_ms = 0; ///< time since `rack_state::verified_at`
     queue_summary queue;
 };
@@ -35,6 +36,7 @@
     sum.oldest = std::max(sum.oldest, item.oldest);
     sum.closed += item.closed;
     sum.room += item.room;
+    sum.memory += item.memory;
     sum.limit += item.limit;
     sum.processors += item.processors;
     sum.reserved += item.reserved;
@@ -626,6 +628,7 @@
             {
                 queues.push_back({name, rack.token,
                                   may_grant(rack, boot_clock::now()),
+                                  impl_->model.baseline_headroom_p5,
                                   elapsed_ms(rack.verified_at, now),
                                   summarize_queue(rack, impl_->model, now)});
             }
@@ -636,21 +639,29 @@
     {
         const queue_summary& queue = item.queue;
         add_queue(sum, queue);
-        log_info("rack queue", {{"rack", item.rack},
-                                {"owner_version", item.token},
-                                {"may_grant", item.may_grant},
-                                {"verified_age_ms", item.verified_age_ms},
-                                {"queued", queue.queued},
-                                {"lasting", queue.long_running},
-                                {"repeated", queue.repeated},
-                                {"oldest_ms", queue.oldest.count()},
-                                {"closed", queue.closed},
-                                {"no_room", queue.room},
-                                {"step_limit", queue.limit},
-                                {"no_processors", queue.processors},
-                                {"reserved", queue.reserved},
-                                {"no_headroom", queue.headroom},
-                                {"placeable", queue.placeable}});
+        const headroom_check closest =
+            queue.closest_headroom.value_or(headroom_check{});
+        log_info("rack queue",
+                 {{"rack", item.rack},
+                  {"owner_version", item.token},
+                  {"may_grant", item.may_grant},
+                  {"verified_age_ms", item.verified_age_ms},
+                  {"queued", queue.queued},
+                  {"lasting", queue.long_running},
+                  {"repeated", queue.repeated},
+                  {"oldest_ms", queue.oldest.count()},
+                  {"closed", queue.closed},
+                  {"oldest_lasting_ms", queue.oldest_long_running.count()},
+                  {"no_room", queue.room},
+                  {"no_memory", queue.memory},
+                  {"step_limit", queue.limit},
+                  {"no_processors", queue.processors},
+                  {"reserved", queue.reserved},
+                  {"no_headroom", queue.headroom},
+                  {"required_headroom", closest.required},
+                  {"spare_headroom", closest.spare},
+                  {"baseline_headroom", item.baseline_headroom},
+                  {"placeable", queue.placeable}});
     }
     impl_->metrics.set_queues(sum);
 }
--- a/src/scheduler/rack_metrics.cpp
+++ b/src/scheduler/rack_metrics.cpp
@@ -11,8 +11,9 @@
 constexpr std::array<const char*, 3> order_names{"start", "stop", "pace"};
 constexpr std::array<const char*, 3> use_names{"poll", "start", "place"};
 constexpr std::array<const char*, rack_metrics::wait_reason_count>
-    wait_reason_names{"record",   "closed",        "no_room",     "step_limit",
-                      "reserved", "no_processors", "no_headroom", "nothing"};
+    wait_reason_names{"record",        "closed",      "no_room",
+                      "no_memory",     "step_limit",  "reserved",
+                      "no_processors", "no_headroom", "nothing"};
 
 counter& count_repeated(metric_registry& registry, const char* result)
 {
@@ -192,7 +193,7 @@
     oldest.set(static_cast<double>(sum.oldest.count()));
     // In the order of `wait_reason_names`.
     const std::array<std::size_t, wait_reason_count> counts{
-        sum.repeated, sum.closed,     sum.room,     sum.limit,
+        sum.repeated, sum.closed,     sum.room,     sum.memory,   sum.limit,
         sum.reserved, sum.processors, sum.headroom, sum.placeable};
     for (std::size_t n = 0; n < wait_reason_count; ++n)
     {
--- a/tests/rack/queue_summary_test.cpp
+++ b/tests/rack/queue_summary_test.cpp
@@ -73,6 +73,51 @@
     REQUIRE(summary.repeated == 1);
 }
 
+// Without the reason, an operator cannot tell a full rack from one whose memory
+// is held by tasks that were slowed down.
+TEST_CASE("the summary of a queue tells memory from processors", "[rack]")
+{
+    rack_state rack = make_rack();
+    step_terms terms = make_terms(1'000);
+    terms.size.memory_mb = 5'000;
+    terms.is_long_running = true;
+    add(rack, terms);
+    const queue_summary summary =
+        summarize_queue(rack, interference_model(), now);
+    REQUIRE(summary.memory == 1);
+    REQUIRE(summary.room == 0);
+    REQUIRE(summary.oldest_long_running == milliseconds(900));
+}
+
+// An operator has to see by how much the headroom falls short: a serving task
+// near its target and a wrong prediction look the same otherwise.
+TEST_CASE("the summary of a queue shows the headroom that a start waits for",
+          "[rack]")
+{
+    rack_state rack = make_rack();
+    step_terms serving = make_terms(500);
+    serving.step = "serving.0.0";
+    serving.image = "shop";
+    serving.response_target_ms = 50;
+    placed_run run;
+    run.task = "serving.0.0.0";
+    run.run = 1;
+    run.terms = std::make_shared<const step_terms>(serving);
+    run.own_headroom = 1.2;
+    rack.targets["t1"].runs[{run.task, run.run}] = run;
+    step_terms backfill = make_terms(1'000);
+    backfill.uses_idle_cpu = true;
+    backfill.image = "batch";
+    add(rack, backfill);
+    const queue_summary summary =
+        summarize_queue(rack, interference_model(), now);
+    REQUIRE(summary.headroom == 1);
+    REQUIRE(summary.closest_headroom);
+    REQUIRE(summary.closest_headroom->spare == Approx(0.1));
+    // 0.1 for one core of an unknown pair, and the margin of a harmful one.
+    REQUIRE(summary.closest_headroom->required == Approx(0.5));
+}
+
 TEST_CASE("starts wait while no target accepts starts", "[rack]")
 {
     rack_state rack = make_rack();
