Reserve a target for a long-running start that waits for room

A long-running start that has lost its place found no room beside a stream of short tasks: these come first within a priority and take each free piece of a target that is smaller than the long-running task. Backfill tasks hold memory without an end, also when they are slowed to a stop, and nothing was taken back for a better priority.

When a long-running start has waited for more than 1 s, the rack owner reserves the target that is expected to have room first once its short and backfill tasks end, and places neither kind there until the start is placed, has left the queue or 5 s have passed. At most two targets and half of a rack are reserved; labels, draining targets and the limit per target are respected, gangs and backfill tasks get no reservation. If only memory is missing there, just enough backfill tasks of a worse priority are stopped, checkpointing ones first; long-running ones keep their places. A start with a reservation is not handed back within 5 s. `rack queue` and the gauges count the starts that wait for a reserved target as `held`.

--- a/cmake/packages.cmake
+++ b/cmake/packages.cmake
@@ -66,8 +66,6 @@
   # Hidden cases of the program of the package; see KNOWN-RED.txt.
   add_test(NAME rack_placement_spread COMMAND test_rack "[rack_placement_spread]")
   set_tests_properties(rack_placement_spread PROPERTIES TIMEOUT 300)
-  add_test(NAME rack_long_running_wait COMMAND test_rack "[rack_long_running_wait]")
-  set_tests_properties(rack_long_running_wait PROPERTIES TIMEOUT 300)
   add_test(NAME rack_waiting_backfill COMMAND test_rack "[rack_waiting_backfill]")
 endif()
 egret_package(cluster egret_core)
--- a/include/egretspindle/rack/cached_colocation.hpp
+++ b/include/egretspindle/rack/cached_colocation.hpp
@@ -47,8 +47,9 @@
 struct cached_colocation
 {
     colocation_summary colocation;
-    task_size room;       ///< capacity that no task has reserved
-    bool is_open = false; ///< see `accepts_starts`
+    task_size room;          ///< capacity that no task has reserved
+    task_size eventual_room; ///< see `eventual_capacity`
+    bool is_open = false;    ///< see `accepts_starts`
     /// Value of `rack_state::colocation_changes` at the latest change after
     /// which the target may be able to take a start that did not fit before.
     std::uint64_t last_change = 0;
--- /dev/null
+++ b/include/egretspindle/rack/place_reservation.hpp
@@ -0,0 +1,49 @@
+/// \file
+/// Reservations of targets for long-running tasks that wait for room.
+///
+/// A long-running task often needs more processors than a short task releases.
+/// While short starts wait, they take each free piece of a target at once, and
+/// a larger start never finds its room. The rack owner therefore reserves a
+/// target for a long-running start that has waited for a second, and places
+/// neither short nor backfill tasks there until the start has been placed.
+
+#ifndef EGRETSPINDLE_RACK_PLACE_RESERVATION_HPP
+#define EGRETSPINDLE_RACK_PLACE_RESERVATION_HPP
+
+#include "egretspindle/core/clock.hpp"
+#include "egretspindle/rack/interference_model.hpp"
+#include "egretspindle/rack/rack_state.hpp"
+
+#include <vector>
+
+namespace egretspindle
+{
+
+/// Returns whether a queued start has a reservation and has waited so briefly
+/// (5 s, `firm_reservation_time`) that it stays in the queue of its rack.
+[[nodiscard]] bool has_firm_reservation(const rack_state& rack,
+                                        const queued_start& start,
+                                        time_point now);
+
+/// Drops reservations whose start has left the queue, whose target can no
+/// longer take it, or that are older than 5 s (`reservation_lifetime`), and
+/// adds missing ones for long-running starts that have waited for more than 1 s
+/// (`min_wait_to_reserve`).
+///
+/// Reserves the target that is expected to have room first once its short and
+/// backfill tasks end; at most one per start, and at most two in a rack and
+/// half of its open targets. Gangs and backfill tasks get none. The cached
+/// summaries have to be up to date.
+void update_reservations(rack_state& rack, const interference_model& model,
+                         time_point now);
+
+/// Selects backfill runs to stop since only the memory that they hold is
+/// missing at a target for the start it is reserved for. Selects just enough of
+/// those with a worse priority, checkpointing ones first, and marks them as
+/// stopping. Long-running backfill tasks keep their places.
+[[nodiscard]] std::vector<run_id>
+decide_reservation_evictions(const rack_state& rack, rack_target& target);
+
+} // namespace egretspindle
+
+#endif
--- a/include/egretspindle/rack/queue_summary.hpp
+++ b/include/egretspindle/rack/queue_summary.hpp
@@ -28,6 +28,7 @@
     std::size_t room = 0;   ///< too few free processors, other service or label
     std::size_t memory = 0; ///< too little free memory, too few accelerators
     std::size_t limit = 0;  ///< maximum of tasks of the step per target
+    std::size_t held = 0;   ///< targets are reserved for long-running starts
     // Of backfill tasks; see `backfill_rejection`.
     std::size_t processors = 0;
     std::size_t reserved = 0;
--- a/include/egretspindle/rack/rack_decision.hpp
+++ b/include/egretspindle/rack/rack_decision.hpp
@@ -77,7 +77,8 @@
 /// timely starts before those that are already late, and then by objective.
 /// Serving tasks prefer targets that serve the same image, backfill tasks those
 /// rated highest by `rate_backfill_target`, and other tasks those with the most
-/// idle processors. A gang is placed as a whole or not at all.
+/// idle processors. A gang is placed as a whole or not at all. Targets are
+/// reserved for long-running starts that wait, see `update_reservations`.
 [[nodiscard]] std::vector<placement>
 place_starts(rack_state& rack, const interference_model& model, time_point now,
              std::int64_t now_ms);
@@ -155,10 +156,10 @@
 using place_counter = std::function<std::size_t(const step_terms& terms)>;
 
 /// Hands starts back to the owners of their jobs if they have waited longer
-/// than `min_wait`, their run has certainly not started, and they fit into
-/// other racks. After a call that has counted places, calls have no effect for
-/// another `min_wait`, until load reports include the starts at their new
-/// racks.
+/// than `min_wait`, their run has certainly not started, no target is reserved
+/// for them (`has_firm_reservation`), and they fit into other racks. After a
+/// call that has counted places, calls have no effect for another `min_wait`,
+/// until load reports include the starts at their new racks.
 ///
 /// \param count_places  called once for each group of starts with the same
 ///                      requirements
--- a/include/egretspindle/rack/rack_state.hpp
+++ b/include/egretspindle/rack/rack_state.hpp
@@ -86,6 +86,14 @@
 /// Name of a task and number of its run.
 using run_id = std::pair<std::string, std::int64_t>;
 
+/// Reservation of a target for a queued start of a long-running task.
+struct target_reservation
+{
+    run_id run;
+    std::shared_ptr<const step_terms> terms; ///< of the start
+    time_point made_at;
+};
+
 /// Intent to start a run on a target.
 struct start_intent
 {
@@ -141,6 +149,8 @@
     image_cores backfill_cores;
     time_point observed_at;   ///< latest effective call of `observe_target`
     cached_colocation cached; ///< see `refresh_colocations`
+    std::optional<target_reservation>
+        reservation; ///< see `update_reservations`
 };
 
 /// Rack with its targets and queue.
@@ -165,6 +175,8 @@
     std::size_t recorded_targets = 0;           ///< in the durable list
     std::vector<queued_start> queue;
     time_point hand_back_checked_at; ///< latest `hand_back` that counted places
+    /// Latest search of `update_reservations` for targets.
+    time_point reservations_searched_at;
     /// The leases of a target of an earlier owner expired before this owner
     /// reached it. The target may list ends of runs of that owner later.
     bool has_unseen_ends = false;
@@ -211,6 +223,10 @@
 /// Returns the capacity of a target that no task has reserved.
 [[nodiscard]] task_size free_capacity(const rack_target& target);
 
+/// Returns the capacity of a target that no long-running task has reserved,
+/// which is free once its short and backfill tasks have ended.
+[[nodiscard]] task_size eventual_capacity(const rack_target& target);
+
 /// Returns whether starts may be sent to a target.
 [[nodiscard]] bool accepts_starts(const rack_target& target, time_point now);
 
--- a/include/egretspindle/scheduler/rack_metrics.hpp
+++ b/include/egretspindle/scheduler/rack_metrics.hpp
@@ -82,9 +82,9 @@
     void set_queues(const queue_summary& sum) const noexcept;
     void set_counts(const rack_counts& counts) const noexcept;
 
-    static constexpr std::size_t cause_count = 7;       ///< of `end_cause`
-    static constexpr std::size_t verdict_count = 9;     ///< of `order_verdict`
-    static constexpr std::size_t wait_reason_count = 9; ///< in `queue_summary`
+    static constexpr std::size_t cause_count = 7;        ///< of `end_cause`
+    static constexpr std::size_t verdict_count = 9;      ///< of `order_verdict`
+    static constexpr std::size_t wait_reason_count = 10; ///< in `queue_summary`
 
     by_task_kind<counter> placed{};
     by_task_kind<latency_summary> waited{}; ///< of placed starts, in the queue
--- a/src/rack/colocation_cache.cpp
+++ b/src/rack/colocation_cache.cpp
@@ -90,6 +90,7 @@
     cached_colocation& cached = target.cached;
     cached.colocation = summarize_colocation(target, model);
     cached.room = free_capacity(target);
+    cached.eventual_room = eventual_capacity(target);
     cached.last_change = ++rack.colocation_changes;
     cached.model_inputs = rack.model_inputs.number;
     cached.runs.clear();
--- a/src/rack/place_starts.cpp
+++ b/src/rack/place_starts.cpp
@@ -1,5 +1,6 @@
 #include "egretspindle/rack/colocation_cache.hpp"
 #include "egretspindle/rack/interference.hpp"
+#include "egretspindle/rack/place_reservation.hpp"
 #include "egretspindle/rack/rack_decision.hpp"
 
 #include "target_check.hpp"
@@ -255,6 +256,7 @@
     }
     sort_queue(rack, now_ms);
     refresh_colocations(rack, model, now);
+    update_reservations(rack, model, now);
     const std::vector<rack_target*> items = find_open_targets(rack);
     std::uint64_t latest = latest_change(items);
     // Tasks of a step have the same requirements, so if one fits nowhere the
--- a/src/rack/queue_summary.cpp
+++ b/src/rack/queue_summary.cpp
@@ -90,6 +90,9 @@
     case start_rejection::limit:
         ++summary.limit;
         break;
+    case start_rejection::held:
+        ++summary.held;
+        break;
     case start_rejection::processors:
         ++summary.processors;
         break;
--- a/src/rack/rack_decision.cpp
+++ b/src/rack/rack_decision.cpp
@@ -1,5 +1,6 @@
 #include "egretspindle/rack/rack_decision.hpp"
 
+#include "egretspindle/rack/place_reservation.hpp"
 #include "egretspindle/rack/rack_handover.hpp"
 #include "egretspindle/rack/start_intents.hpp"
 
@@ -693,7 +694,8 @@
     for (queued_start& start : rack.queue)
     {
         hand_back_group* const group =
-            !start.is_repeated && now - start.queued_at > min_wait
+            !start.is_repeated && now - start.queued_at > min_wait &&
+                    !has_firm_reservation(rack, start, now)
                 ? &find_group(groups, *start.terms, count_places)
                 : nullptr;
         if (group != nullptr && may_hand_back(*group, events.size()))
--- a/src/rack/rack_state.cpp
+++ b/src/rack/rack_state.cpp
@@ -72,6 +72,19 @@
     return room;
 }
 
+task_size eventual_capacity(const rack_target& target)
+{
+    task_size room = target.entry.capacity;
+    for (const auto& [id, run] : target.runs)
+    {
+        if (run.terms && run.terms->is_long_running)
+        {
+            subtract_from(room, reservation_of(*run.terms));
+        }
+    }
+    return room;
+}
+
 bool accepts_starts(const rack_target& target, time_point now)
 {
     return target.is_listed && target.is_recorded && target.is_reached &&
--- a/src/rack/target_check.cpp
+++ b/src/rack/target_check.cpp
@@ -23,6 +23,24 @@
                          });
 }
 
+// Returns whether a target is reserved for a start that a task would keep from
+// its place. Tasks of one step have the same requirements, so any of them may
+// use the reservation. A long-running task that leaves enough room may start.
+bool is_held(const rack_target& target, const step_terms& terms)
+{
+    if (!target.reservation || target.reservation->terms->step == terms.step)
+    {
+        return false;
+    }
+    if (!terms.is_long_running || terms.uses_idle_cpu)
+    {
+        return true;
+    }
+    task_size room = target.cached.eventual_room;
+    subtract_from(room, reservation_of(terms));
+    return !fits(reservation_of(*target.reservation->terms), room);
+}
+
 } // namespace
 
 start_rejection find_start_rejection(const rack_target& target,
@@ -47,6 +65,10 @@
     {
         return start_rejection::limit;
     }
+    if (is_held(target, terms))
+    {
+        return start_rejection::held;
+    }
     if (!terms.uses_idle_cpu)
     {
         return start_rejection::none;
--- a/src/rack/target_check.hpp
+++ b/src/rack/target_check.hpp
@@ -13,10 +13,11 @@
 /// Why a target cannot take a start, in the order of the checks.
 enum class start_rejection
 {
-    closed,     ///< the target accepts no starts
-    room,       ///< too few free processors, or another service or label
-    memory,     ///< too little free memory, or too few accelerators
-    limit,      ///< maximum of tasks of the step per target
+    closed, ///< the target accepts no starts
+    room,   ///< too few free processors, or another service or label
+    memory, ///< too little free memory, or too few accelerators
+    limit,  ///< maximum of tasks of the step per target
+    held,   ///< reserved for a long-running start, see `update_reservations`
     processors, ///< see `backfill_rejection` for this and the next two
     reserved,
     headroom,
--- a/src/scheduler/rack_agent.cpp
+++ b/src/scheduler/rack_agent.cpp
@@ -38,6 +38,7 @@
     sum.room += item.room;
     sum.memory += item.memory;
     sum.limit += item.limit;
+    sum.held += item.held;
     sum.processors += item.processors;
     sum.reserved += item.reserved;
     sum.headroom += item.headroom;
@@ -655,6 +656,7 @@
                   {"no_room", queue.room},
                   {"no_memory", queue.memory},
                   {"step_limit", queue.limit},
+                  {"held", queue.held},
                   {"no_processors", queue.processors},
                   {"reserved", queue.reserved},
                   {"no_headroom", queue.headroom},
--- a/src/scheduler/rack_agent_polls.cpp
+++ b/src/scheduler/rack_agent_polls.cpp
@@ -1,5 +1,6 @@
 #include "egretspindle/logging/log.hpp"
 #include "egretspindle/rack/interference.hpp"
+#include "egretspindle/rack/place_reservation.hpp"
 
 #include "rack_agent_impl.hpp"
 
@@ -188,6 +189,19 @@
                       {"slowed_ms", elapsed_ms(run.slowed_at, now)},
                       {"reason", "slowed too long for a serving task"}});
         }
+        for (const run_id& id : decide_reservation_evictions(rack, *target))
+        {
+            const run_id& waiting = target->reservation->run;
+            metrics.evicted.add();
+            log_info("run evicted",
+                     {{"task", id.first},
+                      {"run", id.second},
+                      {"target", channel->target},
+                      {"rack", channel->rack},
+                      {"waiting_task", waiting.first},
+                      {"waiting_run", waiting.second},
+                      {"reason", "memory for a long-running task"}});
+        }
         for (const auto& [id, run] : target->runs)
         {
             if (run.is_stopping)
--- a/src/scheduler/rack_metrics.cpp
+++ b/src/scheduler/rack_metrics.cpp
@@ -11,9 +11,9 @@
 constexpr std::array<const char*, 3> order_names{"start", "stop", "pace"};
 constexpr std::array<const char*, 3> use_names{"poll", "start", "place"};
 constexpr std::array<const char*, rack_metrics::wait_reason_count>
-    wait_reason_names{"record",        "closed",      "no_room",
-                      "no_memory",     "step_limit",  "reserved",
-                      "no_processors", "no_headroom", "nothing"};
+    wait_reason_names{"record",      "closed", "no_room",  "no_memory",
+                      "step_limit",  "held",   "reserved", "no_processors",
+                      "no_headroom", "nothing"};
 
 counter& count_repeated(metric_registry& registry, const char* result)
 {
@@ -63,8 +63,9 @@
           "egretspindle_start_confirmed_milliseconds",
           "Time from the choice of a target to its confirmation of the "
           "start.")),
-      evicted(registry.get_counter("egretspindle_runs_evicted_total",
-                                   "Runs stopped for a serving task.")),
+      evicted(registry.get_counter(
+          "egretspindle_runs_evicted_total",
+          "Runs stopped for a serving or long-running task.")),
       fenced(registry.get_counter(
           "egretspindle_racks_refused_total",
           "Racks given up because a target had seen a newer owner.")),
@@ -193,8 +194,9 @@
     oldest.set(static_cast<double>(sum.oldest.count()));
     // In the order of `wait_reason_names`.
     const std::array<std::size_t, wait_reason_count> counts{
-        sum.repeated, sum.closed,     sum.room,     sum.memory,   sum.limit,
-        sum.reserved, sum.processors, sum.headroom, sum.placeable};
+        sum.repeated, sum.closed,   sum.room,     sum.memory,
+        sum.limit,    sum.held,     sum.reserved, sum.processors,
+        sum.headroom, sum.placeable};
     for (std::size_t n = 0; n < wait_reason_count; ++n)
     {
         waiting[n]->set(static_cast<double>(counts[n]));
--- a/tests/rack/place_reservation_test.cpp
+++ b/tests/rack/place_reservation_test.cpp
@@ -1,3 +1,6 @@
+#include "egretspindle/rack/colocation_cache.hpp"
+#include "egretspindle/rack/place_reservation.hpp"
+#include "egretspindle/rack/queue_summary.hpp"
 #include "egretspindle/rack/rack_decision.hpp"
 
 #include <catch2/catch.hpp>
@@ -128,12 +131,83 @@
     return others;
 }
 
+std::size_t place(rack_state& rack, time_point now)
+{
+    return place_starts(rack, no_interference, now, 0).size();
+}
+
+// Queues a start that has waited for 2 s at `start_time`.
+void add_waiting(rack_state& rack, const std::string& task,
+                 const step_terms& terms)
+{
+    enqueue(rack, make_start(task, std::make_shared<const step_terms>(terms),
+                             start_time - milliseconds(2'000)));
+}
+
+std::vector<std::string> reserved_targets(const rack_state& rack)
+{
+    std::vector<std::string> names;
+    for (const auto& [id, target] : rack.targets)
+    {
+        if (target.reservation)
+        {
+            names.push_back(id);
+        }
+    }
+    return names;
+}
+
+step_terms make_backfill(const std::string& step, std::int64_t memory_mb)
+{
+    step_terms terms = make_terms(step, 1'000);
+    terms.size.memory_mb = memory_mb;
+    terms.uses_idle_cpu = true;
+    terms.image = "fill";
+    terms.priority = 1;
+    return terms;
+}
+
+// Makes a rack with a full target and a reservation for a long-running start
+// that lacks 8 cores.
+rack_state make_reserved_rack()
+{
+    rack_state rack = make_rack(1);
+    add_run(rack.targets["t0"], "kept.0", make_long_running("kept", 32'000));
+    for (int n = 0; n < 4; ++n)
+    {
+        add_run(rack.targets["t0"], "short." + std::to_string(n),
+                make_terms("early", 8'000));
+    }
+    add_waiting(rack, "long.0.0.0", make_long_running("long.0.0", 16'000));
+    REQUIRE(place(rack, start_time) == 0);
+    REQUIRE(reserved_targets(rack) == std::vector<std::string>{"t0"});
+    return rack;
+}
+
+/// Backfill tasks on a target where a long-running start lacks memory.
+struct memory_case
+{
+    rack_state rack = make_rack(1);
+    rack_target& target = rack.targets["t0"];
+
+    // Reserves the target for a start that needs all memory but `spare_mb`.
+    std::vector<run_id> evict(std::int64_t spare_mb,
+                              std::int64_t cpu_milli = 16'000)
+    {
+        step_terms terms = make_long_running("long.0.0", cpu_milli);
+        terms.size.memory_mb = target.entry.capacity.memory_mb - spare_mb;
+        add_waiting(rack, "long.0.0.0", terms);
+        static_cast<void>(place(rack, start_time));
+        return decide_reservation_evictions(rack, target);
+    }
+};
+
 } // namespace
 
 // Bound stated by the users: 6 s after its last run, if there is capacity.
 TEST_CASE("a long-running task gets its place back beside a stream of short "
           "tasks",
-          "[.][rack_long_running_wait]")
+          "[rack]")
 {
     const unsigned seed = GENERATE(1u, 2u, 3u, 4u, 5u);
     const std::int64_t cpu_milli = GENERATE(13'000, 20'000);
@@ -160,3 +234,262 @@
     }
     REQUIRE(is_placed);
 }
+
+// Otherwise short and backfill tasks would take the processors that become free
+// before there are enough of them.
+TEST_CASE("a target that is reserved takes no short and no backfill starts",
+          "[rack]")
+{
+    rack_state rack = make_reserved_rack();
+    rack.targets["t0"].runs.erase({"short.0", 1});
+    add_waiting(rack, "short.0.0.0", make_terms("short.0.0", 8'000));
+    add_waiting(rack, "fill.0.0.0", make_backfill("fill.0.0", 100));
+    REQUIRE(place(rack, start_time) == 0);
+    REQUIRE(summarize_queue(rack, no_interference, start_time).held == 2);
+    rack.targets["t0"].runs.erase({"short.1", 1});
+    const std::vector<placement> placed =
+        place_starts(rack, no_interference, start_time, 0);
+    REQUIRE(placed.size() == 1);
+    REQUIRE(placed.front().start.task == "long.0.0.0");
+}
+
+// The cache of refusals has to notice the end of a reservation.
+TEST_CASE("refused starts are considered when a reservation ends", "[rack]")
+{
+    rack_state rack = make_reserved_rack();
+    rack.targets["t0"].runs.erase({"short.0", 1});
+    add_waiting(rack, "short.0.0.0", make_terms("short.0.0", 8'000));
+    REQUIRE(place(rack, start_time) == 0);
+    std::string target;
+    static_cast<void>(withdraw(rack, {"long.0.0.0", 1}, target));
+    REQUIRE(place(rack, start_time) == 1);
+    REQUIRE(reserved_targets(rack).empty());
+}
+
+// A long-running task that leaves the reserved place free does no harm there;
+// one that does not would take the place for good.
+TEST_CASE("a reserved target takes long-running starts that leave the place",
+          "[rack]")
+{
+    const bool leaves_place = GENERATE(true, false);
+    rack_state rack = make_reserved_rack();
+    rack.targets["t0"].runs.erase({"short.0", 1});
+    rack.targets["t0"].runs.erase({"short.1", 1});
+    rack.queue.front().queued_at = start_time;
+    rack.targets["t0"].entry.capacity.cpu_milli = 60'000;
+    add_waiting(rack, "other.0.0.0",
+                make_long_running("other.0.0", leaves_place ? 12'000 : 13'000));
+    rack.queue.front().queued_at = start_time - milliseconds(2'000);
+    REQUIRE(place(rack, start_time) == (leaves_place ? 1 : 0));
+}
+
+// A reservation on a target that cannot take the task would only keep short
+// tasks away.
+TEST_CASE("only targets that can take the task are reserved", "[rack]")
+{
+    rack_state rack = make_rack(6);
+    for (auto& [id, target] : rack.targets)
+    {
+        target.entry.labels = {"ssd"};
+        for (int n = 0; n < 8; ++n)
+        {
+            add_run(target, "short." + std::to_string(n),
+                    make_terms("early", 8'000));
+        }
+    }
+    step_terms terms = make_long_running("long.0.0", 16'000);
+    terms.required_label = "ssd";
+    terms.max_per_target = 1;
+    rack.targets["t0"].entry.labels.clear();
+    rack.targets["t1"].entry.is_draining = true;
+    rack.targets["t2"].avoid_until = start_time + milliseconds(300);
+    add_run(rack.targets["t3"], "long.0.0.1", terms);
+    rack.targets["t4"].entry.service = "other";
+    add_waiting(rack, "long.0.0.0", terms);
+    REQUIRE(place(rack, start_time) == 0);
+    REQUIRE(reserved_targets(rack) == std::vector<std::string>{"t5"});
+}
+
+TEST_CASE("the target that needs the smallest share of its short tasks to end "
+          "is reserved",
+          "[rack]")
+{
+    rack_state rack = make_rack(3);
+    add_run(rack.targets["t0"], "kept", make_long_running("kept", 48'000));
+    add_run(rack.targets["t0"], "short", make_terms("early", 16'000));
+    add_run(rack.targets["t1"], "short", make_terms("early", 64'000));
+    add_run(rack.targets["t2"], "kept", make_long_running("kept", 56'000));
+    add_waiting(rack, "long.0.0.0", make_long_running("long.0.0", 16'000));
+    REQUIRE(place(rack, start_time) == 0);
+    REQUIRE(reserved_targets(rack) == std::vector<std::string>{"t1"});
+}
+
+// Too many reservations would leave no targets to short tasks.
+TEST_CASE("at most two targets and half of a rack are reserved", "[rack]")
+{
+    const int targets = GENERATE(1, 2, 3, 8);
+    rack_state rack = make_rack(targets);
+    for (auto& [id, target] : rack.targets)
+    {
+        add_run(target, "short." + id, make_terms("early", 64'000));
+    }
+    for (int n = 0; n < 8; ++n)
+    {
+        const std::string step = "long" + std::to_string(n) + ".0.0";
+        add_waiting(rack, step + ".0", make_long_running(step, 16'000));
+    }
+    REQUIRE(place(rack, start_time) == 0);
+    REQUIRE(reserved_targets(rack).size() == (targets < 3 ? 1 : 2));
+    REQUIRE(place(rack, start_time + milliseconds(300)) == 0);
+    REQUIRE(reserved_targets(rack).size() == (targets < 3 ? 1 : 2));
+}
+
+// A start that is placed within a second does not need a reservation, and one
+// that is looked up may have been started before.
+TEST_CASE("only waiting long-running starts of single tasks get a reservation",
+          "[rack]")
+{
+    rack_state rack = make_rack(1);
+    add_run(rack.targets["t0"], "short.0", make_terms("early", 64'000));
+    step_terms gang = make_long_running("gang.0.0", 16'000);
+    gang.is_gang = true;
+    gang.gang_size = 1;
+    step_terms backfill = make_backfill("fill.0.0", 250'000);
+    backfill.is_long_running = true;
+    add_waiting(rack, "gang.0.0.0", gang);
+    add_waiting(rack, "fill.0.0.0", backfill);
+    add_waiting(rack, "short.0.0.0", make_terms("short.0.0", 8'000));
+    add_waiting(rack, "again.0.0.0", make_long_running("again.0.0", 8'000));
+    rack.queue.back().is_repeated = true;
+    add_waiting(rack, "new.0.0.0", make_long_running("new.0.0", 8'000));
+    rack.queue.back().queued_at = start_time - milliseconds(900);
+    REQUIRE(place(rack, start_time) == 0);
+    REQUIRE(reserved_targets(rack).empty());
+    REQUIRE(place(rack, start_time + milliseconds(300)) == 0);
+    REQUIRE(reserved_targets(rack).size() == 1);
+    REQUIRE(rack.targets["t0"].reservation->run == run_id{"new.0.0.0", 1});
+}
+
+// If the reserved target is lost or filled, another one has to be chosen.
+TEST_CASE("a reservation moves when its target cannot take the task", "[rack]")
+{
+    rack_state rack = make_rack(2);
+    add_run(rack.targets["t0"], "short.0", make_terms("early", 64'000));
+    add_run(rack.targets["t1"], "short.1", make_terms("early", 64'000));
+    add_waiting(rack, "long.0.0.0", make_long_running("long.0.0", 16'000));
+    REQUIRE(place(rack, start_time) == 0);
+    REQUIRE(reserved_targets(rack) == std::vector<std::string>{"t0"});
+    rack.targets["t0"].entry.is_draining = true;
+    REQUIRE(place(rack, start_time + milliseconds(300)) == 0);
+    REQUIRE(reserved_targets(rack) == std::vector<std::string>{"t1"});
+}
+
+// A target whose short tasks run for long is given up for one that has room
+// earlier by then.
+TEST_CASE("a reservation is decided again after its lifetime", "[rack]")
+{
+    rack_state rack = make_rack(2);
+    add_run(rack.targets["t0"], "short.0", make_terms("early", 64'000));
+    add_run(rack.targets["t1"], "short.1", make_terms("early", 64'000));
+    add_waiting(rack, "long.0.0.0", make_long_running("long.0.0", 16'000));
+    REQUIRE(place(rack, start_time) == 0);
+    rack.targets["t1"].runs.clear();
+    add_run(rack.targets["t1"], "short.2", make_terms("early", 50'000));
+    REQUIRE(place(rack, start_time + milliseconds(4'900)) == 0);
+    REQUIRE(reserved_targets(rack) == std::vector<std::string>{"t0"});
+    REQUIRE(place(rack, start_time + milliseconds(5'200)) == 0);
+    REQUIRE(reserved_targets(rack) == std::vector<std::string>{"t1"});
+}
+
+// A start that was handed back although a target empties for it would begin to
+// wait anew in another rack.
+TEST_CASE("a start with a reservation is not handed back for 5 s", "[rack]")
+{
+    rack_state rack = make_reserved_rack();
+    const auto any_place = [](const step_terms& /*terms*/)
+    {
+        return std::size_t{10};
+    };
+    REQUIRE(hand_back(rack, milliseconds(700), any_place, start_time).empty());
+    REQUIRE(hand_back(rack, milliseconds(700), any_place,
+                      start_time + milliseconds(3'100))
+                .size() == 1);
+}
+
+// A task that keeps its checkpoint loses the least work.
+TEST_CASE("just enough backfill tasks are stopped for their memory", "[rack]")
+{
+    memory_case item;
+    for (int n = 0; n < 4; ++n)
+    {
+        step_terms terms = make_backfill("fill", 40'000);
+        terms.is_checkpointing = n == 2;
+        add_run(item.target, "fill." + std::to_string(n), terms);
+        item.target.runs.at({"fill." + std::to_string(n), 1}).ordered_at =
+            start_time + milliseconds(n);
+    }
+    // The tasks hold 160,000 MB.
+    const bool stops_two = GENERATE(false, true);
+    const std::vector<run_id> evicted =
+        item.evict(stops_two ? 100'000 : 130'000);
+    REQUIRE(evicted.size() == (stops_two ? 2 : 1));
+    REQUIRE(evicted.back() == run_id{"fill.2", 1});
+    REQUIRE(evicted.front() == run_id{stops_two ? "fill.3" : "fill.2", 1});
+    REQUIRE(item.target.runs.at({"fill.2", 1}).is_stopping);
+    REQUIRE(decide_reservation_evictions(item.rack, item.target).empty());
+}
+
+// Only backfill tasks of a worse priority give way, and only for memory: short
+// tasks end by themselves, and a stopped long-running task would be away in
+// place of the other.
+TEST_CASE("tasks that must not give way are not stopped", "[rack]")
+{
+    memory_case item;
+    const int kind = GENERATE(0, 1, 2, 3, 4);
+    CAPTURE(kind);
+    step_terms terms = make_backfill("fill", 200'000);
+    if (kind == 0)
+    {
+        terms.priority = 0;
+    }
+    terms.is_long_running = kind == 1;
+    terms.uses_idle_cpu = kind != 2;
+    if (kind == 1)
+    {
+        terms.size.memory_mb = 100'000;
+        add_run(item.target, "other.0", make_backfill("other", 90'000));
+    }
+    add_run(item.target, "fill.0", terms);
+    item.target.runs.at({"fill.0", 1}).is_confirmed = kind != 3;
+    item.target.runs.at({"fill.0", 1}).ordered_at = start_time;
+    if (kind == 4)
+    {
+        add_run(item.target, "short.0", make_terms("early", 60'000));
+    }
+    const std::vector<run_id> evicted = item.evict(100'000);
+    REQUIRE(std::count(evicted.begin(), evicted.end(), run_id{"fill.0", 1}) ==
+            0);
+    REQUIRE(evicted.size() == (kind == 1 ? 1 : 0));
+}
+
+// A small task may be chosen before a large one whose memory suffices alone.
+TEST_CASE("a task whose memory is not needed is not stopped", "[rack]")
+{
+    memory_case item;
+    step_terms small = make_backfill("small", 10'000);
+    small.is_checkpointing = true;
+    add_run(item.target, "small.0", small);
+    add_run(item.target, "large.0", make_backfill("large", 60'000));
+    REQUIRE(item.evict(50'000) == std::vector<run_id>{{"large.0", 1}});
+}
+
+// The start may have left the queue since the target was reserved for it.
+TEST_CASE("no task is stopped for a start that has left the queue", "[rack]")
+{
+    memory_case item;
+    add_run(item.target, "fill.0", make_backfill("fill", 200'000));
+    REQUIRE(item.evict(100'000).size() == 1);
+    item.target.runs.at({"fill.0", 1}).is_stopping = false;
+    item.rack.queue.clear();
+    REQUIRE(decide_reservation_evictions(item.rack, item.target).empty());
+}
