Test that no queued start stays behind although it fits a target

The test applies 12,000 random changes to racks and their models, with reservations of targets, and compares both after each pass: no start that is not a member of a gang is placeable. Members of gangs count one by one, and may each fit alone. The test fails when a target that accepts starts again is not marked as changed.

--- a/tests/rack/colocation_cache_test.cpp
+++ b/tests/rack/colocation_cache_test.cpp
@@ -1,9 +1,11 @@
 #include "egretspindle/rack/colocation_cache.hpp"
 #include "egretspindle/rack/interference.hpp"
+#include "egretspindle/rack/queue_summary.hpp"
 #include "egretspindle/rack/rack_decision.hpp"
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
 #include <array>
 #include <random>
 
@@ -323,6 +325,42 @@
     REQUIRE(count > 2'000);
 }
 
+// `summarize_queue` checks all targets anew, without the cache. Members of a
+// gang are left out, since each may fit alone.
+TEST_CASE("no start that fits a target stays queued", "[rack]")
+{
+    std::size_t queued = 0;
+    for (unsigned seed = 1; seed <= 60; ++seed)
+    {
+        CAPTURE(seed);
+        random_changes changes{std::minstd_rand(seed)};
+        interference_model model;
+        rack_state rack = make_rack(8);
+        for (auto& [id, target] : rack.targets)
+        {
+            add_serving(target, changes.serving(),
+                        changes.pick_between(1.0, 4.0));
+        }
+        for (int n = 0; n < 200; ++n)
+        {
+            CAPTURE(n);
+            const time_point now = start_time + milliseconds(20 * n);
+            changes.apply(rack, model, now);
+            static_cast<void>(place_starts(rack, model, now, 20 * n));
+            rack_state singles = rack;
+            singles.queue.erase(std::remove_if(singles.queue.begin(),
+                                               singles.queue.end(),
+                                               [](const queued_start& item)
+                                               { return item.terms->is_gang; }),
+                                singles.queue.end());
+            REQUIRE(summarize_queue(singles, model, now).placeable == 0);
+            queued += singles.queue.size();
+        }
+    }
+    // Ensures that starts wait at all.
+    REQUIRE(queued > 2'000);
+}
+
 TEST_CASE("a target is considered after a poll reply that lists the end of a "
           "run",
           "[rack]")
