Test that short tasks find a target beside long-running ones

Cause: no test plays the load under which the urgent short class of the large site misses its floor. Long-running tasks leave the free processors in pieces that are smaller than a short task.

Change: rack_short_task_room fills a simulated fleet with long-running tasks through the real admission, runs a short class on 5% of the processors, and makes 2% of the targets fail.

--- a/tests/rack/fleet_simulation.cpp
+++ b/tests/rack/fleet_simulation.cpp
@@ -29,13 +29,19 @@
             static_cast<std::size_t>(sim.limits.targets)};
 }
 
-rack_target make_target(int n, const std::string& rack)
+rack_target make_target(int n, const simulation_limits& limits,
+                        const std::string& rack)
 {
     rack_target target;
     target.entry.id = "t" + std::to_string(1'000 + n);
     target.entry.rack = rack;
     target.entry.service = "svc";
-    target.entry.capacity = {32'000, 125'000, 0};
+    target.entry.capacity = limits.capacity;
+    if (limits.large_every > 0 && n % limits.large_every == 0)
+    {
+        target.entry.capacity.cpu_milli += limits.capacity.cpu_milli / 2;
+        target.entry.capacity.memory_mb += limits.capacity.memory_mb / 2;
+    }
     target.is_recorded = true;
     target.is_reached = true;
     return target;
@@ -79,6 +85,13 @@
 {
     step_terms terms = step.terms;
     terms.step = "job" + std::to_string(sim.next_job++) + ".0.0";
+    if (terms.is_long_running &&
+        !has_room_for_long_running(sim.hosts[chooser].load, terms.service,
+                                   terms.size.cpu_milli * step.tasks, sim.now))
+    {
+        sim.result.refused += step.tasks;
+        return;
+    }
     const auto shared = std::make_shared<const step_terms>(terms);
     std::vector<simulated_task> tasks;
     for (int n = 0; n < step.tasks; ++n)
@@ -119,8 +132,13 @@
         const run_id id{item.start.task, item.start.run};
         const simulated_task& task = sim.tasks_by_run.at(id);
         ++sim.result.placed;
-        sim.result.waits.push_back(std::chrono::duration_cast<milliseconds>(
-            sim.now - task.submitted_at));
+        const milliseconds wait = std::chrono::duration_cast<milliseconds>(
+            sim.now - task.submitted_at);
+        sim.result.waits.push_back(wait);
+        if (task.terms->is_long_running)
+        {
+            sim.result.long_running_waits.push_back(wait);
+        }
         sim.ends.insert({sim.now + task.duration, {item.target, id}});
     }
 }
@@ -194,6 +212,11 @@
     {
         const auto [target, id] = sim.ends.begin()->second;
         const auto it = sim.tasks_by_run.find(id);
+        if (it == sim.tasks_by_run.end()) // its target has failed
+        {
+            sim.ends.erase(sim.ends.begin());
+            continue;
+        }
         rack_state& rack = sim.racks.at(it->second.rack);
         rack.targets.at(target).runs.erase(id);
         changed.insert(rack.name);
@@ -239,7 +262,7 @@
     for (int n = 0; n < limits.targets; ++n)
     {
         const std::string rack = rack_name(n * limits.racks / limits.targets);
-        const rack_target target = make_target(n, rack);
+        const rack_target target = make_target(n, limits, rack);
         sim.racks[rack].name = rack;
         sim.racks[rack].targets[target.entry.id] = target;
         entries[target.entry.id] = target.entry;
@@ -316,6 +339,37 @@
     }
 }
 
+void fail_targets(simulation& sim, double share)
+{
+    std::minstd_rand random(sim.limits.seed + 31);
+    std::bernoulli_distribution fails(share);
+    for (auto& [name, rack] : sim.racks)
+    {
+        for (auto it = rack.targets.begin(); it != rack.targets.end();)
+        {
+            if (!fails(random))
+            {
+                ++it;
+                continue;
+            }
+            for (const auto& [id, run] : it->second.runs)
+            {
+                const auto found = sim.tasks_by_run.find(id);
+                simulated_task task = found->second;
+                sim.tasks_by_run.erase(found);
+                task.submitted_at = sim.now;
+                task.arrives_at = sim.now + sim.limits.hand_back_transit;
+                sim.to_choosers.push_back(std::move(task));
+            }
+            for (simulated_host& host : sim.hosts)
+            {
+                host.load.targets.erase(it->first);
+            }
+            it = rack.targets.erase(it);
+        }
+    }
+}
+
 void run_simulation(simulation& sim, std::vector<simulated_step> steps,
                     milliseconds duration)
 {
@@ -380,6 +434,47 @@
     return sum;
 }
 
+std::int64_t long_running_cpu(const simulation& sim)
+{
+    std::int64_t sum = 0;
+    for (const auto& [name, rack] : sim.racks)
+    {
+        for (const auto& [id, target] : rack.targets)
+        {
+            for (const auto& [run_name, run] : target.runs)
+            {
+                sum +=
+                    run.terms->is_long_running ? run.terms->size.cpu_milli : 0;
+            }
+        }
+    }
+    return sum;
+}
+
+std::vector<milliseconds> open_waits(const simulation& sim,
+                                     bool is_long_running)
+{
+    std::vector<milliseconds> waits;
+    const auto add = [&](const simulated_task& task)
+    {
+        if (task.terms->is_long_running == is_long_running)
+        {
+            waits.push_back(std::chrono::duration_cast<milliseconds>(
+                sim.now - task.submitted_at));
+        }
+    };
+    std::for_each(sim.to_racks.begin(), sim.to_racks.end(), add);
+    std::for_each(sim.to_choosers.begin(), sim.to_choosers.end(), add);
+    for (const auto& [name, rack] : sim.racks)
+    {
+        for (const queued_start& start : rack.queue)
+        {
+            add(sim.tasks_by_run.at({start.task, start.run}));
+        }
+    }
+    return waits;
+}
+
 double largest_share(const simulation& sim, int min_tasks_per_rack)
 {
     double largest = 0;
@@ -402,9 +497,8 @@
     return largest;
 }
 
-milliseconds wait_quantile(const simulation_result& result, double quantile)
+milliseconds wait_quantile(std::vector<milliseconds> waits, double quantile)
 {
-    std::vector<milliseconds> waits = result.waits;
     if (waits.empty())
     {
         return milliseconds(0);
@@ -414,4 +508,9 @@
     return waits[static_cast<std::size_t>(std::llround(quantile * last))];
 }
 
+milliseconds wait_quantile(const simulation_result& result, double quantile)
+{
+    return wait_quantile(result.waits, quantile);
+}
+
 } // namespace egretspindle
--- a/tests/rack/fleet_simulation.hpp
+++ b/tests/rack/fleet_simulation.hpp
@@ -25,6 +25,8 @@
     int choosers = 32; ///< hosts that own job shards and choose racks
     int racks = 62;
     int targets = 490;
+    task_size capacity{32'000, 125'000, 0}; ///< of a target
+    int large_every = 0;    ///< each n-th target is 1.5 times as large; 0: none
     milliseconds step{50};  ///< by which the simulated time advances
     milliseconds tick{250}; ///< of each host: placing, reports, hand-backs
     /// From a choice to the queue of the rack: store write and message.
@@ -71,10 +73,12 @@
 struct simulation_result
 {
     int submitted = 0;
+    int refused = 0; ///< long-running tasks, by `has_room_for_long_running`
     int placed = 0;
     int handed_back = 0;
     int orders = 0;                  ///< messages from choosers to racks
     std::vector<milliseconds> waits; ///< from submission to placing
+    std::vector<milliseconds> long_running_waits; ///< the same, of these only
     /// Tasks assigned to each rack, by index of the report period.
     std::map<std::int64_t, std::map<std::string, int>> assigned;
 };
@@ -106,8 +110,15 @@
 /// \param cpu_milli  reserved by each serving task
 void add_serving_tasks(simulation& sim, std::int64_t cpu_milli);
 
+/// Makes targets fail, drawn at random. The tasks that run on them are assigned
+/// again; their waits count from now.
+///
+/// \param share  of all targets
+void fail_targets(simulation& sim, double share);
+
 /// Submits steps at random choosers and advances the simulation by `duration`.
-/// `simulated_step::at` counts from the time of the call.
+/// `simulated_step::at` counts from the time of the call. Long-running steps
+/// are refused if the chooser has no room for them.
 void run_simulation(simulation& sim, std::vector<simulated_step> steps,
                     milliseconds duration);
 
@@ -117,12 +128,27 @@
 /// Returns the processors that no task has reserved, in thousandths of a core.
 std::int64_t free_cpu(const simulation& sim);
 
+/// Returns the processors that long-running tasks have reserved, in thousandths
+/// of a core.
+std::int64_t long_running_cpu(const simulation& sim);
+
+/// Returns how long the accepted tasks that have no target have waited so far.
+///
+/// \param is_long_running  which tasks to consider
+std::vector<milliseconds> open_waits(const simulation& sim,
+                                     bool is_long_running);
+
 /// Returns the largest number of tasks that were assigned to one rack in a
 /// report period, as a multiple of an even share. Ignores periods with fewer
 /// than `min_tasks_per_rack` tasks per rack on average, in which random
 /// variation dominates; 0 if all are ignored.
 double largest_share(const simulation& sim, int min_tasks_per_rack);
 
+/// Returns a quantile of `waits`; 0 if there are none.
+///
+/// \param quantile  from 0 to 1; 0.5 for the median
+milliseconds wait_quantile(std::vector<milliseconds> waits, double quantile);
+
 /// Returns a quantile of the times from submission to placement; 0 if no task
 /// was placed.
 ///
