--- a/tests/scheduler/rack_agent_test.cpp
+++ b/tests/scheduler/rack_agent_test.cpp
@@ -324,6 +324,55 @@
             env.targets.starts[1].lease_until_ms);
 }
 
+// Guards against runs of a dead target whose end is concluded seconds late.
+TEST_CASE("a start does not extend the lease of a target that left another one "
+          "unanswered",
+          "[scheduler]")
+{
+    fixture env;
+    REQUIRE(
+        env.targets.wait_until([&] { return env.targets.polls.size() > 1; }));
+    std::size_t polls = 0;
+    {
+        const std::lock_guard<std::mutex> lock(env.targets.mutex);
+        env.targets.poll_duration = std::chrono::seconds(20);
+        env.targets.starts_to_ignore = 1'000;
+        polls = env.targets.polls.size();
+    }
+    REQUIRE(env.targets.wait_until(
+        [&] { return env.targets.polls.size() > polls; }));
+    REQUIRE(env.send().is_owner);
+    REQUIRE(
+        env.targets.wait_until([&] { return env.targets.starts.size() > 1; }));
+    rack_orders orders;
+    orders.rack = "r1";
+    orders.token = 7;
+    start_batch batch;
+    batch.terms.step = "job.0.0";
+    batch.terms.service = "svc";
+    batch.terms.size = {1'000, 100, 0};
+    batch.runs.push_back({1, 1, "", false});
+    orders.starts.push_back(batch);
+    REQUIRE(env.agent.execute(orders).is_owner);
+    const auto is_second = [](const start_order& order)
+    {
+        return order.task == "job.0.0.1";
+    };
+    REQUIRE(env.targets.wait_until(
+        [&]
+        {
+            return std::any_of(env.targets.starts.begin(),
+                               env.targets.starts.end(), is_second);
+        }));
+    const std::lock_guard<std::mutex> lock(env.targets.mutex);
+    const auto second = std::find_if(env.targets.starts.begin(),
+                                     env.targets.starts.end(), is_second);
+    REQUIRE(second->lease_until_ms ==
+            env.targets.starts.front().lease_until_ms);
+    env.targets.poll_duration = std::chrono::milliseconds(0);
+    env.targets.changed.notify_all();
+}
+
 // The target may still execute the earlier, unanswered attempt seconds later,
 // while a second run of the task is active elsewhere. The stop prevents that.
 TEST_CASE("a start that is refused after an unanswered attempt is followed by "
