Grant no new lease with a start to a silent target

Cause: a poll waits up to 1.5 s and is given up after 2.5 s, so an owner counts a dead target as in contact for seconds. Each new start that it sent there in that time granted a lease of 6 s, and the runs of the target were concluded as lost only when that lease was over.

Change: after a start without an answer, further starts do not extend the lease until the target has answered again. Polls extend it as before.

All 113 cases of test_scheduler pass.

--- a/src/scheduler/rack_agent_impl.hpp
+++ b/src/scheduler/rack_agent_impl.hpp
@@ -50,6 +50,8 @@
     bool is_stopping = false;
     bool has_contact = false; ///< the last poll was answered
     int failed_polls = 0;     ///< in a row
+    /// When the latest start without an answer was sent.
+    time_point unanswered_start_at;
     std::deque<pending_order> orders;
     std::condition_variable has_orders; ///< wakes the sender
     std::condition_variable has_acks;   ///< wakes the poller
@@ -134,8 +136,8 @@
     void send(const channel_ptr& channel, pending_order order);
     bool prepare_start(const channel_ptr& channel, pending_order& order,
                        start_order& message, target_entry& entry);
-    void mark_start_unanswered(const target_channel& channel,
-                               const pending_order& order);
+    void mark_start_unanswered(target_channel& channel,
+                               const pending_order& order, time_point sent_at);
     void stop_refused_start(const target_channel& channel, rack_target& target,
                             const run_id& id);
     bool apply_start_answer(const channel_ptr& channel,
--- a/src/scheduler/rack_agent_orders.cpp
+++ b/src/scheduler/rack_agent_orders.cpp
@@ -124,23 +124,28 @@
     message.checkpoint = it->second.checkpoint;
     message.token = channel->token;
     // The lease of a target that does not answer is not extended, so that its
-    // runs are certain to end.
+    // runs are certain to end. A poll waits for seconds, so a start usually
+    // shows first that the target is silent.
+    const bool is_silent = channel->unanswered_start_at > target->clock_at;
     if (!is_granted)
     {
         metrics.count_no_lease(lease_use::start);
     }
     message.lease_until_ms =
-        channel->has_contact && !order.was_unanswered && is_granted
+        channel->has_contact && !is_silent && !order.was_unanswered &&
+                is_granted
             ? extend_lease(*target, limits.lease, steady_clock::now())
             : target->lease_until_ms;
     return true;
 }
 
 // Records that a start without an answer may be executed later.
-void rack_agent::impl::mark_start_unanswered(const target_channel& channel,
-                                             const pending_order& order)
+void rack_agent::impl::mark_start_unanswered(target_channel& channel,
+                                             const pending_order& order,
+                                             time_point sent_at)
 {
     const std::lock_guard<std::mutex> lock(mutex);
+    channel.unanswered_start_at = sent_at;
     rack_target* target = find_target(channel);
     if (target == nullptr)
     {
@@ -318,7 +323,7 @@
                                : std::string(answer.status().message())}});
     if (!is_late)
     {
-        mark_start_unanswered(*channel, order);
+        mark_start_unanswered(*channel, order, sent_at);
     }
     retry(channel, std::move(order), !is_late);
 }
