Repeat an unanswered change of speed

Cause: the order that changes the speed of a backfill task was sent once. If it got no answer, the owner counted the task at the new speed and the task went on at the old one.

Change: an unanswered order is queued again while the run is on the target. It carries the speed that the owner has set by the time it is sent, so that one copy in the queue is enough.

--- a/src/scheduler/rack_agent_channels.cpp
+++ b/src/scheduler/rack_agent_channels.cpp
@@ -48,9 +48,9 @@
 
 } // namespace
 
-bool is_queued_stop(const target_channel& channel, const pending_order& order)
+bool is_queued_copy(const target_channel& channel, const pending_order& order)
 {
-    return order.what == pending_order::kind::stop &&
+    return order.what != pending_order::kind::start &&
            std::any_of(channel.orders.begin(), channel.orders.end(),
                        [&order](const pending_order& item) {
                            return item.what == order.what &&
@@ -256,7 +256,7 @@
                                    pending_order order)
 {
     const auto it = channels.find(target);
-    if (it != channels.end() && !is_queued_stop(*it->second, order))
+    if (it != channels.end() && !is_queued_copy(*it->second, order))
     {
         // Stops go to the front of the queue, so that they do not wait behind
         // starts that must not be sent yet (`pending_order::is_held`).
--- a/src/scheduler/rack_agent_impl.hpp
+++ b/src/scheduler/rack_agent_impl.hpp
@@ -34,7 +34,6 @@
 
     kind what = kind::start;
     run_id id;
-    std::int64_t percent = 100;  ///< of full speed; only for `kind::pace`
     bool was_unanswered = false; ///< an earlier attempt may be executed later
     /// `rack_target::started_ms` when the message was prepared.
     std::int64_t target_started_ms = 0;
@@ -78,9 +77,10 @@
     std::vector<held_start> starts;
 };
 
-/// Returns whether an order is a stop that is already queued. Stops are
-/// requested and repeated in several places, and one copy is enough.
-[[nodiscard]] bool is_queued_stop(const target_channel& channel,
+/// Returns whether an order is a stop or a change of speed that is already
+/// queued. These are requested and repeated in several places, and one copy is
+/// enough: the speed is read when the order is sent.
+[[nodiscard]] bool is_queued_copy(const target_channel& channel,
                                   const pending_order& order);
 
 /// Returns the runs whose starts a target has not confirmed, and that have not
@@ -147,7 +147,7 @@
                              const pending_order& order);
     void send_start(const channel_ptr& channel, pending_order order);
     void send_stop(const channel_ptr& channel, pending_order order);
-    void send_pace(const channel_ptr& channel, const pending_order& order);
+    void send_pace(const channel_ptr& channel, pending_order order);
     /// Queues an order again after `rack_agent_limits::order_retry`, during
     /// which the sender of the target waits.
     void retry(const channel_ptr& channel, pending_order order,
--- a/src/scheduler/rack_agent_orders.cpp
+++ b/src/scheduler/rack_agent_orders.cpp
@@ -73,7 +73,7 @@
         send_stop(channel, std::move(order));
         break;
     case pending_order::kind::pace:
-        send_pace(channel, order);
+        send_pace(channel, std::move(order));
         break;
     }
 }
@@ -85,7 +85,7 @@
     std::unique_lock<std::mutex> lock(mutex);
     channel->has_orders.wait_for(lock, limits.order_retry,
                                  [&] { return channel->is_stopping; });
-    if (!channel->is_stopping && !is_queued_stop(*channel, order))
+    if (!channel->is_stopping && !is_queued_copy(*channel, order))
     {
         channel->orders.push_back(std::move(order));
     }
@@ -396,24 +396,29 @@
     retry(channel, std::move(order), true);
 }
 
-// Sends a change of a task's speed. It is not retried without an answer, and
-// the verdict of an answer is ignored.
+// Sends the present speed limit of a task, and queues it again if there is no
+// answer. The verdict of an answer is ignored.
 void rack_agent::impl::send_pace(const channel_ptr& channel,
-                                 const pending_order& order)
+                                 pending_order order)
 {
     pace_order message;
     target_entry entry;
     {
         const std::lock_guard<std::mutex> lock(mutex);
         rack_target* target = find_target(*channel);
-        if (target == nullptr || target->runs.count(order.id) == 0)
+        if (target == nullptr)
+        {
+            return;
+        }
+        const auto it = target->runs.find(order.id);
+        if (it == target->runs.end() || it->second.is_ended)
         {
             return;
         }
         entry = target->entry;
         message.task = order.id.first;
         message.run = order.id.second;
-        message.percent = order.percent;
+        message.percent = it->second.percent;
         message.token = channel->token;
     }
     const time_point sent_at = steady_clock::now();
@@ -430,6 +435,7 @@
                      {"target", channel->target},
                      {"percent", message.percent},
                      {"cause", std::string(answer.status().message())}});
+        retry(channel, std::move(order), true);
     }
 }
 
--- a/src/scheduler/rack_agent_polls.cpp
+++ b/src/scheduler/rack_agent_polls.cpp
@@ -218,7 +218,6 @@
             pending_order order;
             order.what = pending_order::kind::pace;
             order.id = {change.task, change.run};
-            order.percent = change.percent;
             queue_order(channel->target, order);
         }
         place(rack);
--- a/tests/scheduler/rack_agent_test.cpp
+++ b/tests/scheduler/rack_agent_test.cpp
@@ -51,9 +51,18 @@
         return order_answer{stop_verdict, 1'000};
     }
 
-    absl::StatusOr<order_answer> pace(const target_entry&, const pace_order&,
+    absl::StatusOr<order_answer> pace(const target_entry&,
+                                      const pace_order& order,
                                       std::chrono::milliseconds) override
     {
+        const std::lock_guard<std::mutex> lock(mutex);
+        paces.push_back(order);
+        changed.notify_all();
+        if (paces_to_ignore > 0)
+        {
+            --paces_to_ignore;
+            return make_error(error_kind::deadline_exceeded, "no answer");
+        }
         return order_answer{order_verdict::taken, 1'000};
     }
 
@@ -80,6 +89,7 @@
         }
         answer.clock_ms = 1'000;
         answer.started_ms = target_started_ms;
+        answer.runs = active_runs;
         if (request.acknowledged == 0)
         {
             answer.ends = finished_runs;
@@ -110,10 +120,12 @@
     std::condition_variable changed;
     std::vector<start_order> starts;
     std::vector<stop_order> stops;
+    std::vector<pace_order> paces;
     std::vector<poll_request> polls;
     std::vector<poll_request> unanswered_polls; ///< to `unreachable_id`
     /// Reported by each poll until one of them is acknowledged.
     std::vector<listed_end> finished_runs;
+    std::vector<listed_run> active_runs; ///< reported by each poll
     std::string unreachable_id; ///< id of a target that answers no poll
     /// Clock in an answer from before the restart; later answers have 1'000.
     static constexpr std::int64_t clock_before_restart_ms = 900'000;
@@ -123,6 +135,7 @@
     /// as before the restart.
     bool restarts_during_first_start = false;
     int starts_to_ignore = 0; ///< starts that get no answer
+    int paces_to_ignore = 0;  ///< changes of speed that get no answer
     order_verdict start_verdict = order_verdict::taken;
     order_verdict stop_verdict = order_verdict::taken;
     order_verdict poll_verdict = order_verdict::taken;
@@ -301,6 +314,19 @@
         orders.starts.push_back(batch);
         return agent.execute(orders);
     }
+
+    /// Sends the start of run 1 of the first task of a step.
+    void send(const step_terms& terms)
+    {
+        rack_orders orders;
+        orders.rack = "r1";
+        orders.token = 7;
+        start_batch batch;
+        batch.terms = terms;
+        batch.runs.push_back({0, 1, "", false});
+        orders.starts.push_back(batch);
+        agent.execute(orders);
+    }
 };
 
 } // namespace
@@ -1182,3 +1208,43 @@
     const std::lock_guard<std::mutex> lock(env.targets.mutex);
     CHECK(env.targets.starts.empty());
 }
+
+// Guards against a backfill task that stays at full speed beside a serving task
+// over its response-time target, since the order to slow it was lost.
+TEST_CASE("an unanswered change of speed is repeated", "[scheduler]")
+{
+    fixture test;
+    test.agent.verify_rack("r1", 7, read_clocks());
+    step_terms serving;
+    serving.step = "serving.0.0";
+    serving.service = "svc";
+    serving.size = {500, 100, 0};
+    serving.image = "serving";
+    serving.is_long_running = true;
+    serving.response_target_ms = 50;
+    step_terms backfill;
+    backfill.step = "backfill.0.0";
+    backfill.service = "svc";
+    backfill.size = {2'000, 100, 0};
+    backfill.image = "backfill";
+    backfill.uses_idle_cpu = true;
+    {
+        const std::lock_guard<std::mutex> lock(test.targets.mutex);
+        // Over the response-time target by so much that it orders a speed of 0,
+        // which changes no more.
+        test.targets.active_runs = {{"serving.0.0.0", 1, "", 100, 60},
+                                    {"backfill.0.0.0", 1, "", 100, 2'000}};
+        test.targets.paces_to_ignore = 1;
+    }
+    test.send(serving);
+    test.send(backfill);
+    REQUIRE(test.targets.wait_until(
+        [&] { return test.targets.paces.size() == 2; }));
+    const std::lock_guard<std::mutex> lock(test.targets.mutex);
+    for (const pace_order& order : test.targets.paces)
+    {
+        REQUIRE(order.task == "backfill.0.0.0");
+        REQUIRE(order.run == 1);
+        REQUIRE(order.percent == 0);
+    }
+}
