Test: a backfill start does not push a serving task over its target

Cause: the simulation of waiting backfill starts passed when all of them began at full speed, since pacing slows them before a serving task is over its target for 4 s.

Change: the expected headroom at each start, with the speeds that are ordered, has to be at least 1, the target.

--- a/tests/rack/waiting_backfill_test.cpp
+++ b/tests/rack/waiting_backfill_test.cpp
@@ -70,6 +70,15 @@
     milliseconds over_target{0};  ///< of its serving task, until now
 };
 
+double headroom_without_backfill(const simulated_target& item, milliseconds at)
+{
+    constexpr double period_ms = 14'000;
+    constexpr double two_pi = 6.283185307;
+    const double turn =
+        item.phase + two_pi * static_cast<double>(at.count()) / period_ms;
+    return 1.75 + 0.25 * std::sin(turn);
+}
+
 struct waiting_backfill
 {
     rack_state rack;
@@ -78,6 +87,7 @@
     std::map<std::string, milliseconds> started; ///< first start, by task
     std::map<std::string, milliseconds> ended;   ///< by task
     milliseconds longest_over_target{0};
+    double lowest_headroom_at_start = 10; ///< expected with the ordered speeds
     std::minstd_rand random;
 
     waiting_backfill(int count, unsigned seed) : random(seed)
@@ -127,11 +137,7 @@
     // before.
     void advance(simulated_target& item, rack_target& target, milliseconds at)
     {
-        constexpr double period_ms = 14'000;
-        constexpr double two_pi = 6.283185307;
-        const double turn =
-            item.phase + two_pi * static_cast<double>(at.count()) / period_ms;
-        double headroom = 1.75 + 0.25 * std::sin(turn);
+        double headroom = headroom_without_backfill(item, at);
         for (auto it = item.runs.begin(); it != item.runs.end();)
         {
             const double speed = it->second.percent / 100.0;
@@ -197,6 +203,18 @@
             run.confirmed_at = start_time + at;
             targets[placed.target].runs[id] = {};
             started.emplace(id.first, at);
+            double expected =
+                headroom_without_backfill(targets[placed.target], at);
+            for (const auto& [other, item] : targets[placed.target].runs)
+            {
+                expected -=
+                    true_drop_per_core * 5.0 *
+                    static_cast<double>(
+                        rack.targets.at(placed.target).runs.at(other).percent) /
+                    100.0;
+            }
+            lowest_headroom_at_start =
+                std::min(lowest_headroom_at_start, expected);
         }
     }
 };
@@ -229,5 +247,6 @@
         }
         CHECK(sim.ended.size() == jobs);
         CHECK(sim.longest_over_target < max_impact);
+        CHECK(sim.lowest_headroom_at_start >= 1.0);
     }
 }
