Keep the room of a reservation that ends early or is decided again

Found by the review of the reservations. A reservation was dropped when it was 5 s old, or when its target accepted no starts for one call, and the next search came up to 200 ms later. A short start took the gathered room in between.

A dropped reservation is followed by a search in the same call, and a target that is closed for a moment keeps its own.

--- a/include/egretspindle/rack/place_reservation.hpp
+++ b/include/egretspindle/rack/place_reservation.hpp
@@ -28,7 +28,8 @@
 /// Drops reservations whose start has left the queue, whose target can no
 /// longer take it, or that are older than 5 s (`reservation_lifetime`), and
 /// adds missing ones for long-running starts that have waited for more than 1 s
-/// (`min_wait_to_reserve`).
+/// (`min_wait_to_reserve`). A target that accepts no starts for a moment keeps
+/// its reservation.
 ///
 /// Reserves the target that is expected to have room first once its short and
 /// backfill tasks end; at most one per start, and at most two in a rack and
--- a/src/rack/place_reservation.cpp
+++ b/src/rack/place_reservation.cpp
@@ -82,15 +82,20 @@
                                    eventual.accelerators - room.accelerators)});
 }
 
-bool can_take_later(const rack_target& target, const step_terms& terms,
-                    const interference_model& model)
+bool fits_later(const rack_target& target, const step_terms& terms,
+                const interference_model& model)
 {
-    return target.cached.is_open &&
-           find_start_rejection(target, target.cached.colocation,
+    return find_start_rejection(target, target.cached.colocation,
                                 target.cached.eventual_room, terms,
                                 model) == start_rejection::none;
 }
 
+bool can_take_later(const rack_target& target, const step_terms& terms,
+                    const interference_model& model)
+{
+    return target.cached.is_open && fits_later(target, terms, model);
+}
+
 rack_target* choose_target(rack_state& rack, const step_terms& terms,
                            const interference_model& model)
 {
@@ -122,39 +127,42 @@
     return it == rack.queue.end() ? nullptr : &*it;
 }
 
+// A target that accepts no starts for a moment, such as after a refusal, keeps
+// its reservation.
 bool is_valid(const rack_state& rack, const rack_target& target,
               const interference_model& model, time_point now)
 {
     const target_reservation& item = *target.reservation;
     const queued_start* start = find_start(rack, item.run);
     return start != nullptr && may_reserve(*start, now) &&
-           now - item.made_at <= reservation_lifetime &&
-           can_take_later(target, *item.terms, model);
+           now - item.made_at <= reservation_lifetime && target.is_listed &&
+           !target.entry.is_draining && fits_later(target, *item.terms, model);
 }
 
-// Drops invalid reservations.
-//
-// \returns the number of the remaining ones
-std::size_t drop_reservations(rack_state& rack, const interference_model& model,
-                              time_point now)
+std::size_t count_reservations(const rack_state& rack)
 {
-    std::size_t count = 0;
+    return static_cast<std::size_t>(std::count_if(
+        rack.targets.begin(), rack.targets.end(), [](const auto& item)
+        { return item.second.reservation.has_value(); }));
+}
+
+// Drops invalid reservations. Returns whether there were any.
+bool drop_reservations(rack_state& rack, const interference_model& model,
+                       time_point now)
+{
+    bool has_dropped = false;
     for (auto& [id, target] : rack.targets)
     {
-        if (!target.reservation)
-        {
-            continue;
-        }
-        if (is_valid(rack, target, model, now))
+        if (!target.reservation || is_valid(rack, target, model, now))
         {
-            ++count;
             continue;
         }
+        has_dropped = true;
         target.reservation.reset();
         // Starts that were refused because of the reservation may fit now.
         target.cached.last_change = ++rack.colocation_changes;
     }
-    return count;
+    return has_dropped;
 }
 
 std::size_t max_reservations_of(const rack_state& rack)
@@ -187,12 +195,16 @@
 void update_reservations(rack_state& rack, const interference_model& model,
                          time_point now)
 {
-    std::size_t count = drop_reservations(rack, model, now);
-    if (now - rack.reservations_searched_at < search_interval)
+    // Without a search at once, other starts would take the room that a dropped
+    // reservation has gathered.
+    const bool has_dropped = drop_reservations(rack, model, now);
+    if (!has_dropped &&
+        now - rack.reservations_searched_at < search_interval)
     {
         return;
     }
     rack.reservations_searched_at = now;
+    std::size_t count = count_reservations(rack);
     const std::size_t max_count = max_reservations_of(rack);
     std::set<const step_terms*> refused;
     for (const queued_start& start : rack.queue)
--- a/tests/rack/place_reservation_test.cpp
+++ b/tests/rack/place_reservation_test.cpp
@@ -401,6 +401,36 @@
     REQUIRE(reserved_targets(rack) == std::vector<std::string>{"t1"});
 }
 
+// Otherwise a short start takes the room that has been gathered until then.
+TEST_CASE("room is kept when a reservation is decided again", "[rack]")
+{
+    rack_state rack = make_reserved_rack();
+    rack.targets["t0"].runs.erase({"short.0", 1});
+    add_waiting(rack, "short.0.0.0", make_terms("short.0.0", 8'000));
+    for (int ms = 0; ms <= 6'000; ms += 30)
+    {
+        CAPTURE(ms);
+        REQUIRE(place(rack, start_time + milliseconds(ms)) == 0);
+    }
+}
+
+// A run whose terms are not known yet closes a target until they are.
+TEST_CASE("a target that is closed for a moment keeps its reservation",
+          "[rack]")
+{
+    rack_state rack = make_reserved_rack();
+    rack.targets["t0"].runs.erase({"short.0", 1});
+    add_waiting(rack, "short.0.0.0", make_terms("short.0.0", 8'000));
+    placed_run unknown;
+    unknown.task = "other.0.0.0";
+    unknown.run = 1;
+    rack.targets["t0"].runs[{"other.0.0.0", 1}] = unknown;
+    REQUIRE(place(rack, start_time + milliseconds(50)) == 0);
+    rack.targets["t0"].runs.erase({"other.0.0.0", 1});
+    REQUIRE(place(rack, start_time + milliseconds(100)) == 0);
+    REQUIRE(reserved_targets(rack) == std::vector<std::string>{"t0"});
+}
+
 // A start that was handed back although a target empties for it would begin to
 // wait anew in another rack.
 TEST_CASE("a start with a reservation is not handed back for 5 s", "[rack]")
