--- a/src/rack/target_check.cpp
+++ b/src/rack/target_check.cpp
@@ -25,10 +25,12 @@
 
 // Returns whether a target is reserved for a start that a task would keep from
 // its place. Tasks of one step have the same requirements, so any of them may
-// use the reservation. A long-running task that leaves enough room may start.
+// use the reservation. A task with a better priority, and a long-running one
+// that leaves enough room, may start.
 bool is_held(const rack_target& target, const step_terms& terms)
 {
-    if (!target.reservation || target.reservation->terms->step == terms.step)
+    if (!target.reservation || target.reservation->terms->step == terms.step ||
+        terms.priority < target.reservation->terms->priority)
     {
         return false;
     }
--- a/tests/rack/place_reservation_test.cpp
+++ b/tests/rack/place_reservation_test.cpp
@@ -253,6 +253,28 @@
     REQUIRE(placed.front().start.task == "long.0.0.0");
 }
 
+// An urgent start must not wait for a long-running one with a worse priority.
+TEST_CASE("a reserved target takes starts with a better priority", "[rack]")
+{
+    const bool is_long_running = GENERATE(false, true);
+    rack_state rack = make_rack(1);
+    for (int n = 0; n < 8; ++n)
+    {
+        add_run(rack.targets["t0"], "short." + std::to_string(n),
+                make_terms("early", 8'000));
+    }
+    step_terms waiting = make_long_running("long.0.0", 56'000);
+    waiting.priority = 1;
+    add_waiting(rack, "long.0.0.0", waiting);
+    REQUIRE(place(rack, start_time) == 0);
+    REQUIRE(reserved_targets(rack).size() == 1);
+    rack.targets["t0"].runs.erase({"short.0", 1});
+    step_terms urgent = make_terms("urgent.0.0", 8'000);
+    urgent.is_long_running = is_long_running;
+    add_waiting(rack, "urgent.0.0.0", urgent);
+    REQUIRE(place(rack, start_time + milliseconds(50)) == 1);
+}
+
 // The cache of refusals has to notice the end of a reservation.
 TEST_CASE("refused starts are considered when a reservation ends", "[rack]")
 {
