Report reserved targets as closed

Found by the review of the reservations. Load reports showed the room that a reserved target gathers as free, so that other hosts sent starts there, which waited and were handed back.

--- a/include/egretspindle/rack/rack_load_report.hpp
+++ b/include/egretspindle/rack/rack_load_report.hpp
@@ -28,7 +28,8 @@
     image_headroom spare_headroom;
     double scarcity = 0;
     double reserved = 0;
-    bool is_open = false; ///< see `accepts_starts`
+    /// See `accepts_starts`; false for a reserved target.
+    bool is_open = false;
 };
 
 /// Free capacity and queue of a rack.
--- a/src/rack/rack_load_report.cpp
+++ b/src/rack/rack_load_report.cpp
@@ -42,7 +42,8 @@
         target_load_report item;
         item.id = id;
         item.room = target.cached.room;
-        item.is_open = target.cached.is_open;
+        // The gathered room of a reserved target is not for other starts.
+        item.is_open = target.cached.is_open && !target.reservation;
         const colocation_summary& colocation = target.cached.colocation;
         item.backfill_milli = colocation.backfill_milli;
         item.unused_milli = colocation.unused_milli;
--- a/tests/rack/place_reservation_test.cpp
+++ b/tests/rack/place_reservation_test.cpp
@@ -2,6 +2,7 @@
 #include "egretspindle/rack/place_reservation.hpp"
 #include "egretspindle/rack/queue_summary.hpp"
 #include "egretspindle/rack/rack_decision.hpp"
+#include "egretspindle/rack/rack_load_report.hpp"
 
 #include <catch2/catch.hpp>
 
@@ -346,6 +347,17 @@
     REQUIRE(reserved_targets(rack) == std::vector<std::string>{"t1"});
 }
 
+// Otherwise other hosts send starts there, which wait and are handed back.
+TEST_CASE("a reserved target is not reported as open", "[rack]")
+{
+    rack_state rack = make_reserved_rack();
+    rack.targets["t0"].runs.erase({"short.0", 1});
+    const rack_load_report report =
+        make_load_report(rack, no_interference, start_time);
+    REQUIRE(report.targets.size() == 1);
+    REQUIRE_FALSE(report.targets.front().is_open);
+}
+
 // Too many reservations would leave no targets to short tasks.
 TEST_CASE("at most two targets and half of a rack are reserved", "[rack]")
 {
