--- a/src/rack/place_reservation.cpp
+++ b/src/rack/place_reservation.cpp
@@ -142,8 +142,8 @@
 std::size_t count_reservations(const rack_state& rack)
 {
     return static_cast<std::size_t>(std::count_if(
-        rack.targets.begin(), rack.targets.end(), [](const auto& item)
-        { return item.second.reservation.has_value(); }));
+        rack.targets.begin(), rack.targets.end(),
+        [](const auto& item) { return item.second.reservation.has_value(); }));
 }
 
 // Drops invalid reservations. Returns whether there were any.
@@ -198,8 +198,7 @@
     // Without a search at once, other starts would take the room that a dropped
     // reservation has gathered.
     const bool has_dropped = drop_reservations(rack, model, now);
-    if (!has_dropped &&
-        now - rack.reservations_searched_at < search_interval)
+    if (!has_dropped && now - rack.reservations_searched_at < search_interval)
     {
         return;
     }
