--- a/src/rack/place_reservation.cpp
+++ b/src/rack/place_reservation.cpp
@@ -62,10 +62,10 @@
                                 static_cast<double>(released);
 }
 
-// Estimates the time until a target has room for a task, as the share of the
-// processors and memory of its short and backfill tasks that have to become
-// free before.
-double estimate_wait(const rack_target& target, const step_terms& terms)
+// Returns which share of the processors, memory or accelerators of its short
+// and backfill tasks a target has to release before it has room for a task, of
+// the resource with the largest share. Stands for the time that this takes.
+double share_to_release(const rack_target& target, const step_terms& terms)
 {
     const task_size wanted = reservation_of(terms);
     const task_size& room = target.cached.room;
@@ -100,18 +100,18 @@
                            const interference_model& model)
 {
     rack_target* best = nullptr;
-    double best_wait = 0;
+    double best_share = 0;
     for (auto& [id, target] : rack.targets)
     {
         if (target.reservation || !can_take_later(target, terms, model))
         {
             continue;
         }
-        const double wait = estimate_wait(target, terms);
-        if (best == nullptr || wait < best_wait)
+        const double share = share_to_release(target, terms);
+        if (best == nullptr || share < best_share)
         {
             best = &target;
-            best_wait = wait;
+            best_share = share;
         }
     }
     return best;
