--- a/include/egretspindle/rack/interference.hpp
+++ b/include/egretspindle/rack/interference.hpp
@@ -73,6 +73,13 @@
     double spare = 0;    ///< see `colocation_summary::spare_headroom`
 };
 
+/// Returns the headroom that would be left over; negative if it does not
+/// suffice.
+[[nodiscard]] inline double surplus_of(const headroom_check& item) noexcept
+{
+    return item.spare - item.required;
+}
+
 /// Returns the check of the serving image that lacks the most headroom for a
 /// backfill task, or has the least left over; no value without serving tasks.
 [[nodiscard]] std::optional<headroom_check>
--- a/src/rack/interference.cpp
+++ b/src/rack/interference.cpp
@@ -193,8 +193,7 @@
         const double margin =
             is_harmful_pair(model, image, terms.image) ? harmful_margin : 0.0;
         const headroom_check item{image, drop + margin, spare};
-        if (!tightest ||
-            item.spare - item.required < tightest->spare - tightest->required)
+        if (!tightest || surplus_of(item) < surplus_of(*tightest))
         {
             tightest = item;
         }
--- a/src/rack/queue_summary.cpp
+++ b/src/rack/queue_summary.cpp
@@ -65,8 +65,7 @@
         }
         const std::optional<headroom_check> tightest =
             find_tightest_headroom(item.colocation, terms, model);
-        if (!closest || tightest->spare - tightest->required >
-                            closest->spare - closest->required)
+        if (!closest || surplus_of(*tightest) > surplus_of(*closest))
         {
             closest = tightest;
         }
