--- a/tests/rack/place_reservation_test.cpp
+++ b/tests/rack/place_reservation_test.cpp
@@ -185,6 +185,19 @@
     return rack;
 }
 
+// Makes a rack with two targets full of short tasks, the first of which is
+// reserved for a long-running start of 16 cores.
+rack_state make_two_targets()
+{
+    rack_state rack = make_rack(2);
+    add_run(rack.targets["t0"], "short.0", make_terms("early", 64'000));
+    add_run(rack.targets["t1"], "short.1", make_terms("early", 64'000));
+    add_waiting(rack, "long.0.0.0", make_long_running("long.0.0", 16'000));
+    REQUIRE(place(rack, start_time) == 0);
+    REQUIRE(reserved_targets(rack) == std::vector<std::string>{"t0"});
+    return rack;
+}
+
 /// Backfill tasks on a target where a long-running start lacks memory.
 struct memory_case
 {
@@ -245,8 +258,11 @@
     rack.targets["t0"].runs.erase({"short.0", 1});
     add_waiting(rack, "short.0.0.0", make_terms("short.0.0", 8'000));
     add_waiting(rack, "fill.0.0.0", make_backfill("fill.0.0", 100));
+    step_terms service = make_backfill("service.0.0", 100);
+    service.is_long_running = true;
+    add_waiting(rack, "service.0.0.0", service);
     REQUIRE(place(rack, start_time) == 0);
-    REQUIRE(summarize_queue(rack, no_interference, start_time).held == 2);
+    REQUIRE(summarize_queue(rack, no_interference, start_time).held == 3);
     rack.targets["t0"].runs.erase({"short.1", 1});
     const std::vector<placement> placed =
         place_starts(rack, no_interference, start_time, 0);
@@ -358,6 +374,37 @@
     REQUIRE_FALSE(report.targets.front().is_open);
 }
 
+TEST_CASE("memory counts in the choice of the target to reserve", "[rack]")
+{
+    rack_state rack = make_rack(2);
+    step_terms large = make_terms("early", 64'000);
+    large.size.memory_mb = 200'000;
+    add_run(rack.targets["t0"], "short.0", large);
+    add_run(rack.targets["t1"], "short.1", make_terms("early", 64'000));
+    step_terms terms = make_long_running("long.0.0", 16'000);
+    terms.size.memory_mb = 200'000;
+    add_waiting(rack, "long.0.0.0", terms);
+    REQUIRE(place(rack, start_time) == 0);
+    REQUIRE(reserved_targets(rack) == std::vector<std::string>{"t1"});
+}
+
+// Backfill tasks that may be stopped give their memory back sooner than short
+// tasks.
+TEST_CASE("memory of backfill tasks counts as available for a reservation",
+          "[rack]")
+{
+    rack_state rack = make_rack(2);
+    step_terms large = make_terms("early", 1'000);
+    large.size.memory_mb = 200'000;
+    add_run(rack.targets["t0"], "short.0", large);
+    add_run(rack.targets["t1"], "fill.0", make_backfill("fill", 200'000));
+    step_terms terms = make_long_running("long.0.0", 16'000);
+    terms.size.memory_mb = 200'000;
+    add_waiting(rack, "long.0.0.0", terms);
+    REQUIRE(place(rack, start_time) == 0);
+    REQUIRE(reserved_targets(rack) == std::vector<std::string>{"t1"});
+}
+
 // Too many reservations would leave no targets to short tasks.
 TEST_CASE("at most two targets and half of a rack are reserved", "[rack]")
 {
@@ -378,6 +425,25 @@
     REQUIRE(reserved_targets(rack).size() == (targets < 4 ? 1 : 2));
 }
 
+// Targets that take no starts are no room that short tasks could use instead.
+TEST_CASE("the limit of reservations counts open targets only", "[rack]")
+{
+    rack_state rack = make_rack(4);
+    for (auto& [id, target] : rack.targets)
+    {
+        add_run(target, "short." + id, make_terms("early", 64'000));
+    }
+    rack.targets["t2"].entry.is_draining = true;
+    rack.targets["t3"].entry.is_draining = true;
+    for (int n = 0; n < 2; ++n)
+    {
+        const std::string step = "long" + std::to_string(n) + ".0.0";
+        add_waiting(rack, step + ".0", make_long_running(step, 16'000));
+    }
+    REQUIRE(place(rack, start_time) == 0);
+    REQUIRE(reserved_targets(rack).size() == 1);
+}
+
 // A start that is placed within a second does not need a reservation, and one
 // that is looked up may have been started before.
 TEST_CASE("only waiting long-running starts of single tasks get a reservation",
@@ -407,12 +473,7 @@
 // If the reserved target is lost or filled, another one has to be chosen.
 TEST_CASE("a reservation moves when its target cannot take the task", "[rack]")
 {
-    rack_state rack = make_rack(2);
-    add_run(rack.targets["t0"], "short.0", make_terms("early", 64'000));
-    add_run(rack.targets["t1"], "short.1", make_terms("early", 64'000));
-    add_waiting(rack, "long.0.0.0", make_long_running("long.0.0", 16'000));
-    REQUIRE(place(rack, start_time) == 0);
-    REQUIRE(reserved_targets(rack) == std::vector<std::string>{"t0"});
+    rack_state rack = make_two_targets();
     rack.targets["t0"].entry.is_draining = true;
     REQUIRE(place(rack, start_time + milliseconds(300)) == 0);
     REQUIRE(reserved_targets(rack) == std::vector<std::string>{"t1"});
@@ -422,11 +483,7 @@
 // earlier by then.
 TEST_CASE("a reservation is decided again after its lifetime", "[rack]")
 {
-    rack_state rack = make_rack(2);
-    add_run(rack.targets["t0"], "short.0", make_terms("early", 64'000));
-    add_run(rack.targets["t1"], "short.1", make_terms("early", 64'000));
-    add_waiting(rack, "long.0.0.0", make_long_running("long.0.0", 16'000));
-    REQUIRE(place(rack, start_time) == 0);
+    rack_state rack = make_two_targets();
     rack.targets["t1"].runs.clear();
     add_run(rack.targets["t1"], "short.2", make_terms("early", 50'000));
     REQUIRE(place(rack, start_time + milliseconds(4'900)) == 0);
--- a/tests/scheduler/rack_agent_test.cpp
+++ b/tests/scheduler/rack_agent_test.cpp
@@ -315,15 +315,15 @@
         return agent.execute(orders);
     }
 
-    /// Sends the start of run 1 of the first task of a step.
-    void send(const step_terms& terms)
+    /// Sends the start of run 1 of a task of a step.
+    void send(const step_terms& terms, std::int64_t index = 0)
     {
         rack_orders orders;
         orders.rack = "r1";
         orders.token = 7;
         start_batch batch;
         batch.terms = terms;
-        batch.runs.push_back({0, 1, "", false});
+        batch.runs.push_back({index, 1, "", false});
         orders.starts.push_back(batch);
         agent.execute(orders);
     }
@@ -370,16 +370,11 @@
     REQUIRE(env.send().is_owner);
     REQUIRE(
         env.targets.wait_until([&] { return env.targets.starts.size() > 1; }));
-    rack_orders orders;
-    orders.rack = "r1";
-    orders.token = 7;
-    start_batch batch;
-    batch.terms.step = "job.0.0";
-    batch.terms.service = "svc";
-    batch.terms.size = {1'000, 100, 0};
-    batch.runs.push_back({1, 1, "", false});
-    orders.starts.push_back(batch);
-    REQUIRE(env.agent.execute(orders).is_owner);
+    step_terms terms;
+    terms.step = "job.0.0";
+    terms.service = "svc";
+    terms.size = {1'000, 100, 0};
+    env.send(terms, 1);
     const auto is_second = [](const start_order& order)
     {
         return order.task == "job.0.0.1";
@@ -1248,3 +1243,34 @@
         REQUIRE(order.percent == 0);
     }
 }
+
+// A reservation alone does not free memory that a slowed backfill task holds.
+TEST_CASE("a backfill task is stopped for the memory of a long-running start",
+          "[scheduler]")
+{
+    fixture test;
+    test.agent.verify_rack("r1", 7, read_clocks());
+    step_terms backfill;
+    backfill.step = "backfill.0.0";
+    backfill.service = "svc";
+    backfill.size = {1'000, 3'000, 0};
+    backfill.priority = 1;
+    backfill.image = "backfill";
+    backfill.uses_idle_cpu = true;
+    step_terms waiting;
+    waiting.step = "waiting.0.0";
+    waiting.service = "svc";
+    waiting.size = {1'000, 2'000, 0};
+    waiting.is_long_running = true;
+    {
+        const std::lock_guard<std::mutex> lock(test.targets.mutex);
+        test.targets.active_runs = {{"backfill.0.0.0", 1, "", 100, 1'000}};
+    }
+    test.send(backfill);
+    test.send(waiting);
+    REQUIRE(
+        test.targets.wait_until([&] { return !test.targets.stops.empty(); }));
+    const std::lock_guard<std::mutex> lock(test.targets.mutex);
+    REQUIRE(test.targets.stops.front().task == "backfill.0.0.0");
+    REQUIRE(test.targets.stops.front().run == 1);
+}
