--- a/tests/rack/colocation_cache_test.cpp
+++ b/tests/rack/colocation_cache_test.cpp
@@ -287,6 +287,17 @@
     }
 };
 
+// Makes a rack whose targets each have a serving task.
+rack_state make_serving_rack(random_changes& changes)
+{
+    rack_state rack = make_rack(8);
+    for (auto& [id, target] : rack.targets)
+    {
+        add_serving(target, changes.serving(), changes.pick_between(1.0, 4.0));
+    }
+    return rack;
+}
+
 } // namespace
 
 // If the cache missed a change, a start would stay in the queue although it
@@ -300,12 +311,7 @@
         CAPTURE(seed);
         random_changes changes{std::minstd_rand(seed)};
         interference_model model;
-        rack_state rack = make_rack(8);
-        for (auto& [id, target] : rack.targets)
-        {
-            add_serving(target, changes.serving(),
-                        changes.pick_between(1.0, 4.0));
-        }
+        rack_state rack = make_serving_rack(changes);
         for (int n = 0; n < 200; ++n)
         {
             CAPTURE(n);
@@ -335,12 +341,7 @@
         CAPTURE(seed);
         random_changes changes{std::minstd_rand(seed)};
         interference_model model;
-        rack_state rack = make_rack(8);
-        for (auto& [id, target] : rack.targets)
-        {
-            add_serving(target, changes.serving(),
-                        changes.pick_between(1.0, 4.0));
-        }
+        rack_state rack = make_serving_rack(changes);
         for (int n = 0; n < 200; ++n)
         {
             CAPTURE(n);
