Log how long job records, orders and reports wait on their way

`activity` now counts changed jobs, orders and reports that wait, with the age of the oldest, and late writes and deliveries get lines of their own, bounded in number.

--- a/include/egretspindle/scheduler/activity.hpp
+++ b/include/egretspindle/scheduler/activity.hpp
@@ -6,6 +6,8 @@
 #define EGRETSPINDLE_SCHEDULER_ACTIVITY_HPP
 
 #include "egretspindle/core/clock.hpp"
+#include "egretspindle/scheduler/host_outbox.hpp"
+#include "egretspindle/scheduler/job_coordinator.hpp"
 
 #include <atomic>
 #include <cstddef>
@@ -57,6 +59,9 @@
 {
     std::size_t racks = 0;          ///< with a load report
     std::int64_t queued_starts = 0; ///< in the queues of these racks
+    write_backlog writes;           ///< of job records
+    outbox_backlog orders;          ///< for owners of racks
+    outbox_backlog reports;         ///< for owners of jobs
 };
 
 /// Logs the counters and resets them.
--- a/include/egretspindle/scheduler/host_outbox.hpp
+++ b/include/egretspindle/scheduler/host_outbox.hpp
@@ -4,10 +4,12 @@
 #ifndef EGRETSPINDLE_SCHEDULER_HOST_OUTBOX_HPP
 #define EGRETSPINDLE_SCHEDULER_HOST_OUTBOX_HPP
 
+#include "egretspindle/core/clock.hpp"
+
+#include <algorithm>
 #include <chrono>
 #include <condition_variable>
 #include <functional>
-#include <iterator>
 #include <map>
 #include <memory>
 #include <mutex>
@@ -19,6 +21,13 @@
 namespace egretspindle
 {
 
+/// Items that wait in an outbox.
+struct outbox_backlog
+{
+    std::size_t items = 0;
+    milliseconds oldest{0}; ///< longest wait so far
+};
+
 /// Delivers items in batches with one thread per receiving host, so that an
 /// unresponsive host delays only its own items. A thread without items ends
 /// after `max_idle_time`: in a large cluster every host sends to every other
@@ -28,8 +37,10 @@
 {
 public:
     /// Delivers a batch to a host. May block, and may post items again.
+    /// `waited` is the time that the first item has spent in the outbox.
     using deliver_function =
-        std::function<void(const std::string& host, std::vector<Item>& items)>;
+        std::function<void(const std::string& host, std::vector<Item>& items,
+                           milliseconds waited)>;
 
     /// \param max_batch  largest number of items per call of `deliver`
     host_outbox(std::size_t max_batch, deliver_function deliver)
@@ -58,7 +69,7 @@
         {
             entry = std::make_unique<host_queue>();
         }
-        entry->items.push_back(std::move(item));
+        entry->items.push_back({std::move(item), steady_clock::now()});
         entry->changed.notify_one();
         if (!entry->is_running)
         {
@@ -74,6 +85,24 @@
         }
     }
 
+    /// Returns how many items wait for all hosts together, and for how long.
+    [[nodiscard]] outbox_backlog backlog() const
+    {
+        const std::lock_guard<std::mutex> lock(mutex_);
+        const time_point now = steady_clock::now();
+        outbox_backlog sum;
+        for (const auto& [host, entry] : queues_)
+        {
+            sum.items += entry->items.size();
+            if (!entry->items.empty())
+            {
+                sum.oldest = std::max(
+                    sum.oldest, wait_of(entry->items.front().posted_at, now));
+            }
+        }
+        return sum;
+    }
+
     /// Ends the threads, after the deliveries in progress. Items that are still
     /// queued are dropped.
     void stop()
@@ -96,9 +125,15 @@
     }
 
 private:
+    struct posted_item
+    {
+        Item item;
+        time_point posted_at;
+    };
+
     struct host_queue
     {
-        std::vector<Item> items;
+        std::vector<posted_item> items;
         std::condition_variable changed;
         std::thread thread;
         bool is_running = false; ///< the thread will take further items
@@ -106,6 +141,11 @@
 
     static constexpr std::chrono::milliseconds max_idle_time{1'000};
 
+    static milliseconds wait_of(time_point posted_at, time_point now)
+    {
+        return std::chrono::duration_cast<milliseconds>(now - posted_at);
+    }
+
     void run(const std::string& host, host_queue& entry)
     {
         std::unique_lock<std::mutex> lock(mutex_);
@@ -122,19 +162,23 @@
             const std::size_t n = std::min(max_batch_, entry.items.size());
             const auto end =
                 entry.items.begin() + static_cast<std::ptrdiff_t>(n);
-            std::vector<Item> batch(
-                std::make_move_iterator(entry.items.begin()),
-                std::make_move_iterator(end));
+            const milliseconds waited =
+                wait_of(entry.items.front().posted_at, steady_clock::now());
+            std::vector<Item> batch;
+            batch.reserve(n);
+            std::for_each(entry.items.begin(), end,
+                          [&batch](posted_item& posted)
+                          { batch.push_back(std::move(posted.item)); });
             entry.items.erase(entry.items.begin(), end);
             lock.unlock();
-            deliver_(host, batch);
+            deliver_(host, batch, waited);
             lock.lock();
         }
     }
 
     std::size_t max_batch_;
     deliver_function deliver_;
-    std::mutex mutex_;
+    mutable std::mutex mutex_;
     bool is_stopping_ = false;
     std::map<std::string, std::unique_ptr<host_queue>> queues_;
 };
--- a/include/egretspindle/scheduler/job_coordinator.hpp
+++ b/include/egretspindle/scheduler/job_coordinator.hpp
@@ -65,6 +65,13 @@
         std::make_shared<metric_registry>();
 };
 
+/// Jobs with changes that are not durable yet.
+struct write_backlog
+{
+    std::size_t jobs = 0;
+    milliseconds oldest{0}; ///< age of the oldest such change
+};
+
 /// Limits and periods of the coordinator.
 struct coordinator_limits
 {
@@ -152,6 +159,9 @@
     /// Returns the number of accepted jobs that have not started, by queue.
     [[nodiscard]] std::map<std::string, std::int64_t> pending() const;
 
+    /// Returns the jobs that wait for a write, and for how long.
+    [[nodiscard]] write_backlog unwritten() const;
+
     /// Ends the threads and the waiting calls.
     void stop();
 
--- a/src/scheduler/job_coordinator.cpp
+++ b/src/scheduler/job_coordinator.cpp
@@ -417,6 +417,24 @@
     metrics.loading_shards.set(static_cast<double>(loading));
 }
 
+write_backlog job_coordinator::unwritten() const
+{
+    write_backlog backlog;
+    const std::lock_guard<std::mutex> lock(impl_->mutex);
+    const time_point now = steady_clock::now();
+    for (const auto& [id, entry] : impl_->jobs)
+    {
+        if (entry->unwritten_since != time_point{})
+        {
+            ++backlog.jobs;
+            backlog.oldest =
+                std::max(backlog.oldest,
+                         milliseconds(elapsed_ms(entry->unwritten_since, now)));
+        }
+    }
+    return backlog;
+}
+
 std::map<std::string, std::int64_t> job_coordinator::pending() const
 {
     std::map<std::string, std::int64_t> counts;
--- a/src/scheduler/job_coordinator_impl.hpp
+++ b/src/scheduler/job_coordinator_impl.hpp
@@ -4,6 +4,7 @@
 #ifndef EGRETSPINDLE_SRC_SCHEDULER_JOB_COORDINATOR_IMPL_HPP
 #define EGRETSPINDLE_SRC_SCHEDULER_JOB_COORDINATOR_IMPL_HPP
 
+#include "egretspindle/logging/log_rate_limit.hpp"
 #include "egretspindle/scheduler/job_coordinator.hpp"
 #include "egretspindle/scheduler/job_metrics.hpp"
 
@@ -139,6 +140,7 @@
                         const transaction_result& result);
     void apply_commit(const entry_ptr& entry, std::int64_t version,
                       std::uint64_t change);
+    void log_late_write(const job_entry& entry);
     [[nodiscard]] bool may_refuse_for_certain(const std::string& shard,
                                               time_point now) const;
     [[nodiscard]] job_reply refuse(const job_request& request,
@@ -165,6 +167,7 @@
     std::vector<std::thread> threads;
     std::deque<std::string> load_queue;         ///< shards to load
     std::condition_variable load_queue_changed; ///< `load_queue` is not empty
+    log_rate_limit late_write_log_limit{milliseconds(200)};
     time_point last_failed_write_at;
     /// Time since which all writes have failed; time_point{}: none has failed
     /// since the last success.
--- a/src/scheduler/job_coordinator_records.cpp
+++ b/src/scheduler/job_coordinator_records.cpp
@@ -19,6 +19,8 @@
 // Time between attempts of a write; doubles from the first to the second.
 constexpr milliseconds min_backoff{50};
 constexpr milliseconds max_backoff{800};
+// Age of a change from which its write is logged. Urgent tasks take a second.
+constexpr milliseconds late_write{1'000};
 
 // Returns whether a failed commit has certainly changed nothing. Relied on
 // only for new jobs, whose writes are sent once; see
@@ -56,6 +58,10 @@
 void job_coordinator::impl::mark_changed(const entry_ptr& entry)
 {
     ++entry->last_change;
+    if (entry->unwritten_since == time_point{})
+    {
+        entry->unwritten_since = steady_clock::now();
+    }
     if (!entry->is_in_write_queue && !entry->is_writing)
     {
         entry->is_in_write_queue = true;
@@ -96,6 +102,7 @@
         condition_names = std::move(extended_names);
         entry->is_in_write_queue = false;
         entry->is_writing = true;
+        entry->write_begun_at = steady_clock::now();
         batch.push_back(std::move(entry));
     }
     write_queue.insert(write_queue.begin(), skipped.begin(), skipped.end());
@@ -348,14 +355,42 @@
     return true;
 }
 
+// Logs a write that made a change durable late, which delays the starts and the
+// answers that depend on it.
+void job_coordinator::impl::log_late_write(const job_entry& entry)
+{
+    const time_point now = steady_clock::now();
+    const bool is_late = entry.unwritten_since != time_point{} &&
+                         now - entry.unwritten_since >= late_write;
+    if (!is_late)
+    {
+        return;
+    }
+    const std::optional<std::int64_t> suppressed =
+        late_write_log_limit.try_acquire(now);
+    if (suppressed)
+    {
+        log_info("job record was written late",
+                 {{"job", entry.value.id},
+                  {"waited_ms", elapsed_ms(entry.unwritten_since, now)},
+                  {"write_ms", elapsed_ms(entry.write_begun_at, now)},
+                  {"unwritten_jobs", write_queue.size()},
+                  {"left_out", *suppressed}});
+    }
+}
+
 // Records that the changes of a job up to number `change` are durable.
 void job_coordinator::impl::apply_commit(const entry_ptr& entry,
                                          std::int64_t version,
                                          std::uint64_t change)
 {
+    log_late_write(*entry);
     entry->version = version;
     entry->durable_change = change;
     entry->has_unanswered_write = false;
+    // Changes that followed are at most as old as the write.
+    entry->unwritten_since =
+        change == entry->last_change ? time_point{} : entry->write_begun_at;
     for (auto it = entry->required_ownerships.begin();
          it != entry->required_ownerships.end();)
     {
--- a/src/scheduler/job_entry.hpp
+++ b/src/scheduler/job_entry.hpp
@@ -54,6 +54,8 @@
     std::uint64_t last_change = 1;    ///< number of the latest change
     std::uint64_t durable_change = 0; ///< number of the latest durable change
     bool is_writing = false;          ///< in the batch of a writer
+    time_point unwritten_since; ///< oldest change that is not durable; {}: none
+    time_point write_begun_at;  ///< when a writer last took the job
     /// A write that got no answer may still take effect.
     bool has_unanswered_write = false;
     bool is_refused = false; ///< not stored and never will be
--- a/src/scheduler/job_scheduler.cpp
+++ b/src/scheduler/job_scheduler.cpp
@@ -62,6 +62,9 @@
 // Timeout of one attempt to forward a request; then the owner is looked up
 // again.
 constexpr milliseconds forward_timeout{1'200};
+// Wait of a message for another host from which its delivery is logged; urgent
+// tasks take a second. There is at most one line for each delivery.
+constexpr milliseconds late_delivery{1'000};
 // Orders or reports per delivery to a host.
 constexpr std::size_t max_batch = 64;
 // Attempts to tell the new owner of a rack about the leases on its targets.
@@ -103,6 +106,21 @@
                                  : orders.starts.front().terms.step;
 }
 
+// Logs a batch whose first message has waited for earlier ones to the same
+// host.
+void log_late_delivery(std::string_view text, const std::string& host,
+                       std::size_t items, const std::string& first,
+                       milliseconds waited)
+{
+    if (waited >= late_delivery)
+    {
+        log_info(text, {{"host", host},
+                        {"items", items},
+                        {"first", first},
+                        {"waited_ms", waited.count()}});
+    }
+}
+
 std::int64_t remaining_ms(time_point deadline)
 {
     return elapsed_ms(steady_clock::now(), deadline);
@@ -127,12 +145,12 @@
     std::optional<run_racks> read_assignments(const std::string& id);
     void post_orders(rack_orders orders);
     void deliver_orders(const std::string& host,
-                        std::vector<rack_orders>& items);
+                        std::vector<rack_orders>& items, milliseconds waited);
     void deliver_handovers(const std::string& host,
                            std::vector<pending_handover>& items);
     void post_reports(std::vector<run_report> reports);
     void deliver_reports(const std::string& host,
-                         std::vector<run_report> reports);
+                         std::vector<run_report> reports, milliseconds waited);
     void apply_peer_load(const load_message& message);
     void apply_own_load(std::vector<rack_load_report> load_reports);
     void send_load(const std::vector<load_message>& messages,
@@ -219,14 +237,17 @@
                    {},
                    options.weight},
           make_cluster_hooks(), liveness_limits{}),
-      orders_outbox(max_batch, [this](const std::string& host,
-                                      std::vector<rack_orders>& items)
-                    { deliver_orders(host, items); }),
-      reports_outbox(max_batch, [this](const std::string& host,
-                                       std::vector<run_report>& items)
-                     { deliver_reports(host, std::move(items)); }),
+      orders_outbox(max_batch,
+                    [this](const std::string& host,
+                           std::vector<rack_orders>& items, milliseconds waited)
+                    { deliver_orders(host, items, waited); }),
+      reports_outbox(max_batch,
+                     [this](const std::string& host,
+                            std::vector<run_report>& items, milliseconds waited)
+                     { deliver_reports(host, std::move(items), waited); }),
       handovers_outbox(max_batch, [this](const std::string& host,
-                                         std::vector<pending_handover>& items)
+                                         std::vector<pending_handover>& items,
+                                         milliseconds /*waited*/)
                        { deliver_handovers(host, items); })
 {
 }
@@ -687,9 +708,12 @@
 // coordinator the result. Orders that may have arrived count as neither
 // confirmed nor undelivered. The orders may have waited for earlier ones that
 // were not answered, so starts that are not wanted any more are left out.
-void job_scheduler::impl::deliver_orders(const std::string& /*host*/,
-                                         std::vector<rack_orders>& items)
+void job_scheduler::impl::deliver_orders(const std::string& host,
+                                         std::vector<rack_orders>& items,
+                                         milliseconds waited)
 {
+    log_late_delivery("rack orders were sent late", host, items.size(),
+                      first_step_of(items.front()), waited);
     for (rack_orders& orders : items)
     {
         coordinator.remove_outdated_starts(orders);
@@ -774,8 +798,11 @@
 // Delivers reports that were queued for a host. Those that it did not record
 // are queued again, also when the owner of the shard has changed.
 void job_scheduler::impl::deliver_reports(const std::string& host,
-                                          std::vector<run_report> reports)
+                                          std::vector<run_report> reports,
+                                          milliseconds waited)
 {
+    log_late_delivery("run reports were sent late", host, reports.size(),
+                      reports.front().task, waited);
     report_batch batch{std::move(reports)};
     const std::size_t dot = batch.reports.front().task.find('.');
     const std::optional<owner_location> owner = agent.owner_of(
@@ -1005,6 +1032,9 @@
         {
             queues.queued_starts += load_report.queued;
         }
+        queues.writes = coordinator.unwritten();
+        queues.orders = orders_outbox.backlog();
+        queues.reports = reports_outbox.backlog();
         log_activity(racks.activity(), queues);
         racks.log_queues();
         metrics.has_store_contact.set(agent.has_store_contact() ? 1 : 0);
