Move the delivery of orders to rack owners into a class of its own

`order_sender` takes over `post_orders` and `deliver_orders` of `job_scheduler` unchanged, so that a test can play a receiver that answers slowly.

--- a/src/scheduler/job_scheduler.cpp
+++ b/src/scheduler/job_scheduler.cpp
@@ -6,7 +6,6 @@
 #include "egretspindle/jobs/job_machine.hpp"
 #include "egretspindle/jobs/job_record.hpp"
 #include "egretspindle/logging/log.hpp"
-#include "egretspindle/logging/log_rate_limit.hpp"
 #include "egretspindle/net/rpc_server.hpp"
 #include "egretspindle/protocol/message_router.hpp"
 #include "egretspindle/protocol/peer_client.hpp"
@@ -14,10 +13,13 @@
 #include "egretspindle/scheduler/host_metrics.hpp"
 #include "egretspindle/scheduler/host_outbox.hpp"
 #include "egretspindle/scheduler/load_exchange.hpp"
+#include "egretspindle/scheduler/order_sender.hpp"
 #include "egretspindle/scheduler/shard.hpp"
 #include "egretspindle/scheduler/target_list_replica.hpp"
 #include "egretspindle/scheduler/value_window.hpp"
 
+#include "late_delivery.hpp"
+
 #include <algorithm>
 #include <atomic>
 #include <condition_variable>
@@ -49,9 +51,6 @@
 // reports, which arrive every 250 ms to 1 s, with 490 targets every 602 ms; see
 // `report_period`.
 constexpr milliseconds reservation_period{600};
-// Minimum time between log lines about orders for racks without an owner: a
-// host may have orders for each rack and resends them every second.
-constexpr milliseconds no_owner_log_period{1'000};
 constexpr milliseconds orders_timeout{1'500};
 constexpr milliseconds reports_timeout{3'000};
 // Replaces the default in `coordinator_limits`: the receiver of reports must
@@ -62,10 +61,7 @@
 // Timeout of one attempt to forward a request; then the owner is looked up
 // again.
 constexpr milliseconds forward_timeout{1'200};
-// Wait of a message for another host from which its delivery is logged; urgent
-// tasks take a second. There is at most one line for each delivery.
-constexpr milliseconds late_delivery{1'000};
-// Orders or reports per delivery to a host.
+// Reports or handovers per delivery to a host.
 constexpr std::size_t max_batch = 64;
 // Attempts to tell the new owner of a rack about the leases on its targets.
 constexpr int max_handover_attempts = 10;
@@ -100,27 +96,6 @@
     int attempts = 0; ///< failed so far
 };
 
-std::string first_step_of(const rack_orders& orders)
-{
-    return orders.starts.empty() ? std::string()
-                                 : orders.starts.front().terms.step;
-}
-
-// Logs a batch whose first message has waited for earlier ones to the same
-// host.
-void log_late_delivery(std::string_view text, const std::string& host,
-                       std::size_t items, const std::string& first,
-                       milliseconds waited)
-{
-    if (waited >= late_delivery)
-    {
-        log_info(text, {{"host", host},
-                        {"items", items},
-                        {"first", first},
-                        {"waited_ms", waited.count()}});
-    }
-}
-
 std::int64_t remaining_ms(time_point deadline)
 {
     return elapsed_ms(steady_clock::now(), deadline);
@@ -143,9 +118,7 @@
     std::optional<job_answer> read_state(const std::string& id);
     absl::StatusOr<std::optional<job>> read_job(const std::string& id);
     std::optional<run_racks> read_assignments(const std::string& id);
-    void post_orders(rack_orders orders);
-    void deliver_orders(const std::string& host,
-                        std::vector<rack_orders>& items, milliseconds waited);
+    order_sender_hooks make_order_hooks();
     void deliver_handovers(const std::string& host,
                            std::vector<pending_handover>& items);
     void post_reports(std::vector<run_report> reports);
@@ -177,7 +150,6 @@
     std::shared_ptr<metric_registry> registry =
         std::make_shared<metric_registry>();
     host_metrics metrics{*registry};
-    log_rate_limit no_owner_log_limit{no_owner_log_period};
 
     mutable std::mutex config_mutex;
     std::shared_ptr<const fleet_config> config =
@@ -200,7 +172,7 @@
     job_coordinator coordinator;
     rack_agent racks;
     cluster_agent agent;
-    host_outbox<rack_orders> orders_outbox;
+    order_sender orders;
     host_outbox<run_report> reports_outbox;
     host_outbox<pending_handover> handovers_outbox;
     message_router router;
@@ -237,10 +209,7 @@
                    {},
                    options.weight},
           make_cluster_hooks(), liveness_limits{}),
-      orders_outbox(max_batch,
-                    [this](const std::string& host,
-                           std::vector<rack_orders>& items, milliseconds waited)
-                    { deliver_orders(host, items, waited); }),
+      orders(make_order_hooks(), metrics),
       reports_outbox(max_batch,
                      [this](const std::string& host,
                             std::vector<run_report>& items, milliseconds waited)
@@ -307,9 +276,9 @@
             agent.report_newer_token(resource, owner->token);
         }
     };
-    hooks.send = [this](rack_orders orders)
+    hooks.send = [this](rack_orders items)
     {
-        post_orders(std::move(orders));
+        orders.post(std::move(items));
     };
     return hooks;
 }
@@ -677,108 +646,40 @@
 
 // --- messages --------------------------------------------------------------
 
-// Queues orders for the host that owns the rack. Without a known owner they are
-// undelivered, and the coordinator sends them again in a later tick.
-void job_scheduler::impl::post_orders(rack_orders orders)
+order_sender_hooks job_scheduler::impl::make_order_hooks()
 {
-    const std::optional<owner_location> owner =
-        agent.owner_of(rack_resource(orders.rack));
-    if (!owner)
-    {
-        metrics.orders_without_owner.add();
-        const std::optional<std::int64_t> suppressed =
-            no_owner_log_limit.try_acquire();
-        if (suppressed)
-        {
-            log_warning("rack orders have no receiver: rack has no known owner",
-                        {{"rack", orders.rack},
-                         {"first_step", first_step_of(orders)},
-                         {"steps", orders.starts.size()},
-                         {"stops", orders.stops.size()},
-                         {"left_out", *suppressed}});
-        }
+    order_sender_hooks hooks;
+    hooks.owner_of = [this](const std::string& rack)
+    {
+        return agent.owner_of(rack_resource(rack));
+    };
+    hooks.refresh = [this]
+    {
         agent.refresh();
-        coordinator.mark_undelivered(orders);
-        return;
-    }
-    orders_outbox.post(owner->host, std::move(orders));
-}
-
-// Delivers orders to the present owners of their racks and tells the
-// coordinator the result. Orders that may have arrived count as neither
-// confirmed nor undelivered. The orders may have waited for earlier ones that
-// were not answered, so starts that are not wanted any more are left out.
-void job_scheduler::impl::deliver_orders(const std::string& host,
-                                         std::vector<rack_orders>& items,
-                                         milliseconds waited)
-{
-    log_late_delivery("rack orders were sent late", host, items.size(),
-                      first_step_of(items.front()), waited);
-    for (rack_orders& orders : items)
+    };
+    hooks.execute = [this](const rack_orders& items)
     {
-        coordinator.remove_outdated_starts(orders);
-        if (orders.starts.empty() && orders.stops.empty())
-        {
-            continue;
-        }
-        const std::optional<owner_location> owner =
-            agent.owner_of(rack_resource(orders.rack));
-        if (!owner)
-        {
-            agent.refresh();
-            coordinator.mark_undelivered(orders);
-            continue;
-        }
-        rack_orders_reply reply;
-        if (owner->is_self)
-        {
-            reply = racks.execute(orders);
-        }
-        else
-        {
-            const time_point sent_at = steady_clock::now();
-            const absl::StatusOr<rack_orders_reply> answer =
-                call_peer<rack_orders_reply>(*client, owner->peer,
-                                             orders_message, orders,
-                                             orders_timeout);
-            metrics.observe_orders(!answer.ok() ? orders_result::failed
-                                   : answer->is_owner
-                                       ? orders_result::taken
-                                       : orders_result::not_owner,
-                                   steady_clock::now() - sent_at);
-            if (!answer.ok())
-            {
-                log_warning(
-                    "rack orders were not answered",
-                    {{"rack", orders.rack},
-                     {"host", owner->host},
-                     {"owner_version", orders.token},
-                     {"first_step", first_step_of(orders)},
-                     {"steps", orders.starts.size()},
-                     {"stops", orders.stops.size()},
-                     {"error", std::string(answer.status().message())}});
-                if (kind_of(answer.status()) == error_kind::unavailable)
-                {
-                    coordinator.mark_undelivered(orders); // nothing was sent
-                }
-                continue;
-            }
-            reply = *answer;
-        }
-        if (!reply.is_owner)
-        {
-            log_info("rack orders were refused: receiver is not the owner",
-                     {{"rack", orders.rack},
-                      {"host", owner->host},
-                      {"owner_version", orders.token},
-                      {"first_step", first_step_of(orders)},
-                      {"steps", orders.starts.size()},
-                      {"stops", orders.stops.size()}});
-            agent.refresh();
-            coordinator.mark_undelivered(orders);
-        }
-        coordinator.confirm(orders, reply);
-    }
+        return racks.execute(items);
+    };
+    hooks.call = [this](const owner_location& owner, const rack_orders& items)
+    {
+        return call_peer<rack_orders_reply>(*client, owner.peer, orders_message,
+                                            items, orders_timeout);
+    };
+    hooks.remove_outdated_starts = [this](rack_orders& items)
+    {
+        coordinator.remove_outdated_starts(items);
+    };
+    hooks.mark_undelivered = [this](const rack_orders& items)
+    {
+        coordinator.mark_undelivered(items);
+    };
+    hooks.confirm =
+        [this](const rack_orders& items, const rack_orders_reply& reply)
+    {
+        coordinator.confirm(items, reply);
+    };
+    return hooks;
 }
 
 // Queues reports for the hosts that own the shards of their jobs. The name of
@@ -1033,7 +934,7 @@
             queues.queued_starts += load_report.queued;
         }
         queues.writes = coordinator.unwritten();
-        queues.orders = orders_outbox.backlog();
+        queues.orders = orders.backlog();
         queues.reports = reports_outbox.backlog();
         log_activity(racks.activity(), queues);
         racks.log_queues();
@@ -1143,7 +1044,7 @@
     impl_->agent.stop();
     impl_->coordinator.stop();
     impl_->racks.stop();
-    impl_->orders_outbox.stop();
+    impl_->orders.stop();
     impl_->reports_outbox.stop();
     impl_->handovers_outbox.stop();
     if (impl_->server)
