--- /dev/null
+++ b/tests/scheduler/order_sender_test.cpp
@@ -0,0 +1,206 @@
+#include "egretspindle/scheduler/job_coordinator.hpp"
+#include "egretspindle/scheduler/order_sender.hpp"
+#include "egretspindle/scheduler/shard.hpp"
+
+#include "fake_store.hpp"
+
+#include <catch2/catch.hpp>
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <condition_variable>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <thread>
+
+using namespace egretspindle;
+
+namespace
+{
+
+constexpr std::int64_t rack_token = 5;
+
+/// Owner of one rack that answers each message after a delay.
+struct slow_owner
+{
+    std::mutex mutex;
+    std::condition_variable changed;
+    milliseconds delay{100};
+    std::vector<rack_orders> received;
+    std::map<std::string, time_point> first_arrival; ///< of a start, by step
+    int repeated = 0; ///< starts that were marked as repeated
+
+    rack_orders_reply answer(const rack_orders& orders)
+    {
+        std::this_thread::sleep_for(delay);
+        const std::lock_guard<std::mutex> lock(mutex);
+        received.push_back(orders);
+        for (const start_batch& batch : orders.starts)
+        {
+            first_arrival.emplace(batch.terms.step, steady_clock::now());
+            repeated += static_cast<int>(std::count_if(
+                batch.runs.begin(), batch.runs.end(),
+                [](const step_run& run) { return run.is_repeated; }));
+        }
+        changed.notify_all();
+        return {true, rack_token};
+    }
+};
+
+/// Coordinator whose orders go through a sender to a slow owner.
+struct sending_host
+{
+    fake_store store;
+    slow_owner owner;
+    metric_registry registry;
+    host_metrics metrics{registry};
+    std::unique_ptr<job_coordinator> coordinator;
+    std::unique_ptr<order_sender> sender;
+
+    sending_host()
+    {
+        order_sender_hooks hooks;
+        hooks.owner_of = [](const std::string&)
+        {
+            owner_location location;
+            location.host = "other";
+            location.token = rack_token;
+            return std::optional<owner_location>(location);
+        };
+        hooks.refresh = [] {
+        };
+        hooks.call = [this](const owner_location&, const rack_orders& orders)
+        {
+            return absl::StatusOr<rack_orders_reply>(owner.answer(orders));
+        };
+        hooks.remove_outdated_starts = [this](rack_orders& orders)
+        {
+            coordinator->remove_outdated_starts(orders);
+        };
+        hooks.mark_undelivered = [this](const rack_orders& orders)
+        {
+            coordinator->mark_undelivered(orders);
+        };
+        hooks.confirm =
+            [this](const rack_orders& orders, const rack_orders_reply& reply)
+        {
+            coordinator->confirm(orders, reply);
+        };
+        sender = std::make_unique<order_sender>(std::move(hooks), metrics);
+        coordinator = std::make_unique<job_coordinator>(
+            store, make_coordinator_hooks(), coordinator_limits{});
+        for (int n = 0; n < shard_count; ++n)
+        {
+            coordinator->take_shard(shard_name(n));
+        }
+    }
+
+    ~sending_host()
+    {
+        coordinator->stop();
+        sender->stop();
+    }
+
+    sending_host(const sending_host&) = delete;
+    sending_host& operator=(const sending_host&) = delete;
+
+    job_coordinator_hooks make_coordinator_hooks()
+    {
+        job_coordinator_hooks hooks;
+        hooks.config = []
+        {
+            fleet_config config;
+            config.version = 1;
+            queue_config queue;
+            queue.name = "queue";
+            queue.service = "svc";
+            config.queues = {queue};
+            return std::make_shared<const fleet_config>(config);
+        };
+        hooks.choose_racks =
+            [](const step_terms&, std::size_t count, const std::string&)
+        {
+            return std::vector<std::string>(count, "r1");
+        };
+        hooks.rack_token = [](const std::string&)
+        {
+            return rack_token;
+        };
+        hooks.on_shard_lost = [](const std::string&) {
+        };
+        hooks.send = [this](rack_orders orders)
+        {
+            sender->post(std::move(orders));
+        };
+        return hooks;
+    }
+
+    // Submits a job of one long-running task.
+    void submit(int n)
+    {
+        job_request request;
+        request.id = fmt::format("{:016x}", n);
+        request.queue = "queue";
+        step_spec step;
+        step.count = 1;
+        step.cpu_milli = 1'000;
+        step.is_long_running = true;
+        request.spec.steps = {step};
+        request.budget_ms = 20'000;
+        REQUIRE(coordinator->submit(request).verdict == "accepted");
+    }
+};
+
+std::string step_of(int n)
+{
+    return fmt::format("{:016x}.0.0", n);
+}
+
+} // namespace
+
+// Guards against starts that wait for one message after the other while the
+// receiver answers more slowly than jobs arrive, and are sent again meanwhile.
+TEST_CASE("starts do not queue up behind each other for a slow rack owner",
+          "[.][scheduler_order_backlog]")
+{
+    constexpr int jobs = 180;
+    constexpr milliseconds between_jobs{16};
+    // Users expect a long-running task to be at work again within 6 s.
+    constexpr milliseconds max_wait{6'000};
+    sending_host host;
+    std::map<std::string, time_point> submitted;
+    time_point next_tick = steady_clock::now();
+    for (int n = 0; n < jobs; ++n)
+    {
+        const time_point begun = steady_clock::now();
+        submitted[step_of(n)] = begun;
+        host.submit(n);
+        if (begun >= next_tick)
+        {
+            host.coordinator->tick();
+            next_tick = begun + milliseconds(250);
+        }
+        std::this_thread::sleep_until(begun + between_jobs);
+    }
+    const time_point end = steady_clock::now() + max_wait;
+    std::unique_lock<std::mutex> lock(host.owner.mutex);
+    while (host.owner.first_arrival.size() < jobs && steady_clock::now() < end)
+    {
+        lock.unlock();
+        host.coordinator->tick();
+        lock.lock();
+        host.owner.changed.wait_for(lock, milliseconds(250));
+    }
+    CHECK(host.owner.first_arrival.size() == jobs);
+    milliseconds longest{0};
+    for (const auto& [step, arrived_at] : host.owner.first_arrival)
+    {
+        longest = std::max(longest, std::chrono::duration_cast<milliseconds>(
+                                        arrived_at - submitted.at(step)));
+    }
+    INFO("messages: " << host.owner.received.size()
+                      << ", longest wait in ms: " << longest.count());
+    CHECK(longest < max_wait);
+    CHECK(host.owner.repeated == 0);
+}
