Place long-running tasks that lost their run before those of new jobs

Callers: a long-running task has to be at work again 6 s after its last run.

Cause: in the queue of a rack, starts that can still meet the objective of their job come before late ones. The objective of a long-running job is a few seconds after its acceptance, so that each later restart of one of its tasks counted as late, and waited behind all tasks of new jobs, for a place, for a reservation and to be handed back.

Lateness now orders short tasks only, for which it was made: a long-running task does not end, so that it makes no others late by being late itself. Among long-running tasks the older job comes first.

Test: "a long-running task that lost its run comes before those of new jobs" failed before.

--- a/include/egretspindle/rack/rack_decision.hpp
+++ b/include/egretspindle/rack/rack_decision.hpp
@@ -74,7 +74,8 @@
 /// Chooses targets for queued starts and reserves capacity for them.
 ///
 /// Considers starts in the order of priority, short before long-running tasks,
-/// timely starts before those that are already late, and then by objective.
+/// timely short starts before those that are already late, and then by
+/// objective.
 /// Serving tasks prefer targets that serve the same image, backfill tasks those
 /// rated highest by `rate_backfill_target`, and other tasks those with the most
 /// idle processors. A gang is placed as a whole or not at all. Targets are
--- a/src/rack/place_starts.cpp
+++ b/src/rack/place_starts.cpp
@@ -126,13 +126,16 @@
 
 // Returns the sort key of a start. Within a priority, short tasks come before
 // long-running ones, since they release their capacity within a second. Next,
-// starts that can still meet their objective come before those that are
-// already late, which under overload would make all others late too.
+// short starts that can still meet their objective come before those that are
+// already late, which under overload would make all others late too. Among
+// long-running tasks, those of older jobs come first, most of which have lost
+// their run.
 auto rank_of(const queued_start& start, std::int64_t now_ms)
 {
     const step_terms& terms = *start.terms;
-    return std::make_tuple(terms.priority, terms.is_long_running,
-                           now_ms > terms.latest_start_ms + late_tolerance_ms,
+    const bool is_late = !terms.is_long_running &&
+                         now_ms > terms.latest_start_ms + late_tolerance_ms;
+    return std::make_tuple(terms.priority, terms.is_long_running, is_late,
                            terms.objective_ms, std::string_view(terms.step));
 }
 
--- a/tests/rack/rack_decision_test.cpp
+++ b/tests/rack/rack_decision_test.cpp
@@ -125,6 +125,29 @@
     REQUIRE(placed.front().start.task == "job.0.1.0");
 }
 
+// Guards against restarts that wait behind every new job.
+TEST_CASE(
+    "a long-running task that lost its run comes before those of new jobs",
+    "[rack]")
+{
+    rack_state rack = make_rack(1);
+    constexpr std::int64_t now_ms = 100'000;
+    step_terms restarted = make_terms(4'000);
+    restarted.is_long_running = true;
+    restarted.objective_ms = now_ms - 60'000;
+    restarted.latest_start_ms = now_ms - 65'000;
+    step_terms added = restarted;
+    added.step = "added.0.0";
+    added.objective_ms = now_ms + 5'000;
+    added.latest_start_ms = now_ms + 4'000;
+    enqueue(rack, make_start("added.0.0.0", added));
+    enqueue(rack, make_start("job.0.0.0", restarted, 3));
+    const std::vector<placement> placed =
+        place_starts(rack, no_interference, start_time, now_ms);
+    REQUIRE(placed.size() == 1);
+    REQUIRE(placed.front().start.task == "job.0.0.0");
+}
+
 TEST_CASE("no target gets more tasks of a step than its limit", "[rack]")
 {
     rack_state rack = make_rack(2);
