--- a/cmake/packages.cmake
+++ b/cmake/packages.cmake
@@ -142,7 +142,8 @@
      ${CMAKE_SOURCE_DIR}/tests/integration/*.cpp)
 if(integration_tests AND support_sources)
   add_executable(test_integration ${integration_tests})
-  target_link_libraries(test_integration PRIVATE egret_test_support
+  target_link_libraries(test_integration PRIVATE egret_platform
+                                                 egret_test_support
                                                  Catch2WithMain)
   # The cases of tests/integration/<name>_test.cpp carry the tag [<name>].
   foreach(source IN LISTS integration_tests)
--- a/include/egretspindle/scheduler/cluster_agent.hpp
+++ b/include/egretspindle/scheduler/cluster_agent.hpp
@@ -5,6 +5,7 @@
 #define EGRETSPINDLE_SCHEDULER_CLUSTER_AGENT_HPP
 
 #include "egretspindle/cluster/cluster_view.hpp"
+#include "egretspindle/cluster/planned_stop.hpp"
 #include "egretspindle/core/boot_clock.hpp"
 #include "egretspindle/fleet/table_store.hpp"
 
@@ -93,9 +94,14 @@
     void stop();
 
     /// Marks this host as leaving, so that others take over as soon as they
-    /// read its heartbeat row.
+    /// read its heartbeat row. From then on it reads the owners four times a
+    /// second.
     void leave();
 
+    /// Returns what this host has announced and still owns. A resource that was
+    /// lost is counted until its hook `lost` has returned.
+    [[nodiscard]] stop_progress progress_of_stop() const;
+
     /// Starts the next round of reads and claims early, but at least 250 ms
     /// after the start of the last one.
     void refresh();
--- a/include/egretspindle/scheduler/host_outbox.hpp
+++ b/include/egretspindle/scheduler/host_outbox.hpp
@@ -103,6 +103,18 @@
         return sum;
     }
 
+    /// Returns the number of items that are queued or being delivered.
+    [[nodiscard]] std::size_t size() const
+    {
+        const std::lock_guard<std::mutex> lock(mutex_);
+        std::size_t count = in_delivery_;
+        for (const auto& [host, entry] : queues_)
+        {
+            count += entry->items.size();
+        }
+        return count;
+    }
+
     /// Ends the threads, after the deliveries in progress. Items that are still
     /// queued are dropped.
     void stop()
@@ -170,9 +182,11 @@
                           [&batch](posted_item& posted)
                           { batch.push_back(std::move(posted.item)); });
             entry.items.erase(entry.items.begin(), end);
+            in_delivery_ += n;
             lock.unlock();
             deliver_(host, batch, waited);
             lock.lock();
+            in_delivery_ -= n;
         }
     }
 
@@ -180,6 +194,7 @@
     deliver_function deliver_;
     mutable std::mutex mutex_;
     bool is_stopping_ = false;
+    std::size_t in_delivery_ = 0;
     std::map<std::string, std::unique_ptr<host_queue>> queues_;
 };
 
--- a/include/egretspindle/scheduler/job_scheduler.hpp
+++ b/include/egretspindle/scheduler/job_scheduler.hpp
@@ -4,6 +4,7 @@
 #ifndef EGRETSPINDLE_SCHEDULER_JOB_SCHEDULER_HPP
 #define EGRETSPINDLE_SCHEDULER_JOB_SCHEDULER_HPP
 
+#include "egretspindle/cluster/planned_stop.hpp"
 #include "egretspindle/fleet/caller_port.hpp"
 #include "egretspindle/fleet/fleet_config.hpp"
 #include "egretspindle/fleet/table_store.hpp"
@@ -55,11 +56,16 @@
     [[nodiscard]] absl::Status start();
 
     /// Marks this host as leaving, so that other hosts take over its shards and
-    /// racks. Does not wait for them. Requests are still answered, but
-    /// `is_ready` returns false.
+    /// racks. Does not wait for them; see `progress_of_stop`. Requests are
+    /// still answered, but `is_ready` returns false.
     void leave();
 
-    /// Ends all threads and connections. Shards and racks are not handed over.
+    /// Returns what is left to hand over after `leave`. The elapsed time and
+    /// the calls of callers are not known here and stay zero.
+    [[nodiscard]] stop_progress progress_of_stop() const;
+
+    /// Ends all threads and connections. Shards and racks that are still owned
+    /// are not handed over.
     void stop();
 
     /// Applies a configuration if its version is higher than that in use.
--- a/include/egretspindle/settings/scheduler_settings.hpp
+++ b/include/egretspindle/settings/scheduler_settings.hpp
@@ -13,6 +13,9 @@
 namespace egretspindle
 {
 
+/// Seconds from SIGTERM to SIGKILL, unless the settings say otherwise.
+constexpr double default_grace_s = 6.0;
+
 /// The `[scheduler]` table of a settings file.
 struct scheduler_settings
 {
@@ -29,6 +32,8 @@
     std::int64_t thaw_slack_ms = 300;
     /// A draining target starts no work after this time.
     std::int64_t drain_ms = 2'000;
+    /// Seconds from SIGTERM to SIGKILL.
+    double grace_s = default_grace_s;
     /// Cores of this host; sets its share of racks.
     double processor_share = 1.0;
 };
--- a/src/scheduler/cluster_agent.cpp
+++ b/src/scheduler/cluster_agent.cpp
@@ -75,6 +75,7 @@
 
     void run();
     bool read();
+    [[nodiscard]] bool is_announced() const;
     [[nodiscard]] absl::StatusOr<cluster_rows> read_whole_table() const;
     [[nodiscard]] absl::StatusOr<cluster_rows> read_changes() const;
     void list_resources();
@@ -101,17 +102,19 @@
     std::condition_variable wake;
     bool is_stopping = false;
     bool is_refresh_requested = false;
+    bool is_leaving = false;
     cluster_view view;
     std::int64_t read_version = 0; ///< of the store, by the last read
     contact_reports contacts;
+    /// Tokens of the owned resources that `hooks.taken` was called for.
+    std::map<std::string, std::int64_t> announced;
+    std::size_t losing = 0; ///< lost resources whose hook has not returned
     // The next three are used by the thread of `run` only.
     bool has_read_whole = false; ///< the next read may ask for changes only
     /// The same as `read_version`; needs no lock.
     std::int64_t table_version = 0;
     time_point whole_read_at;                 ///< start of the latest attempt
     std::map<std::string, std::string> racks; ///< data centre by name
-    /// Tokens of the owned resources that `hooks.taken` was called for.
-    std::map<std::string, std::int64_t> announced;
     /// By resource, at the latest attempt of this host to claim it.
     std::map<std::string, former_ownership> former_owners;
     /// Tokens by resource, for resources to claim again; see
@@ -262,6 +265,14 @@
     return true;
 }
 
+// Returns whether the last read showed this host as leaving. Needs the lock.
+bool cluster_agent::impl::is_announced() const
+{
+    const auto it = view.hosts.find(self.name);
+    return it != view.hosts.end() && it->second.row.boot == self.boot &&
+           it->second.row.is_leaving;
+}
+
 // Adds the resources that have no row yet, and sets the data centres of all.
 void cluster_agent::impl::list_resources()
 {
@@ -403,6 +414,7 @@
             {
                 announced.erase(it);
                 lost.push_back(name);
+                ++losing;
             }
         }
     }
@@ -410,6 +422,8 @@
     {
         hooks.lost(name);
         heartbeats.report_progress();
+        const std::lock_guard<std::mutex> lock(mutex);
+        --losing;
     }
     for (const auto& [name, token, former] : taken)
     {
@@ -458,7 +472,10 @@
         wake.wait_until(lock, begun + shortest_period,
                         [this] { return is_stopping; });
         wake.wait_until(lock, begun + period,
-                        [this] { return is_stopping || is_refresh_requested; });
+                        [this] {
+                            return is_stopping || is_refresh_requested ||
+                                   is_leaving;
+                        });
         is_refresh_requested = false;
         if (is_stopping)
         {
@@ -540,7 +557,24 @@
 void cluster_agent::leave()
 {
     impl_->heartbeats.leave();
-    refresh();
+    const std::lock_guard<std::mutex> lock(impl_->mutex);
+    impl_->is_leaving = true;
+    impl_->wake.notify_all();
+}
+
+stop_progress cluster_agent::progress_of_stop() const
+{
+    const std::lock_guard<std::mutex> lock(impl_->mutex);
+    stop_progress progress;
+    progress.is_announced = impl_->is_announced();
+    progress.owned = impl_->announced.size() + impl_->losing;
+    for (const auto& [name, item] : impl_->view.resources)
+    {
+        // Claimed, but not announced yet.
+        const bool is_new = impl_->announced.count(name) == 0;
+        progress.owned += is_new && impl_->is_owned(item) ? 1 : 0;
+    }
+    return progress;
 }
 
 void cluster_agent::refresh()
--- a/src/scheduler/job_scheduler.cpp
+++ b/src/scheduler/job_scheduler.cpp
@@ -1027,6 +1027,14 @@
     log_info("leaving", {{"host", impl_->options.host}});
 }
 
+stop_progress job_scheduler::progress_of_stop() const
+{
+    // A resource is counted here until its release is in the outbox.
+    stop_progress progress = impl_->agent.progress_of_stop();
+    progress.undelivered = impl_->handovers_outbox.size();
+    return progress;
+}
+
 void job_scheduler::stop()
 {
     {
--- a/src/settings/parse_scheduler_settings.cpp
+++ b/src/settings/parse_scheduler_settings.cpp
@@ -19,6 +19,8 @@
 constexpr std::int64_t max_lease_bound_ms = 600'000;
 // A longer time is most likely given in the wrong unit.
 constexpr std::int64_t max_drain_bound_ms = 60'000;
+// A longer time is most likely given in milliseconds.
+constexpr double max_grace_s = 600;
 // Far above any entry host; a larger value is most likely in the wrong unit.
 constexpr double max_processors = 1'024;
 
@@ -89,6 +91,7 @@
                   max_lease_bound_ms);
     reader.number("thaw_slack_ms", value.thaw_slack_ms, 0, max_lease_bound_ms);
     reader.number("drain_ms", value.drain_ms, 0, max_drain_bound_ms);
+    reader.floating_point("grace_s", value.grace_s, 0.0, max_grace_s);
     reader.floating_point("processor_share", value.processor_share, 0.0,
                           max_processors);
     reader.report_unknown_keys();
--- a/tests/scheduler/cluster_agent_test.cpp
+++ b/tests/scheduler/cluster_agent_test.cpp
@@ -26,6 +26,8 @@
     std::mutex mutex;
     std::condition_variable changed;
     std::map<std::string, former_ownership> taken;
+    bool is_loss_held = false; ///< the hook `lost` waits
+    bool is_losing = false;    ///< the hook `lost` has been called
     cluster_agent agent{store,
                         host_row{"h1", 2, "127.0.0.1:1", "dc", false, 0, {}},
                         hooks(), limits()};
@@ -58,7 +60,13 @@
             taken[resource] = former;
             changed.notify_all();
         };
-        result.lost = [](const std::string&) {
+        result.lost = [this](const std::string&)
+        {
+            std::unique_lock<std::mutex> lock(mutex);
+            is_losing = true;
+            changed.notify_all();
+            changed.wait_for(lock, std::chrono::seconds(20),
+                             [this] { return !is_loss_held; });
         };
         result.verified = [](const std::string&, std::int64_t,
                              const clock_reading&) {
@@ -391,3 +399,39 @@
         [&] { return host.agent.owner_of("shard/j00").has_value(); }));
     CHECK(host.agent.pending_elsewhere()["queue"] == 40);
 }
+
+// Guards against a host that ends before it has told the next owners of its
+// racks when its leases end.
+TEST_CASE("a host that leaves owns a rack until its loss has been handled",
+          "[scheduler]")
+{
+    fake_store store;
+    agent_fixture host(store);
+    host.wait_for_rack();
+    REQUIRE(wait_until(
+        [&]
+        { return host.agent.progress_of_stop().owned == shard_count + 1; }));
+    CHECK_FALSE(host.agent.progress_of_stop().is_announced);
+    host.agent.leave();
+    REQUIRE(
+        wait_until([&] { return host.agent.progress_of_stop().is_announced; }));
+    CHECK(host.agent.progress_of_stop().owned == shard_count + 1);
+    {
+        const std::lock_guard<std::mutex> lock(host.mutex);
+        host.is_loss_held = true;
+    }
+    write_owner(store, {"h9", 1});
+    {
+        std::unique_lock<std::mutex> lock(host.mutex);
+        REQUIRE(host.changed.wait_for(lock, std::chrono::seconds(20),
+                                      [&] { return host.is_losing; }));
+    }
+    CHECK(host.agent.progress_of_stop().owned == shard_count + 1);
+    {
+        const std::lock_guard<std::mutex> lock(host.mutex);
+        host.is_loss_held = false;
+        host.changed.notify_all();
+    }
+    CHECK(wait_until(
+        [&] { return host.agent.progress_of_stop().owned == shard_count; }));
+}
--- a/tests/settings/scheduler_settings_test.cpp
+++ b/tests/settings/scheduler_settings_test.cpp
@@ -38,6 +38,24 @@
     }
 }
 
+// Guards against a planned stop that takes longer than the platform waits.
+TEST_CASE("grace_s is read and checked", "[settings]")
+{
+    REQUIRE(parse_scheduler_settings(required)->grace_s ==
+            Approx(default_grace_s));
+    REQUIRE(parse_scheduler_settings(required + "grace_s = 9\n")->grace_s ==
+            Approx(9.0));
+    REQUIRE(parse_scheduler_settings(required + "grace_s = 2.5\n")->grace_s ==
+            Approx(2.5));
+    for (const char* wrong : {"-1", "nan", "6000", "\"6\""})
+    {
+        CAPTURE(wrong);
+        REQUIRE_FALSE(
+            parse_scheduler_settings(required + "grace_s = " + wrong + "\n")
+                .ok());
+    }
+}
+
 // Guards against racks that are distributed without regard to processor shares:
 // hosts with a quarter of a processor got as many racks as the others.
 TEST_CASE("processor_share is read and checked", "[settings]")
