End the heartbeats of a host that leaves with the last one

A host that left went on writing its heartbeat row every second. Claims from it depend on that row, so a slow claim failed when the row was written in between; and while it lived it could grant leases, which the next owner has to count with if the release is lost. It also claimed a rack again when a target reported a newer token, and an outage of the store extended its leases.

Once the store has confirmed the heartbeat that says that the host leaves, it writes no more, so that its right to grant leases ends 4 s later. Until then the write is repeated every 250 ms, and again if a read shows an earlier heartbeat that the store carried out late. A host that leaves claims nothing, and an outage extends none of its leases.

--- a/include/egretspindle/scheduler/cluster_agent.hpp
+++ b/include/egretspindle/scheduler/cluster_agent.hpp
@@ -94,8 +94,8 @@
     void stop();
 
     /// Marks this host as leaving, so that others take over as soon as they
-    /// read its heartbeat row. From then on it reads the owners four times a
-    /// second.
+    /// read its heartbeat row. From then on it claims nothing and reads the
+    /// owners four times a second.
     void leave();
 
     /// Returns what this host has announced and still owns. A resource that was
--- a/include/egretspindle/scheduler/heartbeat.hpp
+++ b/include/egretspindle/scheduler/heartbeat.hpp
@@ -57,7 +57,9 @@
     void set_pending(std::map<std::string, std::int64_t> pending);
 
     /// Marks this host as leaving and wakes the thread, so that it writes the
-    /// row at once.
+    /// row at once. Once the store has confirmed it, no more heartbeats are
+    /// written until `leave` is called again: claims from a host that leaves
+    /// depend on its last one.
     void leave();
 
 private:
--- a/src/scheduler/cluster_agent.cpp
+++ b/src/scheduler/cluster_agent.cpp
@@ -262,6 +262,12 @@
     apply_rows(view, *rows, limits, steady_clock::now());
     read_version = rows->version;
     list_resources();
+    if (is_leaving && !is_announced())
+    {
+        // The store may carry out an earlier heartbeat, whose answer was lost,
+        // after the one that says that this host leaves.
+        heartbeats.leave();
+    }
     return true;
 }
 
@@ -339,6 +345,10 @@
     std::map<std::string, std::int64_t> confirming; // token by resource
     {
         const std::lock_guard<std::mutex> lock(mutex);
+        if (is_leaving)
+        {
+            return;
+        }
         const time_point now = steady_clock::now();
         names = decide_claims(view, self.name, self.boot, limits, now);
         for (const auto& [name, token] : unconfirmed_tokens)
--- a/src/scheduler/heartbeat.cpp
+++ b/src/scheduler/heartbeat.cpp
@@ -20,6 +20,8 @@
 constexpr milliseconds period{1'000};
 // Shorter than the period, so that a lost answer delays no further write.
 constexpr milliseconds write_timeout{800};
+// After a failed write of a host that leaves, whose time is limited.
+constexpr milliseconds leave_retry{250};
 
 } // namespace
 
@@ -42,6 +44,8 @@
     time_point progress_at = steady_clock::now(); ///< see `report_progress`
     bool was_stalled = false;                     ///< at the last check
     bool has_failed = false;                      ///< the last write
+    /// The store has confirmed that this host leaves.
+    bool is_leave_confirmed = false;
     boot_time_point confirmed_at; ///< start of the last confirmed write
     bool has_tried_write = false; ///< or has skipped a write in a stall
     bool is_write_requested = false;
@@ -72,8 +76,14 @@
 {
     table_row row;
     row.table = std::string(cluster_table);
+    bool is_last = false;
     {
         const std::lock_guard<std::mutex> lock(mutex);
+        if (is_leave_confirmed)
+        {
+            return;
+        }
+        is_last = self.is_leaving;
         ++self.beat;
         row.key = std::string(host_prefix) + self.name;
         row.value = to_json(self);
@@ -98,6 +108,7 @@
     if (result.ok())
     {
         confirmed_at = begun_at;
+        is_leave_confirmed = is_last;
     }
 }
 
@@ -113,7 +124,8 @@
         std::unique_lock<std::mutex> lock(mutex);
         has_tried_write = true;
         wake.notify_all();
-        wake.wait_until(lock, begun + period,
+        const bool is_hurried = self.is_leaving && !is_leave_confirmed;
+        wake.wait_until(lock, begun + (is_hurried ? leave_retry : period),
                         [this] { return is_stopping || is_write_requested; });
         is_write_requested = false;
         if (is_stopping)
@@ -182,6 +194,7 @@
 {
     const std::lock_guard<std::mutex> lock(impl_->mutex);
     impl_->self.is_leaving = true;
+    impl_->is_leave_confirmed = false;
     impl_->is_write_requested = true;
     impl_->wake.notify_all();
 }
--- a/src/scheduler/job_scheduler.cpp
+++ b/src/scheduler/job_scheduler.cpp
@@ -899,7 +899,9 @@
         load.hosts = size.peers + 1;
     }
     const time_point now = steady_clock::now();
-    if (agent.is_outage())
+    // Others count on a host that leaves to grant no leases when the time after
+    // its last heartbeat is over.
+    if (!is_leaving && agent.is_outage())
     {
         racks.extend_authority();
     }
--- a/tests/scheduler/cluster_agent_test.cpp
+++ b/tests/scheduler/cluster_agent_test.cpp
@@ -435,3 +435,19 @@
     CHECK(wait_until(
         [&] { return host.agent.progress_of_stop().owned == shard_count; }));
 }
+
+// Guards against a rack that a host claims again while others are to take it.
+TEST_CASE("a host that leaves claims nothing", "[scheduler]")
+{
+    fake_store store;
+    agent_fixture host(store);
+    host.wait_for_rack();
+    const std::int64_t token =
+        store.row(std::string(cluster_table), "", "rack/r1").version;
+    host.agent.leave();
+    host.agent.report_newer_token("rack/r1", token);
+    const int before = store.watches();
+    REQUIRE(wait_until([&] { return store.watches() >= before + 4; }));
+    CHECK(store.row(std::string(cluster_table), "", "rack/r1").version ==
+          token);
+}
--- a/tests/scheduler/heartbeat_test.cpp
+++ b/tests/scheduler/heartbeat_test.cpp
@@ -170,3 +170,70 @@
     REQUIRE(wait_for_beat(store, last + 1));
     agent.stop();
 }
+
+// Claims from a host that leaves depend on its last heartbeat. Guards against
+// claims that fail, and leases that it may grant, as long as it lives.
+TEST_CASE("a host that leaves writes no heartbeats once that is confirmed",
+          "[scheduler]")
+{
+    fake_store store;
+    cluster_agent agent(store, make_self(), make_hooks(), {});
+    agent.start();
+    REQUIRE(wait_for_beat(store, 1));
+    const auto wait_for_reads = [&store](int count)
+    {
+        const int before = store.watches();
+        for (int n = 0; n < 2'000 && store.watches() < before + count; ++n)
+        {
+            std::this_thread::sleep_for(milliseconds(10));
+        }
+        REQUIRE(store.watches() >= before + count);
+    };
+    store.set_fault(write_fault::refused);
+    agent.leave();
+    wait_for_reads(3);
+    CHECK_FALSE(agent.progress_of_stop().is_announced);
+    store.set_fault(write_fault::none);
+    wait_for_reads(8);
+    CHECK(agent.progress_of_stop().is_announced);
+    const std::int64_t beat = stored_beat(store);
+    wait_for_reads(8);
+    CHECK(stored_beat(store) == beat);
+}
+
+// The store may carry out an unanswered heartbeat late. Guards against a host
+// that others then take for one that stays.
+TEST_CASE("a host that leaves repeats that after a late heartbeat",
+          "[scheduler]")
+{
+    fake_store store;
+    cluster_agent agent(store, make_self(), make_hooks(), {});
+    agent.start();
+    REQUIRE(wait_for_beat(store, 1));
+    agent.leave();
+    const auto is_stored_as_leaving = [&store]
+    {
+        const table_row row =
+            store.row(std::string(cluster_table), "", "host/h1");
+        return from_json<host_row>(row.value)->is_leaving;
+    };
+    const auto wait_until_leaving = [&]
+    {
+        for (int n = 0; n < 1'000 && !(is_stored_as_leaving() &&
+                                       agent.progress_of_stop().is_announced);
+             ++n)
+        {
+            std::this_thread::sleep_for(milliseconds(10));
+        }
+        return is_stored_as_leaving();
+    };
+    REQUIRE(wait_until_leaving());
+    row_transaction transaction;
+    table_row row;
+    row.table = std::string(cluster_table);
+    row.key = "host/h1";
+    row.value = to_json(make_self());
+    transaction.writes.push_back(row);
+    REQUIRE(store.commit(transaction, milliseconds(100)).ok());
+    CHECK(wait_until_leaving());
+}
