--- a/cmake/packages.cmake
+++ b/cmake/packages.cmake
@@ -72,6 +72,12 @@
 endif()
 egret_package(cluster egret_core)
 egret_package(scheduler egret_rack egret_cluster egret_protocol egret_metrics)
+if(EGRETSPINDLE_TESTS)
+  # A hidden case of the program of the package, which takes half a minute.
+  add_test(NAME scheduler_store_overload COMMAND test_scheduler
+                                                 "[store_overload]")
+  set_tests_properties(scheduler_store_overload PROPERTIES TIMEOUT 300)
+endif()
 
 # Names, formats and calls of the users' platform.
 file(GLOB platform_sources CONFIGURE_DEPENDS ${CMAKE_SOURCE_DIR}/platform/*.cpp)
--- a/tests/scheduler/fake_store.hpp
+++ b/tests/scheduler/fake_store.hpp
@@ -24,6 +24,17 @@
     refused, ///< writes fail with `unavailable` and change nothing
     /// The next commit is carried out, but fails with `deadline_exceeded`.
     answer_lost,
+    overloaded, ///< writes fail with `overloaded` and change nothing
+    /// The next commit is carried out, but fails with `overloaded`, as if the
+    /// HTTP library had sent it twice and the second copy had been refused.
+    overloaded_after_commit,
+};
+
+/// Calls of `fake_store::commit` since `limit_writes`.
+struct write_counts
+{
+    int admitted = 0;
+    int refused = 0; ///< above the limit
 };
 
 /// Rows by table, part and key. Thread-safe; the functions below are called
@@ -54,6 +65,10 @@
         {
             return make_error(error_kind::unavailable, "refused");
         }
+        if (fault_ == write_fault::overloaded || !admit_write())
+        {
+            return make_error(error_kind::overloaded, "overloaded");
+        }
         if (entry_count(transaction) > max_transaction_entries)
         {
             return make_error(error_kind::internal, "too many entries");
@@ -93,6 +108,11 @@
             fault_ = write_fault::none;
             return make_error(error_kind::deadline_exceeded, "lost");
         }
+        if (fault_ == write_fault::overloaded_after_commit)
+        {
+            fault_ = write_fault::none;
+            return make_error(error_kind::overloaded, "overloaded");
+        }
         return result;
     }
 
@@ -181,6 +201,26 @@
         fault_ = fault;
     }
 
+    /// Refuses writes above a rate with `overloaded`, and starts to count
+    /// writes. Calls of a tenth of a second may come at once.
+    ///
+    /// \param calls_per_s  0: no limit
+    void limit_writes(double calls_per_s)
+    {
+        const std::lock_guard<std::mutex> lock(mutex_);
+        writes_per_s_ = calls_per_s;
+        write_credit_ = calls_per_s / 10;
+        credit_at_ = std::chrono::steady_clock::now();
+        write_counts_ = {};
+    }
+
+    /// Returns the writes since the last call of `limit_writes`.
+    write_counts counted_writes()
+    {
+        const std::lock_guard<std::mutex> lock(mutex_);
+        return write_counts_;
+    }
+
     /// Makes reads and watches fail with `unavailable`.
     void set_unreadable(bool is_unreadable)
     {
@@ -237,6 +277,28 @@
 private:
     using row_id = std::tuple<std::string, std::string, std::string>;
 
+    // Returns whether a write is within the limit, and counts it.
+    bool admit_write()
+    {
+        if (writes_per_s_ > 0)
+        {
+            const auto now = std::chrono::steady_clock::now();
+            const std::chrono::duration<double> elapsed = now - credit_at_;
+            credit_at_ = now;
+            write_credit_ =
+                std::min(writes_per_s_ / 10,
+                         write_credit_ + writes_per_s_ * elapsed.count());
+            if (write_credit_ < 1)
+            {
+                ++write_counts_.refused;
+                return false;
+            }
+            write_credit_ -= 1;
+        }
+        ++write_counts_.admitted;
+        return true;
+    }
+
     void remove(const row_id& id)
     {
         const auto it = rows_.find(id);
@@ -282,6 +344,10 @@
     int reads_ = 0;
     int watches_ = 0;
     write_fault fault_ = write_fault::none;
+    double writes_per_s_ = 0; ///< 0: no limit
+    double write_credit_ = 0; ///< writes that may come at once
+    std::chrono::steady_clock::time_point credit_at_;
+    write_counts write_counts_;
     bool is_unreadable_ = false;
     bool last_was_sent_once_ = false;
 };
