Pace and merge writes of job records while the store is overloaded

Cause: three writers of each host take whatever has changed, at most 16 jobs at once, and repeat a refused write with the same few records. So the calls grow with the number of changes, and a store at its limit refuses more of them.

Change: a host adapts the rate of its transactions to the answers of the store, with additive increase and multiplicative decrease (`write_pace`). While the rate is limited, a transaction has as many jobs as it can hold, and the jobs of a refused one go back to the queue, where later changes join them. Without a refusal nothing is delayed. The record of a refused write is kept, since the refusal may be for a second copy that the HTTP library has sent.

New jobs are refused by their own age, whatever other jobs their transaction has. Refusals for overload count as an outage only after 3 s. Batches stay below 1 MB, which the store would refuse for good.

--- a/include/egretspindle/fleet/table_store.hpp
+++ b/include/egretspindle/fleet/table_store.hpp
@@ -43,6 +43,10 @@
 /// platform specifies it and refuses every larger transaction.
 constexpr std::size_t max_transaction_entries = 100;
 
+/// Maximum size of the encoded body of a transaction. The platform specifies
+/// 1 MB and refuses every larger transaction.
+constexpr std::size_t max_transaction_bytes = 1'000'000;
+
 /// Changes that are applied atomically.
 struct row_transaction
 {
--- a/include/egretspindle/scheduler/job_coordinator.hpp
+++ b/include/egretspindle/scheduler/job_coordinator.hpp
@@ -12,6 +12,7 @@
 #include "egretspindle/rack/queued_start.hpp"
 #include "egretspindle/scheduler/load_summary.hpp"
 #include "egretspindle/scheduler/owner_messages.hpp"
+#include "egretspindle/scheduler/write_pace.hpp"
 
 #include <cstdint>
 #include <functional>
@@ -86,6 +87,10 @@
     /// Time for which writes must have failed before new jobs are refused
     /// without an attempt to write them.
     milliseconds outage_after{600};
+    /// The same for writes that were all refused for overload, which a busy
+    /// store does to some writes of every host. Other hosts take over after
+    /// that time (`liveness_limits::heartbeat_timeout`).
+    milliseconds overload_outage_after{3'000};
     /// Time after the last failed write until a new job is written again.
     milliseconds outage_expires_after{1'000};
     /// Time after the takeover of a shard until all writes of its former owner
@@ -96,7 +101,9 @@
     milliseconds max_report_wait{5'000};
     milliseconds resend_period{1'000}; ///< of orders that are not confirmed
     milliseconds retention{180'000};   ///< of records, from the end of the job
-    std::size_t max_batch = 16;        ///< jobs per transaction
+    /// Jobs per transaction. Does not apply while the store is overloaded.
+    std::size_t max_batch = 16;
+    write_pace_limits pace;      ///< of writes while the store is overloaded
     bool may_span_parts = false; ///< store has transactions over several parts
     int writers = 3;             ///< threads that write records
 };
@@ -107,6 +114,9 @@
 /// to another host. Each change of a job is followed by a write of its whole
 /// record. Starts are sent, ends confirmed and states reported only after the
 /// record that contains them is durable.
+///
+/// While the store refuses writes for overload, they are sent at a limited rate
+/// (`write_pace`), and each one has as many jobs as a transaction can hold.
 class job_coordinator
 {
 public:
--- a/include/egretspindle/scheduler/job_metrics.hpp
+++ b/include/egretspindle/scheduler/job_metrics.hpp
@@ -73,7 +73,9 @@
     // Duration in ms of a write of job records, by its result.
     latency_summary& write_committed;
     latency_summary& write_conflict;
+    latency_summary& write_overloaded; ///< refused for overload
     latency_summary& write_failed;
+    gauge& write_interval; ///< in ms, of limited writes; 0: not limited
     gauge& open_jobs;
     gauge& queued_jobs;        ///< open and not started
     gauge& steps_without_rack; ///< due steps not assigned in the last tick
--- a/src/scheduler/job_coordinator.cpp
+++ b/src/scheduler/job_coordinator.cpp
@@ -412,6 +412,8 @@
         metrics.oldest_unstarted[n]->set(static_cast<double>(oldest[n]));
     }
     metrics.steps_without_rack.set(static_cast<double>(steps_without_rack));
+    metrics.write_interval.set(
+        static_cast<double>(call_interval(pace).count()));
     metrics.unwritten_jobs.set(static_cast<double>(write_queue.size()));
     metrics.shards.set(static_cast<double>(shards.size()));
     metrics.loading_shards.set(static_cast<double>(loading));
--- a/src/scheduler/job_coordinator_impl.hpp
+++ b/src/scheduler/job_coordinator_impl.hpp
@@ -16,6 +16,7 @@
 #include <memory>
 #include <mutex>
 #include <optional>
+#include <random>
 #include <string>
 #include <thread>
 #include <vector>
@@ -41,6 +42,23 @@
     std::int64_t fence = 0; ///< version of the fence row written; 0: none
 };
 
+/// Jobs whose records are written together.
+struct record_batch
+{
+    std::vector<entry_ptr> jobs;
+    /// The first conditions and the writes are those of the jobs, in order.
+    row_transaction transaction;
+    std::vector<std::uint64_t> changes; ///< latest of each job in its record
+};
+
+/// Result of one attempt to write records.
+enum class write_outcome
+{
+    decided,    ///< committed, or a condition failed
+    overloaded, ///< refused; may be replaced by another transaction
+    failed,     ///< to be repeated unchanged
+};
+
 /// Returns whether a job has a long-running step.
 [[nodiscard]] bool has_long_running_step(const job& value) noexcept;
 
@@ -55,7 +73,7 @@
 /// `read_shard`, `fetch_job`, `send_orders`, `find_reported_job`,
 /// `apply_report`, `write_loop`, `write_batch`, `try_commit`, `is_obsolete`,
 /// `refuse_new_jobs` and `remove_expired_records`. All others are called with
-/// it held.
+/// it held; `wait_for_turn` releases it while it waits.
 struct job_coordinator::impl
 {
     impl(table_store& rows, job_coordinator_hooks callbacks,
@@ -124,11 +142,18 @@
     // job_coordinator_records.cpp: writes and removal of records
     void mark_changed(const entry_ptr& entry);
     void write_loop();
-    std::vector<entry_ptr> take_batch();
-    void write_batch(const std::vector<entry_ptr>& batch);
-    bool try_commit(const std::vector<entry_ptr>& batch,
-                    const row_transaction& transaction,
-                    const std::vector<std::uint64_t>& changes);
+    bool wait_for_turn(std::unique_lock<std::mutex>& lock);
+    record_batch take_batch();
+    void add_job(const entry_ptr& entry, std::string record,
+                 record_batch& batch) const;
+    void write_batch(const record_batch& batch);
+    void release_batch(const record_batch& batch);
+    write_outcome try_commit(const record_batch& batch);
+    write_outcome apply_failure(const record_batch& batch,
+                                const absl::Status& error, fractional_ms took);
+    double draw_spread();
+    void adapt_pace(const absl::StatusOr<transaction_result>& result,
+                    time_point begun_at);
     void add_fence_conditions(const std::vector<entry_ptr>& batch,
                               row_transaction& transaction) const;
     std::vector<std::string>
@@ -136,9 +161,7 @@
                           const transaction_result& result, bool& is_fenced);
     void add_owner_conditions(const std::vector<entry_ptr>& batch,
                               row_transaction& transaction) const;
-    void apply_conflict(const std::vector<entry_ptr>& batch,
-                        const row_transaction& transaction,
-                        const std::vector<std::uint64_t>& changes,
+    void apply_conflict(const record_batch& batch,
                         const transaction_result& result);
     void apply_commit(const entry_ptr& entry, std::int64_t version,
                       std::uint64_t change);
@@ -151,7 +174,10 @@
                                    std::int64_t retry_after_ms) const;
     [[nodiscard]] bool is_obsolete(const std::vector<entry_ptr>& batch);
     bool refuse_new_jobs(const std::vector<entry_ptr>& batch);
+    [[nodiscard]] bool is_overdue(const job_entry& entry, time_point now) const;
+    void refuse_job(const entry_ptr& entry);
     void remove_job(const entry_ptr& entry);
+    [[nodiscard]] time_point failing_from() const;
     [[nodiscard]] bool is_store_failing(time_point now) const;
 
     void remove_expired_records(time_point now);
@@ -171,9 +197,14 @@
     std::condition_variable load_queue_changed; ///< `load_queue` is not empty
     log_rate_limit late_write_log_limit{milliseconds(200)};
     time_point last_failed_write_at;
-    /// Time since which all writes have failed; time_point{}: none has failed
-    /// since the last success.
+    /// Time since which all writes have failed, without those refused for
+    /// overload; time_point{}: the store has answered the last write.
     time_point failing_since;
+    /// Time since which the store has carried out no write, and has refused
+    /// some for overload; time_point{}: none.
+    time_point overloaded_since;
+    write_pace pace; ///< of transactions with records
+    std::minstd_rand random{std::random_device{}()};
     std::size_t steps_without_rack = 0; ///< since the start of the last tick
     bool is_stopping = false;
 };
--- a/src/scheduler/job_coordinator_records.cpp
+++ b/src/scheduler/job_coordinator_records.cpp
@@ -21,6 +21,28 @@
 constexpr milliseconds max_backoff{800};
 // Age of a change from which its write is logged. Urgent tasks take a second.
 constexpr milliseconds late_write{1'000};
+// Bytes that an entry of a transaction takes beside its value: the names of its
+// fields, its table, its part and its key.
+constexpr std::size_t max_entry_overhead = 300;
+
+// Returns the size of a value in the body of a transaction.
+constexpr std::size_t base64_size(std::size_t bytes)
+{
+    return (bytes + 2) / 3 * 4;
+}
+
+latency_summary& write_summary(const job_metrics& metrics,
+                               const absl::StatusOr<transaction_result>& result)
+{
+    if (result.ok())
+    {
+        return result->is_committed ? metrics.write_committed
+                                    : metrics.write_conflict;
+    }
+    return kind_of(result.status()) == error_kind::overloaded
+               ? metrics.write_overloaded
+               : metrics.write_failed;
+}
 
 // Returns whether a failed commit has certainly changed nothing. Relied on
 // only for new jobs, whose writes are sent once; see
@@ -70,127 +92,198 @@
     }
 }
 
-// Removes the jobs of the next transaction from the write queue: at most
-// `max_batch`, of one shard unless `may_span_parts`.
-std::vector<entry_ptr> job_coordinator::impl::take_batch()
+// Waits until jobs are to be written and the store may be called. Returns false
+// if the coordinator stops.
+bool job_coordinator::impl::wait_for_turn(std::unique_lock<std::mutex>& lock)
 {
-    std::vector<entry_ptr> batch;
+    for (;;)
+    {
+        write_queue_changed.wait(
+            lock, [this] { return is_stopping || !write_queue.empty(); });
+        if (is_stopping || steady_clock::now() >= pace.next_at)
+        {
+            return !is_stopping;
+        }
+        write_queue_changed.wait_until(lock, time_point(pace.next_at),
+                                       [this] { return is_stopping; });
+    }
+}
+
+// Removes the jobs of the next transaction from the write queue and encodes
+// their records: as many as the transaction can hold while the store is
+// overloaded, otherwise at most `max_batch`; of one shard unless
+// `may_span_parts`.
+record_batch job_coordinator::impl::take_batch()
+{
+    record_batch batch;
     std::deque<entry_ptr> skipped;
     std::set<std::string> condition_names;
-    while (!write_queue.empty() && batch.size() < limits.max_batch)
+    const std::size_t max_jobs =
+        is_limited(pace) ? max_transaction_entries / 2 : limits.max_batch;
+    std::size_t bytes = max_transaction_entries * max_entry_overhead;
+    // A transaction has a condition and a write for each job, and a condition
+    // for each shard and each rack.
+    while (!write_queue.empty() && batch.jobs.size() < max_jobs &&
+           2 * (batch.jobs.size() + 1) + condition_names.size() <=
+               max_transaction_entries)
     {
-        entry_ptr entry = std::move(write_queue.front());
-        write_queue.pop_front();
-        const bool is_other_part = !limits.may_span_parts && !batch.empty() &&
-                                   entry->shard != batch.front()->shard;
-        // A transaction has a condition and a write for each job, and a
-        // condition for each shard and each rack.
+        const entry_ptr entry = write_queue.front();
+        const bool is_other_part = !limits.may_span_parts &&
+                                   !batch.jobs.empty() &&
+                                   entry->shard != batch.jobs.front()->shard;
         std::set<std::string> extended_names = condition_names;
         extended_names.insert("shard/" + entry->shard);
         for (const auto& [rack, owner] : entry->required_ownerships)
         {
             extended_names.insert(rack);
         }
-        const bool is_too_large =
-            !batch.empty() && 2 * (batch.size() + 1) + extended_names.size() >
-                                  max_transaction_entries;
-        if (is_other_part || is_too_large)
+        const bool has_too_many_entries =
+            !batch.jobs.empty() &&
+            2 * (batch.jobs.size() + 1) + extended_names.size() >
+                max_transaction_entries;
+        if (is_other_part || has_too_many_entries)
         {
-            skipped.push_back(std::move(entry));
+            skipped.push_back(entry);
+            write_queue.pop_front();
             continue;
         }
+        std::string record = encode_job(entry->value, entry->encoded_spec);
+        bytes += base64_size(record.size());
+        if (!batch.jobs.empty() && bytes > max_transaction_bytes)
+        {
+            break;
+        }
         condition_names = std::move(extended_names);
-        entry->is_in_write_queue = false;
-        entry->is_writing = true;
-        entry->write_begun_at = steady_clock::now();
-        batch.push_back(std::move(entry));
+        write_queue.pop_front();
+        add_job(entry, std::move(record), batch);
     }
     write_queue.insert(write_queue.begin(), skipped.begin(), skipped.end());
     if (!write_queue.empty())
     {
         write_queue_changed.notify_one();
     }
+    add_fence_conditions(batch.jobs, batch.transaction);
+    add_owner_conditions(batch.jobs, batch.transaction);
     return batch;
 }
 
+void job_coordinator::impl::add_job(const entry_ptr& entry, std::string record,
+                                    record_batch& batch) const
+{
+    const std::string& id = entry->value.id;
+    row_transaction& transaction = batch.transaction;
+    transaction.conditions.push_back(
+        {std::string(jobs_table), entry->shard, id, entry->version});
+    table_row row;
+    row.table = std::string(jobs_table);
+    row.part = entry->shard;
+    row.key = id;
+    row.value = std::move(record);
+    transaction.writes.push_back(std::move(row));
+    transaction.spans_parts |=
+        !batch.jobs.empty() && entry->shard != batch.jobs.front()->shard;
+    // The reply for a new job depends on whether it was written, which the
+    // result tells only for a write that is sent once.
+    transaction.is_sent_once |= entry->version == 0;
+    entry->is_in_write_queue = false;
+    entry->is_writing = true;
+    entry->write_begun_at = steady_clock::now();
+    batch.changes.push_back(entry->last_change);
+    batch.jobs.push_back(entry);
+}
+
 void job_coordinator::impl::write_loop()
 {
     std::unique_lock<std::mutex> lock(mutex);
-    for (;;)
+    while (wait_for_turn(lock))
     {
-        write_queue_changed.wait(
-            lock, [this] { return is_stopping || !write_queue.empty(); });
-        if (is_stopping)
-        {
-            return;
-        }
-        const std::vector<entry_ptr> batch = take_batch();
+        const record_batch batch = take_batch();
+        note_call(pace, steady_clock::now(), draw_spread());
         lock.unlock();
         write_batch(batch);
         lock.lock();
-        for (const entry_ptr& entry : batch)
-        {
-            entry->is_writing = false;
-            const bool is_known = find_job(entry->value.id) == entry;
-            if (is_known && entry->durable_change < entry->last_change &&
-                !entry->is_in_write_queue)
-            {
-                entry->is_in_write_queue = true;
-                write_queue.push_back(entry);
-            }
-        }
+        release_batch(batch);
     }
 }
 
-// Writes the records of a batch. Repeats the write, with a jittered exponential
-// delay, until its result is known or the batch is given up.
-void job_coordinator::impl::write_batch(const std::vector<entry_ptr>& batch)
+// Ends the work of a writer on a batch. Jobs with changes that are not durable
+// are queued again: those that were not written before the others, which have
+// changed later, and those that have changed since the write after them.
+void job_coordinator::impl::release_batch(const record_batch& batch)
 {
-    row_transaction transaction;
-    std::vector<std::uint64_t> changes;
+    for (std::size_t n = batch.jobs.size(); n > 0; --n)
     {
-        const std::lock_guard<std::mutex> lock(mutex);
-        for (const entry_ptr& entry : batch)
+        const entry_ptr& entry = batch.jobs[n - 1];
+        entry->is_writing = false;
+        const bool is_known = find_job(entry->value.id) == entry;
+        if (!is_known || entry->durable_change >= entry->last_change ||
+            entry->is_in_write_queue)
+        {
+            continue;
+        }
+        entry->is_in_write_queue = true;
+        if (entry->durable_change < batch.changes[n - 1])
+        {
+            write_queue.push_front(entry);
+        }
+        else
         {
-            const std::string& id = entry->value.id;
-            transaction.conditions.push_back(
-                {std::string(jobs_table), entry->shard, id, entry->version});
-            table_row row;
-            row.table = std::string(jobs_table);
-            row.part = entry->shard;
-            row.key = id;
-            row.value = encode_job(entry->value, entry->encoded_spec);
-            transaction.writes.push_back(std::move(row));
-            changes.push_back(entry->last_change);
-            transaction.spans_parts |= entry->shard != batch.front()->shard;
-            // The reply for a new job depends on whether it was written, which
-            // the result tells only for a write that is sent once.
-            transaction.is_sent_once |= entry->version == 0;
+            write_queue.push_back(entry);
         }
-        add_fence_conditions(batch, transaction);
-        add_owner_conditions(batch, transaction);
     }
-    std::minstd_rand random{std::random_device{}()};
+}
+
+// Writes the records of a batch. Repeats the write, with a jittered exponential
+// delay, until its result is known or the batch is given up. A write that the
+// store refuses for overload is not repeated: its jobs join the next one.
+void job_coordinator::impl::write_batch(const record_batch& batch)
+{
     for (milliseconds pause = min_backoff;;
          pause = std::min(pause * 2, max_backoff))
     {
-        if (try_commit(batch, transaction, changes) || refuse_new_jobs(batch) ||
-            is_obsolete(batch))
+        if (try_commit(batch) != write_outcome::failed ||
+            refuse_new_jobs(batch.jobs) || is_obsolete(batch.jobs))
         {
             return;
         }
+        std::unique_lock<std::mutex> lock(mutex);
         std::uniform_int_distribution<std::int64_t> jitter(pause.count() / 2,
                                                            pause.count());
-        std::unique_lock<std::mutex> lock(mutex);
-        const auto has_stopped = [this]
-        {
-            return is_stopping;
-        };
-        if (write_queue_changed.wait_for(lock, milliseconds(jitter(random)),
-                                         has_stopped))
+        const time_point next_at = std::max(
+            steady_clock::now() + milliseconds(jitter(random)), pace.next_at);
+        if (write_queue_changed.wait_until(lock, next_at,
+                                           [this] { return is_stopping; }))
         {
             return;
         }
+        note_call(pace, steady_clock::now(), draw_spread());
+    }
+}
+
+// Returns a random factor for an interval between calls.
+double job_coordinator::impl::draw_spread()
+{
+    return std::uniform_real_distribution<double>(0.75, 1.25)(random);
+}
+
+// Adapts the rate of writes to an answer of the store.
+void job_coordinator::impl::adapt_pace(
+    const absl::StatusOr<transaction_result>& result, time_point begun_at)
+{
+    const time_point now = steady_clock::now();
+    if (result.ok() && note_success(pace, limits.pace, now))
+    {
+        log_info("writes of job records are no longer limited",
+                 {{"limited_ms", elapsed_ms(pace.limited_at, now)},
+                  {"refused", pace.refused}});
+    }
+    if (!result.ok() && kind_of(result.status()) == error_kind::overloaded &&
+        note_overload(pace, limits.pace, begun_at, now, draw_spread()))
+    {
+        log_warning("writes of job records are limited: store is overloaded",
+                    {{"refused", pace.refused},
+                     {"interval_ms", call_interval(pace).count()},
+                     {"waiting_jobs", write_queue.size()}});
     }
 }
 
@@ -281,64 +374,43 @@
     }
 }
 
-// Commits a transaction once and applies its result. Returns whether the result
-// is known.
-bool job_coordinator::impl::try_commit(
-    const std::vector<entry_ptr>& batch, const row_transaction& transaction,
-    const std::vector<std::uint64_t>& changes)
+// Commits a batch once and applies its result.
+write_outcome job_coordinator::impl::try_commit(const record_batch& batch)
 {
     const time_point sent_at = steady_clock::now();
     const absl::StatusOr<transaction_result> result =
-        store.commit(transaction, limits.commit_timeout);
+        store.commit(batch.transaction, limits.commit_timeout);
     const fractional_ms took = steady_clock::now() - sent_at;
-    (!result.ok()           ? metrics.write_failed
-     : result->is_committed ? metrics.write_committed
-                            : metrics.write_conflict)
-        .observe(took.count());
+    write_summary(metrics, result).observe(took.count());
     std::map<std::string, rack_orders> orders;
     std::vector<std::string> lost;
     {
         const std::lock_guard<std::mutex> lock(mutex);
+        adapt_pace(result, sent_at);
         if (!result.ok())
         {
-            last_failed_write_at = steady_clock::now();
-            if (failing_since == time_point{})
-            {
-                failing_since = steady_clock::now();
-            }
-            const bool has_unanswered_write =
-                !is_certain_failure(result.status());
-            for (const entry_ptr& entry : batch)
-            {
-                entry->has_unanswered_write |= has_unanswered_write;
-            }
-            log_warning("failed to write job records",
-                        {{"first_job", batch.front()->value.id},
-                         {"jobs", batch.size()},
-                         {"uncertain", has_unanswered_write},
-                         {"took_ms", std::llround(took.count())},
-                         {"error", std::string(result.status().message())}});
-            return false;
+            return apply_failure(batch, result.status(), took);
         }
         failing_since = time_point{};
+        overloaded_since = time_point{};
         if (result->is_committed)
         {
-            for (std::size_t n = 0; n < batch.size(); ++n)
+            for (std::size_t n = 0; n < batch.jobs.size(); ++n)
             {
-                apply_commit(batch[n], result->version, changes[n]);
+                apply_commit(batch.jobs[n], result->version, batch.changes[n]);
             }
         }
         else
         {
             bool is_fenced = false;
-            lost = give_up_fenced_shards(transaction, *result, is_fenced);
+            lost = give_up_fenced_shards(batch.transaction, *result, is_fenced);
             if (!is_fenced)
             {
-                apply_conflict(batch, transaction, changes, *result);
+                apply_conflict(batch, *result);
             }
         }
         const time_point now = steady_clock::now();
-        for (const entry_ptr& entry : batch)
+        for (const entry_ptr& entry : batch.jobs)
         {
             if (find_job(entry->value.id) == entry)
             {
@@ -352,7 +424,65 @@
         hooks.on_shard_lost(shard);
     }
     send_orders(orders);
-    return true;
+    return write_outcome::decided;
+}
+
+// Applies a failed attempt. If the store has refused it for overload and no
+// attempt is unanswered, refuses the new jobs that are older than
+// `refuse_after`; the others may be written with later changes.
+write_outcome job_coordinator::impl::apply_failure(const record_batch& batch,
+                                                   const absl::Status& error,
+                                                   fractional_ms took)
+{
+    const time_point now = steady_clock::now();
+    const bool is_overloaded = kind_of(error) == error_kind::overloaded;
+    last_failed_write_at = now;
+    time_point& since = is_overloaded ? overloaded_since : failing_since;
+    if (since == time_point{})
+    {
+        since = now;
+    }
+    if (is_overloaded)
+    {
+        failing_since = time_point{};
+    }
+    bool has_unanswered_write = !is_certain_failure(error);
+    for (const entry_ptr& entry : batch.jobs)
+    {
+        entry->has_unanswered_write |= has_unanswered_write;
+    }
+    if (!is_overloaded)
+    {
+        log_warning("failed to write job records",
+                    {{"first_job", batch.jobs.front()->value.id},
+                     {"jobs", batch.jobs.size()},
+                     {"uncertain", has_unanswered_write},
+                     {"took_ms", std::llround(took.count())},
+                     {"error", std::string(error.message())}});
+        return write_outcome::failed;
+    }
+    has_unanswered_write = std::any_of(batch.jobs.begin(), batch.jobs.end(),
+                                       [](const entry_ptr& entry)
+                                       { return entry->has_unanswered_write; });
+    if (has_unanswered_write)
+    {
+        return write_outcome::failed;
+    }
+    for (std::size_t n = 0; n < batch.jobs.size(); ++n)
+    {
+        const entry_ptr& entry = batch.jobs[n];
+        if (is_overdue(*entry, now))
+        {
+            refuse_job(entry);
+        }
+        else if (!batch.transaction.is_sent_once)
+        {
+            entry->refused_record = batch.transaction.writes[n].value;
+            entry->refused_change = batch.changes[n];
+        }
+    }
+    state_changed.notify_all();
+    return write_outcome::overloaded;
 }
 
 // Logs a write that made a change durable late, which delays the starts and the
@@ -391,6 +521,7 @@
     // Changes that followed are at most as old as the write.
     entry->unwritten_since =
         change == entry->last_change ? time_point{} : entry->write_begun_at;
+    entry->refused_record.clear();
     for (auto it = entry->required_ownerships.begin();
          it != entry->required_ownerships.end();)
     {
@@ -409,14 +540,16 @@
 }
 
 // Applies a write that failed on the version of a job record or a rack owner. A
-// record equal to the one written comes from an earlier attempt without an
-// answer. Any other changed job is replaced by the record in the store.
-void job_coordinator::impl::apply_conflict(
-    const std::vector<entry_ptr>& batch, const row_transaction& transaction,
-    const std::vector<std::uint64_t>& changes, const transaction_result& result)
+// record equal to the one written, or to one whose write was refused, comes
+// from an earlier attempt. Any other changed job is replaced by the record in
+// the store.
+void job_coordinator::impl::apply_conflict(const record_batch& batch,
+                                           const transaction_result& result)
 {
-    for (std::size_t n = 0; n < batch.size(); ++n)
+    const row_transaction& transaction = batch.transaction;
+    for (std::size_t n = 0; n < batch.jobs.size(); ++n)
     {
+        const entry_ptr& entry = batch.jobs[n];
         const table_row& written = transaction.writes[n];
         const auto current = std::find_if(
             result.current.begin(), result.current.end(),
@@ -425,14 +558,21 @@
         const std::int64_t version =
             current == result.current.end() ? 0 : current->version;
         const bool is_expected = version == transaction.conditions[n].version;
-        if (is_expected && !has_outdated_ownership(*batch[n], result))
+        if (is_expected && !has_outdated_ownership(*entry, result))
         {
             continue; // another condition of the transaction failed
         }
         if (!is_expected && current != result.current.end() &&
             current->value == written.value)
         {
-            apply_commit(batch[n], version, changes[n]);
+            apply_commit(entry, version, batch.changes[n]);
+            continue;
+        }
+        if (!is_expected && current != result.current.end() &&
+            !entry->refused_record.empty() &&
+            current->value == entry->refused_record)
+        {
+            apply_commit(entry, version, entry->refused_change);
             continue;
         }
         log_info("job record was changed by another host",
@@ -440,7 +580,7 @@
                   {"expected_version", transaction.conditions[n].version},
                   {"version", version},
                   {"owner_changed", is_expected}});
-        remove_job(batch[n]);
+        remove_job(entry);
         if (current != result.current.end())
         {
             insert_job(*current, written.part);
@@ -479,8 +619,7 @@
          {"shard", shard},
          {"owned_ms",
           it == shards.end() ? 0 : elapsed_ms(it->second.taken_at, now)},
-         {"writes_failing_ms",
-          failing_since == time_point{} ? 0 : elapsed_ms(failing_since, now)},
+         {"writes_failing_ms", elapsed_ms(std::min(failing_from(), now), now)},
          {"retry_after_ms", retry_after_ms}});
     metrics.count_refusal(reason, is_certain);
     return {is_certain ? "refused" : "uncertain", "", retry_after_ms};
@@ -506,26 +645,35 @@
 {
     const std::lock_guard<std::mutex> lock(mutex);
     const time_point now = steady_clock::now();
-    const bool is_refused =
-        std::all_of(batch.begin(), batch.end(),
-                    [&](const entry_ptr& entry)
-                    {
-                        return entry->version == 0 &&
-                               !entry->has_unanswered_write &&
-                               now - entry->created_at >= limits.refuse_after;
-                    });
+    const bool is_refused = std::all_of(batch.begin(), batch.end(),
+                                        [&](const entry_ptr& entry)
+                                        { return is_overdue(*entry, now); });
     if (is_refused)
     {
         for (const entry_ptr& entry : batch)
         {
-            entry->is_refused = true;
-            remove_job(entry);
+            refuse_job(entry);
         }
         state_changed.notify_all();
     }
     return is_refused;
 }
 
+// Returns whether a job is new, certainly not stored and older than
+// `refuse_after`.
+bool job_coordinator::impl::is_overdue(const job_entry& entry,
+                                       time_point now) const
+{
+    return entry.version == 0 && !entry.has_unanswered_write &&
+           now - entry.created_at >= limits.refuse_after;
+}
+
+void job_coordinator::impl::refuse_job(const entry_ptr& entry)
+{
+    entry->is_refused = true;
+    remove_job(entry);
+}
+
 void job_coordinator::impl::remove_job(const entry_ptr& entry)
 {
     const auto it = jobs.find(entry->value.id);
@@ -539,20 +687,40 @@
 // `coordinator_limits::outage_after`.
 bool job_coordinator::impl::is_store_failing(time_point now) const
 {
-    return failing_since != time_point{} &&
-           now - failing_since >= limits.outage_after &&
+    const bool is_down = failing_since != time_point{} &&
+                         now - failing_since >= limits.outage_after;
+    const bool is_refused =
+        overloaded_since != time_point{} &&
+        now - overloaded_since >= limits.overload_outage_after;
+    return (is_down || is_refused) &&
            now - last_failed_write_at < limits.outage_expires_after;
 }
 
+// Returns the time since which no write has succeeded; time_point::max(): the
+// last one has.
+time_point job_coordinator::impl::failing_from() const
+{
+    time_point from = time_point::max();
+    for (const time_point since : {failing_since, overloaded_since})
+    {
+        from = since == time_point{} ? from : std::min(from, since);
+    }
+    return from;
+}
+
 // Removes the records of jobs whose retention has expired: at most
 // `max_removals` of one shard per call.
-void job_coordinator::impl::remove_expired_records(time_point /*now*/)
+void job_coordinator::impl::remove_expired_records(time_point now)
 {
     constexpr std::size_t max_removals = 50;
     row_transaction transaction;
     std::string shard;
     {
         const std::lock_guard<std::mutex> lock(mutex);
+        if (now < pace.next_at)
+        {
+            return;
+        }
         for (const auto& [id, entry] : jobs)
         {
             const bool is_expired =
@@ -569,20 +737,23 @@
                 transaction.conditions.push_back(transaction.removals.back());
             }
         }
+        if (transaction.removals.empty())
+        {
+            return;
+        }
+        note_call(pace, now, draw_spread());
     }
-    if (transaction.removals.empty())
-    {
-        return;
-    }
+    const time_point sent_at = steady_clock::now();
     const absl::StatusOr<transaction_result> result =
         store.commit(transaction, limits.commit_timeout);
+    const std::lock_guard<std::mutex> lock(mutex);
+    adapt_pace(result, sent_at);
     if (!result.ok() || !result->is_committed)
     {
         log_info("failed to remove expired job records",
                  {{"shard", shard}, {"jobs", transaction.removals.size()}});
         return;
     }
-    const std::lock_guard<std::mutex> lock(mutex);
     for (const row_condition& row : transaction.removals)
     {
         jobs.erase(row.key);
--- a/src/scheduler/job_entry.hpp
+++ b/src/scheduler/job_entry.hpp
@@ -58,6 +58,12 @@
     time_point write_begun_at;  ///< when a writer last took the job
     /// A write that got no answer may still take effect.
     bool has_unanswered_write = false;
+    /// Latest record whose write the store has refused for overload, and the
+    /// number of its latest change; empty: none. Unless the write was sent only
+    /// once, it may have taken effect nevertheless; see
+    /// `row_transaction::is_sent_once`.
+    std::string refused_record;
+    std::uint64_t refused_change = 0;
     bool is_refused = false; ///< not stored and never will be
     bool is_in_write_queue = false;
     /// The job was submitted to this host, not read from the store.
--- a/src/scheduler/job_metrics.cpp
+++ b/src/scheduler/job_metrics.cpp
@@ -45,7 +45,11 @@
       unknown(verdict_counter(registry, "unknown", "")),
       write_committed(write_summary(registry, "committed")),
       write_conflict(write_summary(registry, "conflict")),
+      write_overloaded(write_summary(registry, "overloaded")),
       write_failed(write_summary(registry, "failed")),
+      write_interval(registry.get_gauge(
+          "egretspindle_record_write_interval_milliseconds",
+          "Interval of writes that an overloaded store limits; 0: none.")),
       open_jobs(registry.get_gauge("egretspindle_open_jobs",
                                    "Open jobs of the shards of this host.")),
       queued_jobs(registry.get_gauge("egretspindle_queued_jobs",
--- a/tests/scheduler/fake_store.hpp
+++ b/tests/scheduler/fake_store.hpp
@@ -61,6 +61,7 @@
         }
         const std::lock_guard<std::mutex> lock(mutex_);
         last_was_sent_once_ = transaction.is_sent_once;
+        ++commits_;
         if (fault_ == write_fault::refused)
         {
             return make_error(error_kind::unavailable, "refused");
@@ -73,6 +74,10 @@
         {
             return make_error(error_kind::internal, "too many entries");
         }
+        if (value_bytes(transaction) > max_transaction_bytes)
+        {
+            return make_error(error_kind::internal, "too many bytes");
+        }
         transaction_result result;
         result.is_committed = true;
         for (const row_condition& item : transaction.conditions)
@@ -258,6 +263,13 @@
         return watches_;
     }
 
+    /// Returns the number of commits, including those that failed.
+    int commits()
+    {
+        const std::lock_guard<std::mutex> lock(mutex_);
+        return commits_;
+    }
+
     /// Returns `row_transaction::is_sent_once` of the last commit.
     bool last_was_sent_once()
     {
@@ -277,6 +289,17 @@
 private:
     using row_id = std::tuple<std::string, std::string, std::string>;
 
+    // Returns the size of the values of a transaction in base64.
+    static std::size_t value_bytes(const row_transaction& transaction)
+    {
+        std::size_t bytes = 0;
+        for (const table_row& row : transaction.writes)
+        {
+            bytes += (row.value.size() + 2) / 3 * 4;
+        }
+        return bytes;
+    }
+
     // Returns whether a write is within the limit, and counts it.
     bool admit_write()
     {
@@ -343,6 +366,7 @@
     std::size_t page_size_ = 1'000;
     int reads_ = 0;
     int watches_ = 0;
+    int commits_ = 0;
     write_fault fault_ = write_fault::none;
     double writes_per_s_ = 0; ///< 0: no limit
     double write_credit_ = 0; ///< writes that may come at once
--- a/tests/scheduler/job_coordinator_test.cpp
+++ b/tests/scheduler/job_coordinator_test.cpp
@@ -6,12 +6,14 @@
 #include "fake_store.hpp"
 
 #include <catch2/catch.hpp>
+#include <fmt/format.h>
 
 #include <algorithm>
 #include <atomic>
 #include <condition_variable>
 #include <future>
 #include <mutex>
+#include <set>
 #include <thread>
 
 using namespace egretspindle;
@@ -443,6 +445,233 @@
     REQUIRE(job_row(store).version >= before);
 }
 
+// Guards against new jobs that are refused for a store that is down, while it
+// only refuses some writes of every host.
+TEST_CASE("refusals for overload do not count as an outage of the store",
+          "[scheduler]")
+{
+    fake_store store;
+    fake_environment environment;
+    coordinator_limits limits;
+    limits.refuse_after = milliseconds(20'000);
+    limits.former_owner_write_delay = milliseconds(0);
+    limits.outage_after = milliseconds(10);
+    job_coordinator coordinator(store, environment.hooks(), limits);
+    job_request other = make_request();
+    other.id = "fedcba9876543210";
+    coordinator.take_shard(shard_of(job_id));
+    coordinator.take_shard(shard_of(other.id));
+    REQUIRE(coordinator.query(other).verdict == "absent");
+    REQUIRE(coordinator.submit(make_request()).verdict == "accepted");
+    store.set_fault(write_fault::overloaded);
+    job_request cancellation = make_request();
+    cancellation.budget_ms = 200; // well beyond `outage_after`
+    REQUIRE(coordinator.cancel(cancellation).verdict == "unknown");
+    std::future<job_reply> reply = std::async(
+        std::launch::async, [&] { return coordinator.submit(other); });
+    // A job that is refused for an outage is refused at once.
+    CHECK(reply.wait_for(milliseconds(100)) == std::future_status::timeout);
+    store.set_fault(write_fault::none);
+    CHECK(reply.get().verdict == "accepted");
+}
+
+// Some hosts may be refused all calls. Guards against callers that wait for
+// each of their jobs until such a host has lost its shards.
+TEST_CASE("new jobs are refused at once after all writes were refused for "
+          "overload",
+          "[scheduler]")
+{
+    fake_store store;
+    fake_environment environment;
+    coordinator_limits limits;
+    limits.former_owner_write_delay = milliseconds(0);
+    limits.overload_outage_after = milliseconds(10);
+    job_coordinator coordinator(store, environment.hooks(), limits);
+    job_request other = make_request();
+    other.id = "fedcba9876543210";
+    coordinator.take_shard(shard_of(job_id));
+    coordinator.take_shard(shard_of(other.id));
+    REQUIRE(coordinator.query(other).verdict == "absent");
+    REQUIRE(coordinator.submit(make_request()).verdict == "accepted");
+    store.set_fault(write_fault::overloaded);
+    job_request cancellation = make_request();
+    cancellation.budget_ms = 300;
+    REQUIRE(coordinator.cancel(cancellation).verdict == "unknown");
+    const int attempts = store.commits();
+    REQUIRE(coordinator.submit(other).verdict == "refused");
+    CHECK(coordinator.query(other).verdict == "absent");
+    CHECK(store.commits() <= attempts + 1); // at most one of the cancellation
+}
+
+// A transaction that the store refuses for overload has jobs of several ages.
+// Guards against a new job that no caller waits for any more, because an older
+// job is in the same transaction.
+TEST_CASE("a new job is refused in time while an older one waits for the same "
+          "overloaded store",
+          "[scheduler]")
+{
+    fake_store store;
+    fake_environment environment;
+    coordinator_limits limits;
+    limits.may_span_parts = true;
+    limits.writers = 1;
+    limits.refuse_after = milliseconds(50);
+    limits.former_owner_write_delay = milliseconds(0);
+    job_coordinator coordinator(store, environment.hooks(), limits);
+    job_request other = make_request();
+    other.id = "fedcba9876543210";
+    coordinator.take_shard(shard_of(job_id));
+    coordinator.take_shard(shard_of(other.id));
+    REQUIRE(coordinator.query(other).verdict == "absent");
+    REQUIRE(coordinator.submit(make_request()).verdict == "accepted");
+    store.set_fault(write_fault::overloaded);
+    job_request cancellation = make_request();
+    cancellation.budget_ms = 50;
+    REQUIRE(coordinator.cancel(cancellation).verdict == "unknown");
+    REQUIRE(coordinator.submit(other).verdict == "refused");
+    CHECK(store.last_was_sent_once());
+    store.set_fault(write_fault::none);
+    // The older job is still written, the refused one never is.
+    CHECK(coordinator.cancel(make_request()).state == "cancelled");
+    CHECK(store.row(std::string(jobs_table), shard_of(other.id), other.id)
+              .version == 0);
+}
+
+// The HTTP library may send a write twice, and the store may carry out the
+// first copy and refuse the second one. Guards against a job that is forgotten
+// and read again, with the loss of its later changes, because its own write
+// looks like one of another host.
+TEST_CASE("changes after a write that was refused but took effect are kept",
+          "[scheduler]")
+{
+    fake_store store;
+    fake_environment environment;
+    coordinator_limits limits;
+    // The next write begins only after the changes below.
+    limits.pace.first_rate = 1;
+    job_coordinator coordinator(store, environment.hooks(), limits);
+    coordinator.take_shard(shard_of(job_id));
+    REQUIRE(coordinator.submit(make_request()).verdict == "accepted");
+    const std::int64_t version = job_row(store).version;
+    store.set_fault(write_fault::overloaded_after_commit);
+    std::future<report_reply> first = std::async(
+        std::launch::async,
+        [&] { return coordinator.report({{make_report("not_started", 0)}}); });
+    for (int n = 0; n < 20'000 && job_row(store).version == version; ++n)
+    {
+        std::this_thread::sleep_for(milliseconds(1));
+    }
+    REQUIRE(job_row(store).version > version);
+    run_report end = make_report("done", 1);
+    end.run = 2;
+    CHECK(coordinator.report({{end}}).verdicts.front().verdict == "recorded");
+    CHECK(first.get().verdicts.front().verdict == "recorded");
+    CHECK(coordinator.query(make_request()).state == "completed");
+}
+
+// Guards against hosts that write the changes of a busy time in many small
+// transactions to a store that limits their number.
+TEST_CASE("changes that have waited for an overloaded store share one "
+          "transaction",
+          "[scheduler]")
+{
+    constexpr std::size_t job_count = 30; // more than `max_batch`
+    fake_store store;
+    fake_environment environment;
+    coordinator_limits limits;
+    limits.may_span_parts = true;
+    limits.writers = 1;
+    limits.max_report_wait = milliseconds(0);
+    job_coordinator coordinator(store, environment.hooks(), limits);
+    std::vector<run_report> reports;
+    for (std::size_t n = 0; n < job_count; ++n)
+    {
+        job_request request = make_request();
+        request.id = fmt::format("{:016x}", n + 1);
+        coordinator.take_shard(shard_of(request.id));
+        REQUIRE(coordinator.submit(request).verdict == "accepted");
+        run_report report = make_report("not_started", 1);
+        report.task = request.id + ".0.0.0";
+        reports.push_back(report);
+    }
+    store.set_fault(write_fault::overloaded);
+    static_cast<void>(coordinator.report({reports}));
+    // A second change of a job adds no second write.
+    run_report second = reports.front();
+    second.run = 2;
+    static_cast<void>(coordinator.report({{second}}));
+    // The first transaction may have begun before the last change.
+    const int commits = store.commits();
+    for (int n = 0; n < 20'000 && store.commits() < commits + 2; ++n)
+    {
+        std::this_thread::sleep_for(milliseconds(1));
+    }
+    REQUIRE(store.commits() >= commits + 2);
+    store.limit_writes(0); // counts from now on
+    store.set_fault(write_fault::none);
+    const auto restarted_jobs = [&]
+    {
+        const std::lock_guard<std::mutex> lock(environment.mutex);
+        std::set<std::string> steps;
+        for (const rack_orders& orders : environment.sent)
+        {
+            for (const start_batch& batch : orders.starts)
+            {
+                if (batch.runs.front().run > 1)
+                {
+                    steps.insert(batch.terms.step);
+                }
+            }
+        }
+        return steps.size();
+    };
+    for (int n = 0; n < 20'000 && restarted_jobs() < job_count; ++n)
+    {
+        std::this_thread::sleep_for(milliseconds(1));
+    }
+    CHECK(restarted_jobs() == job_count);
+    CHECK(store.counted_writes().admitted == 1);
+}
+
+// Guards against transactions that the store refuses for good because they are
+// larger than 1 MB.
+TEST_CASE("large records are written in several transactions", "[scheduler]")
+{
+    const bool is_overloaded = GENERATE(false, true);
+    CAPTURE(is_overloaded);
+    fake_store store;
+    fake_environment environment;
+    coordinator_limits limits;
+    limits.may_span_parts = true;
+    limits.writers = 1;
+    limits.max_batch = 40;
+    job_coordinator coordinator(store, environment.hooks(), limits);
+    std::vector<job_request> requests;
+    for (int n = 0; n < 40; ++n)
+    {
+        job_request request = make_request();
+        request.id = fmt::format("{:016x}", n + 1);
+        request.spec.text = std::string(40'000, 'x');
+        coordinator.take_shard(shard_of(request.id));
+        REQUIRE(coordinator.query(request).verdict == "absent");
+        requests.push_back(request);
+    }
+    store.set_fault(is_overloaded ? write_fault::overloaded
+                                  : write_fault::refused);
+    std::vector<std::future<job_reply>> replies;
+    for (const job_request& request : requests)
+    {
+        replies.push_back(std::async(std::launch::async, [&]
+                                     { return coordinator.submit(request); }));
+    }
+    std::this_thread::sleep_for(milliseconds(100));
+    store.set_fault(write_fault::none);
+    for (std::future<job_reply>& reply : replies)
+    {
+        CHECK(reply.get().verdict == "accepted");
+    }
+}
+
 // Otherwise long-running tasks take all capacity of an overloaded fleet, and
 // short tasks of the same priority cannot start.
 TEST_CASE(
--- a/tests/scheduler/job_metrics_test.cpp
+++ b/tests/scheduler/job_metrics_test.cpp
@@ -244,3 +244,27 @@
     CHECK(fixture.value(verdict_series("", "unknown")) == 1);
     CHECK(fixture.value(verdict_series("", "accepted")) == 0);
 }
+
+// Guards against a host that delays its writes without showing it.
+TEST_CASE("writes that an overloaded store refuses are counted, and show the "
+          "interval between writes",
+          "[metrics]")
+{
+    job_fixture fixture;
+    REQUIRE(
+        fixture.coordinator->query(job_fixture::make_request(false)).verdict ==
+        "absent"); // the shard is ready
+    const std::string interval =
+        "egretspindle_record_write_interval_milliseconds";
+    fixture.coordinator->tick();
+    CHECK(fixture.value(interval) == 0);
+    fixture.store.set_fault(write_fault::overloaded);
+    REQUIRE(fixture.coordinator->submit(job_fixture::make_request(false, 50))
+                .verdict == "unknown");
+    fixture.coordinator->tick();
+    CHECK(fixture.value(interval) >= 50);
+    CHECK(fixture.value("egretspindle_record_write_milliseconds_count{result="
+                        "\"overloaded\"}") >= 1);
+    CHECK(fixture.value("egretspindle_record_write_milliseconds_count{result="
+                        "\"failed\"}") == 0);
+}
