Pace the writes of intents while the store is overloaded

Cause: the owner of several racks writes the intents of each one every 100 ms while the store refuses calls for overload, the first rack by name always first. Each refused call counts against the limit of all hosts.

Change: the writes of a host's intents have a rate that follows the answers of the store, as those of job records have (`write_pace`). Racks take turns, and intents that arrive meanwhile join the write of their rack.

--- a/include/egretspindle/scheduler/rack_agent.hpp
+++ b/include/egretspindle/scheduler/rack_agent.hpp
@@ -14,6 +14,7 @@
 #include "egretspindle/scheduler/activity.hpp"
 #include "egretspindle/scheduler/intent_rows.hpp"
 #include "egretspindle/scheduler/owner_messages.hpp"
+#include "egretspindle/scheduler/write_pace.hpp"
 
 #include <cstdint>
 #include <functional>
@@ -85,6 +86,7 @@
     milliseconds poll_retry{300}; ///< delay after a failed poll
     /// Delay after a failed read or write of recorded intents.
     milliseconds intent_retry{100};
+    write_pace_limits intent_pace; ///< of their writes to an overloaded store
     /// Time after which confirmations of starts are recorded with their
     /// intents, so that one write serves the starts of a step.
     milliseconds confirmation_delay{1'000};
--- a/src/scheduler/rack_agent_impl.hpp
+++ b/src/scheduler/rack_agent_impl.hpp
@@ -13,6 +13,7 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <random>
 #include <string>
 #include <string_view>
 #include <thread>
@@ -166,6 +167,9 @@
     bool update_intents();
     bool read_inherited_intents(const std::string& name, std::int64_t token);
     bool record_intents(const std::string& name, std::int64_t token);
+    double draw_spread();
+    void adapt_intent_pace(const absl::StatusOr<intent_write>& written,
+                           time_point begun_at);
     /// Reports events to the owners of the jobs. Called without the lock.
     void publish(const std::string& rack, std::int64_t token,
                  const std::vector<run_event>& events);
@@ -185,6 +189,10 @@
     bool is_stopping = false;
     std::condition_variable intents_changed; ///< wakes `intent_thread`
     bool has_intent_work = false;
+    write_pace intent_pace;         ///< of writes of intents
+    bool is_intent_delayed = false; ///< a write waits for `intent_pace`
+    std::string last_intent_rack;   ///< whose intents were written last
+    std::minstd_rand random{std::random_device{}()};
     std::thread intent_thread;
 };
 
--- a/src/scheduler/rack_agent_intents.cpp
+++ b/src/scheduler/rack_agent_intents.cpp
@@ -1,8 +1,10 @@
+#include "egretspindle/core/error.hpp"
 #include "egretspindle/logging/log.hpp"
 #include "egretspindle/rack/start_intents.hpp"
 
 #include "rack_agent_impl.hpp"
 
+#include <algorithm>
 #include <utility>
 
 namespace egretspindle
@@ -34,8 +36,11 @@
         if (!is_done)
         {
             has_intent_work = true;
-            intents_changed.wait_for(lock, limits.intent_retry,
-                                     [this] { return is_stopping; });
+            const time_point next_at =
+                is_intent_delayed ? intent_pace.next_at
+                                  : steady_clock::now() + limits.intent_retry;
+            intents_changed.wait_until(lock, next_at,
+                                       [this] { return is_stopping; });
         }
     }
 }
@@ -63,6 +68,13 @@
                 unrecorded.emplace_back(name, rack.token);
             }
         }
+        // Racks take turns while writes are limited.
+        std::rotate(unrecorded.begin(),
+                    std::find_if(unrecorded.begin(), unrecorded.end(),
+                                 [this](const auto& item)
+                                 { return item.first > last_intent_rack; }),
+                    unrecorded.end());
+        is_intent_delayed = false;
     }
     bool is_done = true;
     for (const auto& [name, token] : unread)
@@ -110,7 +122,38 @@
     return true;
 }
 
+// Returns a random factor for an interval between writes.
+double rack_agent::impl::draw_spread()
+{
+    return std::uniform_real_distribution<double>(0.75, 1.25)(random);
+}
+
+// Adapts the rate of writes of intents to an answer of the store.
+void rack_agent::impl::adapt_intent_pace(
+    const absl::StatusOr<intent_write>& written, time_point begun_at)
+{
+    const time_point now = steady_clock::now();
+    const bool is_overloaded =
+        !written.ok() && kind_of(written.status()) == error_kind::overloaded;
+    is_intent_delayed |= is_overloaded;
+    if (written.ok() && note_success(intent_pace, limits.intent_pace, now))
+    {
+        log_info("writes of intents are no longer limited",
+                 {{"limited_ms", elapsed_ms(intent_pace.limited_at, now)},
+                  {"refused", intent_pace.refused}});
+    }
+    if (is_overloaded && note_overload(intent_pace, limits.intent_pace,
+                                       begun_at, now, draw_spread()))
+    {
+        log_warning("writes of intents are limited: store is overloaded",
+                    {{"refused", intent_pace.refused},
+                     {"interval_ms", call_interval(intent_pace).count()}});
+    }
+}
+
 // Records the intents of a rack and queues the starts that waited for it.
+// While the store is overloaded, it may write only at the rate of
+// `intent_pace`. Returns false if it has to be called again.
 bool rack_agent::impl::record_intents(const std::string& name,
                                       std::int64_t token)
 {
@@ -130,11 +173,20 @@
         {
             return true;
         }
+        const time_point now = steady_clock::now();
+        if (now < intent_pace.next_at)
+        {
+            is_intent_delayed = true;
+            return false;
+        }
+        note_call(intent_pace, now, draw_spread());
+        last_intent_rack = name;
         record.intents = collect_intents(*rack);
         record.version = rack->intents_version;
         record.is_incomplete = !rack->inherited_intents &&
                                !knows_all_runs(*rack, steady_clock::now());
     }
+    const time_point sent_at = steady_clock::now();
     const absl::StatusOr<intent_write> written =
         hooks.write_intents(name, token, record);
     if (!written.ok() || !written->is_committed)
@@ -150,6 +202,7 @@
                            : std::string("the record has changed")}});
     }
     const std::lock_guard<std::mutex> lock(mutex);
+    adapt_intent_pace(written, sent_at);
     rack_state* rack = find_rack(name);
     if (!written.ok() || rack == nullptr || rack->token != token)
     {
--- a/tests/scheduler/rack_agent_test.cpp
+++ b/tests/scheduler/rack_agent_test.cpp
@@ -2,10 +2,12 @@
 #include "egretspindle/scheduler/rack_agent.hpp"
 
 #include <catch2/catch.hpp>
+#include <fmt/format.h>
 
 #include <algorithm>
 #include <condition_variable>
 #include <mutex>
+#include <set>
 #include <thread>
 
 using namespace egretspindle;
@@ -162,6 +164,9 @@
     const bool records_intents;              ///< the hooks for intents are set
     intent_record intents;
     bool intents_are_writable = true;
+    bool has_overloaded_store = false;   ///< refuses writes of intents
+    int refused_intents = 0;             ///< writes of intents
+    std::set<std::string> refused_racks; ///< of these writes
     rack_agent agent;
 
     fixture() : fixture(make_limits()) {}
@@ -260,7 +265,7 @@
                 const std::lock_guard<std::mutex> lock(mutex);
                 return intents;
             };
-            result.write_intents = [this](const std::string&, std::int64_t,
+            result.write_intents = [this](const std::string& rack, std::int64_t,
                                           const intent_record& record)
                 -> absl::StatusOr<intent_write>
             {
@@ -269,6 +274,12 @@
                 {
                     return make_error(error_kind::unavailable, "refused");
                 }
+                if (has_overloaded_store)
+                {
+                    ++refused_intents;
+                    refused_racks.insert(rack);
+                    return make_error(error_kind::overloaded, "overloaded");
+                }
                 intents = record;
                 ++intents.version;
                 return intent_write{true, intents.version, false};
@@ -1165,6 +1176,101 @@
     CHECK(env.intents.intents.at({"job.0.0.0", 1}).target == "t1");
 }
 
+// Guards against owners of several racks that write at full rate to a store
+// that refuses calls of all hosts, and against racks that never get a turn.
+TEST_CASE("racks share a limited rate of writes of intents while the store is "
+          "overloaded",
+          "[scheduler]")
+{
+    fixture env(fixture::make_limits(), true);
+    env.has_overloaded_store = true;
+    std::map<std::string, target_entry> entries;
+    for (int n = 1; n <= 4; ++n)
+    {
+        target_entry entry;
+        entry.id = fmt::format("t{}", n);
+        entry.service = "svc";
+        entry.rack = fmt::format("r{}", n);
+        entry.address = fmt::format("127.0.0.1:{}", n);
+        entry.capacity = {4'000, 4'000, 0};
+        entries[entry.id] = entry;
+    }
+    env.agent.set_targets(entries);
+    for (int n = 1; n <= 4; ++n)
+    {
+        rack_takeover takeover;
+        takeover.confirmed_at = read_clocks();
+        takeover.rack = fmt::format("r{}", n);
+        takeover.token = 7;
+        takeover.roster = {
+            {fmt::format("t{}", n), fmt::format("127.0.0.1:{}", n)}};
+        env.agent.take_rack(takeover);
+        rack_orders orders;
+        orders.rack = takeover.rack;
+        orders.token = 7;
+        start_batch batch;
+        batch.terms.step = fmt::format("job{}.0.0", n);
+        batch.terms.service = "svc";
+        batch.terms.size = {1'000, 100, 0};
+        batch.terms.is_long_running = true;
+        batch.runs.push_back({0, 1, "", false});
+        orders.starts.push_back(batch);
+        REQUIRE(env.agent.execute(orders).is_owner);
+    }
+    const auto refused_intents = [&]
+    {
+        const std::lock_guard<std::mutex> lock(env.mutex);
+        return env.refused_intents;
+    };
+    for (int n = 0; n < 2'000 && refused_intents() == 0; ++n)
+    {
+        env.agent.tick();
+        std::this_thread::sleep_for(milliseconds(10));
+    }
+    REQUIRE(refused_intents() > 0);
+    // Intervals of 50, 100, 200, 400 and 800 ms and a quarter less: at most 6
+    // more writes. Without a limit each rack writes every 100 ms.
+    for (int n = 0; n < 15; ++n)
+    {
+        env.agent.tick();
+        std::this_thread::sleep_for(milliseconds(100));
+    }
+    CHECK(refused_intents() <= 8);
+    const auto refused_racks = [&]
+    {
+        const std::lock_guard<std::mutex> lock(env.mutex);
+        return env.refused_racks.size();
+    };
+    for (int n = 0; n < 2'000 && refused_racks() < 4; ++n)
+    {
+        env.agent.tick();
+        std::this_thread::sleep_for(milliseconds(10));
+    }
+    CHECK(refused_racks() == 4);
+    {
+        const std::lock_guard<std::mutex> lock(env.mutex);
+        env.has_overloaded_store = false;
+    }
+    const auto started = [&]
+    {
+        env.agent.tick();
+        const std::lock_guard<std::mutex> lock(env.targets.mutex);
+        std::set<std::string> tasks;
+        for (const start_order& order : env.targets.starts)
+        {
+            tasks.insert(order.task);
+        }
+        return tasks.size();
+    };
+    std::size_t count = 0;
+    for (int n = 0; n < 2'000 && count < 4; ++n)
+    {
+        count = started();
+        std::this_thread::sleep_for(milliseconds(10));
+    }
+    CHECK(count == 4);
+}
+
 // Guards against a long-running task that is away for 14.7 s, because its start
 // got no answer before its rack was taken over.
 TEST_CASE("a repeated start without an intent does not wait for leases",
