Queue long-running starts where short tasks leave room

Callers saw long-running tasks that had lost their run wait for up to half a minute. They have to be at work again after 6 s.

Load reports showed the processors that are free now. A long-running start that fits nowhere at once was queued in a rack by its load alone, and one that long-running tasks fill kept it until a free piece showed up elsewhere, which short tasks take first.

A load report now has the largest room for long-running tasks of its rack, the processors that no long-running task has reserved on a target. A long-running start without free room goes to the queue of a rack where it fits into that room, and a rack where it does not hands it back to one where it does. Messages of earlier versions lack the figure and decode as before; such a rack counts as able to take the start, but nothing is handed back for its sake. A message has up to 8 bytes more for each rack.

--- a/include/egretspindle/rack/load_message.hpp
+++ b/include/egretspindle/rack/load_message.hpp
@@ -25,6 +25,9 @@
     std::int64_t queued_cpu_milli = 0; ///< thousandths of a core they request
     /// `rack_load_report::waiting`: pairs of image index and number of starts.
     std::vector<std::int64_t> waiting;
+    /// `rack_load_report::eventual_cpu_milli` in tenths of a core, rounded up;
+    /// -1 if it has no value.
+    std::int64_t eventual_tenths = -1;
     std::string prefix;                       ///< common to all target ids
     std::vector<std::string> target_suffixes; ///< target ids without the prefix
     /// One list per target, of the members of its `target_load_report`:
@@ -43,7 +46,8 @@
     std::vector<std::vector<std::int64_t>> encoded_targets;
 };
 
-/// Visits the fields of `encoded_rack_report` for the codec.
+/// Visits the fields of `encoded_rack_report` for the codec. `eventual_tenths`
+/// is not written when negative.
 template <typename Visitor, typename Value>
 void visit_fields(Visitor&& visit, Value& value,
                   const encoded_rack_report* /*tag*/)
@@ -52,6 +56,10 @@
     visit("n", value.queued);
     visit("c", value.queued_cpu_milli);
     visit("w", value.waiting);
+    if (!std::is_const_v<Value> || value.eventual_tenths >= 0)
+    {
+        visit("e", value.eventual_tenths);
+    }
     visit("p", value.prefix);
     visit("t", value.target_suffixes);
     visit("v", value.encoded_targets);
--- a/include/egretspindle/rack/rack_load_report.hpp
+++ b/include/egretspindle/rack/rack_load_report.hpp
@@ -11,6 +11,8 @@
 #include "egretspindle/rack/rack_state.hpp"
 
 #include <cstdint>
+#include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -41,6 +43,11 @@
     /// Number of backfill starts that have been in the queue for more than
     /// 400 ms (`min_waiting_age`), by image.
     std::map<std::string, std::int64_t> waiting;
+    /// Processors of the largest `eventual_capacity` of the targets, in
+    /// thousandths of a core. A long-running task that wants more has to wait
+    /// until another one ends. No value if no target is known, and in reports
+    /// of hosts of earlier versions.
+    std::optional<std::int64_t> eventual_cpu_milli;
     std::vector<target_load_report> targets;
 };
 
--- a/src/rack/fleet_load.cpp
+++ b/src/rack/fleet_load.cpp
@@ -361,6 +361,18 @@
     return matches(entry, terms) && fits(reservation_of(terms), entry.capacity);
 }
 
+bool waits_for_long_running(const step_terms& terms)
+{
+    return terms.is_long_running && !terms.uses_idle_cpu;
+}
+
+// Returns whether a rack may have room for a task once short tasks have ended.
+bool may_take_later(const rack_view& view, const step_terms& terms)
+{
+    return !waits_for_long_running(terms) || !view.room.eventual_cpu_milli ||
+           terms.size.cpu_milli <= *view.room.eventual_cpu_milli;
+}
+
 /// Queue of a rack that has targets which can take a task of the step at all.
 struct queue_option
 {
@@ -370,8 +382,21 @@
     std::int64_t wanted = 0;   ///< by the tasks in its queue and `recent`
     /// Tasks of the step that the rack can still take.
     std::int64_t remaining_of_step = 0;
+    bool may_take_later = true;
 };
 
+// Keeps only the queues that meet a condition, unless none does.
+template <typename Predicate>
+void prefer(std::vector<queue_option>& queues, Predicate predicate)
+{
+    const auto others =
+        std::stable_partition(queues.begin(), queues.end(), predicate);
+    if (others != queues.begin())
+    {
+        queues.erase(others, queues.end());
+    }
+}
+
 // Returns the processors, in thousandths of a core, of the targets that can
 // take a task of the step when they are empty; 0 without a recent report.
 std::int64_t usable_milli(const fleet_load& fleet, const rack_view& view,
@@ -415,22 +440,19 @@
         {
             queues.push_back({rack, capacity,
                               view.room.queued_cpu_milli + wanted[rack],
-                              max_tasks});
+                              max_tasks, may_take_later(view, terms)});
         }
     }
+    prefer(queues,
+           [](const queue_option& item) { return item.may_take_later; });
     // A rack that handed back a task of the step is chosen only if there is no
     // other.
-    const auto others = std::stable_partition(
-        queues.begin(), queues.end(),
-        [&terms](const queue_option& item)
-        {
-            return item.rack != terms.earlier_rack &&
-                   terms.avoided_racks.count(item.rack) == 0;
-        });
-    if (others != queues.begin())
-    {
-        queues.erase(others, queues.end());
-    }
+    prefer(queues,
+           [&terms](const queue_option& item)
+           {
+               return item.rack != terms.earlier_rack &&
+                      terms.avoided_racks.count(item.rack) == 0;
+           });
     return queues;
 }
 
@@ -586,6 +608,28 @@
     }
 }
 
+// Returns whether a long-running task of the step has no room in a rack even
+// without its short tasks, but has in another one.
+bool is_better_placed_elsewhere(const fleet_load& fleet,
+                                const step_terms& terms,
+                                const std::string& rack, time_point now)
+{
+    const auto own = fleet.racks.find(rack);
+    if (own == fleet.racks.end() || may_take_later(own->second, terms))
+    {
+        return false;
+    }
+    return std::any_of(fleet.racks.begin(), fleet.racks.end(),
+                       [&](const auto& item)
+                       {
+                           const rack_view& view = item.second;
+                           return view.room.eventual_cpu_milli.has_value() &&
+                                  may_take_later(view, terms) &&
+                                  usable_milli(fleet, view, terms, now) > 0 &&
+                                  remaining_of_step(view, terms) > 0;
+                       });
+}
+
 } // namespace
 
 bool update_host_boot(fleet_load& fleet, const std::string& host,
@@ -716,7 +760,8 @@
     // alone, the few long-running ones would wait for long.
     const bool counts_as_long_running =
         terms.is_long_running || terms.response_target_ms > 0;
-    return counts_as_long_running && idle >= cpu
+    return (counts_as_long_running && idle >= cpu) ||
+                   is_better_placed_elsewhere(fleet, terms, rack, now)
                ? std::max<std::size_t>(1, places)
                : places;
 }
--- a/src/rack/load_message.cpp
+++ b/src/rack/load_message.cpp
@@ -23,13 +23,14 @@
 // Four decimals suffice: a pair is harmful above a headroom of 0.035 per core.
 constexpr double per_core_scale = 10'000.0;
 constexpr double weight_scale = 10.0;
+constexpr std::int64_t milli_per_tenth = 100;
 // Count of the numbers of a target that precede those of its images.
 constexpr std::size_t fixed_numbers = 8;
 constexpr std::size_t numbers_per_pair = 4;
 // Fixed overhead in bytes: UDP and IP headers, tag and field names of a
 // message; field names of a rack; quotes and comma of a string.
 constexpr std::size_t frame_bytes = 120;
-constexpr std::size_t rack_bytes = 60;
+constexpr std::size_t rack_bytes = 68;
 constexpr std::size_t string_bytes = 3;
 
 std::int64_t round_down(double value, double scale)
@@ -39,6 +40,13 @@
     return static_cast<std::int64_t>(std::floor(value * scale + tolerance));
 }
 
+// Rounded up so that no host takes a rack with just enough room for a full one.
+std::int64_t to_tenths(std::int64_t cpu_milli)
+{
+    return (std::max<std::int64_t>(0, cpu_milli) + milli_per_tenth - 1) /
+           milli_per_tenth;
+}
+
 std::int64_t index_of(std::vector<std::string>& images, const std::string& name)
 {
     const auto it = std::find(images.begin(), images.end(), name);
@@ -131,6 +139,10 @@
         row.waiting.push_back(index_of(images, image));
         row.waiting.push_back(starts);
     }
+    if (report.eventual_cpu_milli)
+    {
+        row.eventual_tenths = to_tenths(*report.eventual_cpu_milli);
+    }
     row.prefix = common_prefix(report.targets);
     for (const target_load_report& target : report.targets)
     {
@@ -147,6 +159,10 @@
     report.rack = row.rack;
     report.queued = row.queued;
     report.queued_cpu_milli = row.queued_cpu_milli;
+    if (row.eventual_tenths >= 0)
+    {
+        report.eventual_cpu_milli = row.eventual_tenths * milli_per_tenth;
+    }
     if (row.target_suffixes.size() != row.encoded_targets.size())
     {
         return std::nullopt;
--- a/src/rack/rack_load_report.cpp
+++ b/src/rack/rack_load_report.cpp
@@ -2,6 +2,7 @@
 
 #include "egretspindle/rack/colocation_cache.hpp"
 
+#include <algorithm>
 #include <utility>
 
 namespace egretspindle
@@ -14,6 +15,20 @@
 // reserved for starts that are placed at once.
 constexpr milliseconds min_waiting_age{400};
 
+std::optional<std::int64_t> largest_eventual_cpu(const rack_state& rack)
+{
+    std::optional<std::int64_t> largest;
+    for (const auto& [id, target] : rack.targets)
+    {
+        if (target.is_reached && target.is_listed && !target.entry.is_draining)
+        {
+            const std::int64_t cpu = target.cached.eventual_room.cpu_milli;
+            largest = std::max(largest.value_or(cpu), cpu);
+        }
+    }
+    return largest;
+}
+
 } // namespace
 
 rack_load_report make_load_report(rack_state& rack,
@@ -33,6 +48,7 @@
         }
     }
     refresh_colocations(rack, model, now);
+    report.eventual_cpu_milli = largest_eventual_cpu(rack);
     for (const auto& [id, target] : rack.targets)
     {
         if (!target.is_reached)
--- a/tests/rack/load_message_test.cpp
+++ b/tests/rack/load_message_test.cpp
@@ -67,6 +67,7 @@
             "dc-1-rack-" + std::to_string(host) + "-" + std::to_string(n);
         reports[n].queued = 12;
         reports[n].queued_cpu_milli = 34'000;
+        reports[n].eventual_cpu_milli = 23'456;
         reports[n].waiting = {{backfill_name(3), 2}, {backfill_name(7), 40}};
     }
     return reports;
