Send orders again at once when their rack has another owner

Cause: a start counted as on its way until all messages of its batch had been answered or had timed out, also after its rack had moved.

Orders that wait for a former owner do not hold a start back any more, and a message ends its delivery when it is answered, not with the last one of its batch. A copy that arrives later is known to the receiver, or has an older token.

--- a/include/egretspindle/scheduler/order_sender.hpp
+++ b/include/egretspindle/scheduler/order_sender.hpp
@@ -17,7 +17,6 @@
 #include <map>
 #include <mutex>
 #include <optional>
-#include <set>
 #include <string>
 #include <vector>
 
@@ -62,9 +61,10 @@
     void post(rack_orders orders);
 
     /// Returns whether orders for a rack still wait, or have been sent and not
-    /// been answered yet.
+    /// been answered yet. Not if the rack has another owner by now: the orders
+    /// may wait for a former owner that does not answer.
     ///
-    /// \param collected_at  `rack_orders::collected_at` of the orders
+    /// \param collected_at  element of `rack_orders::collected_at`
     [[nodiscard]] bool is_in_delivery(const std::string& rack,
                                       time_point collected_at) const;
 
@@ -79,15 +79,17 @@
     void deliver(const std::string& host, std::vector<rack_orders>& items,
                  milliseconds waited);
     void deliver_to_owner(rack_orders& orders);
-    void end_delivery(const std::string& rack, time_point collected_at);
+    void end_delivery(const std::string& rack,
+                      const std::vector<time_point>& collected_at);
     std::optional<rack_orders_reply> call_owner(const owner_location& owner,
                                                 const rack_orders& orders);
 
     order_sender_hooks hooks_;
     host_metrics& metrics_;
     mutable std::mutex mutex_; ///< guards `in_delivery_`
-    /// `rack_orders::collected_at` of the orders in delivery, by rack.
-    std::map<std::string, std::multiset<time_point>> in_delivery_;
+    /// Hosts that orders are being delivered to, by rack and by the elements of
+    /// `rack_orders::collected_at`.
+    std::map<std::string, std::multimap<time_point, std::string>> in_delivery_;
     log_rate_limit no_owner_log_limit_;
     host_outbox<rack_orders> outbox_;
 };
--- a/include/egretspindle/scheduler/owner_messages.hpp
+++ b/include/egretspindle/scheduler/owner_messages.hpp
@@ -78,8 +78,9 @@
     std::int64_t token = 0;
     std::vector<start_batch> starts;
     std::vector<run_ref> stops;
-    /// When the sender collected the orders. Not transferred.
-    time_point collected_at;
+    /// When the sender collected the orders; several times if messages have
+    /// been merged. Not transferred.
+    std::vector<time_point> collected_at;
 };
 
 /// Visits the fields of `rack_orders` for the codec.
--- a/src/scheduler/job_coordinator_runs.cpp
+++ b/src/scheduler/job_coordinator_runs.cpp
@@ -357,7 +357,7 @@
     if (found.rack.empty())
     {
         found.rack = rack;
-        found.collected_at = now;
+        found.collected_at = {now};
         found.token = hooks.rack_token(rack);
     }
     return found;
--- a/src/scheduler/merge_orders.cpp
+++ b/src/scheduler/merge_orders.cpp
@@ -32,6 +32,9 @@
     }
     std::move(added.stops.begin(), added.stops.end(),
               std::back_inserter(orders.stops));
+    orders.collected_at.insert(orders.collected_at.end(),
+                               added.collected_at.begin(),
+                               added.collected_at.end());
 }
 
 } // namespace
--- a/src/scheduler/order_sender.cpp
+++ b/src/scheduler/order_sender.cpp
@@ -6,6 +6,7 @@
 
 #include "late_delivery.hpp"
 
+#include <algorithm>
 #include <utility>
 #include <vector>
 
@@ -61,7 +62,10 @@
     }
     {
         const std::lock_guard<std::mutex> lock(mutex_);
-        in_delivery_[orders.rack].insert(orders.collected_at);
+        for (const time_point collected_at : orders.collected_at)
+        {
+            in_delivery_[orders.rack].emplace(collected_at, owner->host);
+        }
     }
     outbox_.post(owner->host, std::move(orders));
 }
@@ -69,13 +73,21 @@
 bool order_sender::is_in_delivery(const std::string& rack,
                                   time_point collected_at) const
 {
+    const std::optional<owner_location> owner = hooks_.owner_of(rack);
     const std::lock_guard<std::mutex> lock(mutex_);
     const auto it = in_delivery_.find(rack);
-    return it != in_delivery_.end() && it->second.count(collected_at) > 0;
+    if (!owner || it == in_delivery_.end())
+    {
+        return false;
+    }
+    const auto [first, last] = it->second.equal_range(collected_at);
+    return std::any_of(first, last,
+                       [&owner](const auto& item)
+                       { return item.second == owner->host; });
 }
 
 void order_sender::end_delivery(const std::string& rack,
-                                time_point collected_at)
+                                const std::vector<time_point>& collected_at)
 {
     const std::lock_guard<std::mutex> lock(mutex_);
     const auto it = in_delivery_.find(rack);
@@ -83,10 +95,13 @@
     {
         return;
     }
-    const auto item = it->second.find(collected_at);
-    if (item != it->second.end())
+    for (const time_point time : collected_at)
     {
-        it->second.erase(item);
+        const auto item = it->second.find(time);
+        if (item != it->second.end())
+        {
+            it->second.erase(item);
+        }
     }
     if (it->second.empty())
     {
@@ -110,19 +125,10 @@
 {
     log_late_delivery("rack orders were sent late", host, items.size(),
                       first_step_of(items.front()), waited);
-    std::vector<std::pair<std::string, time_point>> delivered;
-    delivered.reserve(items.size());
-    for (const rack_orders& orders : items)
-    {
-        delivered.emplace_back(orders.rack, orders.collected_at);
-    }
     for (rack_orders& orders : merge_orders(std::move(items)))
     {
         deliver_to_owner(orders);
-    }
-    for (const auto& [rack, collected_at] : delivered)
-    {
-        end_delivery(rack, collected_at);
+        end_delivery(orders.rack, orders.collected_at);
     }
 }
 
