Write the releases of racks that nobody claims in time to the store

A host that stopped while nobody claimed its racks, or whose release did not arrive, left the next owner to wait for the longest lease.

0.8 s before its time is over the host gives up the racks that it still owns and writes their releases, and those that were not answered, to rows `release/<rack>`. The agent of the next owner reads them with the owner rows and applies each one once, under the token of the former owner.

--- a/include/egretspindle/cluster/planned_stop.hpp
+++ b/include/egretspindle/cluster/planned_stop.hpp
@@ -21,6 +21,9 @@
     std::size_t owned = 0;
     /// Releases of racks that the next owners have not confirmed.
     std::size_t undelivered = 0;
+    /// The store has the releases that are not delivered, and those of the
+    /// racks that are still owned.
+    bool is_released = false;
     std::size_t calls = 0; ///< of callers, in progress
 };
 
@@ -36,6 +39,9 @@
     /// readiness every second and sends new connections until two probes have
     /// failed.
     milliseconds shortest_service{2'000};
+    /// Part of the time to hand over that is kept for writing releases to the
+    /// store, for racks that nobody has claimed until then.
+    milliseconds release_time{800};
 };
 
 /// Returns the time from the request to stop after which the host ends, even if
@@ -43,10 +49,16 @@
 /// of a grace time that is too short for the margin.
 [[nodiscard]] milliseconds time_to_hand_over(const stop_limits& limits);
 
+/// Returns whether a host that has been told to stop gives up the racks that it
+/// still owns and writes their releases to the store, which it can do only as
+/// long as the time to hand over lasts.
+[[nodiscard]] bool must_release(const stop_progress& progress,
+                                const stop_limits& limits);
+
 /// Returns whether a host that has been told to stop may end: callers have been
 /// sent elsewhere, every resource has been claimed by another host, every
-/// release has been delivered and no call is in progress, or the time for that
-/// is over.
+/// release has been delivered or written to the store and no call is in
+/// progress, or the time for that is over.
 [[nodiscard]] bool may_end(const stop_progress& progress,
                            const stop_limits& limits);
 
--- a/include/egretspindle/rack/rack_handover.hpp
+++ b/include/egretspindle/rack/rack_handover.hpp
@@ -66,6 +66,10 @@
 [[nodiscard]] rack_handover make_handover(const rack_state& rack,
                                           time_point now);
 
+/// Returns a message as it would be `elapsed` later.
+[[nodiscard]] rack_handover age_handover(rack_handover handover,
+                                         milliseconds elapsed);
+
 /// Applies the message of the last earlier owner to the targets of the rack.
 /// Has no effect if another owner sent it.
 void apply_handover(rack_state& rack, const rack_handover& handover,
--- a/include/egretspindle/scheduler/cluster_agent.hpp
+++ b/include/egretspindle/scheduler/cluster_agent.hpp
@@ -8,6 +8,7 @@
 #include "egretspindle/cluster/planned_stop.hpp"
 #include "egretspindle/core/boot_clock.hpp"
 #include "egretspindle/fleet/table_store.hpp"
+#include "egretspindle/rack/rack_handover.hpp"
 
 #include <cstdint>
 #include <functional>
@@ -66,6 +67,9 @@
     std::function<void(const std::string& resource, std::int64_t token,
                        const clock_reading& read_at)>
         verified;
+    /// A former owner has written a release of a rack that this host owns. May
+    /// be empty.
+    std::function<void(const rack_handover& handover)> released;
     /// Returns the number of this host's jobs that have not started, by queue.
     std::function<std::map<std::string, std::int64_t>()> pending;
 };
@@ -102,6 +106,16 @@
     /// lost is counted until its hook `lost` has returned.
     [[nodiscard]] stop_progress progress_of_stop() const;
 
+    /// Returns the racks that this host owns.
+    [[nodiscard]] std::vector<std::string> owned_racks() const;
+
+    /// Writes releases of racks that this host has given up, where the next
+    /// owners read them.
+    ///
+    /// \returns whether the store confirmed the write
+    bool record_releases(const std::vector<rack_handover>& releases,
+                         milliseconds timeout);
+
     /// Starts the next round of reads and claims early, but at least 250 ms
     /// after the start of the last one.
     void refresh();
--- a/include/egretspindle/scheduler/cluster_rows.hpp
+++ b/include/egretspindle/scheduler/cluster_rows.hpp
@@ -7,6 +7,7 @@
 
 #include "egretspindle/cluster/cluster_view.hpp"
 #include "egretspindle/fleet/table_store.hpp"
+#include "egretspindle/rack/rack_handover.hpp"
 
 #include <cstdint>
 #include <map>
@@ -28,21 +29,30 @@
     bool is_valid = false;    ///< a malformed row does not change the owner
 };
 
+/// Release of a rack by a former owner.
+struct release_row
+{
+    rack_handover handover;
+    std::int64_t version = 0; ///< of the row
+};
+
 /// All rows of the table, or those that changed.
 struct cluster_rows
 {
     bool is_whole_table = false; ///< no other rows exist as of `version`
     /// Version of the store from which the next changes have to be read.
     std::int64_t version = 0;
-    std::map<std::string, known_host> hosts;   ///< by name
-    std::map<std::string, owner_row> owners;   ///< by resource
-    std::map<std::string, roster_row> rosters; ///< by rack
+    std::map<std::string, known_host> hosts;     ///< by name
+    std::map<std::string, owner_row> owners;     ///< by resource
+    std::map<std::string, roster_row> rosters;   ///< by rack
+    std::map<std::string, release_row> releases; ///< by rack
     /// Version of the removal, by key. Includes malformed heartbeat rows.
     std::map<std::string, std::int64_t> removed;
 };
 
 /// Decodes rows of the table. If a row is given several times, its newest
-/// version counts. A malformed list of targets is decoded as an empty one.
+/// version counts. A malformed list of targets is decoded as an empty one, and
+/// a malformed release is left out.
 ///
 /// \param version  version of the store: of the first page of a whole read, or
 ///                 of the changes
--- a/include/egretspindle/scheduler/job_scheduler.hpp
+++ b/include/egretspindle/scheduler/job_scheduler.hpp
@@ -64,6 +64,13 @@
     /// the calls of callers are not known here and stay zero.
     [[nodiscard]] stop_progress progress_of_stop() const;
 
+    /// Gives up the racks that this host still owns, and writes their releases
+    /// and those that are not delivered to the store, so that the next owners
+    /// know when the leases end. Called after `leave`.
+    ///
+    /// \param timeout  of the write; it may be repeated
+    void release_racks(milliseconds timeout);
+
     /// Ends all threads and connections. Shards and racks that are still owned
     /// are not handed over.
     void stop();
--- a/include/egretspindle/scheduler/shard.hpp
+++ b/include/egretspindle/scheduler/shard.hpp
@@ -31,6 +31,10 @@
 /// Prefix of the keys of rows that list the targets of a rack.
 constexpr std::string_view roster_prefix = "roster/";
 
+/// Prefix of the keys of releases that a former owner of a rack has written
+/// because it could not tell the next owner, see `rack_handover`.
+constexpr std::string_view release_prefix = "release/";
+
 /// Key of the fence row of a shard. A new owner replaces it before it reads the
 /// jobs, and each write of job records requires its version, so that writes of
 /// former owners fail. Sorts before all job ids.
--- a/src/rack/rack_handover.cpp
+++ b/src/rack/rack_handover.cpp
@@ -21,6 +21,16 @@
     return handover;
 }
 
+rack_handover age_handover(rack_handover handover, milliseconds elapsed)
+{
+    for (handed_over_target& item : handover.targets)
+    {
+        item.remaining_ms =
+            std::max<std::int64_t>(0, item.remaining_ms - elapsed.count());
+    }
+    return handover;
+}
+
 void apply_handover(rack_state& rack, const rack_handover& handover,
                     const lease_limits& limits, time_point now)
 {
--- a/src/scheduler/cluster_agent.cpp
+++ b/src/scheduler/cluster_agent.cpp
@@ -61,6 +61,14 @@
     return text;
 }
 
+/// Release of a rack as last read.
+struct known_release
+{
+    release_row row;
+    time_point read_at; ///< when a read first showed this version
+    bool is_applied = false;
+};
+
 } // namespace
 
 struct cluster_agent::impl
@@ -84,6 +92,9 @@
                                row_transaction& transaction);
     void claim();
     void announce(const clock_reading& confirmed_at);
+    void update_releases(const cluster_rows& rows);
+    std::vector<rack_handover>
+    take_releases(const std::set<std::string>& new_racks);
     void verify(const clock_reading& read_at);
     resource& find_resource(const std::string& name);
     [[nodiscard]] bool is_owned(const resource& item) const;
@@ -109,6 +120,7 @@
     /// Tokens of the owned resources that `hooks.taken` was called for.
     std::map<std::string, std::int64_t> announced;
     std::size_t losing = 0; ///< lost resources whose hook has not returned
+    std::map<std::string, known_release> releases; ///< by rack
     // The next three are used by the thread of `run` only.
     bool has_read_whole = false; ///< the next read may ask for changes only
     /// The same as `read_version`; needs no lock.
@@ -261,6 +273,7 @@
     const std::lock_guard<std::mutex> lock(mutex);
     apply_rows(view, *rows, limits, steady_clock::now());
     read_version = rows->version;
+    update_releases(*rows);
     list_resources();
     if (is_leaving && !is_announced())
     {
@@ -409,6 +422,8 @@
 {
     std::vector<std::tuple<std::string, std::int64_t, former_ownership>> taken;
     std::vector<std::string> lost;
+    std::set<std::string> new_racks;
+    std::vector<rack_handover> released;
     {
         const std::lock_guard<std::mutex> lock(mutex);
         for (const auto& [name, item] : view.resources)
@@ -419,6 +434,10 @@
             {
                 announced[name] = item.version;
                 taken.emplace_back(name, item.version, former_owners[name]);
+                if (starts_with(name, rack_prefix))
+                {
+                    new_racks.insert(name.substr(rack_prefix.size()));
+                }
             }
             else if (!is_owned(item) && it != announced.end())
             {
@@ -427,6 +446,7 @@
                 ++losing;
             }
         }
+        released = take_releases(new_racks);
     }
     for (const std::string& name : lost)
     {
@@ -440,6 +460,45 @@
         hooks.taken(name, token, former, confirmed_at);
         heartbeats.report_progress();
     }
+    for (const rack_handover& handover : released)
+    {
+        if (hooks.released)
+        {
+            hooks.released(handover);
+        }
+    }
+}
+
+// Keeps the releases of a read that are new. Needs the lock.
+void cluster_agent::impl::update_releases(const cluster_rows& rows)
+{
+    for (const auto& [rack, row] : rows.releases)
+    {
+        known_release& known = releases[rack];
+        if (row.version > known.row.version)
+        {
+            known = {row, steady_clock::now()};
+        }
+    }
+}
+
+// Returns the releases that are to be applied to racks of this host: new ones,
+// and those of racks that it has just taken over. Needs the lock.
+std::vector<rack_handover>
+cluster_agent::impl::take_releases(const std::set<std::string>& new_racks)
+{
+    std::vector<rack_handover> result;
+    for (auto& [rack, release] : releases)
+    {
+        const bool is_due = !release.is_applied || new_racks.count(rack) > 0;
+        if (is_due && announced.count(std::string(rack_prefix) + rack) > 0)
+        {
+            release.is_applied = true;
+            result.push_back(
+                age_handover(release.row.handover, elapsed(release.read_at)));
+        }
+    }
+    return result;
 }
 
 // Calls the hook `verified` for all owned resources after a read.
@@ -587,6 +646,48 @@
     return progress;
 }
 
+std::vector<std::string> cluster_agent::owned_racks() const
+{
+    const std::lock_guard<std::mutex> lock(impl_->mutex);
+    std::vector<std::string> racks;
+    for (const auto& [name, token] : impl_->announced)
+    {
+        if (starts_with(name, rack_prefix))
+        {
+            racks.push_back(name.substr(rack_prefix.size()));
+        }
+    }
+    return racks;
+}
+
+bool cluster_agent::record_releases(const std::vector<rack_handover>& releases,
+                                    milliseconds timeout)
+{
+    const time_point end = steady_clock::now() + timeout;
+    for (std::size_t begin = 0; begin < releases.size();
+         begin += max_transaction_entries)
+    {
+        row_transaction transaction;
+        const std::size_t count =
+            std::min(max_transaction_entries, releases.size() - begin);
+        for (std::size_t n = begin; n < begin + count; ++n)
+        {
+            transaction.writes.push_back(
+                make_row(std::string(release_prefix) + releases[n].rack,
+                         to_json(releases[n])));
+        }
+        const milliseconds left(
+            std::max<std::int64_t>(1, elapsed_ms(steady_clock::now(), end)));
+        const absl::StatusOr<transaction_result> result =
+            impl_->store.commit(transaction, left);
+        if (!result.ok() || !result->is_committed)
+        {
+            return false;
+        }
+    }
+    return true;
+}
+
 void cluster_agent::refresh()
 {
     const std::lock_guard<std::mutex> lock(impl_->mutex);
--- a/src/scheduler/cluster_rows.cpp
+++ b/src/scheduler/cluster_rows.cpp
@@ -57,6 +57,16 @@
         roster = from_json<roster_row>(row.value).value_or(roster_row{});
         roster.version = row.version;
     }
+    else if (starts_with(row.key, release_prefix))
+    {
+        const std::string rack = strip_prefix(row.key, release_prefix);
+        absl::StatusOr<rack_handover> handover =
+            from_json<rack_handover>(row.value);
+        if (handover.ok() && handover->rack == rack)
+        {
+            result.releases[rack] = {*std::move(handover), row.version};
+        }
+    }
     else if (is_resource(row.key))
     {
         const absl::StatusOr<resource_owner> owner =
--- a/src/scheduler/job_scheduler.cpp
+++ b/src/scheduler/job_scheduler.cpp
@@ -89,6 +89,13 @@
     int attempts = 0;               ///< attempts with a known owner
 };
 
+/// Release of a rack that this host has given up while it leaves.
+struct kept_release
+{
+    rack_handover handover;
+    time_point given_up_at;
+};
+
 /// Message to the new owner of a rack.
 struct pending_handover
 {
@@ -137,6 +144,8 @@
                   const former_ownership& former,
                   const clock_reading& confirmed_at);
     void on_lost(const std::string& resource);
+    std::optional<rack_handover> give_up_rack(const std::string& rack);
+    void forget_release(const rack_handover& handover);
     [[nodiscard]] time_point
     former_stop_time(const former_ownership& former) const;
     job_coordinator_hooks make_coordinator_hooks();
@@ -183,6 +192,13 @@
     std::atomic<target_list_replica*> target_list{nullptr};
     std::unique_ptr<target_list_replica> target_list_owner;
 
+    mutable std::mutex release_mutex;
+    /// By rack, from `leave` on until they are delivered.
+    std::map<std::string, kept_release> releases;
+    int given_up = 0; ///< racks since `leave`
+    /// The store has the releases of `given_up` racks, except delivered ones.
+    std::optional<int> recorded;
+
     std::mutex pending_mutex;
     /// Numbers of jobs that have not started, by queue.
     std::map<std::string, value_window> pending_windows;
@@ -356,6 +372,10 @@
                               read_at);
         }
     };
+    hooks.released = [this](const rack_handover& handover)
+    {
+        racks.apply_handover(handover);
+    };
     hooks.pending = [this]
     {
         return coordinator.pending();
@@ -424,7 +444,7 @@
         coordinator.drop_shard(name);
         return;
     }
-    const std::optional<rack_handover> handover = racks.drop_rack(name);
+    const std::optional<rack_handover> handover = give_up_rack(name);
     const std::optional<owner_location> owner = agent.owner_of(resource);
     if (handover && owner && !owner->is_self)
     {
@@ -432,6 +452,30 @@
     }
 }
 
+// Drops a rack, and keeps its release if this host leaves.
+std::optional<rack_handover>
+job_scheduler::impl::give_up_rack(const std::string& rack)
+{
+    const std::lock_guard<std::mutex> lock(release_mutex);
+    std::optional<rack_handover> handover = racks.drop_rack(rack);
+    if (handover && is_leaving)
+    {
+        releases[rack] = {*handover, steady_clock::now()};
+        ++given_up;
+    }
+    return handover;
+}
+
+void job_scheduler::impl::forget_release(const rack_handover& handover)
+{
+    const std::lock_guard<std::mutex> lock(release_mutex);
+    const auto it = releases.find(handover.rack);
+    if (it != releases.end() && it->second.handover.token == handover.token)
+    {
+        releases.erase(it);
+    }
+}
+
 // Delivers releases to the present owners of their racks. They are repeated a
 // few times: a new owner may not know of its claim yet.
 void job_scheduler::impl::deliver_handovers(
@@ -451,6 +495,7 @@
                                            orders_timeout);
         if (reply.ok() && reply->is_owner)
         {
+            forget_release(item.handover);
             continue;
         }
         const bool is_last = ++item.attempts >= max_handover_attempts;
@@ -1034,9 +1079,38 @@
     // A resource is counted here until its release is in the outbox.
     stop_progress progress = impl_->agent.progress_of_stop();
     progress.undelivered = impl_->handovers_outbox.size();
+    const std::lock_guard<std::mutex> lock(impl_->release_mutex);
+    progress.is_released = impl_->recorded == impl_->given_up;
     return progress;
 }
 
+void job_scheduler::release_racks(milliseconds timeout)
+{
+    for (const std::string& rack : impl_->agent.owned_racks())
+    {
+        impl_->give_up_rack(rack);
+    }
+    std::vector<rack_handover> releases;
+    int given_up = 0;
+    {
+        const std::lock_guard<std::mutex> lock(impl_->release_mutex);
+        given_up = impl_->given_up;
+        for (const auto& [rack, release] : impl_->releases)
+        {
+            releases.push_back(
+                age_handover(release.handover, elapsed(release.given_up_at)));
+        }
+    }
+    const bool is_recorded = impl_->agent.record_releases(releases, timeout);
+    log_info("releases of racks",
+             {{"count", releases.size()}, {"committed", is_recorded}});
+    if (is_recorded)
+    {
+        const std::lock_guard<std::mutex> lock(impl_->release_mutex);
+        impl_->recorded = given_up;
+    }
+}
+
 void job_scheduler::stop()
 {
     {
--- a/tests/cluster/planned_stop_test.cpp
+++ b/tests/cluster/planned_stop_test.cpp
@@ -45,6 +45,33 @@
     REQUIRE_FALSE(may_end(progress, limits));
 }
 
+// Guards against a rack that nobody claims in time, and whose next owner waits
+// for the longest lease.
+TEST_CASE("a host releases racks in the store shortly before it ends",
+          "[cluster]")
+{
+    stop_progress progress = make_progress(milliseconds(4'200));
+    CHECK_FALSE(must_release(progress, limits));
+    SECTION("a rack is not claimed")
+    {
+        progress.owned = 1;
+    }
+    SECTION("a release is not delivered")
+    {
+        progress.undelivered = 1;
+    }
+    CHECK(must_release(progress, limits));
+    CHECK_FALSE(may_end(progress, limits));
+    progress.elapsed = milliseconds(4'199);
+    CHECK_FALSE(must_release(progress, limits));
+    progress.is_released = true;
+    progress.elapsed = milliseconds(4'300);
+    CHECK_FALSE(must_release(progress, limits));
+    CHECK(may_end(progress, limits));
+    progress.calls = 1;
+    CHECK_FALSE(may_end(progress, limits));
+}
+
 // Guards against new connections that are refused by a host that owns nothing.
 TEST_CASE("a host serves until the load balancer has taken it out", "[cluster]")
 {
--- a/tests/integration/platform_stop_test.cpp
+++ b/tests/integration/platform_stop_test.cpp
@@ -230,6 +230,39 @@
     CHECK(next_owner.has_both());
 }
 
+// Guards against a host that ends without a trace of its leases when nobody has
+// claimed its racks in time.
+TEST_CASE("a host that stops leaves releases of unclaimed racks in the store",
+          "[platform_stop]")
+{
+    stop_fixture fixture;
+    fixture.start_host();
+    fixture.wait_ready();
+    REQUIRE(wait_until(
+        [&] { return fixture.owner_rows("h1").size() == shard_count + 2; }));
+    const steady_clock::time_point told_at = steady_clock::now();
+    fixture.host->signal(SIGTERM);
+    fixture.check_end(told_at);
+    std::map<std::string, rack_handover> releases;
+    for (const table_row& row : fixture.rows())
+    {
+        if (row.key.rfind(release_prefix, 0) == 0)
+        {
+            releases[row.key] = *from_json<rack_handover>(row.value);
+        }
+    }
+    REQUIRE(releases.size() == 2);
+    const std::map<std::string, table_row> owned = fixture.owner_rows("h1");
+    for (const std::string rack : {"r0", "r1"})
+    {
+        const rack_handover& release =
+            releases[std::string(release_prefix) + rack];
+        CHECK(release.token ==
+              owned.at(std::string(rack_prefix) + rack).version);
+        CHECK(release.targets.size() == 1);
+    }
+}
+
 // Guards against a host that waits for claims that it cannot read until it is
 // killed.
 TEST_CASE("a host that stops without the store ends within the grace time",
--- a/tests/rack/rack_handover_test.cpp
+++ b/tests/rack/rack_handover_test.cpp
@@ -134,3 +134,17 @@
     CHECK(target.expires_at >= now + lease_duration(limits));
     CHECK(target.expires_at < now + max_lease_duration(limits));
 }
+
+// Guards against a release that is delivered late and counts from then, or that
+// ends before the leases do.
+TEST_CASE("an older release has less time left", "[rack]")
+{
+    const rack_handover handover{"r1", 4, {{"t1", 700}, {"t2", 100}}};
+    const rack_handover aged = age_handover(handover, milliseconds(200));
+    CHECK(aged.rack == "r1");
+    CHECK(aged.token == 4);
+    REQUIRE(aged.targets.size() == 2);
+    CHECK(aged.targets[0].target == "t1");
+    CHECK(aged.targets[0].remaining_ms == 500);
+    CHECK(aged.targets[1].remaining_ms == 0);
+}
--- a/tests/scheduler/cluster_agent_test.cpp
+++ b/tests/scheduler/cluster_agent_test.cpp
@@ -26,6 +26,7 @@
     std::mutex mutex;
     std::condition_variable changed;
     std::map<std::string, former_ownership> taken;
+    std::vector<rack_handover> released;
     bool is_loss_held = false; ///< the hook `lost` waits
     bool is_losing = false;    ///< the hook `lost` has been called
     cluster_agent agent{store,
@@ -68,6 +69,11 @@
             changed.wait_for(lock, std::chrono::seconds(20),
                              [this] { return !is_loss_held; });
         };
+        result.released = [this](const rack_handover& handover)
+        {
+            const std::lock_guard<std::mutex> lock(mutex);
+            released.push_back(handover);
+        };
         result.verified = [](const std::string&, std::int64_t,
                              const clock_reading&) {
         };
@@ -451,3 +457,42 @@
     CHECK(store.row(std::string(cluster_table), "", "rack/r1").version ==
           token);
 }
+
+// Guards against a release that is lost because the message did not arrive, so
+// that the next owner of the rack waits for the longest lease.
+TEST_CASE("a release in the store reaches the next owner once", "[scheduler]")
+{
+    fake_store store;
+    write_owner(store, {"h9", 1});
+    write_host(store, "h9", 1, true);
+    const std::int64_t token =
+        store.row(std::string(cluster_table), "", "rack/r1").version;
+    cluster_agent writer(store, host_row{"h9", 1, "", "dc", true, 0, {}}, {},
+                         {});
+    const rack_handover release{"r1", token, {{"t1", 700}}};
+    const bool is_claimed_first = GENERATE(true, false);
+    CAPTURE(is_claimed_first);
+    if (!is_claimed_first)
+    {
+        REQUIRE(writer.record_releases({release}, milliseconds(100)));
+    }
+    agent_fixture host(store);
+    REQUIRE(host.wait_for_rack().token == token);
+    if (is_claimed_first)
+    {
+        REQUIRE(writer.record_releases({release}, milliseconds(100)));
+    }
+    const auto count = [&]
+    {
+        const std::lock_guard<std::mutex> lock(host.mutex);
+        return host.released.size();
+    };
+    REQUIRE(wait_until([&] { return count() > 0; }));
+    const int before = store.watches();
+    REQUIRE(wait_until([&] { return store.watches() >= before + 2; }));
+    CHECK(count() == 1);
+    CHECK(host.released.front().rack == "r1");
+    CHECK(host.released.front().token == token);
+    REQUIRE(host.released.front().targets.size() == 1);
+    CHECK(host.released.front().targets.front().remaining_ms <= 700);
+}
