Stop a host that waits for the store at its start

A process waits for the signals only after it has joined the cluster, for which it needs the store. If the store was down meanwhile, SIGTERM had no effect, and the platform killed the process.

--- a/tests/integration/platform_stop_test.cpp
+++ b/tests/integration/platform_stop_test.cpp
@@ -299,3 +299,22 @@
     fixture.host->signal(SIGTERM);
     fixture.check_end(told_at);
 }
+
+// Guards against a host that cannot be stopped while it waits for the store at
+// its start.
+TEST_CASE("a host that has not joined the cluster ends within the grace time",
+          "[platform_stop]")
+{
+    const std::string action = GENERATE("unavailable", "silent");
+    CAPTURE(action);
+    stop_fixture fixture;
+    fixture.set_store_of_host(action);
+    fixture.start_host();
+    REQUIRE(wait_until(
+        [&] {
+            return send_http(fixture.ready, "GET", "/egretspindle/ready").ok();
+        }));
+    const steady_clock::time_point told_at = steady_clock::now();
+    fixture.host->signal(SIGTERM);
+    fixture.check_end(told_at);
+}
