Keep free processors in pieces that short tasks can use

Callers saw urgent short tasks of 11 cores late, because one of about nine found no target, while long-running jobs were still accepted.

The admission of long-running jobs keeps 8% of the processors of a service free for short tasks, but counted what is left over on each target, of which tasks of 11 cores could use nothing.

A host now counts the free processors of each target in multiples of the mean size of the short tasks of the steps that it assigned lately, by service, and at most of the capacity of the target. Without such a step it counts as before, also after a restart.

--- a/include/egretspindle/rack/fleet_load.hpp
+++ b/include/egretspindle/rack/fleet_load.hpp
@@ -48,6 +48,9 @@
     std::map<std::string, rack_view> racks;
     std::map<std::string, target_entry> targets; ///< by id
     std::vector<recent_placement> recent;        ///< by this host
+    /// Mean processors of the short tasks of recent steps, in thousandths of a
+    /// core, by service. Recorded by `choose_racks`.
+    std::map<std::string, double> short_cpu_milli;
     /// Interference between images; a copy made by `copy_merged_model`.
     interference_model interference;
     milliseconds period{250}; ///< of the reports; see `report_period`
@@ -101,14 +104,26 @@
              const std::string& data_rack, time_point now,
              std::minstd_rand& random);
 
+/// Returns how much of the free processors of a target the short tasks of its
+/// service can use: a multiple of the mean size of those that this host has
+/// chosen racks for, or all if it knows none. A mean size above the capacity of
+/// the target counts as that capacity.
+///
+/// \param free_milli  free processors in thousandths of a core
+/// \returns thousandths of a core, not negative
+[[nodiscard]] std::int64_t usable_by_short_tasks(const fleet_load& fleet,
+                                                 const target_entry& target,
+                                                 std::int64_t free_milli);
+
 /// Returns whether a step of long-running tasks may use processors of a
 /// service.
 ///
-/// Keeps 8% of the capacity (`short_task_percent`) free for short tasks.
-/// Otherwise more long-running tasks than the fleet can run would occupy all of
-/// it for minutes, and short tasks of the same priority would find no free
-/// capacity. Returns true if the recent reports cover less than three quarters
-/// of the processors of the service.
+/// Keeps 8% of the capacity (`short_task_percent`) free for short tasks, in
+/// pieces that they can use (`usable_by_short_tasks`). Otherwise more
+/// long-running tasks than the fleet can run would occupy all of it for
+/// minutes, and short tasks of the same priority would find no free capacity.
+/// Returns true if the recent reports cover less than three quarters of the
+/// processors of the service.
 ///
 /// \param cpu_milli  requested by all tasks of the step together, in
 ///                   thousandths of a core
--- a/include/egretspindle/scheduler/load_summary.hpp
+++ b/include/egretspindle/scheduler/load_summary.hpp
@@ -35,6 +35,9 @@
     /// Free capacity by recent reports, less the placements in
     /// `fleet_load::recent`, which no report includes yet.
     std::int64_t free_milli = 0;
+    /// The part of `free_milli` in pieces that short tasks can use; see
+    /// `usable_by_short_tasks`.
+    std::int64_t usable_milli = 0;
     std::int64_t oldest_report_ms = 0; ///< age of the oldest recent report
     /// Racks of the fleet, of any service, whose report is not recent.
     std::size_t old_reports = 0;
--- a/src/rack/fleet_load.cpp
+++ b/src/rack/fleet_load.cpp
@@ -7,6 +7,7 @@
 #include "target_check.hpp"
 
 #include <algorithm>
+#include <cmath>
 #include <set>
 #include <string_view>
 
@@ -23,6 +24,9 @@
 // tasks.
 // Urgent short tasks of users take 5% on average and twice that in bursts.
 constexpr std::int64_t short_task_percent = 8;
+// Weight of the latest step in the mean size of short tasks. A host of a large
+// fleet assigns one such step in several seconds.
+constexpr double short_size_weight = 0.125;
 // All hosts see the same free capacity for a report period, and choose the same
 // rack for a serving image. Each host uses up to this multiple of its even
 // share of that rack, since some have no tasks to place.
@@ -575,6 +579,19 @@
     fleet.recent.push_back(std::move(item));
 }
 
+void record_short_size(fleet_load& fleet, const step_terms& terms)
+{
+    if (terms.is_long_running || terms.uses_idle_cpu ||
+        terms.size.cpu_milli <= 0 || !terms.earlier_rack.empty())
+    {
+        return; // a step that was handed back has been counted before
+    }
+    const auto size = static_cast<double>(terms.size.cpu_milli);
+    const auto [it, is_new] =
+        fleet.short_cpu_milli.try_emplace(terms.service, size);
+    it->second += short_size_weight * (size - it->second);
+}
+
 // Assigns the remaining tasks of a step to queues of racks, within the limit
 // per target. Tasks that no rack can take get an empty name.
 void add_queued(fleet_load& fleet, const step_terms& terms, std::size_t count,
@@ -659,6 +676,7 @@
                                       time_point now, std::minstd_rand& random)
 {
     drop_reported_placements(fleet, now);
+    record_short_size(fleet, terms);
     std::vector<std::string> chosen;
     std::vector<rack_option> options = find_options(fleet, terms, now);
     while (chosen.size() < count && !options.empty())
@@ -694,13 +712,29 @@
     return chosen;
 }
 
+std::int64_t usable_by_short_tasks(const fleet_load& fleet,
+                                   const target_entry& target,
+                                   std::int64_t free_milli)
+{
+    const std::int64_t free = std::max<std::int64_t>(0, free_milli);
+    const auto it = fleet.short_cpu_milli.find(target.service);
+    if (it == fleet.short_cpu_milli.end())
+    {
+        return free;
+    }
+    const std::int64_t size = std::max<std::int64_t>(
+        1, std::min<std::int64_t>(std::llround(it->second),
+                                  target.capacity.cpu_milli));
+    return free / size * size;
+}
+
 bool has_room_for_long_running(const fleet_load& fleet,
                                const std::string& service,
                                std::int64_t cpu_milli, time_point now)
 {
     std::int64_t capacity = 0;
     std::int64_t reported = 0;
-    std::int64_t free = 0;
+    std::int64_t usable = 0;
     for (const auto& [id, entry] : fleet.targets)
     {
         capacity += entry.service == service ? entry.capacity.cpu_milli : 0;
@@ -717,17 +751,18 @@
             if (it != fleet.targets.end() && it->second.service == service)
             {
                 reported += it->second.capacity.cpu_milli;
-                free += std::max<std::int64_t>(0, report.room.cpu_milli);
+                usable += usable_by_short_tasks(fleet, it->second,
+                                                report.room.cpu_milli);
             }
         }
     }
     for (const recent_placement& item : fleet.recent)
     {
-        free -= item.size.cpu_milli;
+        usable -= item.size.cpu_milli;
     }
     const bool is_known = reported * 4 >= capacity * 3;
     return !is_known ||
-           (free - cpu_milli) * 100 >= capacity * short_task_percent;
+           (usable - cpu_milli) * 100 >= capacity * short_task_percent;
 }
 
 std::size_t hand_back_quota(const fleet_load& fleet, const step_terms& terms,
--- a/src/scheduler/load_summary.cpp
+++ b/src/scheduler/load_summary.cpp
@@ -61,6 +61,8 @@
             summary.reported_milli += it->second.capacity.cpu_milli;
             summary.free_milli +=
                 std::max<std::int64_t>(0, target.room.cpu_milli);
+            summary.usable_milli +=
+                usable_by_short_tasks(fleet, it->second, target.room.cpu_milli);
             summary.oldest_report_ms = std::max(
                 summary.oldest_report_ms, elapsed_ms(view.reported_at, now));
         }
@@ -68,6 +70,7 @@
     for (const recent_placement& item : fleet.recent)
     {
         summary.free_milli -= item.size.cpu_milli;
+        summary.usable_milli -= item.size.cpu_milli;
     }
     return summary;
 }
--- a/tests/rack/fleet_load_test.cpp
+++ b/tests/rack/fleet_load_test.cpp
@@ -140,6 +140,63 @@
                                       now + milliseconds(10'000)));
 }
 
+// Guards against free processors counted in pieces that are too small for the
+// short tasks they are kept for.
+TEST_CASE("what is kept free of long-running tasks is of use to short ones",
+          "[rack]")
+{
+    std::minstd_rand random(1);
+    fleet_load fleet = make_fleet(10); // 640 cores, of which 8% are 51.2
+    for (auto& [name, view] : fleet.racks)
+    {
+        for (target_load_report& report : view.room.targets)
+        {
+            report.room.cpu_milli = 10'000;
+        }
+    }
+    REQUIRE(has_room_for_long_running(fleet, "svc", 24'000, now));
+    step_terms terms = make_terms("", false);
+    terms.uses_idle_cpu = false;
+    terms.size.cpu_milli = 11'000;
+    static_cast<void>(choose_racks(fleet, terms, 1, "", now, random));
+    fleet.recent.clear();
+    const target_entry target = fleet.targets.begin()->second;
+    target_entry other = target;
+    other.service = "other";
+    CHECK(usable_by_short_tasks(fleet, target, 10'000) == 0);
+    CHECK(usable_by_short_tasks(fleet, target, 32'000) == 22'000);
+    CHECK(usable_by_short_tasks(fleet, other, 10'000) == 10'000);
+    CHECK_FALSE(has_room_for_long_running(fleet, "svc", 24'000, now));
+    for (target_load_report& report : fleet.racks["r0"].room.targets)
+    {
+        report.room.cpu_milli = 32'000;
+    }
+    CHECK_FALSE(has_room_for_long_running(fleet, "svc", 24'000, now));
+    for (target_load_report& report : fleet.racks["r1"].room.targets)
+    {
+        report.room.cpu_milli = 32'000;
+    }
+    CHECK(has_room_for_long_running(fleet, "svc", 24'000, now));
+    // Backfill and long-running tasks do not count.
+    terms.uses_idle_cpu = true;
+    terms.size.cpu_milli = 1'000;
+    static_cast<void>(choose_racks(fleet, terms, 1, "", now, random));
+    terms.uses_idle_cpu = false;
+    terms.is_long_running = true;
+    static_cast<void>(choose_racks(fleet, terms, 1, "", now, random));
+    CHECK(usable_by_short_tasks(fleet, target, 32'000) == 22'000);
+}
+
+// Guards against a refusal in a free fleet whose short tasks are too large for
+// its targets.
+TEST_CASE("short tasks larger than a target do not keep it free", "[rack]")
+{
+    fleet_load fleet = make_fleet(2);
+    fleet.short_cpu_milli["svc"] = 40'000;
+    CHECK(has_room_for_long_running(fleet, "svc", 100'000, now));
+    CHECK_FALSE(has_room_for_long_running(fleet, "svc", 120'000, now));
+}
+
 // A rack that looks free may have a task of the step on each target already,
 // and then hands further ones back. Without `earlier_rack` it would be chosen
 // again for the image, and a long-running task would move back and forth.
--- a/tests/scheduler/load_summary_test.cpp
+++ b/tests/scheduler/load_summary_test.cpp
@@ -98,4 +98,14 @@
                                     with_all_reports.free_milli - kept, now));
     CHECK_FALSE(has_room_for_long_running(
         fleet, "svc", with_all_reports.free_milli - kept + 1, now));
+    // With short tasks of 0.9 cores 0.9 of 1.5 cores and 1.8 of 2 are usable.
+    fleet.short_cpu_milli["svc"] = 900;
+    const service_load_summary with_short_tasks =
+        summarize_service_load(fleet, "svc", now);
+    CHECK(with_short_tasks.free_milli == 3'000);
+    CHECK(with_short_tasks.usable_milli == 2'200);
+    CHECK(has_room_for_long_running(fleet, "svc",
+                                    with_short_tasks.usable_milli - kept, now));
+    CHECK_FALSE(has_room_for_long_running(
+        fleet, "svc", with_short_tasks.usable_milli - kept + 1, now));
 }
