Wake only those that wait for the jobs of a write

Callers: on hosts that are short of processor time, orders and reports waited for up to half a minute, also single ones and those for the own host, while calls to other hosts were answered.

Cause: each write of job records woke every thread that waited for any job or shard: submissions, queries and reports of ends, 64 or more on a loaded host. Each of them took the lock of all jobs to find that its own job had not changed. That took processor time for each write, and delayed those who needed the lock.

A job now has a condition of its own, which its writes and its removal signal. Waits for shards keep one for all shards.

--- a/src/scheduler/job_coordinator.cpp
+++ b/src/scheduler/job_coordinator.cpp
@@ -46,7 +46,11 @@
     {
         const std::lock_guard<std::mutex> lock(impl_->mutex);
         impl_->is_stopping = true;
-        impl_->state_changed.notify_all();
+        for (const auto& [id, entry] : impl_->jobs)
+        {
+            entry->changed.notify_all();
+        }
+        impl_->shards_changed.notify_all();
         impl_->write_queue_changed.notify_all();
         impl_->load_queue_changed.notify_all();
     }
@@ -77,16 +81,10 @@
 void job_coordinator::drop_shard(const std::string& shard)
 {
     const std::lock_guard<std::mutex> lock(impl_->mutex);
-    if (impl_->shards.erase(shard) == 0)
+    if (impl_->remove_shard(shard))
     {
-        return;
+        log_info("dropped shard", {{"shard", shard}});
     }
-    for (auto it = impl_->jobs.begin(); it != impl_->jobs.end();)
-    {
-        it = it->second->shard == shard ? impl_->jobs.erase(it) : std::next(it);
-    }
-    impl_->state_changed.notify_all();
-    log_info("dropped shard", {{"shard", shard}});
 }
 
 job_reply job_coordinator::submit(const job_request& request)
@@ -137,7 +135,7 @@
         return impl_->is_stopping || !current ||
                !current->visible_state.empty();
     };
-    impl_->state_changed.wait_until(lock, deadline, is_decided);
+    entry->changed.wait_until(lock, deadline, is_decided);
     const entry_ptr current = impl_->find_job(request.id);
     if (current && !current->visible_state.empty())
     {
@@ -178,14 +176,13 @@
     {
         return {is_reachable ? "absent" : "unknown", "", 0};
     }
-    impl_->state_changed.wait_until(lock, deadline,
-                                    [&]
-                                    {
-                                        return impl_->is_stopping ||
-                                               !entry->visible_state.empty() ||
-                                               impl_->find_job(request.id) !=
-                                                   entry;
-                                    });
+    entry->changed.wait_until(lock, deadline,
+                              [&]
+                              {
+                                  return impl_->is_stopping ||
+                                         !entry->visible_state.empty() ||
+                                         impl_->find_job(request.id) != entry;
+                              });
     return {entry->visible_state.empty() ? "unknown" : "known",
             entry->visible_state, 0};
 }
@@ -212,13 +209,13 @@
         impl_->mark_changed(entry);
     }
     const std::uint64_t change = entry->last_change;
-    impl_->state_changed.wait_until(
-        lock, deadline,
-        [&]
-        {
-            return impl_->is_stopping || entry->durable_change >= change ||
-                   impl_->find_job(request.id) != entry;
-        });
+    entry->changed.wait_until(lock, deadline,
+                              [&]
+                              {
+                                  return impl_->is_stopping ||
+                                         entry->durable_change >= change ||
+                                         impl_->find_job(request.id) != entry;
+                              });
     return {entry->durable_change >= change ? "known" : "unknown",
             entry->visible_state, 0};
 }
@@ -243,7 +240,7 @@
             continue;
         }
         const entry_ptr& entry = entries[n];
-        impl_->state_changed.wait_until(
+        entry->changed.wait_until(
             lock, deadline,
             [&]
             {
--- a/src/scheduler/job_coordinator_impl.hpp
+++ b/src/scheduler/job_coordinator_impl.hpp
@@ -90,6 +90,7 @@
                      std::int64_t& version);
     bool read_shard(const std::string& shard, std::vector<table_row>& rows);
     void give_up_shard(const std::string& shard);
+    bool remove_shard(const std::string& shard);
     void insert_job(const table_row& row, const std::string& shard);
     entry_ptr find_job(const std::string& id);
     entry_ptr fetch_job(const std::string& id, bool& is_reachable);
@@ -187,7 +188,7 @@
     coordinator_limits limits;
     job_metrics metrics;
     mutable std::mutex mutex;
-    std::condition_variable state_changed; ///< a job or a shard has changed
+    std::condition_variable shards_changed;      ///< one is loaded or lost
     std::condition_variable write_queue_changed; ///< or the coordinator stops
     std::map<std::string, shard_state> shards; ///< owned by this host, by name
     std::map<std::string, entry_ptr> jobs;     ///< of these shards, by id
--- a/src/scheduler/job_coordinator_records.cpp
+++ b/src/scheduler/job_coordinator_records.cpp
@@ -416,8 +416,8 @@
             {
                 collect_orders(*entry, orders, now);
             }
+            entry->changed.notify_all();
         }
-        state_changed.notify_all();
     }
     for (const std::string& shard : lost)
     {
@@ -481,7 +481,6 @@
             entry->refused_change = batch.changes[n];
         }
     }
-    state_changed.notify_all();
     return write_outcome::overloaded;
 }
 
@@ -654,7 +653,6 @@
         {
             refuse_job(entry);
         }
-        state_changed.notify_all();
     }
     return is_refused;
 }
@@ -681,6 +679,7 @@
     {
         jobs.erase(it);
     }
+    entry->changed.notify_all();
 }
 
 // Returns whether new jobs are refused without a write; see
--- a/src/scheduler/job_coordinator_shards.cpp
+++ b/src/scheduler/job_coordinator_shards.cpp
@@ -177,22 +177,39 @@
         }
     }
     it->second.phase = shard_phase::ready;
-    state_changed.notify_all();
+    shards_changed.notify_all();
     log_info("took over shard", {{"shard", shard}, {"jobs", rows.size()}});
 }
 
 // Removes a shard from memory whose fence another host has replaced.
 void job_coordinator::impl::give_up_shard(const std::string& shard)
+{
+    if (remove_shard(shard))
+    {
+        log_info("gave up shard owned by another host", {{"shard", shard}});
+    }
+}
+
+// Removes a shard and its jobs from memory, and wakes all that wait for them.
+// Returns whether this host had the shard.
+bool job_coordinator::impl::remove_shard(const std::string& shard)
 {
     if (shards.erase(shard) == 0)
     {
-        return;
+        return false;
     }
     for (auto it = jobs.begin(); it != jobs.end();)
     {
-        it = it->second->shard == shard ? jobs.erase(it) : std::next(it);
+        if (it->second->shard != shard)
+        {
+            ++it;
+            continue;
+        }
+        it->second->changed.notify_all();
+        it = jobs.erase(it);
     }
-    log_info("gave up shard owned by another host", {{"shard", shard}});
+    shards_changed.notify_all();
+    return true;
 }
 
 void job_coordinator::impl::load_loop()
@@ -227,7 +244,7 @@
         return is_stopping || it == shards.end() ||
                it->second.phase == shard_phase::ready;
     };
-    state_changed.wait_until(lock, deadline, is_decided);
+    shards_changed.wait_until(lock, deadline, is_decided);
     const auto it = shards.find(shard);
     return it != shards.end() && it->second.phase == shard_phase::ready;
 }
--- a/src/scheduler/job_entry.hpp
+++ b/src/scheduler/job_entry.hpp
@@ -7,6 +7,7 @@
 #include "egretspindle/core/clock.hpp"
 #include "egretspindle/jobs/job_machine.hpp"
 
+#include <condition_variable>
 #include <cstdint>
 #include <map>
 #include <string>
@@ -48,6 +49,7 @@
 struct job_entry
 {
     job value;
+    std::condition_variable changed; ///< durable change, or no longer in memory
     std::string shard;
     std::string encoded_spec;
     std::int64_t version = 0;         ///< of the row; 0: not written yet
--- a/tests/scheduler/job_coordinator_test.cpp
+++ b/tests/scheduler/job_coordinator_test.cpp
@@ -14,6 +14,7 @@
 #include <future>
 #include <mutex>
 #include <set>
+#include <sys/resource.h>
 #include <thread>
 
 using namespace egretspindle;
@@ -1197,3 +1198,72 @@
     coordinator.tick();
     REQUIRE(environment.wait_for_orders(1).back().starts.size() == 1);
 }
+
+// Guards against writes that wake every thread that waits for a job, which
+// takes most of the processor time of a loaded host.
+TEST_CASE("a write wakes only those that wait for its jobs", "[scheduler]")
+{
+    constexpr int waiting = 64;
+    constexpr int writes = 200;
+    const std::string slow_id = "00000000000000ff";
+    fake_store store;
+    fake_environment environment;
+    coordinator_limits limits;
+    limits.writers = 2;
+    limits.max_batch = 1;
+    job_coordinator coordinator(store, environment.hooks(), limits);
+    for (int n = 0; n < shard_count; ++n)
+    {
+        coordinator.take_shard(shard_name(n));
+    }
+    std::atomic<bool> is_blocked{false};
+    std::atomic<int> blocked{0};
+    std::promise<void> unblocked;
+    const std::shared_future<void> unblock = unblocked.get_future().share();
+    store.before_commit = [&]
+    {
+        // Holds the first commit after `is_blocked` was set.
+        if (is_blocked && blocked.fetch_add(1) == 0)
+        {
+            unblock.wait();
+        }
+    };
+    job_request request = make_request();
+    request.id = slow_id;
+    REQUIRE(coordinator.submit(request).verdict == "accepted");
+    environment.wait_for_orders(1);
+    is_blocked = true;
+    run_report report = make_report("failed", 1);
+    report.task = slow_id + ".0.0.0";
+    std::vector<std::future<report_reply>> replies;
+    for (int n = 0; n < waiting; ++n)
+    {
+        replies.push_back(
+            std::async(std::launch::async,
+                       [&] { return coordinator.report({{report}}); }));
+    }
+    while (blocked == 0)
+    {
+        std::this_thread::yield();
+    }
+    const auto switches = []
+    {
+        rusage usage{};
+        getrusage(RUSAGE_SELF, &usage);
+        return usage.ru_nvcsw;
+    };
+    const long before = switches();
+    for (int n = 0; n < writes; ++n)
+    {
+        request.id = fmt::format("{:016x}", 0x1000 + n);
+        REQUIRE(coordinator.submit(request).verdict == "accepted");
+    }
+    const long taken = switches() - before;
+    unblocked.set_value();
+    for (std::future<report_reply>& reply : replies)
+    {
+        CHECK(reply.get().verdicts.front().verdict == "recorded");
+    }
+    INFO("context switches: " << taken);
+    CHECK(taken < writes * waiting / 2);
+}
