--- a/src/scheduler/order_sender.cpp
+++ b/src/scheduler/order_sender.cpp
@@ -22,6 +22,10 @@
 // host may have orders for each rack and resends them every second.
 constexpr milliseconds no_owner_log_period{1'000};
 
+// Time of one delivery from which its parts are logged. A call takes at most
+// 1.5 s.
+constexpr milliseconds slow_delivery{1'000};
+
 std::string first_step_of(const rack_orders& orders)
 {
     return orders.starts.empty() ? std::string()
@@ -138,7 +142,9 @@
 // any more are left out.
 void order_sender::deliver_to_owner(rack_orders& orders)
 {
+    const time_point begun_at = steady_clock::now();
     hooks_.remove_outdated_starts(orders);
+    const time_point checked_at = steady_clock::now();
     if (orders.starts.empty() && orders.stops.empty())
     {
         return;
@@ -152,6 +158,7 @@
     }
     const std::optional<rack_orders_reply> reply =
         owner->is_self ? hooks_.execute(orders) : call_owner(*owner, orders);
+    const time_point answered_at = steady_clock::now();
     if (!reply)
     {
         return;
@@ -169,6 +176,17 @@
         hooks_.mark_undelivered(orders);
     }
     hooks_.confirm(orders, *reply);
+    const time_point ended_at = steady_clock::now();
+    if (ended_at - begun_at >= slow_delivery)
+    {
+        log_info("delivery of rack orders was slow",
+                 {{"rack", orders.rack},
+                  {"host", owner->host},
+                  {"starts", orders.starts.size()},
+                  {"check_ms", elapsed_ms(begun_at, checked_at)},
+                  {"call_ms", elapsed_ms(checked_at, answered_at)},
+                  {"confirm_ms", elapsed_ms(answered_at, ended_at)}});
+    }
 }
 
 // Sends orders to another host. Returns no value if there was no reply.
