--- a/tests/scheduler/job_coordinator_test.cpp
+++ b/tests/scheduler/job_coordinator_test.cpp
@@ -660,6 +660,7 @@
     store.set_fault(is_overloaded ? write_fault::overloaded
                                   : write_fault::refused);
     std::vector<std::future<job_reply>> replies;
+    replies.reserve(requests.size());
     for (const job_request& request : requests)
     {
         replies.push_back(std::async(std::launch::async, [&]
@@ -1236,6 +1237,7 @@
     run_report report = make_report("failed", 1);
     report.task = slow_id + ".0.0.0";
     std::vector<std::future<report_reply>> replies;
+    replies.reserve(waiting);
     for (int n = 0; n < waiting; ++n)
     {
         replies.push_back(
--- a/tests/scheduler/order_sender_test.cpp
+++ b/tests/scheduler/order_sender_test.cpp
@@ -372,9 +372,6 @@
     }
 };
 
-constexpr std::int64_t moving_rack::new_token;
-constexpr milliseconds moving_rack::call_timeout;
-
 } // namespace
 
 // Guards against a start that is held for a rack's new owner because the
