--- a/tests/scheduler/job_coordinator_test.cpp
+++ b/tests/scheduler/job_coordinator_test.cpp
@@ -1213,9 +1213,22 @@
     limits.writers = 2;
     limits.max_batch = 1;
     job_coordinator coordinator(store, environment.hooks(), limits);
-    for (int n = 0; n < shard_count; ++n)
+    job_request request = make_request();
+    std::vector<std::string> ids{slow_id};
+    ids.reserve(writes + 1);
+    for (int n = 0; n < writes; ++n)
+    {
+        ids.push_back(fmt::format("{:016x}", 0x1000 + n));
+    }
+    for (const std::string& id : ids)
+    {
+        coordinator.take_shard(shard_of(id));
+    }
+    for (const std::string& id : ids)
     {
-        coordinator.take_shard(shard_name(n));
+        // Waits until the shard is loaded, since the load writes, too.
+        request.id = id;
+        REQUIRE(coordinator.query(request).verdict == "absent");
     }
     std::atomic<bool> is_blocked{false};
     std::atomic<int> blocked{0};
@@ -1229,7 +1242,6 @@
             unblock.wait();
         }
     };
-    job_request request = make_request();
     request.id = slow_id;
     REQUIRE(coordinator.submit(request).verdict == "accepted");
     environment.wait_for_orders(1);
@@ -1255,10 +1267,10 @@
         return usage.ru_nvcsw;
     };
     const long before = switches();
-    for (int n = 0; n < writes; ++n)
+    for (int n = 1; n <= writes; ++n)
     {
-        request.id = fmt::format("{:016x}", 0x1000 + n);
-        REQUIRE(coordinator.submit(request).verdict == "accepted");
+        request.id = ids[static_cast<std::size_t>(n)];
+        CHECK(coordinator.submit(request).verdict == "accepted");
     }
     const long taken = switches() - before;
     unblocked.set_value();
