Count and log the transactions of the store by kind and parts

The platform's store carries out the transactions of one part one after another. Logs and metrics could not tell whether a slow write waited for the empty part, which all hosts share, for the part of its shard or for the store as a whole: only writes of job records were measured, whatever their parts.

Each transaction now has a kind. A host counts its transactions by kind and result and measures their duration by the parts they use; one that takes 250 ms or more is logged, at most 5 lines a second.

--- a/include/egretspindle/fleet/table_store.hpp
+++ b/include/egretspindle/fleet/table_store.hpp
@@ -47,9 +47,24 @@
 /// 1 MB and refuses every larger transaction.
 constexpr std::size_t max_transaction_bytes = 1'000'000;
 
+/// Purpose of a transaction, for logs and metrics.
+enum class transaction_kind
+{
+    other,
+    heartbeat,
+    claim,   ///< claims of racks and shards
+    fence,   ///< of a shard that was taken over
+    records, ///< writes of job records
+    expiry,  ///< removals of job records
+    intents, ///< intents of a rack
+    roster,  ///< list of the targets of a rack
+    release, ///< of the racks of a host that leaves
+};
+
 /// Changes that are applied atomically.
 struct row_transaction
 {
+    transaction_kind kind = transaction_kind::other;
     std::vector<row_condition> conditions;
     std::vector<table_row> writes;
     std::vector<row_condition> removals; ///< versions are not checked
--- a/src/scheduler/cluster_agent.cpp
+++ b/src/scheduler/cluster_agent.cpp
@@ -352,6 +352,7 @@
 void cluster_agent::impl::claim()
 {
     row_transaction transaction;
+    transaction.kind = transaction_kind::claim;
     std::vector<std::string> names;
     std::vector<former_ownership> former;
     std::set<std::string> stopped_hosts; // whose heartbeats are conditions
@@ -668,6 +669,7 @@
          begin += max_transaction_entries)
     {
         row_transaction transaction;
+        transaction.kind = transaction_kind::release;
         const std::size_t count =
             std::min(max_transaction_entries, releases.size() - begin);
         for (std::size_t n = begin; n < begin + count; ++n)
@@ -711,6 +713,7 @@
 {
     const std::string key = std::string(roster_prefix) + rack;
     row_transaction transaction;
+    transaction.kind = transaction_kind::roster;
     roster_row roster;
     roster.targets = targets;
     {
--- a/src/scheduler/heartbeat.cpp
+++ b/src/scheduler/heartbeat.cpp
@@ -89,6 +89,7 @@
         row.value = to_json(self);
     }
     row_transaction transaction;
+    transaction.kind = transaction_kind::heartbeat;
     transaction.writes.push_back(std::move(row));
     const boot_time_point begun_at = boot_clock::now();
     const absl::StatusOr<transaction_result> result =
--- a/src/scheduler/intent_rows.cpp
+++ b/src/scheduler/intent_rows.cpp
@@ -112,6 +112,7 @@
     row.value = encode(record);
     const std::string owner = std::string(rack_prefix) + rack;
     row_transaction transaction;
+    transaction.kind = transaction_kind::intents;
     transaction.conditions.push_back({row.table, "", rack, record.version});
     transaction.conditions.push_back(
         {std::string(cluster_table), "", owner, token});
--- a/src/scheduler/job_coordinator_records.cpp
+++ b/src/scheduler/job_coordinator_records.cpp
@@ -116,6 +116,7 @@
 record_batch job_coordinator::impl::take_batch()
 {
     record_batch batch;
+    batch.transaction.kind = transaction_kind::records;
     std::deque<entry_ptr> skipped;
     std::set<std::string> condition_names;
     const std::size_t max_jobs =
@@ -713,6 +714,7 @@
 {
     constexpr std::size_t max_removals = 50;
     row_transaction transaction;
+    transaction.kind = transaction_kind::expiry;
     std::string shard;
     {
         const std::lock_guard<std::mutex> lock(mutex);
--- a/src/scheduler/job_coordinator_shards.cpp
+++ b/src/scheduler/job_coordinator_shards.cpp
@@ -35,6 +35,7 @@
     const bool has_fence_row =
         !page->rows.empty() && page->rows.front().key == shard_fence_key;
     row_transaction transaction;
+    transaction.kind = transaction_kind::fence;
     table_row row;
     row.table = range.table;
     row.part = shard;
--- a/src/scheduler/job_scheduler.cpp
+++ b/src/scheduler/job_scheduler.cpp
@@ -13,6 +13,7 @@
 #include "egretspindle/scheduler/host_metrics.hpp"
 #include "egretspindle/scheduler/host_outbox.hpp"
 #include "egretspindle/scheduler/load_exchange.hpp"
+#include "egretspindle/scheduler/metered_store.hpp"
 #include "egretspindle/scheduler/order_sender.hpp"
 #include "egretspindle/scheduler/shard.hpp"
 #include "egretspindle/scheduler/target_list_replica.hpp"
@@ -152,13 +153,13 @@
     rack_agent_hooks make_rack_hooks();
     cluster_hooks make_cluster_hooks();
 
-    table_store& store;
     scheduler_options options;
     time_point started_at = steady_clock::now();
     std::int64_t boot = unix_ms(); ///< start time; identifies this process
     std::shared_ptr<metric_registry> registry =
         std::make_shared<metric_registry>();
     host_metrics metrics{*registry};
+    metered_store store;
 
     mutable std::mutex config_mutex;
     std::shared_ptr<const fleet_config> config =
@@ -211,11 +212,11 @@
 
 job_scheduler::impl::impl(table_store& rows, target_port& port,
                           scheduler_options settings)
-    : store(rows), options(std::move(settings)),
-      coordinator(rows, make_coordinator_hooks(), options.coordinator),
+    : options(std::move(settings)), store(rows, *registry),
+      coordinator(store, make_coordinator_hooks(), options.coordinator),
       racks(port, make_rack_hooks(), options.racks),
       agent(
-          rows,
+          store,
           host_row{options.host,
                    boot,
                    to_string(endpoint{options.peer_address, options.peer_port}),
