Test hosts and job records while transactions wait in the store

A part of the store carries out 300 transactions a second, one after the other, and refuses further ones once those that wait take more than 1 s. Heartbeats (800 ms), claims (800 ms), and writes of job records and intents (700 ms) give up before that. They are carried out all the same and repeated, so that the queue stays between 0.7 and 1 s: a queue that is not full limits no rate. Heartbeats that are not confirmed end the right to grant leases after 4 s on all hosts at once, and while reads succeed it is not extended as in an outage.

The three cases fail. Listed in KNOWN-RED.txt.

--- a/cmake/packages.cmake
+++ b/cmake/packages.cmake
@@ -81,6 +81,8 @@
   add_test(NAME scheduler_store_overload COMMAND test_scheduler
                                                  "[store_overload]")
   set_tests_properties(scheduler_store_overload PROPERTIES TIMEOUT 300)
+  # Hidden cases of the program of the package; see KNOWN-RED.txt.
+  add_test(NAME scheduler_store_queue COMMAND test_scheduler "[store_queue]")
 endif()
 
 # Names, formats and calls of the users' platform.
