Wait for transactions as long as the store queues them

Cause: a part of the store carries out its transactions one after the other and refuses further ones once those that wait take over 1 s. Heartbeats and claims gave up after 800 ms, job records and intents after 700 ms. Such a transaction is carried out all the same, is repeated, and so keeps the queue between 0.7 and 1 s without a refusal, which would limit the rate. No heartbeat is confirmed then, so that all hosts lose the right to grant leases at once.

--- a/include/egretspindle/scheduler/job_coordinator.hpp
+++ b/include/egretspindle/scheduler/job_coordinator.hpp
@@ -80,8 +80,8 @@
 /// Limits and periods of the coordinator.
 struct coordinator_limits
 {
-    /// Timeout of a write and of most reads; a slow store takes 360 ms.
-    milliseconds commit_timeout{700};
+    /// Timeout of a write and of most reads.
+    milliseconds commit_timeout = transaction_timeout;
     /// Age from which a new job that is certainly not stored is refused.
     milliseconds refuse_after{700};
     /// Time for which writes must have failed before new jobs are refused
--- a/src/scheduler/cluster_agent.cpp
+++ b/src/scheduler/cluster_agent.cpp
@@ -29,7 +29,7 @@
 constexpr std::string_view key_name = "key";
 // From the start of a round of reads and claims to the start of the next one.
 constexpr milliseconds period{1'000};
-constexpr milliseconds call_timeout{800}; // of a read or a transaction
+constexpr milliseconds read_timeout{800};
 // After a failed attempt to read or create the shared secret.
 constexpr milliseconds key_retry{200};
 // A host that has not read the store for this long is not ready for callers.
@@ -208,7 +208,7 @@
     range.table = std::string(cluster_table);
     for (;;)
     {
-        absl::StatusOr<table_page> page = store.read(range, call_timeout);
+        absl::StatusOr<table_page> page = store.read(range, read_timeout);
         if (!page.ok())
         {
             return page.status();
@@ -391,7 +391,7 @@
         return;
     }
     const absl::StatusOr<transaction_result> result =
-        store.commit(transaction, call_timeout);
+        store.commit(transaction, transaction_timeout);
     const std::lock_guard<std::mutex> lock(mutex);
     const bool is_committed = result.ok() && result->is_committed;
     log_info("claims", {{"count", names.size()},
@@ -575,7 +575,7 @@
     for (;;)
     {
         const absl::StatusOr<table_page> page =
-            impl_->store.read(range, call_timeout);
+            impl_->store.read(range, read_timeout);
         if (page.ok() && !page->rows.empty() &&
             page->rows.front().key == key_name)
         {
@@ -589,7 +589,7 @@
             transaction.writes.push_back(
                 make_row(std::string(key_name), random_key()));
             const absl::StatusOr<transaction_result> result =
-                impl_->store.commit(transaction, call_timeout);
+                impl_->store.commit(transaction, transaction_timeout);
             if (result.ok())
             {
                 continue; // read the key that is stored now
@@ -725,7 +725,7 @@
                                       std::string(rack_prefix) + rack, token});
     transaction.writes.push_back(make_row(key, to_json(roster)));
     const absl::StatusOr<transaction_result> result =
-        impl_->store.commit(transaction, call_timeout);
+        impl_->store.commit(transaction, transaction_timeout);
     if (!result.ok() || !result->is_committed)
     {
         log_info(
--- a/src/scheduler/heartbeat.cpp
+++ b/src/scheduler/heartbeat.cpp
@@ -16,10 +16,9 @@
 {
 
 // Other hosts take over after 3 s without a change of the row
-// (`liveness_limits::heartbeat_timeout`), so every second write may fail.
+// (`liveness_limits::heartbeat_timeout`), so every second write may fail, even
+// if it takes `transaction_timeout`.
 constexpr milliseconds period{1'000};
-// Shorter than the period, so that a lost answer delays no further write.
-constexpr milliseconds write_timeout{800};
 // After a failed write of a host that leaves, whose time is limited.
 constexpr milliseconds leave_retry{250};
 
@@ -93,7 +92,7 @@
     transaction.writes.push_back(std::move(row));
     const boot_time_point begun_at = boot_clock::now();
     const absl::StatusOr<transaction_result> result =
-        store.commit(transaction, write_timeout);
+        store.commit(transaction, transaction_timeout);
     const std::lock_guard<std::mutex> lock(mutex);
     if (!result.ok() && !has_failed)
     {
