Keep records and intents out of the part of the store that all hosts share

Callers saw jobs that waited for seconds, and hosts that were taken for dead, after each loss of many hosts.

Cause: heartbeats, owner rows, lists of targets, releases and intents are rows of the empty part, which takes 300 transactions a second one after the other. Each job record with an inferred end, such as every hand-back, needs the owner row of its rack, so that it was written over that part as well, at twice the time. A loss of power makes thousands of inferred ends at once, which then delay the heartbeats of all hosts.

A claim of a rack now also writes a fence row in the part of the rack, in the same transaction and so with the same version. Job records have that row as their condition, and intents are rows of the part of the rack beside it. Only heartbeats, claims, lists of targets and releases remain in the empty part. Stores without transactions over several parts keep the former layout.

The set-up of two tests writes the fence row as a claim does; their checks are unchanged.

--- a/include/egretspindle/scheduler/cluster_agent.hpp
+++ b/include/egretspindle/scheduler/cluster_agent.hpp
@@ -79,8 +79,10 @@
 class cluster_agent
 {
 public:
+    /// \param may_span_parts  the store has transactions over several parts;
+    ///                        else claims write no fence rows of racks
     cluster_agent(table_store& store, host_row self, cluster_hooks hooks,
-                  const liveness_limits& limits);
+                  const liveness_limits& limits, bool may_span_parts = true);
     ~cluster_agent();
     cluster_agent(const cluster_agent&) = delete;
     cluster_agent& operator=(const cluster_agent&) = delete;
--- a/include/egretspindle/scheduler/intent_rows.hpp
+++ b/include/egretspindle/scheduler/intent_rows.hpp
@@ -37,17 +37,23 @@
 
 /// Reads the record of a rack, which is empty if there is no row. A malformed
 /// row counts as incomplete.
+///
+/// \param has_fences  the record is in the part of the rack, beside its fence
+///                    row (`rack_fences_table`); else in the empty part
 [[nodiscard]] absl::StatusOr<intent_record>
-read_intents(table_store& store, const std::string& rack, milliseconds timeout);
+read_intents(table_store& store, const std::string& rack, milliseconds timeout,
+             bool has_fences = false);
 
 /// Replaces the record of a rack, if the row has the version of `record` and
 /// this host owns the rack. A record that is too large for a row is written as
 /// incomplete.
 ///
 /// \param token  fencing token of this host's ownership of the rack
+/// \param has_fences  see `read_intents`
 [[nodiscard]] absl::StatusOr<intent_write>
 write_intents(table_store& store, const std::string& rack, std::int64_t token,
-              const intent_record& record, milliseconds timeout);
+              const intent_record& record, milliseconds timeout,
+              bool has_fences = false);
 
 } // namespace egretspindle
 
--- a/include/egretspindle/scheduler/shard.hpp
+++ b/include/egretspindle/scheduler/shard.hpp
@@ -4,6 +4,9 @@
 #ifndef EGRETSPINDLE_SCHEDULER_SHARD_HPP
 #define EGRETSPINDLE_SCHEDULER_SHARD_HPP
 
+#include "egretspindle/fleet/table_store.hpp"
+
+#include <cstdint>
 #include <string>
 #include <string_view>
 
@@ -20,6 +23,13 @@
 /// Table of heartbeats, owner rows and target lists of racks.
 constexpr std::string_view cluster_table = "cluster";
 
+/// Table of the fence rows of racks. Each rack is a part, with one row. A claim
+/// writes it in the transaction of the owner row, so that both have the same
+/// version, the fencing token. Writes that need a certain owner of a rack use
+/// it as a condition: the owner rows are in the part that all hosts write to.
+constexpr std::string_view rack_fences_table = "rack_fences";
+constexpr std::string_view rack_fence_key = "owner";
+
 /// Table of the intents to start long-running runs. The key is the rack.
 constexpr std::string_view intents_table = "start_intents";
 
@@ -40,6 +50,10 @@
 /// former owners fail. Sorts before all job ids.
 constexpr std::string_view shard_fence_key = "!owner";
 
+/// Returns the condition that a rack has the owner with a fencing token.
+[[nodiscard]] row_condition require_rack_fence(const std::string& rack,
+                                               std::int64_t token);
+
 /// Returns the name of the shard of a job, which is the same on every host.
 [[nodiscard]] std::string shard_of(std::string_view job_id);
 
--- a/src/scheduler/cluster_agent.cpp
+++ b/src/scheduler/cluster_agent.cpp
@@ -74,10 +74,11 @@
 struct cluster_agent::impl
 {
     impl(table_store& rows, host_row row, cluster_hooks callbacks,
-         const liveness_limits& bounds)
+         const liveness_limits& bounds, bool has_fences)
         : store(rows), self(std::move(row)),
           heartbeats(rows, self, bounds.stall_timeout),
-          hooks(std::move(callbacks)), limits(bounds)
+          hooks(std::move(callbacks)), limits(bounds),
+          has_rack_fences(has_fences)
     {
     }
 
@@ -109,6 +110,7 @@
     heartbeat heartbeats;
     cluster_hooks hooks;
     liveness_limits limits;
+    const bool has_rack_fences; ///< see `rack_fences_table`
     mutable std::mutex mutex;
     std::condition_variable wake;
     bool is_stopping = false;
@@ -330,6 +332,15 @@
         transaction.conditions.push_back({std::string(cluster_table), "",
                                           std::string(roster_prefix) + rack,
                                           view.rosters[rack].version});
+        if (has_rack_fences)
+        {
+            table_row fence = make_row(std::string(rack_fence_key), {});
+            fence.table = std::string(rack_fences_table);
+            fence.part = rack;
+            fence.value = transaction.writes.back().value;
+            transaction.writes.push_back(std::move(fence));
+            transaction.spans_parts = true;
+        }
     }
     const former_ownership former = former_ownership_of(item, now);
     if (former.last_heartbeat && stopped_hosts.insert(item.owner.host).second)
@@ -376,8 +387,8 @@
         }
         confirming.swap(unconfirmed_tokens);
         // Claims that do not fit into one transaction follow the next read. A
-        // claim of a rack has up to three conditions and a write.
-        constexpr std::size_t entries_per_claim = 4;
+        // claim of a rack has up to three conditions and two writes.
+        constexpr std::size_t entries_per_claim = 5;
         constexpr std::size_t max_claims =
             max_transaction_entries / entries_per_claim;
         names.resize(std::min(names.size(), max_claims));
@@ -555,9 +566,10 @@
 }
 
 cluster_agent::cluster_agent(table_store& store, host_row self,
-                             cluster_hooks hooks, const liveness_limits& limits)
+                             cluster_hooks hooks, const liveness_limits& limits,
+                             bool may_span_parts)
     : impl_(std::make_unique<impl>(store, std::move(self), std::move(hooks),
-                                   limits))
+                                   limits, may_span_parts))
 {
 }
 
--- a/src/scheduler/intent_rows.cpp
+++ b/src/scheduler/intent_rows.cpp
@@ -87,10 +87,12 @@
 } // namespace
 
 absl::StatusOr<intent_record>
-read_intents(table_store& store, const std::string& rack, milliseconds timeout)
+read_intents(table_store& store, const std::string& rack, milliseconds timeout,
+             bool has_fences)
 {
     row_range range;
     range.table = std::string(intents_table);
+    range.part = has_fences ? rack : std::string();
     range.from = rack;
     range.limit = 1;
     const absl::StatusOr<table_page> page = store.read(range, timeout);
@@ -104,18 +106,23 @@
 
 absl::StatusOr<intent_write>
 write_intents(table_store& store, const std::string& rack, std::int64_t token,
-              const intent_record& record, milliseconds timeout)
+              const intent_record& record, milliseconds timeout,
+              bool has_fences)
 {
     table_row row;
     row.table = std::string(intents_table);
+    row.part = has_fences ? rack : std::string();
     row.key = rack;
     row.value = encode(record);
-    const std::string owner = std::string(rack_prefix) + rack;
+    const row_condition owner =
+        has_fences ? require_rack_fence(rack, token)
+                   : row_condition{std::string(cluster_table), "",
+                                   std::string(rack_prefix) + rack, token};
     row_transaction transaction;
     transaction.kind = transaction_kind::intents;
-    transaction.conditions.push_back({row.table, "", rack, record.version});
     transaction.conditions.push_back(
-        {std::string(cluster_table), "", owner, token});
+        {row.table, row.part, rack, record.version});
+    transaction.conditions.push_back(owner);
     transaction.writes.push_back(std::move(row));
     const absl::StatusOr<transaction_result> result =
         store.commit(transaction, timeout);
@@ -131,7 +138,7 @@
     {
         for (const table_row& current : result->current)
         {
-            if (current.table == cluster_table && current.key == owner)
+            if (current.table == owner.table && current.key == owner.key)
             {
                 written.is_replaced = current.version != token;
             }
--- a/src/scheduler/job_coordinator_records.cpp
+++ b/src/scheduler/job_coordinator_records.cpp
@@ -62,11 +62,11 @@
         entry.required_ownerships.begin(), entry.required_ownerships.end(),
         [&result](const auto& item)
         {
-            const std::string key = std::string(rack_prefix) + item.first;
             const auto row = std::find_if(
                 result.current.begin(), result.current.end(),
-                [&key](const table_row& current) {
-                    return current.table == cluster_table && current.key == key;
+                [&item](const table_row& current) {
+                    return current.table == rack_fences_table &&
+                           current.part == item.first;
                 });
             return row == result.current.end() ||
                    row->version != item.second.token;
@@ -345,8 +345,8 @@
 
 // Adds the ownerships that the jobs depend on as conditions. An end that the
 // owner of a rack inferred is valid only if it is still the owner when the end
-// becomes durable, since a later owner may have started the run. Owner rows are
-// in another part than jobs, so this needs transactions over several parts.
+// becomes durable, since a later owner may have started the run. Fence rows are
+// in other parts than jobs, so this needs transactions over several parts.
 // Without them, only the owners known to this host are checked; see
 // `apply_report`.
 void job_coordinator::impl::add_owner_conditions(
@@ -368,9 +368,7 @@
     }
     for (const auto& [rack, token] : tokens)
     {
-        transaction.conditions.push_back({std::string(cluster_table), "",
-                                          std::string(rack_prefix) + rack,
-                                          token});
+        transaction.conditions.push_back(require_rack_fence(rack, token));
         transaction.spans_parts = true;
     }
 }
--- a/src/scheduler/job_scheduler.cpp
+++ b/src/scheduler/job_scheduler.cpp
@@ -225,7 +225,8 @@
                    0,
                    {},
                    options.weight},
-          make_cluster_hooks(), liveness_limits{}),
+          make_cluster_hooks(), liveness_limits{},
+          options.coordinator.may_span_parts),
       rack_sender(make_order_hooks(), metrics),
       reports_outbox(max_batch,
                      [this](const std::string& host,
@@ -340,13 +341,15 @@
     };
     hooks.read_intents = [this](const std::string& rack)
     {
-        return read_intents(store, rack, options.coordinator.commit_timeout);
+        return read_intents(store, rack, options.coordinator.commit_timeout,
+                            options.coordinator.may_span_parts);
     };
     hooks.write_intents = [this](const std::string& rack, std::int64_t token,
                                  const intent_record& record)
     {
         return write_intents(store, rack, token, record,
-                             options.coordinator.commit_timeout);
+                             options.coordinator.commit_timeout,
+                             options.coordinator.may_span_parts);
     };
     return hooks;
 }
--- a/src/scheduler/shard.cpp
+++ b/src/scheduler/shard.cpp
@@ -7,6 +7,12 @@
 namespace egretspindle
 {
 
+row_condition require_rack_fence(const std::string& rack, std::int64_t token)
+{
+    return {std::string(rack_fences_table), rack, std::string(rack_fence_key),
+            token};
+}
+
 std::string shard_of(std::string_view job_id)
 {
     return shard_name(static_cast<int>(stable_hash(job_id) %
--- a/tests/scheduler/job_coordinator_test.cpp
+++ b/tests/scheduler/job_coordinator_test.cpp
@@ -130,7 +130,8 @@
     return store.row(std::string(jobs_table), shard_of(job_id), job_id);
 }
 
-// Replaces the owner row of rack `r1` and returns the token of the new owner.
+// Replaces the owner row and the fence row of rack `r1`, as a claim does, and
+// returns the token of the new owner.
 std::int64_t replace_rack_owner(fake_store& store)
 {
     row_transaction ownership;
@@ -138,6 +139,10 @@
     row.table = std::string(cluster_table);
     row.key = std::string(rack_prefix) + "r1";
     ownership.writes.push_back(row);
+    row.table = std::string(rack_fences_table);
+    row.part = "r1";
+    row.key = std::string(rack_fence_key);
+    ownership.writes.push_back(row);
     return store.commit(ownership, {})->version;
 }
 
--- a/tests/scheduler/store_overload_test.cpp
+++ b/tests/scheduler/store_overload_test.cpp
@@ -186,12 +186,16 @@
     coordinator_limits limits;
     limits.may_span_parts = true;
     limits.max_report_wait = milliseconds(0); // the load does not wait
-    // An end that the owner of a rack inferred requires its owner row.
+    // An end that the owner of a rack inferred requires its fence row.
     row_transaction ownership;
     table_row row;
     row.table = std::string(cluster_table);
     row.key = std::string(rack_prefix) + "r1";
     ownership.writes.push_back(row);
+    row.table = std::string(rack_fences_table);
+    row.part = "r1";
+    row.key = std::string(rack_fence_key);
+    ownership.writes.push_back(row);
     REQUIRE(store.commit(ownership, {})->version == 1);
     std::deque<std::unique_ptr<loaded_host>> hosts;
     for (std::size_t n = 0; n < host_count; ++n)
