Look up other jobs after a record that cannot be read

A host looked repeated starts up in the same order in each tick and stopped at the first record that it could not read, so that one unreadable record held the starts of all later jobs back without an end.

The jobs whose record could not be read are now tried last. scheduler_lookup_order failed before: the second record was never read in 20 ticks.

--- a/src/scheduler/rack_agent.cpp
+++ b/src/scheduler/rack_agent.cpp
@@ -386,6 +386,9 @@
         const std::lock_guard<std::mutex> lock(mutex);
         lookups = collect_lookups(racks, steady_clock::now());
     }
+    std::stable_partition(lookups.begin(), lookups.end(),
+                          [this](const job_lookup& item)
+                          { return unread_jobs.count(item.job) == 0; });
     lookups.resize(std::min(lookups.size(), limits.max_lookups));
     for (const job_lookup& item : lookups)
     {
@@ -393,8 +396,12 @@
             hooks.read_assignments(item.job);
         if (!assigned)
         {
-            return; // the store does not answer; the next tick tries again
+            // The store does not answer, or the record cannot be decoded. The
+            // next tick tries the other jobs first.
+            unread_jobs.insert(item.job);
+            return;
         }
+        unread_jobs.erase(item.job);
         apply_lookup(item, *assigned);
     }
 }
--- a/src/scheduler/rack_agent_impl.hpp
+++ b/src/scheduler/rack_agent_impl.hpp
@@ -185,6 +185,10 @@
     std::vector<channel_ptr> closed_channels;    ///< threads not joined yet
     interference_model model;
     bool is_model_copied = true; ///< `copy_changed_model` has returned `model`
+    std::shared_ptr<const std::set<std::string>> lightly_used;
+    /// Jobs whose record could not be read for a look-up. Used by the thread of
+    /// `tick` only.
+    std::set<std::string> unread_jobs;
     host_activity activity;
     bool is_stopping = false;
     std::condition_variable intents_changed; ///< wakes `intent_thread`
