--- a/include/egretspindle/scheduler/job_coordinator.hpp
+++ b/include/egretspindle/scheduler/job_coordinator.hpp
@@ -80,8 +80,10 @@
 /// Limits and periods of the coordinator.
 struct coordinator_limits
 {
-    /// Timeout of a write and of most reads.
     milliseconds commit_timeout = transaction_timeout;
+    /// Timeout of most reads, which do not wait for transactions; a slow store
+    /// takes 360 ms.
+    milliseconds read_timeout{700};
     /// Age from which a new job that is certainly not stored is refused.
     milliseconds refuse_after{700};
     /// Time for which writes must have failed before new jobs are refused
--- a/src/scheduler/job_coordinator_shards.cpp
+++ b/src/scheduler/job_coordinator_shards.cpp
@@ -27,7 +27,7 @@
     range.from = std::string(shard_fence_key);
     range.limit = 1;
     const absl::StatusOr<table_page> page =
-        store.read(range, limits.commit_timeout);
+        store.read(range, limits.read_timeout);
     if (!page.ok())
     {
         return false;
@@ -270,7 +270,7 @@
     range.from = id;
     range.limit = 1;
     const absl::StatusOr<table_page> page =
-        store.read(range, limits.commit_timeout);
+        store.read(range, limits.read_timeout);
     is_reachable = page.ok();
     if (!page.ok())
     {
--- a/src/scheduler/job_scheduler.cpp
+++ b/src/scheduler/job_scheduler.cpp
@@ -341,7 +341,7 @@
     };
     hooks.read_intents = [this](const std::string& rack)
     {
-        return read_intents(store, rack, options.coordinator.commit_timeout,
+        return read_intents(store, rack, options.coordinator.read_timeout,
                             options.coordinator.may_span_parts);
     };
     hooks.write_intents = [this](const std::string& rack, std::int64_t token,
@@ -642,7 +642,7 @@
     range.from = id;
     range.limit = 1;
     const absl::StatusOr<table_page> page =
-        store.read(range, options.coordinator.commit_timeout);
+        store.read(range, options.coordinator.read_timeout);
     if (!page.ok())
     {
         return page.status();
