Bound the wait of a start for headroom

Cause: a backfill start is placed only where the estimate leaves all serving tasks their headroom, and a harmful pair needs a margin besides. Its rack gives it back only where reports show such a place. Nothing ends the wait, its length is not passed on, and the owner of the job stops asking once a rack has confirmed the start.

- The owner of a job asks the owner of a rack about a confirmed start once a second while nothing of the job is at work.
The rack marks the start, or answers that it does not have it, and it is sent again.
- While less than half of the processors of the service are reserved, a start that has waited for 1 s, or is marked, begins at the speed that the serving tasks of the best target bear (10% at least).
Each target gets one such run, marked ones besides.
- While that holds, racks hand short starts back as soon as another rack shows room, and marked ones after 2 s in any case.
- The time that a task has waited is part of its order, so that moves do not begin it anew.

--- a/include/egretspindle/rack/fleet_load.hpp
+++ b/include/egretspindle/rack/fleet_load.hpp
@@ -82,6 +82,12 @@
 [[nodiscard]] std::map<std::string, double>
 reserved_shares(const fleet_load& fleet, time_point now);
 
+/// Returns the services of whose processors long-running and short tasks
+/// reserve less than half, by the recent reports. Targets without one count as
+/// full.
+[[nodiscard]] std::set<std::string>
+lightly_used_services(const fleet_load& fleet, time_point now);
+
 /// Chooses a rack for each of `count` tasks of a step.
 ///
 /// As many tasks as fit go to a rack with free capacity, the others to further
--- a/include/egretspindle/rack/queued_start.hpp
+++ b/include/egretspindle/rack/queued_start.hpp
@@ -98,11 +98,16 @@
     std::string checkpoint;
     std::shared_ptr<const step_terms> terms;
     time_point queued_at;
+    /// When the task began to wait: at the end of its last run, or when it
+    /// became due. Not changed by moves to another rack. {}: `queued_at`.
+    time_point waiting_since;
     /// The owner of the job may have sent this request before, so the run may
     /// have been started, and its end may be recorded. The request is held
     /// until the record of the job confirms that the run is still to be
     /// started.
     bool is_repeated = false;
+    /// Its job has nothing at work; see `place_starts`.
+    bool is_overdue = false;
     /// Value of `rack_state::colocation_changes` at the last attempt to place
     /// the run, which found no suitable target; 0 before the first attempt. The
     /// next attempt waits until a target has changed since, and considers only
@@ -110,6 +115,16 @@
     std::uint64_t refused_at_change = 0;
 };
 
+/// Returns for how long the task of a start has waited.
+[[nodiscard]] inline milliseconds waited(const queued_start& start,
+                                         time_point now) noexcept
+{
+    const time_point since = start.waiting_since == time_point{}
+                                 ? start.queued_at
+                                 : start.waiting_since;
+    return std::chrono::duration_cast<milliseconds>(now - since);
+}
+
 /// Returns the capacity that a task reserves on a target. A backfill task
 /// reserves no processors.
 [[nodiscard]] inline task_size reservation_of(const step_terms& terms) noexcept
--- a/include/egretspindle/rack/rack_decision.hpp
+++ b/include/egretspindle/rack/rack_decision.hpp
@@ -71,6 +71,11 @@
 /// Adds a start to the queue unless its run is already known.
 enqueue_result enqueue(rack_state& rack, queued_start start);
 
+/// Marks a queued start as overdue; see `queued_start::is_overdue`.
+///
+/// \returns whether the rack has the run, or has reported its end
+[[nodiscard]] bool mark_overdue(rack_state& rack, const run_id& id);
+
 /// Chooses targets for queued starts and reserves capacity for them.
 ///
 /// Considers starts in the order of priority, short before long-running tasks,
@@ -80,6 +85,10 @@
 /// rated highest by `rate_backfill_target`, and other tasks those with the most
 /// idle processors. A gang is placed as a whole or not at all. Targets are
 /// reserved for long-running starts that wait, see `update_reservations`.
+///
+/// A backfill start that has waited for headroom for 1 s (`max_headroom_wait`)
+/// while less than half of the processors of the rack or of the service are
+/// reserved is placed at reduced speed (`placed_run::percent`).
 [[nodiscard]] std::vector<placement>
 place_starts(rack_state& rack, const interference_model& model, time_point now,
              std::int64_t now_ms);
--- a/include/egretspindle/rack/rack_state.hpp
+++ b/include/egretspindle/rack/rack_state.hpp
@@ -62,8 +62,12 @@
     /// The run has ended. It is kept until a stop is confirmed, which rules out
     /// that a delayed copy of its start runs it again.
     bool is_ended = false;
-    time_point ordered_at;   ///< when a target was chosen for it
-    time_point confirmed_at; ///< when `is_confirmed` was set
+    /// A backfill run that was started at reduced speed since it had waited for
+    /// headroom for too long; see `place_starts`.
+    bool is_slowed_start = false;
+    time_point waiting_since; ///< see `queued_start::waiting_since`
+    time_point ordered_at;    ///< when a target was chosen for it
+    time_point confirmed_at;  ///< when `is_confirmed` was set
     /// Serving task: response time in ms; other task: used processors in
     /// thousandths of a core. As listed by the target; 0: not known.
     std::int64_t load = 0;
@@ -194,6 +198,9 @@
     /// The same for the period before that of `ended`.
     std::map<std::string, std::int64_t> ended_earlier;
     time_point ended_since; ///< start of the period that `ended` covers
+    /// Services of whose processors less than half are reserved, see
+    /// `lightly_used_services`; null before the first load reports.
+    std::shared_ptr<const std::set<std::string>> lightly_used;
     colocation_model_inputs model_inputs;
     /// Number of changes to `rack_target::cached` in all targets.
     std::uint64_t colocation_changes = 0;
--- a/include/egretspindle/scheduler/owner_messages.hpp
+++ b/include/egretspindle/scheduler/owner_messages.hpp
@@ -26,6 +26,7 @@
     /// the shard. The receiver checks the job's record before it starts such
     /// a run that it does not know.
     bool is_repeated = false;
+    std::int64_t waited_ms = 0; ///< see `queued_start::waiting_since`
 };
 
 /// Visits the fields of `step_run` for the codec.
@@ -36,6 +37,7 @@
     visit("run", value.run);
     visit("checkpoint", value.checkpoint);
     visit("repeated", value.is_repeated);
+    visit("waited_ms", value.waited_ms);
 }
 
 /// Runs of one step to be started.
@@ -78,6 +80,9 @@
     std::int64_t token = 0;
     std::vector<start_batch> starts;
     std::vector<run_ref> stops;
+    /// Confirmed starts that still wait although nothing of their job is at
+    /// work: one of each such job.
+    std::vector<run_ref> overdue;
     /// When the sender collected the orders; several times if messages have
     /// been merged. Not transferred.
     std::vector<time_point> collected_at;
@@ -91,6 +96,7 @@
     visit("token", value.token);
     visit("starts", value.starts);
     visit("stops", value.stops);
+    visit("overdue", value.overdue);
 }
 
 /// Reply to `rack_orders`.
@@ -100,6 +106,9 @@
     /// the end of every run in them. If false, it has carried out none of them.
     bool is_owner = false;
     std::int64_t token = 0; ///< of the receiver's ownership; 0: not the owner
+    /// Of the overdue starts, those that the receiver neither has nor has
+    /// reported as ended. They have to be sent again.
+    std::vector<run_ref> missing;
 };
 
 /// Visits the fields of `rack_orders_reply` for the codec.
@@ -109,6 +118,7 @@
 {
     visit("owner", value.is_owner);
     visit("token", value.token);
+    visit("missing", value.missing);
 }
 
 /// Event of a run, reported to the owner of its job.
--- a/include/egretspindle/scheduler/rack_agent.hpp
+++ b/include/egretspindle/scheduler/rack_agent.hpp
@@ -210,6 +210,9 @@
     /// whose starts wait for idle processors; see `reserved_shares`.
     void set_reserved_shares(std::map<std::string, double> shares);
 
+    /// Sets the services that are used lightly, see `lightly_used_services`.
+    void set_lightly_used(std::set<std::string> services);
+
     /// Returns the counters since the last log line. The agent counts its calls
     /// to targets; callers may count the rest.
     [[nodiscard]] host_activity& activity() noexcept;
--- a/src/rack/fleet_load.cpp
+++ b/src/rack/fleet_load.cpp
@@ -793,8 +793,10 @@
     // The queues of other racks mostly hold tasks that do not compete for the
     // places that suit long-running ones. Counted by the share of the queue
     // alone, the few long-running ones would wait for long.
+    // While a service is lightly used, no start waits for others to be moved.
     const bool counts_as_long_running =
-        terms.is_long_running || terms.response_target_ms > 0;
+        terms.is_long_running || terms.response_target_ms > 0 ||
+        lightly_used_services(fleet, now).count(terms.service) > 0;
     return (counts_as_long_running && idle >= cpu) ||
                    is_better_placed_elsewhere(fleet, terms, rack, now)
                ? std::max<std::size_t>(1, places)
--- a/src/rack/place_starts.cpp
+++ b/src/rack/place_starts.cpp
@@ -3,6 +3,7 @@
 #include "egretspindle/rack/place_reservation.hpp"
 #include "egretspindle/rack/rack_decision.hpp"
 
+#include "run_colocation.hpp"
 #include "target_check.hpp"
 
 #include <algorithm>
@@ -24,6 +25,12 @@
 constexpr std::int64_t serving_image_bonus = 1'000'000;
 // Exceeds the rating by images, which is at most 3.
 constexpr std::int64_t filled_room_rating = 4;
+// Users expect a task to run within 3 s while less than half of its service is
+// in use. The end of the former run, its record and the order take the rest.
+constexpr milliseconds max_headroom_wait{1'000};
+// Lowest speed of a backfill task that has waited for `max_headroom_wait`, in
+// percent of full speed. `decide_pace` slows it further where that is needed.
+constexpr std::int64_t lowest_start_percent = 10;
 
 std::vector<rack_target*> find_open_targets(rack_state& rack)
 {
@@ -128,6 +135,7 @@
     run.run = start.run;
     run.terms = start.terms;
     run.checkpoint = start.checkpoint;
+    run.waiting_since = start.waiting_since;
     run.ordered_at = now;
     target.runs[{start.task, start.run}] = std::move(run);
 }
@@ -199,6 +207,84 @@
     return placed;
 }
 
+// Returns the share of its full speed at which a backfill task leaves the
+// serving tasks of a target the headroom that they need; 0 or less if any of
+// them has none to spare.
+double bearable_share(const colocation_summary& colocation,
+                      const step_terms& terms, const interference_model& model)
+{
+    double share = 1.0;
+    for (const auto& [image, spare] : colocation.spare_headroom)
+    {
+        const double drop =
+            expected_headroom_drop(model, image, terms.image, cores_of(terms));
+        if (drop > 0)
+        {
+            share = std::min(share, spare / drop);
+        }
+    }
+    return share;
+}
+
+bool has_slowed_start(const rack_target& target)
+{
+    return std::any_of(target.runs.begin(), target.runs.end(),
+                       [](const auto& item)
+                       { return item.second.is_slowed_start; });
+}
+
+// Returns whether a target can take a start but for the headroom of its serving
+// tasks, or the starts of other images that it is reserved for.
+bool lacks_only_headroom(const rack_target& target, const step_terms& terms,
+                         const interference_model& model)
+{
+    const start_rejection rejection = find_start_rejection(
+        target, target.cached.colocation, target.cached.room, terms, model);
+    return rejection == start_rejection::headroom ||
+           rejection == start_rejection::reserved;
+}
+
+// Places a backfill start that has waited for headroom on the target whose
+// serving tasks it harms least, at the speed that they bear. A target gets at
+// most one such run at a time, except for starts of jobs with nothing at work.
+std::vector<placement> place_slowed(rack_state& rack,
+                                    const std::vector<rack_target*>& items,
+                                    const queued_start& start,
+                                    const interference_model& model,
+                                    time_point now)
+{
+    rack_target* best = nullptr;
+    double best_share = 0;
+    for (rack_target* item : items)
+    {
+        if ((has_slowed_start(*item) && !start.is_overdue) ||
+            !lacks_only_headroom(*item, *start.terms, model))
+        {
+            continue;
+        }
+        const double share =
+            bearable_share(item->cached.colocation, *start.terms, model);
+        if (best == nullptr || share > best_share)
+        {
+            best = item;
+            best_share = share;
+        }
+    }
+    if (best == nullptr)
+    {
+        return {};
+    }
+    reserve(*best, start, now);
+    placed_run& run = best->runs.at({start.task, start.run});
+    run.is_slowed_start = true;
+    run.percent =
+        std::clamp<std::int64_t>(static_cast<std::int64_t>(best_share * 100.0),
+                                 lowest_start_percent, 100);
+    run.slowed_at = now;
+    refresh_colocation(rack, *best, model);
+    return {{best->entry.id, start}};
+}
+
 std::size_t gang_length(const rack_state& rack, std::size_t first)
 {
     std::size_t n = first;
@@ -295,6 +381,13 @@
             chosen = place_together(rack, items, n, count, model, now);
             since = rack.colocation_changes;
         }
+        if (chosen.empty() && is_considered && start.terms->uses_idle_cpu &&
+            !start.terms->is_gang &&
+            (start.is_overdue || waited(start, now) > max_headroom_wait) &&
+            is_lightly_used(rack, start.terms->service))
+        {
+            chosen = place_slowed(rack, items, start, model, now);
+        }
         if (chosen.empty())
         {
             refused_at_change = start.is_repeated ? refused_at_change : since;
--- a/src/rack/rack_decision.cpp
+++ b/src/rack/rack_decision.cpp
@@ -4,6 +4,8 @@
 #include "egretspindle/rack/rack_handover.hpp"
 #include "egretspindle/rack/start_intents.hpp"
 
+#include "target_check.hpp"
+
 #include <algorithm>
 #include <iterator>
 #include <set>
@@ -21,6 +23,9 @@
 // doubles with each consecutive refusal, at most `max_doublings` times.
 constexpr milliseconds first_avoid_time{300};
 constexpr int max_doublings = 4;
+// An overdue start that a rack of a lightly used service has not placed within
+// this time goes to another rack, whether that seems to have room or not.
+constexpr milliseconds max_overdue_wait{2'000};
 // Ends are remembered for one to two of these periods. Starts are repeated
 // within seconds.
 constexpr milliseconds ends_retention{60'000};
@@ -290,6 +295,16 @@
     return it != ended.end() && id.second <= it->second;
 }
 
+std::vector<queued_start>::iterator find_queued(rack_state& rack,
+                                                const run_id& id)
+{
+    return std::find_if(rack.queue.begin(), rack.queue.end(),
+                        [&id](const queued_start& item) {
+                            return item.task == id.first &&
+                                   item.run == id.second;
+                        });
+}
+
 /// Starts with the same requirements, and how many of them may be handed back.
 struct hand_back_group
 {
@@ -395,11 +410,7 @@
             return enqueue_result::known;
         }
     }
-    const bool is_queued =
-        std::any_of(rack.queue.begin(), rack.queue.end(),
-                    [&id](const queued_start& item)
-                    { return item.task == id.first && item.run == id.second; });
-    if (is_queued)
+    if (find_queued(rack, id) != rack.queue.end())
     {
         return enqueue_result::known;
     }
@@ -407,6 +418,24 @@
     return enqueue_result::queued;
 }
 
+bool mark_overdue(rack_state& rack, const run_id& id)
+{
+    const auto queued = find_queued(rack, id);
+    if (queued != rack.queue.end())
+    {
+        queued->is_overdue = true;
+        return true;
+    }
+    return has_ended(rack.ended, id) || has_ended(rack.ended_earlier, id) ||
+           rack.stops.count(id) > 0 ||
+           std::any_of(rack.targets.begin(), rack.targets.end(),
+                       [&id](const auto& item)
+                       {
+                           return item.second.runs.count(id) > 0 ||
+                                  has_unacknowledged_end(item.second, id);
+                       });
+}
+
 std::vector<run_event> apply_poll(rack_state& rack, rack_target& target,
                                   const poll_answer& answer, time_point sent_at,
                                   time_point now)
@@ -486,6 +515,7 @@
         again.checkpoint = run.checkpoint;
         again.terms = run.terms;
         again.queued_at = now;
+        again.waiting_since = run.waiting_since;
         const bool is_stopping = run.is_stopping;
         target.runs.erase(it);
         avoid(target, now);
@@ -698,7 +728,10 @@
                     !has_firm_reservation(rack, start, now)
                 ? &find_group(groups, *start.terms, count_places)
                 : nullptr;
-        if (group != nullptr && may_hand_back(*group, events.size()))
+        if (group != nullptr &&
+            (may_hand_back(*group, events.size()) ||
+             (start.is_overdue && now - start.queued_at > max_overdue_wait &&
+              is_lightly_used(rack, start.terms->service))))
         {
             ++group->handed_back_count;
             events.push_back(not_started(start, end_cause::handed_back));
--- a/src/rack/reserved_shares.cpp
+++ b/src/rack/reserved_shares.cpp
@@ -73,4 +73,38 @@
     return shares;
 }
 
+std::set<std::string> lightly_used_services(const fleet_load& fleet,
+                                            time_point now)
+{
+    std::map<std::string, std::int64_t> unreserved; // less half of the capacity
+    for (const auto& [id, entry] : fleet.targets)
+    {
+        unreserved[entry.service] -= entry.capacity.cpu_milli / 2;
+    }
+    for (const auto& [name, view] : fleet.racks)
+    {
+        if (!is_recent(fleet, view, now))
+        {
+            continue;
+        }
+        for (const target_load_report& report : view.room.targets)
+        {
+            const auto it = fleet.targets.find(report.id);
+            if (it != fleet.targets.end())
+            {
+                unreserved[it->second.service] += report.room.cpu_milli;
+            }
+        }
+    }
+    std::set<std::string> services;
+    for (const auto& [service, milli] : unreserved)
+    {
+        if (milli > 0)
+        {
+            services.insert(service);
+        }
+    }
+    return services;
+}
+
 } // namespace egretspindle
--- a/src/rack/target_check.cpp
+++ b/src/rack/target_check.cpp
@@ -93,6 +93,25 @@
     return start_rejection::none;
 }
 
+bool is_lightly_used(const rack_state& rack, const std::string& service)
+{
+    if (rack.lightly_used)
+    {
+        return rack.lightly_used->count(service) > 0;
+    }
+    std::int64_t capacity = 0;
+    std::int64_t room = 0;
+    for (const auto& [id, target] : rack.targets)
+    {
+        if (target.is_listed && target.entry.service == service)
+        {
+            capacity += target.entry.capacity.cpu_milli;
+            room += free_capacity(target).cpu_milli;
+        }
+    }
+    return room * 2 > capacity;
+}
+
 bool fills_room(const step_terms& terms, const task_size& room)
 {
     const task_size wanted = reservation_of(terms);
--- a/src/rack/target_check.hpp
+++ b/src/rack/target_check.hpp
@@ -38,6 +38,11 @@
 /// processors free in `room`, into which it has to fit.
 [[nodiscard]] bool fills_room(const step_terms& terms, const task_size& room);
 
+/// Returns whether less than half of the processors of a service are reserved.
+/// Without reports of other racks, those of the rack stand for all.
+[[nodiscard]] bool is_lightly_used(const rack_state& rack,
+                                   const std::string& service);
+
 } // namespace egretspindle
 
 #endif
--- a/src/scheduler/job_coordinator.cpp
+++ b/src/scheduler/job_coordinator.cpp
@@ -268,21 +268,29 @@
     {
         for (const step_run& run : batch.runs)
         {
-            const std::string task =
-                fmt::format("{}.{}", batch.terms.step, run.index);
-            const std::optional<task_key> key = parse_task_key(task);
-            const entry_ptr entry = key ? impl_->find_job(key->job) : nullptr;
-            if (!entry)
-            {
-                continue;
-            }
-            const auto it = entry->sent.find(task);
-            if (it != entry->sent.end() && it->second.run == run.run)
+            sent_run* sent = impl_->find_sent(
+                fmt::format("{}.{}", batch.terms.step, run.index), run.run);
+            if (sent != nullptr)
             {
-                it->second.confirmed_token = reply.token;
+                sent->confirmed_token = reply.token;
             }
         }
     }
+    for (const run_ref& missing : reply.missing)
+    {
+        sent_run* sent = impl_->find_sent(missing.task, missing.run);
+        if (sent != nullptr && !sent->is_at_work)
+        {
+            log_warning("owner of a rack does not have a start that it has "
+                        "confirmed",
+                        {{"task", missing.task},
+                         {"run", missing.run},
+                         {"rack", orders.rack},
+                         {"owner_version", reply.token}});
+            sent->confirmed_token = 0;
+            sent->sent_at = {};
+        }
+    }
 }
 
 void job_coordinator::remove_outdated_starts(rack_orders& orders) const
@@ -316,26 +324,29 @@
                         orders.starts.end());
 }
 
+// Returns the state of the orders for the current run of a task, or null.
+sent_run* job_coordinator::impl::find_sent(const std::string& task,
+                                           std::int64_t run)
+{
+    const std::optional<task_key> key = parse_task_key(task);
+    const entry_ptr entry = key ? find_job(key->job) : nullptr;
+    if (!entry)
+    {
+        return nullptr;
+    }
+    const auto it = entry->sent.find(task);
+    return it != entry->sent.end() && it->second.run == run ? &it->second
+                                                            : nullptr;
+}
+
 void job_coordinator::mark_undelivered(const rack_orders& orders)
 {
     const std::lock_guard<std::mutex> lock(impl_->mutex);
-    const auto find_sent = [this](const std::string& task, std::int64_t run)
-    {
-        const std::optional<task_key> key = parse_task_key(task);
-        const entry_ptr entry = key ? impl_->find_job(key->job) : nullptr;
-        if (!entry)
-        {
-            return static_cast<sent_run*>(nullptr);
-        }
-        const auto it = entry->sent.find(task);
-        return it != entry->sent.end() && it->second.run == run ? &it->second
-                                                                : nullptr;
-    };
     for (const start_batch& batch : orders.starts)
     {
         for (const step_run& run : batch.runs)
         {
-            sent_run* sent = find_sent(
+            sent_run* sent = impl_->find_sent(
                 fmt::format("{}.{}", batch.terms.step, run.index), run.run);
             if (sent != nullptr && sent->possible_deliveries > 0)
             {
@@ -346,7 +357,7 @@
     }
     for (const run_ref& name : orders.stops)
     {
-        sent_run* sent = find_sent(name.task, name.run);
+        sent_run* sent = impl_->find_sent(name.task, name.run);
         if (sent != nullptr)
         {
             sent->stop_sent_at = {};
--- a/src/scheduler/job_coordinator_impl.hpp
+++ b/src/scheduler/job_coordinator_impl.hpp
@@ -122,6 +122,9 @@
     [[nodiscard]] bool may_send_start(const job_entry& entry,
                                       const sent_run& sent,
                                       const rack_orders& orders) const;
+    sent_run* find_sent(const std::string& task, std::int64_t run);
+    [[nodiscard]] static std::string find_overdue_start(const job_entry& entry,
+                                                        time_point now);
     void add_start(job_entry& entry, const assigned_run& run, sent_run& sent,
                    std::map<std::string, rack_orders>& orders, time_point now);
     void send_orders(const std::map<std::string, rack_orders>& orders);
--- a/src/scheduler/job_coordinator_runs.cpp
+++ b/src/scheduler/job_coordinator_runs.cpp
@@ -41,6 +41,13 @@
 // its capacity again.
 constexpr milliseconds rack_avoidance_period{5'000};
 
+// Users expect a job with a task that can run to have one at work within 3 s
+// while its service is half empty. After `overdue_after` without any, the owner
+// of the rack is told so, again every `overdue_period`: it may have another
+// owner by then, or have lost the start.
+constexpr milliseconds overdue_after{1'000};
+constexpr milliseconds overdue_period{1'000};
+
 // Returns the number of assigned tasks by rack.
 std::map<std::string, std::int64_t>
 count_by_rack(const std::vector<job_task>& tasks)
@@ -317,7 +324,9 @@
         sent.run =
             spec.is_gang ? gang_run : assign_run(entry->value, key, racks[n]);
         sent.change = entry->last_change;
-        entry->sent[to_string(key)] = sent;
+        const std::string task = to_string(key);
+        entry->sent[task] = sent;
+        entry->waiting_since.emplace(task, steady_clock::now());
     }
 }
 
@@ -416,6 +425,9 @@
     item.run = run.run;
     item.checkpoint = task->checkpoint;
     item.is_repeated = sent.is_from_store || sent.possible_deliveries > 0;
+    const time_point since =
+        entry.waiting_since.emplace(to_string(run.key), now).first->second;
+    item.waited_ms = std::max<std::int64_t>(0, elapsed_ms(since, now));
     rack.starts.back().runs.push_back(std::move(item));
     sent.sent_at = now;
     ++sent.possible_deliveries;
@@ -433,15 +445,47 @@
             (!hooks.is_in_delivery || !hooks.is_in_delivery(rack, sent_at)));
 }
 
+// Returns the task that the owner of its rack has to be asked about: the one
+// that has waited longest, if nothing of the job is at work; empty if there is
+// none.
+std::string job_coordinator::impl::find_overdue_start(const job_entry& entry,
+                                                      time_point now)
+{
+    const bool has_recent = entry.overdue_sent_at != time_point{} &&
+                            now - entry.overdue_sent_at < overdue_period;
+    if (entry.value.outcome != job_outcome::open || has_recent)
+    {
+        return {};
+    }
+    std::string oldest;
+    time_point oldest_since = now - overdue_after;
+    for (const auto& [task, sent] : entry.sent)
+    {
+        if (sent.is_at_work)
+        {
+            return {};
+        }
+        const auto since = entry.waiting_since.find(task);
+        if (since != entry.waiting_since.end() && since->second < oldest_since)
+        {
+            oldest = task;
+            oldest_since = since->second;
+        }
+    }
+    return oldest;
+}
+
 // Adds the starts and stops of a job whose changes are durable and which the
-// current owner of the rack has not confirmed.
+// current owner of the rack has not confirmed, and a start that is overdue.
 void job_coordinator::impl::collect_orders(
     job_entry& entry, std::map<std::string, rack_orders>& orders,
     time_point now)
 {
+    const std::string overdue = find_overdue_start(entry, now);
     for (const assigned_run& run : assigned_runs(entry.value))
     {
-        sent_run& sent = entry.sent[to_string(run.key)];
+        const std::string task = to_string(run.key);
+        sent_run& sent = entry.sent[task];
         const bool is_stop = entry.value.outcome != job_outcome::open;
         const time_point last = is_stop ? sent.stop_sent_at : sent.sent_at;
         if (sent.change > entry.durable_change ||
@@ -466,6 +510,12 @@
         {
             add_start(entry, run, sent, orders, now);
         }
+        else if (task == overdue)
+        {
+            orders_for(orders, run.rack, now)
+                .overdue.push_back({task, run.run});
+            entry.overdue_sent_at = now;
+        }
     }
 }
 
@@ -474,7 +524,8 @@
 {
     for (const auto& [rack, item] : orders)
     {
-        if (!item.starts.empty() || !item.stops.empty())
+        if (!item.starts.empty() || !item.stops.empty() ||
+            !item.overdue.empty())
         {
             hooks.send(item);
         }
@@ -533,12 +584,14 @@
     }
     observe_first_start(entry);
     entry.value.has_started = true;
+    entry.waiting_since.erase(report.task);
     if (entry.visible_state == "queued")
     {
         entry.visible_state = "running";
     }
-    std::int64_t& confirmed_token = entry.sent[report.task].confirmed_token;
-    confirmed_token = std::max(confirmed_token, report.token);
+    sent_run& sent = entry.sent[report.task];
+    sent.is_at_work = true;
+    sent.confirmed_token = std::max(sent.confirmed_token, report.token);
     if (report.what == "started")
     {
         return {"recorded", {}};
@@ -585,6 +638,10 @@
     end_run(entry->value, key, report.run, how, report.checkpoint, limit,
             unix_ms());
     entry->sent.erase(report.task);
+    if (how == run_end::done)
+    {
+        entry->waiting_since.erase(report.task);
+    }
     log_info("run ended", {{"task", report.task},
                            {"run", report.run},
                            {"how", report.how},
--- a/src/scheduler/job_entry.hpp
+++ b/src/scheduler/job_entry.hpp
@@ -29,6 +29,8 @@
     time_point sent_at;
     /// Number of sent starts that may have been delivered.
     int possible_deliveries = 0;
+    /// The owner of the rack has reported the run as started.
+    bool is_at_work = false;
     /// Time at which the stop was last sent; time_point{}: not sent, or not
     /// delivered.
     time_point stop_sent_at;
@@ -78,6 +80,11 @@
     /// empty: no record yet.
     std::string visible_state;
     std::map<std::string, sent_run> sent; ///< of current runs, by task
+    /// Since when tasks are not at work, by task: their last run has ended,
+    /// they became due, or this host has read the job. No entry while at work.
+    std::map<std::string, time_point> waiting_since;
+    /// When the owner of a rack was last asked about an overdue start.
+    time_point overdue_sent_at;
     /// Last time that a rack handed back a task of a step, by step and rack.
     std::map<std::pair<std::string, std::string>, time_point> handed_back_at;
     /// Ownerships that changes depend on which are not yet durable, by rack.
--- a/src/scheduler/job_scheduler.cpp
+++ b/src/scheduler/job_scheduler.cpp
@@ -871,6 +871,7 @@
     std::optional<interference_model> changed_model =
         racks.copy_changed_model();
     std::optional<std::map<std::string, double>> shares;
+    std::set<std::string> lightly_used;
     {
         const std::lock_guard<std::mutex> lock(load_mutex);
         const time_point now = steady_clock::now();
@@ -878,6 +879,7 @@
         if (advance_if_due(reservation_schedule, reservation_period, now))
         {
             shares = reserved_shares(load, now);
+            lightly_used = lightly_used_services(load, now);
         }
         if (changed_model)
         {
@@ -889,6 +891,7 @@
     if (shares)
     {
         racks.set_reserved_shares(*std::move(shares));
+        racks.set_lightly_used(std::move(lightly_used));
     }
 }
 
--- a/src/scheduler/merge_orders.cpp
+++ b/src/scheduler/merge_orders.cpp
@@ -32,6 +32,8 @@
     }
     std::move(added.stops.begin(), added.stops.end(),
               std::back_inserter(orders.stops));
+    std::move(added.overdue.begin(), added.overdue.end(),
+              std::back_inserter(orders.overdue));
     orders.collected_at.insert(orders.collected_at.end(),
                                added.collected_at.begin(),
                                added.collected_at.end());
--- a/src/scheduler/order_sender.cpp
+++ b/src/scheduler/order_sender.cpp
@@ -145,7 +145,7 @@
     const time_point begun_at = steady_clock::now();
     hooks_.remove_outdated_starts(orders);
     const time_point checked_at = steady_clock::now();
-    if (orders.starts.empty() && orders.stops.empty())
+    if (orders.starts.empty() && orders.stops.empty() && orders.overdue.empty())
     {
         return;
     }
--- a/src/scheduler/rack_agent.cpp
+++ b/src/scheduler/rack_agent.cpp
@@ -103,6 +103,7 @@
         rack.token = takeover.token;
         rack.former_token = takeover.former_token;
         rack.taken_over_at = now;
+        rack.lightly_used = impl_->lightly_used;
         confirm_ownership(rack, takeover.confirmed_at, impl_->limits.lease);
         rack.unknown_until = takeover.former_stopped_at +
                              max_lease_duration(impl_->limits.lease);
@@ -226,6 +227,9 @@
                 start.checkpoint = run.checkpoint;
                 start.terms = terms;
                 start.queued_at = now;
+                start.waiting_since =
+                    now -
+                    milliseconds(std::max<std::int64_t>(0, run.waited_ms));
                 start.is_repeated = run.is_repeated;
                 const bool is_queued =
                     enqueue(*rack, std::move(start)) == enqueue_result::queued;
@@ -247,6 +251,13 @@
                 impl_->queue_order(target, order);
             }
         }
+        for (const run_ref& overdue : orders.overdue)
+        {
+            if (!mark_overdue(*rack, {overdue.task, overdue.run}))
+            {
+                reply.missing.push_back(overdue);
+            }
+        }
         const std::vector<run_event> settled = report_settled_stops(*rack, now);
         events.insert(events.end(), settled.begin(), settled.end());
         impl_->place(*rack);
@@ -584,6 +595,18 @@
     impl_->model.reserved_shares = std::move(shares);
 }
 
+void rack_agent::set_lightly_used(std::set<std::string> services)
+{
+    const auto shared =
+        std::make_shared<const std::set<std::string>>(std::move(services));
+    const std::lock_guard<std::mutex> lock(impl_->mutex);
+    impl_->lightly_used = shared;
+    for (auto& [name, rack] : impl_->racks)
+    {
+        rack.lightly_used = shared;
+    }
+}
+
 host_activity& rack_agent::activity() noexcept
 {
     return impl_->activity;
--- a/src/scheduler/rack_agent_channels.cpp
+++ b/src/scheduler/rack_agent_channels.cpp
@@ -252,6 +252,27 @@
     }
 }
 
+// Queues the speed limits of the runs that the latest response of a target has
+// confirmed. Starts name no speed, so that these begin at full speed.
+//
+// \param unconfirmed  runs that were not confirmed before that response
+void rack_agent::impl::queue_first_speeds(
+    const rack_target& target, const std::vector<run_id>& unconfirmed)
+{
+    for (const run_id& id : unconfirmed)
+    {
+        const auto it = target.runs.find(id);
+        if (it != target.runs.end() && it->second.is_confirmed &&
+            it->second.percent < 100)
+        {
+            pending_order order;
+            order.what = pending_order::kind::pace;
+            order.id = id;
+            queue_order(target.entry.id, order);
+        }
+    }
+}
+
 void rack_agent::impl::queue_order(const std::string& target,
                                    pending_order order)
 {
@@ -313,6 +334,7 @@
                   {"lasting", item.start.terms->is_long_running},
                   {"image", item.start.terms->image.str()},
                   {"queued", rack.queue.size()},
+                  {"percent", target.runs.at(order.id).percent},
                   {"waited_ms", elapsed_ms(item.start.queued_at, now)}});
     }
 }
--- a/src/scheduler/rack_agent_impl.hpp
+++ b/src/scheduler/rack_agent_impl.hpp
@@ -156,6 +156,8 @@
     void fence(const target_channel& channel);
     void observe_confirmations(const rack_target& target,
                                const std::vector<run_id>& unconfirmed) const;
+    void queue_first_speeds(const rack_target& target,
+                            const std::vector<run_id>& unconfirmed);
     void log_held_starts(const rack_state& rack, const start_batch& batch,
                          std::size_t held) const;
     [[nodiscard]] rack_counts count_racks(time_point now) const;
--- a/src/scheduler/rack_agent_orders.cpp
+++ b/src/scheduler/rack_agent_orders.cpp
@@ -226,6 +226,7 @@
         const std::vector<run_id> unconfirmed = unconfirmed_runs(*target);
         events = apply_start(rack, *target, order.id, answer.verdict, now);
         observe_confirmations(*target, unconfirmed);
+        queue_first_speeds(*target, unconfirmed);
         if (is_refused)
         {
             place(rack);
--- a/src/scheduler/rack_agent_polls.cpp
+++ b/src/scheduler/rack_agent_polls.cpp
@@ -175,6 +175,7 @@
         const std::vector<run_id> unconfirmed = unconfirmed_runs(*target);
         events = apply_poll(rack, *target, answer, sent_at, now);
         observe_confirmations(*target, unconfirmed);
+        queue_first_speeds(*target, unconfirmed);
         update_clock(*target, answer.clock_ms, limits.lease, now);
         for (const run_id& id : decide_evictions(*target, now))
         {
--- a/tests/rack/backfill_wait_test.cpp
+++ b/tests/rack/backfill_wait_test.cpp
@@ -6,6 +6,7 @@
 
 #include <memory>
 #include <random>
+#include <set>
 #include <string>
 
 using namespace egretspindle;
@@ -187,3 +188,59 @@
         CHECK(handed_back == 1);
     }
 }
+
+// Guards against jobs of which nothing runs while other starts that have waited
+// use all of the targets.
+TEST_CASE("the overdue start of a job with nothing at work is placed beside "
+          "other slowed runs",
+          "[rack]")
+{
+    rack_state rack = make_rack("r0", 1, 1.2);
+    const interference_model model = make_model();
+    for (int n = 0; n < 3; ++n)
+    {
+        queued_start start = make_start();
+        start.task = "job.0.0." + std::to_string(n);
+        enqueue(rack, start);
+    }
+    REQUIRE(place_starts(rack, model, start_time + max_wait, 0).size() == 1);
+    REQUIRE(rack.queue.size() == 2);
+    const run_id last{rack.queue.back().task, 1};
+    REQUIRE(mark_overdue(rack, last));
+    const std::vector<placement> placed =
+        place_starts(rack, model, start_time + max_wait, 0);
+    REQUIRE(placed.size() == 1);
+    CHECK(placed.front().start.task == last.first);
+    CHECK(rack.targets.at("r0-0").runs.at(last).percent < 100);
+}
+
+// Guards against slowed starts on a service without capacity to spare, where
+// they lowered the speed of all.
+TEST_CASE("starts wait for headroom while most of the service is in use",
+          "[rack]")
+{
+    rack_state rack = make_rack("r0", 1, 1.2);
+    rack.lightly_used = std::make_shared<const std::set<std::string>>();
+    const interference_model model = make_model();
+    enqueue(rack, make_start());
+    REQUIRE(mark_overdue(rack, {"job.0.0.0", 1}));
+    CHECK(place_starts(rack, model, start_time + max_wait, 0).empty());
+    rack.lightly_used = std::make_shared<const std::set<std::string>>(
+        std::set<std::string>{"svc"});
+    CHECK(place_starts(rack, model, start_time + max_wait, 0).size() == 1);
+}
+
+TEST_CASE("the owner of a rack tells which overdue starts it does not have",
+          "[rack]")
+{
+    rack_state rack = make_rack("r0", 1, 1.2);
+    const run_id id{"job.0.0.0", 1};
+    CHECK_FALSE(mark_overdue(rack, id));
+    enqueue(rack, make_start());
+    CHECK(mark_overdue(rack, id));
+    CHECK(mark_overdue(rack, {"serving.0.0.0", 1}));
+    // An end that was reported may still be on its way to the owner of the job.
+    std::string target;
+    REQUIRE(withdraw(rack, id, target).size() == 1);
+    CHECK(mark_overdue(rack, id));
+}
--- a/tests/scheduler/job_coordinator_test.cpp
+++ b/tests/scheduler/job_coordinator_test.cpp
@@ -1313,3 +1313,59 @@
     INFO("context switches: " << taken);
     CHECK(taken < writes * waiting / 2);
 }
+
+// Guards against jobs that wait without an end because their owner relies on a
+// confirmation, whatever has become of the start since.
+TEST_CASE("the owner of a rack is asked about a confirmed start while nothing "
+          "of its job is at work",
+          "[scheduler]")
+{
+    fake_store store;
+    fake_environment environment;
+    job_coordinator coordinator(store, environment.hooks(), {});
+    coordinator.take_shard(shard_of(job_id));
+    REQUIRE(coordinator.submit(make_request()).verdict == "accepted");
+    const rack_orders first = environment.wait_for_orders(1).front();
+    REQUIRE(first.starts.size() == 1);
+    coordinator.confirm(first, {true, 5, {}});
+    const auto wait_for_next = [&](std::size_t known)
+    {
+        const time_point end = steady_clock::now() + std::chrono::seconds(20);
+        std::size_t count = known;
+        while (count == known && steady_clock::now() < end)
+        {
+            coordinator.tick();
+            std::this_thread::sleep_for(milliseconds(10));
+            const std::lock_guard<std::mutex> lock(environment.mutex);
+            count = environment.sent.size();
+        }
+        const std::lock_guard<std::mutex> lock(environment.mutex);
+        return environment.sent.back();
+    };
+    const rack_orders question = wait_for_next(1);
+    REQUIRE(question.starts.empty());
+    REQUIRE(question.overdue.size() == 1);
+    CHECK(question.overdue.front().task == job_id + ".0.0.0");
+    SECTION("one that the owner does not have is sent again")
+    {
+        coordinator.confirm(question, {true, 5, question.overdue});
+        const rack_orders again = wait_for_next(2);
+        REQUIRE(again.starts.size() == 1);
+        CHECK(again.starts.front().runs.front().is_repeated);
+    }
+    SECTION("not any more once a task is at work")
+    {
+        run_report started = make_report("", 0);
+        started.what = "started";
+        REQUIRE(coordinator.report({{started}}).verdicts.front().verdict ==
+                "recorded");
+        const time_point end = steady_clock::now() + milliseconds(2'500);
+        while (steady_clock::now() < end)
+        {
+            coordinator.tick();
+            std::this_thread::sleep_for(milliseconds(50));
+        }
+        const std::lock_guard<std::mutex> lock(environment.mutex);
+        CHECK(environment.sent.size() == 2);
+    }
+}
--- a/tests/scheduler/rack_agent_test.cpp
+++ b/tests/scheduler/rack_agent_test.cpp
@@ -828,6 +828,50 @@
     CHECK(env.targets.starts.front().task == "job.0.0.0");
 }
 
+// Guards against backfill tasks at full speed beside serving tasks that only
+// bear less.
+TEST_CASE("the speed of a slowed start is ordered once the target confirms it",
+          "[scheduler]")
+{
+    fixture env;
+    step_terms serving;
+    serving.step = "serving.0.0";
+    serving.service = "svc";
+    serving.size = {1'000, 100, 0};
+    serving.image = "serving";
+    serving.is_long_running = true;
+    serving.response_target_ms = 50;
+    env.send(serving);
+    REQUIRE(
+        env.targets.wait_until([&] { return env.targets.starts.size() == 1; }));
+    env.agent.update_peer_interference("h2", 1,
+                                       {{"serving", "heavy", 5.0, 1'000'000}});
+    step_terms backfill;
+    backfill.step = "job.0.0";
+    backfill.service = "svc";
+    backfill.size = {1'000, 100, 0};
+    backfill.image = "heavy";
+    backfill.uses_idle_cpu = true;
+    env.send(backfill);
+    const auto is_paced = [&]
+    {
+        return !env.targets.paces.empty() &&
+               env.targets.paces.front().task == "job.0.0.0";
+    };
+    const time_point end = steady_clock::now() + std::chrono::seconds(20);
+    bool is_done = false;
+    while (!is_done && steady_clock::now() < end)
+    {
+        env.agent.tick();
+        const std::lock_guard<std::mutex> lock(env.targets.mutex);
+        is_done = is_paced();
+    }
+    const std::lock_guard<std::mutex> lock(env.targets.mutex);
+    REQUIRE(is_done);
+    CHECK(env.targets.starts.back().task == "job.0.0.0");
+    CHECK(env.targets.paces.front().percent < 100);
+}
+
 // A run must not be started if the record assigns it to another rack, where it
 // would run twice, or no longer contains it, since it has ended.
 TEST_CASE(
