--- a/src/scheduler/intent_rows.cpp
+++ b/src/scheduler/intent_rows.cpp
@@ -86,9 +86,10 @@
 
 } // namespace
 
-absl::StatusOr<intent_record>
-read_intents(table_store& store, const std::string& rack, milliseconds timeout,
-             bool has_fences)
+absl::StatusOr<intent_record> read_intents(table_store& store,
+                                           const std::string& rack,
+                                           milliseconds timeout,
+                                           bool has_fences)
 {
     row_range range;
     range.table = std::string(intents_table);
--- a/src/scheduler/job_coordinator_records.cpp
+++ b/src/scheduler/job_coordinator_records.cpp
@@ -62,12 +62,12 @@
         entry.required_ownerships.begin(), entry.required_ownerships.end(),
         [&result](const auto& item)
         {
-            const auto row = std::find_if(
-                result.current.begin(), result.current.end(),
-                [&item](const table_row& current) {
-                    return current.table == rack_fences_table &&
-                           current.part == item.first;
-                });
+            const auto row =
+                std::find_if(result.current.begin(), result.current.end(),
+                             [&item](const table_row& current) {
+                                 return current.table == rack_fences_table &&
+                                        current.part == item.first;
+                             });
             return row == result.current.end() ||
                    row->version != item.second.token;
         });
