Test slowed and overdue starts that wait or harm without a bound

A run whose changes of speed the target has refused harms a serving task for as long as it runs; one that pacing has stopped is never evicted. - The owner of a rack is not asked about a long-running task while another task of the job is at work. - An overdue backfill start waits for processors that other backfill runs use. - The speed that a target lists is not used after a takeover. No logic is changed.

--- a/cmake/packages.cmake
+++ b/cmake/packages.cmake
@@ -73,6 +73,11 @@
   add_test(NAME rack_waiting_backfill COMMAND test_rack "[rack_waiting_backfill]")
   add_test(NAME rack_backfill_wait COMMAND test_rack "[rack_backfill_wait]")
   add_test(NAME rack_hand_back_wait COMMAND test_rack "[rack_hand_back_wait]")
+  add_test(NAME rack_listed_speed COMMAND test_rack "[rack_listed_speed]")
+  add_test(NAME rack_slowed_start_eviction
+           COMMAND test_rack "[rack_slowed_start_eviction]")
+  add_test(NAME rack_overdue_processors
+           COMMAND test_rack "[rack_overdue_processors]")
   add_test(NAME rack_short_task_room COMMAND test_rack "[rack_short_task_room]")
   set_tests_properties(rack_short_task_room PROPERTIES TIMEOUT 300)
 endif()
@@ -82,6 +87,10 @@
   # Hidden case of the program of the package; see KNOWN-RED.txt.
   add_test(NAME scheduler_lookup_order COMMAND test_scheduler
                                                "[scheduler_lookup_order]")
+  add_test(NAME scheduler_overdue_long_running
+           COMMAND test_scheduler "[scheduler_overdue_long_running]")
+  add_test(NAME scheduler_refused_pace
+           COMMAND test_scheduler "[scheduler_refused_pace]")
   # A hidden case of the program of the package, which takes half a minute.
   add_test(NAME scheduler_store_overload COMMAND test_scheduler
                                                  "[store_overload]")
--- a/tests/rack/backfill_wait_test.cpp
+++ b/tests/rack/backfill_wait_test.cpp
@@ -244,3 +244,120 @@
     REQUIRE(withdraw(rack, id, target).size() == 1);
     CHECK(mark_overdue(rack, id));
 }
+
+// Guards against a run that the former owner of the rack has slowed and that
+// stays slowed, since starts and takeovers assume full speed.
+TEST_CASE("a run that a target lists as slowed is sped up after a takeover",
+          "[.][rack_listed_speed]")
+{
+    rack_state rack = make_rack("r0", 1, 5.0);
+    rack_target& target = rack.targets.at("r0-0");
+    const interference_model model = make_model();
+    const queued_start start = make_start();
+    poll_answer answer;
+    answer.started_ms = 1;
+    answer.runs.push_back({"serving.0.0.0", 1, "", 100, 10});
+    answer.runs.push_back({start.task, start.run, "", 0, 0});
+    REQUIRE_FALSE(
+        apply_poll(rack, target, answer, start_time, start_time).empty());
+    placed_run& run = target.runs.at({start.task, start.run});
+    run.terms = start.terms; // from the owner of the job
+    std::size_t changes = 0;
+    for (milliseconds at{0}; at <= std::chrono::seconds(10); at += tick)
+    {
+        const time_point now = start_time + at;
+        REQUIRE(apply_poll(rack, target, answer, now, now).empty());
+        target.runs.at({"serving.0.0.0", 1}).headroom = 5.0;
+        changes += decide_pace(target, model, now).size();
+        changes += decide_evictions(target, now).size();
+    }
+    CHECK(changes > 0);
+}
+
+// Guards against a run that is never moved again because it was once started
+// at reduced speed.
+TEST_CASE("a slowed start that has reached full speed and is stopped by pacing "
+          "is evicted",
+          "[.][rack_slowed_start_eviction]")
+{
+    rack_state rack = make_rack("r0", 1, 1.2);
+    const interference_model model = make_model();
+    enqueue(rack, make_start());
+    REQUIRE(place_starts(rack, model, start_time + max_wait, 0).size() == 1);
+    rack_target& target = rack.targets.at("r0-0");
+    placed_run& run = target.runs.at({"job.0.0.0", 1});
+    REQUIRE(run.is_slowed_start);
+    run.is_confirmed = true;
+    placed_run& serving = target.runs.at({"serving.0.0.0", 1});
+    std::size_t evicted = 0;
+    for (milliseconds at{0}; at <= std::chrono::seconds(60); at += tick)
+    {
+        const time_point now = start_time + max_wait + at;
+        // The load of the serving task is low at first, then too high even
+        // without the backfill task.
+        const bool is_low_load = at < std::chrono::seconds(5);
+        serving.headroom = is_low_load ? 5.0 : 0.8;
+        serving.load = is_low_load ? 10 : 62;
+        static_cast<void>(decide_pace(target, model, now));
+        if (at == std::chrono::seconds(4))
+        {
+            REQUIRE(run.percent == 100);
+        }
+        evicted += decide_evictions(target, now).size();
+    }
+    REQUIRE(run.percent == 0);
+    CHECK(evicted == 1);
+}
+
+// Guards against an overdue start that waits for processors which backfill
+// tasks of other jobs use. Backfill tasks do not count against the capacity of
+// the service, so users expect the start within `max_wait`.
+TEST_CASE("an overdue backfill start runs beside other backfill tasks that use "
+          "all idle processors",
+          "[.][rack_overdue_processors]")
+{
+    rack_state rack = make_rack("r0", 2, 5.0);
+    const interference_model model = make_model();
+    for (auto& [id, target] : rack.targets)
+    {
+        // 27 of 28.4 cores that the serving task leaves idle.
+        for (int n = 0; n < 9; ++n)
+        {
+            const queued_start other = make_start();
+            placed_run run;
+            run.task = id + ".0.0." + std::to_string(n);
+            run.run = 1;
+            step_terms terms = *other.terms;
+            terms.step = id + ".0.0";
+            terms.image = "harmless";
+            run.terms = std::make_shared<const step_terms>(terms);
+            run.is_confirmed = true;
+            run.load = terms.size.cpu_milli;
+            target.runs[{run.task, 1}] = run;
+        }
+    }
+    queued_start start = make_start();
+    enqueue(rack, start);
+    std::size_t placed = 0;
+    std::size_t moves = 0;
+    for (milliseconds at{0}; at <= 4 * max_wait && placed == 0; at += tick)
+    {
+        const time_point now = start_time + at;
+        static_cast<void>(mark_overdue(rack, {start.task, start.run}));
+        placed += place_starts(rack, model, now, 0).size();
+        const std::vector<run_event> returned = hand_back(
+            rack, min_wait, [](const step_terms&) { return std::size_t{0}; },
+            now);
+        if (!returned.empty())
+        {
+            // The next rack is in the same state.
+            ++moves;
+            ++start.run;
+            start.waiting_since = start_time;
+            start.queued_at = now;
+            enqueue(rack, start);
+        }
+    }
+    CAPTURE(moves);
+    CHECK(placed == 1);
+}
--- a/tests/scheduler/job_coordinator_test.cpp
+++ b/tests/scheduler/job_coordinator_test.cpp
@@ -1369,3 +1369,40 @@
         CHECK(environment.sent.size() == 2);
     }
 }
+
+// Guards against a long-running task that is away for good while others of its
+// job are at work: users expect each of them within 6 s.
+TEST_CASE("the owner of a rack is asked about a long-running task that waits "
+          "while others of its job are at work",
+          "[.][scheduler_overdue_long_running]")
+{
+    fake_store store;
+    fake_environment environment;
+    job_coordinator coordinator(store, environment.hooks(), {});
+    coordinator.take_shard(shard_of(job_id));
+    job_request request = make_request();
+    request.spec.steps.front().count = 2;
+    request.spec.steps.front().is_long_running = true;
+    REQUIRE(coordinator.submit(request).verdict == "accepted");
+    const rack_orders first = environment.wait_for_orders(1).front();
+    REQUIRE(first.starts.front().runs.size() == 2);
+    coordinator.confirm(first, {true, 5, {}});
+    run_report started = make_report("", 0);
+    started.what = "started";
+    REQUIRE(coordinator.report({{started}}).verdicts.front().verdict ==
+            "recorded");
+    const auto is_asked = [&]
+    {
+        const std::lock_guard<std::mutex> lock(environment.mutex);
+        return std::any_of(environment.sent.begin(), environment.sent.end(),
+                           [](const rack_orders& item)
+                           { return !item.overdue.empty(); });
+    };
+    const time_point end = steady_clock::now() + std::chrono::seconds(12);
+    while (!is_asked() && steady_clock::now() < end)
+    {
+        coordinator.tick();
+        std::this_thread::sleep_for(milliseconds(20));
+    }
+    CHECK(is_asked());
+}
--- a/tests/scheduler/rack_agent_test.cpp
+++ b/tests/scheduler/rack_agent_test.cpp
@@ -65,6 +65,11 @@
             --paces_to_ignore;
             return make_error(error_kind::deadline_exceeded, "no answer");
         }
+        if (paces_to_refuse > 0)
+        {
+            --paces_to_refuse;
+            return order_answer{order_verdict::unhealthy, 1'000};
+        }
         return order_answer{order_verdict::taken, 1'000};
     }
 
@@ -138,6 +143,7 @@
     bool restarts_during_first_start = false;
     int starts_to_ignore = 0; ///< starts that get no answer
     int paces_to_ignore = 0;  ///< changes of speed that get no answer
+    int paces_to_refuse = 0;  ///< changes of speed that are not carried out
     order_verdict start_verdict = order_verdict::taken;
     order_verdict stop_verdict = order_verdict::taken;
     order_verdict poll_verdict = order_verdict::taken;
@@ -872,6 +878,69 @@
     CHECK(env.targets.paces.front().percent < 100);
 }
 
+// Guards against a backfill task that harms serving tasks at full speed for as
+// long as it runs, because its target has refused the orders to slow it.
+TEST_CASE("a slowed start is slowed or stopped after its target has refused "
+          "changes of speed",
+          "[.][scheduler_refused_pace]")
+{
+    fixture env;
+    // The first speed of the run, and the change to 0 once the serving task has
+    // missed its target.
+    env.targets.paces_to_refuse = 2;
+    step_terms serving;
+    serving.step = "serving.0.0";
+    serving.service = "svc";
+    serving.size = {1'000, 100, 0};
+    serving.image = "serving";
+    serving.is_long_running = true;
+    serving.response_target_ms = 50;
+    env.send(serving);
+    REQUIRE(
+        env.targets.wait_until([&] { return env.targets.starts.size() == 1; }));
+    {
+        // A little more than its target of 50 ms needs, so that no task may be
+        // sped up.
+        const std::lock_guard<std::mutex> lock(env.targets.mutex);
+        env.targets.active_runs = {{"serving.0.0.0", 1, "", 100, 42}};
+    }
+    env.agent.update_peer_interference("h2", 1,
+                                       {{"serving", "heavy", 5.0, 1'000'000}});
+    step_terms backfill;
+    backfill.step = "job.0.0";
+    backfill.service = "svc";
+    backfill.size = {1'000, 100, 0};
+    backfill.image = "heavy";
+    backfill.uses_idle_cpu = true;
+    env.send(backfill);
+    const auto tick_until = [&](auto condition)
+    {
+        const time_point end = steady_clock::now() + std::chrono::seconds(20);
+        bool is_done = false;
+        while (!is_done && steady_clock::now() < end)
+        {
+            env.agent.tick();
+            std::this_thread::sleep_for(milliseconds(20));
+            const std::lock_guard<std::mutex> lock(env.targets.mutex);
+            is_done = condition();
+        }
+        return is_done;
+    };
+    REQUIRE(tick_until([&] { return env.targets.paces.size() == 1; }));
+    {
+        // The other task runs at full speed, so the target is missed.
+        const std::lock_guard<std::mutex> lock(env.targets.mutex);
+        env.targets.active_runs = {{"serving.0.0.0", 1, "", 100, 62},
+                                   {"job.0.0.0", 1, "", 100, 1'000}};
+    }
+    REQUIRE(tick_until([&] { return env.targets.paces.size() == 2; }));
+    const auto has_new_order = [&]
+    {
+        return env.targets.paces.size() > 2 || !env.targets.stops.empty();
+    };
+    CHECK(tick_until(has_new_order));
+}
+
 // A run must not be started if the record assigns it to another rack, where it
 // would run twice, or no longer contains it, since it has ended.
 TEST_CASE(
