Test limits of slowed starts and the fence of intents

Without the checks of `lacks_only_headroom`, or without the owner condition of intents beside a fence row, no test failed. Both are limits that users state or that keep two owners of a rack apart.

--- a/tests/rack/backfill_wait_test.cpp
+++ b/tests/rack/backfill_wait_test.cpp
@@ -189,6 +189,42 @@
     }
 }
 
+// Guards against starts that overload a target because they have waited.
+TEST_CASE("a slowed start keeps to the memory, the label, the limit and the "
+          "processors of its target",
+          "[rack]")
+{
+    rack_state rack = make_rack("r0", 1, 1.2);
+    rack_target& target = rack.targets.at("r0-0");
+    queued_start start = make_start();
+    step_terms terms = *start.terms;
+    SECTION("memory")
+    {
+        target.entry.capacity.memory_mb = 4'900;
+    }
+    SECTION("label")
+    {
+        terms.required_label = "ssd";
+    }
+    SECTION("limit of the step")
+    {
+        terms.max_per_target = 1;
+        placed_run run;
+        run.task = "job.0.0.1";
+        run.run = 1;
+        run.terms = std::make_shared<const step_terms>(terms);
+        target.runs[{run.task, 1}] = run;
+    }
+    SECTION("processors")
+    {
+        terms.size.cpu_milli = 32'000;
+    }
+    start.terms = std::make_shared<const step_terms>(terms);
+    enqueue(rack, start);
+    REQUIRE(mark_overdue(rack, {start.task, start.run}));
+    CHECK(place_starts(rack, make_model(), start_time + max_wait, 0).empty());
+}
+
 // Guards against jobs of which nothing runs while other starts that have waited
 // use all of the targets.
 TEST_CASE("the overdue start of a job with nothing at work is placed beside "
--- a/tests/scheduler/intent_rows_test.cpp
+++ b/tests/scheduler/intent_rows_test.cpp
@@ -63,6 +63,43 @@
     CHECK(written->is_replaced);
 }
 
+// Guards against a former owner that records an intent, and sends its start,
+// after a takeover that only the fence row of the rack shows.
+TEST_CASE("a replaced owner cannot record intents beside the fence row",
+          "[scheduler]")
+{
+    fake_store store;
+    const auto claim = [&store]
+    {
+        row_transaction transaction;
+        table_row row;
+        row.table = std::string(rack_fences_table);
+        row.part = "r1";
+        row.key = std::string(rack_fence_key);
+        transaction.writes.push_back(row);
+        return store.commit(transaction, {})->version;
+    };
+    const std::int64_t token = claim();
+    intent_record record;
+    record.intents = {{{"job.0.0.1", 2}, {"t1", true}}};
+    const absl::StatusOr<intent_write> first =
+        write_intents(store, "r1", token, record, {}, true);
+    REQUIRE(first.ok());
+    REQUIRE(first->is_committed);
+    const absl::StatusOr<intent_record> read =
+        read_intents(store, "r1", {}, true);
+    REQUIRE(read.ok());
+    CHECK(read->intents.size() == 1);
+    CHECK(read->version == first->version);
+    claim();
+    record.version = first->version;
+    const absl::StatusOr<intent_write> second =
+        write_intents(store, "r1", token, record, {}, true);
+    REQUIRE(second.ok());
+    CHECK_FALSE(second->is_committed);
+    CHECK(second->is_replaced);
+}
+
 // Guards against an owner that can never record again after an answer of the
 // store was lost.
 TEST_CASE("a failed write tells the version of the record", "[scheduler]")
