Test that a heartbeat ends before its host counts as dead

A call on a kept-alive connection takes up to twice its timeout, so one heartbeat without an answer lasts as long as `heartbeat_timeout`.

--- a/cmake/packages.cmake
+++ b/cmake/packages.cmake
@@ -89,6 +89,8 @@
                                                "[scheduler_lookup_order]")
   add_test(NAME scheduler_overdue_long_running
            COMMAND test_scheduler "[scheduler_overdue_long_running]")
+  add_test(NAME scheduler_unanswered_heartbeat
+           COMMAND test_scheduler "[scheduler_unanswered_heartbeat]")
   add_test(NAME scheduler_refused_pace
            COMMAND test_scheduler "[scheduler_refused_pace]")
   # A hidden case of the program of the package, which takes half a minute.
--- a/tests/scheduler/heartbeat_test.cpp
+++ b/tests/scheduler/heartbeat_test.cpp
@@ -237,3 +237,48 @@
     REQUIRE(store.commit(transaction, milliseconds(100)).ok());
     CHECK(wait_until_leaving());
 }
+
+// Guards against live hosts that are taken for dead after one heartbeat without
+// an answer. The HTTP library sends a call on a kept-alive connection again, so
+// that it takes twice its timeout; see `net_late_response`.
+TEST_CASE("a heartbeat without an answer ends before its host counts as dead",
+          "[.][scheduler_unanswered_heartbeat]")
+{
+    class timeout_recorder final : public table_store
+    {
+    public:
+        fake_store rows;
+        std::atomic<std::int64_t> timeout_ms{0};
+
+        absl::StatusOr<transaction_result>
+        commit(const row_transaction& transaction,
+               std::chrono::milliseconds timeout) override
+        {
+            if (transaction.kind == transaction_kind::heartbeat)
+            {
+                timeout_ms = timeout.count();
+            }
+            return rows.commit(transaction, timeout);
+        }
+
+        absl::StatusOr<table_page>
+        read(const row_range& range, std::chrono::milliseconds timeout) override
+        {
+            return rows.read(range, timeout);
+        }
+
+        absl::StatusOr<table_page>
+        watch(std::string_view table, std::int64_t after,
+              std::chrono::milliseconds wait) override
+        {
+            return rows.watch(table, after, wait);
+        }
+    };
+    timeout_recorder store;
+    cluster_agent agent(store, make_self(), make_hooks(), liveness_limits{});
+    agent.start();
+    REQUIRE(wait_for_beat(store.rows, 1));
+    agent.stop();
+    REQUIRE(store.timeout_ms > 0);
+    CHECK(2 * store.timeout_ms < liveness_limits{}.heartbeat_timeout.count());
+}
