--- a/include/egretspindle/rack/queued_start.hpp
+++ b/include/egretspindle/rack/queued_start.hpp
@@ -106,7 +106,8 @@
     /// until the record of the job confirms that the run is still to be
     /// started.
     bool is_repeated = false;
-    /// Its job has nothing at work; see `place_starts`.
+    /// The owner of its job has asked for it: nothing of the job is at work, or
+    /// the task is long-running. See `place_starts` and `hand_back`.
     bool is_overdue = false;
     /// Value of `rack_state::colocation_changes` at the last attempt to place
     /// the run, which found no suitable target; 0 before the first attempt. The
--- a/include/egretspindle/scheduler/metered_store.hpp
+++ b/include/egretspindle/scheduler/metered_store.hpp
@@ -37,7 +37,7 @@
 public:
     /// Transactions of at least this duration are logged. A transaction takes
     /// a few milliseconds unless others of its parts wait; calls fail after
-    /// 700 to 800 ms.
+    /// `transaction_timeout`.
     static constexpr milliseconds slow_transaction{250};
 
     metered_store(table_store& store, metric_registry& registry);
--- a/include/egretspindle/scheduler/owner_messages.hpp
+++ b/include/egretspindle/scheduler/owner_messages.hpp
@@ -80,8 +80,8 @@
     std::int64_t token = 0;
     std::vector<start_batch> starts;
     std::vector<run_ref> stops;
-    /// Confirmed starts that still wait although nothing of their job is at
-    /// work: one of each such job.
+    /// Confirmed starts that still wait: one of each job that has nothing at
+    /// work, or else of one whose long-running tasks are not all at work.
     std::vector<run_ref> overdue;
     /// When the sender collected the orders; several times if messages have
     /// been merged. Not transferred.
