Claim nothing after a gap between reads before the next heartbeat

Callers saw shards move three times within 2.5 s after the store answered again: a host that had been without it claimed them back from a live owner, which took the host for dead and claimed them again.

Cause: after a gap of more than 2.5 s between reads, the timeout of all heartbeats starts anew, that of the reading host included, so it counted as live by a heartbeat that the others had long seen expire. A host now claims only once a read shows a heartbeat of it that is newer than the gap. The delay of 2 s before claims from hosts that are not live counts from that heartbeat.

The test failed before: the host claimed a shard in each read of the gap.

--- a/cmake/packages.cmake
+++ b/cmake/packages.cmake
@@ -82,11 +82,6 @@
   set_tests_properties(rack_short_task_room PROPERTIES TIMEOUT 300)
 endif()
 egret_package(cluster egret_core)
-if(EGRETSPINDLE_TESTS)
-  # Hidden cases of the program of the package; see KNOWN-RED.txt.
-  add_test(NAME cluster_claim_after_gap COMMAND test_cluster
-                                                "[cluster_claim_after_gap]")
-endif()
 egret_package(scheduler egret_rack egret_cluster egret_protocol egret_metrics)
 if(EGRETSPINDLE_TESTS)
   # Hidden case of the program of the package; see KNOWN-RED.txt.
--- a/include/egretspindle/cluster/cluster_view.hpp
+++ b/include/egretspindle/cluster/cluster_view.hpp
@@ -70,6 +70,9 @@
     /// When a read last showed a heartbeat after the host had not been live;
     /// {}: never.
     time_point resumed_at;
+    /// No heartbeat has been read since the last gap of more than
+    /// `liveness_limits::max_read_gap`.
+    bool is_silent_since_gap = false;
 };
 
 /// Resource that has at most one owner at a time: a job shard or a rack.
@@ -163,7 +166,8 @@
                            const liveness_limits& limits, time_point now);
 
 /// Returns the keys of the resources that a host should claim now; none unless
-/// the host itself is live.
+/// the host itself is live, and a heartbeat of it has been read since the last
+/// gap between its reads: the others may take it for dead until they read one.
 ///
 /// Resources without a live owner are distributed to the live hosts in
 /// proportion to their weights, racks to hosts of their data centre if any is
--- a/src/cluster/cluster_view.cpp
+++ b/src/cluster/cluster_view.cpp
@@ -225,9 +225,12 @@
         host.boot_seen_at = is_known && it->second.row.boot == read.row.boot
                                 ? it->second.boot_seen_at
                                 : now;
-        const bool is_resumed =
-            is_known && !is_unchanged &&
-            now - it->second.changed_at >= limits.heartbeat_timeout;
+        host.is_silent_since_gap =
+            is_unchanged && (is_after_gap || it->second.is_silent_since_gap);
+        const bool was_silent = is_known && (it->second.is_silent_since_gap ||
+                                             now - it->second.changed_at >=
+                                                 limits.heartbeat_timeout);
+        const bool is_resumed = was_silent && !is_unchanged;
         const time_point resumed_before =
             is_known ? it->second.resumed_at : time_point{};
         host.resumed_at = is_resumed ? now : resumed_before;
@@ -289,7 +292,8 @@
 {
     std::vector<std::string> claims;
     const std::vector<std::string> live = live_hosts(view, limits, now);
-    if (!is_live(view, self, limits, now))
+    if (!is_live(view, self, limits, now) ||
+        view.hosts.at(self).is_silent_since_gap)
     {
         return claims;
     }
--- a/tests/cluster/cluster_view_test.cpp
+++ b/tests/cluster/cluster_view_test.cpp
@@ -258,7 +258,7 @@
 // for dead, and claim back what it claims.
 TEST_CASE("after a gap between reads a host claims nothing before its next "
           "heartbeat",
-          "[.][cluster_claim_after_gap]")
+          "[cluster]")
 {
     cluster_view view;
     apply_read(view, {make_host("h1", 1, 1), make_host("h2", 1, 1)}, limits,
