Keep each heartbeat in a part of the store of its own

Callers saw no job accepted and no start placed for seconds after hosts were lost or the store was slow, and long-running tasks away from work while racks moved between hosts that all lived.

Cause: a part of the store carries out its transactions one after the other, and heartbeats were in the part of the claims, lists of targets, releases and shard fences that follow a loss of hosts. The more hosts counted as dead, the more of these writes there were, and the more heartbeats came late.

A host now writes its heartbeat to a part named after it, which nothing else uses. Heartbeats are read as changes of the table, one read a second as before; a whole read no longer leaves out the changes since the last read. Reads of the empty part find the hosts by registrations, written once at the start before the first claim and once when a host leaves. Nothing is concluded from a registration about the end of a process or its last heartbeat, since the store may carry out that of an earlier process late.

Ruled out: fewer heartbeats, which lengthens each takeover; 16 parts for all hosts, which makes whole reads last for seconds in a slow store.

Tests of the cluster agent write hosts as the agents do; a row that a whole read does not contain is removed once the host is not live, and the test of that waits for it.

--- a/include/egretspindle/fleet/table_store.hpp
+++ b/include/egretspindle/fleet/table_store.hpp
@@ -59,13 +59,14 @@
 {
     other,
     heartbeat,
-    claim,   ///< claims of racks and shards
-    fence,   ///< of a shard that was taken over
-    records, ///< writes of job records
-    expiry,  ///< removals of job records
-    intents, ///< intents of a rack
-    roster,  ///< list of the targets of a rack
-    release, ///< of the racks of a host that leaves
+    claim,        ///< claims of racks and shards
+    fence,        ///< of a shard that was taken over
+    records,      ///< writes of job records
+    expiry,       ///< removals of job records
+    intents,      ///< intents of a rack
+    roster,       ///< list of the targets of a rack
+    release,      ///< of the racks of a host that leaves
+    registration, ///< of a host
 };
 
 /// Changes that are applied atomically.
--- a/include/egretspindle/scheduler/heartbeat.hpp
+++ b/include/egretspindle/scheduler/heartbeat.hpp
@@ -12,6 +12,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace egretspindle
@@ -24,12 +25,14 @@
 class heartbeat
 {
 public:
+    /// \param part           part of the store that has the row
     /// \param self           initial row; `beat` is incremented before each
     ///                       write, also if the write fails
     /// \param stall_timeout  without a call of `report_progress` for this long
     ///                       no heartbeats are written, so that other hosts
     ///                       take over the resources of a hung host
-    heartbeat(table_store& store, host_row self, milliseconds stall_timeout);
+    heartbeat(table_store& store, std::string part, host_row self,
+              milliseconds stall_timeout);
     ~heartbeat();
     heartbeat(const heartbeat&) = delete;
     heartbeat& operator=(const heartbeat&) = delete;
@@ -52,6 +55,10 @@
     /// of the clock if there is none.
     [[nodiscard]] boot_time_point confirmed_at() const;
 
+    /// Returns the row as the store last confirmed it; no value if it never
+    /// did.
+    [[nodiscard]] std::optional<known_host> confirmed_row() const;
+
     /// Sets the number of jobs that have not started, by queue, for the next
     /// write.
     void set_pending(std::map<std::string, std::int64_t> pending);
--- a/src/scheduler/cluster_agent.cpp
+++ b/src/scheduler/cluster_agent.cpp
@@ -18,6 +18,7 @@
 #include <random>
 #include <set>
 #include <thread>
+#include <utility>
 
 namespace egretspindle
 {
@@ -74,16 +75,19 @@
 struct cluster_agent::impl
 {
     impl(table_store& rows, host_row row, cluster_hooks callbacks,
-         const liveness_limits& bounds, bool has_fences)
+         const liveness_limits& bounds, bool spans_parts)
         : store(rows), self(std::move(row)),
-          heartbeats(rows, self, bounds.stall_timeout),
+          heartbeats(rows, heartbeat_part(self.name, spans_parts), self,
+                     bounds.stall_timeout),
           hooks(std::move(callbacks)), limits(bounds),
-          has_rack_fences(has_fences)
+          may_span_parts(spans_parts)
     {
     }
 
     void run();
     bool read();
+    void apply(cluster_rows rows);
+    void register_host();
     [[nodiscard]] bool is_announced() const;
     [[nodiscard]] absl::StatusOr<cluster_rows> read_whole_table() const;
     [[nodiscard]] absl::StatusOr<cluster_rows> read_changes() const;
@@ -110,7 +114,9 @@
     heartbeat heartbeats;
     cluster_hooks hooks;
     liveness_limits limits;
-    const bool has_rack_fences; ///< see `rack_fences_table`
+    /// The store has transactions over several parts. Then there are rows of
+    /// `rack_fences_table`, and heartbeats have parts of their own.
+    const bool may_span_parts;
     mutable std::mutex mutex;
     std::condition_variable wake;
     bool is_stopping = false;
@@ -123,11 +129,13 @@
     std::map<std::string, std::int64_t> announced;
     std::size_t losing = 0; ///< lost resources whose hook has not returned
     std::map<std::string, known_release> releases; ///< by rack
-    // The next three are used by the thread of `run` only.
-    bool has_read_whole = false; ///< the next read may ask for changes only
-    /// The same as `read_version`; needs no lock.
-    std::int64_t table_version = 0;
-    time_point whole_read_at;                 ///< start of the latest attempt
+    // The next six are used by the thread of `run` only.
+    bool is_registered = false; ///< the store has confirmed a registration
+    bool registered_as_leaving = false; ///< by that registration
+    bool has_lost_changes = false;  ///< none were read since the last `apply`
+    bool has_read_whole = false;    ///< the next read may ask for changes only
+    std::int64_t table_version = 0; ///< from which changes are read next
+    time_point whole_read_at;       ///< start of the latest attempt
     std::map<std::string, std::string> racks; ///< data centre by name
     /// By resource, at the latest attempt of this host to claim it.
     std::map<std::string, former_ownership> former_owners;
@@ -157,7 +165,9 @@
 }
 
 // The last heartbeat counts only for a host that is not live: the claim depends
-// on the row that has it, and that of a live host changes every second.
+// on the row that has it, and that of a live host changes every second. Without
+// a heartbeat nothing is known: a registration may be written late, over that
+// of a later process.
 former_ownership cluster_agent::impl::former_ownership_of(const resource& item,
                                                           time_point now) const
 {
@@ -165,7 +175,8 @@
     former.kind = former_owner_of(item);
     former.token = item.version;
     const auto host = view.hosts.find(item.owner.host);
-    if (former.kind != former_owner::other || host == view.hosts.end())
+    if (former.kind != former_owner::other || host == view.hosts.end() ||
+        host->second.version == 0)
     {
         return former;
     }
@@ -253,29 +264,57 @@
     const time_point begun = steady_clock::now();
     absl::StatusOr<cluster_rows> rows =
         make_error(error_kind::not_found, "not read yet");
-    if (has_read_whole && begun - whole_read_at < limits.whole_read_interval)
+    if (has_read_whole)
     {
         rows = read_changes();
-        has_read_whole =
-            rows.ok() || kind_of(rows.status()) != error_kind::not_found;
+        if (rows.ok())
+        {
+            table_version = rows->version;
+            apply(*std::move(rows));
+        }
+        else if (kind_of(rows.status()) == error_kind::not_found)
+        {
+            has_read_whole = false;
+            has_lost_changes = true;
+        }
     }
+    const bool has_changes = rows.ok();
     if (!has_read_whole || begun - whole_read_at >= limits.whole_read_interval)
     {
         // Set even if the read fails: a store that is too slow for the whole
         // table may still answer with changes.
         whole_read_at = begun;
         rows = read_whole_table();
+        if (rows.ok())
+        {
+            // Heartbeats are read as changes only, so that none may be left
+            // out.
+            table_version = has_changes ? table_version : rows->version;
+            has_read_whole = true;
+            apply(*std::move(rows));
+        }
     }
-    if (!rows.ok())
+    return rows.ok() || has_changes;
+}
+
+// Applies the rows of a read to the view.
+void cluster_agent::impl::apply(cluster_rows rows)
+{
+    // A read of the empty part does not contain the heartbeat of this host.
+    if (const std::optional<known_host> own = heartbeats.confirmed_row())
     {
-        return false;
+        known_host& row = rows.hosts[self.name];
+        row = own->version > row.version ? *own : row;
     }
-    has_read_whole = true;
-    table_version = rows->version;
     const std::lock_guard<std::mutex> lock(mutex);
-    apply_rows(view, *rows, limits, steady_clock::now());
-    read_version = rows->version;
-    update_releases(*rows);
+    if (std::exchange(has_lost_changes, false))
+    {
+        // The heartbeats among the lost changes do not count as missed.
+        view.last_read = {};
+    }
+    apply_rows(view, rows, limits, steady_clock::now());
+    read_version = std::max(read_version, rows.version);
+    update_releases(rows);
     list_resources();
     if (is_leaving && !is_announced())
     {
@@ -283,7 +322,38 @@
         // after the one that says that this host leaves.
         heartbeats.leave();
     }
-    return true;
+}
+
+// Writes the registration of this host at its start and when it leaves, if its
+// heartbeats are in another part. Without it, hosts that start do not know who
+// owns what this host claims.
+void cluster_agent::impl::register_host()
+{
+    host_row host = self;
+    {
+        const std::lock_guard<std::mutex> lock(mutex);
+        host.is_leaving = is_leaving;
+    }
+    const bool is_current =
+        is_registered && registered_as_leaving == host.is_leaving;
+    if (!may_span_parts || is_current)
+    {
+        return;
+    }
+    row_transaction transaction;
+    transaction.kind = transaction_kind::registration;
+    transaction.writes.push_back(
+        make_row(std::string(registration_prefix) + self.name, to_json(host)));
+    const absl::StatusOr<transaction_result> result =
+        store.commit(transaction, transaction_timeout);
+    if (!result.ok())
+    {
+        log_warning("registration failed",
+                    {{"error", std::string(result.status().message())}});
+        return;
+    }
+    is_registered = true;
+    registered_as_leaving = host.is_leaving;
 }
 
 // Returns whether the last read showed this host as leaving. Needs the lock.
@@ -332,7 +402,7 @@
         transaction.conditions.push_back({std::string(cluster_table), "",
                                           std::string(roster_prefix) + rack,
                                           view.rosters[rack].version});
-        if (has_rack_fences)
+        if (may_span_parts)
         {
             table_row fence = make_row(std::string(rack_fence_key), {});
             fence.table = std::string(rack_fences_table);
@@ -346,9 +416,11 @@
     if (former.last_heartbeat && stopped_hosts.insert(item.owner.host).second)
     {
         transaction.conditions.push_back(
-            {std::string(cluster_table), "",
+            {std::string(cluster_table),
+             heartbeat_part(item.owner.host, may_span_parts),
              std::string(host_prefix) + item.owner.host,
              view.hosts.at(item.owner.host).version});
+        transaction.spans_parts = may_span_parts;
     }
     if (former.kind == former_owner::other &&
         is_live(view, item.owner.host, limits, now))
@@ -370,7 +442,7 @@
     std::map<std::string, std::int64_t> confirming; // token by resource
     {
         const std::lock_guard<std::mutex> lock(mutex);
-        if (is_leaving)
+        if (is_leaving || (may_span_parts && !is_registered))
         {
             return;
         }
@@ -542,6 +614,7 @@
         {
             announce(limit_by_heartbeat(read_at));
             verify(limit_by_heartbeat(read_at));
+            register_host();
             const clock_reading claimed_at = read_clocks();
             claim();
             announce(limit_by_heartbeat(claimed_at));
--- a/src/scheduler/cluster_rows.cpp
+++ b/src/scheduler/cluster_rows.cpp
@@ -26,16 +26,19 @@
     return starts_with(key, shard_prefix) || starts_with(key, rack_prefix);
 }
 
-void decode_host(cluster_rows& result, const table_row& row)
+// Decodes a heartbeat row or a registration.
+void decode_host(cluster_rows& result, const table_row& row,
+                 std::string_view prefix,
+                 std::map<std::string, known_host>& hosts)
 {
     absl::StatusOr<host_row> host = from_json<host_row>(row.value);
-    if (!host.ok() || host->name != strip_prefix(row.key, host_prefix))
+    if (!host.ok() || host->name != strip_prefix(row.key, prefix))
     {
         // A host whose row is malformed or has another name counts as removed.
         result.removed[row.key] = row.version;
         return;
     }
-    known_host& item = result.hosts[host->name];
+    known_host& item = hosts[host->name];
     item.row = *std::move(host);
     item.version = row.version;
 }
@@ -48,7 +51,11 @@
     }
     else if (starts_with(row.key, host_prefix))
     {
-        decode_host(result, row);
+        decode_host(result, row, host_prefix, result.hosts);
+    }
+    else if (starts_with(row.key, registration_prefix))
+    {
+        decode_host(result, row, registration_prefix, result.registrations);
     }
     else if (starts_with(row.key, roster_prefix))
     {
@@ -91,6 +98,39 @@
     }
 }
 
+// Removes the hosts that a whole read, begun at `version`, does not contain,
+// unless they are live: the registration of a host may follow its heartbeats.
+void erase_absent_hosts(const cluster_view& view,
+                        std::map<std::string, known_host>& hosts,
+                        const cluster_rows& rows, const liveness_limits& limits,
+                        time_point now)
+{
+    std::map<std::string, known_host> present = rows.hosts;
+    present.insert(rows.registrations.begin(), rows.registrations.end());
+    for (const auto& [name, host] : hosts)
+    {
+        if (is_live(view, name, limits, now))
+        {
+            present.emplace(name, host);
+        }
+    }
+    erase_absent(hosts, present, rows.version);
+}
+
+// Adds the hosts of registrations of which no heartbeat is known.
+void add_registered(std::map<std::string, known_host>& hosts,
+                    const std::map<std::string, known_host>& registrations)
+{
+    for (const auto& [name, registration] : registrations)
+    {
+        known_host& host = hosts[name];
+        if (host.version == 0)
+        {
+            host.row = registration.row;
+        }
+    }
+}
+
 // Adds rows to `known`, except those that it has in a newer version.
 template <typename Row>
 void merge_newer(std::map<std::string, Row>& known,
@@ -173,6 +213,11 @@
 
 } // namespace
 
+std::string heartbeat_part(const std::string& host, bool may_span_parts)
+{
+    return may_span_parts ? host : std::string();
+}
+
 cluster_rows decode_cluster_rows(const std::vector<table_row>& rows,
                                  bool is_whole_table, std::int64_t version)
 {
@@ -201,9 +246,10 @@
     std::map<std::string, known_host> hosts = view.hosts;
     if (rows.is_whole_table)
     {
-        erase_absent(hosts, rows.hosts, rows.version);
+        erase_absent_hosts(view, hosts, rows, limits, now);
         erase_absent(view.rosters, rows.rosters, rows.version);
     }
+    add_registered(hosts, rows.registrations);
     merge_newer(hosts, rows.hosts);
     merge_newer(view.rosters, rows.rosters);
     apply_owners(view, rows, now);
--- a/src/scheduler/heartbeat.cpp
+++ b/src/scheduler/heartbeat.cpp
@@ -8,6 +8,7 @@
 #include <condition_variable>
 #include <mutex>
 #include <thread>
+#include <utility>
 
 namespace egretspindle
 {
@@ -26,8 +27,10 @@
 
 struct heartbeat::impl
 {
-    impl(table_store& rows, host_row row, milliseconds longest_stall)
-        : store(rows), stall_timeout(longest_stall), self(std::move(row))
+    impl(table_store& rows, std::string row_part, host_row row,
+         milliseconds longest_stall)
+        : store(rows), part(std::move(row_part)), stall_timeout(longest_stall),
+          self(std::move(row))
     {
     }
 
@@ -36,6 +39,7 @@
     void run();
 
     table_store& store;
+    const std::string part;
     const milliseconds stall_timeout;
     std::mutex mutex;
     std::condition_variable wake;
@@ -46,6 +50,7 @@
     /// The store has confirmed that this host leaves.
     bool is_leave_confirmed = false;
     boot_time_point confirmed_at; ///< start of the last confirmed write
+    std::optional<known_host> confirmed_row;
     bool has_tried_write = false; ///< or has skipped a write in a stall
     bool is_write_requested = false;
     bool is_stopping = false;
@@ -75,17 +80,18 @@
 {
     table_row row;
     row.table = std::string(cluster_table);
-    bool is_last = false;
+    row.part = part;
+    host_row written;
     {
         const std::lock_guard<std::mutex> lock(mutex);
         if (is_leave_confirmed)
         {
             return;
         }
-        is_last = self.is_leaving;
         ++self.beat;
-        row.key = std::string(host_prefix) + self.name;
-        row.value = to_json(self);
+        written = self;
+        row.key = std::string(host_prefix) + written.name;
+        row.value = to_json(written);
     }
     row_transaction transaction;
     transaction.kind = transaction_kind::heartbeat;
@@ -108,7 +114,10 @@
     if (result.ok())
     {
         confirmed_at = begun_at;
-        is_leave_confirmed = is_last;
+        is_leave_confirmed = written.is_leaving;
+        known_host& confirmed = confirmed_row.emplace();
+        confirmed.row = std::move(written);
+        confirmed.version = result->version;
     }
 }
 
@@ -135,9 +144,10 @@
     }
 }
 
-heartbeat::heartbeat(table_store& store, host_row self,
+heartbeat::heartbeat(table_store& store, std::string part, host_row self,
                      milliseconds stall_timeout)
-    : impl_(std::make_unique<impl>(store, std::move(self), stall_timeout))
+    : impl_(std::make_unique<impl>(store, std::move(part), std::move(self),
+                                   stall_timeout))
 {
 }
 
@@ -184,6 +194,12 @@
     return impl_->confirmed_at;
 }
 
+std::optional<known_host> heartbeat::confirmed_row() const
+{
+    const std::lock_guard<std::mutex> lock(impl_->mutex);
+    return impl_->confirmed_row;
+}
+
 void heartbeat::set_pending(std::map<std::string, std::int64_t> pending)
 {
     const std::lock_guard<std::mutex> lock(impl_->mutex);
--- a/src/scheduler/metered_store.cpp
+++ b/src/scheduler/metered_store.cpp
@@ -13,9 +13,9 @@
 namespace
 {
 
-constexpr std::array<const char*, 9> kind_names{
-    "other",  "heartbeat", "claim",  "fence",  "records",
-    "expiry", "intents",   "roster", "release"};
+constexpr std::array<const char*, 10> kind_names{
+    "other",  "heartbeat", "claim",  "fence",   "records",
+    "expiry", "intents",   "roster", "release", "registration"};
 constexpr std::array<const char*, 4> parts_names{"common", "one", "several",
                                                  "spanning"};
 
--- a/tests/scheduler/cluster_agent_test.cpp
+++ b/tests/scheduler/cluster_agent_test.cpp
@@ -1,5 +1,6 @@
 #include "egretspindle/codec/json.hpp"
 #include "egretspindle/scheduler/cluster_agent.hpp"
+#include "egretspindle/scheduler/cluster_rows.hpp"
 #include "egretspindle/scheduler/shard.hpp"
 
 #include "fake_store.hpp"
@@ -95,6 +96,7 @@
     }
 };
 
+// Writes the heartbeat row and the registration of a host.
 void write_host(fake_store& store, const std::string& name, std::int64_t beat,
                 bool is_leaving = false)
 {
@@ -109,17 +111,24 @@
     row_transaction transaction;
     table_row row;
     row.table = std::string(cluster_table);
-    row.key = "host/" + name;
+    row.key = std::string(registration_prefix) + name;
     row.value = to_json(host);
     transaction.writes.push_back(row);
+    row.part = heartbeat_part(name, true);
+    row.key = std::string(host_prefix) + name;
+    transaction.writes.push_back(row);
     REQUIRE(store.commit(transaction, milliseconds(100)).ok());
 }
 
 void remove_host(fake_store& store, const std::string& name)
 {
     row_transaction transaction;
-    transaction.removals.push_back(
-        {std::string(cluster_table), "", "host/" + name, 0});
+    transaction.removals.push_back({std::string(cluster_table), "",
+                                    std::string(registration_prefix) + name,
+                                    0});
+    transaction.removals.push_back({std::string(cluster_table),
+                                    heartbeat_part(name, true),
+                                    std::string(host_prefix) + name, 0});
     REQUIRE(store.commit(transaction, milliseconds(100)).ok());
 }
 
@@ -249,24 +258,26 @@
 TEST_CASE("rows that change between pages are read", "[scheduler]")
 {
     fake_store store;
-    for (int n = 2; n < 6; ++n)
+    std::vector<std::string> expected{"peer-of-h0"};
+    for (int n = 10; n < 20; ++n)
     {
         write_host(store, "h" + std::to_string(n), 1);
+        expected.push_back("peer-of-h" + std::to_string(n));
     }
-    store.set_page_size(3);
+    expected.erase(expected.begin() + 1); // h10 is removed
+    // Less than the hosts, more than the rows that change in a second.
+    store.set_page_size(8);
     std::atomic<bool> is_done{false};
     store.before_next_page = [&]
     {
         if (!is_done.exchange(true))
         {
             write_host(store, "h0", 1);
-            remove_host(store, "h2");
+            remove_host(store, "h10");
         }
     };
     agent_fixture host(store);
     REQUIRE(wait_until([&] { return is_done.load(); }));
-    const std::vector<std::string> expected{"peer-of-h0", "peer-of-h3",
-                                            "peer-of-h4", "peer-of-h5"};
     REQUIRE(wait_until([&] { return host.agent.peers() == expected; }));
     REQUIRE(store.reads() == 1);
     host.agent.stop();
@@ -283,6 +294,60 @@
     host.agent.stop();
 }
 
+// Heartbeats are in parts that whole reads do not contain. Guards against live
+// hosts that seem silent whenever the whole table is read.
+TEST_CASE("heartbeats are read while the whole table is read", "[scheduler]")
+{
+    fake_store store;
+    agent_fixture host(store, milliseconds(1));
+    REQUIRE(wait_until([&] { return store.reads() >= 2; }));
+    host_row other;
+    other.name = "h2";
+    other.boot = 1;
+    other.peer = "peer-of-h2";
+    row_transaction transaction;
+    table_row row;
+    row.table = std::string(cluster_table);
+    row.part = heartbeat_part(other.name, true);
+    row.key = std::string(host_prefix) + other.name;
+    row.value = to_json(other);
+    transaction.writes.push_back(row);
+    REQUIRE(store.commit(transaction, milliseconds(100)).ok());
+    CHECK(wait_until([&] { return host.agent.peers().size() == 1; }));
+    host.agent.stop();
+}
+
+// Otherwise hosts that start do not know the owner of a resource, and claim it
+// from a live host.
+TEST_CASE("a host claims nothing before it is registered", "[scheduler]")
+{
+    fake_store store;
+    std::atomic<bool> is_held{true};
+    const auto registration = [&store]
+    {
+        return store.row(std::string(cluster_table), "",
+                         std::string(registration_prefix) + "h1");
+    };
+    store.before_commit = [&]
+    {
+        // Only the heartbeats pass.
+        if (is_held)
+        {
+            store.hold_part("");
+        }
+    };
+    agent_fixture host(store);
+    REQUIRE(wait_until([&] { return store.held_writes() >= 2; }));
+    CHECK(store.row(std::string(cluster_table), "", "rack/r1").version == 0);
+    is_held = false;
+    store.release_part();
+    host.wait_for_rack();
+    CHECK(registration().version != 0);
+    CHECK(registration().version <
+          store.row(std::string(cluster_table), "", "rack/r1").version);
+    host.agent.stop();
+}
+
 // After the loss of most hosts, one of the others may have to claim more racks
 // than a transaction can hold (`max_transaction_entries`). The store refuses
 // larger ones, so that the racks would stay without an owner.
@@ -345,8 +410,9 @@
 {
     fake_store store;
     write_owner(store, {"h9", 1});
-    write_host(store, "h9", 1, true);
+    write_host(store, "h9", 1);
     std::atomic<bool> writes_heartbeats{true};
+    std::atomic<bool> is_leaving{false};
     std::atomic<int> commits{0};
     thread_local bool is_nested = false;
     store.before_commit = [&]
@@ -354,12 +420,18 @@
         if (!is_nested && writes_heartbeats)
         {
             is_nested = true;
-            write_host(store, "h9", ++commits, true);
+            write_host(store, "h9", ++commits, is_leaving);
             is_nested = false;
         }
     };
     agent_fixture host(store);
-    REQUIRE(wait_until([&] { return commits >= 5; }));
+    // The agent has then read a heartbeat that it wrote after its start.
+    const int watches = store.watches();
+    REQUIRE(wait_until(
+        [&] { return commits >= 3 && store.watches() >= watches + 3; }));
+    is_leaving = true;
+    const int before = commits;
+    REQUIRE(wait_until([&] { return commits >= before + 5; }));
     {
         const std::lock_guard<std::mutex> lock(host.mutex);
         CHECK(host.taken.count("rack/r1") == 0);
@@ -377,8 +449,17 @@
 {
     fake_store store;
     write_owner(store, {"h9", 0});
-    write_host(store, "h9", 1, true);
+    write_host(store, "h9", 1);
     agent_fixture host(store);
+    const auto wait_for_reads = [&store](int count)
+    {
+        const int end = store.watches() + count;
+        REQUIRE(wait_until([&] { return store.watches() >= end; }));
+    };
+    wait_for_reads(1);
+    write_host(store, "h9", 2);
+    wait_for_reads(2);
+    write_host(store, "h9", 3, true);
     const former_ownership former = host.wait_for_rack();
     CHECK(former.kind == former_owner::other);
     CHECK(former.ended_at.has_value());
--- a/tests/scheduler/cluster_rows_test.cpp
+++ b/tests/scheduler/cluster_rows_test.cpp
@@ -98,13 +98,57 @@
     }
     SECTION("by a whole read")
     {
-        apply_whole(view, {rows[0]}, 5);
+        apply_whole(view, {rows[0]}, 5, start + limits.heartbeat_timeout);
     }
     REQUIRE(view.hosts.size() == 1);
     REQUIRE(view.resources.at("rack/r1").version == 0);
     REQUIRE(view.rosters.count("r1") == 0);
 }
 
+// A host registers after its first heartbeat. Guards against claims from a live
+// host that a whole read does not show.
+TEST_CASE("a live host without a registration stays in the view", "[scheduler]")
+{
+    cluster_view view;
+    apply_changes(view, {make_host("h1", 1)}, 1);
+    apply_whole(view, {}, 5);
+    REQUIRE(is_live(view, "h1", limits, start));
+}
+
+// A host that has just started knows the others by their registrations, until
+// it reads their heartbeats.
+TEST_CASE("a registered host is live until its heartbeats are missing",
+          "[scheduler]")
+{
+    host_row host;
+    host.name = "h1";
+    host.peer = "10.0.0.1:80";
+    const table_row registration =
+        make_row("registration/h1", to_json(host), 1);
+    cluster_view view;
+    apply_whole(view, {registration}, 5);
+    REQUIRE(is_live(view, "h1", limits, start));
+    REQUIRE(view.hosts.at("h1").row.peer == "10.0.0.1:80");
+    SECTION("without heartbeats")
+    {
+        time_point now = start;
+        for (int n = 0; n < 3; ++n)
+        {
+            CHECK(is_live(view, "h1", limits, now));
+            now += milliseconds(1'000);
+            apply_whole(view, {registration}, 6, now);
+        }
+        CHECK_FALSE(is_live(view, "h1", limits, now));
+    }
+    SECTION("a registration is older than the heartbeats")
+    {
+        apply_changes(view, {make_host("h1", 7)}, 7);
+        apply_whole(view, {registration}, 8);
+        CHECK(view.hosts.at("h1").version == 7);
+        CHECK(view.hosts.at("h1").row.beat == 7);
+    }
+}
+
 // The agent's own claims and lists are in the view before a read returns them.
 TEST_CASE("older rows do not replace newer ones in the view", "[scheduler]")
 {
--- a/tests/scheduler/heartbeat_test.cpp
+++ b/tests/scheduler/heartbeat_test.cpp
@@ -17,7 +17,8 @@
 // Returns the number of the heartbeat in the row of `h1`, 0 without a row.
 std::int64_t stored_beat(fake_store& store)
 {
-    const table_row row = store.row(std::string(cluster_table), "", "host/h1");
+    const table_row row =
+        store.row(std::string(cluster_table), "h1", "host/h1");
     return row.version == 0 ? 0 : from_json<host_row>(row.value)->beat;
 }
 
@@ -133,7 +134,8 @@
     REQUIRE(has_begun);
     REQUIRE(beat_while_hung == 2);
     REQUIRE(wait_for_beat(store, 4));
-    const table_row row = store.row(std::string(cluster_table), "", "host/h1");
+    const table_row row =
+        store.row(std::string(cluster_table), "h1", "host/h1");
     REQUIRE(from_json<host_row>(row.value)->pending.at("q") == 3);
     agent.stop();
 }
@@ -148,7 +150,8 @@
     REQUIRE(wait_for_beat(store, 2));
     agent.leave();
     REQUIRE(wait_for_beat(store, 3));
-    const table_row row = store.row(std::string(cluster_table), "", "host/h1");
+    const table_row row =
+        store.row(std::string(cluster_table), "h1", "host/h1");
     REQUIRE(from_json<host_row>(row.value)->is_leaving);
     agent.stop();
 }
@@ -214,7 +217,7 @@
     const auto is_stored_as_leaving = [&store]
     {
         const table_row row =
-            store.row(std::string(cluster_table), "", "host/h1");
+            store.row(std::string(cluster_table), "h1", "host/h1");
         return from_json<host_row>(row.value)->is_leaving;
     };
     const auto wait_until_leaving = [&]
@@ -231,6 +234,7 @@
     row_transaction transaction;
     table_row row;
     row.table = std::string(cluster_table);
+    row.part = "h1";
     row.key = "host/h1";
     row.value = to_json(make_self());
     transaction.writes.push_back(row);
