Keep a rack with its owner while that concludes runs on a silent target

The new owner had to find the target silent anew, and reports of the former owner no longer count.

Cause: a move for balance looks at loads and at the time since the last claim, not at what the owner is doing. An owner now names in its heartbeat the racks with runs on a target that has not answered for 2.5 s, with leases of earlier owners that have not expired, or with ends that it inferred in the last 2 s, and others do not claim these from it while it is live.

Ruled out: a longer time between moves, which delays moves that do no harm.

"a rack whose owner says so does not move between live hosts" fails when is_unmovable returns false; the condition is_concluding is new.

--- a/include/egretspindle/cluster/cluster_view.hpp
+++ b/include/egretspindle/cluster/cluster_view.hpp
@@ -27,6 +27,8 @@
     std::map<std::string, std::int64_t> pending;
     /// Relative share of the resources to own, in CPU cores.
     double weight = 1.0;
+    /// Resources of the host that must not move to another live host now.
+    std::vector<std::string> unmovable;
 };
 
 /// Visits the fields of `host_row` for the codec.
@@ -41,6 +43,7 @@
     visit("beat", value.beat);
     visit("pending", value.pending);
     visit("weight", value.weight);
+    visit("unmovable", value.unmovable);
 }
 
 /// Owner row of a job shard or a rack.
@@ -175,9 +178,9 @@
 /// moves between live hosts only if that lowers the larger of their loads per
 /// weight by at least half a resource of the loaded one; with equal weights, if
 /// the claimant owns at least two fewer. A rack also moves if its owner is in
-/// another data centre than the rack, and the claimant in the same. At most one
-/// resource of a live host is returned, and only if every resource has an
-/// owner.
+/// another data centre than the rack, and the claimant in the same. A resource
+/// in `host_row::unmovable` of its owner does not move. At most one resource of
+/// a live host is returned, and only if every resource has an owner.
 ///
 /// \param boot  `host_row::boot` of the process of `self`
 [[nodiscard]] std::vector<std::string>
--- a/include/egretspindle/rack/rack_decision.hpp
+++ b/include/egretspindle/rack/rack_decision.hpp
@@ -161,6 +161,12 @@
 /// expired.
 [[nodiscard]] bool knows_all_runs(const rack_state& rack, time_point now);
 
+/// Returns whether a move of the rack to another host now would make runs on
+/// targets out of reach end later: its owner waits for leases to expire, or has
+/// just inferred ends, which the owner of the job accepts from the present
+/// owner of the rack only.
+[[nodiscard]] bool is_concluding(const rack_state& rack, time_point now);
+
 /// Returns how many starts with the given requirements a rack may hand back, by
 /// the free capacity of other racks.
 using place_counter = std::function<std::size_t(const step_terms& terms)>;
--- a/include/egretspindle/rack/rack_state.hpp
+++ b/include/egretspindle/rack/rack_state.hpp
@@ -184,6 +184,7 @@
     /// The leases of a target of an earlier owner expired before this owner
     /// reached it. The target may list ends of runs of that owner later.
     bool has_unseen_ends = false;
+    time_point inferred_ends_at; ///< latest ends from expired leases; {}: none
     bool has_read_intents = false; ///< recorded by earlier owners
     /// Long-running runs that earlier owners may have started, with the only
     /// possible target of each; no value until the record has been read, and if
--- a/include/egretspindle/scheduler/cluster_agent.hpp
+++ b/include/egretspindle/scheduler/cluster_agent.hpp
@@ -72,6 +72,9 @@
     std::function<void(const rack_handover& handover)> released;
     /// Returns the number of this host's jobs that have not started, by queue.
     std::function<std::map<std::string, std::int64_t>()> pending;
+    /// Returns the resources of this host that must not move to another live
+    /// host now. May be empty.
+    std::function<std::vector<std::string>()> unmovable;
 };
 
 /// Participation of this host in the cluster: writes heartbeats, claims
--- a/include/egretspindle/scheduler/heartbeat.hpp
+++ b/include/egretspindle/scheduler/heartbeat.hpp
@@ -14,6 +14,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace egretspindle
 {
@@ -59,9 +60,10 @@
     /// did.
     [[nodiscard]] std::optional<known_host> confirmed_row() const;
 
-    /// Sets the number of jobs that have not started, by queue, for the next
-    /// write.
-    void set_pending(std::map<std::string, std::int64_t> pending);
+    /// Sets the number of jobs that have not started, by queue, and the
+    /// resources that must not move, for the next write.
+    void set_state(std::map<std::string, std::int64_t> pending,
+                   std::vector<std::string> unmovable);
 
     /// Marks this host as leaving and wakes the thread, so that it writes the
     /// row at once. Once the store has confirmed it, no more heartbeats are
--- a/include/egretspindle/scheduler/rack_agent.hpp
+++ b/include/egretspindle/scheduler/rack_agent.hpp
@@ -135,6 +135,10 @@
     rack_agent(const rack_agent&) = delete;
     rack_agent& operator=(const rack_agent&) = delete;
 
+    /// Returns the racks that must not move to another host now, see
+    /// `is_concluding`.
+    [[nodiscard]] std::vector<std::string> concluding_racks() const;
+
     /// Takes a rack over and starts to poll its targets. Has no effect if the
     /// agent has the rack with the same token.
     void take_rack(const rack_takeover& takeover);
--- a/src/cluster/cluster_view.cpp
+++ b/src/cluster/cluster_view.cpp
@@ -161,6 +161,18 @@
            now - item.owned_since < limits.rack_move_cooldown;
 }
 
+// Returns whether the live owner of a resource says that it must not move now.
+bool is_unmovable(const cluster_view& view, const resource& item)
+{
+    const auto it = view.hosts.find(item.owner.host);
+    if (it == view.hosts.end())
+    {
+        return false;
+    }
+    const std::vector<std::string>& names = it->second.row.unmovable;
+    return std::find(names.begin(), names.end(), item.name) != names.end();
+}
+
 // Returns the key of the first resource that this host should claim from a more
 // loaded live host, or from one of another data centre; empty if there is none.
 std::string choose_rebalance_claim(const cluster_view& view,
@@ -180,7 +192,7 @@
                    candidates.end();
         };
         if (item.owner.host == self || !contains(self) ||
-            is_in_move_cooldown(item, limits, now))
+            is_in_move_cooldown(item, limits, now) || is_unmovable(view, item))
         {
             continue;
         }
--- a/src/rack/rack_decision.cpp
+++ b/src/rack/rack_decision.cpp
@@ -16,6 +16,13 @@
 namespace
 {
 
+// A target without an answer for this long is out of reach: longer than it
+// takes to answer a poll, see `rack_agent_limits::poll_timeout`.
+constexpr milliseconds silent_after{2'500};
+// Time in which the end of a run that the owner infers is recorded. The report
+// is repeated if the store does not take the record at once.
+constexpr milliseconds inferred_report_time{2'000};
+
 // A list may have been made before a start arrived at the target. A run that
 // was confirmed less than this before the poll is not expected in it.
 constexpr milliseconds list_delay{1'000};
@@ -602,6 +609,7 @@
         if (is_expired && !target.runs.empty())
         {
             end_all_runs(target, end_cause::lease_expired, events);
+            rack.inferred_ends_at = now;
         }
         rack.has_unseen_ends |=
             is_expired && target.is_inherited && !target.is_reached;
@@ -710,6 +718,23 @@
                        });
 }
 
+bool is_concluding(const rack_state& rack, time_point now)
+{
+    const bool has_silent_runs = std::any_of(
+        rack.targets.begin(), rack.targets.end(),
+        [now](const auto& item)
+        {
+            const rack_target& target = item.second;
+            return target.is_reached && now - target.clock_at >= silent_after &&
+                   std::any_of(target.runs.begin(), target.runs.end(),
+                               [](const auto& run)
+                               { return !run.second.is_ended; });
+        });
+    const bool has_reports = rack.inferred_ends_at != time_point{} &&
+                             now - rack.inferred_ends_at < inferred_report_time;
+    return has_silent_runs || has_reports || !knows_all_runs(rack, now);
+}
+
 std::vector<run_event> hand_back(rack_state& rack, milliseconds min_wait,
                                  const place_counter& count_places,
                                  time_point now)
--- a/src/scheduler/cluster_agent.cpp
+++ b/src/scheduler/cluster_agent.cpp
@@ -608,7 +608,9 @@
     {
         const time_point begun = steady_clock::now();
         heartbeats.report_progress();
-        heartbeats.set_pending(hooks.pending());
+        heartbeats.set_state(hooks.pending(), hooks.unmovable
+                                                  ? hooks.unmovable()
+                                                  : std::vector<std::string>{});
         const clock_reading read_at = read_clocks();
         if (read())
         {
--- a/src/scheduler/heartbeat.cpp
+++ b/src/scheduler/heartbeat.cpp
@@ -200,10 +200,12 @@
     return impl_->confirmed_row;
 }
 
-void heartbeat::set_pending(std::map<std::string, std::int64_t> pending)
+void heartbeat::set_state(std::map<std::string, std::int64_t> pending,
+                          std::vector<std::string> unmovable)
 {
     const std::lock_guard<std::mutex> lock(impl_->mutex);
     impl_->self.pending = std::move(pending);
+    impl_->self.unmovable = std::move(unmovable);
 }
 
 void heartbeat::leave()
--- a/src/scheduler/job_scheduler.cpp
+++ b/src/scheduler/job_scheduler.cpp
@@ -384,6 +384,15 @@
     {
         return coordinator.pending();
     };
+    hooks.unmovable = [this]
+    {
+        std::vector<std::string> names = racks.concluding_racks();
+        for (std::string& name : names)
+        {
+            name.insert(0, rack_prefix);
+        }
+        return names;
+    };
     return hooks;
 }
 
--- a/src/scheduler/rack_agent.cpp
+++ b/src/scheduler/rack_agent.cpp
@@ -85,6 +85,21 @@
     }
 }
 
+std::vector<std::string> rack_agent::concluding_racks() const
+{
+    const std::lock_guard<std::mutex> lock(impl_->mutex);
+    const time_point now = steady_clock::now();
+    std::vector<std::string> names;
+    for (const auto& [name, rack] : impl_->racks)
+    {
+        if (is_concluding(rack, now))
+        {
+            names.push_back(name);
+        }
+    }
+    return names;
+}
+
 void rack_agent::take_rack(const rack_takeover& takeover)
 {
     {
--- a/tests/cluster/cluster_view_test.cpp
+++ b/tests/cluster/cluster_view_test.cpp
@@ -422,6 +422,34 @@
     REQUIRE(decide_claims(view, "h2", 1, limits, now).size() == 4);
 }
 
+// Guards against a move that makes the runs of a target that is gone end later:
+// the new owner has to find out anew that it is out of reach.
+TEST_CASE("a rack whose owner says so does not move between live hosts",
+          "[cluster]")
+{
+    cluster_view view;
+    apply_read(view, {make_host("h1", 1, 1, "b"), make_host("h2", 1, 1, "a")},
+               limits, start);
+    add_resource(view, "rack/1", "h1", 1, "a");
+    time_point now = simulate_reads(view, {"h1", "h2"}, 20, start);
+    REQUIRE(decide_claims(view, "h2", 1, limits, now) ==
+            std::vector<std::string>{"rack/1"});
+    view.hosts["h1"].row.unmovable = {"rack/1"};
+    now = simulate_reads(view, {"h1", "h2"}, 1, now);
+    CHECK(decide_claims(view, "h2", 1, limits, now).empty());
+    // It is claimed as before when its owner is dead or leaves.
+    SECTION("dead")
+    {
+        now = simulate_reads(view, {"h2"}, 4, now);
+    }
+    SECTION("leaving")
+    {
+        view.hosts["h1"].row.is_leaving = true;
+    }
+    CHECK(decide_claims(view, "h2", 1, limits, now) ==
+          std::vector<std::string>{"rack/1"});
+}
+
 // With equal shares, hosts with 0.12 cores would write their heartbeats too
 // late and lose their racks while they are alive.
 TEST_CASE("resources are distributed in proportion to the weights", "[cluster]")
--- a/tests/rack/rack_handover_test.cpp
+++ b/tests/rack/rack_handover_test.cpp
@@ -71,6 +71,47 @@
     CHECK(knows_all_after(rack, milliseconds(5'002)));
 }
 
+// A rack moved to another live host 6.3 s after one of its targets was gone,
+// when the owner was about to conclude its runs; the new owner concluded them
+// 5 s later.
+TEST_CASE("an owner with a silent target is concluding until the ends of its "
+          "runs are reported",
+          "[rack]")
+{
+    rack_state rack;
+    rack.name = "r1";
+    rack.token = 8;
+    rack_target& target = add_target(rack, "t1");
+    target.is_reached = true;
+    target.is_inherited = false;
+    target.clock_at = now;
+    target.expires_at = now + milliseconds(6'620);
+    target.runs[{"task", 1}].is_confirmed = true;
+    const auto is_concluding_after = [&rack](int ms)
+    {
+        const time_point time = now + milliseconds(ms);
+        rack.verified_at = time;
+        (void)expire_leases(rack, time);
+        return is_concluding(rack, time);
+    };
+    CHECK_FALSE(is_concluding_after(2'000));
+    CHECK(is_concluding_after(2'500));
+    CHECK(is_concluding_after(6'300));
+    CHECK(is_concluding_after(6'700)); // the ends are being reported
+    CHECK(target.runs.empty());
+    CHECK_FALSE(is_concluding_after(9'000));
+}
+
+// Guards against a wait for a target that runs nothing, and against a move
+// while the leases of earlier owners are not known to have expired.
+TEST_CASE("an owner is concluding while it may not know all runs", "[rack]")
+{
+    rack_state rack = make_new_owner();
+    CHECK(is_concluding(rack, now + milliseconds(5'000)));
+    rack.verified_at = now + milliseconds(14'700);
+    CHECK_FALSE(is_concluding(rack, now + milliseconds(14'700)));
+}
+
 // Guards against a message of an earlier owner, which does not know the leases
 // that a later one granted.
 TEST_CASE("only the last earlier owner can handover a rack", "[rack]")
