Count transactions of every kind

Hosts ended with a segmentation fault at their start since registrations are written: the counters of metered_store had room for nine kinds, and the new one was the tenth. Unit tests did not run the program with transactions over several parts.

The number of kinds is now derived from the enumeration, and a test sends one transaction of each.

--- a/include/egretspindle/fleet/table_store.hpp
+++ b/include/egretspindle/fleet/table_store.hpp
@@ -69,6 +69,10 @@
     registration, ///< of a host
 };
 
+/// Number of the values of `transaction_kind`.
+constexpr std::size_t transaction_kind_count =
+    static_cast<std::size_t>(transaction_kind::registration) + 1;
+
 /// Changes that are applied atomically.
 struct row_transaction
 {
--- a/include/egretspindle/scheduler/metered_store.hpp
+++ b/include/egretspindle/scheduler/metered_store.hpp
@@ -54,13 +54,13 @@
           std::chrono::milliseconds wait) override;
 
 private:
-    static constexpr std::size_t kind_count = 9;
     static constexpr std::size_t result_count = 4;
     static constexpr std::size_t parts_count = 4;
 
     table_store& store_;
     /// By `transaction_kind` and result.
-    std::array<std::array<counter*, result_count>, kind_count> transactions_{};
+    std::array<std::array<counter*, result_count>, transaction_kind_count>
+        transactions_{};
     /// Duration in ms by `transaction_parts`.
     std::array<latency_summary*, parts_count> duration_{};
     log_rate_limit slow_log_limit_{milliseconds(200)};
--- a/src/scheduler/metered_store.cpp
+++ b/src/scheduler/metered_store.cpp
@@ -13,7 +13,7 @@
 namespace
 {
 
-constexpr std::array<const char*, 10> kind_names{
+constexpr std::array<const char*, transaction_kind_count> kind_names{
     "other",  "heartbeat", "claim",  "fence",   "records",
     "expiry", "intents",   "roster", "release", "registration"};
 constexpr std::array<const char*, 4> parts_names{"common", "one", "several",
@@ -94,7 +94,7 @@
 metered_store::metered_store(table_store& store, metric_registry& registry)
     : store_(store)
 {
-    for (std::size_t n = 0; n < kind_count; ++n)
+    for (std::size_t n = 0; n < transaction_kind_count; ++n)
     {
         for (std::size_t m = 0; m < result_count; ++m)
         {
--- a/tests/scheduler/metered_store_test.cpp
+++ b/tests/scheduler/metered_store_test.cpp
@@ -66,6 +66,24 @@
 
 } // namespace
 
+// Guards against a kind that has no counter.
+TEST_CASE("transactions of every kind are counted", "[metrics][store]")
+{
+    fake_store rows;
+    metric_registry registry;
+    metered_store store(rows, registry);
+    for (std::size_t n = 0; n < transaction_kind_count; ++n)
+    {
+        REQUIRE(store
+                    .commit(make_write(static_cast<transaction_kind>(n), ""),
+                            timeout)
+                    .ok());
+    }
+    CHECK(transactions(registry, "other", "committed") == 1);
+    CHECK(transactions(registry, "release", "committed") == 1);
+    CHECK(transactions(registry, "registration", "committed") == 1);
+}
+
 // Guards against counting a record whose condition is an owner row as a
 // transaction of its shard only.
 TEST_CASE("conditions count for the parts of a transaction", "[metrics][store]")
