Follow changes of the cluster's table from where they were last read

A read of the whole table, due while the changes could not be read, set the position of the next changes to its own version, so that the heartbeats between the two were never read. The position is now set by a whole read only when the changes before it are lost.

--- a/include/egretspindle/scheduler/cluster_agent.hpp
+++ b/include/egretspindle/scheduler/cluster_agent.hpp
@@ -83,7 +83,8 @@
 {
 public:
     /// \param may_span_parts  the store has transactions over several parts;
-    ///                        else claims write no fence rows of racks
+    ///                        else claims write no fence rows of racks, and
+    ///                        heartbeats are in the part of the owner rows
     cluster_agent(table_store& store, host_row self, cluster_hooks hooks,
                   const liveness_limits& limits, bool may_span_parts = true);
     ~cluster_agent();
--- a/src/scheduler/cluster_agent.cpp
+++ b/src/scheduler/cluster_agent.cpp
@@ -86,6 +86,8 @@
 
     void run();
     bool read();
+    bool update_by_changes();
+    bool update_by_whole_table();
     void apply(cluster_rows rows);
     void register_host();
     [[nodiscard]] bool is_announced() const;
@@ -257,44 +259,50 @@
     return decode_cluster_rows(page->rows, false, page->version);
 }
 
-// Updates the view by the changes since the last read, or by the whole table.
-// Returns whether the store answered.
+// Updates the view by the changes since the last read, and by the whole table
+// when that is due. Returns whether the store answered.
 bool cluster_agent::impl::read()
 {
     const time_point begun = steady_clock::now();
-    absl::StatusOr<cluster_rows> rows =
-        make_error(error_kind::not_found, "not read yet");
-    if (has_read_whole)
+    const bool has_changes = has_read_whole && update_by_changes();
+    if (has_read_whole && begun - whole_read_at < limits.whole_read_interval)
     {
-        rows = read_changes();
-        if (rows.ok())
-        {
-            table_version = rows->version;
-            apply(*std::move(rows));
-        }
-        else if (kind_of(rows.status()) == error_kind::not_found)
-        {
-            has_read_whole = false;
-            has_lost_changes = true;
-        }
+        return has_changes;
     }
-    const bool has_changes = rows.ok();
-    if (!has_read_whole || begun - whole_read_at >= limits.whole_read_interval)
+    // Set even if the read fails: a store that is too slow for the whole table
+    // may still answer with changes.
+    whole_read_at = begun;
+    return update_by_whole_table() || has_changes;
+}
+
+bool cluster_agent::impl::update_by_changes()
+{
+    const absl::StatusOr<cluster_rows> rows = read_changes();
+    if (rows.ok())
     {
-        // Set even if the read fails: a store that is too slow for the whole
-        // table may still answer with changes.
-        whole_read_at = begun;
-        rows = read_whole_table();
-        if (rows.ok())
-        {
-            // Heartbeats are read as changes only, so that none may be left
-            // out.
-            table_version = has_changes ? table_version : rows->version;
-            has_read_whole = true;
-            apply(*std::move(rows));
-        }
+        table_version = rows->version;
+        apply(*rows);
+    }
+    else if (kind_of(rows.status()) == error_kind::not_found)
+    {
+        has_read_whole = false;
+        has_lost_changes = true;
+    }
+    return rows.ok();
+}
+
+bool cluster_agent::impl::update_by_whole_table()
+{
+    const absl::StatusOr<cluster_rows> rows = read_whole_table();
+    if (rows.ok())
+    {
+        // Otherwise the changes go on where their last read ended: heartbeats
+        // are read as changes only.
+        table_version = has_read_whole ? table_version : rows->version;
+        has_read_whole = true;
+        apply(*rows);
     }
-    return rows.ok() || has_changes;
+    return rows.ok();
 }
 
 // Applies the rows of a read to the view.
