--- a/include/egretspindle/rack/rack_state.hpp
+++ b/include/egretspindle/rack/rack_state.hpp
@@ -74,7 +74,7 @@
     std::int64_t percent = 100; ///< speed limit in percent of full speed
     /// An earlier owner started the run, and may have slowed it.
     bool may_be_slowed = false;
-    time_point slowed_at;       ///< when it was slowed to 25% or less
+    time_point slowed_at; ///< when it was slowed to 25% or less
     // Of serving tasks; 0: not observed yet.
     double headroom = 0;       ///< response-time target / response time
     double own_headroom = 0;   ///< as if no backfill tasks ran beside it
