Test: pause a target for certain before its last tick is compared

A process with several threads stops a moment after SIGSTOP is sent, while threads on other processors go on. No tick after that is allowed, as before.

--- a/tests/standins/standin_target_test.cpp
+++ b/tests/standins/standin_target_test.cpp
@@ -13,6 +13,7 @@
 #include <catch2/catch.hpp>
 
 #include <csignal>
+#include <sys/wait.h>
 
 using namespace egretspindle;
 using namespace egretspindle::test;
@@ -106,6 +107,11 @@
     running_target target;
     REQUIRE(target.client->start(target.command("t/1", 60'000, 400)).ok());
     target.process.signal(SIGSTOP);
+    // Threads on other processors go on for a moment after the signal is sent.
+    int status = 0;
+    REQUIRE(::waitpid(target.process.pid(), &status, WUNTRACED) ==
+            target.process.pid());
+    REQUIRE(WIFSTOPPED(status));
     const std::int64_t paused_ms = unix_ms();
     CHECK(wait_until([&] { return unix_ms() - paused_ms > 800; }));
     target.process.signal(SIGCONT);
