--- a/tests/scheduler/cluster_agent_test.cpp
+++ b/tests/scheduler/cluster_agent_test.cpp
@@ -1,4 +1,5 @@
 #include "egretspindle/codec/json.hpp"
+#include "egretspindle/core/error.hpp"
 #include "egretspindle/scheduler/cluster_agent.hpp"
 #include "egretspindle/scheduler/cluster_rows.hpp"
 #include "egretspindle/scheduler/shard.hpp"
@@ -18,11 +19,42 @@
 namespace
 {
 
+/// Store whose watches can be made to fail alone.
+class unwatchable_store final : public table_store
+{
+public:
+    fake_store rows;
+    std::atomic<bool> fails{false};
+
+    absl::StatusOr<transaction_result>
+    commit(const row_transaction& transaction,
+           std::chrono::milliseconds timeout) override
+    {
+        return rows.commit(transaction, timeout);
+    }
+
+    absl::StatusOr<table_page> read(const row_range& range,
+                                    std::chrono::milliseconds timeout) override
+    {
+        return rows.read(range, timeout);
+    }
+
+    absl::StatusOr<table_page> watch(std::string_view table, std::int64_t after,
+                                     std::chrono::milliseconds wait) override
+    {
+        if (fails)
+        {
+            return make_error(error_kind::unavailable, "refused");
+        }
+        return rows.watch(table, after, wait);
+    }
+};
+
 /// Agent of host `h1`, boot 2, and the former owners of the resources for which
 /// it has called the hook `taken`.
 struct agent_fixture
 {
-    fake_store& store;
+    table_store& store;
     milliseconds whole_read_interval;
     std::mutex mutex;
     std::condition_variable changed;
@@ -34,8 +66,8 @@
                         host_row{"h1", 2, "127.0.0.1:1", "dc", false, 0, {}},
                         hooks(), limits()};
 
-    explicit agent_fixture(fake_store& rows, milliseconds whole_read_interval =
-                                                 milliseconds(30'000))
+    explicit agent_fixture(table_store& rows, milliseconds whole_read_interval =
+                                                  milliseconds(30'000))
         : store(rows), whole_read_interval(whole_read_interval)
     {
         agent.set_racks({{"r1", "dc"}});
@@ -120,6 +152,23 @@
     REQUIRE(store.commit(transaction, milliseconds(100)).ok());
 }
 
+// Writes one heartbeat of a host that has not registered.
+void write_heartbeat(fake_store& store, const std::string& name)
+{
+    host_row host;
+    host.name = name;
+    host.boot = 1;
+    host.peer = "peer-of-" + name;
+    row_transaction transaction;
+    table_row row;
+    row.table = std::string(cluster_table);
+    row.part = heartbeat_part(name, true);
+    row.key = std::string(host_prefix) + name;
+    row.value = to_json(host);
+    transaction.writes.push_back(row);
+    REQUIRE(store.commit(transaction, milliseconds(100)).ok());
+}
+
 void remove_host(fake_store& store, const std::string& name)
 {
     row_transaction transaction;
@@ -301,18 +350,24 @@
     fake_store store;
     agent_fixture host(store, milliseconds(1));
     REQUIRE(wait_until([&] { return store.reads() >= 2; }));
-    host_row other;
-    other.name = "h2";
-    other.boot = 1;
-    other.peer = "peer-of-h2";
-    row_transaction transaction;
-    table_row row;
-    row.table = std::string(cluster_table);
-    row.part = heartbeat_part(other.name, true);
-    row.key = std::string(host_prefix) + other.name;
-    row.value = to_json(other);
-    transaction.writes.push_back(row);
-    REQUIRE(store.commit(transaction, milliseconds(100)).ok());
+    write_heartbeat(store, "h2");
+    CHECK(wait_until([&] { return host.agent.peers().size() == 1; }));
+    host.agent.stop();
+}
+
+// Guards against changes that are never read because a whole read, which does
+// not contain them, has moved the position of the next changes.
+TEST_CASE("heartbeats are read after a time in which only whole reads succeed",
+          "[scheduler]")
+{
+    unwatchable_store store;
+    agent_fixture host(store, milliseconds(1));
+    REQUIRE(wait_until([&] { return store.rows.reads() >= 2; }));
+    store.fails = true;
+    write_heartbeat(store.rows, "h2");
+    const int end = store.rows.reads() + 2;
+    REQUIRE(wait_until([&] { return store.rows.reads() >= end; }));
+    store.fails = false;
     CHECK(wait_until([&] { return host.agent.peers().size() == 1; }));
     host.agent.stop();
 }
