--- a/src/scheduler/rack_agent_polls.cpp
+++ b/src/scheduler/rack_agent_polls.cpp
@@ -11,7 +11,8 @@
 {
 
 // Logs the first of several failed polls in a row.
-void log_failed_poll(const target_channel& channel,
+void log_failed_poll(const target_channel& channel, const poll_request& request,
+                     time_point sent_at,
                      const absl::StatusOr<poll_answer>& answer)
 {
     log_warning(
@@ -19,6 +20,8 @@
         {{"target", channel.target},
          {"rack", channel.rack},
          {"owner_version", channel.token},
+         {"acknowledged", request.acknowledged},
+         {"took_ms", elapsed_ms(sent_at, steady_clock::now())},
          {"cause", answer.ok() ? std::string(name_of(answer->verdict))
                                : std::string(answer.status().message())}});
 }
@@ -115,7 +118,7 @@
         const std::lock_guard<std::mutex> lock(mutex);
         if (channel->has_contact || channel->failed_polls == 0)
         {
-            log_failed_poll(*channel, answer);
+            log_failed_poll(*channel, request, sent_at, answer);
         }
         channel->has_contact = false;
         ++channel->failed_polls;
@@ -159,11 +162,16 @@
             target->started_ms != 0 && target->started_ms != answer.started_ms;
         if (has_restarted || !channel->has_contact)
         {
-            log_info("target answers polls", {{"target", channel->target},
-                                              {"rack", channel->rack},
-                                              {"restarted", has_restarted},
-                                              {"runs", answer.runs.size()},
-                                              {"ends", answer.ends.size()}});
+            log_info("target answers polls",
+                     {{"target", channel->target},
+                      {"rack", channel->rack},
+                      {"restarted", has_restarted},
+                      {"runs", answer.runs.size()},
+                      {"ends", answer.ends.size()},
+                      {"first_end", answer.ends.empty()
+                                        ? std::int64_t{0}
+                                        : answer.ends.front().number},
+                      {"took_ms", elapsed_ms(sent_at, now)}});
         }
         if (!channel->has_contact)
         {
