Test: wait for the start of run 2 itself after a repeated report

The shard repeats the start of run 1 as soon as it is loaded, so the one more order can be that one; with a pause before the report both orders are seen. The test now waits until the latest order starts run 2; a forgotten end still fails it.

--- a/tests/scheduler/job_coordinator_test.cpp
+++ b/tests/scheduler/job_coordinator_test.cpp
@@ -94,6 +94,20 @@
                          [&] { return sent.size() >= count; });
         return sent;
     }
+
+    // Waits until the latest order starts this run, for at most 20 s. Returns
+    // whether it does.
+    bool wait_for_run(std::int64_t run)
+    {
+        std::unique_lock<std::mutex> lock(mutex);
+        return changed.wait_for(
+            lock, std::chrono::seconds(20),
+            [&]
+            {
+                return !sent.empty() && !sent.back().starts.empty() &&
+                       sent.back().starts.front().runs.front().run == run;
+            });
+    }
 };
 
 job_request make_request()
@@ -1014,7 +1028,7 @@
     const std::string shard = shard_of(job_id);
     coordinator.take_shard(shard);
     REQUIRE(coordinator.submit(make_request()).verdict == "accepted");
-    const std::size_t n = environment.wait_for_orders(1).size();
+    environment.wait_for_orders(1);
     store.set_fault(write_fault::refused);
     const run_report end = make_report("failed", 1);
     // A report without the verdict `recorded` is sent again.
@@ -1024,9 +1038,7 @@
     coordinator.take_shard(shard);
     REQUIRE(coordinator.query(make_request()).verdict == "known");
     coordinator.report({{end}});
-    const std::vector<rack_orders> sent = environment.wait_for_orders(n + 1);
-    REQUIRE(sent.size() > n);
-    CHECK(sent.back().starts.front().runs.front().run == 2);
+    CHECK(environment.wait_for_run(2));
 }
 
 // Without the configuration, the service of a start is not known. A start
