Place no starts on targets that leave polls unanswered

Two runs of one task were at work at the same time: a start was placed on a target that had not answered for 12.8 s, since it is avoided for one time-out after a failed poll and the next poll takes two. Its leases had expired, so the next tick closed the run 3 ms later and the task was started elsewhere, while a new boot of the target carried the start out.

A target now gets no starts from a failed poll until it answers one, and none from when the platform lists a restart of it until the new boot answers.

Both tests failed before.

--- a/src/rack/rack_decision.cpp
+++ b/src/rack/rack_decision.cpp
@@ -82,7 +82,8 @@
 void avoid(rack_target& target, time_point now)
 {
     const int doublings = std::min(target.faults, max_doublings);
-    target.avoid_until = now + first_avoid_time * (1 << doublings);
+    target.avoid_until =
+        std::max(target.avoid_until, now + first_avoid_time * (1 << doublings));
     ++target.faults;
 }
 
--- a/src/rack/rack_state.cpp
+++ b/src/rack/rack_state.cpp
@@ -89,6 +89,7 @@
 {
     return target.is_listed && target.is_recorded && target.is_reached &&
            !target.entry.is_draining && now >= target.avoid_until &&
+           target.listed_restart_at == time_point{} &&
            std::all_of(target.runs.begin(), target.runs.end(),
                        [](const auto& item)
                        { return item.second.terms != nullptr; });
--- a/src/scheduler/rack_agent_polls.cpp
+++ b/src/scheduler/rack_agent_polls.cpp
@@ -150,7 +150,7 @@
         if (rack_target* target = find_target(*channel))
         {
             const time_point now = steady_clock::now();
-            target->avoid_until = now + limits.poll_timeout;
+            target->avoid_until = time_point::max(); // until a poll is answered
             // An answer from a former address says nothing about the target.
             if (answer.ok() && answer->verdict == order_verdict::other_boot &&
                 entry.address == target->entry.address)
--- a/tests/rack/rack_decision_test.cpp
+++ b/tests/rack/rack_decision_test.cpp
@@ -527,6 +527,21 @@
     REQUIRE_FALSE(accepts_starts(target, start_time));
 }
 
+// Guards against two runs of a task: the new boot may carry out a start whose
+// run ends here with the leases of the former one.
+TEST_CASE("a target whose restart is listed gets no starts before it answers",
+          "[rack]")
+{
+    rack_state rack = make_rack(1);
+    rack_target& target = rack.targets["t0"];
+    REQUIRE(accepts_starts(target, start_time));
+    target.listed_restart_at = start_time;
+    CHECK_FALSE(accepts_starts(target, start_time + milliseconds(1)));
+    const time_point later = start_time + milliseconds(2);
+    REQUIRE(apply_poll(rack, target, make_answer({}), later, later).empty());
+    CHECK(accepts_starts(target, later));
+}
+
 TEST_CASE("a stop of a run that may be on an unreached target is not answered",
           "[rack]")
 {
--- a/tests/scheduler/rack_agent_test.cpp
+++ b/tests/scheduler/rack_agent_test.cpp
@@ -518,6 +518,40 @@
     REQUIRE(env.targets.unanswered_polls[1].acknowledged == 0);
 }
 
+// Guards against two runs of a task: the lease of a silent target may expire
+// while the start is sent, and a new boot of it carries the start out.
+TEST_CASE(
+    "a target that left a poll unanswered gets no start before it answers",
+    "[scheduler]")
+{
+    rack_agent_limits limits = fixture::make_limits();
+    limits.poll_timeout = milliseconds(20);
+    fixture env(limits);
+    REQUIRE(
+        env.targets.wait_until([&] { return env.targets.polls.size() > 1; }));
+    {
+        const std::lock_guard<std::mutex> lock(env.targets.mutex);
+        env.targets.unreachable_id = "t1";
+    }
+    const time_point limit = steady_clock::now() + std::chrono::seconds(20);
+    for (std::size_t n = 0; n == 0;)
+    {
+        REQUIRE(steady_clock::now() < limit);
+        std::this_thread::sleep_for(milliseconds(20));
+        const std::lock_guard<std::mutex> lock(env.targets.mutex);
+        n = env.targets.unanswered_polls.size();
+    }
+    std::this_thread::sleep_for(milliseconds(100));
+    REQUIRE(env.send().is_owner);
+    std::this_thread::sleep_for(milliseconds(50));
+    {
+        const std::lock_guard<std::mutex> lock(env.targets.mutex);
+        CHECK(env.targets.starts.empty());
+        env.targets.unreachable_id.clear();
+    }
+    CHECK(env.targets.wait_until([&] { return !env.targets.starts.empty(); }));
+}
+
 // A run must not be reported as lost after its retried start was executed, and
 // leases must not be computed from the target's clock before the restart.
 TEST_CASE("an answer from before a restart of the target is ignored",
