Let polls that acknowledge ends wait for the next end

A waiting poll keeps the acknowledgement open for longer, which raises the token more often, at most once for each poll; the raises get 28 bits.

--- a/src/rack/order_sequence.cpp
+++ b/src/rack/order_sequence.cpp
@@ -9,8 +9,9 @@
 {
 
 // A fencing token is the version of the owner, followed by this number of bits
-// for the raises of one ownership.
-constexpr int raise_bits = 24;
+// for the raises of one ownership: at most one for each poll, which is enough
+// for years.
+constexpr int raise_bits = 28;
 constexpr std::int64_t max_raises = (std::int64_t{1} << raise_bits) - 1;
 
 bool may_be_carried_out(const ack_state& acks, time_point now)
--- a/src/scheduler/rack_agent_polls.cpp
+++ b/src/scheduler/rack_agent_polls.cpp
@@ -106,9 +106,6 @@
         }
         if (request.acknowledged > 0)
         {
-            // Starts are sent while a poll waits, but not while the target may
-            // still receive an acknowledgement; see `begin_start`.
-            request.wait = milliseconds(0);
             begin_acknowledgement(*target);
         }
     }
