Count leases of polls that a later boot may have got

A poll of before the crash was sent again by the HTTP library after its timeout, reached the new boot with a lease for the clock of the former one, and so renewed the longest lease.

A poll that fails now counts as sent again within its timeout. When the platform lists a restart, the longest delay of orders is allowed for not only if a start has no answer, but also if one may have been carried out by the new boot.

Both tests failed before.

--- a/include/egretspindle/rack/order_sequence.hpp
+++ b/include/egretspindle/rack/order_sequence.hpp
@@ -31,6 +31,10 @@
 /// Returns whether ends may be acknowledged to a target now.
 [[nodiscard]] bool may_acknowledge(const rack_target& target, time_point now);
 
+/// Returns whether a later boot of the target than the one that answered the
+/// last poll may run starts that this owner sent.
+[[nodiscard]] bool may_run_in_later_boot(const rack_target& target) noexcept;
+
 /// Returns whether the target still lists ends that are recorded.
 [[nodiscard]] bool has_recorded_ends(const rack_target& target) noexcept;
 
--- a/include/egretspindle/rack/rack_state.hpp
+++ b/include/egretspindle/rack/rack_state.hpp
@@ -290,6 +290,11 @@
 void allow_for_stale_order(rack_target& target, const lease_limits& limits,
                            time_point now);
 
+/// Allows for a lease that was sent to a target again at this time, to whatever
+/// boot of it received the order.
+void allow_for_resent_lease(rack_target& target, const lease_limits& limits,
+                            time_point sent_at);
+
 /// Records when all leases of earlier owners on a target have expired.
 void set_former_leases_end(rack_target& target, time_point end,
                            const lease_limits& limits);
--- a/src/rack/order_sequence.cpp
+++ b/src/rack/order_sequence.cpp
@@ -48,6 +48,12 @@
            target.last_poll.sent_at > target.unproven_start_at;
 }
 
+bool may_run_in_later_boot(const rack_target& target) noexcept
+{
+    return !target.unanswered_starts.empty() ||
+           target.unproven_start_at > target.last_poll.sent_at;
+}
+
 bool has_recorded_ends(const rack_target& target) noexcept
 {
     return target.acknowledged > target.acks.confirmed;
--- a/src/rack/rack_state.cpp
+++ b/src/rack/rack_state.cpp
@@ -127,6 +127,13 @@
     update_expiry(target, limits);
 }
 
+void allow_for_resent_lease(rack_target& target, const lease_limits& limits,
+                            time_point sent_at)
+{
+    target.lease_sent_at = std::max(target.lease_sent_at, sent_at);
+    update_expiry(target, limits);
+}
+
 void set_former_leases_end(rack_target& target, time_point end,
                            const lease_limits& limits)
 {
--- a/src/scheduler/rack_agent_channels.cpp
+++ b/src/scheduler/rack_agent_channels.cpp
@@ -1,4 +1,5 @@
 #include "egretspindle/logging/log.hpp"
+#include "egretspindle/rack/order_sequence.hpp"
 
 #include "rack_agent_impl.hpp"
 
@@ -175,10 +176,10 @@
             {
                 target.listed_restart_at = steady_clock::now();
             }
-            if (has_restarted && !target.unanswered_starts.empty())
+            if (has_restarted && may_run_in_later_boot(target))
             {
-                // The new boot may still execute an unanswered start that was
-                // made for the earlier one, and grant a lease for it.
+                // The new boot may still execute an order that was made for
+                // the earlier one, and grant a lease for it.
                 allow_for_stale_order(target, limits.lease,
                                       steady_clock::now());
             }
--- a/src/scheduler/rack_agent_orders.cpp
+++ b/src/scheduler/rack_agent_orders.cpp
@@ -173,7 +173,13 @@
     const std::lock_guard<std::mutex> lock(mutex);
     if (rack_target* target = find_target(*channel))
     {
-        end_start(*target, clock_ms, limits.lease, steady_clock::now());
+        const time_point now = steady_clock::now();
+        end_start(*target, clock_ms, limits.lease, now);
+        if (target->listed_restart_at != time_point{} &&
+            may_run_in_later_boot(*target))
+        {
+            allow_for_stale_order(*target, limits.lease, now);
+        }
         channel->has_acks.notify_all();
     }
 }
--- a/src/scheduler/rack_agent_polls.cpp
+++ b/src/scheduler/rack_agent_polls.cpp
@@ -148,6 +148,12 @@
         {
             const time_point now = steady_clock::now();
             target->avoid_until = time_point::max(); // until a poll is answered
+            if (request.lease_until_ms > 0)
+            {
+                // The HTTP library sends a poll again after its timeout.
+                allow_for_resent_lease(*target, limits.lease,
+                                       now - limits.poll_timeout);
+            }
             // An answer from a former address says nothing about the target.
             if (answer.ok() && answer->verdict == order_verdict::other_boot &&
                 entry.address == target->entry.address)
--- a/tests/scheduler/former_boot_test.cpp
+++ b/tests/scheduler/former_boot_test.cpp
@@ -59,6 +59,14 @@
                                      std::chrono::milliseconds) override
     {
         std::unique_lock<std::mutex> lock(mutex);
+        if (silence.count() > 0)
+        {
+            ++silent_polls;
+            changed.notify_all();
+            lock.unlock();
+            std::this_thread::sleep_for(silence);
+            return make_error(error_kind::deadline_exceeded, "no answer");
+        }
         if (delays_acknowledgements && request.acknowledged > 0)
         {
             delayed_polls.push_back(request);
@@ -67,6 +75,7 @@
                              [this] { return !delays_acknowledgements; });
             return make_error(error_kind::deadline_exceeded, "no answer");
         }
+        ++polls;
         poll_answer answer;
         answer.verdict = execute(request);
         changed.notify_all();
@@ -99,7 +108,10 @@
         }
         ended_runs[order.task] = order.run;
         ++end_count;
-        ends[end_count] = {end_count, order.task, order.run, "done", ""};
+        if (ends_runs)
+        {
+            ends[end_count] = {end_count, order.task, order.run, "done", ""};
+        }
         return order_verdict::taken;
     }
 
@@ -118,7 +130,7 @@
     {
         ++started_ms;
         booted_at = steady_clock::now();
-        uptime_before = milliseconds(0);
+        uptime_before = milliseconds(1);
         fence = 0;
         end_count = 0;
         ends.clear();
@@ -148,12 +160,16 @@
     milliseconds uptime_before{100'000}; ///< at `booted_at`
     std::int64_t fence = 0;
     std::int64_t end_count = 0;
+    bool ends_runs = true;
     std::map<std::int64_t, listed_end> ends; ///< not acknowledged, by number
     std::map<std::string, std::int64_t> ended_runs; ///< latest, by task
     /// Starts are not carried out and get no answer.
     bool delays_starts = false;
     std::vector<start_order> delayed_starts;
     bool loses_start_answers = false;
+    milliseconds silence{0}; ///< time until polls fail; 0: they are answered
+    int silent_polls = 0;
+    int polls = 0; ///< that were answered
     /// Polls that acknowledge ends are not carried out, and get no answer once
     /// this is reset.
     bool delays_acknowledgements = false;
@@ -173,16 +189,12 @@
         };
     rack_agent agent;
 
-    fixture() : agent(target, hooks(), limits())
+    fixture() : fixture(make_limits()) {}
+
+    explicit fixture(const rack_agent_limits& limits)
+        : agent(target, hooks(), limits)
     {
-        target_entry entry;
-        entry.id = "t1";
-        entry.service = "svc";
-        entry.rack = "r1";
-        entry.address = "127.0.0.1:1";
-        entry.started_ms = 1;
-        entry.capacity = {4'000, 4'000, 0};
-        agent.set_targets({{"t1", entry}});
+        list_target(1);
         rack_takeover takeover;
         takeover.confirmed_at = read_clocks();
         takeover.rack = "r1";
@@ -191,7 +203,7 @@
         agent.take_rack(takeover);
     }
 
-    static rack_agent_limits limits()
+    static rack_agent_limits make_limits()
     {
         rack_agent_limits result;
         result.lease.authority = std::chrono::minutes(1);
@@ -246,6 +258,46 @@
         agent.apply_verdicts(items, reply);
     }
 
+    /// Replaces the platform's list by the target with this start time.
+    void list_target(std::int64_t started_ms)
+    {
+        target_entry entry;
+        entry.id = "t1";
+        entry.service = "svc";
+        entry.rack = "r1";
+        entry.address = "127.0.0.1:1";
+        entry.started_ms = started_ms;
+        entry.capacity = {4'000, 4'000, 0};
+        agent.set_targets({{"t1", entry}});
+    }
+
+    /// Starts task 0 on a boot that has answered no poll, and answers none.
+    void start_on_silent_boot()
+    {
+        REQUIRE(target.wait_until([this] { return target.polls > 1; }));
+        {
+            const std::lock_guard<std::mutex> lock(target.mutex);
+            target.ends_runs = false;
+            target.silence = milliseconds(800);
+        }
+        REQUIRE(target.wait_until([this] { return target.silent_polls > 0; }));
+        {
+            const std::lock_guard<std::mutex> lock(target.mutex);
+            target.restart();
+        }
+        send(0);
+        REQUIRE(target.wait_until([this] { return target.end_count > 0; }));
+    }
+
+    [[nodiscard]] bool has_ended_after(milliseconds delay)
+    {
+        std::this_thread::sleep_for(delay);
+        agent.verify_rack("r1", 7, read_clocks());
+        agent.tick();
+        const std::lock_guard<std::mutex> lock(mutex);
+        return !ends.empty();
+    }
+
     /// Sends the start of run 1 of the task `job.0.0.INDEX`.
     void send(std::int64_t index)
     {
@@ -363,3 +415,33 @@
     }
     CHECK(env.wait_for_end("job.0.0.1") == "done");
 }
+
+// Guards against two runs of a task: the HTTP library sends a poll again after
+// its timeout, and a new boot then grants the longest lease.
+TEST_CASE("the lease of a poll that was sent again counts from then",
+          "[scheduler]")
+{
+    rack_agent_limits limits = fixture::make_limits();
+    limits.poll_timeout = milliseconds(400);
+    limits.lease.longest = milliseconds(1'000);
+    limits.lease.expiry_slack = milliseconds(50);
+    fixture env(limits);
+    env.start_on_silent_boot();
+    CHECK_FALSE(env.has_ended_after(milliseconds(1'250)));
+    CHECK(env.has_ended_after(milliseconds(1'500)));
+}
+
+// Guards against two runs of a task: an order for the former boot that arrives
+// late renews the lease of a run that the new boot has started.
+TEST_CASE("runs of a restarted target that answers no polls may be on the new "
+          "boot",
+          "[scheduler]")
+{
+    rack_agent_limits limits = fixture::make_limits();
+    limits.lease.longest = milliseconds(300);
+    limits.lease.expiry_slack = milliseconds(50);
+    fixture env(limits);
+    env.start_on_silent_boot();
+    env.list_target(2);
+    CHECK_FALSE(env.has_ended_after(milliseconds(2'000)));
+}
