Test: send the start before the platform lists the restart

The test sent its start to a target whose restart had been listed and that had answered no poll since. Such a target gets no new starts any more, so the start is sent first; its repeats after the listing reach the case that the test guards.

--- a/tests/scheduler/rack_agent_test.cpp
+++ b/tests/scheduler/rack_agent_test.cpp
@@ -682,10 +682,18 @@
     }
     REQUIRE(
         env.targets.wait_until([&] { return env.targets.polls.size() > 1; }));
-    env.list_target("127.0.0.1:1", 2);
     REQUIRE(env.send().is_owner);
     REQUIRE(
         env.targets.wait_until([&] { return !env.targets.starts.empty(); }));
+    env.list_target("127.0.0.1:1", 2);
+    std::size_t before = 0;
+    {
+        const std::lock_guard<std::mutex> lock(env.targets.mutex);
+        before = env.targets.starts.size();
+    }
+    // Unanswered starts are repeated after the restart has been listed.
+    REQUIRE(env.targets.wait_until(
+        [&] { return env.targets.starts.size() > before + 1; }));
     {
         // The pending poll still returns the state from before the restart.
         const std::lock_guard<std::mutex> lock(env.targets.mutex);
