--- a/src/scheduler/rack_agent_impl.hpp
+++ b/src/scheduler/rack_agent_impl.hpp
@@ -131,6 +131,14 @@
     /// Polls a target. Returns false if the poll failed and the next one has to
     /// be delayed.
     bool poll_once(const channel_ptr& channel);
+    bool prepare_poll(const target_channel& channel, poll_request& request,
+                      target_entry& entry);
+    void apply_failed_poll(const channel_ptr& channel,
+                           const poll_request& request,
+                           const target_entry& entry, time_point sent_at,
+                           const absl::StatusOr<poll_answer>& answer);
+    /// Called with `mutex` locked.
+    void queue_stops_and_paces(rack_target& target, time_point now);
     bool is_overtaken(const target_channel& channel, std::int64_t token);
     void apply_poll_answer(const channel_ptr& channel,
                            const poll_request& request,
--- a/src/scheduler/rack_agent_polls.cpp
+++ b/src/scheduler/rack_agent_polls.cpp
@@ -68,57 +68,21 @@
 {
     poll_request request;
     target_entry entry;
-    time_point sent_at;
+    if (!prepare_poll(*channel, request, entry))
     {
-        const std::lock_guard<std::mutex> lock(mutex);
-        rack_target* target = find_target(*channel);
-        if (target == nullptr)
-        {
-            return true;
-        }
-        sent_at = steady_clock::now();
-        entry = target->entry;
-        request.token = order_token(*find_rack(channel->rack), *target);
-        if (channel->has_contact)
-        {
-            // After an unanswered poll nothing is acknowledged and no lease is
-            // renewed: the target may have restarted, and its ends then have
-            // other numbers.
-            request.acknowledged = next_acknowledgement(*target, sent_at);
-            if (may_grant(*find_rack(channel->rack), boot_clock::now()))
-            {
-                request.lease_until_ms =
-                    extend_lease(*target, limits.lease, sent_at);
-            }
-            else
-            {
-                metrics.count_no_lease(lease_use::poll);
-            }
-            bool is_serving = false;
-            bool is_backfill = false;
-            for (const auto& [id, run] : target->runs)
-            {
-                is_serving |= run.terms && run.terms->response_target_ms > 0;
-                is_backfill |= run.terms && run.terms->uses_idle_cpu;
-            }
-            request.wait = is_serving && is_backfill ? limits.mixed_poll_wait
-                                                     : limits.poll_wait;
-        }
-        if (request.acknowledged > 0)
-        {
-            begin_acknowledgement(*target);
-        }
+        return true;
     }
+    const time_point sent_at = steady_clock::now();
     const absl::StatusOr<poll_answer> answer =
         targets.poll(entry, request, limits.poll_timeout);
+    const time_point now = steady_clock::now();
     count_call(activity.polls, elapsed(sent_at), answer.ok());
-    metrics.observe_poll(steady_clock::now() - sent_at, answer.ok());
+    metrics.observe_poll(now - sent_at, answer.ok());
     if (request.acknowledged > 0)
     {
         const std::lock_guard<std::mutex> lock(mutex);
         if (rack_target* target = find_target(*channel))
         {
-            const time_point now = steady_clock::now();
             end_acknowledgement(
                 *target, answer.ok() && now - sent_at < limits.poll_timeout,
                 now);
@@ -135,6 +99,67 @@
     {
         return true;
     }
+    apply_failed_poll(channel, request, entry, sent_at, answer);
+    if (is_refused)
+    {
+        fence(*channel);
+    }
+    return false;
+}
+
+// Prepares the next poll of a target. Returns false if its channel is closed.
+bool rack_agent::impl::prepare_poll(const target_channel& channel,
+                                    poll_request& request, target_entry& entry)
+{
+    const std::lock_guard<std::mutex> lock(mutex);
+    rack_target* target = find_target(channel);
+    if (target == nullptr)
+    {
+        return false;
+    }
+    const time_point now = steady_clock::now();
+    const rack_state& rack = *find_rack(channel.rack);
+    entry = target->entry;
+    request.token = order_token(rack, *target);
+    if (!channel.has_contact)
+    {
+        // After an unanswered poll nothing is acknowledged and no lease is
+        // renewed: the target may have restarted, and its ends then have
+        // other numbers.
+        return true;
+    }
+    request.acknowledged = next_acknowledgement(*target, now);
+    if (request.acknowledged > 0)
+    {
+        begin_acknowledgement(*target);
+    }
+    if (may_grant(rack, boot_clock::now()))
+    {
+        request.lease_until_ms = extend_lease(*target, limits.lease, now);
+    }
+    else
+    {
+        metrics.count_no_lease(lease_use::poll);
+    }
+    bool is_serving = false;
+    bool is_backfill = false;
+    for (const auto& [id, run] : target->runs)
+    {
+        is_serving |= run.terms && run.terms->response_target_ms > 0;
+        is_backfill |= run.terms && run.terms->uses_idle_cpu;
+    }
+    request.wait =
+        is_serving && is_backfill ? limits.mixed_poll_wait : limits.poll_wait;
+    return true;
+}
+
+// Closes the target to starts until it answers again, and ends its runs if it
+// has restarted under another id.
+void rack_agent::impl::apply_failed_poll(
+    const channel_ptr& channel, const poll_request& request,
+    const target_entry& entry, time_point sent_at,
+    const absl::StatusOr<poll_answer>& answer)
+{
     std::vector<run_event> events;
     {
         const std::lock_guard<std::mutex> lock(mutex);
@@ -147,7 +172,7 @@
         if (rack_target* target = find_target(*channel))
         {
             const time_point now = steady_clock::now();
-            target->avoid_until = time_point::max(); // until a poll is answered
+            target->avoid_until = time_point::max();
             if (request.lease_until_ms > 0)
             {
                 // The HTTP library sends a poll again after its timeout.
@@ -164,11 +189,6 @@
         }
     }
     publish(channel->rack, channel->token, events);
-    if (is_refused)
-    {
-        fence(*channel);
-    }
-    return false;
 }
 
 // Returns whether an order was sent before the token of the orders to its
@@ -255,27 +275,33 @@
                       {"waiting_run", waiting.second},
                       {"reason", "memory for a long-running task"}});
         }
-        for (const auto& [id, run] : target->runs)
-        {
-            if (run.is_stopping)
-            {
-                pending_order order;
-                order.what = pending_order::kind::stop;
-                order.id = id;
-                queue_order(channel->target, order);
-            }
-        }
-        observe_target(*target, model, now);
-        for (const pace_change& change : decide_pace(*target, model, now))
+        queue_stops_and_paces(*target, now);
+        place(rack);
+    }
+    publish(channel->rack, channel->token, events);
+}
+
+void rack_agent::impl::queue_stops_and_paces(rack_target& target,
+                                             time_point now)
+{
+    for (const auto& [id, run] : target.runs)
+    {
+        if (run.is_stopping)
         {
             pending_order order;
-            order.what = pending_order::kind::pace;
-            order.id = {change.task, change.run};
-            queue_order(channel->target, order);
+            order.what = pending_order::kind::stop;
+            order.id = id;
+            queue_order(target.entry.id, order);
         }
-        place(rack);
     }
-    publish(channel->rack, channel->token, events);
+    observe_target(target, model, now);
+    for (const pace_change& change : decide_pace(target, model, now))
+    {
+        pending_order order;
+        order.what = pending_order::kind::pace;
+        order.id = {change.task, change.run};
+        queue_order(target.entry.id, order);
+    }
 }
 
 } // namespace egretspindle
