Use all reported room for long-running tasks before queueing them

Serving tasks may use only the share of their host of a rack's free processors, since all hosts choose the same rack for an image. What exceeds the share was queued at a rack drawn at random, without regard to room. The share is now a preference: what exceeds it goes to the other room that is reported, and only what no rack has room for is queued.

The test fails without the change.

--- a/src/rack/fleet_load.cpp
+++ b/src/rack/fleet_load.cpp
@@ -536,17 +536,24 @@
     return std::uniform_real_distribution<double>(0, 1)(random);
 }
 
-// Returns how many of `count` tasks of a step may go to a rack. Serving tasks,
-// except gangs, are limited to the share of this host, since all hosts choose
-// the same rack for their image.
+/// Which part of the reported free capacity the tasks of a step may use.
+enum class room_use
+{
+    own_share, ///< see `own_quota`
+    all,
+};
+
+// Returns how many of `count` tasks of a step may go to a rack. With
+// `own_share`, serving tasks, except gangs, are limited to the share of this
+// host, since all hosts choose the same rack for their image.
 std::size_t max_in_rack(const fleet_load& fleet, const rack_option& item,
                         const step_terms& terms, std::size_t count,
-                        std::minstd_rand& random)
+                        room_use use, std::minstd_rand& random)
 {
     const std::size_t max_tasks =
-        static_cast<std::size_t>(std::min<std::int64_t>(
-            item.remaining_of_step, static_cast<std::int64_t>(count)));
-    if (!is_chosen_by_image(terms) || terms.is_gang)
+        static_cast<std::size_t>(std::clamp<std::int64_t>(
+            item.remaining_of_step, 0, static_cast<std::int64_t>(count)));
+    if (!is_chosen_by_image(terms) || terms.is_gang || use == room_use::all)
     {
         return max_tasks;
     }
@@ -592,6 +599,47 @@
     it->second += short_size_weight * (size - it->second);
 }
 
+// Assigns tasks of a step to racks that have reported room for them, until
+// `chosen` has `count` entries.
+void place_on_reported_room(fleet_load& fleet, const step_terms& terms,
+                            std::size_t count, const std::string& data_rack,
+                            time_point now, std::minstd_rand& random,
+                            room_use use, std::vector<std::string>& chosen)
+{
+    std::vector<rack_option> options = find_options(fleet, terms, now);
+    while (chosen.size() < count && !options.empty())
+    {
+        const std::size_t n =
+            choose_option(fleet, options, terms, data_rack, random);
+        rack_option& item = options[n];
+        if (terms.max_per_target > 0)
+        {
+            item.remaining_of_step -=
+                std::count(chosen.begin(), chosen.end(), item.rack);
+        }
+        const std::size_t max_tasks =
+            chosen.size() + max_in_rack(fleet, item, terms, count, use, random);
+        candidate* target = best_candidate(fleet, item.targets, terms);
+        while (chosen.size() < std::min(count, max_tasks) && target != nullptr)
+        {
+            subtract_from(target->room, reservation_of(terms));
+            if (terms.uses_idle_cpu)
+            {
+                add_backfill(fleet, *target, terms.image, terms.size.cpu_milli);
+            }
+            ++target->placed_of_step;
+            add_recent(fleet, terms, item.rack, target->entry->id, now);
+            chosen.push_back(item.rack);
+            target = best_candidate(fleet, item.targets, terms);
+        }
+        options.erase(options.begin() + static_cast<std::ptrdiff_t>(n));
+        if (terms.is_gang)
+        {
+            break;
+        }
+    }
+}
+
 // Assigns the remaining tasks of a step to queues of racks, within the limit
 // per target. Tasks that no rack can take get an empty name.
 void add_queued(fleet_load& fleet, const step_terms& terms, std::size_t count,
@@ -678,32 +726,13 @@
     drop_reported_placements(fleet, now);
     record_short_size(fleet, terms);
     std::vector<std::string> chosen;
-    std::vector<rack_option> options = find_options(fleet, terms, now);
-    while (chosen.size() < count && !options.empty())
+    place_on_reported_room(fleet, terms, count, data_rack, now, random,
+                           room_use::own_share, chosen);
+    if (chosen.size() < count && waits_for_long_running(terms) &&
+        !terms.is_gang)
     {
-        const std::size_t n =
-            choose_option(fleet, options, terms, data_rack, random);
-        rack_option& item = options[n];
-        const std::size_t max_tasks =
-            chosen.size() + max_in_rack(fleet, item, terms, count, random);
-        candidate* target = best_candidate(fleet, item.targets, terms);
-        while (chosen.size() < std::min(count, max_tasks) && target != nullptr)
-        {
-            subtract_from(target->room, reservation_of(terms));
-            if (terms.uses_idle_cpu)
-            {
-                add_backfill(fleet, *target, terms.image, terms.size.cpu_milli);
-            }
-            ++target->placed_of_step;
-            add_recent(fleet, terms, item.rack, target->entry->id, now);
-            chosen.push_back(item.rack);
-            target = best_candidate(fleet, item.targets, terms);
-        }
-        options.erase(options.begin() + static_cast<std::ptrdiff_t>(n));
-        if (terms.is_gang)
-        {
-            break;
-        }
+        place_on_reported_room(fleet, terms, count, data_rack, now, random,
+                               room_use::all, chosen);
     }
     if (chosen.size() < count)
     {
--- a/tests/rack/fleet_load_test.cpp
+++ b/tests/rack/fleet_load_test.cpp
@@ -401,3 +401,39 @@
     REQUIRE(std::count(chosen.begin(), chosen.end(), "r4") == 2);
     REQUIRE(std::count(chosen.begin(), chosen.end(), "") == 3);
 }
+
+// Guards against a long-running task that waits in the queue of a full rack
+// while another one has room, since its host has used its share of that.
+TEST_CASE(
+    "a long-running task goes to the only rack with room beyond the share "
+    "of its host",
+    "[rack]")
+{
+    for (unsigned seed = 1; seed <= 20; ++seed)
+    {
+        INFO("seed " << seed);
+        std::minstd_rand random(seed);
+        fleet_load fleet = make_fleet(9);
+        fleet.hosts = 9;
+        for (auto& [name, view] : fleet.racks)
+        {
+            for (target_load_report& report : view.room.targets)
+            {
+                report.room = {name == "r4" ? 20'000 : 0, 100'000, 0};
+            }
+        }
+        step_terms serving = make_terms("a", true);
+        serving.is_long_running = true;
+        serving.max_per_target = 2;
+        // 3 of 6 tasks of 6 cores are placed, and none fits the share any more.
+        const std::vector<std::string> first =
+            choose_racks(fleet, serving, 3, "", now, random);
+        REQUIRE(std::count(first.begin(), first.end(), "r4") == 3);
+        const std::vector<std::string> second =
+            choose_racks(fleet, serving, 1, "", now, random);
+        REQUIRE(second == std::vector<std::string>{"r4"});
+        serving.tasks_in_rack = {{"r4", 4}};
+        REQUIRE(choose_racks(fleet, serving, 1, "", now, random) !=
+                std::vector<std::string>{"r4"});
+    }
+}
