--- a/include/egretspindle/rack/order_sequence.hpp
+++ b/include/egretspindle/rack/order_sequence.hpp
@@ -23,8 +23,8 @@
 namespace egretspindle
 {
 
-/// Returns the fencing token of the next order to a target. It is higher than
-/// all tokens of earlier owners of the rack.
+/// Returns the fencing token of the next order to a target: the version of the
+/// owner, followed by 28 bits that `begin_start` raises.
 [[nodiscard]] std::int64_t order_token(const rack_state& rack,
                                        const rack_target& target);
 
@@ -47,9 +47,8 @@
 
 /// Records the result of a poll that acknowledges ends.
 ///
-/// \param is_settled  it was answered within its timeout; otherwise it may
-/// still
-///                    be carried out for `max_order_delay`
+/// \param is_settled  whether it was answered within its timeout; otherwise it
+///                    may still be carried out for `max_order_delay`
 void end_acknowledgement(rack_target& target, bool is_settled, time_point now);
 
 /// Records that a start is about to be sent, and raises the fencing token of
--- a/src/rack/order_sequence.cpp
+++ b/src/rack/order_sequence.cpp
@@ -8,9 +8,8 @@
 namespace
 {
 
-// A fencing token is the version of the owner, followed by this number of bits
-// for the raises of one ownership: at most one for each poll, which is enough
-// for years.
+// At most one raise for each acknowledgement: enough for two years at four a
+// second.
 constexpr int raise_bits = 28;
 constexpr std::int64_t max_raises = (std::int64_t{1} << raise_bits) - 1;
 
