--- a/src/rack/fleet_load.cpp
+++ b/src/rack/fleet_load.cpp
@@ -728,8 +728,9 @@
     std::vector<std::string> chosen;
     place_on_reported_room(fleet, terms, count, data_rack, now, random,
                            room_use::own_share, chosen);
+    // A task that was at work or has waited before goes wherever there is room.
     if (chosen.size() < count && waits_for_long_running(terms) &&
-        !terms.is_gang)
+        !terms.is_gang && !terms.earlier_rack.empty())
     {
         place_on_reported_room(fleet, terms, count, data_rack, now, random,
                                room_use::all, chosen);
--- a/tests/rack/fleet_load_test.cpp
+++ b/tests/rack/fleet_load_test.cpp
@@ -424,6 +424,7 @@
         }
         step_terms serving = make_terms("a", true);
         serving.is_long_running = true;
+        serving.earlier_rack = "r0";
         serving.max_per_target = 2;
         // 3 of 6 tasks of 6 cores are placed, and none fits the share any more.
         const std::vector<std::string> first =
