--- a/tests/rack/fleet_load_test.cpp
+++ b/tests/rack/fleet_load_test.cpp
@@ -404,10 +404,9 @@
 
 // Guards against a long-running task that waits in the queue of a full rack
 // while another one has room, since its host has used its share of that.
-TEST_CASE(
-    "a long-running task goes to the only rack with room beyond the share "
-    "of its host",
-    "[rack]")
+TEST_CASE("a long-running task that was handed back goes to the only rack with "
+          "room beyond the share of its host",
+          "[rack]")
 {
     for (unsigned seed = 1; seed <= 20; ++seed)
     {
