--- a/src/net/rpc_client.cpp
+++ b/src/net/rpc_client.cpp
@@ -4,18 +4,14 @@
 #include "egretspindle/core/error.hpp"
 #include "egretspindle/net/message_auth.hpp"
 
+#include "connection_pool.hpp"
 #include "json_framer.hpp"
 #include "rpc_error.hpp"
 
-#include <cxxtools/net/tcpsocket.h>
 #include <fmt/format.h>
 
 #include <algorithm>
 #include <atomic>
-#include <cerrno>
-#include <map>
-#include <mutex>
-#include <sys/socket.h>
 #include <vector>
 
 namespace egretspindle
@@ -24,13 +20,9 @@
 namespace
 {
 
-constexpr std::size_t max_idle_connections = 64;
 constexpr std::chrono::milliseconds max_connect_time{500};
 constexpr std::size_t max_reply_bytes = 8 * 1024 * 1024;
 
-using clock = std::chrono::steady_clock;
-using socket_ptr = std::unique_ptr<cxxtools::net::TcpSocket>;
-
 /// JSON-RPC 2.0 request.
 struct rpc_request
 {
@@ -63,57 +55,24 @@
     visit("error", value.error);
 }
 
-cxxtools::Milliseconds to_cxxtools(std::chrono::milliseconds value)
-{
-    return cxxtools::Milliseconds(static_cast<double>(value.count()));
-}
-
-// Returns whether an idle connection can be reused. No reply is expected on it,
-// so any received bytes are a late reply to an earlier message.
-bool is_reusable(const cxxtools::net::TcpSocket& socket)
-{
-    char byte = 0;
-    const ssize_t n = ::recv(socket.getFd(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-    return n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
-}
-
-// Sets the timeout of the next read or write. Throws if the deadline has
-// passed.
-void set_timeout(cxxtools::net::TcpSocket& socket, clock::time_point deadline)
-{
-    const std::chrono::milliseconds remaining =
-        std::chrono::duration_cast<std::chrono::milliseconds>(deadline -
-                                                              clock::now());
-    if (remaining.count() <= 0)
-    {
-        throw std::runtime_error("timeout");
-    }
-    socket.setTimeout(to_cxxtools(remaining));
-}
-
 // Writes a request once and reads its response. The RPC client of cxxtools is
 // not used, because it resends a request when the connection is closed, and the
 // response to the second copy would hide the outcome of the first one.
 std::string send_and_receive(cxxtools::net::TcpSocket& socket,
                              std::string_view request,
-                             clock::time_point deadline)
+                             deadline_clock::time_point deadline)
 {
-    while (!request.empty())
-    {
-        set_timeout(socket, deadline);
-        request.remove_prefix(socket.write(request.data(), request.size()));
-    }
+    write_all(socket, request, deadline);
     json_framer framer(max_reply_bytes);
-    char buf[16 * 1024];
+    std::string buf;
     while (framer.current() == json_framer::state::incomplete)
     {
-        set_timeout(socket, deadline);
-        const std::size_t n = socket.read(buf, sizeof buf);
-        if (n == 0)
+        buf.clear();
+        if (!read_some(socket, buf, deadline))
         {
             throw std::runtime_error("connection closed");
         }
-        framer.add(std::string_view(buf, n));
+        framer.add(buf);
     }
     if (framer.current() == json_framer::state::invalid)
     {
@@ -138,38 +97,10 @@
 
 struct rpc_client::impl
 {
-    // Returns an idle connection that the server has not closed, or null.
-    socket_ptr take_idle(const std::string& server)
-    {
-        const std::lock_guard<std::mutex> lock(mutex);
-        std::vector<socket_ptr>& sockets = idle_sockets[server];
-        while (!sockets.empty())
-        {
-            socket_ptr socket = std::move(sockets.back());
-            sockets.pop_back();
-            if (is_reusable(*socket))
-            {
-                return socket;
-            }
-        }
-        return nullptr;
-    }
-
-    void return_idle(const std::string& server, socket_ptr socket)
-    {
-        const std::lock_guard<std::mutex> lock(mutex);
-        std::vector<socket_ptr>& sockets = idle_sockets[server];
-        if (sockets.size() < max_idle_connections)
-        {
-            sockets.push_back(std::move(socket));
-        }
-    }
-
     std::string cluster_key;
     std::string sender;
     std::atomic<std::uint64_t> byte_count{0};
-    std::mutex mutex;
-    std::map<std::string, std::vector<socket_ptr>> idle_sockets;
+    connection_pool connections;
 };
 
 rpc_client::rpc_client(std::string cluster_key, std::string sender)
@@ -192,16 +123,14 @@
                                              std::chrono::milliseconds timeout)
 {
     const std::string server_address = to_string(server);
-    const clock::time_point deadline = clock::now() + timeout;
-    socket_ptr socket = impl_->take_idle(server_address);
+    const deadline_clock::time_point deadline = deadline_clock::now() + timeout;
+    socket_ptr socket = impl_->connections.take(server_address);
     try
     {
         if (!socket)
         {
-            socket = std::make_unique<cxxtools::net::TcpSocket>();
-            socket->setTimeout(
-                to_cxxtools(std::min(timeout, max_connect_time)));
-            socket->connect(server.address, server.port);
+            socket =
+                open_connection(server, std::min(timeout, max_connect_time));
         }
     }
     catch (const std::exception& ex)
@@ -230,12 +159,12 @@
             impl_->byte_count += type.size() + impl_->sender.size() +
                                  payload.size() + mac.size() + tag.size() +
                                  response->result.size();
-            impl_->return_idle(server_address, std::move(socket));
+            impl_->connections.give_back(server_address, std::move(socket));
             return std::move(response->result);
         }
         else if (remove_tag(response->error.message, tag))
         {
-            impl_->return_idle(server_address, std::move(socket));
+            impl_->connections.give_back(server_address, std::move(socket));
             return make_error(static_cast<error_kind>(response->error.code),
                               response->error.message);
         }
