--- a/src/adapters/http_target_client.cpp
+++ b/src/adapters/http_target_client.cpp
@@ -21,8 +21,8 @@
     absl::StatusOr<task_state> start(const start_command& command) override
     {
         http_call call = post("/v1/tasks", to_json(command));
-        // On a new connection it is known that a start was not sent to a
-        // target that is out of reach.
+        // A start that is lost with a kept-alive connection has an unknown
+        // outcome.
         call.connection = connection_use::fresh;
         call.timeout += std::chrono::milliseconds(command.wait_ms);
         return json_call<task_state>(client_, call);
