Read the rows of a conflict whose answer was lost

Two hosts accepted the request; the second one's transaction was in conflict with the record of the first, and the answer was lost. The store remembers the result of a transaction, but not the rows in conflict, and accept_batch took a conflict without rows for a record that cannot be written.

The client of the store repeats a transaction that it finds to be in conflict; the store answers a repeated id with the first result. "a conflict whose answer was lost has its rows" failed before.

--- a/src/adapters/http_store_client.cpp
+++ b/src/adapters/http_store_client.cpp
@@ -61,28 +61,17 @@
     commit(const store_transaction& transaction,
            std::chrono::milliseconds timeout) override
     {
-        http_call call = make_call("POST", "/v1/tx", timeout);
-        call.body = to_json(transaction);
-        const absl::StatusOr<http_response> response = client_.send(call);
+        const absl::StatusOr<http_response> response =
+            post(transaction, timeout);
         if (response.ok())
         {
-            // A conflict is a regular result, not an error.
-            if (response->status == 409)
-            {
-                return from_json<commit_result>(response->body);
-            }
-            const absl::Status status = error_from_response(*response);
-            if (!status.ok())
-            {
-                return status;
-            }
-            return from_json<commit_result>(response->body);
+            return decode_result(*response);
         }
         if (kind_of(response.status()) == error_kind::unavailable)
         {
             return response.status();
         }
-        return query_transaction(transaction.tx_id, response.status(), timeout);
+        return query_transaction(transaction, response.status(), timeout);
     }
 
     absl::StatusOr<store_row> read(const std::string& key,
@@ -147,25 +136,59 @@
     }
 
 private:
+    absl::StatusOr<http_response> post(const store_transaction& transaction,
+                                       std::chrono::milliseconds timeout)
+    {
+        http_call call = make_call("POST", "/v1/tx", timeout);
+        call.body = to_json(transaction);
+        return client_.send(call);
+    }
+
+    // A conflict is a regular result, not an error.
+    static absl::StatusOr<commit_result>
+    decode_result(const http_response& response)
+    {
+        if (response.status != 409)
+        {
+            const absl::Status status = error_from_response(response);
+            if (!status.ok())
+            {
+                return status;
+            }
+        }
+        return from_json<commit_result>(response.body);
+    }
+
     // Queries the result of a commit whose reply was lost, since the
     // transaction may have been committed.
     absl::StatusOr<commit_result>
-    query_transaction(const std::string& tx_id, const absl::Status& error,
+    query_transaction(const store_transaction& transaction,
+                      const absl::Status& error,
                       std::chrono::milliseconds timeout)
     {
         const absl::StatusOr<transaction_status> status =
             json_call<transaction_status>(
                 client_,
-                make_call("GET", "/v1/tx/" + encode_query(tx_id), timeout));
-        if (status.ok() && status->known)
+                make_call("GET", "/v1/tx/" + encode_query(transaction.tx_id),
+                          timeout));
+        if (!status.ok() || !status->known)
+        {
+            // The commit of an unknown transaction may still arrive at the
+            // store.
+            return error;
+        }
+        if (!status->committed)
         {
-            commit_result result;
-            result.committed = status->committed;
-            result.version = status->version;
-            return result;
+            // The store answers a repeated id with the first result, which has
+            // the rows in conflict.
+            const absl::StatusOr<http_response> response =
+                post(transaction, timeout);
+            return response.ok() ? decode_result(*response) : error;
         }
-        // The commit of an unknown transaction may still arrive at the store.
-        return error;
+        commit_result result;
+        result.committed = true;
+        result.version = status->version;
+        return result;
     }
 
     http_client client_;
