Log and count how long tasks are away

The time in the queue of a rack begins anew at each hand-back, so no log line showed that a long-running task was away for 16 s, nor whether its rack had room for it.

"start placed" has the whole absence and the processors of the task, "rack queue" the long-running task that has been away longest, with the largest free and eventual pieces of the rack, and the owner of a job logs absences of 3 s and more.

--- a/include/egretspindle/rack/queue_summary.hpp
+++ b/include/egretspindle/rack/queue_summary.hpp
@@ -10,11 +10,26 @@
 #include "egretspindle/rack/rack_state.hpp"
 
 #include <cstddef>
+#include <cstdint>
 #include <optional>
+#include <string>
 
 namespace egretspindle
 {
 
+/// Start of a long-running task that waits in the queue of a rack, and how much
+/// room the open targets of the rack have for it.
+struct long_running_wait
+{
+    std::string task;
+    milliseconds away{0}; ///< see `waited`
+    task_size size;
+    std::int64_t largest_free_milli = 0; ///< free processors of one target
+    /// The same once its short tasks have ended; see `eventual_capacity`.
+    std::int64_t largest_eventual_milli = 0;
+    std::size_t reserved_targets = 0; ///< see `update_reservations`
+};
+
 /// Numbers of queued starts by the reason why they wait. Of the reasons of all
 /// targets, the one of the last check in the order given here counts.
 struct queue_summary
@@ -39,6 +54,9 @@
     /// The target closest to taking the start that has waited longest for
     /// headroom; no value if none waits for it.
     std::optional<headroom_check> closest_headroom;
+    /// The start of the long-running task that has been away longest; no value
+    /// if none waits.
+    std::optional<long_running_wait> longest_away;
 };
 
 /// Summarizes the queue of a rack.
--- a/include/egretspindle/scheduler/job_metrics.hpp
+++ b/include/egretspindle/scheduler/job_metrics.hpp
@@ -70,6 +70,11 @@
     by_task_kind<latency_summary> first_start{};
     /// Longest such time of the open jobs without a start.
     by_task_kind<gauge> oldest_unstarted{};
+    /// Time in ms from the end of the last run of a task, or from when it
+    /// became due, until it is at work.
+    by_task_kind<latency_summary> away{};
+    /// Longest time in ms for which a task of an open job has not been at work.
+    by_task_kind<gauge> longest_away{};
     // Duration in ms of a write of job records, by its result.
     latency_summary& write_committed;
     latency_summary& write_conflict;
--- a/src/rack/queue_summary.cpp
+++ b/src/rack/queue_summary.cpp
@@ -73,6 +73,29 @@
     return closest;
 }
 
+long_running_wait describe_wait(const std::vector<summarized_target>& items,
+                                const queued_start& start, time_point now)
+{
+    long_running_wait wait;
+    wait.task = start.task;
+    wait.away = waited(start, now);
+    wait.size = start.terms->size;
+    for (const summarized_target& item : items)
+    {
+        if (item.target->entry.service != start.terms->service)
+        {
+            continue;
+        }
+        wait.largest_free_milli =
+            std::max(wait.largest_free_milli, item.room.cpu_milli);
+        wait.largest_eventual_milli =
+            std::max(wait.largest_eventual_milli,
+                     eventual_capacity(*item.target).cpu_milli);
+        wait.reserved_targets += item.target->reservation ? 1 : 0;
+    }
+    return wait;
+}
+
 void count_rejection(queue_summary& summary, start_rejection rejection)
 {
     switch (rejection)
@@ -122,17 +145,23 @@
     // Tasks of a step have the same requirements.
     std::map<const step_terms*, start_rejection> known;
     const queued_start* waits_for_headroom = nullptr;
+    const queued_start* longest_away = nullptr;
     for (const queued_start& start : rack.queue)
     {
         ++summary.queued;
         summary.long_running += start.terms->is_long_running ? 1 : 0;
-        const milliseconds waited =
+        const milliseconds in_queue =
             std::chrono::duration_cast<milliseconds>(now - start.queued_at);
-        summary.oldest = std::max(summary.oldest, waited);
+        summary.oldest = std::max(summary.oldest, in_queue);
         if (start.terms->is_long_running)
         {
             summary.oldest_long_running =
-                std::max(summary.oldest_long_running, waited);
+                std::max(summary.oldest_long_running, in_queue);
+            if (longest_away == nullptr ||
+                waited(start, now) > waited(*longest_away, now))
+            {
+                longest_away = &start;
+            }
         }
         if (start.is_repeated)
         {
@@ -154,6 +183,10 @@
             waits_for_headroom = &start;
         }
     }
+    if (longest_away != nullptr)
+    {
+        summary.longest_away = describe_wait(items, *longest_away, now);
+    }
     if (waits_for_headroom != nullptr)
     {
         summary.closest_headroom =
--- a/src/scheduler/job_coordinator.cpp
+++ b/src/scheduler/job_coordinator.cpp
@@ -393,7 +393,9 @@
     std::int64_t open = 0;
     std::int64_t queued = 0;
     std::array<std::int64_t, 2> oldest{0, 0};
+    std::array<std::int64_t, 2> longest_away{0, 0};
     const std::int64_t now_ms = unix_ms();
+    const time_point now = steady_clock::now();
     for (const auto& [id, entry] : jobs)
     {
         const job& value = entry->value;
@@ -407,6 +409,15 @@
             std::int64_t& age = oldest[has_long_running_step(value) ? 1 : 0];
             age = std::max(age, now_ms - due_ms(value));
         }
+        if (value.outcome == job_outcome::open && !entry->waiting_since.empty())
+        {
+            std::int64_t& away =
+                longest_away[has_long_running_step(value) ? 1 : 0];
+            for (const auto& [task, since] : entry->waiting_since)
+            {
+                away = std::max(away, elapsed_ms(since, now));
+            }
+        }
     }
     std::int64_t loading = 0;
     for (const auto& [name, shard] : shards)
@@ -418,6 +429,7 @@
     for (std::size_t n = 0; n < oldest.size(); ++n)
     {
         metrics.oldest_unstarted[n]->set(static_cast<double>(oldest[n]));
+        metrics.longest_away[n]->set(static_cast<double>(longest_away[n]));
     }
     metrics.steps_without_rack.set(static_cast<double>(steps_without_rack));
     metrics.write_interval.set(
--- a/src/scheduler/job_coordinator_impl.hpp
+++ b/src/scheduler/job_coordinator_impl.hpp
@@ -109,6 +109,8 @@
     void log_no_rack(job_entry& entry, const step_terms& terms,
                      const due_step& due, const std::string& reason);
     void observe_first_start(const job_entry& entry) const;
+    void observe_absence(const job_entry& entry, const run_report& report,
+                         const task_key& key) const;
     void set_gauges();
     [[nodiscard]] step_terms terms_of(const job& value, std::size_t occurrence,
                                       std::size_t step) const;
--- a/src/scheduler/job_coordinator_runs.cpp
+++ b/src/scheduler/job_coordinator_runs.cpp
@@ -48,6 +48,10 @@
 constexpr milliseconds overdue_after{1'000};
 constexpr milliseconds overdue_period{1'000};
 
+// Absences of long-running tasks from this duration on have a log line. Users
+// expect such a task to be at work again within 6 s of its last run.
+constexpr milliseconds logged_absence{3'000};
+
 // Returns the number of assigned tasks by rack.
 std::map<std::string, std::int64_t>
 count_by_rack(const std::vector<job_task>& tasks)
@@ -274,6 +278,32 @@
     }
 }
 
+// Records how long a task was not at work, through all racks that it waited in.
+// After a takeover of its shard, only the time since then is known.
+void job_coordinator::impl::observe_absence(const job_entry& entry,
+                                            const run_report& report,
+                                            const task_key& key) const
+{
+    const auto since = entry.waiting_since.find(report.task);
+    if (since == entry.waiting_since.end())
+    {
+        return;
+    }
+    const bool is_long_running =
+        entry.value.spec.steps[key.step].is_long_running;
+    const std::int64_t away_ms = elapsed_ms(since->second, steady_clock::now());
+    series_of(metrics.away, is_long_running)
+        .observe(static_cast<double>(away_ms));
+    if (is_long_running && away_ms >= logged_absence.count())
+    {
+        log_info("task was not at work", {{"task", report.task},
+                                          {"run", report.run},
+                                          {"away_ms", away_ms},
+                                          {"target", report.target},
+                                          {"rack", report.rack}});
+    }
+}
+
 // Assigns runs of the tasks of a due step to racks. Tasks without a rack wait
 // for the next tick.
 void job_coordinator::impl::assign_step(const entry_ptr& entry,
@@ -595,6 +625,7 @@
         return {is_current || report.what == "seen" ? "stop" : "recorded", {}};
     }
     observe_first_start(entry);
+    observe_absence(entry, report, key);
     entry.value.has_started = true;
     entry.waiting_since.erase(report.task);
     if (entry.visible_state == "queued")
--- a/src/scheduler/job_metrics.cpp
+++ b/src/scheduler/job_metrics.cpp
@@ -90,6 +90,14 @@
         oldest_unstarted[n] = &registry.get_gauge(
             "egretspindle_oldest_unstarted_job_milliseconds",
             "Age of the oldest job that no target has begun.", labels);
+        away[n] = &registry.get_summary(
+            "egretspindle_task_away_milliseconds",
+            "Time from the last run of a task, or from when it became due, "
+            "until it is at work.",
+            labels);
+        longest_away[n] = &registry.get_gauge(
+            "egretspindle_task_longest_away_milliseconds",
+            "Longest time for which a task has not been at work.", labels);
     }
 }
 
--- a/src/scheduler/rack_agent.cpp
+++ b/src/scheduler/rack_agent.cpp
@@ -687,6 +687,8 @@
         add_queue(sum, queue);
         const headroom_check closest =
             queue.closest_headroom.value_or(headroom_check{});
+        const long_running_wait longest =
+            queue.longest_away.value_or(long_running_wait{});
         log_info("rack queue",
                  {{"rack", item.rack},
                   {"owner_version", item.token},
@@ -708,7 +710,13 @@
                   {"required_headroom", closest.required},
                   {"spare_headroom", closest.spare},
                   {"baseline_headroom", item.baseline_headroom},
-                  {"placeable", queue.placeable}});
+                  {"placeable", queue.placeable},
+                  {"lasting_task", longest.task},
+                  {"away_ms", longest.away.count()},
+                  {"cpu_milli", longest.size.cpu_milli},
+                  {"largest_free_milli", longest.largest_free_milli},
+                  {"largest_eventual_milli", longest.largest_eventual_milli},
+                  {"reserved_targets", longest.reserved_targets}});
     }
     impl_->metrics.set_queues(sum);
 }
--- a/src/scheduler/rack_agent_channels.cpp
+++ b/src/scheduler/rack_agent_channels.cpp
@@ -337,7 +337,9 @@
                   {"image", item.start.terms->image.str()},
                   {"queued", rack.queue.size()},
                   {"percent", target.runs.at(order.id).percent},
-                  {"waited_ms", elapsed_ms(item.start.queued_at, now)}});
+                  {"waited_ms", elapsed_ms(item.start.queued_at, now)},
+                  {"away_ms", waited(item.start, now).count()},
+                  {"cpu_milli", item.start.terms->size.cpu_milli}});
     }
 }
 
--- a/tests/rack/queue_summary_test.cpp
+++ b/tests/rack/queue_summary_test.cpp
@@ -125,3 +125,34 @@
     add(rack, make_terms(1'000));
     REQUIRE(summarize_queue(rack, interference_model(), now).closed == 1);
 }
+
+// Without the room beside the whole absence, an operator cannot tell a full
+// rack from one whose short tasks hold the room, and sees only the time since
+// the last move.
+TEST_CASE("the summary of a queue shows the long-running task away longest",
+          "[rack]")
+{
+    rack_state rack = make_rack();
+    step_terms short_task = make_terms(1'500);
+    placed_run run;
+    run.task = "other.0.0.0";
+    run.run = 1;
+    run.terms = std::make_shared<const step_terms>(short_task);
+    rack.targets["t1"].runs[{run.task, run.run}] = run;
+    step_terms terms = make_terms(3'000);
+    terms.is_long_running = true;
+    add(rack, short_task);
+    add(rack, terms);
+    add(rack, terms);
+    rack.queue.back().task = "job.0.0.1";
+    rack.queue.back().waiting_since = now - milliseconds(5'000);
+    const queue_summary summary =
+        summarize_queue(rack, interference_model(), now);
+    REQUIRE(summary.longest_away);
+    REQUIRE(summary.longest_away->task == "job.0.0.1");
+    REQUIRE(summary.longest_away->away == milliseconds(5'000));
+    REQUIRE(summary.longest_away->size.cpu_milli == 3'000);
+    REQUIRE(summary.longest_away->largest_free_milli == 2'500);
+    REQUIRE(summary.longest_away->largest_eventual_milli == 4'000);
+    REQUIRE(summary.longest_away->reserved_targets == 0);
+}
--- a/tests/scheduler/job_metrics_test.cpp
+++ b/tests/scheduler/job_metrics_test.cpp
@@ -82,14 +82,15 @@
         return result;
     }
 
-    /// Reports run 1 of the task and requires that it is recorded. See
+    /// Reports a run of the task and requires that it is recorded. See
     /// `run_report` for the arguments.
-    void report(const std::string& what, const std::string& how)
+    void report(const std::string& what, const std::string& how,
+                std::int64_t run = 1)
     {
         run_report item;
         item.what = what;
         item.task = job_id + ".0.0.0";
-        item.run = 1;
+        item.run = run;
         item.how = how;
         item.rack = "r1";
         item.token = 5;
@@ -162,6 +163,37 @@
     CHECK(fixture.value("egretspindle_open_jobs") == (is_long_running ? 1 : 0));
 }
 
+// Guards against an absence that is counted anew in each rack: a run that was
+// handed back does not end it.
+TEST_CASE("the absence of a long-running task lasts from one run to the next",
+          "[metrics]")
+{
+    const std::string away = "egretspindle_task_away_milliseconds";
+    const std::string longest = "egretspindle_task_longest_away_milliseconds";
+    const std::string own = "{tasks=\"lasting\"}";
+    job_fixture fixture;
+    REQUIRE(
+        fixture.coordinator->submit(job_fixture::make_request(true)).verdict ==
+        "accepted");
+    fixture.coordinator->tick();
+    fixture.report("started", "");
+    fixture.coordinator->tick();
+    CHECK(fixture.value(away + "_count" + own) == 1);
+    CHECK(fixture.value(longest + own) == 0);
+    const double before = fixture.value(away + "_sum" + own);
+    fixture.report("ended", "failed");
+    std::this_thread::sleep_for(milliseconds(20));
+    fixture.report("ended", "not_started", 2);
+    std::this_thread::sleep_for(milliseconds(20));
+    fixture.coordinator->tick();
+    CHECK(fixture.value(longest + own) >= 40);
+    fixture.report("started", "", 3);
+    fixture.coordinator->tick();
+    CHECK(fixture.value(away + "_count" + own) == 2);
+    CHECK(fixture.value(away + "_sum" + own) - before >= 40);
+    CHECK(fixture.value(longest + own) == 0);
+}
+
 // Guards against steps without a rack that no metric shows, and against
 // counting one step again in each tick.
 TEST_CASE("a step without a rack is counted once until it is assigned",
