Count processors that backfill tasks use as free for other tasks

Callers saw long-running tasks away for up to 9 s while the fleet had free places for them.

A host compared the processors that other racks leave idle with what a start needs. Backfill tasks use those, so a rack full of them counted as full, although a task that reserves processors takes them at once. The same sum limited the share of a host for new serving tasks, which then went to a queue drawn at random.

--- a/include/egretspindle/rack/fleet_load.hpp
+++ b/include/egretspindle/rack/fleet_load.hpp
@@ -145,7 +145,8 @@
 /// gets a share of half of it (`offered_share`) in proportion to its queue. The
 /// result is rounded up or down at random, so that shares below one task count
 /// too. It is at least one for long-running and serving tasks when other racks
-/// have enough idle processors for one.
+/// have enough processors for one. Processors that backfill tasks use are free
+/// for all other tasks.
 [[nodiscard]] std::size_t hand_back_quota(const fleet_load& fleet,
                                           const step_terms& terms,
                                           const std::string& rack,
--- a/src/rack/fleet_load.cpp
+++ b/src/rack/fleet_load.cpp
@@ -166,6 +166,14 @@
                              fleet.interference);
 }
 
+// Returns the processors of a target, in thousandths of a core, that tasks of
+// the step can use. Backfill tasks give way to all others.
+std::int64_t usable_cpu(const candidate& item, const step_terms& terms)
+{
+    const std::int64_t idle = idle_cpu(item.colocation, item.room);
+    return terms.uses_idle_cpu ? idle : idle + item.colocation.backfill_milli;
+}
+
 // Weight of a target for a task of the step. Backfill tasks prefer targets
 // where they harm no serving task, and avoid those that images with few
 // suitable targets need.
@@ -214,7 +222,7 @@
     std::string rack;
     std::vector<candidate> targets;
     std::int64_t total_weight = 0; ///< sum of `weight_of` its suitable targets
-    std::int64_t idle_milli = 0; ///< sum of `idle_cpu` of its suitable targets
+    std::int64_t usable_milli = 0; ///< sum of `usable_cpu` of these targets
     /// Tasks of the step that the rack can still take.
     std::int64_t remaining_of_step = 0;
 };
@@ -254,7 +262,7 @@
             if (is_suitable(fleet, target, terms))
             {
                 item.total_weight += weight_of(fleet, target, terms);
-                item.idle_milli += idle_cpu(target.colocation, target.room);
+                item.usable_milli += usable_cpu(target, terms);
             }
         }
         if (item.total_weight > 0)
@@ -519,13 +527,13 @@
 }
 
 // Returns how many more tasks of the step this host may place within its share
-// of the processors of a rack: `idle` plus the ones that it has `taken` since
-// the report, in thousandths of a core.
+// of the processors of a rack: the `usable` ones plus those that it has `taken`
+// since the report, in thousandths of a core.
 double own_quota(const fleet_load& fleet, const step_terms& terms,
-                 std::int64_t idle, std::int64_t taken)
+                 std::int64_t usable, std::int64_t taken)
 {
     const double own_milli = overcommit_factor *
-                             static_cast<double>(idle + taken) /
+                             static_cast<double>(usable + taken) /
                              static_cast<double>(fleet.hosts);
     return (own_milli - static_cast<double>(taken)) /
            static_cast<double>(std::max<std::int64_t>(1, terms.size.cpu_milli));
@@ -557,7 +565,7 @@
     {
         return max_tasks;
     }
-    const double share = own_quota(fleet, terms, item.idle_milli,
+    const double share = own_quota(fleet, terms, item.usable_milli,
                                    recently_placed_milli(fleet, item.rack));
     return std::min(max_tasks, static_cast<std::size_t>(std::max(
                                    0.0, share + draw_fraction(random))));
@@ -799,10 +807,11 @@
                             const std::string& rack, time_point now,
                             std::minstd_rand& random)
 {
-    double idle = 0;
+    double usable = 0;
     for (const rack_option& item : find_options(fleet, terms, now))
     {
-        idle += item.rack == rack ? 0 : static_cast<double>(item.idle_milli);
+        usable +=
+            item.rack == rack ? 0 : static_cast<double>(item.usable_milli);
     }
     double queued = 0;
     double queued_here = 0;
@@ -819,7 +828,7 @@
     const auto cpu =
         static_cast<double>(std::max<std::int64_t>(1, terms.size.cpu_milli));
     const auto places = static_cast<std::size_t>(
-        offered_share * part * idle / cpu + draw_fraction(random));
+        offered_share * part * usable / cpu + draw_fraction(random));
     // The queues of other racks mostly hold tasks that do not compete for the
     // places that suit long-running ones. Counted by the share of the queue
     // alone, the few long-running ones would wait for long.
@@ -827,7 +836,7 @@
     const bool counts_as_long_running =
         terms.is_long_running || terms.response_target_ms > 0 ||
         lightly_used_services(fleet, now).count(terms.service) > 0;
-    return (counts_as_long_running && idle >= cpu) ||
+    return (counts_as_long_running && usable >= cpu) ||
                    is_better_placed_elsewhere(fleet, terms, rack, now)
                ? std::max<std::size_t>(1, places)
                : places;
--- a/tests/rack/fleet_load_test.cpp
+++ b/tests/rack/fleet_load_test.cpp
@@ -437,3 +437,60 @@
                 std::vector<std::string>{"r4"});
     }
 }
+
+// Guards against a start that stays in a full rack although it fits into
+// others: processors that backfill tasks use are free for it.
+TEST_CASE("a start may be handed back to a rack full of backfill tasks",
+          "[rack]")
+{
+    const bool is_long_running = GENERATE(true, false);
+    CAPTURE(is_long_running);
+    fleet_load fleet = make_fleet(2);
+    fleet.racks["r0"].room.queued_cpu_milli = 6'000;
+    for (target_load_report& report : fleet.racks["r0"].room.targets)
+    {
+        report.room.cpu_milli = 0;
+    }
+    for (target_load_report& report : fleet.racks["r1"].room.targets)
+    {
+        report.backfill_milli = report.room.cpu_milli;
+    }
+    step_terms terms = make_terms("a", true);
+    terms.is_long_running = is_long_running;
+    if (!is_long_running)
+    {
+        terms.response_target_ms = 0;
+    }
+    for (unsigned seed = 1; seed <= 20; ++seed)
+    {
+        CAPTURE(seed);
+        std::minstd_rand random(seed);
+        CHECK(hand_back_quota(fleet, terms, "r0", now, random) >= 1);
+    }
+    const step_terms backfill = make_terms("b", false);
+    std::minstd_rand random(1);
+    CHECK(hand_back_quota(fleet, backfill, "r0", now, random) == 0);
+}
+
+// Guards against a queue drawn at random while a rack with backfill tasks has
+// room: such a target takes a serving task at once.
+TEST_CASE("serving tasks go to racks whose free processors backfill tasks use",
+          "[rack]")
+{
+    for (unsigned seed = 1; seed <= 20; ++seed)
+    {
+        CAPTURE(seed);
+        std::minstd_rand random(seed);
+        fleet_load fleet = make_fleet(5);
+        for (auto& [name, view] : fleet.racks)
+        {
+            for (target_load_report& report : view.room.targets)
+            {
+                report.room.cpu_milli = name == "r3" ? 32'000 : 0;
+                report.backfill_milli = report.room.cpu_milli;
+            }
+        }
+        CHECK(choose_racks(fleet, make_terms("a", true), 4, "", now, random) ==
+              std::vector<std::string>(4, "r3"));
+    }
+}
