Report room for later only on targets that take starts

Callers saw long-running tasks away for 10 s beside racks that had room for them once their short tasks had ended.

The report of a rack counted the room of targets that it had reached once, whether they take starts or not. So the rack seemed to have room later, and its starts were not handed back. The same report made hosts choose it.

--- a/include/egretspindle/rack/rack_load_report.hpp
+++ b/include/egretspindle/rack/rack_load_report.hpp
@@ -43,10 +43,10 @@
     /// Number of backfill starts that have been in the queue for more than
     /// 400 ms (`min_waiting_age`), by image.
     std::map<std::string, std::int64_t> waiting;
-    /// Processors of the largest `eventual_capacity` of the targets, in
-    /// thousandths of a core. A long-running task that wants more has to wait
-    /// until another one ends. No value if no target is known, and in reports
-    /// of hosts of earlier versions.
+    /// Processors of the largest `eventual_capacity` of the targets that take
+    /// starts, in thousandths of a core; 0 if none does. A long-running task
+    /// that wants more has to wait until another one ends. No value if no
+    /// target is known, and in reports of hosts of earlier versions.
     std::optional<std::int64_t> eventual_cpu_milli;
     std::vector<target_load_report> targets;
 };
--- a/src/rack/rack_load_report.cpp
+++ b/src/rack/rack_load_report.cpp
@@ -22,7 +22,9 @@
     {
         if (target.is_reached && target.is_listed && !target.entry.is_draining)
         {
-            const std::int64_t cpu = target.cached.eventual_room.cpu_milli;
+            const std::int64_t cpu = target.cached.is_open
+                                         ? target.cached.eventual_room.cpu_milli
+                                         : 0;
             largest = std::max(largest.value_or(cpu), cpu);
         }
     }
--- a/tests/rack/eventual_room_test.cpp
+++ b/tests/rack/eventual_room_test.cpp
@@ -157,6 +157,41 @@
     CHECK(report.eventual_cpu_milli == 6'990);
 }
 
+// Guards against a long-running start kept by a rack whose targets are out of
+// reach: their room counted, so no other rack was better.
+TEST_CASE("a load report has no room for later on targets that take no starts",
+          "[rack]")
+{
+    rack_state rack;
+    rack.name = "r1";
+    CHECK_FALSE(make_load_report(rack, interference_model{}, now)
+                    .eventual_cpu_milli.has_value());
+    for (const std::string id : {"t1", "t2"})
+    {
+        rack_target& target = rack.targets[id];
+        target.entry = make_entry("r1");
+        target.entry.id = id;
+        target.is_recorded = true;
+        target.is_reached = true;
+    }
+    add_run(rack.targets["t1"], "a.0.0.0", make_terms(25'000, true));
+    CHECK(
+        make_load_report(rack, interference_model{}, now).eventual_cpu_milli ==
+        32'000);
+    rack.targets["t2"].avoid_until = now + milliseconds(1);
+    CHECK(
+        make_load_report(rack, interference_model{}, now).eventual_cpu_milli ==
+        7'000);
+    rack.targets["t1"].avoid_until = now + milliseconds(1);
+    const rack_load_report report =
+        make_load_report(rack, interference_model{}, now);
+    CHECK(report.eventual_cpu_milli == 0);
+    const absl::StatusOr<load_message> seen = from_json<load_message>(
+        to_json(load_report_messages("h", 1, {report}).front()));
+    REQUIRE(seen.ok());
+    CHECK(load_reports_of(*seen).front().eventual_cpu_milli == 0);
+}
+
 // Guards against messages of earlier versions read as those of full racks.
 TEST_CASE("a load message without the room of later decodes", "[rack]")
 {
