--- a/tests/rack/fleet_simulation.cpp
+++ b/tests/rack/fleet_simulation.cpp
@@ -204,6 +204,7 @@
                      item.run = task.run;
                      item.terms = task.terms;
                      item.queued_at = sim.now;
+                     item.waiting_since = task.submitted_at;
                      enqueue(sim.racks.at(task.rack), item);
                      changed.insert(task.rack);
                      sim.tasks_by_run[{task.name, task.run}] = std::move(task);
@@ -250,6 +251,20 @@
     }
 }
 
+// Sends the tasks that run on a target back to their choosers.
+void end_runs(simulation& sim, const rack_target& target)
+{
+    for (const auto& [id, run] : target.runs)
+    {
+        const auto found = sim.tasks_by_run.find(id);
+        simulated_task task = found->second;
+        sim.tasks_by_run.erase(found);
+        task.submitted_at = sim.now;
+        task.arrives_at = sim.now + sim.limits.hand_back_transit;
+        sim.to_choosers.push_back(std::move(task));
+    }
+}
+
 } // namespace
 
 simulation make_simulation(const simulation_limits& limits)
@@ -352,15 +367,7 @@
                 ++it;
                 continue;
             }
-            for (const auto& [id, run] : it->second.runs)
-            {
-                const auto found = sim.tasks_by_run.find(id);
-                simulated_task task = found->second;
-                sim.tasks_by_run.erase(found);
-                task.submitted_at = sim.now;
-                task.arrives_at = sim.now + sim.limits.hand_back_transit;
-                sim.to_choosers.push_back(std::move(task));
-            }
+            end_runs(sim, it->second);
             for (simulated_host& host : sim.hosts)
             {
                 host.load.targets.erase(it->first);
@@ -370,6 +377,19 @@
     }
 }
 
+void restart_racks(simulation& sim, int count)
+{
+    auto it = sim.racks.begin();
+    for (int n = 0; n < count; ++n, ++it)
+    {
+        for (auto& [id, target] : it->second.targets)
+        {
+            end_runs(sim, target);
+            target.runs.clear();
+        }
+    }
+}
+
 void run_simulation(simulation& sim, std::vector<simulated_step> steps,
                     milliseconds duration)
 {
--- a/tests/rack/fleet_simulation.hpp
+++ b/tests/rack/fleet_simulation.hpp
@@ -116,6 +116,10 @@
 /// \param share  of all targets
 void fail_targets(simulation& sim, double share);
 
+/// Restarts the targets of the first racks, which come back empty. The tasks
+/// that ran on them are assigned again; their waits count from now.
+void restart_racks(simulation& sim, int count);
+
 /// Submits steps at random choosers and advances the simulation by `duration`.
 /// `simulated_step::at` counts from the time of the call. Long-running steps
 /// are refused if the chooser has no room for them.
