Place long-running tasks that are away before short ones

Within a priority a rack placed short starts first, and reserved a target only for a start that had waited for 1 s in its own queue, so that each hand-back began the wait anew. Now the absence of the task counts, through all racks: from 2 s on it goes before short starts, the longest absence first, and a target is reserved for it at once.

--- a/include/egretspindle/rack/place_reservation.hpp
+++ b/include/egretspindle/rack/place_reservation.hpp
@@ -5,8 +5,8 @@
 /// While short starts wait, they take each free piece of a target at once, and
 /// a larger start never finds its room. The rack owner therefore reserves a
 /// target for a long-running start that has waited for a second, and places no
-/// short or backfill tasks of the same or a worse priority there until the
-/// start is placed or the reservation ends.
+/// short or backfill tasks of the same or a worse priority there
+/// until the start is placed or the reservation ends.
 
 #ifndef EGRETSPINDLE_RACK_PLACE_RESERVATION_HPP
 #define EGRETSPINDLE_RACK_PLACE_RESERVATION_HPP
@@ -20,6 +20,13 @@
 namespace egretspindle
 {
 
+/// Returns whether a start goes before the short ones of its priority, and gets
+/// a reservation as soon as a target can be reserved: its task is long-running
+/// and has been away for more than 2 s (`max_absence_behind_short`), through
+/// all racks that it waited in. Gangs and backfill tasks do not.
+[[nodiscard]] bool has_precedence(const queued_start& start,
+                                  time_point now) noexcept;
+
 /// Returns whether a queued start has a reservation and has waited so briefly
 /// (5 s, `firm_reservation_time`) that it stays in the queue of its rack.
 [[nodiscard]] bool has_firm_reservation(const rack_state& rack,
@@ -28,15 +35,16 @@
 
 /// Drops reservations whose start has left the queue, whose target can no
 /// longer take it, or that are older than 5 s (`reservation_lifetime`), and
-/// adds missing ones for long-running starts that have waited for more than 1 s
-/// (`min_wait_to_reserve`). A target that accepts no starts for a moment keeps
-/// its reservation.
+/// adds missing ones for long-running starts that have been in the queue for
+/// more than 1 s (`min_wait_to_reserve`) or have precedence. A target that
+/// accepts no starts for a moment keeps its reservation.
 ///
 /// Reserves the target that is expected to have room first once its short and
 /// backfill tasks end; at most one per start, and at most two in a rack and
 /// half of its open targets, or the only one of a rack. Gangs and backfill
-/// tasks get none. Starts with a better priority may use a reserved target. The
-/// cached summaries have to be up to date.
+/// tasks get none. Starts with a better
+/// priority may use a reserved target. The cached summaries have to be up to
+/// date.
 void update_reservations(rack_state& rack, const interference_model& model,
                          time_point now);
 
--- a/include/egretspindle/rack/queued_start.hpp
+++ b/include/egretspindle/rack/queued_start.hpp
@@ -116,14 +116,18 @@
     std::uint64_t refused_at_change = 0;
 };
 
-/// Returns for how long the task of a start has waited.
+/// Returns since when the task of a start has waited, through all racks.
+[[nodiscard]] inline time_point waits_since(const queued_start& start) noexcept
+{
+    return start.waiting_since == time_point{} ? start.queued_at
+                                               : start.waiting_since;
+}
+
+/// Returns for how long the task of a start has waited, through all racks.
 [[nodiscard]] inline milliseconds waited(const queued_start& start,
                                          time_point now) noexcept
 {
-    const time_point since = start.waiting_since == time_point{}
-                                 ? start.queued_at
-                                 : start.waiting_since;
-    return std::chrono::duration_cast<milliseconds>(now - since);
+    return std::chrono::duration_cast<milliseconds>(now - waits_since(start));
 }
 
 /// Returns the capacity that a task reserves on a target. A backfill task
--- a/include/egretspindle/rack/rack_decision.hpp
+++ b/include/egretspindle/rack/rack_decision.hpp
@@ -78,7 +78,8 @@
 
 /// Chooses targets for queued starts and reserves capacity for them.
 ///
-/// Considers starts in the order of priority, short before long-running tasks,
+/// Considers starts in the order of priority, long-running tasks that are away
+/// (`has_precedence`) before short and these before other long-running tasks,
 /// timely short starts before those that are already late, and then by
 /// objective.
 /// Serving tasks prefer targets that serve the same image, backfill tasks those
--- a/src/rack/place_reservation.cpp
+++ b/src/rack/place_reservation.cpp
@@ -16,6 +16,9 @@
 // Users expect a long-running task to be at work again within 6 s of its last
 // run. Most short tasks end within 2 s, so that the start is placed in time.
 constexpr milliseconds min_wait_to_reserve{1'000};
+// Absence from which a long-running task goes before short ones. Leaves 4 s of
+// the 6 s for short tasks to end.
+constexpr milliseconds max_absence_behind_short{2'000};
 // After this time another target may have room earlier.
 constexpr milliseconds reservation_lifetime{5'000};
 // A start with a reservation is not handed back until it has been in the queue
@@ -27,11 +30,16 @@
 // a target.
 constexpr milliseconds search_interval{200};
 
+bool needs_room_of_its_own(const step_terms& terms)
+{
+    return terms.is_long_running && !terms.is_gang && !terms.uses_idle_cpu;
+}
+
 bool may_reserve(const queued_start& start, time_point now)
 {
-    const step_terms& terms = *start.terms;
-    return terms.is_long_running && !terms.is_gang && !terms.uses_idle_cpu &&
-           !start.is_repeated && now - start.queued_at > min_wait_to_reserve;
+    return needs_room_of_its_own(*start.terms) && !start.is_repeated &&
+           (now - start.queued_at > min_wait_to_reserve ||
+            has_precedence(start, now));
 }
 
 bool is_evictable(const placed_run& run, const step_terms& waiting)
@@ -184,6 +192,12 @@
 
 } // namespace
 
+bool has_precedence(const queued_start& start, time_point now) noexcept
+{
+    return needs_room_of_its_own(*start.terms) &&
+           waited(start, now) > max_absence_behind_short;
+}
+
 bool has_firm_reservation(const rack_state& rack, const queued_start& start,
                           time_point now)
 {
--- a/src/rack/place_starts.cpp
+++ b/src/rack/place_starts.cpp
@@ -140,18 +140,36 @@
     target.runs[{start.task, start.run}] = std::move(run);
 }
 
-// Returns the sort key of a start. Within a priority, short tasks come before
-// long-running ones, since they release their capacity within a second. Next,
-// short starts that can still meet their objective come before those that are
-// already late, which under overload would make all others late too. Among
-// long-running tasks, those of older jobs come first, most of which have lost
-// their run.
-auto rank_of(const queued_start& start, std::int64_t now_ms)
+/// Order of the starts of a priority.
+enum class start_group
+{
+    away,  ///< see `has_precedence`; the longest absence first
+    brief, ///< short tasks, which release their capacity within a second
+    others
+};
+
+start_group group_of(const queued_start& start, time_point now)
+{
+    if (!start.terms->is_long_running)
+    {
+        return start_group::brief;
+    }
+    return has_precedence(start, now) ? start_group::away : start_group::others;
+}
+
+// Returns the sort key of a start. After the priority and the group, short
+// starts that can still meet their objective come before those that are already
+// late, which under overload would make all others late too. Among other
+// long-running tasks, those of older jobs come first.
+auto rank_of(const queued_start& start, time_point now, std::int64_t now_ms)
 {
     const step_terms& terms = *start.terms;
+    const start_group group = group_of(start, now);
     const bool is_late = !terms.is_long_running &&
                          now_ms > terms.latest_start_ms + late_tolerance_ms;
-    return std::make_tuple(terms.priority, terms.is_long_running, is_late,
+    const time_point away_since =
+        group == start_group::away ? waits_since(start) : time_point{};
+    return std::make_tuple(terms.priority, group, is_late, away_since,
                            terms.objective_ms, std::string_view(terms.step));
 }
 
@@ -333,13 +351,16 @@
     return since;
 }
 
-void sort_queue(rack_state& rack, std::int64_t now_ms)
+void sort_queue(rack_state& rack, time_point now, std::int64_t now_ms)
 {
     const auto is_before =
-        [now_ms](const queued_start& lhs, const queued_start& rhs)
+        [now, now_ms](const queued_start& lhs, const queued_start& rhs)
     {
-        return lhs.terms != rhs.terms &&
-               rank_of(lhs, now_ms) < rank_of(rhs, now_ms);
+        // The rank of a short start depends on its terms only.
+        const bool is_same =
+            lhs.terms == rhs.terms && !lhs.terms->is_long_running;
+        return !is_same &&
+               rank_of(lhs, now, now_ms) < rank_of(rhs, now, now_ms);
     };
     if (!std::is_sorted(rack.queue.begin(), rack.queue.end(), is_before))
     {
@@ -374,7 +395,7 @@
     {
         return placed;
     }
-    sort_queue(rack, now_ms);
+    sort_queue(rack, now, now_ms);
     refresh_colocations(rack, model, now);
     update_reservations(rack, model, now);
     const std::vector<rack_target*> items = find_open_targets(rack);
--- a/tests/rack/place_reservation_test.cpp
+++ b/tests/rack/place_reservation_test.cpp
@@ -470,6 +470,64 @@
     REQUIRE(rack.targets["t0"].reservation->run == run_id{"new.0.0.0", 1});
 }
 
+// Guards against a wait that begins anew in each rack: a start that was handed
+// back would be without a reservation for another second.
+TEST_CASE("a start that has waited in other racks gets a reservation at once",
+          "[rack]")
+{
+    rack_state rack = make_rack(1);
+    add_run(rack.targets["t0"], "short.0", make_terms("early", 64'000));
+    add_waiting(rack, "long.0.0.0", make_long_running("long.0.0", 16'000));
+    queued_start& start = rack.queue.back();
+    start.waiting_since = start_time - milliseconds(2'100);
+    start.queued_at = start_time;
+    REQUIRE(place(rack, start_time) == 0);
+    REQUIRE(reserved_targets(rack).size() == 1);
+}
+
+// Guards against long-running tasks that stay away while short ones of the same
+// priority take each place that becomes free.
+TEST_CASE("a long-running task that is away goes before short ones", "[rack]")
+{
+    const bool is_away = GENERATE(true, false);
+    CAPTURE(is_away);
+    rack_state rack = make_rack(1);
+    add_run(rack.targets["t0"], "kept.0", make_long_running("kept", 48'000));
+    add_waiting(rack, "short.0.0.0", make_terms("short.0.0", 16'000));
+    add_waiting(rack, "long.0.0.0", make_long_running("long.0.0", 16'000));
+    rack.queue.back().queued_at = start_time;
+    if (is_away)
+    {
+        rack.queue.back().waiting_since = start_time - milliseconds(2'100);
+    }
+    const std::vector<placement> placed =
+        place_starts(rack, no_interference, start_time, 0);
+    REQUIRE(placed.size() == 1);
+    REQUIRE(placed.front().start.task ==
+            (is_away ? "long.0.0.0" : "short.0.0.0"));
+}
+
+// Guards against a task that others of its kind overtake again and again.
+TEST_CASE("the long-running task that has been away longest goes first",
+          "[rack]")
+{
+    rack_state rack = make_rack(1);
+    add_run(rack.targets["t0"], "kept.0", make_long_running("kept", 48'000));
+    for (int n = 0; n < 3; ++n)
+    {
+        step_terms terms =
+            make_long_running("long" + std::to_string(n) + ".0.0", 16'000);
+        terms.objective_ms = n; // an older job, which would go first otherwise
+        add_waiting(rack, terms.step + ".0", terms);
+        rack.queue.back().waiting_since =
+            start_time - milliseconds(3'000 + 1'000 * n);
+    }
+    const std::vector<placement> placed =
+        place_starts(rack, no_interference, start_time, 0);
+    REQUIRE(placed.size() == 1);
+    REQUIRE(placed.front().start.task == "long2.0.0.0");
+}
+
 // If the reserved target is lost or filled, another one has to be chosen.
 TEST_CASE("a reservation moves when its target cannot take the task", "[rack]")
 {
