Hand long-running starts back to every rack that has room later

A rack gave one start of each kind away every 0.7 s, and kept a start with a reservation for 5 s although other racks had a free place.

A rack without room for a start gives back as many as other racks have room for. A start with a reservation leaves it only for a free place, and then at once: since its whole absence counts, it does not begin to wait anew. Before, it stayed for 5 s whatever other racks had, and then left for any room.

--- a/include/egretspindle/rack/fleet_load.hpp
+++ b/include/egretspindle/rack/fleet_load.hpp
@@ -146,12 +146,13 @@
 /// result is rounded up or down at random, so that shares below one task count
 /// too. It is at least one for long-running and serving tasks when other racks
 /// have enough processors for one. Processors that backfill tasks use are free
-/// for all other tasks.
-[[nodiscard]] std::size_t hand_back_quota(const fleet_load& fleet,
-                                          const step_terms& terms,
-                                          const std::string& rack,
-                                          time_point now,
-                                          std::minstd_rand& random);
+/// for all other tasks. With `room_kind::eventual`, it is at least the number
+/// of other racks with eventual room for a long-running task if its own rack
+/// has none left.
+[[nodiscard]] std::size_t
+hand_back_quota(const fleet_load& fleet, const step_terms& terms,
+                const std::string& rack, time_point now,
+                std::minstd_rand& random, room_kind room = room_kind::eventual);
 
 } // namespace egretspindle
 
--- a/include/egretspindle/rack/place_reservation.hpp
+++ b/include/egretspindle/rack/place_reservation.hpp
@@ -27,11 +27,9 @@
 [[nodiscard]] bool has_precedence(const queued_start& start,
                                   time_point now) noexcept;
 
-/// Returns whether a queued start has a reservation and has waited so briefly
-/// (5 s, `firm_reservation_time`) that it stays in the queue of its rack.
-[[nodiscard]] bool has_firm_reservation(const rack_state& rack,
-                                        const queued_start& start,
-                                        time_point now);
+/// Returns whether a target is reserved for a queued start.
+[[nodiscard]] bool has_reservation(const rack_state& rack,
+                                   const queued_start& start);
 
 /// Drops reservations whose start has left the queue, whose target can no
 /// longer take it, or that are older than 5 s (`reservation_lifetime`), and
--- a/include/egretspindle/rack/rack_decision.hpp
+++ b/include/egretspindle/rack/rack_decision.hpp
@@ -7,6 +7,7 @@
 #include "egretspindle/fleet/target_port.hpp"
 #include "egretspindle/jobs/run_end.hpp"
 #include "egretspindle/rack/interference_model.hpp"
+#include "egretspindle/rack/rack_load_report.hpp"
 #include "egretspindle/rack/rack_state.hpp"
 
 #include <cstdint>
@@ -170,16 +171,17 @@
 
 /// Returns how many starts with the given requirements a rack may hand back, by
 /// the free capacity of other racks.
-using place_counter = std::function<std::size_t(const step_terms& terms)>;
+using place_counter =
+    std::function<std::size_t(const step_terms& terms, room_kind room)>;
 
 /// Hands starts back to the owners of their jobs if they have waited longer
-/// than `min_wait`, their run has certainly not started, no target is reserved
-/// for them (`has_firm_reservation`), and they fit into other racks. After a
+/// than `min_wait`, their run has certainly not started, and they fit into
+/// other racks; those with a reservation only if they fit there now. After a
 /// call that has counted places, calls have no effect for another `min_wait`,
 /// until load reports include the starts at their new racks.
 ///
 /// \param count_places  called once for each group of starts with the same
-///                      requirements
+///                      requirements, and again for those with a reservation
 [[nodiscard]] std::vector<run_event>
 hand_back(rack_state& rack, milliseconds min_wait,
           const place_counter& count_places, time_point now);
--- a/include/egretspindle/rack/rack_load_report.hpp
+++ b/include/egretspindle/rack/rack_load_report.hpp
@@ -34,6 +34,13 @@
     bool is_open = false;
 };
 
+/// Room that a start may move to another rack for.
+enum class room_kind
+{
+    free,     ///< that no task has reserved
+    eventual, ///< that, or `rack_load_report::eventual_cpu_milli`
+};
+
 /// Free capacity and queue of a rack.
 struct rack_load_report
 {
--- a/include/egretspindle/scheduler/rack_agent.hpp
+++ b/include/egretspindle/scheduler/rack_agent.hpp
@@ -42,8 +42,10 @@
     std::function<void(std::vector<run_report> reports)> report;
     /// A target has seen a newer owner of the rack. Called once for each token.
     std::function<void(const std::string& rack)> lost;
-    /// Returns how many queued starts of a step a rack may hand back now.
-    std::function<std::size_t(const step_terms& terms, const std::string& rack)>
+    /// Returns how many queued starts of a step a rack may hand back now, for
+    /// room of a kind in other racks.
+    std::function<std::size_t(const step_terms& terms, const std::string& rack,
+                              room_kind room)>
         hand_back_quota;
     /// Reads the record of a job. Returns no value if the store did not answer;
     /// a job that has no record has no runs.
--- a/src/rack/fleet_load.cpp
+++ b/src/rack/fleet_load.cpp
@@ -681,26 +681,26 @@
     }
 }
 
-// Returns whether a long-running task of the step has no room in a rack even
-// without its short tasks, but has in another one.
-bool is_better_placed_elsewhere(const fleet_load& fleet,
-                                const step_terms& terms,
-                                const std::string& rack, time_point now)
+// Returns how many other racks have room for a long-running task of the step
+// once their short tasks have ended; 0 if its own rack has.
+std::size_t count_better_racks(const fleet_load& fleet, const step_terms& terms,
+                               const std::string& rack, time_point now)
 {
     const auto own = fleet.racks.find(rack);
     if (own == fleet.racks.end() || may_take_later(own->second, terms))
     {
-        return false;
+        return 0;
     }
-    return std::any_of(fleet.racks.begin(), fleet.racks.end(),
-                       [&](const auto& item)
-                       {
-                           const rack_view& view = item.second;
-                           return view.room.eventual_cpu_milli.has_value() &&
-                                  may_take_later(view, terms) &&
-                                  usable_milli(fleet, view, terms, now) > 0 &&
-                                  remaining_of_step(view, terms) > 0;
-                       });
+    return static_cast<std::size_t>(
+        std::count_if(fleet.racks.begin(), fleet.racks.end(),
+                      [&](const auto& item)
+                      {
+                          const rack_view& view = item.second;
+                          return view.room.eventual_cpu_milli.has_value() &&
+                                 may_take_later(view, terms) &&
+                                 usable_milli(fleet, view, terms, now) > 0 &&
+                                 remaining_of_step(view, terms) > 0;
+                      }));
 }
 
 } // namespace
@@ -805,7 +805,7 @@
 
 std::size_t hand_back_quota(const fleet_load& fleet, const step_terms& terms,
                             const std::string& rack, time_point now,
-                            std::minstd_rand& random)
+                            std::minstd_rand& random, room_kind room)
 {
     double usable = 0;
     for (const rack_option& item : find_options(fleet, terms, now))
@@ -836,10 +836,13 @@
     const bool counts_as_long_running =
         terms.is_long_running || terms.response_target_ms > 0 ||
         lightly_used_services(fleet, now).count(terms.service) > 0;
-    return (counts_as_long_running && usable >= cpu) ||
-                   is_better_placed_elsewhere(fleet, terms, rack, now)
-               ? std::max<std::size_t>(1, places)
-               : places;
+    const std::size_t min_places =
+        counts_as_long_running && usable >= cpu ? 1 : 0;
+    const std::size_t better_racks =
+        room == room_kind::eventual
+            ? count_better_racks(fleet, terms, rack, now)
+            : 0;
+    return std::max({places, min_places, better_racks});
 }
 
 } // namespace egretspindle
--- a/src/rack/place_reservation.cpp
+++ b/src/rack/place_reservation.cpp
@@ -21,9 +21,6 @@
 constexpr milliseconds max_absence_behind_short{2'000};
 // After this time another target may have room earlier.
 constexpr milliseconds reservation_lifetime{5'000};
-// A start with a reservation is not handed back until it has been in the queue
-// for this long.
-constexpr milliseconds firm_reservation_time{5'000};
 // Short tasks keep at least half of the targets of a rack with more than one.
 constexpr std::size_t max_reservations = 2;
 // Interval of the search for targets; place_starts is called for each reply of
@@ -181,15 +178,6 @@
     return std::min(max_reservations, std::max<std::size_t>(1, open / 2));
 }
 
-bool has_reservation(const rack_state& rack, const run_id& id)
-{
-    return std::any_of(rack.targets.begin(), rack.targets.end(),
-                       [&id](const auto& item) {
-                           return item.second.reservation &&
-                                  item.second.reservation->run == id;
-                       });
-}
-
 } // namespace
 
 bool has_precedence(const queued_start& start, time_point now) noexcept
@@ -198,12 +186,14 @@
            waited(start, now) > max_absence_behind_short;
 }
 
-bool has_firm_reservation(const rack_state& rack, const queued_start& start,
-                          time_point now)
+bool has_reservation(const rack_state& rack, const queued_start& start)
 {
-    return start.terms->is_long_running &&
-           now - start.queued_at <= firm_reservation_time &&
-           has_reservation(rack, {start.task, start.run});
+    const run_id id{start.task, start.run};
+    return std::any_of(rack.targets.begin(), rack.targets.end(),
+                       [&id](const auto& item) {
+                           return item.second.reservation &&
+                                  item.second.reservation->run == id;
+                       });
 }
 
 void update_reservations(rack_state& rack, const interference_model& model,
@@ -228,7 +218,7 @@
         }
         const run_id id{start.task, start.run};
         if (!may_reserve(start, now) || refused.count(start.terms.get()) > 0 ||
-            has_reservation(rack, id))
+            has_reservation(rack, start))
         {
             continue;
         }
--- a/src/rack/rack_decision.cpp
+++ b/src/rack/rack_decision.cpp
@@ -319,6 +319,7 @@
 struct hand_back_group
 {
     const step_terms* terms = nullptr;
+    room_kind room = room_kind::eventual;
     std::size_t quota = 0;
     std::size_t handed_back_count = 0;
 };
@@ -341,23 +342,25 @@
 // a group only once, since this iterates over all targets of the fleet. A gang
 // is handed back as a whole.
 hand_back_group& find_group(std::vector<hand_back_group>& groups,
-                            const step_terms& terms,
+                            const step_terms& terms, room_kind room,
                             const place_counter& count_places)
 {
     const auto known =
         std::find_if(groups.begin(), groups.end(),
-                     [&terms](const hand_back_group& item)
-                     { return has_same_requirements(*item.terms, terms); });
+                     [&terms, room](const hand_back_group& item) {
+                         return item.room == room &&
+                                has_same_requirements(*item.terms, terms);
+                     });
     if (known != groups.end())
     {
         return *known;
     }
-    std::size_t quota = count_places(terms);
+    std::size_t quota = count_places(terms, room);
     if (terms.is_gang && quota > 0)
     {
         quota = static_cast<std::size_t>(terms.gang_size);
     }
-    groups.push_back({&terms, quota, 0});
+    groups.push_back({&terms, room, quota, 0});
     return groups.back();
 }
 
@@ -752,14 +755,17 @@
     std::vector<queued_start> remaining;
     for (queued_start& start : rack.queue)
     {
+        const room_kind room = has_reservation(rack, start)
+                                   ? room_kind::free
+                                   : room_kind::eventual;
         hand_back_group* const group =
-            !start.is_repeated && now - start.queued_at > min_wait &&
-                    !has_firm_reservation(rack, start, now)
-                ? &find_group(groups, *start.terms, count_places)
+            !start.is_repeated && now - start.queued_at > min_wait
+                ? &find_group(groups, *start.terms, room, count_places)
                 : nullptr;
         if (group != nullptr &&
             (may_hand_back(*group, events.size()) ||
-             (start.is_overdue && now - start.queued_at > max_overdue_wait &&
+             (start.is_overdue && room == room_kind::eventual &&
+              now - start.queued_at > max_overdue_wait &&
               is_lightly_used(rack, start.terms->service))))
         {
             ++group->handed_back_count;
--- a/src/scheduler/job_scheduler.cpp
+++ b/src/scheduler/job_scheduler.cpp
@@ -324,10 +324,11 @@
         }
     };
     hooks.hand_back_quota =
-        [this](const step_terms& terms, const std::string& rack)
+        [this](const step_terms& terms, const std::string& rack, room_kind room)
     {
         const std::lock_guard<std::mutex> lock(load_mutex);
-        return hand_back_quota(load, terms, rack, steady_clock::now(), random);
+        return hand_back_quota(load, terms, rack, steady_clock::now(), random,
+                               room);
     };
     hooks.read_assignments = [this](const std::string& job)
     {
--- a/src/scheduler/rack_agent.cpp
+++ b/src/scheduler/rack_agent.cpp
@@ -558,8 +558,10 @@
             impl_->place(rack);
             const std::vector<run_event> returned = hand_back(
                 rack, impl_->limits.max_queue_wait,
-                [&, &rack_name = name](const step_terms& terms)
-                { return impl_->hooks.hand_back_quota(terms, rack_name); },
+                [&, &rack_name = name](const step_terms& terms, room_kind room)
+                {
+                    return impl_->hooks.hand_back_quota(terms, rack_name, room);
+                },
                 now);
             list.insert(list.end(), returned.begin(), returned.end());
         }
--- a/tests/rack/eventual_room_test.cpp
+++ b/tests/rack/eventual_room_test.cpp
@@ -192,6 +192,25 @@
     CHECK(load_reports_of(*seen).front().eventual_cpu_milli == 0);
 }
 
+// Guards against starts that leave a rack one by one although several racks
+// have room for them later.
+TEST_CASE("long-running starts are handed back to all racks with room later",
+          "[rack]")
+{
+    const step_terms terms = make_terms(6'000, true);
+    fleet_load fleet;
+    add_full_rack(fleet, "r1", too_small);
+    for (const std::string rack : {"r2", "r3", "r4"})
+    {
+        add_full_rack(fleet, rack, large_enough);
+    }
+    add_full_rack(fleet, "r5", too_small);
+    std::minstd_rand random(1);
+    CHECK(hand_back_quota(fleet, terms, "r1", now, random) == 3);
+    CHECK(hand_back_quota(fleet, terms, "r1", now, random, room_kind::free) ==
+          0);
+}
+
 // Guards against messages of earlier versions read as those of full racks.
 TEST_CASE("a load message without the room of later decodes", "[rack]")
 {
