Count leases of a silent owner from its claim at least

A silent owner grants no lease after its heartbeat, but the owner before it did until the claim. The later of the two counts now. Takeovers from owners that claimed long ago wait no longer than before.

--- a/include/egretspindle/scheduler/cluster_agent.hpp
+++ b/include/egretspindle/scheduler/cluster_agent.hpp
@@ -44,7 +44,8 @@
     former_owner kind = former_owner::none;
     std::int64_t token = 0; ///< of its ownership; 0: none
     /// When this host read the last heartbeat of a host that is not live, on
-    /// which the claim depended. The former owner has confirmed no later one.
+    /// which the claim depended, or that host's own claim if that is later. The
+    /// former owner has confirmed no later heartbeat.
     std::optional<time_point> last_heartbeat;
     /// When this host read that the former owner is a process that has ended.
     std::optional<time_point> ended_at;
--- a/src/scheduler/cluster_agent.cpp
+++ b/src/scheduler/cluster_agent.cpp
@@ -188,7 +188,9 @@
     }
     else if (!is_live(view, item.owner.host, limits, now))
     {
-        former.last_heartbeat = host->second.changed_at;
+        // Until its claim, the owner before it granted leases.
+        former.last_heartbeat =
+            std::max(host->second.changed_at, item.owned_since);
     }
     return former;
 }
--- a/tests/scheduler/cluster_agent_test.cpp
+++ b/tests/scheduler/cluster_agent_test.cpp
@@ -498,6 +498,34 @@
     CHECK_FALSE(former.ended_at.has_value());
 }
 
+// The owner before a silent one grants leases until that one claims the rack.
+// Guards against counting them from an earlier heartbeat of the silent host, so
+// that a run that lasts is started again elsewhere.
+TEST_CASE("a former owner counts as stopped only after its own claim",
+          "[scheduler]")
+{
+    fake_store store;
+    write_owner(store, {"h8", 1});
+    write_host(store, "h8", 1);
+    write_host(store, "h9", 1);
+    agent_fixture host(store);
+    const auto wait_for_reads = [&store]
+    {
+        const int end = store.watches() + 3;
+        REQUIRE(wait_until([&] { return store.watches() >= end; }));
+    };
+    wait_for_reads();
+    write_host(store, "h9", 2, true);
+    wait_for_reads();
+    const time_point claimed_at = steady_clock::now();
+    write_owner(store, {"h9", 1});
+    write_host(store, "h8", 2, true);
+    const former_ownership former = host.wait_for_rack();
+    CHECK(former.kind == former_owner::other);
+    REQUIRE(former.last_heartbeat.has_value());
+    CHECK(*former.last_heartbeat >= claimed_at);
+}
+
 // Guards against waiting for leases that a process cannot have granted after
 // its end.
 TEST_CASE("a restarted owner is known to have ended", "[scheduler]")
