--- a/include/egretspindle/rack/place_reservation.hpp
+++ b/include/egretspindle/rack/place_reservation.hpp
@@ -5,8 +5,8 @@
 /// While short starts wait, they take each free piece of a target at once, and
 /// a larger start never finds its room. The rack owner therefore reserves a
 /// target for a long-running start that has waited for a second, and places no
-/// short or backfill tasks of the same or a worse priority there
-/// until the start is placed or the reservation ends.
+/// short or backfill tasks of the same or a worse priority there until the
+/// start is placed or the reservation ends.
 
 #ifndef EGRETSPINDLE_RACK_PLACE_RESERVATION_HPP
 #define EGRETSPINDLE_RACK_PLACE_RESERVATION_HPP
@@ -40,9 +40,8 @@
 /// Reserves the target that is expected to have room first once its short and
 /// backfill tasks end; at most one per start, and at most two in a rack and
 /// half of its open targets, or the only one of a rack. Gangs and backfill
-/// tasks get none. Starts with a better
-/// priority may use a reserved target. The cached summaries have to be up to
-/// date.
+/// tasks get none. Starts with a better priority may use a reserved target. The
+/// cached summaries have to be up to date.
 void update_reservations(rack_state& rack, const interference_model& model,
                          time_point now);
 
--- a/include/egretspindle/rack/rack_decision.hpp
+++ b/include/egretspindle/rack/rack_decision.hpp
@@ -169,8 +169,8 @@
 /// owner of the rack only.
 [[nodiscard]] bool is_concluding(const rack_state& rack, time_point now);
 
-/// Returns how many starts with the given requirements a rack may hand back, by
-/// the free capacity of other racks.
+/// Returns how many starts with the given requirements a rack may hand back for
+/// room of a kind in other racks.
 using place_counter =
     std::function<std::size_t(const step_terms& terms, room_kind room)>;
 
--- a/src/rack/place_starts.cpp
+++ b/src/rack/place_starts.cpp
@@ -145,7 +145,7 @@
 {
     away,  ///< see `has_precedence`; the longest absence first
     brief, ///< short tasks, which release their capacity within a second
-    others
+    others ///< other long-running tasks, those of older jobs first
 };
 
 start_group group_of(const queued_start& start, time_point now)
@@ -157,10 +157,9 @@
     return has_precedence(start, now) ? start_group::away : start_group::others;
 }
 
-// Returns the sort key of a start. After the priority and the group, short
-// starts that can still meet their objective come before those that are already
-// late, which under overload would make all others late too. Among other
-// long-running tasks, those of older jobs come first.
+// Returns the sort key of a start. Short starts that can still meet their
+// objective come before those that are already late, which under overload would
+// make all others late too.
 auto rank_of(const queued_start& start, time_point now, std::int64_t now_ms)
 {
     const step_terms& terms = *start.terms;
