Close all idle connections to a host when one is lost

Cause: the RPC client keeps up to 64 idle connections for each host, and closed only the one on which a message had timed out. The next message took another one that was severed at the same time, and lost 1.5 or 3 s as well. The HTTP client has closed all of them since; the RPC client did not.

Test: "severed connections to a host cost one message" failed before (three of three further messages were lost).

--- a/src/net/rpc_client.cpp
+++ b/src/net/rpc_client.cpp
@@ -125,9 +125,10 @@
     const std::string server_address = to_string(server);
     const deadline_clock::time_point deadline = deadline_clock::now() + timeout;
     socket_ptr socket = impl_->connections.take(server_address);
+    const bool is_reused = socket != nullptr;
     try
     {
-        if (!socket)
+        if (!is_reused)
         {
             socket =
                 open_connection(server, std::min(timeout, max_connect_time));
@@ -181,6 +182,11 @@
     }
     // The connection is closed, since a late reply to this message may still
     // arrive on it.
+    if (is_reused)
+    {
+        // The other idle connections may have been lost in the same way.
+        impl_->connections.close_idle(server_address);
+    }
     return make_error(error_kind::deadline_exceeded,
                       fmt::format("{}: no answer to {} ({}); it may have taken "
                                   "effect",
