Probe idle connections

Connections that go silent without a reset cost the first message on each of them its whole timeout: 1.5 s for orders, 3 s for reports of ended runs, 2.5 s for polls. The receiver keeps a thread for each of them for 120 s, of 1,024 at most.

TCP keep-alive closes them within 3 s while they are idle, and an unacknowledged message fails after 1.5 s. Applies to messages between hosts at both ends, and to calls to targets and to the store.

Test: "connections between hosts are probed while they are idle" and "HTTP connections are probed while they are idle" fail without it.

--- a/src/net/connection_pool.cpp
+++ b/src/net/connection_pool.cpp
@@ -1,5 +1,7 @@
 #include "connection_pool.hpp"
 
+#include "keepalive.hpp"
+
 #include <cerrno>
 #include <stdexcept>
 #include <sys/socket.h>
@@ -81,6 +83,7 @@
     socket_ptr socket = std::make_unique<cxxtools::net::TcpSocket>();
     socket->setTimeout(to_cxxtools(timeout));
     socket->connect(server.address, server.port);
+    enable_keepalive(*socket);
     return socket;
 }
 
--- a/src/net/connection_pool.hpp
+++ b/src/net/connection_pool.hpp
@@ -41,7 +41,8 @@
     std::map<std::string, std::vector<socket_ptr>> idle_;
 };
 
-/// Opens a connection. Throws if it is not established within the timeout.
+/// Opens a connection that is probed while it is idle. Throws if it is not
+/// established within the timeout.
 [[nodiscard]] socket_ptr open_connection(const endpoint& server,
                                          std::chrono::milliseconds timeout);
 
--- a/src/net/rpc_server.cpp
+++ b/src/net/rpc_server.cpp
@@ -6,6 +6,7 @@
 #include "egretspindle/net/message_auth.hpp"
 
 #include "json_framer.hpp"
+#include "keepalive.hpp"
 #include "rpc_error.hpp"
 
 #include <cxxtools/net/tcpserver.h>
@@ -30,8 +31,8 @@
 // task to end.
 constexpr std::size_t max_connections = 1024;
 constexpr int listen_backlog = 256;
-// Idle connections are closed after this time, since a client may have
-// disappeared without closing them.
+// Idle connections are closed after this time, since a client keeps more of
+// them after a burst than it needs.
 constexpr double idle_timeout_ms = 120'000;
 // A message contains a request body of at most 1 MiB, which is escaped twice.
 constexpr std::size_t max_message_bytes = 8 * 1024 * 1024;
@@ -145,6 +146,7 @@
         try
         {
             next.socket.accept(listener);
+            enable_keepalive(next.socket);
         }
         catch (const cxxtools::net::AcceptTerminated&)
         {
