Accept no long-running tasks for draining targets

Cause: has_room_for_long_running counted draining targets as capacity, and their free processors as usable, though they take no starts. It also did not count that the tasks on them need other processors soon.

Draining targets now have no capacity, and what their tasks hold is taken off the room that is left.

Tests: "draining targets have no room for more long-running tasks" and "free draining targets do not make a service lightly used" failed before.

--- a/include/egretspindle/rack/fleet_load.hpp
+++ b/include/egretspindle/rack/fleet_load.hpp
@@ -110,13 +110,19 @@
              const std::string& data_rack, time_point now,
              std::minstd_rand& random);
 
+/// Returns the processors that a target keeps, in thousandths of a core: none
+/// if it drains.
+[[nodiscard]] std::int64_t
+lasting_capacity_milli(const target_entry& target) noexcept;
+
 /// Returns how much of the free processors of a target the short tasks of its
 /// service can use: a multiple of the mean size of those that this host has
 /// chosen racks for, or all if it knows none. A mean size above the capacity of
 /// the target counts as that capacity.
 ///
 /// \param free_milli  free processors in thousandths of a core
-/// \returns thousandths of a core, not negative
+/// \returns thousandths of a core; for a draining target minus what its tasks
+///          hold, since they need other processors before it ends
 [[nodiscard]] std::int64_t usable_by_short_tasks(const fleet_load& fleet,
                                                  const target_entry& target,
                                                  std::int64_t free_milli);
--- a/src/rack/fleet_load.cpp
+++ b/src/rack/fleet_load.cpp
@@ -755,6 +755,10 @@
                                    std::int64_t free_milli)
 {
     const std::int64_t free = std::max<std::int64_t>(0, free_milli);
+    if (target.is_draining)
+    {
+        return free - target.capacity.cpu_milli;
+    }
     const auto it = fleet.short_cpu_milli.find(target.service);
     if (it == fleet.short_cpu_milli.end())
     {
@@ -766,6 +770,11 @@
     return free / size * size;
 }
 
+std::int64_t lasting_capacity_milli(const target_entry& target) noexcept
+{
+    return target.is_draining ? 0 : target.capacity.cpu_milli;
+}
+
 bool has_room_for_long_running(const fleet_load& fleet,
                                const std::string& service,
                                std::int64_t cpu_milli, time_point now)
@@ -775,7 +784,8 @@
     std::int64_t usable = 0;
     for (const auto& [id, entry] : fleet.targets)
     {
-        capacity += entry.service == service ? entry.capacity.cpu_milli : 0;
+        capacity +=
+            entry.service == service ? lasting_capacity_milli(entry) : 0;
     }
     for (const auto& [name, view] : fleet.racks)
     {
@@ -788,7 +798,7 @@
             const auto it = fleet.targets.find(report.id);
             if (it != fleet.targets.end() && it->second.service == service)
             {
-                reported += it->second.capacity.cpu_milli;
+                reported += lasting_capacity_milli(it->second);
                 usable += usable_by_short_tasks(fleet, it->second,
                                                 report.room.cpu_milli);
             }
--- a/src/rack/reserved_shares.cpp
+++ b/src/rack/reserved_shares.cpp
@@ -79,7 +79,10 @@
     std::map<std::string, std::int64_t> unreserved; // less half of the capacity
     for (const auto& [id, entry] : fleet.targets)
     {
-        unreserved[entry.service] -= entry.capacity.cpu_milli / 2;
+        if (!entry.is_draining)
+        {
+            unreserved[entry.service] -= entry.capacity.cpu_milli / 2;
+        }
     }
     for (const auto& [name, view] : fleet.racks)
     {
@@ -90,7 +93,7 @@
         for (const target_load_report& report : view.room.targets)
         {
             const auto it = fleet.targets.find(report.id);
-            if (it != fleet.targets.end())
+            if (it != fleet.targets.end() && !it->second.is_draining)
             {
                 unreserved[it->second.service] += report.room.cpu_milli;
             }
--- a/src/scheduler/load_summary.cpp
+++ b/src/scheduler/load_summary.cpp
@@ -42,7 +42,7 @@
     for (const auto& [id, entry] : fleet.targets)
     {
         summary.capacity_milli +=
-            entry.service == service ? entry.capacity.cpu_milli : 0;
+            entry.service == service ? lasting_capacity_milli(entry) : 0;
     }
     for (const auto& [name, view] : fleet.racks)
     {
@@ -58,9 +58,11 @@
             {
                 continue;
             }
-            summary.reported_milli += it->second.capacity.cpu_milli;
+            summary.reported_milli += lasting_capacity_milli(it->second);
             summary.free_milli +=
-                std::max<std::int64_t>(0, target.room.cpu_milli);
+                it->second.is_draining
+                    ? 0
+                    : std::max<std::int64_t>(0, target.room.cpu_milli);
             summary.usable_milli +=
                 usable_by_short_tasks(fleet, it->second, target.room.cpu_milli);
             summary.oldest_report_ms = std::max(
--- a/tests/rack/fleet_load_test.cpp
+++ b/tests/rack/fleet_load_test.cpp
@@ -53,6 +53,19 @@
     return terms;
 }
 
+// Marks the targets of the first racks as draining.
+void drain_racks(fleet_load& fleet, std::size_t count)
+{
+    for (std::size_t n = 0; n < count; ++n)
+    {
+        const rack_view& view = fleet.racks["r" + std::to_string(n)];
+        for (const target_load_report& report : view.room.targets)
+        {
+            fleet.targets.at(report.id).is_draining = true;
+        }
+    }
+}
+
 } // namespace
 
 // Hosts place jobs concurrently without coordination. If each chose racks at
@@ -140,6 +153,45 @@
                                       now + milliseconds(10'000)));
 }
 
+// Guards against long-running tasks accepted for the processors of targets that
+// are about to end.
+TEST_CASE("draining targets have no room for more long-running tasks", "[rack]")
+{
+    fleet_load fleet = make_fleet(10); // 640 cores
+    REQUIRE(has_room_for_long_running(fleet, "svc", 320'000, now));
+    drain_racks(fleet, 5);
+    CHECK_FALSE(has_room_for_long_running(fleet, "svc", 320'000, now));
+    CHECK(has_room_for_long_running(fleet, "svc", 290'000, now));
+    // Two racks of them are full of tasks that have to move.
+    for (const std::string rack : {"r0", "r1"})
+    {
+        for (target_load_report& report : fleet.racks[rack].room.targets)
+        {
+            report.room.cpu_milli = 0;
+        }
+    }
+    CHECK_FALSE(has_room_for_long_running(fleet, "svc", 290'000, now));
+    CHECK(has_room_for_long_running(fleet, "svc", 166'000, now));
+}
+
+// Guards against a full service that counts as lightly used while targets drain
+// that have nothing left to do.
+TEST_CASE("free draining targets do not make a service lightly used", "[rack]")
+{
+    fleet_load fleet = make_fleet(10);
+    REQUIRE(lightly_used_services(fleet, now).count("svc") == 1);
+    for (std::size_t n = 6; n < 10; ++n)
+    {
+        for (target_load_report& report :
+             fleet.racks["r" + std::to_string(n)].room.targets)
+        {
+            report.room.cpu_milli = 0;
+        }
+    }
+    drain_racks(fleet, 6);
+    CHECK(lightly_used_services(fleet, now).empty());
+}
+
 // Guards against free processors counted in pieces that are too small for the
 // short tasks they are kept for.
 TEST_CASE("what is kept free of long-running tasks is of use to short ones",
--- a/tests/scheduler/load_summary_test.cpp
+++ b/tests/scheduler/load_summary_test.cpp
@@ -98,6 +98,18 @@
                                     with_all_reports.free_milli - kept, now));
     CHECK_FALSE(has_room_for_long_running(
         fleet, "svc", with_all_reports.free_milli - kept + 1, now));
+    // Draining targets have no capacity, and their tasks need room elsewhere.
+    fleet_load draining = fleet;
+    draining.targets.begin()->second.is_draining = true;
+    const service_load_summary with_drain =
+        summarize_service_load(draining, "svc", now);
+    CHECK(with_drain.capacity_milli < with_all_reports.capacity_milli);
+    CHECK(with_drain.usable_milli < with_drain.free_milli);
+    const std::int64_t kept_with_drain = with_drain.capacity_milli * 8 / 100;
+    CHECK_FALSE(has_room_for_long_running(
+        draining, "svc", with_drain.usable_milli - kept_with_drain + 1, now));
+    CHECK(has_room_for_long_running(
+        draining, "svc", with_drain.usable_milli - kept_with_drain, now));
     // With short tasks of 0.9 cores 0.9 of 1.5 cores and 1.8 of 2 are usable.
     fleet.short_cpu_milli["svc"] = 900;
     const service_load_summary with_short_tasks =
