Move long-running tasks off targets before they end

Callers lost long-running tasks (LOST) when targets were taken away as planned.

Cause: a draining target got no new tasks, but kept its long-running ones until it ended.

Now the owner of the rack stops such a run 3 s before its target ends, if any rack reports room for it, and the owner of the job assigns it elsewhere. Not earlier, since the moved tasks take the room of short ones. Members of gangs stay: a stop would end the others.

--- a/include/egretspindle/rack/fleet_load.hpp
+++ b/include/egretspindle/rack/fleet_load.hpp
@@ -160,6 +160,11 @@
                 const std::string& rack, time_point now,
                 std::minstd_rand& random, room_kind room = room_kind::eventual);
 
+/// Returns whether a rack has reported room for a long-running task of a step,
+/// counting what its short tasks will release.
+[[nodiscard]] bool has_eventual_room(const fleet_load& fleet,
+                                     const step_terms& terms, time_point now);
+
 } // namespace egretspindle
 
 #endif
--- a/include/egretspindle/rack/rack_state.hpp
+++ b/include/egretspindle/rack/rack_state.hpp
@@ -132,6 +132,8 @@
 struct rack_target
 {
     target_entry entry;
+    /// While it drains: until when it stays at least, by the platform's list.
+    time_point ends_at;
     bool is_listed = true;     ///< by the platform
     bool is_recorded = false;  ///< in the durable list of the rack
     bool is_inherited = false; ///< an earlier owner may have used it
--- a/include/egretspindle/scheduler/rack_agent.hpp
+++ b/include/egretspindle/scheduler/rack_agent.hpp
@@ -35,7 +35,7 @@
 using run_racks = std::map<run_id, std::string>;
 
 /// Callbacks of the agent to other components. Called without its lock, except
-/// `hand_back_quota`, which must not call the agent.
+/// `hand_back_quota` and `has_eventual_room`, which must not call the agent.
 struct rack_agent_hooks
 {
     /// Passes reports to the owners of the jobs. Must not block.
@@ -47,6 +47,9 @@
     std::function<std::size_t(const step_terms& terms, const std::string& rack,
                               room_kind room)>
         hand_back_quota;
+    /// Returns whether a target of the fleet has room for a long-running task
+    /// of a step, or will have it once its short tasks have ended.
+    std::function<bool(const step_terms& terms)> has_eventual_room;
     /// Reads the record of a job. Returns no value if the store did not answer;
     /// a job that has no record has no runs.
     std::function<std::optional<run_racks>(const std::string& job)>
--- a/include/egretspindle/scheduler/rack_metrics.hpp
+++ b/include/egretspindle/scheduler/rack_metrics.hpp
@@ -100,6 +100,7 @@
     std::array<latency_summary*, 2> polls{};      ///< failed, answered
     std::array<counter*, 3> leases_not_granted{}; ///< by use
     counter& evicted;
+    counter& moved; ///< off draining targets
     counter& fenced;
     gauge& queued;
     gauge& queued_long_running;
--- a/src/rack/fleet_load.cpp
+++ b/src/rack/fleet_load.cpp
@@ -681,6 +681,17 @@
     }
 }
 
+// Returns whether a rack reports room for a long-running task of the step once
+// its short tasks have ended.
+bool reports_eventual_room(const fleet_load& fleet, const rack_view& view,
+                           const step_terms& terms, time_point now)
+{
+    return view.room.eventual_cpu_milli.has_value() &&
+           may_take_later(view, terms) &&
+           usable_milli(fleet, view, terms, now) > 0 &&
+           remaining_of_step(view, terms) > 0;
+}
+
 // Returns how many other racks have room for a long-running task of the step
 // once their short tasks have ended; 0 if its own rack has.
 std::size_t count_better_racks(const fleet_load& fleet, const step_terms& terms,
@@ -691,16 +702,10 @@
     {
         return 0;
     }
-    return static_cast<std::size_t>(
-        std::count_if(fleet.racks.begin(), fleet.racks.end(),
-                      [&](const auto& item)
-                      {
-                          const rack_view& view = item.second;
-                          return view.room.eventual_cpu_milli.has_value() &&
-                                 may_take_later(view, terms) &&
-                                 usable_milli(fleet, view, terms, now) > 0 &&
-                                 remaining_of_step(view, terms) > 0;
-                      }));
+    return static_cast<std::size_t>(std::count_if(
+        fleet.racks.begin(), fleet.racks.end(),
+        [&](const auto& item)
+        { return reports_eventual_room(fleet, item.second, terms, now); }));
 }
 
 } // namespace
@@ -855,4 +860,13 @@
     return std::max({places, min_places, better_racks});
 }
 
+bool has_eventual_room(const fleet_load& fleet, const step_terms& terms,
+                       time_point now)
+{
+    return std::any_of(
+        fleet.racks.begin(), fleet.racks.end(),
+        [&](const auto& item)
+        { return reports_eventual_room(fleet, item.second, terms, now); });
+}
+
 } // namespace egretspindle
--- a/src/scheduler/job_scheduler.cpp
+++ b/src/scheduler/job_scheduler.cpp
@@ -330,6 +330,11 @@
         return hand_back_quota(load, terms, rack, steady_clock::now(), random,
                                room);
     };
+    hooks.has_eventual_room = [this](const step_terms& terms)
+    {
+        const std::lock_guard<std::mutex> lock(load_mutex);
+        return has_eventual_room(load, terms, steady_clock::now());
+    };
     hooks.read_assignments = [this](const std::string& job)
     {
         return read_assignments(job);
--- a/src/scheduler/rack_agent.cpp
+++ b/src/scheduler/rack_agent.cpp
@@ -212,6 +212,7 @@
     for (auto& [name, rack] : impl_->racks)
     {
         impl_->sync_targets(rack);
+        impl_->move_off_draining_targets(rack);
         impl_->place(rack);
     }
 }
@@ -555,6 +556,7 @@
                 report_settled_stops(rack, now);
             list.insert(list.end(), settled.begin(), settled.end());
             impl_->sync_targets(rack);
+            impl_->move_off_draining_targets(rack);
             impl_->place(rack);
             const std::vector<run_event> returned = hand_back(
                 rack, impl_->limits.max_queue_wait,
--- a/src/scheduler/rack_agent_channels.cpp
+++ b/src/scheduler/rack_agent_channels.cpp
@@ -1,4 +1,5 @@
 #include "egretspindle/logging/log.hpp"
+#include "egretspindle/rack/draining_target.hpp"
 #include "egretspindle/rack/order_sequence.hpp"
 
 #include "rack_agent_impl.hpp"
@@ -183,7 +184,7 @@
                 allow_for_stale_order(target, limits.lease,
                                       steady_clock::now());
             }
-            target.entry = it->second;
+            set_entry(target, it->second, steady_clock::now());
         }
     }
     for (const auto& [id, entry] : entries)
@@ -191,7 +192,7 @@
         if (entry.rack == rack.name && rack.targets.count(id) == 0)
         {
             rack_target target;
-            target.entry = entry;
+            set_entry(target, entry, steady_clock::now());
             target.token_raises = rack.token_raises;
             rack.targets.emplace(id, std::move(target));
         }
--- a/src/scheduler/rack_agent_impl.hpp
+++ b/src/scheduler/rack_agent_impl.hpp
@@ -118,6 +118,7 @@
     /// Applies the platform's list to the targets of a rack, and opens and
     /// closes channels accordingly.
     void sync_targets(rack_state& rack);
+    void move_off_draining_targets(rack_state& rack);
     /// Sends starts from the queue of a rack to targets with free capacity.
     void place(rack_state& rack);
     /// Queues an order for a target: a stop before all others, unless it is
--- a/src/scheduler/rack_agent_polls.cpp
+++ b/src/scheduler/rack_agent_polls.cpp
@@ -1,4 +1,5 @@
 #include "egretspindle/logging/log.hpp"
+#include "egretspindle/rack/draining_target.hpp"
 #include "egretspindle/rack/interference.hpp"
 #include "egretspindle/rack/order_sequence.hpp"
 #include "egretspindle/rack/place_reservation.hpp"
@@ -282,6 +283,36 @@
     publish(channel->rack, channel->token, events);
 }
 
+// Stops long-running runs on draining targets. The owners of their jobs then
+// assign them to other racks.
+void rack_agent::impl::move_off_draining_targets(rack_state& rack)
+{
+    if (rack.is_fenced)
+    {
+        return;
+    }
+    const time_point now = steady_clock::now();
+    for (auto& [id, target] : rack.targets)
+    {
+        for (const run_id& run :
+             decide_moves(target, hooks.has_eventual_room, now))
+        {
+            metrics.moved.add();
+            log_info("run moved off a draining target",
+                     {{"task", run.first},
+                      {"run", run.second},
+                      {"target", id},
+                      {"rack", rack.name},
+                      {"owner_version", rack.token},
+                      {"ends_in_ms", elapsed_ms(now, target.ends_at)}});
+            pending_order order;
+            order.what = pending_order::kind::stop;
+            order.id = run;
+            queue_order(id, order);
+        }
+    }
+}
+
 void rack_agent::impl::queue_stops_and_paces(rack_target& target,
                                              time_point now)
 {
--- a/src/scheduler/rack_metrics.cpp
+++ b/src/scheduler/rack_metrics.cpp
@@ -66,6 +66,9 @@
       evicted(registry.get_counter(
           "egretspindle_runs_evicted_total",
           "Runs stopped for a serving or long-running task.")),
+      moved(registry.get_counter(
+          "egretspindle_runs_moved_total",
+          "Long-running runs stopped on draining targets.")),
       fenced(registry.get_counter(
           "egretspindle_racks_refused_total",
           "Racks given up because a target had seen a newer owner.")),
--- a/tests/rack/eventual_room_test.cpp
+++ b/tests/rack/eventual_room_test.cpp
@@ -232,3 +232,22 @@
     REQUIRE(load_reports_of(*old).size() == 1);
     CHECK_FALSE(load_reports_of(*old).front().eventual_cpu_milli.has_value());
 }
+
+// Guards against a task that is stopped on a draining target and then has no
+// place to work.
+TEST_CASE("the fleet has room for a long-running task if a rack reports it",
+          "[rack]")
+{
+    fleet_load fleet;
+    const step_terms terms = make_terms(6'000, true);
+    CHECK_FALSE(has_eventual_room(fleet, terms, now));
+    add_full_rack(fleet, "r1", too_small);
+    add_full_rack(fleet, "r2", std::nullopt);
+    CHECK_FALSE(has_eventual_room(fleet, terms, now));
+    add_full_rack(fleet, "r3", large_enough);
+    CHECK(has_eventual_room(fleet, terms, now));
+    // Targets of another service cannot take the task.
+    step_terms other = terms;
+    other.service = "other";
+    CHECK_FALSE(has_eventual_room(fleet, other, now));
+}
--- a/tests/rack/fleet_simulation.cpp
+++ b/tests/rack/fleet_simulation.cpp
@@ -1,5 +1,6 @@
 #include "fleet_simulation.hpp"
 
+#include "egretspindle/rack/draining_target.hpp"
 #include "egretspindle/rack/load_period.hpp"
 
 #include <algorithm>
@@ -17,6 +18,9 @@
 const time_point start_time = time_point{} + milliseconds(1'000'000);
 constexpr int serving_images = 18;
 constexpr int backfill_images = 10;
+// From the end of a target to that of the leases on it, as its owner counts
+// them: `lease_limits` with the slack of the platform.
+constexpr milliseconds lease_time{6'900};
 
 std::string rack_name(int n)
 {
@@ -143,12 +147,52 @@
     }
 }
 
+// Sends a task that does not run any more back to its chooser. It waits from
+// now on.
+void send_back(simulation& sim, const run_id& id, milliseconds transit)
+{
+    const auto found = sim.tasks_by_run.find(id);
+    simulated_task task = found->second;
+    sim.tasks_by_run.erase(found);
+    task.submitted_at = sim.now;
+    task.arrives_at = sim.now + transit;
+    sim.to_choosers.push_back(std::move(task));
+}
+
+// Sends the tasks that run on a target back to their choosers.
+void end_runs(simulation& sim, const rack_target& target, milliseconds transit)
+{
+    for (const auto& [id, run] : target.runs)
+    {
+        send_back(sim, id, transit);
+    }
+}
+
+// Stops runs on draining targets of a rack.
+void move_runs(simulation& sim, const simulated_host& host, rack_state& rack)
+{
+    for (auto& [target_id, target] : rack.targets)
+    {
+        const std::vector<run_id> moved = decide_moves(
+            target,
+            [&](const step_terms& terms)
+            { return has_eventual_room(host.load, terms, sim.now); },
+            sim.now);
+        for (const run_id& id : moved)
+        {
+            target.runs.erase(id);
+            send_back(sim, id, sim.limits.hand_back_transit);
+        }
+    }
+}
+
 // Places tasks in the racks of a host, and hands others back to their choosers.
 void tick(simulation& sim, simulated_host& host)
 {
     for (const std::string& name : host.racks)
     {
         rack_state& rack = sim.racks.at(name);
+        move_runs(sim, host, rack);
         place(sim, rack);
         std::vector<rack_load_report> load_reports{
             make_load_report(rack, sim.model, sim.now)};
@@ -251,17 +295,27 @@
     }
 }
 
-// Sends the tasks that run on a target back to their choosers.
-void end_runs(simulation& sim, const rack_target& target)
+// Removes targets that meet a condition. Their tasks reach their choosers after
+// a time.
+template <typename Predicate>
+void remove_targets(simulation& sim, Predicate is_removed, milliseconds transit)
 {
-    for (const auto& [id, run] : target.runs)
+    for (auto& [name, rack] : sim.racks)
     {
-        const auto found = sim.tasks_by_run.find(id);
-        simulated_task task = found->second;
-        sim.tasks_by_run.erase(found);
-        task.submitted_at = sim.now;
-        task.arrives_at = sim.now + sim.limits.hand_back_transit;
-        sim.to_choosers.push_back(std::move(task));
+        for (auto it = rack.targets.begin(); it != rack.targets.end();)
+        {
+            if (!is_removed(it->second))
+            {
+                ++it;
+                continue;
+            }
+            end_runs(sim, it->second, transit);
+            for (simulated_host& host : sim.hosts)
+            {
+                host.load.targets.erase(it->first);
+            }
+            it = rack.targets.erase(it);
+        }
     }
 }
 
@@ -358,25 +412,44 @@
 {
     std::minstd_rand random(sim.limits.seed + 31);
     std::bernoulli_distribution fails(share);
+    remove_targets(
+        sim, [&](const rack_target&) { return fails(random); },
+        sim.limits.hand_back_transit);
+}
+
+void drain_targets(simulation& sim, double share, milliseconds remaining)
+{
+    std::minstd_rand random(sim.limits.seed + 37);
+    std::bernoulli_distribution drains(share);
     for (auto& [name, rack] : sim.racks)
     {
-        for (auto it = rack.targets.begin(); it != rack.targets.end();)
+        for (auto& [id, target] : rack.targets)
         {
-            if (!fails(random))
+            if (!drains(random))
             {
-                ++it;
                 continue;
             }
-            end_runs(sim, it->second);
+            target.entry.is_draining = true;
+            target.ends_at = sim.now + remaining;
+            for (auto& [run_name, run] : target.runs)
+            {
+                run.is_confirmed = true;
+            }
             for (simulated_host& host : sim.hosts)
             {
-                host.load.targets.erase(it->first);
+                host.load.targets.at(id).is_draining = true;
             }
-            it = rack.targets.erase(it);
         }
     }
 }
 
+void end_drained_targets(simulation& sim)
+{
+    remove_targets(
+        sim, [](const rack_target& target) { return target.entry.is_draining; },
+        lease_time);
+}
+
 void restart_racks(simulation& sim, int count)
 {
     auto it = sim.racks.begin();
@@ -384,7 +457,7 @@
     {
         for (auto& [id, target] : it->second.targets)
         {
-            end_runs(sim, target);
+            end_runs(sim, target, sim.limits.hand_back_transit);
             target.runs.clear();
         }
     }
--- a/tests/rack/fleet_simulation.hpp
+++ b/tests/rack/fleet_simulation.hpp
@@ -116,6 +116,16 @@
 /// \param share  of all targets
 void fail_targets(simulation& sim, double share);
 
+/// Marks targets as draining, drawn at random.
+///
+/// \param share      of all targets
+/// \param remaining  time until they end, as listed
+void drain_targets(simulation& sim, double share, milliseconds remaining);
+
+/// Ends the targets that drain. The tasks that still run on them are assigned
+/// again once their leases have expired; their waits count from now.
+void end_drained_targets(simulation& sim);
+
 /// Restarts the targets of the first racks, which come back empty. The tasks
 /// that ran on them are assigned again; their waits count from now.
 void restart_racks(simulation& sim, int count);
--- a/tests/rack/long_running_absence_test.cpp
+++ b/tests/rack/long_running_absence_test.cpp
@@ -14,6 +14,7 @@
 constexpr milliseconds fill_time{10'000};
 constexpr milliseconds load_time{8'000}; ///< of short tasks before the restart
 constexpr milliseconds check_time{12'000};
+constexpr milliseconds drain_time{7'000};
 // From the end of a run to the next start of a long-running task.
 constexpr std::int64_t max_absence_ms = 6'000;
 
@@ -94,6 +95,24 @@
     return steps;
 }
 
+// Returns how long long-running tasks are away when a share of the targets
+// drain and end.
+std::vector<milliseconds> waits_after_drain(unsigned seed, double share)
+{
+    simulation sim = make_simulation(make_limits(seed));
+    run_simulation(sim, make_long_running(sim, 0.5), fill_time);
+    run_simulation(sim, make_others(sim, 0.3, load_time), load_time);
+    sim.result = {};
+    drain_targets(sim, share, drain_time);
+    run_simulation(sim, make_others(sim, 0.25, drain_time), drain_time);
+    end_drained_targets(sim);
+    run_simulation(sim, make_others(sim, 0.25, check_time), check_time);
+    std::vector<milliseconds> waits = sim.result.long_running_waits;
+    const std::vector<milliseconds> open = open_waits(sim, true);
+    waits.insert(waits.end(), open.begin(), open.end());
+    return waits;
+}
+
 } // namespace
 
 // Guards against long-running tasks that stay away although the fleet has room
@@ -119,3 +138,27 @@
     REQUIRE(waits.size() > 50);
     CHECK(wait_quantile(waits, 1.0).count() <= max_absence_ms);
 }
+
+// Guards against long-running tasks that work until their target ends, and are
+// then away until its leases have expired.
+TEST_CASE("long-running tasks return within 6 s when targets drain and end",
+          "[rack]")
+{
+    const unsigned seed = GENERATE(1u, 2u, 3u, 4u, 5u);
+    CAPTURE(seed);
+    const std::vector<milliseconds> waits = waits_after_drain(seed, 0.1);
+    REQUIRE(waits.size() > 5);
+    CHECK(wait_quantile(waits, 1.0).count() <= max_absence_ms);
+}
+
+// The same with twice as many targets, which leaves little room.
+TEST_CASE(
+    "long-running tasks return within 6 s when a fifth of all targets end",
+    "[.][rack_long_running_absence]")
+{
+    const unsigned seed = GENERATE(1u, 2u, 3u, 4u, 5u);
+    CAPTURE(seed);
+    const std::vector<milliseconds> waits = waits_after_drain(seed, 0.2);
+    REQUIRE(waits.size() > 10);
+    CHECK(wait_quantile(waits, 1.0).count() <= max_absence_ms);
+}
--- a/tests/scheduler/rack_agent_test.cpp
+++ b/tests/scheduler/rack_agent_test.cpp
@@ -212,6 +212,20 @@
         agent.set_targets({{"t1", entry}});
     }
 
+    /// Marks the target `t1` as draining in the platform's list.
+    void drain_target()
+    {
+        target_entry entry;
+        entry.id = "t1";
+        entry.service = "svc";
+        entry.rack = "r1";
+        entry.address = "127.0.0.1:1";
+        entry.started_ms = 1;
+        entry.capacity = {4'000, 4'000, 0};
+        entry.is_draining = true;
+        agent.set_targets({{"t1", entry}});
+    }
+
     /// Takes the rack over again, with a second recorded target that does not
     /// answer and that the platform does not list.
     void take_over_with_unreachable_target(time_point former_owner_stopped_at)
@@ -257,6 +271,10 @@
         {
             return std::size_t{0};
         };
+        result.has_eventual_room = [](const step_terms&)
+        {
+            return true;
+        };
         result.read_assignments = [this](const std::string& job)
         {
             const std::lock_guard<std::mutex> lock(mutex);
@@ -1214,15 +1232,7 @@
     orders.starts.push_back(batch);
     REQUIRE(env.agent.execute(orders).is_owner);
     REQUIRE(env.targets.wait_until(last_poll_granted_no_lease));
-    target_entry entry;
-    entry.id = "t1";
-    entry.service = "svc";
-    entry.rack = "r1";
-    entry.address = "127.0.0.1:1";
-    entry.started_ms = 1;
-    entry.capacity = {4'000, 4'000, 0};
-    entry.is_draining = true;
-    env.agent.set_targets({{"t1", entry}});
+    env.drain_target();
     env.agent.verify_rack("r1", 7, read_clocks());
     // The retry of the first start shows that the sender thread has continued.
     // The first attempt may have been executed, so it is retried on the same
@@ -1242,6 +1252,42 @@
     }
 }
 
+// Guards against long-running tasks that end with their target although it has
+// said before that it drains.
+TEST_CASE("a long-running run is stopped as soon as its target drains",
+          "[scheduler]")
+{
+    fixture env;
+    REQUIRE(env.send(7, false, true).is_owner);
+    REQUIRE(
+        env.targets.wait_until([&] { return !env.targets.starts.empty(); }));
+    {
+        const std::lock_guard<std::mutex> lock(env.targets.mutex);
+        env.targets.active_runs = {{"job.0.0.0", 1, "", 0}};
+    }
+    REQUIRE(
+        env.targets.wait_until([&] { return env.targets.polls.size() > 2; }));
+    env.drain_target();
+    REQUIRE(env.targets.wait_until([&] { return !env.targets.stops.empty(); }));
+    {
+        const std::lock_guard<std::mutex> lock(env.targets.mutex);
+        CHECK(env.targets.stops.front().task == "job.0.0.0");
+        CHECK(env.targets.stops.front().run == 1);
+        env.targets.active_runs.clear();
+        env.targets.finished_runs = {{1, "job.0.0.0", 1, "stopped", ""}};
+    }
+    std::unique_lock<std::mutex> lock(env.mutex);
+    const auto is_reported = [&]
+    {
+        return std::any_of(env.reports.begin(), env.reports.end(),
+                           [](const run_report& report) {
+                               return report.task == "job.0.0.0" &&
+                                      report.how == "stopped";
+                           });
+    };
+    CHECK(env.changed.wait_for(lock, std::chrono::seconds(20), is_reported));
+}
+
 // Guards against starts of cancelled jobs that are sent seconds after the
 // cancellation, since they waited behind orders that their target left
 // unanswered.
