Count absences from the last answer of a lost target

Callers waited longest for long-running tasks whose target had gone without notice. The owner of its rack concludes the end 6.9 s later, and only then did the absence of the task begin to count: it went behind short tasks for another 2 s, and waited 1 s for a reservation, as if it had just ended.

The owner of the rack now reports since when the target has not answered, and the owner of the job counts the absence from then on, so that the task goes first in the queue of its next rack.

Tests: "a task is away since its lost target was silent" and "leases expire only under confirmed ownership" (its new check) failed before.

--- a/include/egretspindle/rack/rack_decision.hpp
+++ b/include/egretspindle/rack/rack_decision.hpp
@@ -53,6 +53,8 @@
     std::string target;
     std::int64_t number = 0; ///< of the end in the target's list; 0: not listed
     milliseconds waited{0};  ///< of a start handed back: its time in the queue
+    /// Of a run whose end was inferred: since when its target has not answered.
+    milliseconds silent{0};
 };
 
 /// Order to start a queued run on a target.
--- a/include/egretspindle/scheduler/owner_messages.hpp
+++ b/include/egretspindle/scheduler/owner_messages.hpp
@@ -136,6 +136,8 @@
     std::int64_t token = 0; ///< of the rack ownership that produced the report
     /// Number of the end in the target's list; 0: the rack owner inferred it.
     std::int64_t number = 0;
+    /// Of an inferred end: time since the target has answered last, in ms.
+    std::int64_t silent_ms = 0;
 };
 
 /// Visits the fields of `run_report` for the codec.
@@ -151,6 +153,7 @@
     visit("rack", value.rack);
     visit("token", value.token);
     visit("number", value.number);
+    visit("silent_ms", value.silent_ms);
 }
 
 /// Reports that are sent in one message.
--- a/src/rack/rack_decision.cpp
+++ b/src/rack/rack_decision.cpp
@@ -63,14 +63,19 @@
     return event;
 }
 
-void end_all_runs(rack_target& target, end_cause cause,
+void end_all_runs(rack_target& target, end_cause cause, time_point now,
                   std::vector<run_event>& events)
 {
+    const milliseconds silent =
+        target.clock_at == time_point{}
+            ? milliseconds(0)
+            : std::chrono::duration_cast<milliseconds>(now - target.clock_at);
     for (const auto& [id, run] : target.runs)
     {
         if (!run.is_ended)
         {
             events.push_back(ended(run, target.entry.id, run_end::lost, cause));
+            events.back().silent = silent;
         }
     }
     target.runs.clear();
@@ -276,7 +281,8 @@
 // do not name a boot: those still in transit take effect in the new one, which
 // may also have confirmed some before its first list.
 void apply_restart(rack_target& target, const poll_answer& answer,
-                   time_point sent_at, std::vector<run_event>& events)
+                   time_point sent_at, time_point now,
+                   std::vector<run_event>& events)
 {
     std::map<run_id, placed_run> kept;
     for (auto it = target.runs.begin(); it != target.runs.end();)
@@ -294,7 +300,7 @@
         it = next;
     }
     stop_unanswered_starts(target, answer, kept);
-    end_all_runs(target, end_cause::other_boot, events);
+    end_all_runs(target, end_cause::other_boot, now, events);
     target.runs = std::move(kept);
 }
 
@@ -457,7 +463,7 @@
     drop_expired_starts(target, now);
     if (target.started_ms != 0 && answer.started_ms != target.started_ms)
     {
-        apply_restart(target, answer, sent_at, events);
+        apply_restart(target, answer, sent_at, now, events);
         target.lease_until_ms = 0;
         // Orders with a lease for the earlier boot may still arrive.
         target.unknown_lease_at = now + max_order_delay;
@@ -589,7 +595,7 @@
     {
         return events;
     }
-    end_all_runs(target, end_cause::other_boot, events);
+    end_all_runs(target, end_cause::other_boot, now, events);
     target.is_reached = true;
     target.lease_until_ms = 0;
     target.expires_at = now;
@@ -615,7 +621,7 @@
         const bool is_expired = now >= expiry && rack.verified_at >= expiry;
         if (is_expired && !target.runs.empty())
         {
-            end_all_runs(target, end_cause::lease_expired, events);
+            end_all_runs(target, end_cause::lease_expired, now, events);
             rack.inferred_ends_at = now;
         }
         rack.has_unseen_ends |=
--- a/src/scheduler/job_coordinator_runs.cpp
+++ b/src/scheduler/job_coordinator_runs.cpp
@@ -685,6 +685,13 @@
     {
         entry->waiting_since.erase(report.task);
     }
+    else
+    {
+        entry->waiting_since.emplace(
+            report.task,
+            steady_clock::now() -
+                milliseconds(std::max<std::int64_t>(0, report.silent_ms)));
+    }
     log_info("run ended", {{"task", report.task},
                            {"run", report.run},
                            {"how", report.how},
--- a/src/scheduler/job_entry.hpp
+++ b/src/scheduler/job_entry.hpp
@@ -80,8 +80,9 @@
     /// empty: no record yet.
     std::string visible_state;
     std::map<std::string, sent_run> sent; ///< of current runs, by task
-    /// Since when tasks are not at work, by task: their last run has ended,
-    /// they became due, or this host has read the job. No entry while at work.
+    /// Since when tasks are not at work, by task: their last run has ended, or
+    /// its target has been silent, they became due, or this host has read the
+    /// job. No entry while at work.
     std::map<std::string, time_point> waiting_since;
     /// When the owner of a rack was last asked about an overdue start.
     time_point overdue_sent_at;
--- a/src/scheduler/rack_agent_channels.cpp
+++ b/src/scheduler/rack_agent_channels.cpp
@@ -43,6 +43,7 @@
         item.rack = rack;
         item.token = token;
         item.number = event.number;
+        item.silent_ms = event.silent.count();
         reports.push_back(std::move(item));
     }
     return reports;
--- a/tests/rack/rack_decision_test.cpp
+++ b/tests/rack/rack_decision_test.cpp
@@ -281,6 +281,8 @@
         const std::vector<run_event> events = expire_leases(rack, later);
         REQUIRE(events.size() == 1);
         REQUIRE(events.front().how == run_end::lost);
+        // The task is away since its target has answered last.
+        REQUIRE(events.front().silent == later - start_time);
     }
 }
 
--- a/tests/scheduler/job_coordinator_test.cpp
+++ b/tests/scheduler/job_coordinator_test.cpp
@@ -821,6 +821,30 @@
     REQUIRE(second.query(make_request()).state == "completed");
 }
 
+// Guards against the absence of a task counted from the conclusion that its run
+// is lost, seconds after its target has gone.
+TEST_CASE("a task is away since its lost target was silent", "[scheduler]")
+{
+    fake_store store;
+    fake_environment environment;
+    environment.token = replace_rack_owner(store);
+    job_coordinator coordinator(store, environment.hooks(), {});
+    coordinator.take_shard(shard_of(job_id));
+    REQUIRE(coordinator.submit(make_request()).verdict == "accepted");
+    REQUIRE(environment.wait_for_run(1));
+    run_report started = make_report("", 0, environment.token);
+    started.what = "started";
+    REQUIRE(coordinator.report({{started}}).verdicts.front().verdict ==
+            "recorded");
+    run_report lost = make_report("lost", 0, environment.token);
+    lost.silent_ms = 6'900;
+    static_cast<void>(coordinator.report({{lost}}));
+    REQUIRE(environment.wait_for_run(2));
+    const std::lock_guard<std::mutex> lock(environment.mutex);
+    CHECK(environment.sent.back().starts.front().runs.front().waited_ms >=
+          lost.silent_ms);
+}
+
 // A former owner of a rack that is cut off may report a run as not started that
 // the new owner has started. If the report were recorded, the task would run a
 // second time.
