Limit the listed time until a target ends

Entries of the platform's list may have any value, and the sum of a time point and a time of 2^63 ms overflows. Read in the code while it was reviewed. Test: "the listed time until a target ends is limited" failed before.

--- a/src/rack/draining_target.cpp
+++ b/src/rack/draining_target.cpp
@@ -1,5 +1,6 @@
 #include "egretspindle/rack/draining_target.hpp"
 
+#include <algorithm>
 #include <map>
 
 namespace egretspindle
@@ -11,6 +12,9 @@
 // Time before the end of a target at which its runs move. The list may be 1.5 s
 // old, and a stop gets two attempts (`rack_agent_limits::order_timeout`).
 constexpr milliseconds time_to_move{3'000};
+// Limit of the listed time until a target ends: entries of the platform's list
+// may have any value.
+constexpr std::int64_t max_remaining_ms = 3'600'000;
 
 bool is_movable(const placed_run& run)
 {
@@ -26,7 +30,8 @@
                          target.entry.remaining_ms != entry.remaining_ms;
     if (entry.is_draining && is_news)
     {
-        target.ends_at = now + milliseconds(entry.remaining_ms);
+        target.ends_at = now + milliseconds(std::clamp<std::int64_t>(
+                                   entry.remaining_ms, 0, max_remaining_ms));
     }
     target.entry = entry;
 }
--- a/tests/rack/draining_target_test.cpp
+++ b/tests/rack/draining_target_test.cpp
@@ -2,6 +2,7 @@
 
 #include <catch2/catch.hpp>
 
+#include <limits>
 #include <memory>
 #include <string>
 
@@ -145,3 +146,17 @@
             1);
     }
 }
+
+// Guards against an odd entry of the list that makes the time overflow.
+TEST_CASE("the listed time until a target ends is limited", "[rack]")
+{
+    rack_target target;
+    target_entry entry;
+    entry.is_draining = true;
+    entry.remaining_ms = std::numeric_limits<std::int64_t>::max();
+    set_entry(target, entry, now);
+    CHECK(target.ends_at == now + std::chrono::hours(1));
+    entry.remaining_ms = std::numeric_limits<std::int64_t>::min();
+    set_entry(target, entry, now);
+    CHECK(target.ends_at == now);
+}
