Keep the earliest time since which a task is away

A run that was never reported as started has an earlier one already, and one whose rack has a new owner a later one: that of the repeated start.

--- a/include/egretspindle/rack/rack_decision.hpp
+++ b/include/egretspindle/rack/rack_decision.hpp
@@ -53,7 +53,8 @@
     std::string target;
     std::int64_t number = 0; ///< of the end in the target's list; 0: not listed
     milliseconds waited{0};  ///< of a start handed back: its time in the queue
-    /// Of a run whose end was inferred: since when its target has not answered.
+    /// Of a run whose end was inferred: time since the last answer of its
+    /// target.
     milliseconds silent{0};
 };
 
--- a/include/egretspindle/scheduler/owner_messages.hpp
+++ b/include/egretspindle/scheduler/owner_messages.hpp
@@ -136,7 +136,7 @@
     std::int64_t token = 0; ///< of the rack ownership that produced the report
     /// Number of the end in the target's list; 0: the rack owner inferred it.
     std::int64_t number = 0;
-    /// Of an inferred end: time since the target has answered last, in ms.
+    /// Of an inferred end: time since the last answer of the target, in ms.
     std::int64_t silent_ms = 0;
 };
 
--- a/src/scheduler/job_coordinator_runs.cpp
+++ b/src/scheduler/job_coordinator_runs.cpp
@@ -687,10 +687,11 @@
     }
     else
     {
-        entry->waiting_since.emplace(
-            report.task,
+        const time_point since =
             steady_clock::now() -
-                milliseconds(std::max<std::int64_t>(0, report.silent_ms)));
+            milliseconds(std::max<std::int64_t>(0, report.silent_ms));
+        const auto it = entry->waiting_since.emplace(report.task, since).first;
+        it->second = std::min(it->second, since);
     }
     log_info("run ended", {{"task", report.task},
                            {"run", report.run},
