--- a/tests/scheduler/rack_agent_test.cpp
+++ b/tests/scheduler/rack_agent_test.cpp
@@ -200,7 +200,8 @@
 
     /// Replaces the platform's list by the target `t1` with this address and
     /// start time in Unix time.
-    void list_target(const std::string& address, std::int64_t started_ms)
+    void list_target(const std::string& address, std::int64_t started_ms,
+                     bool is_draining = false)
     {
         target_entry entry;
         entry.id = "t1";
@@ -209,20 +210,7 @@
         entry.address = address;
         entry.started_ms = started_ms;
         entry.capacity = {4'000, 4'000, 0};
-        agent.set_targets({{"t1", entry}});
-    }
-
-    /// Marks the target `t1` as draining in the platform's list.
-    void drain_target()
-    {
-        target_entry entry;
-        entry.id = "t1";
-        entry.service = "svc";
-        entry.rack = "r1";
-        entry.address = "127.0.0.1:1";
-        entry.started_ms = 1;
-        entry.capacity = {4'000, 4'000, 0};
-        entry.is_draining = true;
+        entry.is_draining = is_draining;
         agent.set_targets({{"t1", entry}});
     }
 
@@ -1232,7 +1220,7 @@
     orders.starts.push_back(batch);
     REQUIRE(env.agent.execute(orders).is_owner);
     REQUIRE(env.targets.wait_until(last_poll_granted_no_lease));
-    env.drain_target();
+    env.list_target("127.0.0.1:1", 1, true);
     env.agent.verify_rack("r1", 7, read_clocks());
     // The retry of the first start shows that the sender thread has continued.
     // The first attempt may have been executed, so it is retried on the same
@@ -1254,8 +1242,9 @@
 
 // Guards against long-running tasks that end with their target although it has
 // said before that it drains.
-TEST_CASE("a long-running run is stopped as soon as its target drains",
-          "[scheduler]")
+TEST_CASE(
+    "a long-running run is stopped when its draining target is about to end",
+    "[scheduler]")
 {
     fixture env;
     REQUIRE(env.send(7, false, true).is_owner);
@@ -1267,7 +1256,7 @@
     }
     REQUIRE(
         env.targets.wait_until([&] { return env.targets.polls.size() > 2; }));
-    env.drain_target();
+    env.list_target("127.0.0.1:1", 1, true);
     REQUIRE(env.targets.wait_until([&] { return !env.targets.stops.empty(); }));
     {
         const std::lock_guard<std::mutex> lock(env.targets.mutex);
