--- a/tests/net/severed_connection_test.cpp
+++ b/tests/net/severed_connection_test.cpp
@@ -60,6 +60,7 @@
     const std::chrono::milliseconds timeout(5000);
     rpc_client client("key", "a1");
     std::vector<std::thread> callers;
+    callers.reserve(connection_count);
     for (int n = 0; n < connection_count; ++n)
     {
         callers.emplace_back(
