--- a/review/tools-2/cases.cpp
+++ b/review/tools-2/cases.cpp
@@ -312,6 +312,129 @@
     return is_lost ? 1 : 0;
 }
 
+// A worker fails all that it starts, among them several members of one gang.
+int run_attempts(recorder& record, const string& folder)
+{
+    deployment_options options;
+    options.racks = 3;
+    options.workers_per_rack = 4;
+    options.max_attempts = 2; // as the first kind of request has it
+    deployment& site = *new deployment(options, record, folder);
+    if (!site.wait_until_ready())
+    {
+        return 2;
+    }
+    sleep_ms(3'000);
+    const int64_t begun = record.now();
+    if (has_trouble())
+    {
+        site.workers.set_failing("w-1-2", true);
+    }
+    std::mt19937_64 random(std::random_device{}());
+    const std::set<string> accepted =
+        submit_jobs(site, random, begun + 6'000, 500,
+                    []
+                    {
+                        return job_body("cpu=9000 mem=8000 ms=400 gang=8", 8,
+                                        9'000, 8'000, 400, true);
+                    });
+    sleep_ms(std::max<int64_t>(0, begun + 6'500 - record.now()));
+    if (has_trouble())
+    {
+        site.workers.set_failing("w-1-2", false);
+    }
+    sleep_ms(14'000); // `finish_s`
+    // Runs of each gang with at least one end `failed`.
+    std::map<string, std::set<int64_t>> failed_runs;
+    for (const run_record& run : site.workers.runs())
+    {
+        if (run.how == "failed")
+        {
+            failed_runs[run.task.substr(0, 16)].insert(run.run);
+        }
+    }
+    int64_t broken = 0;
+    int64_t completed = 0;
+    for (const string& id : accepted)
+    {
+        const string state = site.state(id);
+        const std::size_t failures = failed_runs[id].size();
+        record.write("state of " + id + ": " + state + ", failed runs " +
+                     std::to_string(failures));
+        completed += state == "completed" ? 1 : 0;
+        if (state == "failed" && failures < 2)
+        {
+            ++broken;
+            record.write("BROKEN LOST " + id +
+                         ": shown as failed; the gang has failed " +
+                         std::to_string(failures) +
+                         " times, and maxAttempts is 2");
+        }
+    }
+    record.summary("gangs accepted " + std::to_string(accepted.size()) +
+                   ", completed " + std::to_string(completed) +
+                   ", shown as failed too early " + std::to_string(broken));
+    return broken > 0 ? 1 : accepted.empty() ? 2 : 0;
+}
+
+// A worker crashes and comes back under its id as one of another kind, while
+// tasks wait that need the label of its former kind.
+int run_kind(recorder& record, const string& folder)
+{
+    deployment_options options;
+    options.workers_per_rack = 4;
+    options.fast_workers = 1;
+    deployment& site = *new deployment(options, record, folder);
+    if (!site.wait_until_ready())
+    {
+        return 2;
+    }
+    const int64_t begun = record.now();
+    std::thread operation(
+        [&]
+        {
+            // One of eight workers at a time.
+            for (const char* const id : {"w-0-0", "w-1-0"})
+            {
+                sleep_ms(5'000);
+                if (has_trouble())
+                {
+                    site.workers.crash(id);
+                    sleep_ms(2'000);
+                    site.workers.boot(id, "general");
+                }
+            }
+        });
+    std::mt19937_64 random(std::random_device{}());
+    const std::set<string> accepted =
+        submit_jobs(site, random, begun + 15'000, 500,
+                    []
+                    {
+                        return job_body("cpu=8000 mem=8000 ms=1000", 4, 8'000,
+                                        8'000, 1'000, false, "fast");
+                    });
+    operation.join();
+    sleep_ms(14'000);
+    int64_t broken = 0;
+    const std::vector<run_record> runs = site.workers.runs();
+    for (const run_record& run : runs)
+    {
+        if (run.kind != "fast" && !run.is_late)
+        {
+            ++broken;
+            record.write("BROKEN ROUTE " + run.task + " run " +
+                         std::to_string(run.run) + ": begun on " + run.worker +
+                         " at " + std::to_string(run.begun) +
+                         ", which has the label " + run.kind +
+                         "; requiredLabel is fast");
+        }
+    }
+    record.summary("jobs accepted " + std::to_string(accepted.size()) +
+                   "; runs " + std::to_string(runs.size()) +
+                   "; ROUTE broken " + std::to_string(broken) + " times");
+    return broken > 0 ? 1 : runs.empty() ? 2 : 0;
+}
+
 } // namespace
 
 int main(int argc, char** argv)
@@ -324,7 +447,9 @@
     ::signal(SIGPIPE, SIG_IGN);
     ::alarm(118); // the programs that it started end with it
     const std::map<string, int (*)(recorder&, const string&)> cases{
-        {"ends", run_ends}, {"large", run_large}, {"gang", run_gang}};
+        {"ends", run_ends}, {"large", run_large}, {"gang", run_gang},
+        {"attempts", run_attempts},
+        {"kind", run_kind}};
     const auto it = cases.find(argv[1]);
     if (it == cases.end())
     {
--- a/review/tools-2/deployment.hpp
+++ b/review/tools-2/deployment.hpp
@@ -13,7 +13,8 @@
     int racks = 2;
     int workers_per_rack = 2;
     unsigned seed = 1;
-    string kind = "general";
+    int max_attempts = 4;
+    int fast_workers = 0; // of each rack; the others are `general`
 };
 
 class deployment
@@ -43,7 +44,7 @@
                 item.id = "w-" + std::to_string(rack) + "-" + std::to_string(n);
                 item.zone = "zone-a";
                 item.rack = "rack-" + std::to_string(rack);
-                item.kind = options.kind;
+                item.kind = n < options.fast_workers ? "fast" : "general";
                 item.port = ports[next++];
                 workers.add(item);
             }
@@ -146,7 +147,9 @@
                      "\"jobs.example\",\"pathPrefix\":\"/jobs/\","
                      "\"kind\":\"unsafe\",\"timeoutMs\":3000,"
                      "\"targetDurationMs\":1000,\"priority\":2,"
-                     "\"service\":\"work\",\"maxAttempts\":4,"
+                     "\"service\":\"work\",\"maxAttempts\":" +
+                     std::to_string(options_.max_attempts) +
+                     ","
                      "\"stretch\":2.0}],\"services\":[{\"name\":\"work\","
                      "\"healthPath\":\"/health\",\"maxConnections\":64,"
                      "\"protocol\":\"h1\",\"tls\":false,"
--- a/review/tools-2/workers.hpp
+++ b/review/tools-2/workers.hpp
@@ -116,7 +116,7 @@
             item.lease_until = 0;
             item.last_end = 0;
             item.highest.clear();
-            item.registered = 0;
+            register_worker(item); // before it takes any order
         }
         item.listener->start();
         record_.write("worker " + id + " starts, kind " + kind);
@@ -132,6 +132,16 @@
         record_.write("worker " + id + " is draining, by the store");
     }
 
+    // A worker that fails all that it starts.
+    void set_failing(const string& id, bool is_failing)
+    {
+        const std::lock_guard<std::mutex> lock(mutex_);
+        workers_.at(id)->is_failing = is_failing;
+        record_.write("worker " + id +
+                      (is_failing ? " fails all that it starts"
+                                  : " works again"));
+    }
+
     // The worker gets no packet while it is cut off, and runs on.
     void cut(const string& id, bool is_cut)
     {
@@ -202,6 +212,7 @@
         bool is_up = false;
         bool is_draining = false;
         bool is_cut = false;
+        bool is_failing = false;
         int64_t leaves_at = 0;
         int boots = 0;
         int64_t born = 0;
@@ -483,6 +494,11 @@
         {
             return refuse(item, "room");
         }
+        if (item.is_failing)
+        {
+            run.outcome = "failed";
+            run.work /= 2;
+        }
         if (run.gang == 0)
         {
             run.ends_at = steady_ms() + run.work;
