--- a/review/tools-2/cases.cpp
+++ b/review/tools-2/cases.cpp
@@ -21,13 +21,13 @@
                 int64_t estimate, bool is_gang = false,
                 const string& label = "")
 {
-    return "{\"spec\":" + quote(spec) + ",\"steps\":[{\"count\":" +
-           std::to_string(count) + ",\"cpu\":" + std::to_string(cpu) +
+    return "{\"spec\":" + quote(spec) +
+           ",\"steps\":[{\"count\":" + std::to_string(count) +
+           ",\"cpu\":" + std::to_string(cpu) +
            ",\"memMb\":" + std::to_string(mem) +
            ",\"estimateMs\":" + std::to_string(estimate) +
            (is_gang ? ",\"gang\":true" : "") +
-           (label.empty() ? string()
-                          : ",\"requiredLabel\":" + quote(label)) +
+           (label.empty() ? string() : ",\"requiredLabel\":" + quote(label)) +
            "}]}";
 }
 
@@ -124,15 +124,14 @@
     std::mt19937_64 random(std::random_device{}());
     const std::set<string> accepted = submit_jobs(
         site, random, begun + 25'000, 200,
-        []
-        { return job_body("cpu=500 mem=256 ms=400", 60, 500, 256, 400); });
+        [] { return job_body("cpu=500 mem=256 ms=400", 60, 500, 256, 400); });
     sleep_ms(14'000); // `finish_s`
     int64_t completed = 0;
     for (const string& id : accepted)
     {
         const string state = site.state(id);
         completed += state == "completed" ? 1 : 0;
-        record.write("state of " + id + ": " + state);
+        record.write(join("state of ", id, ": ", state));
     }
     const std::vector<run_record> runs = site.workers.runs();
     const int64_t broken = count_twice(record, runs);
@@ -146,97 +145,6 @@
     return broken > 0 ? 1 : accepted.empty() ? 2 : 0;
 }
 
-// A few large jobs come at once, whose records exceed `rowBytes`.
-int run_large(recorder& record, const string& folder)
-{
-    deployment_options options;
-    options.workers_per_rack = 4;
-    // Never destroyed: connections may still wait in their threads.
-    deployment& site = *new deployment(options, record, folder);
-    if (!site.wait_until_ready())
-    {
-        return 2;
-    }
-    const int64_t begun = record.now();
-    std::mt19937_64 random(std::random_device{}());
-    std::vector<std::thread> large;
-    std::atomic<int> large_accepted{0};
-    if (has_trouble())
-    {
-        for (int n = 0; n < 12; ++n)
-        {
-            const string id = make_id(random);
-            large.emplace_back(
-                [&, id, n]
-                {
-                    sleep_ms(5'000 + 150 * n);
-                    const string body = job_body("cpu=250 mem=200 ms=100",
-                                                 10'000, 250, 200, 100);
-                    const reply result = site.submit(id, body);
-                    large_accepted +=
-                        result.status >= 200 && result.status < 300 ? 1 : 0;
-                });
-        }
-    }
-    const std::set<string> accepted = submit_jobs(
-        site, random, begun + 20'000, 100,
-        []
-        {
-            return "{\"spec\":\"cpu=1000 mem=500 ms=500\",\"steps\":["
-                   "{\"count\":4,\"cpu\":1000,\"memMb\":500,"
-                   "\"estimateMs\":500},{\"count\":4,\"cpu\":1000,"
-                   "\"memMb\":500,\"estimateMs\":500,\"after\":[0]}]}";
-        });
-    for (std::thread& item : large)
-    {
-        item.join();
-    }
-    sleep_ms(14'000); // `finish_s`
-    // Free for 3 s, twice over and under half in use: the fleet stands still
-    // but for large jobs.
-    const std::vector<run_record> before = site.workers.runs();
-    std::map<string, std::pair<int64_t, int64_t>> tasks; // done, at work
-    sleep_ms(3'000);
-    int64_t free = 0;
-    for (const auto& [cpu, mem] : site.workers.room())
-    {
-        free += cpu;
-    }
-    const std::vector<run_record> runs = site.workers.runs();
-    for (const run_record& run : runs)
-    {
-        auto& [done, at_work] = tasks[run.task.substr(0, 16)];
-        done += run.how == "done" ? 1 : 0;
-        at_work += run.ended < 0 || run.ended > record.now() - 3'000 ? 1 : 0;
-    }
-    int64_t lost = 0;
-    int64_t unknown = 0;
-    for (const string& id : accepted)
-    {
-        const string state = site.state(id);
-        record.write("state of " + id + ": " + state + ", tasks done " +
-                     std::to_string(tasks[id].first) + " of 8, at work " +
-                     std::to_string(tasks[id].second));
-        unknown += state.empty() || state == "410" ? 1 : 0;
-        if (tasks[id].first < 8 && tasks[id].second == 0 &&
-            free > 8 * 32'000 / 2)
-        {
-            ++lost;
-            record.write("BROKEN LOST " + id +
-                         ": accepted, a task's turn has come, nothing of it "
-                         "has run for 3 s, and " +
-                         std::to_string(free) + " of 256000 are free");
-        }
-    }
-    record.summary(
-        "jobs accepted " + std::to_string(accepted.size()) + ", standing still " +
-        std::to_string(lost) + ", without a known state " +
-        std::to_string(unknown) + "; large jobs accepted " +
-        std::to_string(large_accepted) + "; rows refused as too large " +
-        std::to_string(site.rows.refused_rows()));
-    return lost + unknown > 0 ? 1 : accepted.empty() ? 2 : 0;
-}
-
 // A gang is submitted after one worker of each rack was lost for good.
 int run_gang(recorder& record, const string& folder)
 {
@@ -300,11 +208,11 @@
                      std::to_string(fitting) +
                      " workers have room for a member of the gang of 8");
     }
-    record.summary("gang before: " + std::to_string(first_reply.status) + " " +
-                   first_state + "; gang after: " +
-                   std::to_string(second_reply.status) + " " + state +
-                   "; workers with room for a member: " +
-                   std::to_string(fitting));
+    record.summary(
+        "gang before: " + std::to_string(first_reply.status) + " " +
+        first_state + "; gang after: " + std::to_string(second_reply.status) +
+        " " + state +
+        "; workers with room for a member: " + std::to_string(fitting));
     if (first_state != "completed" || second_reply.status != 200)
     {
         return 2;
@@ -312,69 +220,66 @@
     return is_lost ? 1 : 0;
 }
 
-// A worker fails all that it starts, among them several members of one gang.
-int run_attempts(recorder& record, const string& folder)
+// The route of accepted jobs is removed while they run.
+int run_route(recorder& record, const string& folder)
 {
     deployment_options options;
-    options.racks = 3;
-    options.workers_per_rack = 4;
-    options.max_attempts = 2; // as the first kind of request has it
     deployment& site = *new deployment(options, record, folder);
     if (!site.wait_until_ready())
     {
         return 2;
     }
-    sleep_ms(3'000);
-    const int64_t begun = record.now();
+    sleep_ms(2'000);
+    std::mt19937_64 random(std::random_device{}());
+    const std::set<string> accepted = submit_jobs(
+        site, random, record.now() + 3'000, 300,
+        []
+        {
+            return "{\"spec\":\"cpu=1000 mem=500 ms=2000\",\"steps\":["
+                   "{\"count\":4,\"cpu\":1000,\"memMb\":500,"
+                   "\"estimateMs\":2000},{\"count\":4,\"cpu\":1000,"
+                   "\"memMb\":500,\"estimateMs\":2000,\"after\":[0]}]}";
+        });
     if (has_trouble())
     {
-        site.workers.set_failing("w-1-2", true);
+        site.write_config(5, false);
+        record.write("the store has accepted version 5 without the route");
     }
-    std::mt19937_64 random(std::random_device{}());
-    const std::set<string> accepted =
-        submit_jobs(site, random, begun + 6'000, 500,
-                    []
-                    {
-                        return job_body("cpu=9000 mem=8000 ms=400 gang=8", 8,
-                                        9'000, 8'000, 400, true);
-                    });
-    sleep_ms(std::max<int64_t>(0, begun + 6'500 - record.now()));
-    if (has_trouble())
+    sleep_ms(14'000 + 8'000); // `finish_s`, and the time that the jobs need
+    int64_t free = 0;
+    for (const auto& [cpu, mem] : site.workers.room())
     {
-        site.workers.set_failing("w-1-2", false);
+        free += cpu;
     }
-    sleep_ms(14'000); // `finish_s`
-    // Runs of each gang with at least one end `failed`.
-    std::map<string, std::set<int64_t>> failed_runs;
+    std::map<string, std::pair<int64_t, int64_t>> tasks; // done, last end
     for (const run_record& run : site.workers.runs())
     {
-        if (run.how == "failed")
-        {
-            failed_runs[run.task.substr(0, 16)].insert(run.run);
-        }
+        auto& [done, last] = tasks[run.task.substr(0, 16)];
+        done += run.how == "done" ? 1 : 0;
+        last = std::max(last, run.ended < 0 ? record.now() : run.ended);
     }
-    int64_t broken = 0;
+    int64_t lost = 0;
     int64_t completed = 0;
     for (const string& id : accepted)
     {
-        const string state = site.state(id);
-        const std::size_t failures = failed_runs[id].size();
-        record.write("state of " + id + ": " + state + ", failed runs " +
-                     std::to_string(failures));
-        completed += state == "completed" ? 1 : 0;
-        if (state == "failed" && failures < 2)
+        const string state = site.state(id, "/more/");
+        const auto [done, last] = tasks[id];
+        record.write(join("state of ", id, ": ", state, ", tasks done ", done,
+                          " of 8, last end at ", last));
+        completed += done == 8 ? 1 : 0;
+        if (done < 8 && record.now() - last > 3'000 && free > 4 * 32'000 / 2)
         {
-            ++broken;
+            ++lost;
             record.write("BROKEN LOST " + id +
-                         ": shown as failed; the gang has failed " +
-                         std::to_string(failures) +
-                         " times, and maxAttempts is 2");
+                         ": accepted, a task's turn has come, nothing of it "
+                         "has run for over 3 s, and " +
+                         std::to_string(free) + " of 128000 are free");
         }
     }
-    record.summary("gangs accepted " + std::to_string(accepted.size()) +
+    record.summary("jobs accepted " + std::to_string(accepted.size()) +
                    ", completed " + std::to_string(completed) +
-                   ", shown as failed too early " + std::to_string(broken));
-    return broken > 0 ? 1 : accepted.empty() ? 2 : 0;
+                   ", standing still " + std::to_string(lost));
+    return lost > 0 ? 1 : accepted.empty() ? 2 : 0;
 }
 
 // A worker crashes and comes back under its id as one of another kind, while
@@ -430,8 +335,8 @@
         }
     }
     record.summary("jobs accepted " + std::to_string(accepted.size()) +
-                   "; runs " + std::to_string(runs.size()) +
-                   "; ROUTE broken " + std::to_string(broken) + " times");
+                   "; runs " + std::to_string(runs.size()) + "; ROUTE broken " +
+                   std::to_string(broken) + " times");
     return broken > 0 ? 1 : runs.empty() ? 2 : 0;
 }
 
@@ -447,8 +352,9 @@
     ::signal(SIGPIPE, SIG_IGN);
     ::alarm(118); // the programs that it started end with it
     const std::map<string, int (*)(recorder&, const string&)> cases{
-        {"ends", run_ends}, {"large", run_large}, {"gang", run_gang},
-        {"attempts", run_attempts},
+        {"ends", run_ends},
+        {"gang", run_gang},
+        {"route", run_route},
         {"kind", run_kind}};
     const auto it = cases.find(argv[1]);
     if (it == cases.end())
--- a/review/tools-2/deployment.hpp
+++ b/review/tools-2/deployment.hpp
@@ -13,7 +13,6 @@
     int racks = 2;
     int workers_per_rack = 2;
     unsigned seed = 1;
-    int max_attempts = 4;
     int fast_workers = 0; // of each rack; the others are `general`
 };
 
@@ -72,8 +71,9 @@
         const int64_t end = steady_ms() + 20'000;
         for (const string& address : ready_)
         {
-            while (call(address, "GET", "/egretspindle/ready", "", 500).status !=
-                   200)
+            while (
+                call(address, "GET", "/egretspindle/ready", "", 500).status !=
+                200)
             {
                 if (steady_ms() > end)
                 {
@@ -86,12 +86,11 @@
     }
 
     reply request(std::size_t host, const string& method, const string& id,
-                  const string& body)
+                  const string& body, const string& prefix = "/jobs/")
     {
-        return call(fronts[host % fronts.size()], method, "/jobs/" + id, body,
-                    3'000,
-                    {{"Host", "jobs.example"},
-                     {"Egretspindle-Deadline-Ms", "3000"}});
+        return call(
+            fronts[host % fronts.size()], method, prefix + id, body, 3'000,
+            {{"Host", "jobs.example"}, {"Egretspindle-Deadline-Ms", "3000"}});
     }
 
     // Submits a job as a consumer does: after no answer, 502 or 504 again, with
@@ -120,11 +119,11 @@
 
     // Asks for the state of a job; empty if there is no answer in time at any
     // of three attempts.
-    string state(const string& id)
+    string state(const string& id, const string& prefix = "/jobs/")
     {
         for (int attempt = 0; attempt < 3; ++attempt)
         {
-            const reply result = request(next_host_++, "GET", id, "");
+            const reply result = request(next_host_++, "GET", id, "", prefix);
             if (result.status == 200)
             {
                 rapidjson::Document tree;
@@ -139,18 +138,25 @@
         return "";
     }
 
-    void write_config(int64_t version)
+    // Writes a configuration with the route `jobs`, unless it is dropped, and
+    // the route `more` to the same service.
+    void write_config(int64_t version, bool has_jobs = true)
     {
+        const auto route = [](const string& name, const string& prefix)
+        {
+            return "{\"name\":" + quote(name) +
+                   ",\"host\":\"jobs.example\",\"pathPrefix\":" +
+                   quote(prefix) +
+                   ",\"kind\":\"unsafe\",\"timeoutMs\":3000,"
+                   "\"targetDurationMs\":1000,\"priority\":2,"
+                   "\"service\":\"work\",\"maxAttempts\":4,"
+                   "\"stretch\":2.0}";
+        };
         rows.put("op", "config",
-                 "{\"version\":" + std::to_string(version) +
-                     ",\"routes\":[{\"name\":\"jobs\",\"host\":"
-                     "\"jobs.example\",\"pathPrefix\":\"/jobs/\","
-                     "\"kind\":\"unsafe\",\"timeoutMs\":3000,"
-                     "\"targetDurationMs\":1000,\"priority\":2,"
-                     "\"service\":\"work\",\"maxAttempts\":" +
-                     std::to_string(options_.max_attempts) +
-                     ","
-                     "\"stretch\":2.0}],\"services\":[{\"name\":\"work\","
+                 "{\"version\":" + std::to_string(version) + ",\"routes\":[" +
+                     (has_jobs ? route("jobs", "/jobs/") + "," : string()) +
+                     route("more", "/more/") +
+                     "],\"services\":[{\"name\":\"work\","
                      "\"healthPath\":\"/health\",\"maxConnections\":64,"
                      "\"protocol\":\"h1\",\"tls\":false,"
                      "\"rejectsOverload\":true}],\"limits\":{}}");
@@ -203,8 +209,7 @@
         {
             if (line.compare(0, 7, "run = \"") == 0)
             {
-                std::istringstream words(
-                    line.substr(7, line.rfind('"') - 7));
+                std::istringstream words(line.substr(7, line.rfind('"') - 7));
                 std::vector<string> result;
                 for (string word; words >> word;)
                 {
@@ -223,11 +228,11 @@
         std::ofstream(file) << settings_of(name, front, ready, peer);
         fronts.push_back("127.0.0.1:" + std::to_string(front));
         ready_.push_back("127.0.0.1:" + std::to_string(ready));
-        hosts.push_back(std::make_unique<process>(
-            command(),
-            std::vector<std::pair<string, string>>{
-                {"EGRETSPINDLE_CONFIG", file}},
-            folder_ + "/" + name + ".log"));
+        hosts.push_back(
+            std::make_unique<process>(command(),
+                                      std::vector<std::pair<string, string>>{
+                                          {"EGRETSPINDLE_CONFIG", file}},
+                                      folder_ + "/" + name + ".log"));
         hosts.back()->start();
     }
 
--- a/review/tools-2/store.hpp
+++ b/review/tools-2/store.hpp
@@ -64,11 +64,6 @@
         drop({table, "", key, "", ++version_, true});
     }
 
-    int64_t refused_rows() const
-    {
-        return refused_rows_;
-    }
-
     answer handle(const request_t& request)
     {
         const string target(request.target());
@@ -114,8 +109,8 @@
 
     static string to_json(const row& item)
     {
-        return "{\"table\":" + quote(item.table) + ",\"part\":" +
-               quote(item.part) + ",\"key\":" + quote(item.key) +
+        return "{\"table\":" + quote(item.table) +
+               ",\"part\":" + quote(item.part) + ",\"key\":" + quote(item.key) +
                ",\"value\":\"" + item.value +
                "\",\"rowVersion\":" + std::to_string(item.version) +
                (item.is_deleted ? ",\"deleted\":true}" : "}");
@@ -179,7 +174,6 @@
         {
             if (decoded_size(text_of(item, "value")) > max_row_bytes)
             {
-                ++refused_rows_;
                 return {400, "{\"error\":\"a value is larger than rowBytes\"}"};
             }
         }
@@ -189,9 +183,9 @@
         std::vector<row> current;
         for (const rapidjson::Value& item : conditions.GetArray())
         {
-            const auto it = rows_.find({text_of(item, "table"),
-                                        text_of(item, "part"),
-                                        text_of(item, "key")});
+            const auto it =
+                rows_.find({text_of(item, "table"), text_of(item, "part"),
+                            text_of(item, "key")});
             const int64_t found = it == rows_.end() ? 0 : it->second.version;
             is_met &= found == number_of(item, "rowVersion");
             if (it != rows_.end())
@@ -226,8 +220,9 @@
         const string until = query_value(target, "target");
         const string limit_text = query_value(target, "limit");
         const std::size_t limit =
-            limit_text.empty() ? 500
-                               : std::min<std::size_t>(500, std::stoul(limit_text));
+            limit_text.empty()
+                ? 500
+                : std::min<std::size_t>(500, std::stoul(limit_text));
         sleep_ms(2);
         const std::lock_guard<std::mutex> lock(mutex_);
         std::vector<row> rows;
@@ -267,10 +262,9 @@
             }
             std::vector<row> rows;
             int64_t version = version_;
-            auto it = std::upper_bound(
-                history_.begin(), history_.end(), after,
-                [](int64_t bound, const row& item)
-                { return bound < item.version; });
+            auto it = std::upper_bound(history_.begin(), history_.end(), after,
+                                       [](int64_t bound, const row& item)
+                                       { return bound < item.version; });
             for (; it != history_.end(); ++it)
             {
                 if (it->table != table)
@@ -298,7 +292,6 @@
     std::deque<row> history_;
     int64_t version_ = 100;
     int64_t lost_ = 0;
-    std::atomic<int64_t> refused_rows_{0};
 };
 
 } // namespace review
--- a/review/tools-2/support.hpp
+++ b/review/tools-2/support.hpp
@@ -10,16 +10,8 @@
 #include <rapidjson/stringbuffer.h>
 #include <rapidjson/writer.h>
 
-#include <fcntl.h>
-#include <signal.h>
-#include <sys/prctl.h>
-#include <arpa/inet.h>
-#include <netinet/in.h>
-#include <sys/socket.h>
-#include <sys/wait.h>
-#include <unistd.h>
-
 #include <algorithm>
+#include <arpa/inet.h>
 #include <atomic>
 #include <chrono>
 #include <condition_variable>
@@ -27,17 +19,24 @@
 #include <cstdio>
 #include <cstdlib>
 #include <deque>
+#include <fcntl.h>
 #include <fstream>
 #include <functional>
 #include <map>
 #include <memory>
 #include <mutex>
+#include <netinet/in.h>
 #include <optional>
 #include <random>
 #include <set>
+#include <signal.h>
 #include <sstream>
 #include <string>
+#include <sys/prctl.h>
+#include <sys/socket.h>
+#include <sys/wait.h>
 #include <thread>
+#include <unistd.h>
 #include <utility>
 #include <vector>
 
@@ -70,6 +69,14 @@
     std::this_thread::sleep_for(std::chrono::milliseconds(ms));
 }
 
+template <typename... Parts>
+string join(const Parts&... parts)
+{
+    std::ostringstream out;
+    (out << ... << parts);
+    return out.str();
+}
+
 // Lines of `record.txt`, with the time since the start of the case.
 class recorder
 {
@@ -150,17 +157,17 @@
                 ec = e1;
                 if (ec)
                     return;
-                http::async_write(
-                    stream, request,
-                    [&](beast::error_code e2, std::size_t)
-                    {
-                        ec = e2;
-                        if (ec)
-                            return;
-                        http::async_read(stream, buffer, response,
-                                         [&](beast::error_code e3, std::size_t)
-                                         { ec = e3; });
-                    });
+                http::async_write(stream, request,
+                                  [&](beast::error_code e2, std::size_t)
+                                  {
+                                      ec = e2;
+                                      if (ec)
+                                          return;
+                                      http::async_read(
+                                          stream, buffer, response,
+                                          [&](beast::error_code e3, std::size_t)
+                                          { ec = e3; });
+                                  });
             });
         context.run();
         if (!ec)
@@ -211,7 +218,8 @@
         where.sin_family = AF_INET;
         where.sin_port = htons(port_);
         where.sin_addr.s_addr = ::inet_addr(ip_.c_str());
-        if (::bind(fd, reinterpret_cast<sockaddr*>(&where), sizeof where) != 0 ||
+        if (::bind(fd, reinterpret_cast<sockaddr*>(&where), sizeof where) !=
+                0 ||
             ::listen(fd, 512) != 0)
         {
             ::close(fd);
@@ -343,7 +351,8 @@
         socklen_t size = sizeof where;
         const bool is_bound =
             ::bind(fd, reinterpret_cast<sockaddr*>(&where), size) == 0 &&
-            ::getsockname(fd, reinterpret_cast<sockaddr*>(&where), &size) == 0 &&
+            ::getsockname(fd, reinterpret_cast<sockaddr*>(&where), &size) ==
+                0 &&
             ::bind(datagram, reinterpret_cast<sockaddr*>(&where), size) == 0;
         if (is_bound)
         {
--- a/review/tools-2/workers.hpp
+++ b/review/tools-2/workers.hpp
@@ -19,9 +19,9 @@
     int64_t begun = 0;
     int64_t ended = -1;
     string how;
-    int64_t acked = -1;   // its end was taken note of
+    int64_t acked = -1;     // its end was taken note of
     bool is_lapsed = false; // the lease lapsed between the end and that
-    bool is_late = false; // begun by an order that was carried out late
+    bool is_late = false;   // begun by an order that was carried out late
     int64_t token = 0;
 };
 
@@ -70,10 +70,10 @@
         auto item = std::make_unique<worker>();
         item->options = options;
         worker* const self = item.get();
-        item->listener = std::make_unique<server>(
-            "127.0.0.1", options.port,
-            [this, self](const request_t& request)
-            { return handle(*self, request); });
+        item->listener =
+            std::make_unique<server>("127.0.0.1", options.port,
+                                     [this, self](const request_t& request)
+                                     { return handle(*self, request); });
         workers_[options.id] = std::move(item);
         boot(options.id, options.kind);
     }
@@ -122,35 +122,6 @@
         record_.write("worker " + id + " starts, kind " + kind);
     }
 
-    void drain(const string& id, int64_t remaining)
-    {
-        const std::lock_guard<std::mutex> lock(mutex_);
-        worker& item = *workers_.at(id);
-        item.is_draining = true;
-        item.leaves_at = steady_ms() + remaining;
-        register_worker(item);
-        record_.write("worker " + id + " is draining, by the store");
-    }
-
-    // A worker that fails all that it starts.
-    void set_failing(const string& id, bool is_failing)
-    {
-        const std::lock_guard<std::mutex> lock(mutex_);
-        workers_.at(id)->is_failing = is_failing;
-        record_.write("worker " + id +
-                      (is_failing ? " fails all that it starts"
-                                  : " works again"));
-    }
-
-    // The worker gets no packet while it is cut off, and runs on.
-    void cut(const string& id, bool is_cut)
-    {
-        const std::lock_guard<std::mutex> lock(mutex_);
-        workers_.at(id)->is_cut = is_cut;
-        record_.write("worker " + id +
-                      (is_cut ? " is cut off" : " is reached again"));
-    }
-
     void set_late_orders(const late_orders& late)
     {
         const std::lock_guard<std::mutex> lock(mutex_);
@@ -170,7 +141,7 @@
         std::vector<std::pair<int64_t, int64_t>> free;
         for (const auto& [id, item] : workers_)
         {
-            if (item->is_up && !item->is_draining)
+            if (item->is_up)
             {
                 free.emplace_back(item->options.cpu - used(*item, "cpu"),
                                   item->options.mem - used(*item, "mem"));
@@ -210,10 +181,6 @@
         worker_options options;
         std::unique_ptr<server> listener;
         bool is_up = false;
-        bool is_draining = false;
-        bool is_cut = false;
-        bool is_failing = false;
-        int64_t leaves_at = 0;
         int boots = 0;
         int64_t born = 0;
         int64_t booted = 0;
@@ -223,7 +190,7 @@
         int64_t lease_until = 0; // on the clock of this boot; 0: none
         int64_t last_end = 0;
         std::map<run_name, std::size_t> running; // index in `runs_`
-        std::map<string, int64_t> highest;       // run stopped or ended, by task
+        std::map<string, int64_t> highest; // run stopped or ended, by task
         std::deque<listed_end> ends;
     };
 
@@ -276,26 +243,19 @@
     {
         item.registered = steady_ms();
         const worker_options& options = item.options;
-        string text = "{\"service\":" + quote(options.service) +
-                      ",\"address\":\"127.0.0.1:" +
-                      std::to_string(options.port) + "\",\"zone\":" +
-                      quote(options.zone) +
-                      ",\"version\":\"v1\",\"slots\":8,\"state\":\"" +
-                      (item.is_draining ? "draining" : "ready") +
-                      "\",\"coldRemainingMs\":0,\"capacity\":{\"cpu\":" +
-                      std::to_string(options.cpu) +
-                      ",\"memMb\":" + std::to_string(options.mem) +
-                      ",\"gpu\":0},\"labels\":[" + quote(options.kind) + "," +
-                      quote(options.rack) +
-                      "],\"clockMs\":" + std::to_string(clock_of(item)) +
-                      ",\"born\":" + std::to_string(item.born) +
-                      ",\"seq\":" + std::to_string(++item.sequence);
-        if (item.is_draining)
-        {
-            text += ",\"remainingMs\":" +
-                    std::to_string(
-                        std::max<int64_t>(0, item.leaves_at - steady_ms()));
-        }
+        string text =
+            "{\"service\":" + quote(options.service) +
+            ",\"address\":\"127.0.0.1:" + std::to_string(options.port) +
+            "\",\"zone\":" + quote(options.zone) +
+            ",\"version\":\"v1\",\"slots\":8,\"state\":\"" +
+            "ready\",\"coldRemainingMs\":0,\"capacity\":{\"cpu\":" +
+            std::to_string(options.cpu) +
+            ",\"memMb\":" + std::to_string(options.mem) +
+            ",\"gpu\":0},\"labels\":[" + quote(options.kind) + "," +
+            quote(options.rack) +
+            "],\"clockMs\":" + std::to_string(clock_of(item)) +
+            ",\"born\":" + std::to_string(item.born) +
+            ",\"seq\":" + std::to_string(++item.sequence);
         rows_.put("servers", options.id, text + "}");
     }
 
@@ -371,9 +331,8 @@
         }
         for (const auto& [name, indexes] : members)
         {
-            const bool is_complete =
-                static_cast<int64_t>(indexes.size()) ==
-                live_.at(indexes.front()).gang;
+            const bool is_complete = static_cast<int64_t>(indexes.size()) ==
+                                     live_.at(indexes.front()).gang;
             const bool was_complete = complete_gangs_.count(name) > 0;
             for (const std::size_t index : indexes)
             {
@@ -382,8 +341,8 @@
                 {
                     run.ends_at = now + run.work;
                 }
-                else if (was_complete && !is_complete && run.outcome == "done" &&
-                         run.ends_at > now)
+                else if (was_complete && !is_complete &&
+                         run.outcome == "done" && run.ends_at > now)
                 {
                     run.outcome = "broken";
                     run.ends_at = now;
@@ -494,11 +453,6 @@
         {
             return refuse(item, "room");
         }
-        if (item.is_failing)
-        {
-            run.outcome = "failed";
-            run.work /= 2;
-        }
         if (run.gang == 0)
         {
             run.ends_at = steady_ms() + run.work;
@@ -558,12 +512,12 @@
         }
         renew(item, number_of(tree, "deadlineMs"));
         const int boots = item.boots;
-        const auto until =
-            std::chrono::steady_clock::now() +
-            std::chrono::milliseconds(
-                std::min<int64_t>(2'000, number_of(tree, "waitMs")));
+        const auto until = std::chrono::steady_clock::now() +
+                           std::chrono::milliseconds(std::min<int64_t>(
+                               2'000, number_of(tree, "waitMs")));
         changed_.wait_until(lock, until,
-                            [&] {
+                            [&]
+                            {
                                 return !item.ends.empty() || !item.is_up ||
                                        item.boots != boots || is_stopping_;
                             });
@@ -571,9 +525,8 @@
         {
             return {421, "{}", true};
         }
-        string text =
-            head(item) + ",\"born\":" + std::to_string(item.born) +
-            ",\"running\":[";
+        string text = head(item) + ",\"born\":" + std::to_string(item.born) +
+                      ",\"running\":[";
         bool is_first = true;
         for (const auto& [name, index] : item.running)
         {
@@ -583,8 +536,8 @@
             is_first = false;
         }
         text += "],\"finished\":[";
-        for (std::size_t n = 0;
-             n < std::min(item.ends.size(), ends_per_answer); ++n)
+        for (std::size_t n = 0; n < std::min(item.ends.size(), ends_per_answer);
+             ++n)
         {
             const run_record& run = runs_[item.ends[n].index];
             text += string(n == 0 ? "" : ",") + "[" +
@@ -613,10 +566,6 @@
         int64_t delay = 0;
         {
             const std::lock_guard<std::mutex> lock(mutex_);
-            if (item.is_cut)
-            {
-                return {421, "{}", true};
-            }
             if (path == "/egretspindle/run-start" &&
                 record_.now() < late_.until &&
                 std::uniform_real_distribution<>(0, 1)(random_) < late_.share)
@@ -626,10 +575,10 @@
                                                                12'000)(random_);
                 ++unanswered_;
                 record_.write("unanswered start " + text_of(tree, "task") +
-                              " run " +
-                              std::to_string(number_of(tree, "run")) + " on " +
-                              item.options.id + ", carried out after " +
-                              std::to_string(delay) + " ms");
+                              " run " + std::to_string(number_of(tree, "run")) +
+                              " on " + item.options.id +
+                              ", carried out after " + std::to_string(delay) +
+                              " ms");
             }
         }
         if (is_late)
@@ -658,7 +607,7 @@
         {
             result = {200, head(item) + "}"};
         }
-        result.is_silent |= is_late || item.is_cut;
+        result.is_silent |= is_late;
         return result;
     }
 
