--- a/review/tools-2/cases.cpp
+++ b/review/tools-2/cases.cpp
@@ -220,6 +220,71 @@
     return is_lost ? 1 : 0;
 }
 
+// A worker fails all that it starts, among them several members of one gang.
+int run_attempts(recorder& record, const string& folder)
+{
+    deployment_options options;
+    options.racks = 3;
+    options.workers_per_rack = 4;
+    options.max_attempts = 2; // as the first kind of request has it
+    deployment& site = *new deployment(options, record, folder);
+    if (!site.wait_until_ready())
+    {
+        return 2;
+    }
+    sleep_ms(3'000);
+    const int64_t begun = record.now();
+    if (has_trouble())
+    {
+        site.workers.set_failing("w-1-2", true);
+    }
+    std::mt19937_64 random(std::random_device{}());
+    const std::set<string> accepted =
+        submit_jobs(site, random, begun + 6'000, 500,
+                    []
+                    {
+                        return job_body("cpu=9000 mem=8000 ms=400 gang=8", 8,
+                                        9'000, 8'000, 400, true);
+                    });
+    sleep_ms(std::max<int64_t>(0, begun + 6'500 - record.now()));
+    if (has_trouble())
+    {
+        site.workers.set_failing("w-1-2", false);
+    }
+    sleep_ms(14'000); // `finish_s`
+    // Runs of each gang with at least one end `failed`.
+    std::map<string, std::set<int64_t>> failed_runs;
+    for (const run_record& run : site.workers.runs())
+    {
+        if (run.how == "failed")
+        {
+            failed_runs[run.task.substr(0, 16)].insert(run.run);
+        }
+    }
+    int64_t broken = 0;
+    int64_t completed = 0;
+    for (const string& id : accepted)
+    {
+        const string state = site.state(id);
+        const std::size_t failures = failed_runs[id].size();
+        record.write(
+            join("state of ", id, ": ", state, ", failed runs ", failures));
+        completed += state == "completed" ? 1 : 0;
+        if (state == "failed" && failures < 2)
+        {
+            ++broken;
+            record.write("BROKEN LOST " + id +
+                         ": shown as failed; the gang has failed " +
+                         std::to_string(failures) +
+                         " times, and maxAttempts is 2");
+        }
+    }
+    record.summary("gangs accepted " + std::to_string(accepted.size()) +
+                   ", completed " + std::to_string(completed) +
+                   ", shown as failed too early " + std::to_string(broken));
+    return broken > 0 ? 1 : accepted.empty() ? 2 : 0;
+}
+
 // The route of accepted jobs is removed while they run.
 int run_route(recorder& record, const string& folder)
 {
@@ -354,6 +419,7 @@
     const std::map<string, int (*)(recorder&, const string&)> cases{
         {"ends", run_ends},
         {"gang", run_gang},
+        {"attempts", run_attempts},
         {"route", run_route},
         {"kind", run_kind}};
     const auto it = cases.find(argv[1]);
--- a/review/tools-2/deployment.hpp
+++ b/review/tools-2/deployment.hpp
@@ -13,6 +13,7 @@
     int racks = 2;
     int workers_per_rack = 2;
     unsigned seed = 1;
+    int max_attempts = 4;
     int fast_workers = 0; // of each rack; the others are `general`
 };
 
@@ -142,15 +143,15 @@
     // the route `more` to the same service.
     void write_config(int64_t version, bool has_jobs = true)
     {
-        const auto route = [](const string& name, const string& prefix)
+        const auto route = [this](const string& name, const string& prefix)
         {
             return "{\"name\":" + quote(name) +
                    ",\"host\":\"jobs.example\",\"pathPrefix\":" +
                    quote(prefix) +
                    ",\"kind\":\"unsafe\",\"timeoutMs\":3000,"
                    "\"targetDurationMs\":1000,\"priority\":2,"
-                   "\"service\":\"work\",\"maxAttempts\":4,"
-                   "\"stretch\":2.0}";
+                   "\"service\":\"work\",\"maxAttempts\":" +
+                   std::to_string(options_.max_attempts) + ",\"stretch\":2.0}";
         };
         rows.put("op", "config",
                  "{\"version\":" + std::to_string(version) + ",\"routes\":[" +
--- a/review/tools-2/workers.hpp
+++ b/review/tools-2/workers.hpp
@@ -122,6 +122,16 @@
         record_.write("worker " + id + " starts, kind " + kind);
     }
 
+    // A worker that fails all that it starts.
+    void set_failing(const string& id, bool is_failing)
+    {
+        const std::lock_guard<std::mutex> lock(mutex_);
+        workers_.at(id)->is_failing = is_failing;
+        record_.write(
+            "worker " + id +
+            (is_failing ? " fails all that it starts" : " works again"));
+    }
+
     void set_late_orders(const late_orders& late)
     {
         const std::lock_guard<std::mutex> lock(mutex_);
@@ -181,6 +191,7 @@
         worker_options options;
         std::unique_ptr<server> listener;
         bool is_up = false;
+        bool is_failing = false;
         int boots = 0;
         int64_t born = 0;
         int64_t booted = 0;
@@ -453,6 +464,11 @@
         {
             return refuse(item, "room");
         }
+        if (item.is_failing)
+        {
+            run.outcome = "failed";
+            run.work /= 2;
+        }
         if (run.gang == 0)
         {
             run.ends_at = steady_ms() + run.work;
