--- a/review/tools-2/cases.cpp
+++ b/review/tools-2/cases.cpp
@@ -119,7 +119,7 @@
     const int64_t begun = record.now();
     if (has_trouble())
     {
-        site.workers.set_late_orders({0.06, begun + 8'500});
+        site.workers.set_late_orders({0.06, begun + 5'500});
     }
     std::mt19937_64 random(std::random_device{}());
     const std::set<string> accepted = submit_jobs(
