Test that stops do not wait for later changes of their job

A run of a job with two tasks ends while the write of the cancelling is under way, and the next write is held. The cancelling is acknowledged, the job is still shown as queued, and its other run gets no stop.

--- a/tests/scheduler/job_coordinator_test.cpp
+++ b/tests/scheduler/job_coordinator_test.cpp
@@ -1113,6 +1113,64 @@
     REQUIRE(coordinator.cancel(make_request()).state == "cancelled");
 }
 
+// Guards against stops that wait until the ends of the other runs are durable.
+TEST_CASE("runs are stopped while later changes of their cancelled job are not "
+          "durable",
+          "[.][scheduler_stops_of_changed_job]")
+{
+    fake_store store;
+    fake_environment environment;
+    std::mutex mutex;
+    std::condition_variable released;
+    bool is_blocked = false; // guarded by `mutex`; writes wait
+    store.before_commit = [&]
+    {
+        std::unique_lock<std::mutex> lock(mutex);
+        released.wait(lock, [&] { return !is_blocked; });
+    };
+    coordinator_limits limits;
+    limits.max_report_wait = milliseconds(0);
+    job_coordinator coordinator(store, environment.hooks(), limits);
+    const std::string shard = shard_of(job_id);
+    coordinator.take_shard(shard);
+    job_request request = make_request();
+    request.spec.steps.front().count = 2;
+    REQUIRE(coordinator.submit(request).verdict == "accepted");
+    environment.wait_for_orders(1);
+    store.hold_part(shard);
+    std::future<job_reply> cancelled = std::async(
+        std::launch::async, [&] { return coordinator.cancel(request); });
+    for (int n = 0; n < 20'000 && store.held_writes() == 0; ++n)
+    {
+        std::this_thread::sleep_for(milliseconds(1));
+    }
+    REQUIRE(store.held_writes() > 0);
+    static_cast<void>(coordinator.report({{make_report("done", 1)}}));
+    {
+        const std::lock_guard<std::mutex> lock(mutex);
+        is_blocked = true;
+    }
+    store.release_part();
+    const job_reply reply = cancelled.get();
+    const std::string state = coordinator.query(request).state;
+    coordinator.tick();
+    std::vector<rack_orders> sent;
+    {
+        const std::lock_guard<std::mutex> lock(environment.mutex);
+        sent = environment.sent;
+    }
+    {
+        const std::lock_guard<std::mutex> lock(mutex);
+        is_blocked = false;
+    }
+    released.notify_all();
+    CHECK(reply.verdict == "known");
+    CHECK(reply.state == "cancelled");
+    CHECK(state == "cancelled");
+    REQUIRE(sent.back().stops.size() == 1);
+    CHECK(sent.back().stops.front().task == job_id + ".0.0.1");
+}
+
 // Orders to a host that does not answer wait behind each other. Guards against
 // starts of cancelled jobs that are delivered seconds later.
 TEST_CASE("orders that have waited do not start runs of cancelled jobs",
