Test that a start which arrives after its stop is not placed

The owner of a rack that has not reached all targets keeps the stop of a run that it does not know. The start of this run, and of an earlier one of the same task, is queued nevertheless, and placed once all targets are reached.

--- a/tests/rack/rack_decision_test.cpp
+++ b/tests/rack/rack_decision_test.cpp
@@ -573,6 +573,27 @@
             enqueue_result::known);
 }
 
+// Guards against tasks of cancelled jobs that start once the rack is known.
+TEST_CASE("a start that arrives after its stop is not placed",
+          "[.][rack_start_after_stop]")
+{
+    rack_state rack = make_rack(2);
+    rack.targets["t1"].is_reached = false;
+    rack.targets["t1"].is_inherited = true;
+    std::string target;
+    REQUIRE(withdraw(rack, {"job.0.0.0", 2}, target).empty());
+    queued_start start = make_start("job.0.0.0", make_terms());
+    start.run = 2;
+    CHECK(enqueue(rack, start) == enqueue_result::known);
+    start.run = 1;
+    CHECK(enqueue(rack, start) == enqueue_result::known);
+    rack.targets["t1"].is_reached = true;
+    CHECK(report_settled_stops(rack, start_time).size() == 1);
+    CHECK(place_starts(rack, no_interference, start_time, 0).empty());
+    start.run = 3;
+    CHECK(enqueue(rack, start) == enqueue_result::queued);
+}
+
 TEST_CASE("a start that a target refuses goes to another target", "[rack]")
 {
     rack_state rack = make_rack(2);
