Send the stops of a closed job once its end is durable

Callers saw tasks of cancelled jobs start, or go on, for seconds after the cancelling was acknowledged. The acknowledgement needs a write that contains the cancelling. Stops and the shown state needed one that contains the latest change of the job. Each run that ends or is handed back is a change, so that a wide job did not catch up while the store was slow or its writes were limited: its starts stayed queued in the racks and were placed, and its runs went on.

The number of the change that closed the job is kept now. Stops, the shown state and the answer to a cancelling wait for this change alone; the outcome of a closed job does not change any more. A host that reads a closed job from the store sends its stops at once, as before.

--- a/src/scheduler/job_coordinator.cpp
+++ b/src/scheduler/job_coordinator.cpp
@@ -208,16 +208,15 @@
                  {{"job", request.id}, {"state", state.state}});
         impl_->mark_changed(entry);
     }
-    const std::uint64_t change = entry->last_change;
     entry->changed.wait_until(lock, deadline,
                               [&]
                               {
                                   return impl_->is_stopping ||
-                                         entry->durable_change >= change ||
+                                         is_end_durable(*entry) ||
                                          impl_->find_job(request.id) != entry;
                               });
-    return {entry->durable_change >= change ? "known" : "unknown",
-            entry->visible_state, 0};
+    return {is_end_durable(*entry) ? "known" : "unknown", entry->visible_state,
+            0};
 }
 
 report_reply job_coordinator::report(const report_batch& batch)
--- a/src/scheduler/job_coordinator_records.cpp
+++ b/src/scheduler/job_coordinator_records.cpp
@@ -80,6 +80,10 @@
 void job_coordinator::impl::mark_changed(const entry_ptr& entry)
 {
     ++entry->last_change;
+    if (entry->closing_change == 0 && entry->value.outcome != job_outcome::open)
+    {
+        entry->closing_change = entry->last_change;
+    }
     if (entry->unwritten_since == time_point{})
     {
         entry->unwritten_since = steady_clock::now();
@@ -526,7 +530,7 @@
         it = it->second.change <= change ? entry->required_ownerships.erase(it)
                                          : std::next(it);
     }
-    if (change == entry->last_change)
+    if (change == entry->last_change || is_end_durable(*entry))
     {
         entry->visible_state = std::string(state_name(entry->value));
     }
--- a/src/scheduler/job_coordinator_runs.cpp
+++ b/src/scheduler/job_coordinator_runs.cpp
@@ -537,10 +537,9 @@
         }
         if (is_stop)
         {
-            if (entry.visible_state == "queued" ||
-                entry.visible_state == "running")
+            if (!is_end_durable(entry))
             {
-                continue; // the end of the job is not durable yet
+                continue;
             }
             rack_orders& rack = orders_for(orders, run.rack, now);
             rack.stops.push_back({to_string(run.key), run.run});
--- a/src/scheduler/job_coordinator_shards.cpp
+++ b/src/scheduler/job_coordinator_shards.cpp
@@ -113,6 +113,8 @@
     entry->encoded_spec = encode_spec(entry->value.spec);
     entry->version = row.version;
     entry->durable_change = entry->last_change;
+    entry->closing_change =
+        entry->value.outcome == job_outcome::open ? 0 : entry->last_change;
     entry->visible_state = std::string(state_name(entry->value));
     entry->created_at = steady_clock::now();
     for (const assigned_run& run : assigned_runs(entry->value))
--- a/src/scheduler/job_entry.hpp
+++ b/src/scheduler/job_entry.hpp
@@ -57,7 +57,9 @@
     std::int64_t version = 0;         ///< of the row; 0: not written yet
     std::uint64_t last_change = 1;    ///< number of the latest change
     std::uint64_t durable_change = 0; ///< number of the latest durable change
-    bool is_writing = false;          ///< in the batch of a writer
+    /// Number of the change that closed the job, see `job::outcome`; 0: none.
+    std::uint64_t closing_change = 0;
+    bool is_writing = false;    ///< in the batch of a writer
     time_point unwritten_since; ///< oldest change that is not durable; {}: none
     time_point write_begun_at;  ///< when a writer last took the job
     /// A write that got no answer may still take effect.
@@ -92,6 +94,14 @@
     std::map<std::string, required_ownership> required_ownerships;
 };
 
+/// Returns whether the end of a job is durable. Changes that follow it, such as
+/// ends of its runs, need not be.
+[[nodiscard]] inline bool is_end_durable(const job_entry& entry) noexcept
+{
+    return entry.value.outcome != job_outcome::open &&
+           entry.durable_change >= entry.closing_change;
+}
+
 } // namespace egretspindle
 
 #endif
--- a/tests/scheduler/job_coordinator_test.cpp
+++ b/tests/scheduler/job_coordinator_test.cpp
@@ -1116,7 +1116,7 @@
 // Guards against stops that wait until the ends of the other runs are durable.
 TEST_CASE("runs are stopped while later changes of their cancelled job are not "
           "durable",
-          "[.][scheduler_stops_of_changed_job]")
+          "[scheduler]")
 {
     fake_store store;
     fake_environment environment;
