Send the stops of a target beside its unanswered orders

Callers saw tasks of cancelled jobs go on for seconds after the acknowledgement. The orders of a target were sent one after the other. A stop without an answer held the next ones back for 0.6 s, and for 0.15 s more until it was queued again, so that the delay grew with the number of runs to be stopped on the target.

A run has one order in delivery at a time, and starts are sent in order as before. A stop may now carry an older token than a start that is sent beside it; one that is refused for that is repeated and does not fence the rack.

The test of the delay fails on the code before (the other stops do not arrive within 5 s while the first one has no answer), and passes now. Without the check of the token the second test fails: the owner gives up its rack.

--- a/include/egretspindle/scheduler/rack_agent.hpp
+++ b/include/egretspindle/scheduler/rack_agent.hpp
@@ -88,6 +88,8 @@
     /// Delay before the retry of a start or stop that was not confirmed, or
     /// that must not be sent now.
     milliseconds order_retry{150};
+    /// Threads that send stops to targets whose sender waits for an answer.
+    int stop_senders = 4;
     milliseconds poll_retry{300}; ///< delay after a failed poll
     /// Delay after a failed read or write of recorded intents.
     milliseconds intent_retry{100};
--- a/src/scheduler/rack_agent.cpp
+++ b/src/scheduler/rack_agent.cpp
@@ -55,6 +55,10 @@
     {
         impl_->intent_thread = std::thread([this] { impl_->intent_loop(); });
     }
+    for (int n = 0; n < limits.stop_senders; ++n)
+    {
+        impl_->stop_threads.emplace_back([this] { impl_->stop_loop(); });
+    }
 }
 
 rack_agent::~rack_agent()
@@ -77,6 +81,14 @@
         impl_->closed_channels.clear();
         impl_->racks.clear();
         impl_->intents_changed.notify_all();
+        impl_->stops_changed.notify_all();
+    }
+    for (std::thread& item : impl_->stop_threads)
+    {
+        if (item.joinable())
+        {
+            item.join();
+        }
     }
     impl_->join_threads(closed);
     if (impl_->intent_thread.joinable())
--- a/src/scheduler/rack_agent_channels.cpp
+++ b/src/scheduler/rack_agent_channels.cpp
@@ -288,7 +288,9 @@
         std::deque<pending_order>& orders = it->second->orders;
         if (order.what == pending_order::kind::stop)
         {
+            order.queued_at = steady_clock::now();
             orders.push_front(std::move(order));
+            stops_changed.notify_one();
         }
         else
         {
--- a/src/scheduler/rack_agent_impl.hpp
+++ b/src/scheduler/rack_agent_impl.hpp
@@ -38,7 +38,9 @@
     bool was_unanswered = false; ///< an earlier attempt may be executed later
     /// `rack_target::started_ms` when the message was prepared.
     std::int64_t target_started_ms = 0;
-    bool is_held = false; ///< a start that must not be sent now
+    bool is_held = false;  ///< a start that must not be sent now
+    time_point queued_at;  ///< of a stop
+    time_point not_before; ///< next attempt of a stop; {}: at once
 };
 
 /// Threads and queue of orders of one target, guarded by the agent's mutex.
@@ -53,6 +55,9 @@
     /// When the latest start without an answer was sent.
     time_point unanswered_start_at;
     std::deque<pending_order> orders;
+    /// Runs with an order that is being sent. A run has one at a time.
+    std::vector<run_id> in_delivery;
+    int stop_calls = 0;                 ///< calls of the threads of `stop_loop`
     std::condition_variable has_orders; ///< wakes the sender
     std::condition_variable has_acks;   ///< wakes the poller
     std::thread poller;
@@ -62,6 +67,14 @@
 
 using channel_ptr = std::shared_ptr<target_channel>;
 
+/// Channel with a stop that may be sent beside other orders, or the time at
+/// which there may be one.
+struct waiting_stop
+{
+    channel_ptr channel; ///< null: none now
+    time_point at = time_point::max();
+};
+
 /// Repeated start that is held until the record of its job has been read.
 struct held_start
 {
@@ -90,8 +103,9 @@
 
 /// State of a rack agent. Functions with a parameter of type `rack_state` or
 /// `rack_target`, and `find_rack`, `find_target`, `open_channel`,
-/// `close_channels`, `queue_order`, `remove_finished` and `count_racks`, are
-/// called with `mutex` locked; the others without, and lock it as needed.
+/// `close_channels`, `queue_order`, `find_waiting_stop`, `remove_finished` and
+/// `count_racks`, are called with `mutex` locked; the others without, and lock
+/// it as needed.
 ///
 /// `intent_thread` exists if the hooks for intents are set.
 struct rack_agent::impl
@@ -144,7 +158,17 @@
     void apply_poll_answer(const channel_ptr& channel,
                            const poll_request& request,
                            const poll_answer& answer, time_point sent_at);
+    /// Sends the orders of a target, one at a time, until its channel is
+    /// closed.
     void send_loop(const channel_ptr& channel);
+    /// Sends stops of targets whose sender is in a call, so that they do not
+    /// wait for orders without an answer. Ends with the agent.
+    void stop_loop();
+    waiting_stop find_waiting_stop(time_point now);
+    /// Sends an order that was taken from the queue of its channel. `lock` is
+    /// released during the call.
+    void deliver(const channel_ptr& channel, pending_order order,
+                 std::unique_lock<std::mutex>& lock);
     void send(const channel_ptr& channel, pending_order order);
     bool prepare_start(const channel_ptr& channel, pending_order& order,
                        start_order& message, target_entry& entry);
@@ -161,8 +185,9 @@
     void send_start(const channel_ptr& channel, pending_order order);
     void send_stop(const channel_ptr& channel, pending_order order);
     void send_pace(const channel_ptr& channel, pending_order order);
-    /// Queues an order again after `rack_agent_limits::order_retry`, during
-    /// which the sender of the target waits.
+    /// Queues an order again, to be sent after
+    /// `rack_agent_limits::order_retry`. The sender of the target waits for
+    /// that time, except after a stop.
     void retry(const channel_ptr& channel, pending_order order,
                bool was_unanswered);
     void fence(const target_channel& channel);
@@ -212,6 +237,9 @@
     std::string last_intent_rack;   ///< whose intents were written last
     std::minstd_rand random{std::random_device{}()};
     std::thread intent_thread;
+    std::condition_variable stops_changed; ///< wakes `stop_threads`
+    std::string last_stop_target; ///< of the latest stop of `stop_threads`
+    std::vector<std::thread> stop_threads;
 };
 
 } // namespace egretspindle
--- a/src/scheduler/rack_agent_orders.cpp
+++ b/src/scheduler/rack_agent_orders.cpp
@@ -41,57 +41,6 @@
     hooks.lost(channel.rack);
 }
 
-// Sends the queued orders of a target, one after the other, until its channel
-// is closed.
-void rack_agent::impl::send_loop(const channel_ptr& channel)
-{
-    std::unique_lock<std::mutex> lock(mutex);
-    for (;;)
-    {
-        channel->has_orders.wait(
-            lock,
-            [&] { return channel->is_stopping || !channel->orders.empty(); });
-        if (channel->is_stopping)
-        {
-            return;
-        }
-        pending_order order = std::move(channel->orders.front());
-        channel->orders.pop_front();
-        lock.unlock();
-        send(channel, std::move(order));
-        lock.lock();
-    }
-}
-
-void rack_agent::impl::send(const channel_ptr& channel, pending_order order)
-{
-    switch (order.what)
-    {
-    case pending_order::kind::start:
-        send_start(channel, std::move(order));
-        break;
-    case pending_order::kind::stop:
-        send_stop(channel, std::move(order));
-        break;
-    case pending_order::kind::pace:
-        send_pace(channel, std::move(order));
-        break;
-    }
-}
-
-void rack_agent::impl::retry(const channel_ptr& channel, pending_order order,
-                             bool was_unanswered)
-{
-    order.was_unanswered |= was_unanswered;
-    std::unique_lock<std::mutex> lock(mutex);
-    channel->has_orders.wait_for(lock, limits.order_retry,
-                                 [&] { return channel->is_stopping; });
-    if (!channel->is_stopping && !is_queued_copy(*channel, order))
-    {
-        channel->orders.push_back(std::move(order));
-    }
-}
-
 // Prepares the message of a start, and sets `is_held` and `target_started_ms`
 // of the order. Returns false if the start must not be sent any more.
 bool rack_agent::impl::prepare_start(const channel_ptr& channel,
@@ -383,7 +332,9 @@
     count_call(activity.orders, elapsed(sent_at), answer.ok());
     metrics.observe_order(order_kind::stop, steady_clock::now() - sent_at,
                           answer.ok());
-    if (answer.ok() && answer->verdict == order_verdict::wrong_token)
+    const bool is_refused =
+        answer.ok() && answer->verdict == order_verdict::wrong_token;
+    if (is_refused && !is_overtaken(*channel, message.token))
     {
         fence(*channel);
         return;
--- a/tests/scheduler/rack_agent_test.cpp
+++ b/tests/scheduler/rack_agent_test.cpp
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <condition_variable>
+#include <functional>
 #include <mutex>
 #include <set>
 #include <thread>
@@ -48,9 +49,13 @@
                                       const stop_order& order,
                                       std::chrono::milliseconds) override
     {
-        const std::lock_guard<std::mutex> lock(mutex);
+        std::unique_lock<std::mutex> lock(mutex);
         stops.push_back(order);
         changed.notify_all();
+        if (answer_stop)
+        {
+            return answer_stop(order, lock);
+        }
         return order_answer{stop_verdict, 1'000};
     }
 
@@ -86,6 +91,11 @@
         }
         polls.push_back(request);
         changed.notify_all();
+        if (request.acknowledged > 0 && acknowledgements_to_ignore > 0)
+        {
+            --acknowledgements_to_ignore;
+            return make_error(error_kind::deadline_exceeded, "no answer");
+        }
         changed.wait_for(lock, poll_duration,
                          [this] { return !poll_duration.count(); });
         poll_answer answer;
@@ -142,9 +152,14 @@
     /// The target restarts while it handles the first start, which it answers
     /// as before the restart.
     bool restarts_during_first_start = false;
-    int starts_to_ignore = 0; ///< starts that get no answer
-    int paces_to_ignore = 0;  ///< changes of speed that get no answer
-    int paces_to_refuse = 0;  ///< changes of speed that are not carried out
+    /// Answers the stops in place of `stop_verdict`, with the lock of `mutex`.
+    std::function<absl::StatusOr<order_answer>(const stop_order& order,
+                                               std::unique_lock<std::mutex>&)>
+        answer_stop;
+    int acknowledgements_to_ignore = 0; ///< polls that get no answer
+    int starts_to_ignore = 0;           ///< starts that get no answer
+    int paces_to_ignore = 0;            ///< changes of speed that get no answer
+    int paces_to_refuse = 0; ///< changes of speed that are not carried out
     order_verdict start_verdict = order_verdict::taken;
     order_verdict stop_verdict = order_verdict::taken;
     order_verdict poll_verdict = order_verdict::taken;
@@ -340,6 +355,69 @@
         return agent.execute(orders);
     }
 
+    /// Sends the starts of run 1 of some tasks of a step, and waits until the
+    /// target has got them.
+    void send_all(std::int64_t count)
+    {
+        for (std::int64_t index = 0; index < count; ++index)
+        {
+            step_terms terms;
+            terms.step = "job.0.0";
+            terms.service = "svc";
+            terms.size = {1'000, 100, 0};
+            send(terms, index);
+        }
+        REQUIRE(targets.wait_until(
+            [&] { return targets.starts.size() == std::size_t(count); }));
+    }
+
+    /// Sends stops of run 1 of the first tasks of the step of `send_all`.
+    void stop_all(std::int64_t count)
+    {
+        rack_orders orders;
+        orders.rack = "r1";
+        orders.token = 7;
+        for (std::int64_t index = 0; index < count; ++index)
+        {
+            orders.stops.push_back({fmt::format("job.0.0.{}", index), 1});
+        }
+        REQUIRE(agent.execute(orders).is_owner);
+    }
+
+    /// Lets the target list an end whose acknowledgement it does not answer.
+    void lose_acknowledgement()
+    {
+        {
+            const std::lock_guard<std::mutex> lock(targets.mutex);
+            targets.finished_runs = {{5, "job.0.0.7", 1, "done", ""}};
+            targets.acknowledgements_to_ignore = 1;
+        }
+        std::vector<run_report> listed;
+        {
+            std::unique_lock<std::mutex> lock(mutex);
+            const auto is_end = [](const run_report& report)
+            {
+                return report.number == 5;
+            };
+            REQUIRE(changed.wait_for(
+                lock, std::chrono::seconds(20),
+                [&] {
+                    return std::any_of(reports.begin(), reports.end(), is_end);
+                }));
+            std::copy_if(reports.begin(), reports.end(),
+                         std::back_inserter(listed), is_end);
+        }
+        report_reply reply;
+        reply.verdicts.resize(listed.size());
+        for (report_verdict& verdict : reply.verdicts)
+        {
+            verdict.verdict = "recorded";
+        }
+        agent.apply_verdicts(listed, reply);
+        REQUIRE(targets.wait_until(
+            [&] { return targets.acknowledgements_to_ignore == 0; }));
+    }
+
     /// Sends the start of run 1 of a task of a step.
     void send(const step_terms& terms, std::int64_t index = 0)
     {
@@ -439,6 +517,91 @@
 
 // Guards against a run that is reported as lost while the target may still
 // execute the first attempt of its start.
+// Guards against runs of cancelled jobs that go on because the stops of one
+// target wait for each other's time-outs.
+TEST_CASE("a stop without an answer does not delay the other stops of its "
+          "target",
+          "[scheduler]")
+{
+    fixture env;
+    bool is_overtaken = false;
+    env.targets.answer_stop =
+        [&](const stop_order&,
+            std::unique_lock<std::mutex>& lock) -> absl::StatusOr<order_answer>
+    {
+        if (env.targets.stops.size() > 1)
+        {
+            return order_answer{order_verdict::taken, 1'000};
+        }
+        is_overtaken = env.targets.changed.wait_for(
+            lock, std::chrono::seconds(5),
+            [&] { return env.targets.stops.size() >= 3; });
+        return make_error(error_kind::deadline_exceeded, "no answer");
+    };
+    env.send_all(3);
+    env.stop_all(3);
+    CHECK(env.targets.wait_until([&] { return is_overtaken; }));
+}
+
+// Guards against an owner that drops its rack although the newer token that the
+// target has seen is its own.
+TEST_CASE("a stop is repeated if a start has raised the token meanwhile",
+          "[scheduler]")
+{
+    fixture env;
+    std::set<std::string> refused;
+    env.targets.answer_stop =
+        [&](const stop_order& order,
+            std::unique_lock<std::mutex>& lock) -> absl::StatusOr<order_answer>
+    {
+        // The sender of the target has the first of the two stops.
+        const bool is_first = env.targets.stops.size() == 1;
+        if (env.targets.stops.size() <= 2)
+        {
+            env.targets.changed.wait_for(
+                lock, std::chrono::seconds(20),
+                [&]
+                {
+                    return is_first ? env.targets.stops.size() == 2
+                                    : env.targets.starts.size() == 3;
+                });
+        }
+        if (order.token >= env.targets.starts.back().token)
+        {
+            return order_answer{order_verdict::taken, 1'000};
+        }
+        refused.insert(order.task);
+        return order_answer{order_verdict::wrong_token, 1'000};
+    };
+    env.send_all(2);
+    {
+        const std::lock_guard<std::mutex> lock(env.targets.mutex);
+        env.targets.active_runs = {{"job.0.0.0", 1, "", 0},
+                                   {"job.0.0.1", 1, "", 0}};
+    }
+    env.lose_acknowledgement();
+    env.stop_all(2);
+    REQUIRE(
+        env.targets.wait_until([&] { return env.targets.stops.size() == 2; }));
+    step_terms terms;
+    terms.step = "other.0.0";
+    terms.service = "svc";
+    terms.size = {1'000, 100, 0};
+    env.send(terms);
+    CHECK(env.targets.wait_until(
+        [&]
+        {
+            return refused.size() == 1 &&
+                   std::count_if(env.targets.stops.begin(),
+                                 env.targets.stops.end(),
+                                 [&](const stop_order& order) {
+                                     return order.task == *refused.begin();
+                                 }) > 1;
+        }));
+    const std::lock_guard<std::mutex> lock(env.mutex);
+    CHECK(env.lost_racks.empty());
+}
+
 TEST_CASE("a rejected stop is retried, and the run is not reported as ended",
           "[scheduler]")
 {
