Test that a new owner of a shard stops cancelled jobs at once

The new owner of a shard reads a job that is cancelled and has a run. Its first write of the record is held. The run gets no stop: `insert_job` counts the takeover as a change of each run, and `collect_orders` waits until that change is durable for stops as well as for starts. Meanwhile the racks place queued starts of the job, and its runs go on.

--- a/tests/scheduler/job_coordinator_test.cpp
+++ b/tests/scheduler/job_coordinator_test.cpp
@@ -1171,6 +1171,56 @@
     CHECK(sent.back().stops.front().task == job_id + ".0.0.1");
 }
 
+// Guards against stops that wait until the new owner of a shard has written the
+// records that it has read, while the racks still place queued starts of
+// cancelled jobs.
+TEST_CASE("a new owner of a shard stops the runs of cancelled jobs before its "
+          "first write of their records",
+          "[.][scheduler_stops_after_takeover]")
+{
+    fake_store store;
+    fake_environment environment;
+    {
+        fake_environment first_environment;
+        job_coordinator first(store, first_environment.hooks(), {});
+        first.take_shard(shard_of(job_id));
+        REQUIRE(first.submit(make_request()).verdict == "accepted");
+        first_environment.wait_for_orders(1);
+        REQUIRE(first.cancel(make_request()).verdict == "known");
+    }
+    std::mutex mutex;
+    std::condition_variable changed;
+    int writes = 0;         // guarded by `mutex`; of the new owner
+    bool is_blocked = true; // guarded by `mutex`; writes of records wait
+    store.before_commit = [&]
+    {
+        std::unique_lock<std::mutex> lock(mutex);
+        ++writes;
+        changed.notify_all();
+        // The first write replaces the fence row of the shard.
+        changed.wait(lock, [&] { return writes == 1 || !is_blocked; });
+    };
+    job_coordinator coordinator(store, environment.hooks(), {});
+    coordinator.take_shard(shard_of(job_id));
+    const std::string state = coordinator.query(make_request()).state;
+    coordinator.tick();
+    std::vector<rack_orders> sent;
+    {
+        const std::lock_guard<std::mutex> lock(environment.mutex);
+        sent = environment.sent;
+    }
+    {
+        const std::lock_guard<std::mutex> lock(mutex);
+        is_blocked = false;
+    }
+    changed.notify_all();
+    CHECK(state == "cancelled");
+    REQUIRE(sent.size() == 1);
+    REQUIRE(sent.front().stops.size() == 1);
+    CHECK(sent.front().stops.front().task == job_id + ".0.0.0");
+    CHECK(sent.front().stops.front().run == 1);
+}
+
 // Orders to a host that does not answer wait behind each other. Guards against
 // starts of cancelled jobs that are delivered seconds later.
 TEST_CASE("orders that have waited do not start runs of cancelled jobs",
