Log and count the stops of closed jobs on their way to the targets

When a task of a cancelled job ran on, the logs showed the cancelling and the end of the run, and nothing between them: not when the end of the job was durable and its stops were sent, what the owner of a rack did with a stop, nor how long the target took.

The owner of a job logs the first stops of each closed job, with their racks and the wait since the job was closed (`sending stops of closed job`, `job_first_stops_milliseconds`). The owner of a rack logs one line for each message with stops, at most five a second (`rack received stops`), counts stops by the state of their runs (`stops_received_total`), and shows those that it keeps for unknown runs (`rack_stops_kept`). The time from the arrival of a stop to the listed end of its run is recorded (`run_stopped_milliseconds`) and logged from 1 s on.

The time until a target confirms a stop is not recorded, only that until it lists the end.

--- a/include/egretspindle/rack/rack_decision.hpp
+++ b/include/egretspindle/rack/rack_decision.hpp
@@ -56,6 +56,7 @@
     /// Of a run whose end was inferred: time since the last answer of its
     /// target.
     milliseconds silent{0};
+    time_point stop_asked_at; ///< of a listed end; see `placed_run`
 };
 
 /// Order to start a queued run on a target.
--- a/include/egretspindle/rack/rack_state.hpp
+++ b/include/egretspindle/rack/rack_state.hpp
@@ -56,6 +56,9 @@
     bool is_confirmed = false; ///< the target has confirmed the start
     bool is_reported = false;  ///< as started, to the owner of the job
     bool is_stopping = false;  ///< a stop of it is requested
+    /// When the owner of the job first asked to stop it, or when it was listed
+    /// if that is later; {}: has not asked.
+    time_point stop_asked_at;
     /// The start is sent once the intent to start the run has been recorded;
     /// see `start_intents.hpp`.
     bool awaits_intent = false;
--- a/include/egretspindle/scheduler/job_metrics.hpp
+++ b/include/egretspindle/scheduler/job_metrics.hpp
@@ -75,6 +75,10 @@
     by_task_kind<latency_summary> away{};
     /// Longest time in ms for which a task of an open job has not been at work.
     by_task_kind<gauge> longest_away{};
+    /// Time in ms from the close of a job, or from when this host read it as a
+    /// closed one, until its first stops are sent. Only jobs with assigned
+    /// runs.
+    latency_summary& first_stops;
     // Duration in ms of a write of job records, by its result.
     latency_summary& write_committed;
     latency_summary& write_conflict;
--- a/include/egretspindle/scheduler/rack_metrics.hpp
+++ b/include/egretspindle/scheduler/rack_metrics.hpp
@@ -48,6 +48,17 @@
     std::size_t unsettled = 0;
     std::size_t targets = 0;
     std::size_t silent_targets = 0; ///< that have not answered the last poll
+    /// Stops of runs that may be on targets which are not reached yet.
+    std::size_t kept_stops = 0;
+};
+
+/// Stops of a message to the owner of a rack, by the state of their runs.
+struct received_stops
+{
+    std::size_t placed = 0;    ///< on a target, or on the way to it
+    std::size_t withdrawn = 0; ///< removed from the queue
+    std::size_t unknown = 0;   ///< may be on a target that is not reached yet
+    std::size_t ended = 0;     ///< with an end that is being reported
 };
 
 /// Metrics of a rack agent. The constructor registers all series; an update
@@ -73,6 +84,8 @@
     void observe_poll(fractional_ms duration, bool is_answered) const;
     /// Counts a start that a target refused.
     void count_refused(order_verdict verdict) const noexcept;
+    /// Counts the stops of a message, repeated ones as well.
+    void count_stops(const received_stops& received) const noexcept;
     /// Counts an action that was left out without the right to grant leases.
     void count_no_lease(lease_use use) const noexcept;
 
@@ -95,6 +108,8 @@
     counter& repeated_started;          ///< the record still assigns the run
     counter& repeated_dropped;          ///< it does not
     latency_summary& confirmation_time; ///< from placement
+    latency_summary& stopped; ///< from the job owner's stop to the listed end
+    std::array<counter*, 4> stops{};              ///< as in `received_stops`
     std::array<latency_summary*, 3> orders{};     ///< by kind
     std::array<counter*, 3> orders_failed{};      ///< by kind
     std::array<latency_summary*, 2> polls{};      ///< failed, answered
@@ -111,6 +126,7 @@
     gauge& unsettled_racks;
     gauge& targets;
     gauge& silent_targets;
+    gauge& kept_stops;
 };
 
 } // namespace egretspindle
--- a/src/rack/rack_decision.cpp
+++ b/src/rack/rack_decision.cpp
@@ -104,7 +104,13 @@
         }
         const run_id id{end.task, end.run};
         target.ends[end.number] = {end.task, end.run, false};
-        target.runs.erase(id);
+        time_point stop_asked_at;
+        const auto run = target.runs.find(id);
+        if (run != target.runs.end())
+        {
+            stop_asked_at = run->second.stop_asked_at;
+            target.runs.erase(run);
+        }
         rack.stops.erase(id);
         rack.queue.erase(std::remove_if(rack.queue.begin(), rack.queue.end(),
                                         [&id](const queued_start& item) {
@@ -120,6 +126,7 @@
         event.checkpoint = end.checkpoint;
         event.target = target.entry.id;
         event.number = end.number;
+        event.stop_asked_at = stop_asked_at;
         events.push_back(std::move(event));
     }
 }
@@ -171,6 +178,7 @@
         if (rack.stops.erase(id) > 0)
         {
             run.is_stopping = true;
+            run.stop_asked_at = now;
         }
         if (!run.is_confirmed)
         {
--- a/src/scheduler/job_coordinator_impl.hpp
+++ b/src/scheduler/job_coordinator_impl.hpp
@@ -117,6 +117,9 @@
     void collect_orders(job_entry& entry,
                         std::map<std::string, rack_orders>& orders,
                         time_point now);
+    void observe_first_stops(const job_entry& entry,
+                             const std::vector<std::string>& racks,
+                             std::size_t unsent, time_point now) const;
     rack_orders& orders_for(std::map<std::string, rack_orders>& orders,
                             const std::string& rack, time_point now) const;
     [[nodiscard]] bool may_send_again(const std::string& rack,
--- a/src/scheduler/job_coordinator_records.cpp
+++ b/src/scheduler/job_coordinator_records.cpp
@@ -83,6 +83,7 @@
     if (entry->closing_change == 0 && entry->value.outcome != job_outcome::open)
     {
         entry->closing_change = entry->last_change;
+        entry->closed_at = steady_clock::now();
     }
     if (entry->unwritten_since == time_point{})
     {
--- a/src/scheduler/job_coordinator_runs.cpp
+++ b/src/scheduler/job_coordinator_runs.cpp
@@ -517,6 +517,28 @@
     return is_any_at_work ? oldest_long_running : oldest;
 }
 
+// Logs the first stops of a closed job, and records for how long they waited
+// for a durable record.
+//
+// \param racks   rack of each stop
+// \param unsent  number of runs whose stops still wait
+void job_coordinator::impl::observe_first_stops(
+    const job_entry& entry, const std::vector<std::string>& racks,
+    std::size_t unsent, time_point now) const
+{
+    // `now` may have been read before the job was closed.
+    const std::int64_t waited =
+        std::max<std::int64_t>(0, elapsed_ms(entry.closed_at, now));
+    metrics.first_stops.observe(static_cast<double>(waited));
+    log_info("sending stops of closed job",
+             {{"job", entry.value.id},
+              {"outcome", to_string(entry.value.outcome)},
+              {"stops", racks.size()},
+              {"unsent", unsent},
+              {"racks", format_counts(racks)},
+              {"waited_ms", waited}});
+}
+
 // Adds the starts and stops of a job whose changes are durable and which the
 // current owner of the rack has not confirmed, and a start that is overdue.
 void job_coordinator::impl::collect_orders(
@@ -524,7 +546,9 @@
     time_point now)
 {
     const std::string overdue = find_overdue_start(entry, now);
-    for (const assigned_run& run : assigned_runs(entry.value))
+    const std::vector<assigned_run> runs = assigned_runs(entry.value);
+    std::vector<std::string> stop_racks; // of each stop
+    for (const assigned_run& run : runs)
     {
         const std::string task = to_string(run.key);
         sent_run& sent = entry.sent[task];
@@ -544,6 +568,7 @@
             rack_orders& rack = orders_for(orders, run.rack, now);
             rack.stops.push_back({to_string(run.key), run.run});
             sent.stop_sent_at = now;
+            stop_racks.push_back(run.rack);
             continue;
         }
         if (sent.confirmed_token == 0 ||
@@ -558,6 +583,12 @@
             entry.overdue_sent_at = now;
         }
     }
+    if (!stop_racks.empty() && !entry.has_sent_stops)
+    {
+        entry.has_sent_stops = true;
+        observe_first_stops(entry, stop_racks, runs.size() - stop_racks.size(),
+                            now);
+    }
 }
 
 void job_coordinator::impl::send_orders(
--- a/src/scheduler/job_coordinator_shards.cpp
+++ b/src/scheduler/job_coordinator_shards.cpp
@@ -117,6 +117,7 @@
         entry->value.outcome == job_outcome::open ? 0 : entry->last_change;
     entry->visible_state = std::string(state_name(entry->value));
     entry->created_at = steady_clock::now();
+    entry->closed_at = entry->created_at;
     for (const assigned_run& run : assigned_runs(entry->value))
     {
         sent_run sent;
--- a/src/scheduler/job_entry.hpp
+++ b/src/scheduler/job_entry.hpp
@@ -59,7 +59,10 @@
     std::uint64_t durable_change = 0; ///< number of the latest durable change
     /// Number of the change that closed the job, see `job::outcome`; 0: none.
     std::uint64_t closing_change = 0;
-    bool is_writing = false;    ///< in the batch of a writer
+    /// When the job was closed, or was read from the store as a closed one.
+    time_point closed_at;
+    bool has_sent_stops = false; ///< at least one, since it was closed
+    bool is_writing = false;     ///< in the batch of a writer
     time_point unwritten_since; ///< oldest change that is not durable; {}: none
     time_point write_begun_at;  ///< when a writer last took the job
     /// A write that got no answer may still take effect.
--- a/src/scheduler/job_metrics.cpp
+++ b/src/scheduler/job_metrics.cpp
@@ -43,6 +43,10 @@
 job_metrics::job_metrics(metric_registry& registry)
     : accepted(verdict_counter(registry, "accepted", "")),
       unknown(verdict_counter(registry, "unknown", "")),
+      first_stops(registry.get_summary(
+          "egretspindle_job_first_stops_milliseconds",
+          "Time from the end of a job, such as a cancellation, until the stops "
+          "of its runs are sent.")),
       write_committed(write_summary(registry, "committed")),
       write_conflict(write_summary(registry, "conflict")),
       write_overloaded(write_summary(registry, "overloaded")),
--- a/src/scheduler/order_sender.cpp
+++ b/src/scheduler/order_sender.cpp
@@ -26,10 +26,20 @@
 // 1.5 s.
 constexpr milliseconds slow_delivery{1'000};
 
+// Returns the step of the first start, or else of the first stop; empty: the
+// message has neither.
 std::string first_step_of(const rack_orders& orders)
 {
-    return orders.starts.empty() ? std::string()
-                                 : orders.starts.front().terms.step;
+    if (!orders.starts.empty())
+    {
+        return orders.starts.front().terms.step;
+    }
+    if (orders.stops.empty())
+    {
+        return {};
+    }
+    const std::string& task = orders.stops.front().task;
+    return task.substr(0, task.rfind('.'));
 }
 
 } // namespace
--- a/src/scheduler/rack_agent.cpp
+++ b/src/scheduler/rack_agent.cpp
@@ -253,20 +253,8 @@
             }
             impl_->log_held_starts(*rack, batch, held);
         }
-        for (const run_ref& stopped : orders.stops)
-        {
-            std::string target;
-            const std::vector<run_event> ended =
-                withdraw(*rack, {stopped.task, stopped.run}, target);
-            events.insert(events.end(), ended.begin(), ended.end());
-            if (!target.empty())
-            {
-                pending_order order;
-                order.what = pending_order::kind::stop;
-                order.id = {stopped.task, stopped.run};
-                impl_->queue_order(target, order);
-            }
-        }
+        const received_stops stops =
+            impl_->apply_stops(*rack, orders.stops, now, events);
         for (const run_ref& overdue : orders.overdue)
         {
             if (!mark_overdue(*rack, {overdue.task, overdue.run}))
@@ -276,6 +264,8 @@
         }
         const std::vector<run_event> settled = report_settled_stops(*rack, now);
         events.insert(events.end(), settled.begin(), settled.end());
+        impl_->metrics.count_stops(stops);
+        impl_->log_stops(*rack, orders.stops, stops);
         impl_->place(*rack);
     }
     impl_->publish(orders.rack, reply.token, events);
@@ -362,6 +352,81 @@
                    0, elapsed_ms(steady_clock::now(), rack.unknown_until))}});
 }
 
+// Passes stops on to targets or withdraws starts, and appends the ends that
+// follow.
+received_stops rack_agent::impl::apply_stops(rack_state& rack,
+                                             const std::vector<run_ref>& stops,
+                                             time_point now,
+                                             std::vector<run_event>& events)
+{
+    received_stops received;
+    for (const run_ref& stopped : stops)
+    {
+        const run_id id{stopped.task, stopped.run};
+        std::string target;
+        const std::vector<run_event> ended = withdraw(rack, id, target);
+        events.insert(events.end(), ended.begin(), ended.end());
+        if (!target.empty())
+        {
+            placed_run& run = rack.targets.at(target).runs.at(id);
+            if (run.stop_asked_at == time_point{})
+            {
+                run.stop_asked_at = now;
+            }
+            pending_order order;
+            order.what = pending_order::kind::stop;
+            order.id = id;
+            queue_order(target, order);
+            ++received.placed;
+        }
+        else if (!ended.empty())
+        {
+            ++received.withdrawn;
+        }
+        else if (rack.stops.count(id) > 0)
+        {
+            ++received.unknown;
+        }
+        else
+        {
+            ++received.ended;
+        }
+    }
+    return received;
+}
+
+// Logs the stops of a message: which have been passed on to targets, and which
+// wait until all targets of the rack have been reached.
+void rack_agent::impl::log_stops(const rack_state& rack,
+                                 const std::vector<run_ref>& stops,
+                                 const received_stops& received)
+{
+    if (stops.empty())
+    {
+        return;
+    }
+    const std::optional<std::int64_t> suppressed =
+        stops_log_limit.try_acquire();
+    if (!suppressed)
+    {
+        return;
+    }
+    log_info("rack received stops",
+             {{"rack", rack.name},
+              {"owner_version", rack.token},
+              {"first_task", stops.front().task},
+              {"stops", stops.size()},
+              {"placed", received.placed},
+              {"withdrawn", received.withdrawn},
+              {"unknown", received.unknown},
+              {"ended", received.ended},
+              {"kept", rack.stops.size()},
+              {"unknown_for_ms",
+               std::max<std::int64_t>(
+                   0, elapsed_ms(steady_clock::now(), rack.unknown_until))},
+              {"left_out", *suppressed}});
+}
+
 namespace
 {
 
@@ -657,6 +722,7 @@
         counts.fenced += rack.is_fenced ? 1 : 0;
         counts.unsettled += knows_all_runs(rack, now) ? 0 : 1;
         counts.targets += rack.targets.size();
+        counts.kept_stops += rack.stops.size();
     }
     for (const auto& [id, channel] : channels)
     {
--- a/src/scheduler/rack_agent_channels.cpp
+++ b/src/scheduler/rack_agent_channels.cpp
@@ -12,6 +12,10 @@
 namespace
 {
 
+// Time from a stop to the end of its run from which it is logged. Users allow
+// 0.4 s for a task to end, and seconds for all of a cancellation.
+constexpr milliseconds late_stop{1'000};
+
 std::string_view name_of(run_event::kind what)
 {
     switch (what)
@@ -345,6 +349,35 @@
     }
 }
 
+// Records the time from the request to stop a run to its listed end, and logs a
+// long one.
+void rack_agent::impl::observe_stopped(const std::string& rack,
+                                       std::int64_t token,
+                                       const run_event& event)
+{
+    const time_point now = steady_clock::now();
+    const fractional_ms waited = now - event.stop_asked_at;
+    metrics.stopped.observe(waited.count(), now);
+    if (waited < late_stop)
+    {
+        return;
+    }
+    const std::optional<std::int64_t> suppressed =
+        late_stop_log_limit.try_acquire(now);
+    if (suppressed)
+    {
+        log_info("run was stopped late",
+                 {{"task", event.task},
+                  {"run", event.run},
+                  {"how", to_string(event.how)},
+                  {"target", event.target},
+                  {"rack", rack},
+                  {"owner_version", token},
+                  {"waited_ms", elapsed_ms(event.stop_asked_at, now)},
+                  {"left_out", *suppressed}});
+    }
+}
+
 // Logs and counts the ends that were not listed by a target, and reports all
 // events to the owners of the jobs.
 void rack_agent::impl::publish(const std::string& rack, std::int64_t token,
@@ -370,6 +403,10 @@
                       {"waited_ms", event.waited.count()},
                       {"owner_version", token}});
         }
+        if (event.stop_asked_at != time_point{})
+        {
+            observe_stopped(rack, token, event);
+        }
     }
     hooks.report(to_reports(rack, token, events));
 }
--- a/src/scheduler/rack_agent_impl.hpp
+++ b/src/scheduler/rack_agent_impl.hpp
@@ -4,6 +4,7 @@
 #ifndef EGRETSPINDLE_SRC_SCHEDULER_RACK_AGENT_IMPL_HPP
 #define EGRETSPINDLE_SRC_SCHEDULER_RACK_AGENT_IMPL_HPP
 
+#include "egretspindle/logging/log_rate_limit.hpp"
 #include "egretspindle/rack/rack_decision.hpp"
 #include "egretspindle/scheduler/rack_agent.hpp"
 #include "egretspindle/scheduler/rack_metrics.hpp"
@@ -172,6 +173,11 @@
                             const std::vector<run_id>& unconfirmed);
     void log_held_starts(const rack_state& rack, const start_batch& batch,
                          std::size_t held) const;
+    received_stops apply_stops(rack_state& rack,
+                               const std::vector<run_ref>& stops,
+                               time_point now, std::vector<run_event>& events);
+    void log_stops(const rack_state& rack, const std::vector<run_ref>& stops,
+                   const received_stops& received);
     [[nodiscard]] rack_counts count_racks(time_point now) const;
     void look_up_repeated_starts();
     void apply_lookup(const job_lookup& lookup, const run_racks& assigned);
@@ -184,6 +190,8 @@
     double draw_spread();
     void adapt_intent_pace(const absl::StatusOr<intent_write>& written,
                            time_point begun_at);
+    void observe_stopped(const std::string& rack, std::int64_t token,
+                         const run_event& event);
     /// Reports events to the owners of the jobs. Called without the lock.
     void publish(const std::string& rack, std::int64_t token,
                  const std::vector<run_event>& events);
@@ -204,6 +212,8 @@
     /// `tick` only.
     std::set<std::string> unread_jobs;
     host_activity activity;
+    log_rate_limit stops_log_limit{milliseconds(200)};
+    log_rate_limit late_stop_log_limit{milliseconds(200)};
     bool is_stopping = false;
     std::condition_variable intents_changed; ///< wakes `intent_thread`
     bool has_intent_work = false;
--- a/src/scheduler/rack_metrics.cpp
+++ b/src/scheduler/rack_metrics.cpp
@@ -10,6 +10,8 @@
 
 constexpr std::array<const char*, 3> order_names{"start", "stop", "pace"};
 constexpr std::array<const char*, 3> use_names{"poll", "start", "place"};
+constexpr std::array<const char*, 4> stop_names{"placed", "withdrawn",
+                                                "unknown", "ended"};
 constexpr std::array<const char*, rack_metrics::wait_reason_count>
     wait_reason_names{"record",      "closed", "no_room",  "no_memory",
                       "step_limit",  "held",   "reserved", "no_processors",
@@ -63,6 +65,10 @@
           "egretspindle_start_confirmed_milliseconds",
           "Time from the choice of a target to its confirmation of the "
           "start.")),
+      stopped(registry.get_summary(
+          "egretspindle_run_stopped_milliseconds",
+          "Time from the arrival of a stop from the owner of a job until the "
+          "target lists the end of the run.")),
       evicted(registry.get_counter(
           "egretspindle_runs_evicted_total",
           "Runs stopped for a serving or long-running task.")),
@@ -91,7 +97,10 @@
                                  "Targets of the racks of this host.")),
       silent_targets(
           registry.get_gauge("egretspindle_rack_targets_silent",
-                             "Targets that did not answer the last poll."))
+                             "Targets that did not answer the last poll.")),
+      kept_stops(registry.get_gauge(
+          "egretspindle_rack_stops_kept",
+          "Stops of unknown runs that wait for targets to be reached."))
 {
     for (const bool is_long_running : {false, true})
     {
@@ -118,6 +127,13 @@
             "Starts that a target refused.",
             {{"verdict", std::string(name_of(static_cast<order_verdict>(n)))}});
     }
+    for (std::size_t n = 0; n < stops.size(); ++n)
+    {
+        stops[n] = &registry.get_counter(
+            "egretspindle_stops_received_total",
+            "Stops from owners of jobs, by the state of the run in the rack.",
+            {{"run", stop_names[n]}});
+    }
     for (std::size_t n = 0; n < orders.size(); ++n)
     {
         orders[n] = &registry.get_summary(
@@ -185,6 +201,17 @@
     refused[static_cast<std::size_t>(verdict)]->add();
 }
 
+void rack_metrics::count_stops(const received_stops& received) const noexcept
+{
+    // In the order of `stop_names`.
+    const std::array<std::size_t, 4> counts{received.placed, received.withdrawn,
+                                            received.unknown, received.ended};
+    for (std::size_t n = 0; n < counts.size(); ++n)
+    {
+        stops[n]->add(counts[n]);
+    }
+}
+
 void rack_metrics::count_no_lease(lease_use use) const noexcept
 {
     leases_not_granted[static_cast<std::size_t>(use)]->add();
@@ -213,6 +240,7 @@
     unsettled_racks.set(static_cast<double>(counts.unsettled));
     targets.set(static_cast<double>(counts.targets));
     silent_targets.set(static_cast<double>(counts.silent_targets));
+    kept_stops.set(static_cast<double>(counts.kept_stops));
 }
 
 } // namespace egretspindle
--- a/tests/rack/rack_decision_test.cpp
+++ b/tests/rack/rack_decision_test.cpp
@@ -558,6 +558,7 @@
     apply_poll(rack, late, make_answer({{"job.0.0.0", 1, "", 0, 0}}),
                start_time, start_time);
     REQUIRE(late.runs.at({"job.0.0.0", 1}).is_stopping);
+    CHECK(late.runs.at({"job.0.0.0", 1}).stop_asked_at == start_time);
     REQUIRE(rack.stops.empty());
 }
 
--- a/tests/scheduler/job_metrics_test.cpp
+++ b/tests/scheduler/job_metrics_test.cpp
@@ -6,6 +6,7 @@
 
 #include <catch2/catch.hpp>
 
+#include <atomic>
 #include <thread>
 
 using namespace egretspindle;
@@ -21,8 +22,9 @@
     fake_store store;
     std::shared_ptr<metric_registry> registry =
         std::make_shared<metric_registry>();
-    std::string rack = "r1"; ///< assigned to all tasks; empty: none
-    bool has_room = true;    ///< for long-running tasks
+    std::string rack = "r1";           ///< assigned to all tasks; empty: none
+    bool has_room = true;              ///< for long-running tasks
+    std::atomic<std::size_t> stops{0}; ///< sent to racks
     std::unique_ptr<job_coordinator> coordinator;
 
     explicit job_fixture(const coordinator_limits& limits = {})
@@ -61,7 +63,9 @@
         };
         result.on_shard_lost = [](const std::string&) {
         };
-        result.send = [](const rack_orders&) {
+        result.send = [this](const rack_orders& orders)
+        {
+            stops += orders.stops.size();
         };
         result.metrics = registry;
         return result;
@@ -194,6 +198,53 @@
     CHECK(fixture.value(longest + own) == 0);
 }
 
+// Guards against a cancelled job whose stops wait unseen, and against one that
+// is counted again with each repeated stop.
+TEST_CASE("the first stops of a cancelled job are counted once, with their "
+          "wait for the record",
+          "[metrics]")
+{
+    const std::string waited = "egretspindle_job_first_stops_milliseconds";
+    coordinator_limits limits;
+    limits.resend_period = milliseconds(0);
+    job_fixture fixture(limits);
+    REQUIRE(
+        fixture.coordinator->submit(job_fixture::make_request(false)).verdict ==
+        "accepted");
+    fixture.report("started", "");
+    fixture.store.set_fault(write_fault::refused);
+    REQUIRE(fixture.coordinator->cancel(job_fixture::make_request(false, 50))
+                .verdict == "unknown");
+    fixture.coordinator->tick();
+    CHECK(fixture.stops == 0);
+    CHECK(fixture.value(waited + "_count") == 0);
+    fixture.store.set_fault(write_fault::none);
+    REQUIRE(
+        fixture.coordinator->cancel(job_fixture::make_request(false)).verdict ==
+        "known");
+    fixture.coordinator->tick();
+    fixture.coordinator->tick();
+    CHECK(fixture.stops >= 2);
+    CHECK(fixture.value(waited + "_count") == 1);
+    CHECK(fixture.value(waited + "_sum") >= 50);
+}
+
+// Guards against an end that has nothing to stop and counts as a wait of 0.
+TEST_CASE("a job without runs to stop does not count as a wait for stops",
+          "[metrics]")
+{
+    job_fixture fixture;
+    REQUIRE(
+        fixture.coordinator->submit(job_fixture::make_request(false)).verdict ==
+        "accepted");
+    fixture.report("started", "");
+    fixture.report("ended", "done");
+    fixture.coordinator->tick();
+    REQUIRE(fixture.value("egretspindle_open_jobs") == 0);
+    CHECK(fixture.value("egretspindle_job_first_stops_milliseconds_count") ==
+          0);
+}
+
 // Guards against steps without a rack that no metric shows, and against
 // counting one step again in each tick.
 TEST_CASE("a step without a rack is counted once until it is assigned",
--- a/tests/scheduler/rack_metrics_test.cpp
+++ b/tests/scheduler/rack_metrics_test.cpp
@@ -15,12 +15,12 @@
 {
 
 /// Target that answers every start with `start_verdict`, or not at all, and
-/// lists no runs or ends.
+/// lists the runs and ends in `runs` and `ends`.
 class plain_target final : public target_port
 {
 public:
     absl::StatusOr<order_answer> start(const target_entry& /*target*/,
-                                       const start_order& /*order*/,
+                                       const start_order& order,
                                        std::chrono::milliseconds) override
     {
         const std::lock_guard<std::mutex> lock(mutex);
@@ -28,6 +28,10 @@
         {
             return make_error(error_kind::deadline_exceeded, "no answer");
         }
+        if (lists_starts)
+        {
+            runs.push_back({order.task, order.run, "", 100, 0});
+        }
         return order_answer{start_verdict, 1'000};
     }
 
@@ -48,15 +52,26 @@
                                      std::chrono::milliseconds) override
     {
         std::this_thread::sleep_for(milliseconds(5));
+        const std::lock_guard<std::mutex> lock(mutex);
+        if (is_unreachable)
+        {
+            return make_error(error_kind::deadline_exceeded, "no answer");
+        }
         poll_answer answer;
         answer.clock_ms = 1'000;
         answer.started_ms = 1;
+        answer.runs = runs;
+        answer.ends = ends;
         return answer;
     }
 
     std::mutex mutex;
     order_verdict start_verdict = order_verdict::taken;
     bool is_unresponsive = false;
+    bool is_unreachable = false; ///< polls are not answered
+    bool lists_starts = false;   ///< in `runs`
+    std::vector<listed_run> runs;
+    std::vector<listed_end> ends;
 };
 
 // Limits with short delays.
@@ -82,10 +97,13 @@
     bool is_recorded = true; ///< the job record assigns the run to the rack
     rack_agent agent;
 
+    /// \param is_unreachable  the target, which a former owner may have used
     explicit rack_fixture(
-        milliseconds lease_grant_period = std::chrono::minutes(1))
+        milliseconds lease_grant_period = std::chrono::minutes(1),
+        bool is_unreachable = false)
         : agent(target, hooks(), make_limits(lease_grant_period))
     {
+        target.is_unreachable = is_unreachable;
         target_entry entry;
         entry.id = "t1";
         entry.service = "svc";
@@ -98,6 +116,8 @@
         takeover.confirmed_at = read_clocks();
         takeover.rack = "r1";
         takeover.token = 7;
+        takeover.former_stopped_at =
+            is_unreachable ? steady_clock::now() : time_point{};
         takeover.roster = {{"t1", "127.0.0.1:1"}};
         agent.take_rack(takeover);
     }
@@ -149,6 +169,12 @@
         REQUIRE(agent.execute(orders).is_owner);
     }
 
+    void set_lists_starts()
+    {
+        const std::lock_guard<std::mutex> lock(target.mutex);
+        target.lists_starts = true;
+    }
+
     /// Sends a stop of run 1 of a task.
     void withdraw(const std::string& task)
     {
@@ -274,6 +300,90 @@
     CHECK(env.value("egretspindle_rack_targets") == 0);
 }
 
+// Guards against stops that a new owner of a rack keeps without showing it.
+TEST_CASE("stops of unknown runs are counted while they are kept", "[metrics]")
+{
+    const std::string unknown =
+        "egretspindle_stops_received_total{run=\"unknown\"}";
+    rack_fixture env(std::chrono::minutes(1), true);
+    env.withdraw("a.0.0.0");
+    env.withdraw("a.0.0.0"); // repeated
+    env.withdraw("b.0.0.0");
+    env.agent.log_queues();
+    CHECK(env.value(unknown) == 3);
+    CHECK(env.value("egretspindle_rack_stops_kept") == 2);
+    {
+        const std::lock_guard<std::mutex> lock(env.target.mutex);
+        env.target.is_unreachable = false;
+    }
+    REQUIRE(env.reaches(
+        "egretspindle_ends_concluded_total{cause=\"withdrawn\"}", 2));
+    env.agent.log_queues();
+    CHECK(env.value("egretspindle_rack_stops_kept") == 0);
+    CHECK(env.value(unknown) == 3);
+}
+
+// Guards against a stop that is counted as passed on to a target although the
+// run is still queued or has ended.
+TEST_CASE("stops are counted by the state of their runs", "[metrics]")
+{
+    rack_fixture env;
+    env.set_lists_starts();
+    env.send("running.0.0", 1'000);
+    REQUIRE(env.reaches("egretspindle_start_confirmed_milliseconds_count", 1));
+    env.withdraw("running.0.0.0");
+    // The target has 4 cores, so this start stays in the queue.
+    env.send("queued.0.0", 9'000);
+    env.withdraw("queued.0.0.0");
+    {
+        const std::lock_guard<std::mutex> lock(env.target.mutex);
+        env.target.ends.push_back({1, "ended.0.0.0", 1, "done", ""});
+    }
+    const std::string polls =
+        "egretspindle_poll_milliseconds_count{result=\"answered\"}";
+    REQUIRE(env.reaches(polls, env.value(polls) + 3));
+    env.withdraw("ended.0.0.0");
+    for (const char* run : {"placed", "withdrawn", "ended"})
+    {
+        CAPTURE(run);
+        CHECK(env.value(std::string("egretspindle_stops_received_total{run="
+                                    "\"") +
+                        run + "\"}") == 1);
+    }
+    CHECK(env.value("egretspindle_stops_received_total{run=\"unknown\"}") == 0);
+    env.agent.log_queues();
+    CHECK(env.value("egretspindle_rack_stops_kept") == 0);
+}
+
+// Guards against stops that take long unseen, and against ends that no job
+// owner asked for being counted as stopped.
+TEST_CASE("the time from a stop to the end of its run is counted once",
+          "[metrics]")
+{
+    const std::string stopped = "egretspindle_run_stopped_milliseconds";
+    rack_fixture env;
+    env.set_lists_starts();
+    env.send("a.0.0", 1'000);
+    env.send("b.0.0", 1'000);
+    REQUIRE(env.reaches("egretspindle_start_confirmed_milliseconds_count", 2));
+    env.withdraw("a.0.0.0");
+    std::this_thread::sleep_for(milliseconds(20));
+    env.withdraw("a.0.0.0"); // repeated
+    CHECK(env.value(stopped + "_count") == 0);
+    {
+        const std::lock_guard<std::mutex> lock(env.target.mutex);
+        env.target.runs.clear();
+        env.target.ends.push_back({1, "a.0.0.0", 1, "stopped", ""});
+        env.target.ends.push_back({2, "b.0.0.0", 1, "done", ""});
+    }
+    REQUIRE(env.reaches(stopped + "_count", 1));
+    const std::string polls =
+        "egretspindle_poll_milliseconds_count{result=\"answered\"}";
+    REQUIRE(env.reaches(polls, env.value(polls) + 3));
+    CHECK(env.value(stopped + "_count") == 1);
+    CHECK(env.value(stopped + "_sum") >= 20);
+}
+
 TEST_CASE(
     "starts that are handed back are counted with their time in the queue",
     "[metrics]")
