--- a/tests/scheduler/rack_agent_test.cpp
+++ b/tests/scheduler/rack_agent_test.cpp
@@ -515,8 +515,6 @@
     REQUIRE(env.targets.starts.size() == 2);
 }
 
-// Guards against a run that is reported as lost while the target may still
-// execute the first attempt of its start.
 // Guards against runs of cancelled jobs that go on because the stops of one
 // target wait for each other's time-outs.
 TEST_CASE("a stop without an answer does not delay the other stops of its "
@@ -602,6 +600,8 @@
     CHECK(env.lost_racks.empty());
 }
 
+// Guards against a run that is reported as lost while the target may still
+// execute the first attempt of its start.
 TEST_CASE("a rejected stop is retried, and the run is not reported as ended",
           "[scheduler]")
 {
