--- a/tests/scheduler/job_coordinator_test.cpp
+++ b/tests/scheduler/job_coordinator_test.cpp
@@ -1154,11 +1154,7 @@
     const job_reply reply = cancelled.get();
     const std::string state = coordinator.query(request).state;
     coordinator.tick();
-    std::vector<rack_orders> sent;
-    {
-        const std::lock_guard<std::mutex> lock(environment.mutex);
-        sent = environment.sent;
-    }
+    const std::vector<rack_orders> sent = environment.wait_for_orders(2);
     {
         const std::lock_guard<std::mutex> lock(mutex);
         is_blocked = false;
