Keep a rack whose target is removed while a stop is refused, and wake senders

Found in review by reading; no test or run shows either. A stop that a target refused for an overtaken token fenced the rack if the channel was closed during the call. It may be refused for that more often since stops are sent beside starts. A closed channel does not count as a sign of a newer owner any more.

A thread of stop_loop that took a stop did not wake another one for a stop of another target that was due at the same time, which then waited for the call, at most 0.6 s.

--- a/src/scheduler/rack_agent_polls.cpp
+++ b/src/scheduler/rack_agent_polls.cpp
@@ -193,14 +193,14 @@
     publish(channel->rack, channel->token, events);
 }
 
-// Returns whether an order was sent before the token of the orders to its
-// target was raised. The target has then seen a newer order of this owner.
+// Returns whether a refused token does not show a newer owner: the target has
+// seen a raised token of this owner since, or the channel is closed.
 bool rack_agent::impl::is_overtaken(const target_channel& channel,
                                     std::int64_t token)
 {
     const std::lock_guard<std::mutex> lock(mutex);
     const rack_target* target = find_target(channel);
-    return target != nullptr &&
+    return target == nullptr ||
            token < order_token(*find_rack(channel.rack), *target);
 }
 
--- a/src/scheduler/rack_agent_senders.cpp
+++ b/src/scheduler/rack_agent_senders.cpp
@@ -125,6 +125,7 @@
         target_channel& channel = *next.channel;
         last_stop_target = channel.target;
         ++channel.stop_calls;
+        stops_changed.notify_one(); // other stops may be due meanwhile
         deliver(next.channel, *take_order(channel, order_selection::stops, now),
                 lock);
         --channel.stop_calls;
