--- a/tests/rack/cancel_simulation.hpp
+++ b/tests/rack/cancel_simulation.hpp
@@ -204,7 +204,7 @@
     bool send_stop(const owner_ptr& owner, const std::string& name,
                    sim_order order);
     void finish_stop(const owner_ptr& owner, const std::string& name,
-                     const sim_order& order,
+                     const sim_order& order, std::int64_t token,
                      const std::optional<order_answer>& answer);
     void poll_target(const owner_ptr& owner, const std::string& name);
     void finish_poll(const owner_ptr& owner, const std::string& name,
--- a/tests/rack/cancel_simulation_orders.cpp
+++ b/tests/rack/cancel_simulation_orders.cpp
@@ -204,13 +204,13 @@
     call<order_answer>(
         sim(name), order_timeout, ms(0),
         [this, name, message] { return stop(sim(name), message); },
-        [this, owner, name, order](const auto& answer)
-        { finish_stop(owner, name, order, answer); });
+        [this, owner, name, order, token = message.token](const auto& answer)
+        { finish_stop(owner, name, order, token, answer); });
     return true;
 }
 
 void simulation::finish_stop(const owner_ptr& owner, const std::string& name,
-                             const sim_order& order,
+                             const sim_order& order, std::int64_t token,
                              const std::optional<order_answer>& answer)
 {
     if (owner->is_dropped)
@@ -218,14 +218,17 @@
         return;
     }
     rack_target& target = owner->rack.targets.at(name);
-    if (!answer || (answer->verdict != order_verdict::wrong_token &&
-                    target.started_ms != order.started_ms))
+    const bool is_refused =
+        answer && answer->verdict == order_verdict::wrong_token;
+    const bool is_overtaken = token < order_token(owner->rack, target);
+    if (!answer || (is_refused && is_overtaken) ||
+        (!is_refused && target.started_ms != order.started_ms))
     {
         retry(owner, name, order, true);
         return;
     }
     const auto it = target.runs.find(order.id);
-    if (answer->verdict == order_verdict::wrong_token)
+    if (is_refused)
     {
         fence(owner);
     }
