Do not take a run for lost whose end a target has left out

Cause: a target lists all runs at work, but only the 500 oldest ends that are not acknowledged. `poll_answer::ends` promised all of them, and `end_unlisted_runs` took a run in neither list for lost.

An answer now says how many ends it lists at most, which the adapter of the platform fills in. A run that is missing in an answer that may be cut off is kept in `rack_target::unlisted_ends`: it uses no capacity, counts as known for starts and stops, and is concluded by the list that shows its end, a whole list without it, a restart, or the expiry of its lease.

Tests: end_list_test (4 cases), and in wire_format_test the limit.

--- a/include/egretspindle/fleet/target_port.hpp
+++ b/include/egretspindle/fleet/target_port.hpp
@@ -9,7 +9,9 @@
 #include <absl/status/statusor.h>
 
 #include <chrono>
+#include <cstddef>
 #include <cstdint>
+#include <limits>
 #include <string>
 #include <vector>
 
@@ -108,9 +110,20 @@
     std::int64_t clock_ms = 0;    ///< the target's own clock
     std::int64_t started_ms = 0;  ///< Unix time in ms when its process started
     std::vector<listed_run> runs; ///< all active ones
-    std::vector<listed_end> ends; ///< all that are not acknowledged
+    /// Oldest ends that are not acknowledged, at most `max_ends`.
+    std::vector<listed_end> ends;
+    /// Most ends that an answer lists. With this many, later ones may be left
+    /// out, and a run that is in neither list may have ended there.
+    std::size_t max_ends = std::numeric_limits<std::size_t>::max();
 };
 
+/// Returns whether an answer certainly lists all ends that are not
+/// acknowledged.
+[[nodiscard]] inline bool has_all_ends(const poll_answer& answer) noexcept
+{
+    return answer.ends.size() < answer.max_ends;
+}
+
 /// Calls to targets. Usable from several threads.
 ///
 /// Errors: `unavailable` when nothing was sent, `deadline_exceeded` when the
--- a/include/egretspindle/rack/rack_state.hpp
+++ b/include/egretspindle/rack/rack_state.hpp
@@ -176,6 +176,10 @@
     std::int64_t token_raises = 0; ///< of the fencing token, by this owner
     std::map<std::int64_t, unacknowledged_end> ends; ///< by number
     std::map<run_id, placed_run> runs;
+    /// Runs that have ended with a result that is not known yet: the target
+    /// leaves their ends out of its lists, see `has_all_ends`, until earlier
+    /// ones are acknowledged. They use no capacity.
+    std::map<run_id, placed_run> unlisted_ends;
     /// Starts that got no reply, with the time until which they may be carried
     /// out. The current boot of the target ignores duplicates of a start, but
     /// the next boot does not know of them.
--- a/src/rack/rack_decision.cpp
+++ b/src/rack/rack_decision.cpp
@@ -70,6 +70,7 @@
         target.clock_at == time_point{}
             ? milliseconds(0)
             : std::chrono::duration_cast<milliseconds>(now - target.clock_at);
+    target.runs.merge(target.unlisted_ends);
     for (const auto& [id, run] : target.runs)
     {
         if (!run.is_ended)
@@ -79,6 +80,7 @@
         }
     }
     target.runs.clear();
+    target.unlisted_ends.clear();
     target.ends.clear();
     target.acknowledged = 0;
     target.acks.confirmed = 0;
@@ -131,9 +133,12 @@
     }
 }
 
+// Returns whether a run has ended on a target, which still lists the end or has
+// yet to list it.
 bool has_unacknowledged_end(const rack_target& target, const run_id& id)
 {
-    return std::any_of(target.ends.begin(), target.ends.end(),
+    return target.unlisted_ends.count(id) > 0 ||
+           std::any_of(target.ends.begin(), target.ends.end(),
                        [&id](const auto& item) {
                            return item.second.task == id.first &&
                                   item.second.run == id.second;
@@ -205,11 +210,12 @@
     }
 }
 
-// Ends confirmed runs that a later list contains neither as running nor as
-// ended: they are lost.
+// Ends confirmed runs that a later answer lists neither as running nor as
+// ended: they are lost, unless the answer may leave out their ends.
 void end_unlisted_runs(rack_target& target, const poll_answer& answer,
                        std::vector<run_event>& events, time_point sent_at)
 {
+    const bool is_whole = has_all_ends(answer);
     std::set<run_id> listed;
     for (const listed_run& run : answer.runs)
     {
@@ -220,17 +226,21 @@
         const placed_run& run = it->second;
         const bool is_gone = run.is_confirmed && listed.count(it->first) == 0 &&
                              run.confirmed_at + list_delay < sent_at;
-        if (!is_gone)
+        const auto next = std::next(it);
+        if (is_gone && !run.is_ended && !is_whole)
         {
-            ++it;
-            continue;
+            target.unlisted_ends.insert(target.runs.extract(it));
         }
-        if (!run.is_ended)
+        else if (is_gone)
         {
-            events.push_back(ended(run, target.entry.id, run_end::lost,
-                                   end_cause::not_in_list));
+            if (!run.is_ended)
+            {
+                events.push_back(ended(run, target.entry.id, run_end::lost,
+                                       end_cause::not_in_list));
+            }
+            target.runs.erase(it);
         }
-        it = target.runs.erase(it);
+        it = next;
     }
 }
 
@@ -478,6 +488,7 @@
 {
     std::vector<run_event> events;
     drop_expired_starts(target, now);
+    target.runs.merge(target.unlisted_ends);
     if (target.started_ms != 0 && answer.started_ms != target.started_ms)
     {
         apply_restart(target, answer, sent_at, now, events);
@@ -636,7 +647,8 @@
         // A newer owner may have renewed the leases, so the ownership has to be
         // confirmed by a read that began after the expiry.
         const bool is_expired = now >= expiry && rack.verified_at >= expiry;
-        if (is_expired && !target.runs.empty())
+        if (is_expired &&
+            !(target.runs.empty() && target.unlisted_ends.empty()))
         {
             end_all_runs(target, end_cause::lease_expired, now, events);
             rack.inferred_ends_at = now;
@@ -756,9 +768,10 @@
         {
             const rack_target& target = item.second;
             return target.is_reached && now - target.clock_at >= silent_after &&
-                   std::any_of(target.runs.begin(), target.runs.end(),
-                               [](const auto& run)
-                               { return !run.second.is_ended; });
+                   (!target.unlisted_ends.empty() ||
+                    std::any_of(target.runs.begin(), target.runs.end(),
+                                [](const auto& run)
+                                { return !run.second.is_ended; }));
         });
     const bool has_reports = rack.inferred_ends_at != time_point{} &&
                              now - rack.inferred_ends_at < inferred_report_time;
--- a/src/rack/start_intents.cpp
+++ b/src/rack/start_intents.cpp
@@ -47,6 +47,13 @@
             intents[id] = {target.entry.id, is_surely_confirmed(target, run)};
         }
     }
+    for (const auto& [id, run] : target.unlisted_ends)
+    {
+        if (may_be_long_running(run))
+        {
+            intents[id] = {target.entry.id, false};
+        }
+    }
     for (const auto& [number, end] : target.ends)
     {
         const run_id id{end.task, end.run};
--- a/tests/platform/wire_format_test.cpp
+++ b/tests/platform/wire_format_test.cpp
@@ -100,6 +100,28 @@
     CHECK(answer->ends[1].checkpoint == "7");
 }
 
+// Guards against taking a list of ends that is cut off for a whole one.
+TEST_CASE("a full list of ends in a poll response may be cut off", "[platform]")
+{
+    const auto list_ends = [](int count)
+    {
+        std::string body = R"({"finished":[)";
+        for (int n = 1; n <= count; ++n)
+        {
+            body += (n == 1 ? "" : ",") + std::string("[") + std::to_string(n) +
+                    R"(,"a",1,"done",""])";
+        }
+        return answer_to_poll(body + "]}");
+    };
+    const absl::StatusOr<poll_answer> whole = list_ends(499);
+    REQUIRE(whole.ok());
+    CHECK(whole->ends.size() == 499);
+    CHECK(has_all_ends(*whole));
+    const absl::StatusOr<poll_answer> full = list_ends(500);
+    REQUIRE(full.ok());
+    CHECK_FALSE(has_all_ends(*full));
+}
+
 // Guards against decoding a malformed list as an empty one.
 TEST_CASE("a malformed list in a poll response is an error", "[platform]")
 {
--- /dev/null
+++ b/tests/rack/end_list_test.cpp
@@ -0,0 +1,203 @@
+#include "egretspindle/rack/rack_decision.hpp"
+#include "egretspindle/rack/start_intents.hpp"
+
+#include <catch2/catch.hpp>
+
+#include <map>
+#include <string>
+
+using namespace egretspindle;
+
+namespace
+{
+
+const time_point start_time = time_point{} + milliseconds(1'000'000);
+constexpr std::size_t list_limit = 3;
+constexpr std::int64_t core = 1'000;
+
+std::string task_name(int index)
+{
+    return "job.0.0." + std::to_string(index);
+}
+
+std::shared_ptr<const step_terms> make_terms()
+{
+    step_terms terms;
+    terms.step = "job.0.0";
+    terms.service = "svc";
+    terms.size = {core, 100, 0};
+    return std::make_shared<const step_terms>(terms);
+}
+
+/// Rack with one target, on which the tasks 1 to `runs` run.
+struct rack_with_runs
+{
+    explicit rack_with_runs(int runs)
+    {
+        rack.name = "r1";
+        rack.token = 7;
+        rack.verified_at = start_time;
+        rack_target& item = rack.targets["t1"];
+        item.entry.id = "t1";
+        item.entry.service = "svc";
+        item.entry.rack = "r1";
+        item.entry.capacity = {8 * core, 8'000, 0};
+        item.is_recorded = true;
+        item.is_reached = true;
+        item.started_ms = 1;
+        for (int n = 1; n <= runs; ++n)
+        {
+            placed_run run;
+            run.task = task_name(n);
+            run.run = 1;
+            run.terms = make_terms();
+            run.is_confirmed = true;
+            run.is_reported = true;
+            run.confirmed_at = start_time;
+            item.runs[{run.task, 1}] = run;
+        }
+    }
+
+    rack_target& target()
+    {
+        return rack.targets.at("t1");
+    }
+
+    rack_state rack;
+};
+
+/// Answer that lists the ends with the numbers `first` to `last`, as many as
+/// fit. The end with a number is that of the task with this index.
+poll_answer list_ends(int first, int last)
+{
+    poll_answer answer;
+    answer.clock_ms = 5'000;
+    answer.started_ms = 1;
+    answer.max_ends = list_limit;
+    for (int n = first; n <= last && answer.ends.size() < list_limit; ++n)
+    {
+        answer.ends.push_back({n, task_name(n), 1, "done", ""});
+    }
+    return answer;
+}
+
+std::map<std::string, run_end> ends_in(const std::vector<run_event>& events)
+{
+    std::map<std::string, run_end> ends;
+    for (const run_event& event : events)
+    {
+        if (event.what == run_event::kind::ended)
+        {
+            ends[event.task] = event.how;
+        }
+    }
+    return ends;
+}
+
+constexpr milliseconds second{1'000};
+
+} // namespace
+
+// Guards against running a task again whose end is beyond the listed ones.
+TEST_CASE("a run with an end beyond those listed is not lost", "[rack]")
+{
+    rack_with_runs world(5);
+    rack_target& target = world.target();
+    const time_point now = start_time + 5 * second;
+    const auto listed = ends_in(
+        apply_poll(world.rack, target, list_ends(1, 5), now, now + second));
+    CHECK(listed ==
+          std::map<std::string, run_end>{{task_name(1), run_end::done},
+                                         {task_name(2), run_end::done},
+                                         {task_name(3), run_end::done}});
+    // They have ended, so that they use no capacity.
+    CHECK(free_capacity(target).cpu_milli == 8 * core);
+
+    const run_id beyond{task_name(4), 1};
+    queued_start again;
+    again.task = beyond.first;
+    again.run = beyond.second;
+    again.terms = make_terms();
+    CHECK(enqueue(world.rack, again) == enqueue_result::known);
+    CHECK(mark_overdue(world.rack, beyond));
+    std::string stopped_on;
+    CHECK(withdraw(world.rack, beyond, stopped_on).empty());
+    CHECK(stopped_on.empty());
+    CHECK(world.rack.stops.empty());
+
+    for (int n = 1; n <= 3; ++n)
+    {
+        acknowledge(target, n, {task_name(n), 1});
+    }
+    const auto later = ends_in(
+        apply_poll(world.rack, target, list_ends(4, 5), now + second, now));
+    CHECK(later ==
+          std::map<std::string, run_end>{{task_name(4), run_end::done},
+                                         {task_name(5), run_end::done}});
+}
+
+// Guards against runs that are never concluded.
+TEST_CASE("a run that a whole list does not name is lost", "[rack]")
+{
+    rack_with_runs world(5);
+    rack_target& target = world.target();
+    const time_point now = start_time + 5 * second;
+    (void)apply_poll(world.rack, target, list_ends(1, 5), now, now);
+    for (int n = 1; n <= 3; ++n)
+    {
+        acknowledge(target, n, {task_name(n), 1});
+    }
+    const auto later = ends_in(
+        apply_poll(world.rack, target, list_ends(4, 4), now + second, now));
+    CHECK(later ==
+          std::map<std::string, run_end>{{task_name(4), run_end::done},
+                                         {task_name(5), run_end::lost}});
+}
+
+// Guards against a new owner that starts a run again which has ended.
+TEST_CASE("the intent of a run with an end beyond those listed is kept",
+          "[rack]")
+{
+    rack_with_runs world(4);
+    step_terms terms = *make_terms();
+    terms.is_long_running = true;
+    const run_id beyond{task_name(4), 1};
+    world.target().runs.at(beyond).terms =
+        std::make_shared<const step_terms>(terms);
+    const time_point now = start_time + 5 * second;
+    (void)apply_poll(world.rack, world.target(), list_ends(1, 4), now, now);
+    const start_intents intents = collect_intents(world.rack);
+    REQUIRE(intents.count(beyond) == 1);
+    CHECK(intents.at(beyond).target == "t1");
+}
+
+// Guards against jobs that wait for an end which no target will list any more.
+TEST_CASE("runs with ends beyond those listed are lost with their target",
+          "[rack]")
+{
+    const std::map<std::string, run_end> lost{{task_name(4), run_end::lost},
+                                              {task_name(5), run_end::lost}};
+    rack_with_runs world(5);
+    rack_target& target = world.target();
+    const time_point now = start_time + 5 * second;
+    (void)apply_poll(world.rack, target, list_ends(1, 5), now, now);
+
+    SECTION("that restarts")
+    {
+        poll_answer restarted = list_ends(1, 0);
+        restarted.started_ms = 2;
+        CHECK(ends_in(apply_poll(world.rack, target, restarted, now + second,
+                                 now + second)) == lost);
+    }
+    SECTION("whose address has another boot")
+    {
+        CHECK(ends_in(end_runs_of_former_boot(world.rack, target, now)) ==
+              lost);
+    }
+    SECTION("whose leases expire")
+    {
+        target.expires_at = now + second;
+        world.rack.verified_at = now + second;
+        CHECK(ends_in(expire_leases(world.rack, now + second)) == lost);
+    }
+}
