Wait for all ends of a target before runs of a former owner are decided

A host that takes a rack over knows a run of the former owner only from the lists of its targets. It took the first answer of each target for all of them. If that answer left out ends, a repeated start of a run that had ended there was looked up in the record of its job and placed a second time under the same number, a stop of it was answered with "not started", and the intent of a long-running one was dropped.

A target whose present boot has not listed all its ends since it was reached now leaves these open (`may_have_unread_ends`). Its leases decide only if they expire while it is out of reach, in which case the number of the run is not used again.

--- a/include/egretspindle/rack/rack_decision.hpp
+++ b/include/egretspindle/rack/rack_decision.hpp
@@ -163,8 +163,8 @@
 void acknowledge(rack_target& target, std::int64_t number, const run_id& id);
 
 /// Returns whether all runs that an earlier owner may have started are known:
-/// either each target it may have used has been reached, or its leases have
-/// expired.
+/// each target it may have used has been reached and has listed all its ends,
+/// or has not been reached and its leases have expired.
 [[nodiscard]] bool knows_all_runs(const rack_state& rack, time_point now);
 
 /// Returns whether a move of the rack to another host now would make runs on
--- a/include/egretspindle/rack/rack_state.hpp
+++ b/include/egretspindle/rack/rack_state.hpp
@@ -143,6 +143,9 @@
     /// When the platform listed a restart; {}: not since the last poll.
     time_point listed_restart_at;
     bool is_reached = false; ///< has replied to a poll of this owner
+    /// It was reached, but no answer of its present boot has listed all its
+    /// ends yet. Runs that an earlier owner started may have ended unseen.
+    bool may_have_unread_ends = false;
     /// When all leases of earlier owners have expired, as the last of them has
     /// told this owner; replaces `rack_state::unknown_until` and the longest
     /// lease from `reached_at` on.
@@ -220,7 +223,8 @@
     /// Latest search of `update_reservations` for targets.
     time_point reservations_searched_at;
     /// The leases of a target of an earlier owner expired before this owner
-    /// reached it. The target may list ends of runs of that owner later.
+    /// knew its runs, see `has_known_runs`. The target may list ends of runs of
+    /// that owner later.
     bool has_unseen_ends = false;
     time_point inferred_ends_at; ///< latest ends from expired leases; {}: none
     bool has_read_intents = false; ///< recorded by earlier owners
@@ -276,6 +280,10 @@
 /// Returns whether starts may be sent to a target.
 [[nodiscard]] bool accepts_starts(const rack_target& target, time_point now);
 
+/// Returns whether all runs that earlier owners have started on a target are
+/// known: it has been reached, and has listed all its ends.
+[[nodiscard]] bool has_known_runs(const rack_target& target) noexcept;
+
 /// Returns the target's clock in ms, extrapolated from its last reply.
 [[nodiscard]] std::int64_t clock_of(const rack_target& target, time_point now);
 
--- a/include/egretspindle/rack/start_intents.hpp
+++ b/include/egretspindle/rack/start_intents.hpp
@@ -18,8 +18,8 @@
 {
 
 /// Returns the intents that the record of a rack must contain: of the runs that
-/// may be on its targets, and of those of earlier owners whose targets this
-/// owner has not reached.
+/// may be on its targets, and of those of earlier owners on targets without
+/// `has_known_runs`.
 [[nodiscard]] start_intents collect_intents(const rack_state& rack);
 
 /// Returns whether a start waits until its intent is recorded.
@@ -44,8 +44,9 @@
 mark_intents_recorded(rack_state& rack, start_intents intents);
 
 /// Returns whether it is known if the run of a repeated start is still on a
-/// target: its only possible target has been reached, it has none, its lease
-/// there has expired, or `knows_all_runs` holds.
+/// target, or has ended there: its only possible target has been reached and
+/// has listed all its ends, it has none, its lease there has expired before the
+/// target was reached, or `knows_all_runs` holds.
 [[nodiscard]] bool is_run_known(const rack_state& rack,
                                 const queued_start& start, time_point now);
 
--- a/src/rack/rack_decision.cpp
+++ b/src/rack/rack_decision.cpp
@@ -492,6 +492,7 @@
     if (target.started_ms != 0 && answer.started_ms != target.started_ms)
     {
         apply_restart(target, answer, sent_at, now, events);
+        target.may_have_unread_ends = true;
         target.lease_until_ms = 0;
         // Orders with a lease for the earlier boot may still arrive.
         target.unknown_lease_at = now + max_order_delay;
@@ -499,10 +500,12 @@
     if (!target.is_reached)
     {
         target.reached_at = now;
+        target.may_have_unread_ends = true;
     }
     target.started_ms = answer.started_ms;
     target.last_poll = {sent_at, answer.clock_ms};
     target.is_reached = true;
+    target.may_have_unread_ends &= !has_all_ends(answer);
     if (sent_at > target.listed_restart_at)
     {
         target.listed_restart_at = {};
@@ -625,6 +628,7 @@
     }
     end_all_runs(target, end_cause::other_boot, now, events);
     target.is_reached = true;
+    target.may_have_unread_ends = false;
     target.lease_until_ms = 0;
     target.expires_at = now;
     remember_ends(rack, events);
@@ -653,8 +657,12 @@
             end_all_runs(target, end_cause::lease_expired, now, events);
             rack.inferred_ends_at = now;
         }
-        rack.has_unseen_ends |=
-            is_expired && target.is_inherited && !target.is_reached;
+        if (is_expired)
+        {
+            rack.has_unseen_ends |=
+                target.is_inherited && !has_known_runs(target);
+            target.may_have_unread_ends = false;
+        }
         if (is_expired && !target.is_listed)
         {
             it = rack.targets.erase(it);
@@ -745,6 +753,17 @@
 
 bool knows_all_runs(const rack_state& rack, time_point now)
 {
+    const bool has_unlisted_ends = std::any_of(
+        rack.targets.begin(), rack.targets.end(),
+        [](const auto& item)
+        {
+            const rack_target& target = item.second;
+            return target.is_inherited && target.may_have_unread_ends;
+        });
+    if (has_unlisted_ends)
+    {
+        return false; // also after its leases: the run may have ended before
+    }
     if (now >= rack.unknown_until && rack.verified_at >= rack.unknown_until)
     {
         return true;
--- a/src/rack/rack_state.cpp
+++ b/src/rack/rack_state.cpp
@@ -95,6 +95,11 @@
                        { return item.second.terms != nullptr; });
 }
 
+bool has_known_runs(const rack_target& target) noexcept
+{
+    return target.is_reached && !target.may_have_unread_ends;
+}
+
 std::int64_t clock_of(const rack_target& target, time_point now)
 {
     return target.clock_ms + elapsed_ms(target.clock_at, now);
--- a/src/rack/start_intents.cpp
+++ b/src/rack/start_intents.cpp
@@ -85,10 +85,12 @@
     return rack.inherited_intents && start.terms->is_long_running;
 }
 
-bool is_reached(const rack_state& rack, const std::string& target)
+const rack_target* find_reached(const rack_state& rack,
+                                const std::string& target)
 {
     const auto it = rack.targets.find(target);
-    return it != rack.targets.end() && it->second.is_reached;
+    return it != rack.targets.end() && it->second.is_reached ? &it->second
+                                                             : nullptr;
 }
 
 // Returns the time after which a run of an earlier owner has certainly ended on
@@ -113,7 +115,7 @@
         for (const auto& [id, intent] : *rack.inherited_intents)
         {
             const auto target = rack.targets.find(intent.target);
-            if (target != rack.targets.end() && !target->second.is_reached)
+            if (target != rack.targets.end() && !has_known_runs(target->second))
             {
                 intents.emplace(id, intent);
             }
@@ -189,10 +191,14 @@
     if (has_intents_for(rack, start))
     {
         const start_intent* intent = find_inherited(rack, start);
-        if (intent == nullptr || is_reached(rack, intent->target))
+        if (intent == nullptr)
         {
             return true;
         }
+        if (const rack_target* target = find_reached(rack, intent->target))
+        {
+            return !target->may_have_unread_ends;
+        }
         const time_point expiry = lease_end_of(rack, *intent);
         if (now >= expiry && rack.verified_at >= expiry)
         {
@@ -207,7 +213,8 @@
     if (has_intents_for(rack, start))
     {
         const start_intent* intent = find_inherited(rack, start);
-        return intent != nullptr && !is_reached(rack, intent->target);
+        return intent != nullptr &&
+               find_reached(rack, intent->target) == nullptr;
     }
     return rack.has_unseen_ends ||
            std::any_of(rack.targets.begin(), rack.targets.end(),
--- a/tests/rack/end_list_test.cpp
+++ b/tests/rack/end_list_test.cpp
@@ -201,3 +201,106 @@
         CHECK(ends_in(expire_leases(world.rack, now + second)) == lost);
     }
 }
+namespace
+{
+
+/// Rack with the target of `rack_with_runs` that this host has taken over. The
+/// first answer of the target leaves out the end of task 4.
+rack_with_runs take_over_with_cut_list(time_point now)
+{
+    rack_with_runs world(0);
+    world.rack.unknown_until = now - second;
+    world.rack.verified_at = now;
+    world.target().is_inherited = true;
+    world.target().is_reached = false;
+    (void)apply_poll(world.rack, world.target(), list_ends(1, 4), now, now);
+    return world;
+}
+
+// Acknowledges the listed ends, and lets the target list the last one.
+std::vector<run_event> read_last_end(rack_with_runs& world, time_point now)
+{
+    for (int n = 1; n <= 3; ++n)
+    {
+        acknowledge(world.target(), n, {task_name(n), 1});
+    }
+    return apply_poll(world.rack, world.target(), list_ends(4, 4), now, now);
+}
+
+queued_start make_repeated_start(std::shared_ptr<const step_terms> terms)
+{
+    queued_start start;
+    start.task = task_name(4);
+    start.run = 1;
+    start.terms = std::move(terms);
+    start.is_repeated = true;
+    start.queued_at = start_time;
+    return start;
+}
+
+} // namespace
+
+// Guards against running a task again whose end the former owner did not read.
+TEST_CASE("a new owner holds repeated starts until all ends are listed",
+          "[rack]")
+{
+    const time_point now = start_time + 20 * second;
+    rack_with_runs world = take_over_with_cut_list(now);
+    const queued_start repeated = make_repeated_start(make_terms());
+    REQUIRE(enqueue(world.rack, repeated) == enqueue_result::queued);
+    CHECK_FALSE(is_run_known(world.rack, repeated, now));
+    CHECK(ends_in(read_last_end(world, now)) ==
+          std::map<std::string, run_end>{{task_name(4), run_end::done}});
+    CHECK(world.rack.queue.empty());
+    CHECK(is_run_known(world.rack, repeated, now));
+}
+
+// Guards against telling the owner of a job that a run which has ended was
+// never started.
+TEST_CASE("a new owner settles no stop until all ends are listed", "[rack]")
+{
+    const time_point now = start_time + 20 * second;
+    rack_with_runs world = take_over_with_cut_list(now);
+    std::string target;
+    CHECK(withdraw(world.rack, {task_name(4), 1}, target).empty());
+    CHECK(report_settled_stops(world.rack, now).empty());
+    CHECK(ends_in(read_last_end(world, now)) ==
+          std::map<std::string, run_end>{{task_name(4), run_end::done}});
+    CHECK(report_settled_stops(world.rack, now).empty());
+}
+
+// Guards against the same for long-running tasks, whose target is recorded.
+TEST_CASE("an intent is kept until its target has listed all ends", "[rack]")
+{
+    const time_point now = start_time + 20 * second;
+    rack_with_runs world = take_over_with_cut_list(now);
+    step_terms terms = *make_terms();
+    terms.is_long_running = true;
+    const queued_start repeated =
+        make_repeated_start(std::make_shared<const step_terms>(terms));
+    const run_id id{repeated.task, repeated.run};
+    world.rack.has_read_intents = true;
+    world.rack.inherited_intents = start_intents{{id, {"t1", true}}};
+    CHECK_FALSE(is_run_known(world.rack, repeated, now));
+    CHECK(collect_intents(world.rack).count(id) == 1);
+    (void)read_last_end(world, now);
+    acknowledge(world.target(), 4, id);
+    CHECK(is_run_known(world.rack, repeated, now));
+    CHECK(collect_intents(world.rack).count(id) == 0);
+}
+
+// Guards against starts that wait for a target which does not come back.
+TEST_CASE("a new owner does not wait for the ends of a target that is lost",
+          "[rack]")
+{
+    const time_point now = start_time + 20 * second;
+    rack_with_runs world = take_over_with_cut_list(now);
+    const queued_start repeated = make_repeated_start(make_terms());
+    world.target().expires_at = now + second;
+    REQUIRE_FALSE(is_run_known(world.rack, repeated, now + 2 * second));
+    world.rack.verified_at = now + second;
+    (void)expire_leases(world.rack, now + 2 * second);
+    CHECK(is_run_known(world.rack, repeated, now + 2 * second));
+    // The run may have ended there, so that its number is not used again.
+    CHECK(may_have_unseen_end(world.rack, repeated));
+}
