End no run by the first list of a new boot that is cut off

A start that was sent around the restart of a target may have been confirmed by the new boot before its first answer, and its run may have ended there. `apply_restart` took a run that this answer does not list for one of the former boot, and reported it as lost, also if the answer may leave out ends. The task was then run again.

While the list is cut off, all runs are kept; the first whole list decides.

Test: "a restart whose list is cut off ends no run" in end_list_test; its 3 assertions failed before.

--- a/src/rack/rack_decision.cpp
+++ b/src/rack/rack_decision.cpp
@@ -297,7 +297,8 @@
 
 // Ends the runs of the earlier boot of a target after a restart. Start orders
 // do not name a boot: those still in transit take effect in the new one, which
-// may also have confirmed some before its first list.
+// may also have confirmed some before its first list, and may leave out their
+// ends there.
 void apply_restart(rack_target& target, const poll_answer& answer,
                    time_point sent_at, time_point now,
                    std::vector<run_event>& events)
@@ -306,7 +307,7 @@
     for (auto it = target.runs.begin(); it != target.runs.end();)
     {
         const placed_run& run = it->second;
-        const bool may_be_new = !run.is_confirmed ||
+        const bool may_be_new = !has_all_ends(answer) || !run.is_confirmed ||
                                 is_in_lists(answer, it->first) ||
                                 run.confirmed_at + list_delay >= sent_at ||
                                 target.unanswered_starts.count(it->first) > 0;
--- a/tests/rack/end_list_test.cpp
+++ b/tests/rack/end_list_test.cpp
@@ -304,3 +304,26 @@
     // The run may have ended there, so that its number is not used again.
     CHECK(may_have_unseen_end(world.rack, repeated));
 }
+
+// Guards against running a task again that the new boot of a target has run.
+TEST_CASE("a restart whose list is cut off ends no run", "[rack]")
+{
+    rack_with_runs world(5);
+    rack_target& target = world.target();
+    const time_point now = start_time + 5 * second;
+    poll_answer restarted = list_ends(1, 5);
+    restarted.started_ms = 2;
+    const auto listed =
+        ends_in(apply_poll(world.rack, target, restarted, now, now));
+    CHECK(listed.size() == list_limit);
+    CHECK(listed.count(task_name(4)) == 0);
+    for (int n = 1; n <= 3; ++n)
+    {
+        acknowledge(target, n, {task_name(n), 1});
+    }
+    poll_answer rest = list_ends(4, 4);
+    rest.started_ms = 2;
+    CHECK(ends_in(apply_poll(world.rack, target, rest, now + second, now)) ==
+          std::map<std::string, run_end>{{task_name(4), run_end::done},
+                                         {task_name(5), run_end::lost}});
+}
