Give a target no start whose end it could not list, and show why ends wait

While acknowledgements rest, callers wait for results that a target leaves out of its lists: 12 s after any start without an answer, and for good where a target keeps leaving some unanswered. The owner of the rack went on placing there.

A target now gets starts only while the ends that it lists and its runs together stay below the number of ends that it can list. Starts that do not fit wait in the queue or go to other racks, and load reports show the target as closed. So a list is cut off only around a takeover.

Logs and metrics did not tell how long a list was, how long its oldest end had waited, or what for: `find_ack_blocker` names the reason, and the lines `ends are not acknowledged` and `target gets no starts, its list of ends is full`, with three gauges, show it.

--- a/include/egretspindle/rack/order_sequence.hpp
+++ b/include/egretspindle/rack/order_sequence.hpp
@@ -19,6 +19,7 @@
 #include "egretspindle/rack/rack_state.hpp"
 
 #include <cstdint>
+#include <string_view>
 
 namespace egretspindle
 {
@@ -28,6 +29,25 @@
 [[nodiscard]] std::int64_t order_token(const rack_state& rack,
                                        const rack_target& target);
 
+/// Why the ends that a target lists are not acknowledged.
+enum class ack_blocker
+{
+    none,           ///< none is listed, or the next poll acknowledges some
+    record,         ///< the owner of the job has not recorded the oldest one
+    open_start,     ///< a start has been sent and not answered yet
+    late_start,     ///< one without an answer may still be carried out
+    unproven_start, ///< a later boot may have carried out an answered one
+    restart,        ///< the platform has listed a restart
+    token,          ///< the fencing token cannot be raised any more
+};
+
+/// Returns the name of a reason for log lines and metrics.
+[[nodiscard]] std::string_view to_string(ack_blocker value) noexcept;
+
+/// Returns why the ends that a target lists are not acknowledged now.
+[[nodiscard]] ack_blocker find_ack_blocker(const rack_target& target,
+                                           time_point now);
+
 /// Returns whether ends may be acknowledged to a target now.
 [[nodiscard]] bool may_acknowledge(const rack_target& target, time_point now);
 
--- a/include/egretspindle/rack/rack_state.hpp
+++ b/include/egretspindle/rack/rack_state.hpp
@@ -10,7 +10,9 @@
 #include "egretspindle/rack/cached_colocation.hpp"
 #include "egretspindle/rack/queued_start.hpp"
 
+#include <cstddef>
 #include <cstdint>
+#include <limits>
 #include <map>
 #include <memory>
 #include <optional>
@@ -183,6 +185,12 @@
     /// leaves their ends out of its lists, see `has_all_ends`, until earlier
     /// ones are acknowledged. They use no capacity.
     std::map<run_id, placed_run> unlisted_ends;
+    std::size_t listed_ends = 0; ///< in its last answer
+    /// Most ends that it lists; see `poll_answer::max_ends`.
+    std::size_t max_listed_ends = std::numeric_limits<std::size_t>::max();
+    /// Number of the oldest end in its last answer; 0: none is listed.
+    std::int64_t oldest_end = 0;
+    time_point oldest_end_since; ///< since when `oldest_end` is listed first
     /// Starts that got no reply, with the time until which they may be carried
     /// out. The current boot of the target ignores duplicates of a start, but
     /// the next boot does not know of them.
@@ -277,6 +285,11 @@
 /// which is free once its short and backfill tasks have ended.
 [[nodiscard]] task_size eventual_capacity(const rack_target& target);
 
+/// Returns whether a target can list the end of one more run beside its ends
+/// and those of its runs. Otherwise the end might be left out until earlier
+/// ones are acknowledged, and the owner of the job would wait for the result.
+[[nodiscard]] bool has_room_for_end(const rack_target& target) noexcept;
+
 /// Returns whether starts may be sent to a target.
 [[nodiscard]] bool accepts_starts(const rack_target& target, time_point now);
 
--- a/include/egretspindle/scheduler/rack_metrics.hpp
+++ b/include/egretspindle/scheduler/rack_metrics.hpp
@@ -6,6 +6,7 @@
 
 #include "egretspindle/fleet/target_port.hpp"
 #include "egretspindle/metrics/metric_registry.hpp"
+#include "egretspindle/rack/end_list_summary.hpp"
 #include "egretspindle/rack/queue_summary.hpp"
 #include "egretspindle/rack/rack_decision.hpp"
 #include "egretspindle/scheduler/job_metrics.hpp"
@@ -94,10 +95,13 @@
     /// \param sum  over the racks; `oldest` is the longest wait
     void set_queues(const queue_summary& sum) const noexcept;
     void set_counts(const rack_counts& counts) const noexcept;
+    /// Sets the gauges of the lists of ends.
+    void set_end_lists(const end_list_summary& lists) const noexcept;
 
     static constexpr std::size_t cause_count = 7;        ///< of `end_cause`
     static constexpr std::size_t verdict_count = 9;      ///< of `order_verdict`
     static constexpr std::size_t wait_reason_count = 10; ///< in `queue_summary`
+    static constexpr std::size_t ack_blocker_count = 7;  ///< of `ack_blocker`
 
     by_task_kind<counter> placed{};
     by_task_kind<latency_summary> waited{}; ///< of placed starts, in the queue
@@ -127,6 +131,11 @@
     gauge& targets;
     gauge& silent_targets;
     gauge& kept_stops;
+    gauge& longest_end_list;
+    gauge& full_end_lists;
+    /// Wait in ms of the list that has waited longest, by its reason; 0 for the
+    /// other reasons.
+    std::array<gauge*, ack_blocker_count> oldest_end_waits{};
 };
 
 } // namespace egretspindle
--- a/src/rack/place_starts.cpp
+++ b/src/rack/place_starts.cpp
@@ -447,6 +447,11 @@
     }
     rack.queue.erase(rack.queue.begin() + static_cast<std::ptrdiff_t>(kept),
                      rack.queue.end());
+    // Queued starts are tried again on a target that opens.
+    for (rack_target* item : items)
+    {
+        item->cached.is_open = has_room_for_end(*item);
+    }
     return placed;
 }
 
--- a/src/rack/rack_decision.cpp
+++ b/src/rack/rack_decision.cpp
@@ -94,6 +94,20 @@
     ++target.faults;
 }
 
+void observe_end_list(rack_target& target, const poll_answer& answer,
+                      time_point now)
+{
+    target.listed_ends = answer.ends.size();
+    target.max_listed_ends = answer.max_ends;
+    const std::int64_t oldest =
+        answer.ends.empty() ? 0 : answer.ends.front().number;
+    if (oldest != target.oldest_end)
+    {
+        target.oldest_end = oldest;
+        target.oldest_end_since = now;
+    }
+}
+
 void apply_ends(rack_state& rack, rack_target& target,
                 const poll_answer& answer, std::vector<run_event>& events)
 {
@@ -494,6 +508,7 @@
     {
         apply_restart(target, answer, sent_at, now, events);
         target.may_have_unread_ends = true;
+        target.oldest_end = 0;
         target.lease_until_ms = 0;
         // Orders with a lease for the earlier boot may still arrive.
         target.unknown_lease_at = now + max_order_delay;
@@ -511,6 +526,7 @@
     {
         target.listed_restart_at = {};
     }
+    observe_end_list(target, answer, now);
     apply_ends(rack, target, answer, events);
     apply_runs(rack, target, answer, events, now);
     end_unlisted_runs(target, answer, events, sent_at);
--- a/src/rack/rack_state.cpp
+++ b/src/rack/rack_state.cpp
@@ -85,11 +85,19 @@
     return room;
 }
 
+bool has_room_for_end(const rack_target& target) noexcept
+{
+    return target.listed_ends + target.runs.size() +
+               target.unlisted_ends.size() <
+           target.max_listed_ends;
+}
+
 bool accepts_starts(const rack_target& target, time_point now)
 {
     return target.is_listed && target.is_recorded && target.is_reached &&
            !target.entry.is_draining && now >= target.avoid_until &&
            target.listed_restart_at == time_point{} &&
+           has_room_for_end(target) &&
            std::all_of(target.runs.begin(), target.runs.end(),
                        [](const auto& item)
                        { return item.second.terms != nullptr; });
--- a/src/rack/target_check.cpp
+++ b/src/rack/target_check.cpp
@@ -55,6 +55,10 @@
                                      const step_terms& terms,
                                      const interference_model& model)
 {
+    if (!has_room_for_end(target))
+    {
+        return start_rejection::closed;
+    }
     const target_entry& entry = target.entry;
     const task_size wanted = reservation_of(terms);
     if (entry.service != terms.service || wanted.cpu_milli > room.cpu_milli ||
--- a/src/scheduler/rack_agent.cpp
+++ b/src/scheduler/rack_agent.cpp
@@ -27,6 +27,10 @@
     queue_summary queue;
 };
 
+// Shortest time for which ends are listed that is logged. It is above the time
+// that the record of an end takes while the store answers.
+constexpr milliseconds logged_end_wait{3'000};
+
 // Adds the summary of a queue to a sum, and keeps the longest wait.
 void add_queue(queue_summary& sum, const queue_summary& item)
 {
@@ -746,12 +750,14 @@
 void rack_agent::log_queues() const
 {
     std::vector<queue_line> queues;
+    end_list_summary lists;
     {
         const std::lock_guard<std::mutex> lock(impl_->mutex);
         const time_point now = steady_clock::now();
         impl_->metrics.set_counts(impl_->count_racks(now));
         for (const auto& [name, rack] : impl_->racks)
         {
+            add_end_lists(lists, rack, now);
             if (!rack.queue.empty())
             {
                 queues.push_back({name, rack.token,
@@ -801,6 +807,18 @@
                   {"reserved_targets", longest.reserved_targets}});
     }
     impl_->metrics.set_queues(sum);
+    impl_->metrics.set_end_lists(lists);
+    if (lists.oldest.waited >= logged_end_wait)
+    {
+        log_info("ends are not acknowledged",
+                 {{"target", lists.oldest.target},
+                  {"rack", lists.oldest.rack},
+                  {"ends", lists.oldest.ends},
+                  {"waited_ms", lists.oldest.waited.count()},
+                  {"reason", to_string(lists.oldest.reason)},
+                  {"longest_list", lists.longest},
+                  {"full_lists", lists.full}});
+    }
 }
 
 } // namespace egretspindle
--- a/src/scheduler/rack_agent_impl.hpp
+++ b/src/scheduler/rack_agent_impl.hpp
@@ -53,6 +53,9 @@
     bool is_stopping = false;
     bool has_contact = false; ///< the last poll was answered
     int failed_polls = 0;     ///< in a row
+    /// When the target was first seen to have a full list of ends; {}: it can
+    /// list more.
+    time_point list_full_since;
     /// When the latest start without an answer was sent.
     time_point unanswered_start_at;
     std::deque<pending_order> orders;
@@ -156,6 +159,10 @@
     /// Called with `mutex` locked.
     void queue_stops_and_paces(rack_target& target, time_point now);
     bool is_overtaken(const target_channel& channel, std::int64_t token);
+    /// Logs that the target gets no starts since its list of ends is full, and
+    /// that it gets some again. Called with `mutex` locked.
+    void log_full_list(target_channel& channel, const rack_target& target,
+                       time_point now);
     void apply_poll_answer(const channel_ptr& channel,
                            const poll_request& request,
                            const poll_answer& answer, time_point sent_at);
--- a/src/scheduler/rack_agent_polls.cpp
+++ b/src/scheduler/rack_agent_polls.cpp
@@ -248,6 +248,7 @@
         {
             target->acks.confirmed = request.acknowledged;
         }
+        log_full_list(*channel, *target, now);
         observe_confirmations(*target, unconfirmed);
         queue_first_speeds(*target, unconfirmed);
         update_clock(*target, answer.clock_ms, limits.lease, now);
@@ -283,6 +284,40 @@
     publish(channel->rack, channel->token, events);
 }
 
+void rack_agent::impl::log_full_list(target_channel& channel,
+                                     const rack_target& target, time_point now)
+{
+    const bool was_full = channel.list_full_since != time_point{};
+    const bool is_full = !has_room_for_end(target);
+    if (was_full == is_full)
+    {
+        return;
+    }
+    if (is_full)
+    {
+        log_warning("target gets no starts, its list of ends is full",
+                    {{"target", channel.target},
+                     {"rack", channel.rack},
+                     {"owner_version", channel.token},
+                     {"ends", target.listed_ends},
+                     {"runs", target.runs.size()},
+                     {"unlisted", target.unlisted_ends.size()},
+                     {"most_ends", target.max_listed_ends},
+                     {"oldest_end", target.oldest_end},
+                     {"oldest_ms", elapsed_ms(target.oldest_end_since, now)},
+                     {"reason", to_string(find_ack_blocker(target, now))}});
+        channel.list_full_since = now;
+        return;
+    }
+    log_info("target gets starts again, it can list their ends",
+             {{"target", channel.target},
+              {"rack", channel.rack},
+              {"ends", target.listed_ends},
+              {"runs", target.runs.size()},
+              {"closed_ms", elapsed_ms(channel.list_full_since, now)}});
+    channel.list_full_since = {};
+}
+
 // Stops long-running runs on draining targets. The owners of their jobs then
 // assign them to other racks.
 void rack_agent::impl::move_off_draining_targets(rack_state& rack)
--- a/src/scheduler/rack_metrics.cpp
+++ b/src/scheduler/rack_metrics.cpp
@@ -100,7 +100,13 @@
                              "Targets that did not answer the last poll.")),
       kept_stops(registry.get_gauge(
           "egretspindle_rack_stops_kept",
-          "Stops of unknown runs that wait for targets to be reached."))
+          "Stops of unknown runs that wait for targets to be reached.")),
+      longest_end_list(
+          registry.get_gauge("egretspindle_target_ends_listed",
+                             "Ends in the longest list of a target.")),
+      full_end_lists(registry.get_gauge(
+          "egretspindle_rack_targets_full",
+          "Targets that get no starts since their lists of ends are full."))
 {
     for (const bool is_long_running : {false, true})
     {
@@ -157,6 +163,13 @@
             "news.",
             {{"result", is_answered ? "answered" : "failed"}});
     }
+    for (std::size_t n = 0; n < ack_blocker_count; ++n)
+    {
+        oldest_end_waits[n] = &registry.get_gauge(
+            "egretspindle_target_ends_waited_milliseconds",
+            "Longest time for which an end has been listed as the oldest.",
+            {{"for", std::string(to_string(static_cast<ack_blocker>(n)))}});
+    }
     for (std::size_t n = 0; n < wait_reason_count; ++n)
     {
         waiting[n] =
@@ -243,4 +256,17 @@
     kept_stops.set(static_cast<double>(counts.kept_stops));
 }
 
+void rack_metrics::set_end_lists(const end_list_summary& lists) const noexcept
+{
+    longest_end_list.set(static_cast<double>(lists.longest));
+    full_end_lists.set(static_cast<double>(lists.full));
+    for (std::size_t n = 0; n < ack_blocker_count; ++n)
+    {
+        const bool is_reason =
+            static_cast<ack_blocker>(n) == lists.oldest.reason;
+        oldest_end_waits[n]->set(
+            is_reason ? static_cast<double>(lists.oldest.waited.count()) : 0.0);
+    }
+}
+
 } // namespace egretspindle
--- a/tests/rack/end_list_test.cpp
+++ b/tests/rack/end_list_test.cpp
@@ -1,3 +1,4 @@
+#include "egretspindle/rack/order_sequence.hpp"
 #include "egretspindle/rack/rack_decision.hpp"
 #include "egretspindle/rack/start_intents.hpp"
 
@@ -327,3 +328,99 @@
           std::map<std::string, run_end>{{task_name(4), run_end::done},
                                          {task_name(5), run_end::lost}});
 }
+
+namespace
+{
+
+void enqueue_tasks(rack_state& rack, int first, int last, time_point now)
+{
+    for (int n = first; n <= last; ++n)
+    {
+        queued_start start;
+        start.task = task_name(n);
+        start.run = 1;
+        start.terms = make_terms();
+        start.queued_at = now;
+        REQUIRE(enqueue(rack, start) == enqueue_result::queued);
+    }
+}
+
+std::size_t count_placed(rack_state& rack, time_point now)
+{
+    return place_starts(rack, interference_model(), now, 0).size();
+}
+
+} // namespace
+
+// Guards against runs whose results callers wait for while acknowledgements
+// rest, since their ends do not fit into the list.
+TEST_CASE("a target gets no start whose end it could not list", "[rack]")
+{
+    rack_with_runs world(2);
+    rack_target& target = world.target();
+    const time_point now = start_time + 5 * second;
+    enqueue_tasks(world.rack, 3, 6, now);
+    // One end is listed, and one run goes on.
+    poll_answer answer = list_ends(1, 1);
+    answer.runs = {{task_name(2), 1, "", 100, 0}};
+    (void)apply_poll(world.rack, target, answer, now, now);
+    CHECK(count_placed(world.rack, now) == 1);
+    CHECK_FALSE(accepts_starts(target, now));
+    CHECK(find_ack_blocker(target, now) == ack_blocker::record);
+
+    acknowledge(target, 1, {task_name(1), 1});
+    // The target lists the end until it gets the acknowledgement.
+    CHECK(count_placed(world.rack, now) == 0);
+    begin_start(world.rack, target, now);
+    CHECK(find_ack_blocker(target, now) == ack_blocker::open_start);
+    end_start(target, 5'001, lease_limits(), now);
+    add_unanswered_start(target, {task_name(3), 1}, now);
+    CHECK(find_ack_blocker(target, now) == ack_blocker::late_start);
+    const time_point settled = now + max_order_delay + milliseconds(1);
+    CHECK(find_ack_blocker(target, settled) == ack_blocker::none);
+    CHECK(next_acknowledgement(target, settled) == 1);
+
+    answer.ends.clear();
+    (void)apply_poll(world.rack, target, answer, settled, settled);
+    CHECK(find_ack_blocker(target, settled) == ack_blocker::none);
+    CHECK(count_placed(world.rack, settled) == 1);
+}
+
+// Guards against starts that were refused while the list was full and are not
+// tried again.
+TEST_CASE("starts that a full list kept waiting are placed after it", "[rack]")
+{
+    rack_with_runs world(2);
+    const time_point now = start_time + 5 * second;
+    poll_answer answer = list_ends(1, 1);
+    answer.runs = {{task_name(2), 1, "", 100, 0}};
+    (void)apply_poll(world.rack, world.target(), answer, now, now);
+    enqueue_tasks(world.rack, 3, 6, now);
+    CHECK(count_placed(world.rack, now) == 1);
+    answer.ends.clear();
+    (void)apply_poll(world.rack, world.target(), answer, now + second, now);
+    CHECK(count_placed(world.rack, now + second) == 1);
+}
+
+TEST_CASE("the time for which the oldest end has been listed is known",
+          "[rack]")
+{
+    rack_with_runs world(3);
+    rack_target& target = world.target();
+    const time_point now = start_time + 5 * second;
+    const auto poll_at = [&](time_point at, int first, int last)
+    {
+        (void)apply_poll(world.rack, target, list_ends(first, last), at, at);
+    };
+    poll_at(now, 1, 1);
+    poll_at(now + second, 1, 2);
+    CHECK(target.oldest_end == 1);
+    CHECK(target.oldest_end_since == now);
+    CHECK(target.listed_ends == 2);
+    poll_at(now + 2 * second, 2, 3);
+    CHECK(target.oldest_end == 2);
+    CHECK(target.oldest_end_since == now + 2 * second);
+    poll_at(now + 3 * second, 1, 0);
+    CHECK(target.oldest_end == 0);
+    CHECK(target.listed_ends == 0);
+}
--- a/tests/scheduler/rack_metrics_test.cpp
+++ b/tests/scheduler/rack_metrics_test.cpp
@@ -62,6 +62,7 @@
         answer.started_ms = 1;
         answer.runs = runs;
         answer.ends = ends;
+        answer.max_ends = max_ends;
         return answer;
     }
 
@@ -72,6 +73,7 @@
     bool lists_starts = false;   ///< in `runs`
     std::vector<listed_run> runs;
     std::vector<listed_end> ends;
+    std::size_t max_ends = 500;
 };
 
 // Limits with short delays.
@@ -208,6 +210,28 @@
         }
         return true;
     }
+
+    /// Sets the gauges until one has a value between `least` and `most`.
+    /// Returns false after 20 s.
+    bool shows(const std::string& series, double least, double most)
+    {
+        const time_point until = steady_clock::now() + std::chrono::seconds(20);
+        for (;;)
+        {
+            agent.log_queues();
+            const double current = value(series);
+            if (least <= current && current <= most)
+            {
+                return true;
+            }
+            if (steady_clock::now() > until)
+            {
+                UNSCOPED_INFO(registry->prometheus_text());
+                return false;
+            }
+            std::this_thread::sleep_for(milliseconds(2));
+        }
+    }
 };
 
 } // namespace
@@ -443,3 +467,28 @@
                         use + "\"}") == 0);
     }
 }
+
+// Guards against a list of ends that grows, and keeps starts from its target,
+// without showing it.
+TEST_CASE("ends that wait for their acknowledgement are shown", "[metrics]")
+{
+    const std::string waited =
+        "egretspindle_target_ends_waited_milliseconds{for=\"record\"}";
+    rack_fixture env;
+    {
+        const std::lock_guard<std::mutex> lock(env.target.mutex);
+        env.target.ends = {{1, "z.0.0.0", 1, "done", ""},
+                           {2, "z.0.0.1", 1, "done", ""}};
+        env.target.max_ends = 2;
+    }
+    REQUIRE(env.shows("egretspindle_target_ends_listed", 2, 2));
+    CHECK(env.value("egretspindle_rack_targets_full") == 1);
+    CHECK(env.shows(waited, 10, 20'000));
+    {
+        const std::lock_guard<std::mutex> lock(env.target.mutex);
+        env.target.ends.clear();
+    }
+    REQUIRE(env.shows("egretspindle_target_ends_listed", 0, 0));
+    CHECK(env.value("egretspindle_rack_targets_full") == 0);
+    CHECK(env.value(waited) == 0);
+}
