--- a/cmake/packages.cmake
+++ b/cmake/packages.cmake
@@ -76,6 +76,8 @@
   add_test(NAME rack_long_running_absence
            COMMAND test_rack "[rack_long_running_absence]")
   set_tests_properties(rack_long_running_absence PROPERTIES TIMEOUT 300)
+  add_test(NAME rack_late_copies COMMAND test_rack "[rack_late_copies]")
+  set_tests_properties(rack_late_copies PROPERTIES TIMEOUT 300)
 endif()
 egret_package(cluster egret_core)
 egret_package(scheduler egret_rack egret_cluster egret_protocol egret_metrics)
--- a/tests/rack/cancel_simulation.hpp
+++ b/tests/rack/cancel_simulation.hpp
@@ -1,5 +1,6 @@
 /// \file
-/// Simulation of cancellings over the decisions of the owner of a rack.
+/// Simulation of jobs, cancelled or run to their ends, over the decisions of
+/// the owner of a rack.
 
 #ifndef EGRETSPINDLE_TESTS_RACK_CANCEL_SIMULATION_HPP
 #define EGRETSPINDLE_TESTS_RACK_CANCEL_SIMULATION_HPP
@@ -7,6 +8,7 @@
 #include "egretspindle/rack/rack_decision.hpp"
 #include "egretspindle/rack/start_intents.hpp"
 
+#include <array>
 #include <deque>
 #include <functional>
 #include <map>
@@ -33,6 +35,26 @@
 // `contact_time`, a cancelled run is gone after `cancel_time` and `stop_grace`.
 constexpr ms contact_time{3'000}, cancel_time{3'000};
 constexpr ms trouble_time{5'000}, round_time{20'000}, play_time{80'000};
+constexpr int max_attempts = 4;
+// Jobs that are not cancelled are submitted for `submit_time`. As the users
+// state it, from `finish_time` later on no task may stay without a run for
+// `idle_time` while less than half of the slots are in use.
+constexpr ms submit_time{60'000}, finish_time{14'000}, idle_time{3'000};
+constexpr ms finished_play_time{110'000}; ///< of jobs that are not cancelled
+
+/// What a play varies.
+struct play_options
+{
+    std::size_t max_ends = 500; ///< that a target lists
+    /// Targets get starts also if they cannot list the ends of more runs.
+    bool fills_lists = false;
+    /// Jobs are cancelled after seconds. Otherwise they have short tasks, which
+    /// run until they are done or have failed `max_attempts` times, and owners
+    /// of jobs are out of reach at times.
+    bool has_cancellings = true;
+    ms submit_period{500};
+    int longest_run = 4'000; ///< of short tasks, in ms
+};
 
 struct active_run
 {
@@ -40,6 +62,25 @@
     std::string how = "done";
 };
 
+/// End of a run, as the users' rules judge it.
+struct judged_end
+{
+    std::string target, how;
+    std::int64_t started_ms = 0, number = 0; ///< boot of the target
+    time_point at;
+    bool is_acknowledged = false;
+    /// The leases on the target expired before the acknowledgement. The end
+    /// does not count then.
+    bool has_lapsed = false;
+};
+
+/// What targets have done for a task.
+struct task_history
+{
+    std::vector<time_point> starts;
+    std::vector<judged_end> ends;
+};
+
 struct sim_target
 {
     std::string id;
@@ -85,16 +126,17 @@
     bool is_assigned = false, is_done = false;
     int deliveries = 0;
     time_point sent_at, stop_sent_at;
+    int failures = 0;
 };
 
-/// Cancellings of jobs in a rack, in simulated time. Targets follow the
-/// protocol of the platform. Messages and orders are lost, doubled and delayed,
-/// and the owner of the rack and the boots of targets change, in the first
-/// seconds of each round.
+/// Jobs in a rack, in simulated time. Targets follow the protocol of the
+/// platform. Messages and orders are lost, doubled and delayed, and the owner
+/// of the rack and the boots of targets change, in the first seconds of each
+/// round.
 class simulation
 {
 public:
-    explicit simulation(unsigned seed);
+    explicit simulation(unsigned seed, const play_options& options = {});
 
     /// Returns what went wrong first; empty: nothing.
     std::string play();
@@ -107,6 +149,11 @@
     {
         return begun_runs_;
     }
+    /// Number of answers that left out ends.
+    [[nodiscard]] int cut_lists() const
+    {
+        return cut_lists_;
+    }
 
 private:
     int draw(int low, int high);
@@ -130,6 +177,14 @@
     poll_answer poll(sim_target& target, const poll_request& order);
     void advance_targets();
     void disturb();
+    [[nodiscard]] bool reaches_owner_of(const std::string& task) const;
+    void check_start(const sim_target& target, const run_id& id);
+    void record_end(const sim_target& target, const listed_end& end);
+    void lapse_ends(const sim_target& target);
+    void acknowledge_end(const sim_target& target, const listed_end& end);
+    void check_history(const run_id& id);
+    void check_idle();
+    void check_finished();
     // Sends an order to a target. The caller gets the answer, or none after the
     // timeout. An order without an answer may be executed later.
     template <typename Answer>
@@ -225,11 +280,14 @@
     void execute(std::int64_t token, queued_start start, bool is_stop);
 
     std::mt19937 random_;
+    const play_options options_;
     const int severity_ = draw(1, 5);
     const time_point begin_ = time_point{} + ms(1'000'000);
     time_point now_ = begin_;
     time_point troubled_at_ = begin_;
     time_point store_down_until_;
+    /// Until when the owners of a share of the jobs are out of reach.
+    std::array<time_point, 4> job_owners_down_until_{};
     std::multimap<time_point, std::function<void()>> events_;
     std::vector<sim_target> targets_;
     owner_ptr owner_;                          ///< present one of the rack
@@ -241,7 +299,10 @@
     /// started.
     std::map<run_id, std::int64_t> unstarted_;
     std::string failure_;
-    int sent_stops_ = 0, begun_runs_ = 0;
+    std::map<std::string, task_history> histories_; ///< by task
+    time_point busy_at_; ///< latest time at which half of the slots were in use
+    std::map<std::string, time_point> at_work_; ///< latest time, by task
+    int sent_stops_ = 0, begun_runs_ = 0, cut_lists_ = 0;
 };
 
 } // namespace egretspindle::cancel_simulation
--- a/tests/rack/cancel_simulation_jobs.cpp
+++ b/tests/rack/cancel_simulation_jobs.cpp
@@ -18,7 +18,7 @@
 
 void simulation::send_report(const owner_ptr& owner, const run_event& event)
 {
-    if (trouble(15))
+    if (!reaches_owner_of(event.task) || trouble(15))
     {
         at(ms(300), [this, owner, event] { send_report(owner, event); });
         return;
@@ -94,7 +94,10 @@
     if (is_current)
     {
         task.is_assigned = false;
-        task.is_done = event.how == run_end::done;
+        task.failures += event.how == run_end::failed ? 1 : 0;
+        task.is_done =
+            event.how == run_end::done ||
+            (!options_.has_cancellings && task.failures >= max_attempts);
         if (event.how == run_end::not_started)
         {
             rack_state reporter;
@@ -105,16 +108,33 @@
     return "recorded";
 }
 
+bool simulation::reaches_owner_of(const std::string& task) const
+{
+    const std::size_t share =
+        std::hash<std::string>()(task) % job_owners_down_until_.size();
+    return now_ >= job_owners_down_until_[share];
+}
+
 void simulation::submit()
 {
-    const time_point cancelled_at = now_ + draw_ms(100, 6'000);
+    if (!options_.has_cancellings && now_ - begin_ >= submit_time)
+    {
+        return;
+    }
+    const time_point cancelled_at = options_.has_cancellings
+                                        ? now_ + draw_ms(100, 6'000)
+                                        : time_point::max();
     for (int n = draw(0, 3); n > 0; --n)
     {
         step_terms terms;
         terms.step = std::to_string(tasks_.size()) + ".0.0";
         terms.service = "svc";
         terms.size = {1'000, 100, 0};
-        terms.is_long_running = draw(0, 1) == 0;
+        terms.is_long_running = options_.has_cancellings && draw(0, 1) == 0;
+        if (!options_.has_cancellings)
+        {
+            terms.objective_ms = elapsed_ms(begin_, now_); // oldest first
+        }
         sim_task& task = tasks_[terms.step + ".0"];
         task.name = terms.step + ".0";
         task.terms = std::make_shared<const step_terms>(terms);
--- a/tests/rack/cancel_simulation_orders.cpp
+++ b/tests/rack/cancel_simulation_orders.cpp
@@ -315,6 +315,10 @@
     }
     channel.has_contact = true;
     report(owner, apply_poll(owner->rack, target, *answer, sent_at, now_));
+    if (options_.fills_lists)
+    {
+        target.max_listed_ends = std::numeric_limits<std::size_t>::max();
+    }
     if (!has_restarted && request.acknowledged > 0)
     {
         target.acks.confirmed = request.acknowledged;
--- a/tests/rack/cancel_simulation_targets.cpp
+++ b/tests/rack/cancel_simulation_targets.cpp
@@ -5,7 +5,8 @@
 namespace egretspindle::cancel_simulation
 {
 
-simulation::simulation(unsigned seed) : random_(seed)
+simulation::simulation(unsigned seed, const play_options& options)
+    : random_(seed), options_(options)
 {
     targets_.resize(static_cast<std::size_t>(draw(2, 4)));
     for (std::size_t n = 0; n < targets_.size(); ++n)
@@ -14,15 +15,20 @@
         targets_[n].boot_at = now_;
     }
     change_owner();
+    if (!options_.has_cancellings)
+    {
+        every(ms(100), [this] { check_idle(); });
+    }
     every(ms(50), [this] { advance_targets(); });
     every(ms(100), [this] { send_messages(); });
-    every(ms(500), [this] { submit(); });
+    every(options_.submit_period, [this] { submit(); });
     every(ms(400), [this] { disturb(); });
 }
 
 std::string simulation::play()
 {
-    const time_point end = now_ + play_time;
+    const time_point end =
+        now_ + (options_.has_cancellings ? play_time : finished_play_time);
     while (now_ < end && failure_.empty())
     {
         const auto it = events_.begin();
@@ -31,6 +37,7 @@
         events_.erase(it);
         event();
     }
+    check_finished();
     return failure_;
 }
 
@@ -42,7 +49,9 @@
 // Returns true in a time of trouble, with a chance in percent.
 bool simulation::trouble(int percent)
 {
-    return (now_ - begin_) % round_time < trouble_time &&
+    const ms played = std::chrono::duration_cast<ms>(now_ - begin_);
+    return played % round_time < trouble_time &&
+           (options_.has_cancellings || played < submit_time) &&
            draw(0, 99) < percent * severity_ / 2;
 }
 
@@ -137,9 +146,11 @@
         fail("started after it was reported as not started", id);
     }
     ++begun_runs_;
+    check_start(target, id);
     const bool is_long = tasks_.at(id.first).terms->is_long_running;
-    target.runs[id] = {now_, now_ + (is_long ? play_time : draw_ms(300, 4'000)),
-                       draw(0, 9) == 0 ? "failed" : "done"};
+    target.runs[id] = {
+        now_, now_ + (is_long ? play_time : draw_ms(300, options_.longest_run)),
+        draw(0, 9) == 0 ? "failed" : "done"};
     return {order_verdict::taken, clock};
 }
 
@@ -174,12 +185,19 @@
     }
     target.token = order.token;
     renew(target, order.lease_until_ms);
-    target.ends.erase(std::remove_if(target.ends.begin(), target.ends.end(),
-                                     [&order](const listed_end& it) {
-                                         return it.number <= order.acknowledged;
-                                     }),
-                      target.ends.end());
+    while (!target.ends.empty() &&
+           target.ends.front().number <= order.acknowledged)
+    {
+        acknowledge_end(target, target.ends.front());
+        target.ends.erase(target.ends.begin());
+    }
     answer.ends = target.ends;
+    answer.max_ends = options_.max_ends;
+    if (answer.ends.size() > answer.max_ends)
+    {
+        answer.ends.resize(answer.max_ends);
+        ++cut_lists_;
+    }
     for (const auto& [id, run] : target.runs)
     {
         answer.runs.push_back({id.first, id.second, "", 100, 0});
@@ -193,6 +211,10 @@
     for (sim_target& target : targets_)
     {
         const bool has_lapsed = now_ >= target.lease_until;
+        if (has_lapsed)
+        {
+            lapse_ends(target);
+        }
         if (now_ < target.dark_until)
         {
             troubled_at_ = now_;
@@ -217,6 +239,7 @@
             ruled_out = std::max(ruled_out, id.second);
             target.ends.push_back({++target.last_number, id.first, id.second,
                                    has_lapsed ? "lapsed" : run.how, ""});
+            record_end(target, target.ends.back());
             it = target.runs.erase(it);
         }
     }
@@ -248,6 +271,11 @@
     {
         target.dark_until = now_ + draw_ms(500, 9'000);
     }
+    if (!options_.has_cancellings && trouble(10))
+    {
+        job_owners_down_until_[std::size_t(draw(0, 3))] =
+            now_ + draw_ms(500, 9'000);
+    }
     if (trouble(5))
     {
         store_down_until_ = now_ + draw_ms(500, 9'000);
