Soak many short tasks beside late orders

No soak filled a list of ends with real processes: its jobs have at most 18 tasks, and 16 targets share them.

--- a/bench/soak/client.cpp
+++ b/bench/soak/client.cpp
@@ -48,10 +48,10 @@
 
 } // namespace
 
-client::client(int number, unsigned seed,
+client::client(int number, unsigned seed, job_chooser choose_job,
                std::vector<host_endpoint> host_endpoints,
                const std::string& log_file)
-    : number_(number), random_(seed),
+    : number_(number), random_(seed), choose_job_(choose_job),
       host_endpoints_(std::move(host_endpoints)), log_(log_file)
 {
     choose_endpoint();
@@ -192,7 +192,7 @@
     }
     else if (jobs_.empty() || random_percent < 20)
     {
-        soak_job job = choose_job(random_);
+        soak_job job = choose_job_(random_);
         // All long-running jobs are cancelled, and one in ten of the others.
         if (job.is_long_running || choose(0, 9) == 0)
         {
--- a/bench/soak/client.hpp
+++ b/bench/soak/client.hpp
@@ -39,7 +39,8 @@
 class client
 {
 public:
-    client(int number, unsigned seed, std::vector<host_endpoint> host_endpoints,
+    client(int number, unsigned seed, job_chooser choose_job,
+           std::vector<host_endpoint> host_endpoints,
            const std::string& log_file);
     ~client();
     client(const client&) = delete;
@@ -88,6 +89,7 @@
 
     int number_;
     std::mt19937 random_;
+    job_chooser choose_job_;
     std::vector<host_endpoint> host_endpoints_;
     standin::line_file log_;
     std::deque<soak_job> jobs_;
--- a/bench/soak/fault_runner.cpp
+++ b/bench/soak/fault_runner.cpp
@@ -55,6 +55,10 @@
     {
         return make_restarts(state.random, state.cluster);
     }
+    if (options.has_short_tasks)
+    {
+        return make_late_orders(state.random, state.cluster);
+    }
     const long kind = choose(state.random, 0, 99);
     if (kind < 40)
     {
--- a/bench/soak/main.cpp
+++ b/bench/soak/main.cpp
@@ -39,6 +39,7 @@
     {
         clients.push_back(std::make_unique<client>(
             n, options.seed * client_seed_factor + static_cast<unsigned>(n),
+            options.has_short_tasks ? choose_short_tasks : choose_job,
             cluster.host_endpoints(),
             cluster.directory().file(fmt::format("client{}.log", n))));
     }
--- a/bench/soak/options.hpp
+++ b/bench/soak/options.hpp
@@ -21,7 +21,10 @@
     bool is_without_faults = false;
     bool has_takeovers_only = false; ///< the only faults
     bool has_restarts_only = false;  ///< of targets, the only faults
-    bool keeps_logs = false;         ///< also after a pass
+    /// Jobs have many short tasks, so that targets list many ends, and late
+    /// orders are the only faults.
+    bool has_short_tasks = false;
+    bool keeps_logs = false; ///< also after a pass
 };
 
 /// Reads the command line.
--- a/bench/soak/soak_fault.hpp
+++ b/bench/soak/soak_fault.hpp
@@ -57,6 +57,10 @@
 [[nodiscard]] soak_fault make_restarts(std::mt19937& random,
                                        soak_cluster& cluster);
 
+/// Lets a target leave orders unanswered for a moment and carry them out late.
+[[nodiscard]] soak_fault make_late_orders(std::mt19937& random,
+                                          soak_cluster& cluster);
+
 /// Chooses a fault of a target or of its link.
 [[nodiscard]] soak_fault choose_target_fault(std::mt19937& random,
                                              soak_cluster& cluster);
--- a/bench/soak/soak_job.cpp
+++ b/bench/soak/soak_job.cpp
@@ -16,6 +16,12 @@
     return std::uniform_int_distribution<int>(min_value, max_value)(random);
 }
 
+std::string choose_id(std::mt19937& random)
+{
+    const std::uint64_t high = random();
+    return fmt::format("{:016x}", high << 32U | random());
+}
+
 // Longer than any soak.
 constexpr std::int64_t long_running_ms = 3'600'000;
 // One job in this many is long-running.
@@ -37,8 +43,7 @@
 soak_job choose_job(std::mt19937& random)
 {
     soak_job job;
-    const std::uint64_t high = random();
-    job.id = fmt::format("{:016x}", high << 32U | random());
+    job.id = choose_id(random);
     job.is_long_running = choose(random, 1, long_running_share) == 1;
     const int count = job.is_long_running ? 1 : choose(random, 1, 3);
     for (int n = 0; n < count; ++n)
@@ -60,6 +65,18 @@
     return job;
 }
 
+soak_job choose_short_tasks(std::mt19937& random)
+{
+    soak_job job;
+    job.id = choose_id(random);
+    soak_step step;
+    step.count = choose(random, 40, 80);
+    step.cpu_milli = 100;
+    step.duration_ms = choose(random, 50, 200);
+    job.steps.push_back(std::move(step));
+    return job;
+}
+
 std::string submission_of(const soak_job& job)
 {
     std::string text;
--- a/bench/soak/soak_job.hpp
+++ b/bench/soak/soak_job.hpp
@@ -60,6 +60,12 @@
 /// Chooses a job of one to three steps.
 [[nodiscard]] soak_job choose_job(std::mt19937& random);
 
+/// Chooses a job with one step of many short tasks.
+[[nodiscard]] soak_job choose_short_tasks(std::mt19937& random);
+
+/// Chooses the next job of a client.
+using job_chooser = soak_job (*)(std::mt19937& random);
+
 /// Returns the body of a submission.
 [[nodiscard]] std::string submission_of(const soak_job& job);
 
--- a/bench/soak/target_faults.cpp
+++ b/bench/soak/target_faults.cpp
@@ -120,6 +120,12 @@
     return item;
 }
 
+std::string choose_target(std::mt19937& random, const soak_cluster& cluster)
+{
+    const long last = static_cast<long>(cluster.targets().size()) - 1;
+    return cluster.targets()[static_cast<std::size_t>(choose(random, 0, last))];
+}
+
 void set_links(soak_cluster& cluster, const std::vector<std::string>& names,
                const std::string& mode)
 {
@@ -162,13 +168,20 @@
     return item;
 }
 
+soak_fault make_late_orders(std::mt19937& random, soak_cluster& cluster)
+{
+    const std::string name = choose_target(random, cluster);
+    soak_fault item = make_action_fault(random, cluster, name, "delay_orders");
+    item.component = "target-" + name;
+    item.length = delayed_time;
+    return item;
+}
+
 soak_fault choose_target_fault(std::mt19937& random, soak_cluster& cluster)
 {
     const char* const actions[] = {"unhealthy", "delay_orders", "fail_runs",
                                    "slow"};
-    const long last = static_cast<long>(cluster.targets().size()) - 1;
-    const std::string name =
-        cluster.targets()[static_cast<std::size_t>(choose(random, 0, last))];
+    const std::string name = choose_target(random, cluster);
     const long kind = choose(random, 0, 9);
     soak_fault item;
     if (kind <= 1)
--- a/cmake/packages.cmake
+++ b/cmake/packages.cmake
@@ -207,6 +207,9 @@
   add_test(NAME soak_restarts
            COMMAND ${CMAKE_SOURCE_DIR}/tests/soak/play_seeds --restarts
                    $<TARGET_FILE:soak> 25 30 1 2)
-  set_tests_properties(soak_jobs soak_failed_seeds soak_restarts
+  add_test(NAME soak_short_tasks
+           COMMAND ${CMAKE_SOURCE_DIR}/tests/soak/play_seeds --short-tasks
+                   --hosts=2 --targets=2 $<TARGET_FILE:soak> 20 30 1 2)
+  set_tests_properties(soak_jobs soak_failed_seeds soak_restarts soak_short_tasks
                        PROPERTIES TIMEOUT 300)
 endif()
