--- a/src/rack/place_starts.cpp
+++ b/src/rack/place_starts.cpp
@@ -447,7 +447,8 @@
     }
     rack.queue.erase(rack.queue.begin() + static_cast<std::ptrdiff_t>(kept),
                      rack.queue.end());
-    // Queued starts are tried again on a target that opens.
+    // A target whose list of ends is full now counts as changed once it can
+    // take starts again, so that the queued ones are tried there.
     for (rack_target* item : items)
     {
         item->cached.is_open = has_room_for_end(*item);
--- a/src/rack/rack_decision.cpp
+++ b/src/rack/rack_decision.cpp
@@ -777,9 +777,10 @@
             const rack_target& target = item.second;
             return target.is_inherited && target.may_have_unread_ends;
         });
+    // The leases on such a target do not matter: a run may have ended earlier.
     if (has_unlisted_ends)
     {
-        return false; // also after its leases: the run may have ended before
+        return false;
     }
     if (now >= rack.unknown_until && rack.verified_at >= rack.unknown_until)
     {
