Complete the jobs of a queue that the configuration no longer has

Cause: service, priority, attempts and objective of a job were looked up in the present configuration at each start, and the record of the job had only the name of its queue. Without the queue there was no service to start on.

The record now has the terms of the queue, with the version of the configuration that they come from. They are those of the present configuration while it has the queue, so that a change of the service or the return of a queue applies to open jobs, else the latest recorded ones. A new service or limit is written to the records at once, as the queue may be removed next. A submission brings the terms that its receiver knows, since the owner of the shard may have another version; an owner that knows that the queue was removed since does not accept the job. An older configuration on a new owner does not replace newer recorded terms, and nothing starts before a configuration was read.

Records without terms are read as before and adopt those of the configuration. If none with the queue is read, their jobs still wait, with a log line. Former versions ignore the new field. Ruled out: keeping former configurations in memory, which a restart of all hosts loses.

The test "a job whose attempts were used up while its queue was not configured fails once it is" now starts from a record without terms: with terms the limit is known, and the job fails at the second failure, which "a failed task of a removed queue is tried again up to its limit" checks.

--- a/include/egretspindle/jobs/job.hpp
+++ b/include/egretspindle/jobs/job.hpp
@@ -5,6 +5,7 @@
 #define EGRETSPINDLE_JOBS_JOB_HPP
 
 #include "egretspindle/jobs/job_spec.hpp"
+#include "egretspindle/jobs/queue_terms.hpp"
 
 #include <cstdint>
 #include <string>
@@ -58,6 +59,7 @@
 {
     std::string id;
     std::string queue; ///< name of the `queue_config`
+    queue_terms terms; ///< latest known ones of the queue
     job_spec spec;
     std::int64_t accepted_ms = 0; ///< Unix time in ms
     std::int64_t ended_ms = 0;    ///< Unix time in ms; 0 while open
--- a/include/egretspindle/scheduler/job_metrics.hpp
+++ b/include/egretspindle/scheduler/job_metrics.hpp
@@ -20,6 +20,7 @@
     no_room,      ///< the remaining capacity is kept for short tasks
     store_down,   ///< writes of records are failing
     not_recorded, ///< the job's record could not be written
+    no_queue,     ///< a later configuration does not have the queue
 };
 
 /// Returns the name of a reason for labels and log lines.
@@ -53,7 +54,7 @@
     /// Counts the end of a run.
     void count_end(run_end how) const noexcept;
 
-    static constexpr std::size_t refusal_reason_count = 3;
+    static constexpr std::size_t refusal_reason_count = 4;
     static constexpr std::size_t run_end_count = 8;
 
     counter& accepted;
--- a/include/egretspindle/scheduler/owner_messages.hpp
+++ b/include/egretspindle/scheduler/owner_messages.hpp
@@ -6,6 +6,7 @@
 
 #include "egretspindle/core/clock.hpp"
 #include "egretspindle/jobs/job_spec.hpp"
+#include "egretspindle/jobs/queue_terms.hpp"
 #include "egretspindle/rack/image_name_codec.hpp"
 #include "egretspindle/rack/queued_start.hpp"
 
@@ -205,6 +206,10 @@
 {
     std::string id;
     std::string queue;
+    /// Terms of the queue that a submission was received under. The owner of
+    /// the shard may have another version of the configuration. `service` is
+    /// empty in other requests.
+    queue_terms terms;
     job_spec spec;
     /// Time limit for the reply, from the receipt of the request.
     std::int64_t budget_ms = 0;
@@ -216,6 +221,7 @@
 {
     visit("id", value.id);
     visit("queue", value.queue);
+    visit("terms", value.terms);
     visit("spec", value.spec);
     visit("budget_ms", value.budget_ms);
 }
--- a/src/jobs/job_record.cpp
+++ b/src/jobs/job_record.cpp
@@ -20,6 +20,8 @@
 struct record_state
 {
     std::string queue;
+    /// At most one entry; none: not known, or the job has ended.
+    std::vector<queue_terms> terms;
     std::string outcome;
     std::int64_t accepted_ms = 0;
     std::int64_t ended_ms = 0;
@@ -36,6 +38,7 @@
 void visit_fields(Visitor&& visit, Value& value, const record_state* /*tag*/)
 {
     visit("queue", value.queue);
+    visit("terms", value.terms);
     visit("outcome", value.outcome);
     visit("accepted_ms", value.accepted_ms);
     visit("ended_ms", value.ended_ms);
@@ -176,6 +179,10 @@
     {
         return to_json(state);
     }
+    if (!value.terms.service.empty())
+    {
+        state.terms = {value.terms};
+    }
     for (std::size_t k = 0; k < value.occurrences.size(); ++k)
     {
         state.tasks.emplace_back();
@@ -209,6 +216,10 @@
         return malformed_record(id);
     }
     value.queue = state->queue;
+    if (!state->terms.empty())
+    {
+        value.terms = state->terms.front();
+    }
     value.accepted_ms = state->accepted_ms;
     value.ended_ms = state->ended_ms;
     value.has_started = state->has_started;
--- a/src/scheduler/job_coordinator.cpp
+++ b/src/scheduler/job_coordinator.cpp
@@ -105,6 +105,11 @@
         return impl_->refuse(request, shard, refusal_reason::store_down,
                              refused_retry_ms);
     }
+    if (!entry && impl_->is_queue_removed(request))
+    {
+        return impl_->refuse(request, shard, refusal_reason::no_queue,
+                             refused_retry_ms);
+    }
     if (!entry && impl_->may_refuse_for_certain(shard, steady_clock::now()))
     {
         const std::optional<std::size_t> step =
@@ -119,8 +124,7 @@
     if (!entry)
     {
         entry = std::make_shared<job_entry>();
-        entry->value =
-            make_job(request.id, request.queue, request.spec, unix_ms());
+        entry->value = impl_->make_new_job(request);
         entry->shard = shard;
         entry->encoded_spec = encode_spec(request.spec);
         entry->created_at = steady_clock::now();
@@ -371,12 +375,15 @@
     {
         const std::lock_guard<std::mutex> lock(impl_->mutex);
         impl_->steps_without_rack = 0;
+        const std::shared_ptr<const fleet_config> config =
+            impl_->hooks.config();
         for (const auto& [id, entry] : impl_->jobs)
         {
             if (add_due_occurrences(entry->value, unix_ms()))
             {
                 impl_->mark_changed(entry);
             }
+            impl_->adopt_terms(entry, *config);
             impl_->assign_due_steps(entry);
             impl_->collect_orders(*entry, orders, now);
         }
--- a/src/scheduler/job_coordinator_impl.hpp
+++ b/src/scheduler/job_coordinator_impl.hpp
@@ -98,8 +98,11 @@
                           const std::string& shard, time_point deadline);
 
     // job_coordinator_runs.cpp: assignment of runs, orders and reports
+    void adopt_terms(const entry_ptr& entry, const fleet_config& config);
     void assign_due_steps(const entry_ptr& entry);
     void assign_step(const entry_ptr& entry, const due_step& due);
+    [[nodiscard]] bool is_queue_removed(const job_request& request) const;
+    [[nodiscard]] job make_new_job(const job_request& request) const;
     [[nodiscard]] std::optional<std::size_t>
     step_without_capacity(const job_request& request) const;
     void log_no_capacity(const job_request& request, std::size_t step,
--- a/src/scheduler/job_coordinator_runs.cpp
+++ b/src/scheduler/job_coordinator_runs.cpp
@@ -2,6 +2,7 @@
 #include "egretspindle/scheduler/shard.hpp"
 
 #include "job_coordinator_impl.hpp"
+#include "job_terms.hpp"
 
 #include <fmt/format.h>
 
@@ -105,29 +106,27 @@
     return std::max(value.accepted_ms, value.spec.start_at_ms);
 }
 
-// Returns the attempts of a task as configured for the queue of its job, at
-// least 1; no value if the queue is not configured.
+// Returns the attempts of a task by the terms of its job, at least 1; no value
+// if they are not known.
 std::optional<std::int64_t>
 job_coordinator::impl::max_attempts(const job& value) const
 {
-    const std::shared_ptr<const fleet_config> config = hooks.config();
-    const queue_config* queue = find_queue_named(*config, value.queue);
-    if (queue == nullptr)
+    const queue_terms terms = terms_in_effect(value, *hooks.config());
+    if (terms.service.empty())
     {
         return std::nullopt;
     }
-    return std::max<std::int64_t>(1, queue->max_attempts);
+    return std::max<std::int64_t>(1, terms.max_attempts);
 }
 
 // Returns the terms under which racks run the tasks of a step. `service` is
-// empty if the queue of the job is not configured.
+// empty if the terms of the job are not known.
 step_terms job_coordinator::impl::terms_of(const job& value,
                                            std::size_t occurrence,
                                            std::size_t step) const
 {
     const step_spec& spec = value.spec.steps[step];
-    const std::shared_ptr<const fleet_config> config = hooks.config();
-    const queue_config* queue = find_queue_named(*config, value.queue);
+    const queue_terms queue = terms_in_effect(value, *hooks.config());
     step_terms terms;
     terms.step = fmt::format("{}.{}.{}", value.id, occurrence, step);
     terms.text = value.spec.text;
@@ -144,20 +143,46 @@
     terms.max_absent = spec.max_absent;
     const std::int64_t chain_ms = remaining_chain_ms(value);
     const std::int64_t total_ms = total_chain_ms(value);
-    const double stretch = queue == nullptr ? 1.0 : queue->stretch;
-    terms.objective_ms =
-        value.accepted_ms +
-        static_cast<std::int64_t>(stretch * static_cast<double>(total_ms));
-    if (queue != nullptr)
-    {
-        terms.service = queue->service;
-        terms.priority = queue->priority;
-        terms.objective_ms += queue->target_duration_ms;
-    }
+    terms.service = queue.service;
+    terms.priority = queue.priority;
+    terms.objective_ms = value.accepted_ms +
+                         static_cast<std::int64_t>(
+                             queue.stretch * static_cast<double>(total_ms)) +
+                         queue.target_duration_ms;
     terms.latest_start_ms = terms.objective_ms - chain_ms;
     return terms;
 }
 
+// Returns whether the configuration of this host has removed the queue of a
+// submission since the version that it was received under.
+bool job_coordinator::impl::is_queue_removed(const job_request& request) const
+{
+    const std::shared_ptr<const fleet_config> config = hooks.config();
+    return !request.terms.service.empty() &&
+           config->version > request.terms.config_version &&
+           find_queue_named(*config, request.queue) == nullptr;
+}
+
+// Creates the job for a submission, with the terms of its queue.
+job job_coordinator::impl::make_new_job(const job_request& request) const
+{
+    job value = make_job(request.id, request.queue, request.spec, unix_ms());
+    value.terms = request.terms;
+    update_terms(value, *hooks.config());
+    return value;
+}
+
+// Updates the terms of a job to the configuration, and queues a write of them
+// if the job could not be completed as accepted without it.
+void job_coordinator::impl::adopt_terms(const entry_ptr& entry,
+                                        const fleet_config& config)
+{
+    if (update_terms(entry->value, config))
+    {
+        mark_changed(entry);
+    }
+}
+
 // Returns the first step of a new job for which the fleet has no capacity. Only
 // long-running steps are checked: other tasks end and release their capacity to
 // waiting ones.
@@ -168,8 +193,7 @@
     {
         return std::nullopt;
     }
-    const job value =
-        make_job(request.id, request.queue, request.spec, unix_ms());
+    const job value = make_new_job(request);
     for (std::size_t n = 0; n < request.spec.steps.size(); ++n)
     {
         const step_spec& step = request.spec.steps[n];
@@ -187,8 +211,7 @@
                                             std::size_t step,
                                             std::int64_t retry_after_ms) const
 {
-    const job value =
-        make_job(request.id, request.queue, request.spec, unix_ms());
+    const job value = make_new_job(request);
     const step_terms terms = terms_of(value, 0, step);
     const service_load_summary summary =
         hooks.summarize_service_load
@@ -313,8 +336,9 @@
     step_terms terms = terms_of(entry->value, due.occurrence, due.step);
     if (terms.service.empty())
     {
-        // The queue was removed. The step waits until it is configured again.
-        log_no_rack(*entry, terms, due, "queue is not configured");
+        // No configuration has been read, or the queue was removed and the
+        // record of the job was written by a version without terms.
+        log_no_rack(*entry, terms, due, "terms of the queue are not known");
         return;
     }
     const std::vector<job_task>& tasks =
@@ -361,7 +385,7 @@
 }
 
 // Assigns the waiting tasks of a job, unless one of them has used up its
-// attempts while the queue of the job was not configured.
+// attempts while the terms of the job were not known.
 void job_coordinator::impl::assign_due_steps(const entry_ptr& entry)
 {
     const std::vector<due_step> due_now = due_steps(entry->value);
@@ -372,8 +396,8 @@
     const std::optional<std::int64_t> limit = max_attempts(entry->value);
     if (limit && apply_attempt_limit(entry->value, *limit, unix_ms()))
     {
-        log_info("job failed: attempts were used up before its queue was "
-                 "configured again",
+        log_info("job failed: attempts were used up before its terms were "
+                 "known",
                  {{"job", entry->value.id},
                   {"queue", entry->value.queue},
                   {"max_attempts", *limit}});
@@ -438,7 +462,7 @@
         terms_of(entry.value, run.key.occurrence, run.key.step);
     if (terms.service.empty())
     {
-        return; // no configuration is loaded yet, or it has no such queue
+        return; // the terms of the job are not known yet
     }
     rack_orders& rack = orders_for(orders, run.rack, now);
     if (!may_send_start(entry, sent, rack))
--- a/src/scheduler/job_coordinator_shards.cpp
+++ b/src/scheduler/job_coordinator_shards.cpp
@@ -3,6 +3,7 @@
 #include "egretspindle/scheduler/shard.hpp"
 
 #include "job_coordinator_impl.hpp"
+#include "job_terms.hpp"
 
 namespace egretspindle
 {
@@ -127,6 +128,7 @@
     }
     jobs[row.key] = entry;
     add_due_occurrences(entry->value, unix_ms());
+    update_terms(entry->value, *hooks.config());
     const bool is_finished =
         entry->value.outcome != job_outcome::open && entry->sent.empty();
     if (!is_finished)
--- a/src/scheduler/job_metrics.cpp
+++ b/src/scheduler/job_metrics.cpp
@@ -34,6 +34,8 @@
         return "no_room";
     case refusal_reason::store_down:
         return "store_down";
+    case refusal_reason::no_queue:
+        return "no_queue";
     case refusal_reason::not_recorded:
         break;
     }
--- a/src/scheduler/job_scheduler.cpp
+++ b/src/scheduler/job_scheduler.cpp
@@ -19,6 +19,7 @@
 #include "egretspindle/scheduler/target_list_replica.hpp"
 #include "egretspindle/scheduler/value_window.hpp"
 
+#include "job_terms.hpp"
 #include "late_delivery.hpp"
 
 #include <algorithm>
@@ -1253,6 +1254,7 @@
     job_request request;
     request.id = id;
     request.queue = queue;
+    request.terms = find_queue_terms(*config(), queue);
     request.spec = std::move(spec);
     request_trace trace;
     const time_point begun_at = steady_clock::now();
--- a/tests/scheduler/job_coordinator_test.cpp
+++ b/tests/scheduler/job_coordinator_test.cpp
@@ -978,20 +978,33 @@
 }
 
 // Guards against a start beyond the limit of the queue, which is not known when
-// the last failure is reported.
+// the last failure is reported: the record was written by a version that did
+// not store the terms of the queue.
 TEST_CASE("a job whose attempts were used up while its queue was not "
           "configured fails once it is",
           "[scheduler]")
 {
     fake_store store;
     fake_environment environment;
+    job recorded_before =
+        make_job(job_id, "queue", make_request().spec, unix_ms());
+    assign_run(recorded_before, {job_id, 0, 0, 0}, "r1");
+    end_run(recorded_before, {job_id, 0, 0, 0}, 1, run_end::failed, "",
+            std::nullopt, unix_ms());
+    assign_run(recorded_before, {job_id, 0, 0, 0}, "r1");
+    recorded_before.has_started = true;
+    row_transaction transaction;
+    table_row row;
+    row.table = std::string(jobs_table);
+    row.part = shard_of(job_id);
+    row.key = job_id;
+    row.value = encode_job(recorded_before, encode_spec(recorded_before.spec));
+    transaction.writes.push_back(row);
+    REQUIRE(store.commit(transaction, {})->is_committed);
+    environment.has_queue = false;
     job_coordinator coordinator(store, environment.hooks(), {});
     coordinator.take_shard(shard_of(job_id));
-    REQUIRE(coordinator.submit(make_request()).verdict == "accepted");
-    REQUIRE(coordinator.report({{make_report("failed", 1)}})
-                .verdicts.front()
-                .verdict == "recorded");
-    environment.has_queue = false;
+    REQUIRE(coordinator.query(make_request()).state == "running");
     run_report second = make_report("failed", 2);
     second.run = 2;
     REQUIRE(coordinator.report({{second}}).verdicts.front().verdict ==
