Count a failed run of a gang once

Cause: each member that ended `failed` added to the failures of the gang, so that a target that fails all its starts used up as many attempts as it had members.

The first member now remembers the latest run that was counted, and a further failed member of that run does not count. All members share the number of a run, and a gang gets its next one only after all have ended, so one number is enough in any order of ends. Ends that arrive twice, or of earlier runs, had no effect before and have none now. The number of failed runs of each member is at most that of the gang, so no member starts after its last attempt.

--- a/include/egretspindle/jobs/job.hpp
+++ b/include/egretspindle/jobs/job.hpp
@@ -30,8 +30,11 @@
     job_task_phase phase = job_task_phase::waiting;
     std::int64_t run = 0; ///< number of the latest run; 0: no run yet
     /// Number of runs that ended as `failed`. A gang counts them at its first
-    /// task.
+    /// task, each of its runs once.
     std::int64_t failures = 0;
+    /// Latest run of a gang that is counted in `failures`, at its first task;
+    /// 0: none. Other tasks do not need it.
+    std::int64_t last_failed_run = 0;
     std::string rack;       ///< rack of the latest run
     std::string checkpoint; ///< state to resume from; empty: none
 };
--- a/src/jobs/job_machine.cpp
+++ b/src/jobs/job_machine.cpp
@@ -91,6 +91,26 @@
     }
 }
 
+// Counts a run that ended as `failed`. A gang fails as a whole: its failures
+// are counted at its first member, and several members may fail in one run.
+// Returns the number of failures so far.
+std::int64_t count_failure(std::vector<job_task>& tasks, std::size_t index,
+                           bool is_gang)
+{
+    if (!is_gang)
+    {
+        return ++tasks[index].failures;
+    }
+    job_task& first = tasks.front();
+    const std::int64_t run = tasks[index].run;
+    if (first.last_failed_run != run)
+    {
+        first.last_failed_run = run;
+        ++first.failures;
+    }
+    return first.failures;
+}
+
 // Saves a checkpoint. All members of a gang resume from the same one.
 void save_checkpoint(std::vector<job_task>& tasks, std::size_t index,
                      bool is_gang, const std::string& checkpoint)
@@ -250,11 +270,9 @@
     }
     if (how == run_end::failed && !step.is_long_running)
     {
-        // A gang fails as a whole, so its failures are counted at its first
-        // member.
-        job_task& counted_task = step.is_gang ? tasks.front() : *task;
-        ++counted_task.failures;
-        if (max_attempts && counted_task.failures >= *max_attempts)
+        const std::int64_t failures =
+            count_failure(tasks, key.index, step.is_gang);
+        if (max_attempts && failures >= *max_attempts)
         {
             task->phase = job_task_phase::failed;
             if (value.outcome == job_outcome::open)
--- a/src/jobs/job_record.cpp
+++ b/src/jobs/job_record.cpp
@@ -30,6 +30,8 @@
     /// Tasks by occurrence and step. A text per step lists each task as the
     /// letter of its phase followed by `run.failures.rack` and a space.
     std::vector<std::vector<std::string>> tasks;
+    /// `job_task::last_failed_run` of gangs, by `occurrence.step.0`.
+    std::map<std::string, std::int64_t> failed_runs;
     /// By `occurrence.step.index`.
     std::map<std::string, std::string> checkpoints;
 };
@@ -45,6 +47,7 @@
     visit("started", value.has_started);
     visit("racks", value.racks);
     visit("tasks", value.tasks);
+    visit("failed_runs", value.failed_runs);
     visit("checkpoints", value.checkpoints);
 }
 
@@ -136,6 +139,18 @@
     return false;
 }
 
+// Returns the task with a name of the form `occurrence.step.index`, or null.
+job_task* find_named_task(job& value, const std::string& name)
+{
+    const std::optional<task_key> key =
+        parse_task_key(fmt::format("{}.{}", value.id, name));
+    if (!key || find_task(value, *key) == nullptr)
+    {
+        return nullptr;
+    }
+    return &value.occurrences[key->occurrence].steps[key->step][key->index];
+}
+
 bool matches_spec(const job& value)
 {
     return std::all_of(
@@ -193,6 +208,11 @@
             state.tasks.back().push_back(encode_tasks(tasks, state.racks));
             for (std::size_t i = 0; i < tasks.size(); ++i)
             {
+                if (tasks[i].last_failed_run > 0)
+                {
+                    state.failed_runs[fmt::format("{}.{}.{}", k, n, i)] =
+                        tasks[i].last_failed_run;
+                }
                 if (!tasks[i].checkpoint.empty())
                 {
                     state.checkpoints[fmt::format("{}.{}.{}", k, n, i)] =
@@ -250,17 +270,23 @@
     {
         return malformed_record(id);
     }
+    for (const auto& [name, run] : state->failed_runs)
+    {
+        job_task* task = find_named_task(value, name);
+        if (task == nullptr)
+        {
+            return malformed_record(id);
+        }
+        task->last_failed_run = run;
+    }
     for (const auto& [name, checkpoint] : state->checkpoints)
     {
-        const std::optional<task_key> key =
-            parse_task_key(fmt::format("{}.{}", id, name));
-        if (!key || find_task(value, *key) == nullptr)
+        job_task* task = find_named_task(value, name);
+        if (task == nullptr)
         {
             return malformed_record(id);
         }
-        value.occurrences[key->occurrence]
-            .steps[key->step][key->index]
-            .checkpoint = checkpoint;
+        task->checkpoint = checkpoint;
     }
     return value;
 }
