Pace load reports and begin with another peer each time

Callers saw accepted jobs of which nothing runs for ten seconds and more beside free room.

Cause: a host sent the datagrams of a report to all peers at once, always in the order of their names. The link of a sender dropped the end of each burst, so that it was always the same hosts that got none: of 12 racks with 22 reports in 5 s each, front-bentong-a-1 got 173 to 215 in 5 s (52 to 82 s), front-sabai-e-3 3 to 53, front-telemong-d-1 to d-3 0 to 5. Without reports a host assigns no step, hands back no start and counts the service as full, so the starts of its racks wait for full headroom too: r4-1 and r4-2, which d-2 and d-3 owned, had 44 and 107 queued starts at 78 s, the oldest for 17 and 19 s; the queues of the others held 3 to 42 from 72 s on.

Messages are now queued and sent by a thread of their own, two datagrams each 10 ms (more if the queue would last for over 0.5 s), each time beginning with another one, a golden share further. A start that is one place further each time leaves 42 peers without a report for 10 s while half of the datagrams are dropped; the test found that.

--- a/cmake/packages.cmake
+++ b/cmake/packages.cmake
@@ -148,6 +148,7 @@
     egret_test_support
     PUBLIC EGRETSPINDLE_BIN_DIR="${CMAKE_RUNTIME_OUTPUT_DIRECTORY}")
   target_link_libraries(test_net PRIVATE egret_test_support)
+  target_link_libraries(test_scheduler PRIVATE egret_test_support)
   target_link_libraries(test_adapters PRIVATE egret_test_support)
   target_link_libraries(test_platform PRIVATE egret_test_support)
 
--- /dev/null
+++ b/include/egretspindle/scheduler/datagram_queue.hpp
@@ -0,0 +1,59 @@
+/// \file
+/// Order and pace in which load messages are sent to other hosts.
+
+#ifndef EGRETSPINDLE_SCHEDULER_DATAGRAM_QUEUE_HPP
+#define EGRETSPINDLE_SCHEDULER_DATAGRAM_QUEUE_HPP
+
+#include "egretspindle/core/clock.hpp"
+
+#include <cstddef>
+#include <deque>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace egretspindle
+{
+
+/// Datagrams that are sent at once. Links with small buffers drop the end of a
+/// longer burst, so it is longer only if the queue would last for more than
+/// `max_bursts` otherwise.
+constexpr std::size_t datagrams_per_burst = 2;
+/// Time between two bursts.
+constexpr milliseconds burst_interval{10};
+/// Bursts in which a queue is sent, half a second: load reports are used for
+/// 3 s at least, and those of large fleets are sent each second.
+constexpr std::size_t max_bursts = 50;
+
+/// Message that is to be sent to a host.
+struct queued_datagram
+{
+    std::shared_ptr<const std::string> text;
+    std::string peer; ///< address of the host, as `ip:port`
+};
+
+/// Datagrams that wait to be sent. Not synchronized.
+struct datagram_queue
+{
+    std::deque<queued_datagram> waiting;
+    /// Position of the datagram that was first in the latest call of
+    /// `add_datagrams`, as a share of all of its datagrams.
+    double turn = 0;
+    std::size_t burst_size = datagrams_per_burst;
+    time_point burst_at; ///< when the latest burst was taken
+};
+
+/// Adds each message for each peer, each time beginning with another datagram:
+/// if a link drops the last ones, no peer misses the reports of a rack many
+/// times in a row.
+void add_datagrams(datagram_queue& queue, const std::vector<std::string>& texts,
+                   const std::vector<std::string>& peers);
+
+/// Removes and returns the datagrams to send now; empty until `burst_interval`
+/// has passed since the latest burst.
+[[nodiscard]] std::vector<queued_datagram> take_burst(datagram_queue& queue,
+                                                      time_point now);
+
+} // namespace egretspindle
+
+#endif
--- a/include/egretspindle/scheduler/load_exchange.hpp
+++ b/include/egretspindle/scheduler/load_exchange.hpp
@@ -36,23 +36,25 @@
     load_exchange(const load_exchange&) = delete;
     load_exchange& operator=(const load_exchange&) = delete;
 
-    /// Binds the UDP socket and starts the receiving thread.
+    /// Binds the UDP socket and starts the receiving and the sending thread.
     ///
     /// \returns `unavailable` when the address cannot be bound
     [[nodiscard]] absl::Status start(const std::string& address,
                                      unsigned short port);
 
-    /// Joins the receiving thread, within 0.5 s, and closes the socket.
+    /// Joins the threads, within 0.5 s, and closes the socket. Datagrams that
+    /// are still queued are not sent.
     void stop();
 
-    /// Sends a message to each peer. Errors are ignored, and a datagram of more
-    /// than 60'000 bytes is not sent.
+    /// Queues messages for each peer and returns; see `datagram_queue.hpp` for
+    /// the pace at which they are sent. Errors are ignored, and a datagram of
+    /// more than 60'000 bytes is not sent.
     ///
     /// \param peers  addresses of the hosts, as `ip:port`
-    /// \returns the size in bytes of the datagram, which is the same for all
-    ///          peers
-    std::size_t send(const load_message& message,
-                     const std::vector<std::string>& peers);
+    /// \returns the size in bytes of the datagram of each message, which is the
+    ///          same for all peers
+    std::vector<std::size_t> send(const std::vector<load_message>& messages,
+                                  const std::vector<std::string>& peers);
 
 private:
     struct impl;
--- a/src/scheduler/job_scheduler.cpp
+++ b/src/scheduler/job_scheduler.cpp
@@ -913,9 +913,8 @@
 void job_scheduler::impl::send_load(const std::vector<load_message>& messages,
                                     const std::vector<std::string>& peers)
 {
-    for (const load_message& message : messages)
+    for (const std::size_t bytes : load_exchanger->send(messages, peers))
     {
-        const std::size_t bytes = load_exchanger->send(message, peers);
         count_datagram(racks.activity().reports_out, bytes * peers.size());
     }
 }
--- a/src/scheduler/load_exchange.cpp
+++ b/src/scheduler/load_exchange.cpp
@@ -6,15 +6,19 @@
 #include "egretspindle/logging/log.hpp"
 #include "egretspindle/logging/log_rate_limit.hpp"
 #include "egretspindle/net/message_auth.hpp"
+#include "egretspindle/scheduler/datagram_queue.hpp"
 
 #include <fmt/format.h>
 
 #include <arpa/inet.h>
 #include <atomic>
+#include <condition_variable>
+#include <mutex>
 #include <optional>
 #include <sys/socket.h>
 #include <thread>
 #include <unistd.h>
+#include <utility>
 
 namespace egretspindle
 {
@@ -47,6 +51,8 @@
 struct load_exchange::impl
 {
     void receive_all();
+    void send_all();
+    void send_datagram(const queued_datagram& item) const;
     void log_rejected(std::string_view error);
 
     log_rate_limit log_limit{log_period};
@@ -55,6 +61,10 @@
     int socket = -1;
     std::atomic<bool> is_stopping{false};
     std::thread thread;
+    std::mutex queue_mutex; // guards `queue`
+    std::condition_variable queue_changed;
+    datagram_queue queue;
+    std::thread sender;
 };
 
 // Passes valid messages to `on_receive` until `stop` is called.
@@ -94,6 +104,44 @@
     }
 }
 
+// Sends the queued datagrams in bursts until `stop` is called.
+void load_exchange::impl::send_all()
+{
+    std::unique_lock<std::mutex> lock(queue_mutex);
+    while (!is_stopping)
+    {
+        if (queue.waiting.empty())
+        {
+            queue_changed.wait(lock);
+            continue;
+        }
+        const std::vector<queued_datagram> burst =
+            take_burst(queue, steady_clock::now());
+        lock.unlock();
+        for (const queued_datagram& item : burst)
+        {
+            send_datagram(item);
+        }
+        lock.lock();
+        queue_changed.wait_until(lock, queue.burst_at + burst_interval,
+                                 [this] { return is_stopping.load(); });
+    }
+}
+
+void load_exchange::impl::send_datagram(const queued_datagram& item) const
+{
+    const absl::StatusOr<endpoint> server = parse_endpoint(item.peer);
+    if (!server.ok())
+    {
+        return;
+    }
+    const sockaddr_in address = to_address(*server);
+    // Errors are ignored: a later message has newer values.
+    static_cast<void>(::sendto(socket, item.text->data(), item.text->size(), 0,
+                               reinterpret_cast<const sockaddr*>(&address),
+                               sizeof address));
+}
+
 void load_exchange::impl::log_rejected(std::string_view error)
 {
     const std::optional<std::int64_t> suppressed = log_limit.try_acquire();
@@ -134,12 +182,21 @@
     ::setsockopt(impl_->socket, SOL_SOCKET, SO_RCVTIMEO, &receive_timeout,
                  sizeof receive_timeout);
     impl_->thread = std::thread([this] { impl_->receive_all(); });
+    impl_->sender = std::thread([this] { impl_->send_all(); });
     return absl::OkStatus();
 }
 
 void load_exchange::stop()
 {
-    impl_->is_stopping = true;
+    {
+        const std::lock_guard<std::mutex> lock(impl_->queue_mutex);
+        impl_->is_stopping = true;
+    }
+    impl_->queue_changed.notify_all();
+    if (impl_->sender.joinable())
+    {
+        impl_->sender.join();
+    }
     if (impl_->thread.joinable())
     {
         impl_->thread.join();
@@ -151,26 +208,30 @@
     }
 }
 
-std::size_t load_exchange::send(const load_message& message,
-                                const std::vector<std::string>& peers)
+std::vector<std::size_t>
+load_exchange::send(const std::vector<load_message>& messages,
+                    const std::vector<std::string>& peers)
 {
-    const std::string payload = to_json(message);
-    const std::string text = reply_tag(message_mac(impl_->authentication_key,
-                                                   message_type, "", payload)) +
-                             payload;
-    for (const std::string& peer : peers)
+    std::vector<std::size_t> sizes;
+    std::vector<std::string> texts;
+    for (const load_message& message : messages)
     {
-        const absl::StatusOr<endpoint> server = parse_endpoint(peer);
-        if (server.ok() && text.size() <= max_datagram_size)
+        const std::string payload = to_json(message);
+        std::string text = reply_tag(message_mac(impl_->authentication_key,
+                                                 message_type, "", payload)) +
+                           payload;
+        sizes.push_back(text.size());
+        if (text.size() <= max_datagram_size)
         {
-            const sockaddr_in address = to_address(*server);
-            // Errors are ignored: a later message has newer values.
-            static_cast<void>(::sendto(
-                impl_->socket, text.data(), text.size(), 0,
-                reinterpret_cast<const sockaddr*>(&address), sizeof address));
+            texts.push_back(std::move(text));
         }
     }
-    return text.size();
+    {
+        const std::lock_guard<std::mutex> lock(impl_->queue_mutex);
+        add_datagrams(impl_->queue, texts, peers);
+    }
+    impl_->queue_changed.notify_all();
+    return sizes;
 }
 
 } // namespace egretspindle
--- /dev/null
+++ b/tests/scheduler/datagram_queue_test.cpp
@@ -0,0 +1,181 @@
+#include "egretspindle/rack/load_period.hpp"
+#include "egretspindle/scheduler/datagram_queue.hpp"
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+#include <chrono>
+#include <map>
+#include <string>
+#include <utility>
+#include <vector>
+
+using namespace egretspindle;
+
+namespace
+{
+
+const time_point start_time = time_point{} + milliseconds(1'000'000);
+
+std::vector<std::string> make_peers(std::size_t count)
+{
+    std::vector<std::string> peers;
+    for (std::size_t n = 0; n < count; ++n)
+    {
+        peers.push_back("10.0.0." + std::to_string(n) + ":7580");
+    }
+    return peers;
+}
+
+/// Link that passes on one datagram in a time and drops those that find its
+/// buffer full.
+struct simulated_link
+{
+    std::size_t buffer = 0;           ///< datagrams
+    milliseconds per_datagram{0};     ///< time to pass one on
+    std::vector<time_point> accepted; ///< when each will be passed on
+    std::size_t dropped = 0;
+
+    void offer(time_point now)
+    {
+        accepted.erase(std::remove_if(accepted.begin(), accepted.end(),
+                                      [now](time_point end)
+                                      { return end <= now; }),
+                       accepted.end());
+        if (accepted.size() >= buffer)
+        {
+            ++dropped;
+            return;
+        }
+        accepted.push_back(
+            (accepted.empty() ? now : std::max(now, accepted.back())) +
+            per_datagram);
+    }
+};
+
+std::vector<std::string> make_messages(std::size_t count)
+{
+    std::vector<std::string> messages;
+    for (std::size_t n = 0; n < count; ++n)
+    {
+        messages.push_back("reports " + std::to_string(n));
+    }
+    return messages;
+}
+
+/// Message and the peer that receives it.
+using delivery = std::pair<std::string, std::string>;
+
+} // namespace
+
+// Guards against peers that are always at the end of a burst and get no load
+// report at all: they assign no job for as long as that lasts.
+TEST_CASE("each peer gets recent reports of all racks over a link that drops "
+          "the last half of the datagrams of each report period",
+          "[scheduler]")
+{
+    for (const std::size_t count : {17, 42, 96})
+    {
+        for (const std::size_t messages : {1, 2, 3, 8, 13})
+        {
+            CAPTURE(count, messages);
+            const milliseconds period = report_period({count, 12 * count});
+            const std::size_t total = count * messages;
+            datagram_queue queue;
+            std::map<delivery, milliseconds> received;
+            for (milliseconds at{0}; at < std::chrono::seconds(60);
+                 at += period)
+            {
+                add_datagrams(queue, make_messages(messages),
+                              make_peers(count));
+                std::size_t sent = 0;
+                for (milliseconds in{0}; in < period; ++in)
+                {
+                    for (const queued_datagram& item :
+                         take_burst(queue, start_time + at + in))
+                    {
+                        if (++sent <= total / 2)
+                        {
+                            received[{*item.text, item.peer}] = at + in;
+                        }
+                    }
+                }
+                if (at < report_age(period))
+                {
+                    continue;
+                }
+                REQUIRE(received.size() == total);
+                const auto oldest =
+                    std::min_element(received.begin(), received.end(),
+                                     [](const auto& lhs, const auto& rhs)
+                                     { return lhs.second < rhs.second; });
+                CAPTURE(oldest->first.first, oldest->first.second);
+                REQUIRE((at + period - oldest->second).count() <
+                        report_age(period).count());
+            }
+        }
+    }
+}
+
+// Guards against bursts that are longer than the buffer of a link which is
+// otherwise idle.
+TEST_CASE("a link with a small buffer drops no load report", "[scheduler]")
+{
+    for (const std::size_t count : {17, 42, 96})
+    {
+        CAPTURE(count);
+        const milliseconds period = report_period({count, 12 * count});
+        datagram_queue queue;
+        simulated_link link;
+        link.buffer = 4;
+        link.per_datagram = milliseconds(2); // a full packet at 6 Mbit/s
+        std::size_t sent = 0;
+        for (milliseconds at{0}; at < std::chrono::seconds(20); ++at)
+        {
+            if (at % period == milliseconds(0))
+            {
+                add_datagrams(queue, make_messages(1), make_peers(count));
+            }
+            for (std::size_t n = take_burst(queue, start_time + at).size();
+                 n > 0; --n)
+            {
+                link.offer(start_time + at);
+                ++sent;
+            }
+        }
+        CHECK(sent > 19 * count);
+        CHECK(link.dropped == 0);
+    }
+}
+
+// Guards against a queue that grows, so that reports are old when they are
+// sent.
+TEST_CASE("the datagrams of many messages are sent within half a second",
+          "[scheduler]")
+{
+    datagram_queue queue;
+    const std::vector<std::string> peers = make_peers(96);
+    add_datagrams(queue, make_messages(6), peers);
+    add_datagrams(queue, make_messages(6), peers);
+    std::map<delivery, int> received;
+    for (milliseconds at{0}; at < milliseconds(500); ++at)
+    {
+        for (const queued_datagram& item : take_burst(queue, start_time + at))
+        {
+            ++received[{*item.text, item.peer}];
+        }
+    }
+    CHECK(queue.waiting.empty());
+    REQUIRE(received.size() == 6 * peers.size());
+    for (const auto& [key, count] : received)
+    {
+        CHECK(count == 2);
+    }
+}
+
+TEST_CASE("messages without peers queue nothing", "[scheduler]")
+{
+    datagram_queue queue;
+    add_datagrams(queue, make_messages(2), {});
+    CHECK(take_burst(queue, start_time).empty());
+}
--- /dev/null
+++ b/tests/scheduler/load_exchange_test.cpp
@@ -0,0 +1,68 @@
+#include "egretspindle/scheduler/load_exchange.hpp"
+
+#include "support/free_port.hpp"
+
+#include <catch2/catch.hpp>
+
+#include <chrono>
+#include <condition_variable>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <set>
+#include <string>
+#include <vector>
+
+using namespace egretspindle;
+
+// Guards against datagrams that are queued and never sent, and against a stop
+// that waits for them.
+TEST_CASE("a load exchange sends each message to each peer", "[scheduler]")
+{
+    constexpr std::size_t peer_count = 5;
+    std::mutex mutex;
+    std::condition_variable changed;
+    std::map<std::size_t, std::set<std::string>> received; // hosts, by peer
+    std::vector<std::unique_ptr<load_exchange>> exchanges;
+    std::vector<std::string> peers;
+    for (std::size_t n = 0; n < peer_count; ++n)
+    {
+        const unsigned short port = test::free_port();
+        peers.push_back("127.0.0.1:" + std::to_string(port));
+        exchanges.push_back(std::make_unique<load_exchange>(
+            "key",
+            [&, n](const load_message& message, std::size_t /*bytes*/)
+            {
+                const std::lock_guard<std::mutex> lock(mutex);
+                received[n].insert(message.host);
+                changed.notify_all();
+            }));
+        REQUIRE(exchanges.back()->start("127.0.0.1", port).ok());
+    }
+    std::vector<load_message> messages(3);
+    for (std::size_t n = 0; n < messages.size(); ++n)
+    {
+        messages[n].host = "h" + std::to_string(n);
+    }
+    const std::vector<std::size_t> sizes =
+        exchanges.front()->send(messages, peers);
+    CHECK(sizes.size() == messages.size());
+    {
+        std::unique_lock<std::mutex> lock(mutex);
+        CHECK(changed.wait_for(lock, std::chrono::seconds(30),
+                               [&]
+                               {
+                                   std::size_t count = 0;
+                                   for (const auto& [peer, hosts] : received)
+                                   {
+                                       count += hosts.size();
+                                   }
+                                   return count == peer_count * messages.size();
+                               }));
+    }
+    static_cast<void>(exchanges.front()->send(messages, peers));
+    for (const std::unique_ptr<load_exchange>& item : exchanges)
+    {
+        item->stop();
+    }
+}
