Answer each request of a connection, also if it is sent early

The body of a request was read up to the last byte that had arrived, so the next request became part of it. While a host stops, `Connection: close` on an answer also cut a further request that had been received already.

A limit on the bytes in `readBody` would have mended the first half only: cxxtools sends the answer after the responder has returned, and closes connections with unread bytes, which resets them. A server that closes its connections says so in the last answer, when no further request has arrived, and waits until the caller has read it.

The setting `min_threads` has no effect any more.

--- a/include/egretspindle/net/http_server.hpp
+++ b/include/egretspindle/net/http_server.hpp
@@ -1,5 +1,5 @@
 /// \file
-/// HTTP server based on cxxtools, with limits on sizes and times.
+/// HTTP server with limits on sizes and times.
 
 #ifndef EGRETSPINDLE_NET_HTTP_SERVER_HPP
 #define EGRETSPINDLE_NET_HTTP_SERVER_HPP
@@ -41,15 +41,21 @@
     [[nodiscard]] absl::Status start(const std::string& address,
                                      unsigned short port);
 
+    /// Ends each connection from now on with the response to its last request:
+    /// the response tells the caller so, unless the next request has arrived.
+    void close_when_answered();
+
     /// Waits until no request is in progress.
     ///
     /// \returns false if requests are still in progress after the timeout
     bool wait_idle(std::chrono::milliseconds timeout);
 
-    /// Stops listening and joins the threads.
+    /// Stops listening, responds to the requests that have arrived whole and
+    /// ends the connections. Takes as long as the handler does.
     void stop();
 
-    /// Returns the number of requests in progress.
+    /// Returns the number of requests in progress: read whole, and the response
+    /// not sent.
     [[nodiscard]] int in_progress() const;
 
 private:
--- a/include/egretspindle/settings/limit_settings.hpp
+++ b/include/egretspindle/settings/limit_settings.hpp
@@ -15,8 +15,9 @@
     std::int64_t max_body_bytes = 1024 * 1024; ///< of a request's `body`
     /// HTTP body; larger than `max_body_bytes` since JSON escapes characters.
     std::int64_t max_request_bytes = 2 * 1024 * 1024;
-    std::int64_t min_threads = 8;   ///< of each HTTP server
-    std::int64_t max_threads = 256; ///< of each HTTP server
+    std::int64_t min_threads = 8; ///< no effect; accepted in existing files
+    /// Requests that each HTTP server handles at once.
+    std::int64_t max_threads = 256;
     /// Urgent requests in service at once; below `max_threads`, so that
     /// health checks and batch submissions are still answered under overload.
     std::int64_t max_urgent_in_service = 192;
--- a/src/admin/admin_service.cpp
+++ b/src/admin/admin_service.cpp
@@ -328,8 +328,7 @@
     http_limits limits;
     // A section of 64 KiB may double in size when encoded as JSON.
     limits.max_body_bytes = 160 * 1024;
-    limits.min_threads = 2;
-    limits.max_threads = 32;
+    limits.max_in_service = 32;
     return limits;
 }
 
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -5,27 +5,22 @@
 #include "egretspindle/logging/log.hpp"
 #include "egretspindle/net/error_reply.hpp"
 
-#include <cxxtools/eventloop.h>
-#include <cxxtools/http/reply.h>
-#include <cxxtools/http/request.h>
-#include <cxxtools/http/responder.h>
-#include <cxxtools/http/server.h>
-#include <cxxtools/http/service.h>
+#include "http_connection.hpp"
+
+#include <cxxtools/net/tcpserver.h>
 #include <cxxtools/net/tcpsocket.h>
-#include <cxxtools/query_params.h>
-#include <cxxtools/regex.h>
 #include <fmt/format.h>
 
-#include <algorithm>
-#include <cctype>
+#include <atomic>
 #include <condition_variable>
-#include <cstdlib>
-#include <istream>
-#include <iterator>
+#include <fcntl.h>
 #include <mutex>
-#include <ostream>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+#include <system_error>
 #include <thread>
-#include <vector>
+#include <unistd.h>
 
 namespace egretspindle
 {
@@ -33,26 +28,10 @@
 namespace
 {
 
-std::string header_of(const cxxtools::http::Request& request, const char* name)
-{
-    const char* value = request.getHeader(name);
-    return value == nullptr ? std::string() : std::string(value);
-}
-
-std::map<std::string, std::string>
-headers_of(const cxxtools::http::Request& request)
-{
-    std::map<std::string, std::string> headers;
-    for (const auto& [field, value] : request.header())
-    {
-        std::string name = field;
-        std::transform(name.begin(), name.end(), name.begin(),
-                       [](unsigned char c)
-                       { return static_cast<char>(std::tolower(c)); });
-        headers[std::move(name)] = value;
-    }
-    return headers;
-}
+constexpr int listen_backlog = 256;
+// Delay after a failed accept, which fails at once again while the process has
+// no free descriptors.
+constexpr std::chrono::milliseconds accept_retry{20};
 
 http_response error_response(int status, std::string_view kind,
                              std::string_view message)
@@ -64,268 +43,238 @@
     return response;
 }
 
-} // namespace
-
-/// Counts the requests in progress, so that a shutdown can wait for them.
-class in_progress_counter
+/// Becomes readable, for all who poll it, when the server stops.
+class stop_pipe
 {
 public:
-    void request_begun()
-    {
-        const std::lock_guard<std::mutex> lock(mutex_);
-        ++count_;
-    }
-
-    void request_ended()
+    stop_pipe()
     {
-        const std::lock_guard<std::mutex> lock(mutex_);
-        if (--count_ == 0)
+        if (::pipe2(fds_, O_CLOEXEC) != 0)
         {
-            idle_.notify_all();
+            throw std::system_error(errno, std::generic_category(), "pipe");
         }
     }
 
-    bool wait_idle(std::chrono::milliseconds timeout)
+    ~stop_pipe()
     {
-        std::unique_lock<std::mutex> lock(mutex_);
-        return idle_.wait_for(lock, timeout, [this] { return count_ == 0; });
+        trigger();
+        ::close(fds_[0]);
     }
 
-    int count() const
-    {
-        const std::lock_guard<std::mutex> lock(mutex_);
-        return count_;
-    }
+    stop_pipe(const stop_pipe&) = delete;
+    stop_pipe& operator=(const stop_pipe&) = delete;
 
-private:
-    mutable std::mutex mutex_;
-    std::condition_variable idle_;
-    int count_ = 0;
-};
-
-namespace
-{
-
-/// Counts a request while it exists, also if sending the reply throws.
-class request_in_progress
-{
-public:
-    explicit request_in_progress(in_progress_counter& counter)
-        : counter_(counter)
+    void trigger()
     {
-        counter_.request_begun();
+        if (fds_[1] >= 0)
+        {
+            ::close(fds_[1]);
+            fds_[1] = -1;
+        }
     }
 
-    ~request_in_progress()
+    [[nodiscard]] int fd() const noexcept
     {
-        counter_.request_ended();
+        return fds_[0];
     }
 
-    request_in_progress(const request_in_progress&) = delete;
-    request_in_progress& operator=(const request_in_progress&) = delete;
-
 private:
-    in_progress_counter& counter_;
+    int fds_[2] = {-1, -1};
 };
 
-class handler_service;
-
-class handler_responder : public cxxtools::http::Responder
-{
-public:
-    explicit handler_responder(handler_service& service);
-
-    void beginRequest(cxxtools::net::TcpSocket& socket, std::istream& in,
-                      cxxtools::http::Request& request) override;
-    std::size_t readBody(std::istream& in) override;
-    void reply(std::ostream& out, cxxtools::http::Request& request,
-               cxxtools::http::Reply& reply) override;
-    void replyError(std::ostream& out, cxxtools::http::Request& request,
-                    cxxtools::http::Reply& reply,
-                    const std::exception& ex) override;
-
-private:
-    static void send(std::ostream& out, cxxtools::http::Reply& reply,
-                     const http_response& response);
-
-    handler_service& service_;
-    std::string body_;
-    bool is_oversized_ = false;
-};
+} // namespace
 
-class handler_service : public cxxtools::http::Service
+// The HTTP server of cxxtools is not used, because it hands the responder all
+// bytes that have arrived, those of the next request included, and sends a
+// response after the responder has returned, so that a stop cannot wait for it.
+struct http_server::impl
 {
-public:
-    handler_service(const http_limits& limits, http_handler handler,
-                    in_progress_counter& counter)
-        : limits_(limits), handler_(std::move(handler)), counter_(counter)
+    impl(const http_limits& server_limits, http_handler request_handler)
+        : limits(server_limits), handler(std::move(request_handler))
     {
     }
 
-    [[nodiscard]] const http_limits& limits() const
-    {
-        return limits_;
-    }
+    void accept_loop();
+    void open(std::shared_ptr<cxxtools::net::TcpSocket> socket);
+    void serve(int fd);
+    http_response handle(const http_request& request);
+    void end_request(bool is_answered);
+    void end_connection();
 
-    [[nodiscard]] http_response handle(const http_request& request) const
-    {
-        return handler_(request);
-    }
+    http_limits limits;
+    http_handler handler;
+    cxxtools::net::TcpServer listener;
+    stop_pipe stopping;
+    std::atomic<bool> is_closing{false};
+    std::thread thread;
+    std::mutex mutex;
+    std::condition_variable changed;
+    std::size_t connections = 0;
+    int in_progress = 0;
+    std::size_t in_service = 0;
+};
 
-    in_progress_counter& counter()
+void http_server::impl::accept_loop()
+{
+    for (;;)
     {
-        return counter_;
+        const std::shared_ptr<cxxtools::net::TcpSocket> socket =
+            std::make_shared<cxxtools::net::TcpSocket>();
+        try
+        {
+            socket->accept(listener);
+            open(socket);
+        }
+        catch (const cxxtools::net::AcceptTerminated&)
+        {
+            return;
+        }
+        catch (const std::exception& ex)
+        {
+            log_warning("cannot accept an HTTP connection",
+                        {{"error", ex.what()}});
+            std::this_thread::sleep_for(accept_retry);
+        }
     }
+}
 
-protected:
-    cxxtools::http::Responder*
-    createResponder(const cxxtools::http::Request& /*request*/) override
+void http_server::impl::open(std::shared_ptr<cxxtools::net::TcpSocket> socket)
+{
+    const int enabled = 1;
+    ::setsockopt(socket->getFd(), IPPROTO_TCP, TCP_NODELAY, &enabled,
+                 sizeof enabled);
     {
-        return new handler_responder(*this);
+        const std::lock_guard<std::mutex> lock(mutex);
+        if (connections >= limits.max_connections)
+        {
+            log_warning("too many HTTP connections",
+                        {{"limit", limits.max_connections}});
+            return;
+        }
+        ++connections;
     }
-
-    void releaseResponder(cxxtools::http::Responder* responder) override
+    try
     {
-        delete responder;
+        std::thread(
+            [this, socket]() mutable
+            {
+                serve(socket->getFd());
+                socket.reset();
+                end_connection();
+            })
+            .detach();
     }
-
-private:
-    http_limits limits_;
-    http_handler handler_;
-    in_progress_counter& counter_;
-};
-
-handler_responder::handler_responder(handler_service& service)
-    : cxxtools::http::Responder(service), service_(service)
-{
-}
-
-void handler_responder::beginRequest(cxxtools::net::TcpSocket& /*socket*/,
-                                     std::istream& /*in*/,
-                                     cxxtools::http::Request& request)
-{
-    body_.clear();
-    is_oversized_ = false;
-    const std::string length = header_of(request, "Content-Length");
-    if (!length.empty() && std::strtoull(length.c_str(), nullptr, 10) >
-                               service_.limits().max_body_bytes)
+    catch (const std::system_error&)
     {
-        is_oversized_ = true;
+        end_connection();
+        throw;
     }
 }
 
-std::size_t handler_responder::readBody(std::istream& in)
+void http_server::impl::serve(int fd)
 {
-    std::size_t count = 0;
-    char buf[8192];
-    while (in.rdbuf()->in_avail() > 0)
+    http_connection peer(fd, stopping.fd(), limits);
+    bool is_last = false;
+    while (!is_last)
     {
-        const std::streamsize n = in.readsome(buf, sizeof buf);
-        if (n <= 0)
+        http_request request;
+        switch (peer.read(request))
         {
-            break;
-        }
-        count += static_cast<std::size_t>(n);
-        if (!is_oversized_ &&
-            body_.size() + count <= service_.limits().max_body_bytes + count)
+        case read_result::request:
         {
-            body_.append(buf, static_cast<std::size_t>(n));
+            const http_response response = handle(request);
+            is_last = !peer.keeps_alive() || (is_closing && !peer.has_next());
+            const bool is_answered = peer.write(response, is_last);
+            end_request(is_answered);
+            is_last = is_last || !is_answered;
+            break;
         }
-        if (body_.size() > service_.limits().max_body_bytes)
-        {
-            is_oversized_ = true;
-            body_.clear();
+        case read_result::malformed:
+            is_last = true;
+            (void)peer.write(error_response(400, "invalid_argument",
+                                            "malformed HTTP request; correct "
+                                            "it"),
+                             is_last);
+            break;
+        case read_result::header_too_large:
+            is_last = true;
+            (void)peer.write(
+                error_response(431, "too_large",
+                               fmt::format("the header exceeds {} bytes; send "
+                                           "a smaller one",
+                                           limits.max_header_bytes)),
+                is_last);
+            break;
+        case read_result::body_too_large:
+            is_last = true;
+            (void)peer.write(
+                error_response(413, "too_large",
+                               fmt::format("the body exceeds {} bytes; send a "
+                                           "smaller one",
+                                           limits.max_body_bytes)),
+                is_last);
+            break;
+        case read_result::closed:
+            is_last = true;
+            break;
         }
     }
-    return count;
+    peer.finish();
 }
 
-void handler_responder::reply(std::ostream& out,
-                              cxxtools::http::Request& request,
-                              cxxtools::http::Reply& reply)
+// Counts a request that has been read, and handles it when it is its turn.
+http_response http_server::impl::handle(const http_request& request)
 {
-    const request_in_progress in_progress(service_.counter());
+    {
+        std::unique_lock<std::mutex> lock(mutex);
+        ++in_progress;
+        changed.wait(lock,
+                     [this] { return in_service < limits.max_in_service; });
+        ++in_service;
+    }
     http_response response;
-    if (is_oversized_)
+    try
     {
-        response = error_response(
-            413, "too_large",
-            fmt::format("the body exceeds {} bytes; send a smaller one",
-                        service_.limits().max_body_bytes));
+        response = handler(request);
     }
-    else
+    catch (const std::exception& ex)
     {
-        http_request converted;
-        converted.method = request.method();
-        converted.path = request.url();
-        const cxxtools::QueryParams params(request.qparams());
-        std::vector<std::string> names;
-        params.getNames(std::back_inserter(names));
-        for (const std::string& name : names)
-        {
-            converted.query[name] = params.param(name);
-        }
-        converted.content_type = header_of(request, "Content-Type");
-        converted.authorization = header_of(request, "Authorization");
-        converted.headers = headers_of(request);
-        converted.body = std::move(body_);
-        try
-        {
-            response = service_.handle(converted);
-        }
-        catch (const std::exception& ex)
-        {
-            log_error("request failed", {{"method", converted.method},
-                                         {"path", converted.path},
-                                         {"error", ex.what()}});
-            response = error_response(500, "internal",
-                                      "the request failed; report the log "
-                                      "line with this time");
-        }
+        log_error("request failed", {{"method", request.method},
+                                     {"path", request.path},
+                                     {"error", ex.what()}});
+        response =
+            error_response(500, "internal",
+                           "the request failed; report the log line with this "
+                           "time");
     }
-    send(out, reply, response);
-}
-
-void handler_responder::replyError(std::ostream& out,
-                                   cxxtools::http::Request& /*request*/,
-                                   cxxtools::http::Reply& reply,
-                                   const std::exception& /*ex*/)
-{
-    send(out, reply,
-         error_response(400, "invalid_argument",
-                        "malformed HTTP request; correct it"));
+    const std::lock_guard<std::mutex> lock(mutex);
+    --in_service;
+    if (in_service + 1 == limits.max_in_service)
+    {
+        changed.notify_all();
+    }
+    return response;
 }
 
-void handler_responder::send(std::ostream& out, cxxtools::http::Reply& reply,
-                             const http_response& response)
+void http_server::impl::end_request(bool /*is_answered*/)
 {
-    reply.httpReturn(static_cast<unsigned>(response.status),
-                     response.status < 400 ? "OK" : "Error");
-    reply.setHeader("Content-Type", response.content_type.c_str());
-    for (const auto& [name, value] : response.headers)
+    const std::lock_guard<std::mutex> lock(mutex);
+    if (--in_progress == 0)
     {
-        reply.addHeader(name.c_str(), value.c_str());
+        changed.notify_all();
     }
-    out << response.body;
 }
 
-} // namespace
-
-struct http_server::impl
+// Notifies under the lock, since the server may be destroyed as soon as the
+// number of connections is seen to be 0.
+void http_server::impl::end_connection()
 {
-    impl(const http_limits& server_limits, http_handler handler)
-        : limits(server_limits),
-          service(server_limits, std::move(handler), counter)
+    const std::lock_guard<std::mutex> lock(mutex);
+    if (--connections == 0)
     {
+        changed.notify_all();
     }
-
-    http_limits limits;
-    in_progress_counter counter;
-    handler_service service;
-    cxxtools::EventLoop loop;
-    std::unique_ptr<cxxtools::http::Server> server;
-    std::thread thread;
-};
+}
 
 http_server::http_server(const http_limits& limits, http_handler handler)
     : impl_(std::make_unique<impl>(limits, std::move(handler)))
@@ -341,8 +290,7 @@
 {
     try
     {
-        impl_->server = std::make_unique<cxxtools::http::Server>(impl_->loop,
-                                                                 address, port);
+        impl_->listener.listen(address, port, listen_backlog);
     }
     catch (const std::exception& ex)
     {
@@ -351,35 +299,40 @@
                                       "free address",
                                       address, port, ex.what()));
     }
-    cxxtools::http::Server& server = *impl_->server;
-    server.minThreads(impl_->limits.min_threads);
-    server.maxThreads(impl_->limits.max_threads);
-    server.readTimeout(cxxtools::Milliseconds(impl_->limits.read_timeout_ms));
-    server.keepAliveTimeout(
-        cxxtools::Milliseconds(impl_->limits.keep_alive_timeout_ms));
-    server.addService(cxxtools::Regex("^/"), impl_->service);
-    impl_->thread = std::thread([this] { impl_->loop.run(); });
+    impl_->thread = std::thread([this] { impl_->accept_loop(); });
     return absl::OkStatus();
 }
 
+void http_server::close_when_answered()
+{
+    impl_->is_closing = true;
+}
+
 bool http_server::wait_idle(std::chrono::milliseconds timeout)
 {
-    return impl_->counter.wait_idle(timeout);
+    std::unique_lock<std::mutex> lock(impl_->mutex);
+    return impl_->changed.wait_for(lock, timeout,
+                                   [this] { return impl_->in_progress == 0; });
 }
 
 void http_server::stop()
 {
-    if (impl_->thread.joinable())
+    if (!impl_->thread.joinable())
     {
-        impl_->loop.exit();
-        impl_->thread.join();
+        return;
     }
-    impl_->server.reset();
+    impl_->listener.terminateAccept();
+    impl_->thread.join();
+    impl_->listener.close();
+    impl_->stopping.trigger();
+    std::unique_lock<std::mutex> lock(impl_->mutex);
+    impl_->changed.wait(lock, [this] { return impl_->connections == 0; });
 }
 
 int http_server::in_progress() const
 {
-    return impl_->counter.count();
+    const std::lock_guard<std::mutex> lock(impl_->mutex);
+    return impl_->in_progress;
 }
 
 } // namespace egretspindle
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -86,10 +86,8 @@
     http_limits server_limits;
     server_limits.max_body_bytes =
         static_cast<std::size_t>(config.limits.max_request_bytes);
-    server_limits.min_threads =
-        static_cast<unsigned>(config.limits.min_threads);
-    server_limits.max_threads =
-        static_cast<unsigned>(config.limits.max_threads);
+    server_limits.max_in_service =
+        static_cast<std::size_t>(config.limits.max_threads);
     admin = std::make_unique<admin_service>(config.operators, *plan_operations,
                                             plans, make_admin_hooks());
     admin_server = std::make_unique<http_server>(
--- a/tools/common/serve.cpp
+++ b/tools/common/serve.cpp
@@ -51,7 +51,7 @@
     http_limits limits;
     // Objects and checkpoints may be larger than a caller's body.
     limits.max_body_bytes = 16 * 1024 * 1024;
-    limits.max_threads = 512;
+    limits.max_in_service = 512;
     http_server server(limits, std::move(handler));
     const absl::Status status = server.start(address->address, address->port);
     if (!status.ok())
--- a/tools/standin_platform/platform.cpp
+++ b/tools/standin_platform/platform.cpp
@@ -55,8 +55,7 @@
 http_limits server_limits()
 {
     http_limits limits;
-    limits.min_threads = 2;
-    limits.max_threads = 200;
+    limits.max_in_service = 200;
     // Hosts may be paused for seconds and use their connections again
     // afterwards.
     limits.keep_alive_timeout_ms = 60'000;
