Soak with losses of all hosts

No test killed all hosts at once more than now and then: one fault in fifty of a soak did. So nothing showed whether a submission, an end or a cancellation is acknowledged before its record is durable, and whether attempts are counted over a start with nothing in memory.

Hosts start together, in turn, late, or as new hosts. Another loss follows the end of all jobs, after which each job must be shown as before. The stand-in lets tasks fail in their first runs, so that jobs have to fail after exactly four failed runs, or must not fail after three.

`run_checks` expects jobs to complete.

--- a/bench/soak/fault_runner.cpp
+++ b/bench/soak/fault_runner.cpp
@@ -59,6 +59,11 @@
     {
         return make_late_orders(state.random, state.cluster);
     }
+    if (options.has_power_losses)
+    {
+        return choose_power_loss_fault(state.random, state.cluster,
+                                       state.version);
+    }
     const long kind = choose(state.random, 0, 99);
     if (kind < 40)
     {
@@ -128,20 +133,49 @@
     }
 }
 
-// Returns false when the chosen fault conflicts with an active one.
-bool inject_next(const soak_options& options, injection_state& state)
+void inject(injection_state& state, soak_fault fault)
 {
-    soak_fault fault = choose_fault(options, state);
-    if (!is_compatible(state, fault))
-    {
-        return false;
-    }
     fault_window window{fault.text, fault.component, steady_ms(), 0};
     state.log.append(fmt::format("{} begin {} for {} ms", window.started_ms,
                                  window.text, fault.length.count()));
     fault.inject();
     state.active.push_back({std::move(fault), std::move(window)});
-    return true;
+}
+
+// Returns false when the chosen fault conflicts with an active one.
+bool inject_next(const soak_options& options, injection_state& state)
+{
+    soak_fault fault = choose_fault(options, state);
+    const bool is_allowed = is_compatible(state, fault);
+    if (is_allowed)
+    {
+        inject(state, std::move(fault));
+    }
+    return is_allowed;
+}
+
+// Kills all hosts once more while clients submit jobs, and returns when all
+// hosts have been started again.
+void inject_last_loss(injection_state& state)
+{
+    const auto is_loss = [](const active_fault& item)
+    {
+        return item.fault.component == "hosts";
+    };
+    const auto it =
+        std::find_if(state.active.begin(), state.active.end(), is_loss);
+    if (it != state.active.end())
+    {
+        remove_fault(state, *it);
+        state.active.erase(it);
+    }
+    inject(state, make_power_loss(state.random, state.cluster));
+    while (std::any_of(state.active.begin(), state.active.end(), is_loss))
+    {
+        state.cluster.poll();
+        remove_due(state, false);
+        std::this_thread::sleep_for(poll_period);
+    }
 }
 
 } // namespace
@@ -171,6 +205,10 @@
         }
         std::this_thread::sleep_for(poll_period);
     }
+    if (options.has_power_losses)
+    {
+        inject_last_loss(state);
+    }
     remove_due(state, true);
     cluster.remove_all_faults();
     return std::move(state.ended);
--- a/bench/soak/main.cpp
+++ b/bench/soak/main.cpp
@@ -3,7 +3,9 @@
 #include "checks.hpp"
 #include "client.hpp"
 #include "common/platform_event.hpp"
+#include "lasting_jobs.hpp"
 #include "options.hpp"
+#include "power_loss_checks.hpp"
 #include "soak_cluster.hpp"
 #include "soak_fault.hpp"
 #include "support/wait_until.hpp"
@@ -15,6 +17,7 @@
 #include <cstdlib>
 #include <exception>
 #include <memory>
+#include <stdexcept>
 #include <vector>
 
 namespace
@@ -32,6 +35,15 @@
 
 using client_list = std::vector<std::unique_ptr<client>>;
 
+job_chooser chooser_of(const soak_options& options)
+{
+    if (options.has_power_losses)
+    {
+        return choose_failing_job;
+    }
+    return options.has_short_tasks ? choose_short_tasks : choose_job;
+}
+
 client_list start_clients(const soak_options& options, soak_cluster& cluster)
 {
     client_list clients;
@@ -39,8 +51,7 @@
     {
         clients.push_back(std::make_unique<client>(
             n, options.seed * client_seed_factor + static_cast<unsigned>(n),
-            options.has_short_tasks ? choose_short_tasks : choose_job,
-            cluster.host_endpoints(),
+            chooser_of(options), cluster.host_endpoints(),
             cluster.directory().file(fmt::format("client{}.log", n))));
     }
     return clients;
@@ -93,19 +104,10 @@
                record.finished_ms - record.faults_ended_ms);
 }
 
-// Returns whether all checks passed.
-bool run_soak(const soak_options& options)
+// Adds what clients and hosts have recorded; call it after the clients.
+void collect_record(const client_list& clients, soak_cluster& cluster,
+                    soak_record& record)
 {
-    soak_cluster cluster(options);
-    fmt::print("seed {}: logs in {}\n", options.seed,
-               cluster.directory().path());
-    std::fflush(stdout);
-    client_list clients = start_clients(options, cluster);
-    soak_record record;
-    record.faults = inject_faults(options, cluster);
-    record.faults_ended_ms = steady_ms();
-    wait_for_jobs(clients, cluster);
-    record.finished_ms = steady_ms();
     for (const std::unique_ptr<client>& item : clients)
     {
         for (const soak_job& job : item->jobs())
@@ -120,9 +122,90 @@
     {
         record.stops[host.name] = host.stops;
     }
+}
+
+// Watches the long-running jobs for a while after the last fault, cancels them,
+// kills all hosts at once when that is acknowledged, and runs the checks.
+std::vector<check_failure>
+check_losses(soak_cluster& cluster, lasting_jobs& lasting, soak_record& record)
+{
+    std::vector<check_failure> failures;
+    const std::int64_t observed_until =
+        record.faults_ended_ms + at_work_observed_ms;
+    (void)test::wait_until(
+        [&]
+        {
+            cluster.poll();
+            return steady_ms() >= observed_until;
+        });
+    if (!lasting.cancel())
+    {
+        failures.push_back({"cancellations are answered", "long-running jobs"});
+    }
+    for (const soak_job& job : lasting.jobs())
+    {
+        record.jobs[job.id] = &job;
+    }
+    const std::int64_t killed_ms = steady_ms();
+    const final_answers answers = ask_after_loss(cluster, record);
+    wait_for_runs(cluster, record);
+    record.finished_ms = steady_ms();
+    record.faults.push_back(
+        {"last loss of all hosts", "hosts", killed_ms, steady_ms()});
+    record.runs = read_history(cluster.directory().file("journal"));
+    check_at_work(record, lasting.jobs(), observed_until, failures);
+    check_final_states(record, answers, failures);
+    check_attempts(record, failures);
+    return failures;
+}
+
+// Runs the checks of all soaks.
+std::vector<check_failure> check_record(const soak_options& options,
+                                        const soak_record& record)
+{
+    if (!options.has_power_losses)
+    {
+        return run_checks(record);
+    }
+    const std::deque<soak_job> replaced = replace_failed_jobs(record);
+    soak_record adapted = record;
+    for (const soak_job& job : replaced)
+    {
+        adapted.jobs[job.id] = &job;
+    }
+    return run_checks(adapted);
+}
+
+// Returns whether all checks passed.
+bool run_soak(const soak_options& options)
+{
+    soak_cluster cluster(options);
+    fmt::print("seed {}: logs in {}\n", options.seed,
+               cluster.directory().path());
+    std::fflush(stdout);
+    lasting_jobs lasting(options.seed, cluster.host_endpoints());
+    if (options.has_power_losses && !lasting.submit())
+    {
+        throw std::runtime_error("long-running jobs were not accepted");
+    }
+    client_list clients = start_clients(options, cluster);
+    soak_record record;
+    record.faults = inject_faults(options, cluster);
+    record.faults_ended_ms = steady_ms();
+    wait_for_jobs(clients, cluster);
+    record.finished_ms = steady_ms();
+    collect_record(clients, cluster, record);
+    std::vector<check_failure> failures;
+    if (options.has_power_losses)
+    {
+        failures = check_losses(cluster, lasting, record);
+    }
     record.runs = read_history(cluster.directory().file("journal"));
     print_summary(options, record);
-    std::vector<check_failure> failures = run_checks(record);
+    for (check_failure& item : check_record(options, record))
+    {
+        failures.push_back(std::move(item));
+    }
     for (const std::string& text : cluster.process_failures())
     {
         failures.push_back({"no unexpected host exits", text});
--- a/bench/soak/options.cpp
+++ b/bench/soak/options.cpp
@@ -28,6 +28,8 @@
   --takeovers    inject only takeovers that targets do not notice
   --restarts     inject only restarts of targets under their ids
   --short-tasks  run many short tasks, and inject only late orders
+  --power-loss   kill all hosts at once again and again, among faults of
+                 targets, links and the store
   --keep-logs    keep the logs after a pass as well
 )";
 
@@ -46,6 +48,7 @@
     int has_takeovers = 0;
     int has_restarts = 0;
     int has_short_tasks = 0;
+    int has_power_losses = 0;
     int keeps_logs = 0;
     int* const numbers[] = {&seed, &result.seconds, &result.hosts,
                             &result.targets, &result.clients};
@@ -59,6 +62,7 @@
                             {"takeovers", no_argument, &has_takeovers, 1},
                             {"restarts", no_argument, &has_restarts, 1},
                             {"short-tasks", no_argument, &has_short_tasks, 1},
+                            {"power-loss", no_argument, &has_power_losses, 1},
                             {"keep-logs", no_argument, &keeps_logs, 1},
                             {nullptr, 0, nullptr, 0}};
     int c = 0;
@@ -86,6 +90,7 @@
     result.has_takeovers_only = has_takeovers != 0;
     result.has_restarts_only = has_restarts != 0;
     result.has_short_tasks = has_short_tasks != 0;
+    result.has_power_losses = has_power_losses != 0;
     result.keeps_logs = keeps_logs != 0;
     const int bounds[] = {std::max(seed, 0), max_seconds, max_hosts,
                           max_targets, max_clients};
--- a/bench/soak/options.hpp
+++ b/bench/soak/options.hpp
@@ -24,6 +24,8 @@
     /// Jobs have many short tasks, so that targets list many ends, and late
     /// orders are the only faults.
     bool has_short_tasks = false;
+    /// All hosts are killed at once again and again, among other faults.
+    bool has_power_losses = false;
     bool keeps_logs = false; ///< also after a pass
 };
 
--- a/bench/soak/soak_cluster.cpp
+++ b/bench/soak/soak_cluster.cpp
@@ -1,6 +1,7 @@
 #include "soak_cluster.hpp"
 
 #include "common/platform_event.hpp"
+#include "soak_job.hpp"
 #include "support/json_http.hpp"
 #include "support/wait_until.hpp"
 
@@ -60,6 +61,7 @@
     {
         host_process host;
         host.name = fmt::format("h{}", n);
+        host.member_name = host.name;
         host.data_center = data_center_of(n);
         host.callers = ports_.reserve_address();
         host.proxy_address = ports_.reserve_address();
@@ -123,6 +125,11 @@
         arguments.push_back("--target");
         arguments.push_back(text);
     }
+    if (options.has_power_losses)
+    {
+        arguments.push_back("--max-attempts");
+        arguments.push_back(std::to_string(power_loss_max_attempts));
+    }
     platform_ = start("standin_platform", arguments, platform_control_);
 }
 
@@ -145,8 +152,9 @@
                     "callers = \"{}\"\nready = \"{}\"\npeer = \"{}\"\n"
                     "store = \"{}\"\ntransactions_span_parts = true\n"
                     "longest_lease_ms = {}\nthaw_slack_ms = {}\n",
-                    host.name, host.data_center, host.callers, host.ready,
-                    host.peer, host.store, max_lease_ms, wake_up_slack_ms));
+                    host.member_name, host.data_center, host.callers,
+                    host.ready, host.peer, host.store, max_lease_ms,
+                    wake_up_slack_ms));
 }
 
 std::vector<host_endpoint> soak_cluster::host_endpoints() const
@@ -182,6 +190,7 @@
     }
     host.is_stopping = false;
     host.is_killed = false;
+    host.start_due_ms = 0;
     host.process = std::make_unique<test::child_process>(
         host_program_,
         std::vector<std::string>{"--settings",
@@ -196,6 +205,26 @@
     host.is_stopping = false;
 }
 
+void soak_cluster::kill_all_hosts(const std::vector<std::int64_t>& delays_ms)
+{
+    for (host_process& host : hosts_)
+    {
+        host.process->signal(SIGKILL);
+    }
+    for (std::size_t n = 0; n < hosts_.size(); ++n)
+    {
+        kill_host(hosts_[n]);
+        hosts_[n].start_due_ms = steady_ms() + delays_ms[n];
+    }
+}
+
+void soak_cluster::replace_host(host_process& host)
+{
+    host.member_name = fmt::format("{}-{}", host.name, ++replacement_count_);
+    host.peer = ports_.reserve_address();
+    write_settings(host);
+}
+
 void soak_cluster::stop_host(host_process& host)
 {
     if (!host.process->is_running() || host.is_stopping)
@@ -245,6 +274,11 @@
 void soak_cluster::poll_host(host_process& host)
 {
     const bool is_running = host.process->is_running();
+    if (host.start_due_ms > 0 && steady_ms() >= host.start_due_ms)
+    {
+        start_host(host);
+        return;
+    }
     if (!host.is_stopping)
     {
         if (!host.is_killed && !is_running)
--- a/bench/soak/soak_cluster.hpp
+++ b/bench/soak/soak_cluster.hpp
@@ -24,6 +24,7 @@
 struct host_process
 {
     std::string name;
+    std::string member_name; ///< in its settings; changes with `replace_host`
     std::string data_center;
     std::string callers;       ///< of the host; clients use `proxy_address`
     std::string proxy_address; ///< caller address at the proxy
@@ -32,8 +33,9 @@
     std::string store; ///< address of the store at the proxy
     std::string store_server;
     std::unique_ptr<test::child_process> process;
-    bool is_stopping = false; ///< after SIGTERM
-    bool is_killed = false;   ///< by the soak
+    bool is_stopping = false;      ///< after SIGTERM
+    bool is_killed = false;        ///< by the soak
+    std::int64_t start_due_ms = 0; ///< of a killed host; 0: not planned
     std::vector<planned_stop> stops;
 };
 
@@ -72,6 +74,15 @@
     /// Kills a host.
     void kill_host(host_process& host);
 
+    /// Kills all hosts at once; `poll` starts each again after a delay.
+    ///
+    /// \param delays_ms  by index of the host
+    void kill_all_hosts(const std::vector<std::int64_t>& delays_ms);
+
+    /// Gives a host that is not running a new name and address among the hosts,
+    /// as if another machine took its place.
+    void replace_host(host_process& host);
+
     /// Sends SIGTERM; `poll` starts the host again after its exit.
     void stop_host(host_process& host);
 
@@ -129,6 +140,7 @@
     std::string proxy_control_;
     std::unique_ptr<test::child_process> platform_;
     std::unique_ptr<test::child_process> proxy_;
+    int replacement_count_ = 0;
     std::size_t rolling_restart_index_ = 0; ///< of the restarting host
     bool is_rolling_restart_ = false;
     std::vector<std::string> process_failures_;
--- a/bench/soak/soak_fault.hpp
+++ b/bench/soak/soak_fault.hpp
@@ -57,6 +57,19 @@
 [[nodiscard]] soak_fault make_restarts(std::mt19937& random,
                                        soak_cluster& cluster);
 
+/// Kills all hosts at once, at the same moment as faults of the store and of
+/// targets. The hosts come back together, one after another, with some of them
+/// late, or with new names and addresses.
+[[nodiscard]] soak_fault make_power_loss(std::mt19937& random,
+                                         soak_cluster& cluster);
+
+/// Chooses a loss of all hosts or a fault that overlaps with one.
+///
+/// \param version  of the last configuration
+[[nodiscard]] soak_fault choose_power_loss_fault(std::mt19937& random,
+                                                 soak_cluster& cluster,
+                                                 std::int64_t& version);
+
 /// Lets a target leave orders unanswered for a moment and carry them out late.
 [[nodiscard]] soak_fault make_late_orders(std::mt19937& random,
                                           soak_cluster& cluster);
--- a/bench/soak/soak_job.cpp
+++ b/bench/soak/soak_job.cpp
@@ -26,6 +26,10 @@
 constexpr std::int64_t long_running_ms = 3'600'000;
 // One job in this many is long-running.
 constexpr int long_running_share = 15;
+// One job in this many has tasks that fail.
+constexpr int failing_share = 6;
+// More runs than any task has.
+constexpr int always = 1'000;
 
 } // namespace
 
@@ -77,6 +81,17 @@
     return job;
 }
 
+soak_job choose_failing_job(std::mt19937& random)
+{
+    soak_job job = choose_job(random);
+    if (!job.is_long_running && choose(random, 1, failing_share) == 1)
+    {
+        job.steps.back().failures =
+            choose(random, 0, 1) == 0 ? power_loss_max_attempts - 1 : always;
+    }
+    return job;
+}
+
 std::string submission_of(const soak_job& job)
 {
     std::string text;
@@ -85,6 +100,7 @@
     {
         text += fmt::format("{}{}:{}", text.empty() ? "" : " ", step.cpu_milli,
                             step.duration_ms);
+        text += step.failures > 0 ? fmt::format(":{}", step.failures) : "";
         steps += fmt::format(
             R"({}{{"count":{},"cpu":{},"memMb":100,"estimateMs":{})",
             steps.empty() ? "" : ",", step.count, step.cpu_milli,
--- a/bench/soak/soak_job.hpp
+++ b/bench/soak/soak_job.hpp
@@ -19,6 +19,7 @@
     std::int64_t cpu_milli = 1'000;
     std::int64_t duration_ms = 100;
     std::vector<int> after; ///< earlier steps
+    int failures = 0;       ///< of the first runs of each task
 };
 
 /// One request about a job and the reply to it.
@@ -63,6 +64,14 @@
 /// Chooses a job with one step of many short tasks.
 [[nodiscard]] soak_job choose_short_tasks(std::mt19937& random);
 
+/// Number of failed runs of a task after which its job has failed, in the
+/// configuration of a soak with losses of all hosts.
+constexpr int power_loss_max_attempts = 4;
+
+/// Chooses a job like `choose_job`. In one of six, the tasks of the last step
+/// fail in each run, or in one run less than makes the job fail.
+[[nodiscard]] soak_job choose_failing_job(std::mt19937& random);
+
 /// Chooses the next job of a client.
 using job_chooser = soak_job (*)(std::mt19937& random);
 
--- a/tools/standin_platform/main.cpp
+++ b/tools/standin_platform/main.cpp
@@ -28,6 +28,7 @@
                          ADDRESS; repeatable
   --journal FILE         one line an event of the targets
   --longest-lease-ms N   (default 10000)
+  --max-attempts N       of the queues (default 100000)
   --seed N               clocks and delays of the targets (default 1)
 POST /control accepts
   {"what":"store","names":[...],"action":MODE,"delay_ms":N}
@@ -43,6 +44,8 @@
   {"what":"config","version":N,"second_queue":BOOL}
   {"what":"drop_history"}
 Without names a command is for all.
+The spec of a job has `CPU:MS` or `CPU:MS:FAILURES` for each step, separated by
+blanks: the work of a task, and how many of its first runs fail at their end.
 )";
 
 // Splits a text at a character.
@@ -88,6 +91,7 @@
         {"target", required_argument, nullptr, 't'},
         {"journal", required_argument, nullptr, 'j'},
         {"longest-lease-ms", required_argument, nullptr, 'l'},
+        {"max-attempts", required_argument, nullptr, 'a'},
         {"seed", required_argument, nullptr, 'r'},
         {nullptr, 0, nullptr, 0}};
     int c = 0;
@@ -111,6 +115,9 @@
         case 'l':
             result.max_lease_ms = std::atol(optarg);
             break;
+        case 'a':
+            result.max_attempts = std::atol(optarg);
+            break;
         case 'r':
             result.seed = static_cast<unsigned>(std::atol(optarg));
             break;
--- a/tools/standin_platform/platform.cpp
+++ b/tools/standin_platform/platform.cpp
@@ -131,16 +131,19 @@
 
 void platform::set_config(std::int64_t version, bool has_second_queue)
 {
+    const std::string attempts =
+        fmt::format(R"("maxAttempts":{}}})", options_.max_attempts);
     std::string routes =
         R"({"name":"main","host":"jobs.test","pathPrefix":"/jobs/",)"
-        R"("service":"work","priority":1,"maxAttempts":100000,)"
-        R"("stretch":4,"targetDurationMs":2000,"timeoutMs":3000})";
+        R"("service":"work","priority":1,"stretch":4,)"
+        R"("targetDurationMs":2000,"timeoutMs":3000,)" +
+        attempts;
     if (has_second_queue)
     {
         routes += R"(,{"name":"second","host":"jobs.test",)"
                   R"("pathPrefix":"/second/","service":"work","priority":0,)"
-                  R"("maxAttempts":100000,"stretch":2,)"
-                  R"("targetDurationMs":1000,"timeoutMs":3000})";
+                  R"("stretch":2,"targetDurationMs":1000,"timeoutMs":3000,)" +
+                  attempts;
     }
     rows_.write("op", "config",
                 fmt::format(R"({{"version":{},"routes":[{}],"services":)"
--- a/tools/standin_platform/platform_options.hpp
+++ b/tools/standin_platform/platform_options.hpp
@@ -34,6 +34,8 @@
     std::string journal; ///< file; empty: none
     unsigned seed = 1;
     std::int64_t max_lease_ms = 10'000;
+    /// Failed runs of a task after which its job has failed.
+    std::int64_t max_attempts = 100'000;
     /// Name and `ip:port` of the store for one caller.
     std::vector<std::pair<std::string, std::string>> stores;
     std::vector<simulated_target_options> targets;
--- a/tools/standin_platform/simulated_target.cpp
+++ b/tools/standin_platform/simulated_target.cpp
@@ -26,10 +26,12 @@
 {
     std::int64_t cpu_milli = 1'000;
     std::int64_t duration_ms = 100;
+    std::int64_t failures = 0; ///< of its first runs
 };
 
-// Finds the work of a task in the spec of its job: `CPU:MS` for each step,
-// separated by blanks. The name of a task ends in `.STEP.INDEX`.
+// Finds the work of a task in the spec of its job: `CPU:MS` or
+// `CPU:MS:FAILURES` for each step, separated by blanks. The name of a task ends
+// in `.STEP.INDEX`.
 task_work find_work(const std::string& text, const std::string& task)
 {
     int occurrence = 0;
@@ -40,14 +42,23 @@
     {
         return {};
     }
-    task_work work;
-    char colon = ' ';
+    std::string text_of_step;
     std::istringstream in(text);
     for (; step >= 0; --step)
     {
-        in >> work.cpu_milli >> colon >> work.duration_ms;
+        in >> text_of_step;
+    }
+    task_work work;
+    long cpu_milli = 0;
+    long duration_ms = 0;
+    long failures = 0;
+    const int count = std::sscanf(text_of_step.c_str(), "%ld:%ld:%ld",
+                                  &cpu_milli, &duration_ms, &failures);
+    if (in && count >= 2)
+    {
+        work = {cpu_milli, duration_ms, failures};
     }
-    return in ? work : task_work{};
+    return work;
 }
 
 std::int64_t unix_ms()
@@ -279,6 +290,10 @@
     run.cpu = work.cpu_milli;
     run.started_ms = now;
     run.ends_ms = now + work.duration_ms * faults_.slowness;
+    if (order.run <= work.failures)
+    {
+        run.outcome = "failed";
+    }
     if (faults_.fails_runs)
     {
         run.outcome = "failed";
