Check in the soak that hosts answer every request

The soak only looked at requests on reused connections that SIGTERM cut. Requests cut on a new connection, by SIGHUP or by a new configuration, and requests that are read and never answered, passed unseen, although the users count them as lost.

Clients now record every request that was sent whole and got no answer. Clients send bodies late and in pieces, pipeline queries, and press on one host until it refuses. New options play planned work only, with a store that takes its time.

The jobs of a seed stay the same: the ways of sending use a generator of their own.

--- a/bench/soak/checks.cpp
+++ b/bench/soak/checks.cpp
@@ -1,5 +1,7 @@
 #include "checks.hpp"
 
+#include "request_checks.hpp"
+
 #include <fmt/format.h>
 
 #include <algorithm>
@@ -28,14 +30,6 @@
 // down to whole milliseconds.
 constexpr std::int64_t rounding_ms = 1;
 
-template <typename... Args>
-void add_failure(std::vector<check_failure>& failures, std::string check,
-                 fmt::format_string<Args...> text, Args&&... args)
-{
-    failures.push_back(
-        {std::move(check), fmt::format(text, std::forward<Args>(args)...)});
-}
-
 bool has_fault_in_effect(const soak_record& record, std::int64_t from,
                          std::int64_t until)
 {
@@ -277,10 +271,10 @@
 void check_planned_stops(const soak_record& record,
                          std::vector<check_failure>& failures)
 {
-    for (const interrupted_call& item : record.interrupted_calls)
+    for (const unanswered_call& item : record.unanswered_calls)
     {
         const auto host = record.stops.find(item.host);
-        if (host == record.stops.end())
+        if (host == record.stops.end() || !item.is_closed || !item.was_reused)
         {
             continue;
         }
@@ -289,25 +283,24 @@
             [&](const fault_window& fault)
             {
                 return fault.component == "front-" + item.host &&
-                       fault.started_ms <= item.closed_ms &&
+                       fault.started_ms <= item.ended_ms &&
                        fault.ended_ms + in_flight_ms >= item.sent_ms;
             });
         const bool is_stopping = std::any_of(
             host->second.begin(), host->second.end(),
             [&](const planned_stop& stop)
             {
-                return stop.exited_ms > 0 &&
-                       item.closed_ms >= stop.started_ms &&
+                return stop.exited_ms > 0 && item.ended_ms >= stop.started_ms &&
                        item.sent_ms <= stop.exited_ms &&
-                       item.closed_ms <= stop.exited_ms + in_flight_ms;
+                       item.ended_ms <= stop.exited_ms + in_flight_ms;
             });
         if (is_stopping && !is_link_faulty &&
-            item.closed_ms - item.sent_ms >= in_flight_ms)
+            item.ended_ms - item.sent_ms >= in_flight_ms)
         {
             add_failure(
                 failures, "planned stops answer requests",
                 "{} of job {} at {}, sent at {}, lost its connection at {}",
-                item.method, item.job, item.host, item.sent_ms, item.closed_ms);
+                item.method, item.job, item.host, item.sent_ms, item.ended_ms);
         }
     }
 }
@@ -322,6 +315,7 @@
     check_refused_jobs(record, failures);
     check_cancelled(record, failures);
     check_planned_stops(record, failures);
+    check_unanswered_calls(record, failures);
     for (const auto& [id, job] : record.jobs)
     {
         check_completions(record, *job, failures);
--- a/bench/soak/client.cpp
+++ b/bench/soak/client.cpp
@@ -33,6 +33,18 @@
 constexpr int percent = 100;
 // Percentage of the calls before which a client switches to another host.
 constexpr int switch_host_percent = 2;
+// Percentages of the submissions that send their body late or in pieces, and of
+// the queries that are sent with others before the first response.
+constexpr int late_body_percent = 25;
+constexpr int pipelined_percent = 6;
+constexpr int max_pipelined = 4;
+constexpr int max_body_pieces = 4;
+constexpr int max_body_pause_ms = 150;
+// Time between two jobs of a pressing client.
+constexpr int min_job_interval_ms = 50;
+constexpr int max_job_interval_ms = 300;
+// Older jobs have mostly ended, so that one of the last is chosen.
+constexpr int recent_jobs = 30;
 
 std::string state_of(const std::string& body)
 {
@@ -46,12 +58,26 @@
     return body.substr(first, body.find('"', first) - first);
 }
 
+channel_request make_request(const soak_job& job, const std::string& method)
+{
+    return {method, std::string(path_prefix) + job.id,
+            method == "POST" ? submission_of(job) : ""};
+}
+
+milliseconds timeout_of(const std::string& method)
+{
+    return milliseconds(method == "POST" ? submit_timeout_ms
+                                         : query_timeout_ms);
+}
+
 } // namespace
 
 client::client(int number, unsigned seed, job_chooser choose_job,
+               const client_style& style,
                std::vector<host_endpoint> host_endpoints,
                const std::string& log_file)
-    : number_(number), random_(seed), choose_job_(choose_job),
+    : number_(number), random_(seed), transport_random_(~seed),
+      choose_job_(choose_job), style_(style),
       host_endpoints_(std::move(host_endpoints)), log_(log_file)
 {
     choose_endpoint();
@@ -77,6 +103,22 @@
     return std::uniform_int_distribution<int>(min_value, max_value)(random_);
 }
 
+int client::choose_transport(int min_value, int max_value)
+{
+    return std::uniform_int_distribution<int>(min_value,
+                                              max_value)(transport_random_);
+}
+
+body_pacing client::choose_pacing()
+{
+    if (choose_transport(0, percent - 1) >= late_body_percent)
+    {
+        return {};
+    }
+    return {choose_transport(1, max_body_pieces),
+            milliseconds(choose_transport(1, max_body_pause_ms))};
+}
+
 void client::choose_endpoint()
 {
     const host_endpoint& item = host_endpoints_[static_cast<std::size_t>(
@@ -87,37 +129,93 @@
 
 const job_call& client::call(soak_job& job, const std::string& method)
 {
+    const channel_request request = make_request(job, method);
+    const milliseconds timeout = timeout_of(method);
     const bool is_submission = method == "POST";
     const channel_reply reply = channel_->send(
-        method, std::string(path_prefix) + job.id,
-        is_submission ? submission_of(job) : "",
-        milliseconds(is_submission ? submit_timeout_ms : query_timeout_ms));
-    job_call item{method,        host_,
-                  reply.status,  state_of(reply.body),
-                  reply.sent_ms, reply.answered_ms};
+        request, timeout, is_submission ? choose_pacing() : body_pacing{});
+    const job_call& item = record_call(job, request, reply, timeout, 0);
+    if (reply.status == 0)
+    {
+        choose_endpoint();
+    }
+    return item;
+}
+
+const job_call& client::record_call(soak_job& job,
+                                    const channel_request& request,
+                                    const channel_reply& reply,
+                                    milliseconds timeout, int answered_before)
+{
+    job_call item{request.method,       host_,         reply.status,
+                  state_of(reply.body), reply.sent_ms, reply.answered_ms};
     log_.append(fmt::format(
-        "{} client={} host={} {} job={} status={} state={} took_ms={}{}",
-        item.answered_ms, number_, host_, method, job.id, item.status,
+        "{} client={} host={} {} job={} status={} state={} took_ms={}{}{}{}",
+        item.answered_ms, number_, host_, item.method, job.id, item.status,
         item.state, item.answered_ms - item.sent_ms,
         reply.is_closed ? (reply.was_reused ? " closed keep-alive" : " closed")
-                        : ""));
-    if (reply.is_closed && reply.was_reused)
+                        : "",
+        answered_before > 0 ? " pipelined" : "",
+        reply.is_sent ? "" : " not sent"));
+    if (reply.status == 0 && reply.is_sent)
     {
-        interrupted_calls_.push_back(
-            {host_, method, job.id, reply.sent_ms, reply.answered_ms});
+        unanswered_calls_.push_back({host_, item.method, job.id, reply.sent_ms,
+                                     reply.answered_ms, timeout.count(),
+                                     reply.is_closed, reply.was_reused,
+                                     answered_before});
     }
     job.calls.push_back(std::move(item));
     last_status_ = reply.status;
-    if (reply.status == 0)
+    return job.calls.back();
+}
+
+// Asks for several jobs at once, after a repeated submission at times.
+void client::call_pipelined(soak_job& first)
+{
+    std::vector<soak_job*> asked{&first};
+    std::vector<channel_request> requests{
+        make_request(first, choose_transport(0, 3) == 0 ? "POST" : "GET")};
+    const int count = choose_transport(2, max_pipelined);
+    const int last = static_cast<int>(jobs_.size()) - 1;
+    while (static_cast<int>(asked.size()) < count)
+    {
+        soak_job& job = jobs_[static_cast<std::size_t>(
+            choose_transport(std::max(0, last - recent_jobs), last))];
+        // The first one is accepted, and so is each job that is asked for.
+        asked.push_back(job.accepted_ms > 0 ? &job : &first);
+        requests.push_back(make_request(*asked.back(), "GET"));
+    }
+    const milliseconds timeout = timeout_of("GET");
+    const std::vector<channel_reply> replies =
+        channel_->send_pipelined(requests, timeout);
+    int answered_before = 0;
+    for (std::size_t n = 0; n < replies.size(); ++n)
+    {
+        if (replies[n].is_not_taken)
+        {
+            break;
+        }
+        const job_call& item = record_call(*asked[n], requests[n], replies[n],
+                                           timeout, answered_before);
+        answered_before += item.status != 0 ? 1 : 0;
+        if (item.method == "GET" && !item.state.empty())
+        {
+            asked[n]->last_state = item.state;
+        }
+    }
+    if (last_status_ == 0)
     {
         choose_endpoint();
     }
-    return job.calls.back();
 }
 
 void client::submit(soak_job& job)
 {
-    const job_call& item = call(job, "POST");
+    apply_submission(job, call(job, "POST"));
+}
+
+void client::apply_submission(soak_job& job, const job_call& item)
+{
     if (item.status / 100 == 2)
     {
         job.accepted_ms =
@@ -136,6 +234,8 @@
     {
         job.last_state = item.state;
     }
+    job.is_known_at_end =
+        phase_ == client_phase::settle && item.status / 100 == 2;
 }
 
 void client::cancel(soak_job& job)
@@ -173,6 +273,27 @@
     return it == jobs_.end() ? nullptr : &*it;
 }
 
+void client::submit_new_job()
+{
+    soak_job job = choose_job_(random_);
+    // All long-running jobs are cancelled, and one in ten of the others.
+    if (job.is_long_running || choose(0, 9) == 0)
+    {
+        job.cancel_due_ms =
+            steady_ms() + choose(0, job.is_long_running ? max_long_running_ms
+                                                        : max_cancel_delay_ms);
+    }
+    jobs_.push_back(std::move(job));
+    submit(jobs_.back());
+}
+
+soak_job& client::choose_recent_job()
+{
+    const int count = static_cast<int>(jobs_.size());
+    return jobs_[static_cast<std::size_t>(
+        choose(std::max(0, count - recent_jobs), count - 1))];
+}
+
 void client::run_load_step()
 {
     soak_job* const unanswered = find_unanswered_submission();
@@ -192,28 +313,20 @@
     }
     else if (jobs_.empty() || random_percent < 20)
     {
-        soak_job job = choose_job_(random_);
-        // All long-running jobs are cancelled, and one in ten of the others.
-        if (job.is_long_running || choose(0, 9) == 0)
-        {
-            job.cancel_due_ms =
-                steady_ms() + choose(0, job.is_long_running
-                                            ? max_long_running_ms
-                                            : max_cancel_delay_ms);
-        }
-        jobs_.push_back(std::move(job));
-        submit(jobs_.back());
+        submit_new_job();
     }
     else
     {
-        // Older jobs have mostly ended, so a recent one is chosen.
-        const int count = static_cast<int>(jobs_.size());
-        soak_job& job = jobs_[static_cast<std::size_t>(
-            choose(std::max(0, count - 30), count - 1))];
+        soak_job& job = choose_recent_job();
         if (job.accepted_ms > 0 && random_percent < 26)
         {
             submit(job);
         }
+        else if (job.accepted_ms > 0 &&
+                 choose_transport(0, percent - 1) < pipelined_percent)
+        {
+            call_pipelined(job);
+        }
         else if (job.accepted_ms > 0)
         {
             query(job);
@@ -221,21 +334,76 @@
     }
 }
 
+void client::run_pressing_step()
+{
+    soak_job* const unanswered = find_unanswered_submission();
+    soak_job* const due = find_due_cancel();
+    const std::int64_t now = steady_ms();
+    if (now >= next_job_ms_ && unanswered != nullptr)
+    {
+        next_job_ms_ = now + min_retry_ms;
+        submit(*unanswered);
+    }
+    else if (now >= next_job_ms_)
+    {
+        next_job_ms_ = now + choose(min_job_interval_ms, max_job_interval_ms);
+        submit_new_job();
+    }
+    else if (due != nullptr)
+    {
+        cancel(*due);
+    }
+    else if (soak_job& job = choose_recent_job(); job.accepted_ms == 0)
+    {
+        std::this_thread::sleep_for(milliseconds(1));
+    }
+    else if (choose_transport(0, percent - 1) < pipelined_percent)
+    {
+        call_pipelined(job);
+    }
+    else
+    {
+        query(job);
+    }
+}
+
 void client::run_settle_step()
 {
     const std::size_t count = jobs_.size();
+    if (settle_begun_ms_ == 0)
+    {
+        settle_begun_ms_ = steady_ms();
+    }
+    const bool is_quiet = steady_ms() - settle_begun_ms_ <
+                          milliseconds(style_.quiet_time).count();
+    bool is_waiting = false;
+    const std::size_t first = settle_cursor_;
     for (std::size_t n = 0; n < count; ++n)
     {
-        soak_job& job = jobs_[(settle_cursor_ + n) % count];
-        if (job.is_abandoned || is_final(job))
+        soak_job& job = jobs_[(first + n) % count];
+        const bool is_over =
+            job.is_abandoned || (is_final(job) && job.is_known_at_end);
+        const bool is_kept =
+            job.is_long_running && job.accepted_ms > 0 && is_quiet;
+        is_waiting |= is_kept && !is_over;
+        if (is_over || is_kept)
         {
             continue;
         }
-        settle_cursor_ = (settle_cursor_ + n + 1) % count;
+        settle_cursor_ = (first + n + 1) % count;
         if (job.accepted_ms == 0)
         {
             submit(job);
         }
+        else if (is_final(job))
+        {
+            // Needs no pause: one question for each job.
+            query(job);
+            if (job.is_known_at_end)
+            {
+                continue;
+            }
+        }
         else if (job.is_long_running || job.cancel_due_ms > 0)
         {
             cancel(job);
@@ -246,25 +414,45 @@
         }
         return;
     }
-    is_settled_ = true;
+    is_settled_ = !is_waiting;
 }
 
 void client::run()
 {
     while (phase_ != client_phase::stop)
     {
-        if (phase_ == client_phase::load)
+        if (phase_ == client_phase::settle)
         {
-            run_load_step();
+            run_settle_step();
+        }
+        else if (style_.is_pressing)
+        {
+            run_pressing_step();
         }
         else
         {
-            run_settle_step();
+            run_load_step();
         }
-        const bool has_answer = last_status_ != 0;
+        pause();
+    }
+}
+
+void client::pause()
+{
+    const bool has_answer = last_status_ != 0;
+    if (!has_answer)
+    {
+        std::this_thread::sleep_for(
+            milliseconds(choose(min_retry_ms, max_retry_ms)));
+    }
+    else if (style_.is_pressing && phase_ == client_phase::load)
+    {
+        std::this_thread::sleep_for(style_.pressing_pause);
+    }
+    else
+    {
         std::this_thread::sleep_for(
-            milliseconds(has_answer ? choose(min_pause_ms, max_pause_ms)
-                                    : choose(min_retry_ms, max_retry_ms)));
+            milliseconds(choose(min_pause_ms, max_pause_ms)));
     }
 }
 
--- a/bench/soak/fault_runner.cpp
+++ b/bench/soak/fault_runner.cpp
@@ -59,6 +59,10 @@
     {
         return make_late_orders(state.random, state.cluster);
     }
+    if (options.has_planned_work_only)
+    {
+        return choose_planned_work(state.random, state.cluster, state.version);
+    }
     const long kind = choose(state.random, 0, 99);
     if (kind < 40)
     {
@@ -136,7 +140,8 @@
     {
         return false;
     }
-    fault_window window{fault.text, fault.component, steady_ms(), 0};
+    fault_window window{fault.text, fault.component, steady_ms(), 0,
+                        fault.kind};
     state.log.append(fmt::format("{} begin {} for {} ms", window.started_ms,
                                  window.text, fault.length.count()));
     fault.inject();
--- a/bench/soak/history.cpp
+++ b/bench/soak/history.cpp
@@ -65,11 +65,9 @@
     }
 }
 
-} // namespace
-
-history read_history(const std::string& file)
+template <typename Visitor>
+void for_each_event(const std::string& file, Visitor visit)
 {
-    history result;
     std::ifstream in(file);
     std::string line;
     while (std::getline(in, line))
@@ -81,8 +79,17 @@
             throw std::runtime_error("the journal has a malformed line: " +
                                      line);
         }
-        apply(result, *event);
+        visit(*event);
     }
+}
+
+} // namespace
+
+history read_history(const std::string& file)
+{
+    history result;
+    for_each_event(file, [&](const standin::platform_event& event)
+                   { apply(result, event); });
     for (auto& [task, runs] : result)
     {
         std::stable_sort(runs.begin(), runs.end(),
@@ -92,6 +99,29 @@
     return result;
 }
 
+std::vector<target_boot> read_boots(const std::string& file)
+{
+    std::vector<target_boot> result;
+    for_each_event(
+        file,
+        [&](const standin::platform_event& event)
+        {
+            if (event.event == "life")
+            {
+                result.push_back({event.target, event.at_ms, still_running});
+            }
+            const auto it = std::find_if(result.rbegin(), result.rend(),
+                                         [&](const target_boot& item) {
+                                             return item.target == event.target;
+                                         });
+            if (event.event == "dead" && it != result.rend())
+            {
+                it->ended_ms = event.at_ms;
+            }
+        });
+    return result;
+}
+
 std::string job_of(const std::string& task)
 {
     return task.substr(0, task.find('.'));
--- a/bench/soak/history.hpp
+++ b/bench/soak/history.hpp
@@ -13,15 +13,29 @@
 namespace egretspindle::bench
 {
 
-/// Request on a keep-alive connection that the host closed instead of
-/// responding.
-struct interrupted_call
+/// Request that a client has sent completely and that got no response.
+struct unanswered_call
 {
     std::string host;
     std::string method;
     std::string job;
-    std::int64_t sent_ms = 0;
-    std::int64_t closed_ms = 0;
+    std::int64_t sent_ms = 0;  ///< after its last byte
+    std::int64_t ended_ms = 0; ///< end of the connection, or of the wait
+    std::int64_t limit_ms = 0; ///< longest time that the client waits
+    bool is_closed = false;    ///< the host closed the connection
+    bool was_reused = false;   ///< the connection had carried a response
+    /// Other requests that the client had sent on the connection without
+    /// waiting for their responses, and that got one.
+    int answered_before = 0;
+};
+
+/// Kind of an injected fault.
+enum class fault_kind
+{
+    unplanned,
+    stop,   ///< SIGTERM of hosts
+    reload, ///< SIGHUP of a host
+    config, ///< a new configuration
 };
 
 /// Time of an injected fault, by the steady clock.
@@ -31,6 +45,15 @@
     std::string component;
     std::int64_t started_ms = 0;
     std::int64_t ended_ms = 0;
+    fault_kind kind = fault_kind::unplanned;
+};
+
+/// Time from the boot of a target to its end.
+struct target_boot
+{
+    std::string target;
+    std::int64_t started_ms = 0;
+    std::int64_t ended_ms = 0; ///< `still_running`: up at the end of the soak
 };
 
 /// Time of a planned stop of a host.
@@ -65,6 +88,10 @@
 /// Reads a journal; throws for a line that cannot be read.
 [[nodiscard]] history read_history(const std::string& file);
 
+/// Reads the boots of the targets from a journal; throws for a line that cannot
+/// be read.
+[[nodiscard]] std::vector<target_boot> read_boots(const std::string& file);
+
 /// Returns the job of a task.
 [[nodiscard]] std::string job_of(const std::string& task);
 
--- a/bench/soak/host_faults.cpp
+++ b/bench/soak/host_faults.cpp
@@ -60,6 +60,7 @@
     soak_fault item;
     item.text = fault_text("stop and restart", hosts);
     item.length = milliseconds(6'000);
+    item.kind = fault_kind::stop;
     item.inject = [&cluster, hosts]
     {
         for (host_process* host : hosts)
@@ -76,6 +77,7 @@
     soak_fault item;
     item.text = fault_text(text, {&host});
     item.length = milliseconds(length);
+    item.kind = first == SIGHUP ? fault_kind::reload : fault_kind::unplanned;
     item.inject = [&cluster, &host, first]
     {
         cluster.signal_host(host, first);
@@ -172,6 +174,7 @@
     {
         item.text = "stop and restart all hosts in turn";
         item.length = milliseconds(15'000);
+        item.kind = fault_kind::stop;
         item.inject = [&cluster]
         {
             cluster.start_rolling_restart();
--- a/bench/soak/main.cpp
+++ b/bench/soak/main.cpp
@@ -30,17 +30,32 @@
 // Seeds of the clients differ from that of the faults and from each other.
 constexpr unsigned client_seed_factor = 1'000;
 
+// One more client for each so many, and at least one, is a pressing one.
+constexpr int clients_for_one_pressing = 8;
+// Pause of these beside faults, which need the processors as well.
+constexpr std::chrono::milliseconds pressing_pause{2};
+
 using client_list = std::vector<std::unique_ptr<client>>;
 
 client_list start_clients(const soak_options& options, soak_cluster& cluster)
 {
     client_list clients;
-    for (int n = 0; n < options.clients; ++n)
+    const int pressing = 1 + options.clients / clients_for_one_pressing;
+    for (int n = 0; n < options.clients + pressing; ++n)
     {
+        const bool is_pressing = n >= options.clients;
+        const client_style style{is_pressing,
+                                 options.has_planned_work_only
+                                     ? std::chrono::milliseconds(0)
+                                     : pressing_pause,
+                                 std::chrono::seconds(options.quiet_seconds)};
+        const job_chooser chooser = is_pressing ? choose_small_job
+                                    : options.has_short_tasks
+                                        ? choose_short_tasks
+                                        : choose_job;
         clients.push_back(std::make_unique<client>(
             n, options.seed * client_seed_factor + static_cast<unsigned>(n),
-            options.has_short_tasks ? choose_short_tasks : choose_job,
-            cluster.host_endpoints(),
+            chooser, style, cluster.host_endpoints(),
             cluster.directory().file(fmt::format("client{}.log", n))));
     }
     return clients;
@@ -83,13 +98,20 @@
     {
         runs += list.size();
     }
+    std::size_t calls = 0;
+    for (const auto& [id, job] : record.jobs)
+    {
+        calls += job->calls.size();
+    }
     fmt::print("seed {}: {} jobs, {} accepted, {} refused, {} cancelled; {} "
-               "runs of {} tasks; {} faults; settled after {} ms\n",
+               "runs of {} tasks; {} faults; {} calls, {} without an answer; "
+               "settled after {} ms\n",
                options.seed, record.jobs.size(),
                count([](const soak_job& job) { return job.accepted_ms > 0; }),
                count([](const soak_job& job) { return job.is_abandoned; }),
                count([](const soak_job& job) { return job.cancelled_ms > 0; }),
-               runs, record.runs.size(), record.faults.size(),
+               runs, record.runs.size(), record.faults.size(), calls,
+               record.unanswered_calls.size(),
                record.finished_ms - record.faults_ended_ms);
 }
 
@@ -100,6 +122,12 @@
     fmt::print("seed {}: logs in {}\n", options.seed,
                cluster.directory().path());
     std::fflush(stdout);
+    if (options.store_ms > 0)
+    {
+        cluster.command(
+            fmt::format(R"({{"what":"store","action":"slow","delay_ms":{}}})",
+                        options.store_ms));
+    }
     client_list clients = start_clients(options, cluster);
     soak_record record;
     record.faults = inject_faults(options, cluster);
@@ -112,15 +140,16 @@
         {
             record.jobs[job.id] = &job;
         }
-        record.interrupted_calls.insert(record.interrupted_calls.end(),
-                                        item->interrupted_calls().begin(),
-                                        item->interrupted_calls().end());
+        record.unanswered_calls.insert(record.unanswered_calls.end(),
+                                       item->unanswered_calls().begin(),
+                                       item->unanswered_calls().end());
     }
     for (const host_process& host : cluster.hosts())
     {
         record.stops[host.name] = host.stops;
     }
     record.runs = read_history(cluster.directory().file("journal"));
+    record.boots = read_boots(cluster.directory().file("journal"));
     print_summary(options, record);
     std::vector<check_failure> failures = run_checks(record);
     for (const std::string& text : cluster.process_failures())
--- a/bench/soak/options.cpp
+++ b/bench/soak/options.cpp
@@ -28,6 +28,9 @@
   --takeovers    inject only takeovers that targets do not notice
   --restarts     inject only restarts of targets under their ids
   --short-tasks  run many short tasks, and inject only late orders
+  --planned-work inject only planned stops, reloads and new configurations
+  --quiet S      keep long-running jobs for S seconds after the faults
+  --store-ms N   duration of each call to the store (default 0)
   --keep-logs    keep the logs after a pass as well
 )";
 
@@ -36,6 +39,9 @@
 constexpr int max_targets = 64;
 constexpr int max_clients = 32;
 constexpr int max_seconds = 3'600;
+// Accepted jobs have 60 s to end after the faults.
+constexpr int max_quiet_seconds = 30;
+constexpr int max_store_ms = 200;
 
 } // namespace
 
@@ -46,6 +52,7 @@
     int has_takeovers = 0;
     int has_restarts = 0;
     int has_short_tasks = 0;
+    int has_planned_work = 0;
     int keeps_logs = 0;
     int* const numbers[] = {&seed, &result.seconds, &result.hosts,
                             &result.targets, &result.clients};
@@ -59,6 +66,9 @@
                             {"takeovers", no_argument, &has_takeovers, 1},
                             {"restarts", no_argument, &has_restarts, 1},
                             {"short-tasks", no_argument, &has_short_tasks, 1},
+                            {"planned-work", no_argument, &has_planned_work, 1},
+                            {"quiet", required_argument, nullptr, 6},
+                            {"store-ms", required_argument, nullptr, 7},
                             {"keep-logs", no_argument, &keeps_logs, 1},
                             {nullptr, 0, nullptr, 0}};
     int c = 0;
@@ -76,6 +86,13 @@
             result.host_program = optarg;
             is_valid &= result.host_program.front() == '/';
         }
+        else if (c == 6 || c == 7)
+        {
+            int& value = c == 6 ? result.quiet_seconds : result.store_ms;
+            value = std::atoi(optarg);
+            is_valid &= value >= 0 &&
+                        value <= (c == 6 ? max_quiet_seconds : max_store_ms);
+        }
         else
         {
             *numbers[c] = std::atoi(optarg);
@@ -86,6 +103,7 @@
     result.has_takeovers_only = has_takeovers != 0;
     result.has_restarts_only = has_restarts != 0;
     result.has_short_tasks = has_short_tasks != 0;
+    result.has_planned_work_only = has_planned_work != 0;
     result.keeps_logs = keeps_logs != 0;
     const int bounds[] = {std::max(seed, 0), max_seconds, max_hosts,
                           max_targets, max_clients};
--- a/bench/soak/options.hpp
+++ b/bench/soak/options.hpp
@@ -24,6 +24,13 @@
     /// Jobs have many short tasks, so that targets list many ends, and late
     /// orders are the only faults.
     bool has_short_tasks = false;
+    /// Planned stops, reloads and new configurations are the only faults.
+    bool has_planned_work_only = false;
+    /// Time after the faults for which long-running jobs go on.
+    int quiet_seconds = 0;
+    /// Duration of each call to the store, until the first fault of the store
+    /// ends.
+    int store_ms = 0;
     bool keeps_logs = false; ///< also after a pass
 };
 
--- a/bench/soak/soak_fault.hpp
+++ b/bench/soak/soak_fault.hpp
@@ -25,6 +25,7 @@
     std::chrono::milliseconds length{0};
     std::function<void()> inject;
     std::function<void()> remove; ///< may be empty
+    fault_kind kind = fault_kind::unplanned;
 };
 
 /// Returns a random number between two inclusive bounds.
@@ -72,6 +73,13 @@
                                             soak_cluster& cluster,
                                             std::int64_t& version);
 
+/// Chooses a planned stop of hosts, a reload or a new configuration.
+///
+/// \param version  of the last configuration
+[[nodiscard]] soak_fault choose_planned_work(std::mt19937& random,
+                                             soak_cluster& cluster,
+                                             std::int64_t& version);
+
 /// Injects faults for the configured time, then removes all of them.
 ///
 /// \returns the faults, also written to the file `faults` of the directory
--- a/bench/soak/soak_job.cpp
+++ b/bench/soak/soak_job.cpp
@@ -77,6 +77,18 @@
     return job;
 }
 
+soak_job choose_small_job(std::mt19937& random)
+{
+    soak_job job;
+    job.id = choose_id(random);
+    soak_step step;
+    step.count = choose(random, 1, 2);
+    step.cpu_milli = 500;
+    step.duration_ms = choose(random, 50, 200);
+    job.steps.push_back(step);
+    return job;
+}
+
 std::string submission_of(const soak_job& job)
 {
     std::string text;
--- a/bench/soak/soak_job.hpp
+++ b/bench/soak/soak_job.hpp
@@ -45,6 +45,7 @@
     std::int64_t cancelled_ms = 0; ///< first 2xx with `cancelled`; 0: none
     std::int64_t cancel_due_ms = 0; ///< when the client cancels it; 0: never
     std::string last_state;
+    bool is_known_at_end = false; ///< a query after the load was answered
 };
 
 /// Returns whether the job was shown in a final state.
@@ -63,6 +64,9 @@
 /// Chooses a job with one step of many short tasks.
 [[nodiscard]] soak_job choose_short_tasks(std::mt19937& random);
 
+/// Chooses a job of one or two small tasks.
+[[nodiscard]] soak_job choose_small_job(std::mt19937& random);
+
 /// Chooses the next job of a client.
 using job_chooser = soak_job (*)(std::mt19937& random);
 
--- a/bench/soak/store_faults.cpp
+++ b/bench/soak/store_faults.cpp
@@ -51,6 +51,7 @@
         const bool has_second = choose(random, 0, 1) == 0;
         item.text = fmt::format("configuration {}", version);
         item.component = "config";
+        item.kind = fault_kind::config;
         item.inject = [&cluster, version, has_second]
         {
             cluster.command(fmt::format(
--- a/cmake/packages.cmake
+++ b/cmake/packages.cmake
@@ -194,6 +194,23 @@
   endif()
 endforeach()
 
+# Checks of the soak, on made-up records.
+file(GLOB soak_tests CONFIGURE_DEPENDS ${CMAKE_SOURCE_DIR}/tests/soak/*.cpp)
+if(soak_tests AND TARGET soak)
+  add_executable(
+    test_soak
+    ${soak_tests}
+    ${CMAKE_SOURCE_DIR}/bench/soak/disturbances.cpp
+    ${CMAKE_SOURCE_DIR}/bench/soak/history.cpp
+    ${CMAKE_SOURCE_DIR}/bench/soak/http_channel.cpp
+    ${CMAKE_SOURCE_DIR}/bench/soak/request_checks.cpp
+    ${CMAKE_SOURCE_DIR}/bench/soak/soak_job.cpp)
+  target_include_directories(test_soak PRIVATE ${CMAKE_SOURCE_DIR}/bench/soak)
+  target_link_libraries(test_soak PRIVATE egret_test_support Catch2WithMain)
+  add_test(NAME soak_checks COMMAND test_soak)
+  set_tests_properties(soak_checks PROPERTIES TIMEOUT 300)
+endif()
+
 # Randomized faults against the job scheduler, see docs/OPERATIONS.md. Together
 # the tests take about two minutes on an idle machine.
 if(TARGET soak)
@@ -210,6 +227,10 @@
   add_test(NAME soak_short_tasks
            COMMAND ${CMAKE_SOURCE_DIR}/tests/soak/play_seeds --short-tasks
                    --hosts=2 --targets=2 $<TARGET_FILE:soak> 20 30 1 2)
+  add_test(NAME soak_planned_work
+           COMMAND ${CMAKE_SOURCE_DIR}/tests/soak/play_seeds --planned-work
+                   --quiet=12 --store-ms=20 $<TARGET_FILE:soak> 10 20 1 2)
   set_tests_properties(soak_jobs soak_failed_seeds soak_restarts soak_short_tasks
+                       soak_planned_work
                        PROPERTIES TIMEOUT 300)
 endif()
