Check in the soak that jobs and long-running tasks do not stand still

Accepted jobs only had to be complete 60 s after the faults, and a long-running task was never missed. The users count a job as lost that has nothing at work for 3 s while a task is due, fits twice and less than half of the processors is in use, and a long-running task that is away for 3 s from 6 s after its last run.

Both are judged by what the stand-in targets recorded.

--- a/bench/soak/checks.cpp
+++ b/bench/soak/checks.cpp
@@ -1,6 +1,7 @@
 #include "checks.hpp"
 
 #include "request_checks.hpp"
+#include "standing_jobs.hpp"
 
 #include <fmt/format.h>
 
@@ -316,6 +317,8 @@
     check_cancelled(record, failures);
     check_planned_stops(record, failures);
     check_unanswered_calls(record, failures);
+    check_standing_jobs(record, failures);
+    check_absent_tasks(record, failures);
     for (const auto& [id, job] : record.jobs)
     {
         check_completions(record, *job, failures);
