Check in the soak how accepted jobs are shown

A job shown as failed without the failures for it, or as cancelled without a cancellation, was only seen if it was its last state, and nobody asked for a completed job again.

--- a/bench/soak/checks.cpp
+++ b/bench/soak/checks.cpp
@@ -2,6 +2,7 @@
 
 #include "request_checks.hpp"
 #include "standing_jobs.hpp"
+#include "state_checks.hpp"
 
 #include <fmt/format.h>
 
@@ -319,6 +320,7 @@
     check_unanswered_calls(record, failures);
     check_standing_jobs(record, failures);
     check_absent_tasks(record, failures);
+    check_shown_states(record, failures);
     for (const auto& [id, job] : record.jobs)
     {
         check_completions(record, *job, failures);
--- a/cmake/packages.cmake
+++ b/cmake/packages.cmake
@@ -206,6 +206,7 @@
     ${CMAKE_SOURCE_DIR}/bench/soak/request_checks.cpp
     ${CMAKE_SOURCE_DIR}/bench/soak/soak_job.cpp
     ${CMAKE_SOURCE_DIR}/bench/soak/standing_jobs.cpp
+    ${CMAKE_SOURCE_DIR}/bench/soak/state_checks.cpp
     ${CMAKE_SOURCE_DIR}/bench/soak/target_capacity.cpp)
   target_include_directories(test_soak PRIVATE ${CMAKE_SOURCE_DIR}/bench/soak)
   target_link_libraries(test_soak PRIVATE egret_test_support Catch2WithMain)
