Show in the metrics for how long starts wait for each reason, and the room

queue_waiting_starts counted the starts by what they wait for, and queue_oldest_milliseconds had one wait for all, which began anew in each rack. Whether the longest wait was one for headroom beside free processors, or one for room in a full service, took the logs.

--- a/include/egretspindle/rack/queue_summary.hpp
+++ b/include/egretspindle/rack/queue_summary.hpp
@@ -9,6 +9,7 @@
 #include "egretspindle/rack/interference_model.hpp"
 #include "egretspindle/rack/rack_state.hpp"
 
+#include <array>
 #include <cstddef>
 #include <cstdint>
 #include <optional>
@@ -30,6 +31,27 @@
     std::size_t reserved_targets = 0; ///< see `update_reservations`
 };
 
+/// Reason why a queued start waits, in the order of the checks of a target.
+enum class wait_reason
+{
+    record,     ///< a repeated start waits for the job record
+    closed,     ///< no target accepts starts
+    room,       ///< too few free processors, other service or label
+    memory,     ///< too little free memory, too few accelerators
+    limit,      ///< maximum of tasks of the step per target
+    held,       ///< targets are reserved for long-running starts
+    processors, ///< of backfill tasks: no idle processors
+    reserved,   ///< of backfill tasks: targets are kept for other images
+    headroom,   ///< of backfill tasks: see `backfill_rejection`
+    none,       ///< a target can take it now
+};
+
+constexpr std::size_t wait_reason_count = 10;
+
+/// Longest waits by reason, of starts of short tasks and of long-running ones.
+using longest_waits =
+    std::array<std::array<milliseconds, 2>, wait_reason_count>;
+
 /// Numbers of queued starts by the reason why they wait. Of the reasons of all
 /// targets, the one of the last check in the order given here counts.
 struct queue_summary
@@ -51,6 +73,8 @@
     std::size_t placeable = 0; ///< a target can take it now
     /// Longest wait of a start of a long-running task.
     milliseconds oldest_long_running{0};
+    /// Longest waits through all racks, see `waited`.
+    longest_waits waits{};
     /// The target closest to taking the start that has waited longest for
     /// headroom; no value if none waits for it.
     std::optional<headroom_check> closest_headroom;
@@ -59,6 +83,9 @@
     std::optional<long_running_wait> longest_away;
 };
 
+/// Keeps the longer wait for each reason.
+void merge_waits(longest_waits& all, const longest_waits& other) noexcept;
+
 /// Summarizes the queue of a rack.
 [[nodiscard]] queue_summary summarize_queue(const rack_state& rack,
                                             const interference_model& model,
--- a/include/egretspindle/scheduler/rack_metrics.hpp
+++ b/include/egretspindle/scheduler/rack_metrics.hpp
@@ -9,6 +9,7 @@
 #include "egretspindle/rack/end_list_summary.hpp"
 #include "egretspindle/rack/queue_summary.hpp"
 #include "egretspindle/rack/rack_decision.hpp"
+#include "egretspindle/rack/room_summary.hpp"
 #include "egretspindle/scheduler/job_metrics.hpp"
 
 #include <array>
@@ -94,14 +95,15 @@
     ///
     /// \param sum  over the racks; `oldest` is the longest wait
     void set_queues(const queue_summary& sum) const noexcept;
+    /// Sets the gauges of the processors of the targets that accept starts.
+    void set_room(const room_summary& sum) const noexcept;
     void set_counts(const rack_counts& counts) const noexcept;
     /// Sets the gauges of the lists of ends.
     void set_end_lists(const end_list_summary& lists) const noexcept;
 
-    static constexpr std::size_t cause_count = 7;        ///< of `end_cause`
-    static constexpr std::size_t verdict_count = 9;      ///< of `order_verdict`
-    static constexpr std::size_t wait_reason_count = 10; ///< in `queue_summary`
-    static constexpr std::size_t ack_blocker_count = 7;  ///< of `ack_blocker`
+    static constexpr std::size_t cause_count = 7;       ///< of `end_cause`
+    static constexpr std::size_t verdict_count = 9;     ///< of `order_verdict`
+    static constexpr std::size_t ack_blocker_count = 7; ///< of `ack_blocker`
 
     by_task_kind<counter> placed{};
     by_task_kind<latency_summary> waited{}; ///< of placed starts, in the queue
@@ -125,6 +127,11 @@
     gauge& queued_long_running;
     gauge& oldest;                                   ///< ms
     std::array<gauge*, wait_reason_count> waiting{}; ///< by reason
+    /// Longest wait in ms by reason, through all racks.
+    std::array<by_task_kind<gauge>, wait_reason_count> longest_waiting{};
+    gauge& total_cpu;        ///< thousandths
+    gauge& free_cpu;         ///< thousandths
+    gauge& largest_free_cpu; ///< thousandths, of one target
     gauge& racks;
     gauge& fenced_racks;
     gauge& unsettled_racks;
--- a/src/rack/queue_summary.cpp
+++ b/src/rack/queue_summary.cpp
@@ -130,8 +130,53 @@
     }
 }
 
+wait_reason reason_of(start_rejection rejection)
+{
+    switch (rejection)
+    {
+    case start_rejection::closed:
+        return wait_reason::closed;
+    case start_rejection::room:
+        return wait_reason::room;
+    case start_rejection::memory:
+        return wait_reason::memory;
+    case start_rejection::limit:
+        return wait_reason::limit;
+    case start_rejection::held:
+        return wait_reason::held;
+    case start_rejection::processors:
+        return wait_reason::processors;
+    case start_rejection::reserved:
+        return wait_reason::reserved;
+    case start_rejection::headroom:
+        return wait_reason::headroom;
+    case start_rejection::none:
+        break;
+    }
+    return wait_reason::none;
+}
+
+void add_wait(queue_summary& summary, const queued_start& start,
+              wait_reason reason, time_point now)
+{
+    milliseconds& longest = summary.waits[static_cast<std::size_t>(reason)]
+                                         [start.terms->is_long_running ? 1 : 0];
+    longest = std::max(longest, waited(start, now));
+}
+
 } // namespace
 
+void merge_waits(longest_waits& all, const longest_waits& other) noexcept
+{
+    for (std::size_t n = 0; n < all.size(); ++n)
+    {
+        for (std::size_t m = 0; m < all[n].size(); ++m)
+        {
+            all[n][m] = std::max(all[n][m], other[n][m]);
+        }
+    }
+}
+
 queue_summary summarize_queue(const rack_state& rack,
                               const interference_model& model, time_point now)
 {
@@ -166,6 +211,7 @@
         if (start.is_repeated)
         {
             ++summary.repeated;
+            add_wait(summary, start, wait_reason::record, now);
             continue;
         }
         const step_terms* terms = start.terms.get();
@@ -176,6 +222,7 @@
                      .first;
         }
         count_rejection(summary, it->second);
+        add_wait(summary, start, reason_of(it->second), now);
         if (it->second == start_rejection::headroom &&
             (waits_for_headroom == nullptr ||
              start.queued_at < waits_for_headroom->queued_at))
--- a/src/scheduler/rack_agent.cpp
+++ b/src/scheduler/rack_agent.cpp
@@ -47,6 +47,7 @@
     sum.reserved += item.reserved;
     sum.headroom += item.headroom;
     sum.placeable += item.placeable;
+    merge_waits(sum.waits, item.waits);
 }
 
 } // namespace
@@ -751,6 +752,7 @@
 {
     std::vector<queue_line> queues;
     end_list_summary lists;
+    room_summary room;
     {
         const std::lock_guard<std::mutex> lock(impl_->mutex);
         const time_point now = steady_clock::now();
@@ -758,6 +760,7 @@
         for (const auto& [name, rack] : impl_->racks)
         {
             add_end_lists(lists, rack, now);
+            add_room(room, rack, now);
             if (!rack.queue.empty())
             {
                 queues.push_back({name, rack.token,
@@ -807,6 +810,7 @@
                   {"reserved_targets", longest.reserved_targets}});
     }
     impl_->metrics.set_queues(sum);
+    impl_->metrics.set_room(room);
     impl_->metrics.set_end_lists(lists);
     if (lists.oldest.waited >= logged_end_wait)
     {
--- a/src/scheduler/rack_metrics.cpp
+++ b/src/scheduler/rack_metrics.cpp
@@ -12,10 +12,10 @@
 constexpr std::array<const char*, 3> use_names{"poll", "start", "place"};
 constexpr std::array<const char*, 4> stop_names{"placed", "withdrawn",
                                                 "unknown", "ended"};
-constexpr std::array<const char*, rack_metrics::wait_reason_count>
-    wait_reason_names{"record",      "closed", "no_room",  "no_memory",
-                      "step_limit",  "held",   "reserved", "no_processors",
-                      "no_headroom", "nothing"};
+// In the order of `wait_reason`.
+constexpr std::array<const char*, wait_reason_count> wait_reason_names{
+    "record", "closed",        "no_room",  "no_memory",   "step_limit",
+    "held",   "no_processors", "reserved", "no_headroom", "nothing"};
 
 counter& count_repeated(metric_registry& registry, const char* result)
 {
@@ -85,6 +85,14 @@
                              "Starts in the queues of tasks that last.")),
       oldest(registry.get_gauge("egretspindle_queue_oldest_milliseconds",
                                 "Longest wait of a start in a queue.")),
+      total_cpu(registry.get_gauge(
+          "egretspindle_rack_cpu_milli",
+          "Processors of the targets that accept starts, in thousandths.")),
+      free_cpu(registry.get_gauge("egretspindle_rack_free_cpu_milli",
+                                  "Free ones of these.")),
+      largest_free_cpu(
+          registry.get_gauge("egretspindle_rack_largest_free_cpu_milli",
+                             "Most free ones of one target.")),
       racks(registry.get_gauge("egretspindle_racks_owned",
                                "Racks of this host.")),
       fenced_racks(registry.get_gauge(
@@ -176,6 +184,15 @@
             &registry.get_gauge("egretspindle_queue_waiting_starts",
                                 "Starts in the queues by what they wait for.",
                                 {{"for", wait_reason_names[n]}});
+        for (const bool is_long_running : {false, true})
+        {
+            longest_waiting[n][is_long_running ? 1 : 0] = &registry.get_gauge(
+                "egretspindle_queue_longest_wait_milliseconds",
+                "Longest wait of a start in the queues, with that in earlier "
+                "racks, by what it waits for.",
+                {{"for", wait_reason_names[n]},
+                 {"tasks", is_long_running ? "lasting" : "short"}});
+        }
     }
 }
 
@@ -235,17 +252,29 @@
     queued.set(static_cast<double>(sum.queued));
     queued_long_running.set(static_cast<double>(sum.long_running));
     oldest.set(static_cast<double>(sum.oldest.count()));
-    // In the order of `wait_reason_names`.
+    // In the order of `wait_reason`.
     const std::array<std::size_t, wait_reason_count> counts{
-        sum.repeated, sum.closed,   sum.room,     sum.memory,
-        sum.limit,    sum.held,     sum.reserved, sum.processors,
+        sum.repeated, sum.closed,   sum.room,       sum.memory,
+        sum.limit,    sum.held,     sum.processors, sum.reserved,
         sum.headroom, sum.placeable};
     for (std::size_t n = 0; n < wait_reason_count; ++n)
     {
         waiting[n]->set(static_cast<double>(counts[n]));
+        for (std::size_t m = 0; m < sum.waits[n].size(); ++m)
+        {
+            longest_waiting[n][m]->set(
+                static_cast<double>(sum.waits[n][m].count()));
+        }
     }
 }
 
+void rack_metrics::set_room(const room_summary& sum) const noexcept
+{
+    total_cpu.set(static_cast<double>(sum.total_milli));
+    free_cpu.set(static_cast<double>(sum.free_milli));
+    largest_free_cpu.set(static_cast<double>(sum.largest_free_milli));
+}
+
 void rack_metrics::set_counts(const rack_counts& counts) const noexcept
 {
     racks.set(static_cast<double>(counts.racks));
--- a/tests/rack/queue_summary_test.cpp
+++ b/tests/rack/queue_summary_test.cpp
@@ -1,4 +1,5 @@
 #include "egretspindle/rack/queue_summary.hpp"
+#include "egretspindle/rack/room_summary.hpp"
 
 #include <catch2/catch.hpp>
 
@@ -73,6 +74,59 @@
     REQUIRE(summary.repeated == 1);
 }
 
+// Guards against a long wait that only shows with other starts of the queue, or
+// that begins anew in each rack.
+TEST_CASE("the summary of a queue has the longest wait for each reason",
+          "[rack]")
+{
+    rack_state rack = make_rack();
+    step_terms terms = make_terms(8'000);
+    add(rack, terms);
+    add(rack, terms);
+    rack.queue.back().queued_at = now - milliseconds(5'000);
+    add(rack, terms);
+    terms.is_long_running = true;
+    add(rack, terms);
+    rack.queue.back().waiting_since = now - milliseconds(9'000);
+    add(rack, make_terms(1'000), true);
+    longest_waits waits =
+        summarize_queue(rack, interference_model(), now).waits;
+    const auto at = [&](wait_reason reason, std::size_t kind)
+    {
+        return waits[static_cast<std::size_t>(reason)][kind].count();
+    };
+    REQUIRE(at(wait_reason::room, 0) == 5'000);
+    REQUIRE(at(wait_reason::room, 1) == 9'000);
+    REQUIRE(at(wait_reason::record, 0) == 900);
+    REQUIRE(at(wait_reason::memory, 0) == 0);
+    longest_waits other{};
+    other[static_cast<std::size_t>(wait_reason::room)][0] = milliseconds(6'000);
+    merge_waits(waits, other);
+    REQUIRE(at(wait_reason::room, 0) == 6'000);
+    REQUIRE(at(wait_reason::room, 1) == 9'000);
+}
+
+// Guards against room that is counted on targets that take no starts, or in one
+// piece although it is on several targets.
+TEST_CASE("the room of a rack is that of its open targets", "[rack]")
+{
+    rack_state rack = make_rack();
+    rack_target target = rack.targets["t1"];
+    placed_run run;
+    run.task = "job.0.0.0";
+    run.run = 1;
+    run.terms = std::make_shared<const step_terms>(make_terms(3'000));
+    target.runs[{run.task, run.run}] = run;
+    rack.targets["t2"] = target;
+    target.is_reached = false;
+    rack.targets["t3"] = target;
+    room_summary sum;
+    add_room(sum, rack, now);
+    REQUIRE(sum.total_milli == 8'000);
+    REQUIRE(sum.free_milli == 5'000);
+    REQUIRE(sum.largest_free_milli == 4'000);
+}
+
 // Without the reason, an operator cannot tell a full rack from one whose memory
 // is held by tasks that were slowed down.
 TEST_CASE("the summary of a queue tells memory from processors", "[rack]")
--- a/tests/scheduler/rack_metrics_test.cpp
+++ b/tests/scheduler/rack_metrics_test.cpp
@@ -309,6 +309,14 @@
     CHECK(env.value("egretspindle_queue_lasting_starts") == 1);
     CHECK(env.value("egretspindle_queue_waiting_starts{for=\"no_room\"}") == 2);
     CHECK(env.value("egretspindle_queue_waiting_starts{for=\"nothing\"}") == 0);
+    CHECK(env.shows("egretspindle_queue_longest_wait_milliseconds{for="
+                    "\"no_room\",tasks=\"lasting\"}",
+                    10, 20'000));
+    CHECK(env.value("egretspindle_queue_longest_wait_milliseconds{for="
+                    "\"nothing\",tasks=\"short\"}") == 0);
+    CHECK(env.value("egretspindle_rack_cpu_milli") == 4'000);
+    CHECK(env.value("egretspindle_rack_free_cpu_milli") == 4'000);
+    CHECK(env.value("egretspindle_rack_largest_free_cpu_milli") == 4'000);
     CHECK(env.value("egretspindle_racks_owned") == 1);
     CHECK(env.value("egretspindle_rack_targets") == 1);
     env.withdraw("a.0.0.0");
