Show in the metrics which accepted jobs stand still

No metric told that an open job had nothing at work although a task was due: queued_jobs also has jobs that wait for their turn, and tasks without a rack were in none of the waits. Long-running tasks that are away could not be counted.

idle_jobs has the open jobs with a due task and none at work for over 3 s, by what they wait for: no queue in the configuration, no target, an order that is not sent or not confirmed, or a rack. lasting_tasks_away and lasting_tasks_away_long count absent long-running tasks, with or without a rack. Both bounds are those that users state. The gauges are set in the tick that already visits all jobs.

--- a/include/egretspindle/scheduler/job_metrics.hpp
+++ b/include/egretspindle/scheduler/job_metrics.hpp
@@ -9,6 +9,7 @@
 
 #include <array>
 #include <cstddef>
+#include <cstdint>
 #include <string_view>
 
 namespace egretspindle
@@ -25,6 +26,25 @@
 /// Returns the name of a reason for labels and log lines.
 [[nodiscard]] std::string_view to_string(refusal_reason value) noexcept;
 
+/// What an open job without a task at work waits for.
+enum class idle_reason
+{
+    no_queue,  ///< its queue is not in the configuration
+    no_target, ///< no target can take its due tasks
+    order,     ///< its starts have not been sent, or not confirmed by a rack
+    rack,      ///< racks have its starts, in a queue or on the way to a target
+};
+
+/// Open jobs that have had no task at work for too long, by reason, and
+/// long-running tasks that are not at work.
+struct idle_counts
+{
+    std::array<std::int64_t, 4> jobs{};       ///< by `idle_reason`
+    std::array<std::int64_t, 4> longest_ms{}; ///< by `idle_reason`
+    std::int64_t away = 0;                    ///< long-running tasks
+    std::int64_t long_away = 0; ///< those of them that are for too long
+};
+
 /// Series for jobs or tasks that are short, then for long-running ones.
 template <typename Metric>
 using by_task_kind = std::array<Metric*, 2>;
@@ -53,6 +73,10 @@
     /// Counts the end of a run.
     void count_end(run_end how) const noexcept;
 
+    /// Sets the gauges of idle jobs and absent long-running tasks.
+    void set_idle(const idle_counts& counts) const noexcept;
+
+    static constexpr std::size_t idle_reason_count = 4;
     static constexpr std::size_t refusal_reason_count = 3;
     static constexpr std::size_t run_end_count = 8;
 
@@ -75,6 +99,10 @@
     by_task_kind<latency_summary> away{};
     /// Longest time in ms for which a task of an open job has not been at work.
     by_task_kind<gauge> longest_away{};
+    std::array<gauge*, idle_reason_count> idle_jobs{};    ///< by `idle_reason`
+    std::array<gauge*, idle_reason_count> longest_idle{}; ///< ms
+    gauge& long_running_away;
+    gauge& long_running_long_away; ///< for longer than users expect
     /// Time in ms from the close of a job, or from when this host read it as a
     /// closed one, until its first stops are sent. Only jobs with assigned
     /// runs.
--- a/src/scheduler/job_coordinator.cpp
+++ b/src/scheduler/job_coordinator.cpp
@@ -423,6 +423,7 @@
     {
         loading += shard.phase == shard_phase::loading ? 1 : 0;
     }
+    set_idle_gauges(now);
     metrics.open_jobs.set(static_cast<double>(open));
     metrics.queued_jobs.set(static_cast<double>(queued));
     for (std::size_t n = 0; n < oldest.size(); ++n)
--- a/src/scheduler/job_coordinator_impl.hpp
+++ b/src/scheduler/job_coordinator_impl.hpp
@@ -112,6 +112,12 @@
     void observe_absence(const job_entry& entry, const run_report& report,
                          const task_key& key) const;
     void set_gauges();
+
+    // job_idle_gauges.cpp
+    [[nodiscard]] idle_reason find_idle_reason(const job_entry& entry) const;
+    void set_idle_gauges(time_point now);
+
+    // job_coordinator_runs.cpp, continued
     [[nodiscard]] step_terms terms_of(const job& value, std::size_t occurrence,
                                       std::size_t step) const;
     void collect_orders(job_entry& entry,
--- a/src/scheduler/job_entry.hpp
+++ b/src/scheduler/job_entry.hpp
@@ -89,6 +89,11 @@
     /// its target has been silent, they became due, or this host has read the
     /// job. No entry while at work.
     std::map<std::string, time_point> waiting_since;
+    /// Since when no task is at work while one is due, as seen by ticks;
+    /// time_point{}: not so.
+    time_point idle_since;
+    /// Since when a due long-running task has had no rack; time_point{}: none.
+    time_point unassigned_since;
     /// When the owner of a rack was last asked about an overdue start.
     time_point overdue_sent_at;
     /// Last time that a rack handed back a task of a step, by step and rack.
--- a/src/scheduler/job_metrics.cpp
+++ b/src/scheduler/job_metrics.cpp
@@ -8,6 +8,10 @@
 namespace
 {
 
+// In the order of `idle_reason`.
+constexpr std::array<const char*, job_metrics::idle_reason_count>
+    idle_reason_names{"no_queue", "no_target", "order", "rack"};
+
 counter& verdict_counter(metric_registry& registry, const char* verdict,
                          std::string_view reason)
 {
@@ -43,6 +47,12 @@
 job_metrics::job_metrics(metric_registry& registry)
     : accepted(verdict_counter(registry, "accepted", "")),
       unknown(verdict_counter(registry, "unknown", "")),
+      long_running_away(
+          registry.get_gauge("egretspindle_lasting_tasks_away",
+                             "Tasks that last and are not at work.")),
+      long_running_long_away(registry.get_gauge(
+          "egretspindle_lasting_tasks_away_long",
+          "Tasks that last and have not been at work for over 6 s.")),
       first_stops(registry.get_summary(
           "egretspindle_job_first_stops_milliseconds",
           "Time from the end of a job, such as a cancellation, until the stops "
@@ -83,6 +93,18 @@
             "egretspindle_runs_ended_total", "Recorded ends of runs.",
             {{"how", std::string(to_string(static_cast<run_end>(n)))}});
     }
+    for (std::size_t n = 0; n < idle_reason_count; ++n)
+    {
+        const metric_labels labels{{"for", idle_reason_names[n]}};
+        idle_jobs[n] =
+            &registry.get_gauge("egretspindle_idle_jobs",
+                                "Open jobs with a due task that have had none "
+                                "at work for over 3 s.",
+                                labels);
+        longest_idle[n] = &registry.get_gauge(
+            "egretspindle_idle_job_longest_milliseconds",
+            "Longest time for which such a job has had none at work.", labels);
+    }
     for (const bool is_long_running : {false, true})
     {
         const metric_labels labels{
@@ -116,4 +138,15 @@
     ended[static_cast<std::size_t>(how)]->add();
 }
 
+void job_metrics::set_idle(const idle_counts& counts) const noexcept
+{
+    for (std::size_t n = 0; n < idle_reason_count; ++n)
+    {
+        idle_jobs[n]->set(static_cast<double>(counts.jobs[n]));
+        longest_idle[n]->set(static_cast<double>(counts.longest_ms[n]));
+    }
+    long_running_away.set(static_cast<double>(counts.away));
+    long_running_long_away.set(static_cast<double>(counts.long_away));
+}
+
 } // namespace egretspindle
--- a/tests/scheduler/job_metrics_test.cpp
+++ b/tests/scheduler/job_metrics_test.cpp
@@ -24,6 +24,7 @@
         std::make_shared<metric_registry>();
     std::string rack = "r1";           ///< assigned to all tasks; empty: none
     bool has_room = true;              ///< for long-running tasks
+    bool has_queue = true;             ///< in the configuration
     std::atomic<std::size_t> stops{0}; ///< sent to racks
     std::unique_ptr<job_coordinator> coordinator;
 
@@ -36,7 +37,7 @@
     job_coordinator_hooks hooks()
     {
         job_coordinator_hooks result;
-        result.config = []
+        result.config = [this]
         {
             fleet_config config;
             config.version = 1;
@@ -44,7 +45,10 @@
             queue.name = "queue";
             queue.service = "svc";
             queue.max_attempts = 2;
-            config.queues = {queue};
+            if (has_queue)
+            {
+                config.queues = {queue};
+            }
             return std::make_shared<const fleet_config>(config);
         };
         result.choose_racks =
@@ -107,6 +111,23 @@
     {
         return metric_value(registry->prometheus_text(), series);
     }
+
+    /// Calls `tick` until a series has at least the value `least`. Returns
+    /// false after 20 s.
+    bool reaches(const std::string& series, double least) const
+    {
+        const time_point until = steady_clock::now() + std::chrono::seconds(20);
+        while (value(series) < least)
+        {
+            if (steady_clock::now() > until)
+            {
+                return false;
+            }
+            coordinator->tick();
+            std::this_thread::sleep_for(milliseconds(20));
+        }
+        return true;
+    }
 };
 
 coordinator_limits limits_without_write_delay()
@@ -351,3 +372,94 @@
     CHECK(fixture.value("egretspindle_record_write_milliseconds_count{result="
                         "\"failed\"}") == 0);
 }
+
+// Guards against accepted jobs that stand still and do not show in the metrics,
+// or not with what they wait for.
+TEST_CASE("a job with nothing at work for over 3 s shows with its reason",
+          "[metrics]")
+{
+    const std::string reason =
+        GENERATE("no_queue", "no_target", "order", "rack");
+    CAPTURE(reason);
+    const std::string jobs = "egretspindle_idle_jobs{for=\"" + reason + "\"}";
+    const std::string longest =
+        "egretspindle_idle_job_longest_milliseconds{for=\"" + reason + "\"}";
+    job_fixture fixture;
+    fixture.rack = reason == "no_target" ? "" : "r1";
+    REQUIRE(
+        fixture.coordinator->submit(job_fixture::make_request(false)).verdict ==
+        "accepted");
+    fixture.has_queue = reason != "no_queue";
+    fixture.coordinator->tick();
+    if (reason == "rack")
+    {
+        rack_orders orders;
+        orders.rack = "r1";
+        orders.token = 5;
+        start_batch batch;
+        batch.terms.step = job_id + ".0.0";
+        batch.runs.push_back({0, 1, "", false});
+        orders.starts.push_back(batch);
+        rack_orders_reply reply;
+        reply.is_owner = true;
+        reply.token = 5;
+        fixture.coordinator->confirm(orders, reply);
+    }
+    CHECK(fixture.value(jobs) == 0);
+    REQUIRE(fixture.reaches(jobs, 1));
+    CHECK(fixture.value(longest) > 3'000);
+    for (const char* other : {"no_queue", "no_target", "order", "rack"})
+    {
+        CHECK(fixture.value(std::string("egretspindle_idle_jobs{for=\"") +
+                            other + "\"}") == (reason == other ? 1 : 0));
+    }
+    fixture.has_queue = true;
+    fixture.rack = "r1";
+    fixture.coordinator->tick();
+    fixture.report("started", "");
+    fixture.coordinator->tick();
+    CHECK(fixture.value(jobs) == 0);
+    CHECK(fixture.value(longest) == 0);
+}
+
+// Guards against long-running tasks that are away and are not counted, because
+// they wait for a rack or because another task of their job is at work.
+TEST_CASE("long-running tasks that are away are counted", "[metrics]")
+{
+    const std::string away = "egretspindle_lasting_tasks_away";
+    job_fixture fixture;
+    SECTION("without a rack")
+    {
+        fixture.rack = "";
+        REQUIRE(fixture.coordinator->submit(job_fixture::make_request(true))
+                    .verdict == "accepted");
+        fixture.coordinator->tick();
+        CHECK(fixture.value(away) == 1);
+        CHECK(fixture.value(away + "_long") == 0);
+        REQUIRE(fixture.reaches(away + "_long", 1));
+        fixture.rack = "r1";
+        fixture.coordinator->tick();
+        fixture.report("started", "");
+    }
+    SECTION("one of two")
+    {
+        job_request request = job_fixture::make_request(true);
+        request.spec.steps[0].count = 2;
+        REQUIRE(fixture.coordinator->submit(request).verdict == "accepted");
+        fixture.coordinator->tick();
+        CHECK(fixture.value(away) == 2);
+        fixture.report("started", "");
+        fixture.coordinator->tick();
+        CHECK(fixture.value(away) == 1);
+        REQUIRE(fixture.reaches(away + "_long", 1));
+        for (const char* reason : {"no_queue", "no_target", "order", "rack"})
+        {
+            CHECK(fixture.value(std::string("egretspindle_idle_jobs{for=\"") +
+                                reason + "\"}") == 0);
+        }
+        REQUIRE(fixture.coordinator->cancel(request).verdict == "known");
+    }
+    fixture.coordinator->tick();
+    CHECK(fixture.value(away) == 0);
+    CHECK(fixture.value(away + "_long") == 0);
+}
