--- a/bench/soak/fault_runner.cpp
+++ b/bench/soak/fault_runner.cpp
@@ -64,6 +64,10 @@
         return choose_power_loss_fault(state.random, state.cluster,
                                        state.version);
     }
+    if (options.has_planned_work_only)
+    {
+        return choose_planned_work(state.random, state.cluster, state.version);
+    }
     const long kind = choose(state.random, 0, 99);
     if (kind < 40)
     {
@@ -135,7 +139,8 @@
 
 void inject(injection_state& state, soak_fault fault)
 {
-    fault_window window{fault.text, fault.component, steady_ms(), 0};
+    fault_window window{fault.text, fault.component, steady_ms(), 0,
+                        fault.kind};
     state.log.append(fmt::format("{} begin {} for {} ms", window.started_ms,
                                  window.text, fault.length.count()));
     fault.inject();
--- a/bench/soak/job_query.cpp
+++ b/bench/soak/job_query.cpp
@@ -27,9 +27,9 @@
                    const std::string& method)
 {
     http_channel channel(host.address);
-    const channel_reply reply =
-        channel.send(method, "/jobs/" + job.id,
-                     method == "POST" ? submission_of(job) : "", call_timeout);
+    const channel_reply reply = channel.send(
+        {method, "/jobs/" + job.id, method == "POST" ? submission_of(job) : ""},
+        call_timeout);
     return {method,        host.host,        reply.status, state_in(reply.body),
             reply.sent_ms, reply.answered_ms};
 }
--- a/bench/soak/lasting_jobs.cpp
+++ b/bench/soak/lasting_jobs.cpp
@@ -72,6 +72,7 @@
     bool is_acknowledged = true;
     for (soak_job& job : jobs_)
     {
+        job.is_known_at_end = call_until_answered(job, "GET");
         job.cancel_due_ms = standin::steady_ms();
         is_acknowledged &= call_until_answered(job, "DELETE");
         job.last_state = job.calls.back().state;
--- a/bench/soak/main.cpp
+++ b/bench/soak/main.cpp
@@ -16,8 +16,10 @@
 #include <cstdio>
 #include <cstdlib>
 #include <exception>
+#include <map>
 #include <memory>
 #include <stdexcept>
+#include <string>
 #include <vector>
 
 namespace
@@ -33,6 +35,14 @@
 // Seeds of the clients differ from that of the faults and from each other.
 constexpr unsigned client_seed_factor = 1'000;
 
+// One more client for each so many, and at least one, is a pressing one.
+constexpr int clients_for_one_pressing = 8;
+// Pause of these beside faults, which need the processors as well.
+constexpr std::chrono::milliseconds pressing_pause{2};
+
+// Failures of one check that are printed.
+constexpr std::size_t max_printed_failures = 10;
+
 using client_list = std::vector<std::unique_ptr<client>>;
 
 job_chooser chooser_of(const soak_options& options)
@@ -47,11 +57,20 @@
 client_list start_clients(const soak_options& options, soak_cluster& cluster)
 {
     client_list clients;
-    for (int n = 0; n < options.clients; ++n)
+    const int pressing = 1 + options.clients / clients_for_one_pressing;
+    for (int n = 0; n < options.clients + pressing; ++n)
     {
+        const bool is_pressing = n >= options.clients;
+        const client_style style{is_pressing,
+                                 options.has_planned_work_only
+                                     ? std::chrono::milliseconds(0)
+                                     : pressing_pause,
+                                 std::chrono::seconds(options.quiet_seconds)};
+        const job_chooser chooser =
+            is_pressing ? choose_small_job : chooser_of(options);
         clients.push_back(std::make_unique<client>(
             n, options.seed * client_seed_factor + static_cast<unsigned>(n),
-            chooser_of(options), cluster.host_endpoints(),
+            chooser, style, cluster.host_endpoints(),
             cluster.directory().file(fmt::format("client{}.log", n))));
     }
     return clients;
@@ -94,16 +113,45 @@
     {
         runs += list.size();
     }
+    std::size_t calls = 0;
+    for (const auto& [id, job] : record.jobs)
+    {
+        calls += job->calls.size();
+    }
     fmt::print("seed {}: {} jobs, {} accepted, {} refused, {} cancelled; {} "
-               "runs of {} tasks; {} faults; settled after {} ms\n",
+               "runs of {} tasks; {} faults; {} calls, {} without an answer; "
+               "settled after {} ms\n",
                options.seed, record.jobs.size(),
                count([](const soak_job& job) { return job.accepted_ms > 0; }),
                count([](const soak_job& job) { return job.is_abandoned; }),
                count([](const soak_job& job) { return job.cancelled_ms > 0; }),
-               runs, record.runs.size(), record.faults.size(),
+               runs, record.runs.size(), record.faults.size(), calls,
+               record.unanswered_calls.size(),
                record.finished_ms - record.faults_ended_ms);
 }
 
+void print_failures(const soak_options& options,
+                    const std::vector<check_failure>& failures)
+{
+    std::map<std::string, std::size_t> counts;
+    for (const check_failure& item : failures)
+    {
+        if (++counts[item.check] <= max_printed_failures)
+        {
+            fmt::print("FAILED seed {}: {}: {}\n", options.seed, item.check,
+                       item.what);
+        }
+    }
+    for (const auto& [check, count] : counts)
+    {
+        if (count > max_printed_failures)
+        {
+            fmt::print("FAILED seed {}: {}: {} failures in total\n",
+                       options.seed, check, count);
+        }
+    }
+}
+
 // Adds what clients and hosts have recorded; call it after the clients.
 void collect_record(const client_list& clients, soak_cluster& cluster,
                     soak_record& record)
@@ -114,9 +162,9 @@
         {
             record.jobs[job.id] = &job;
         }
-        record.interrupted_calls.insert(record.interrupted_calls.end(),
-                                        item->interrupted_calls().begin(),
-                                        item->interrupted_calls().end());
+        record.unanswered_calls.insert(record.unanswered_calls.end(),
+                                       item->unanswered_calls().begin(),
+                                       item->unanswered_calls().end());
     }
     for (const host_process& host : cluster.hosts())
     {
@@ -171,6 +219,7 @@
     }
     const std::deque<soak_job> replaced = replace_failed_jobs(record);
     soak_record adapted = record;
+    adapted.max_attempts = power_loss_max_attempts;
     for (const soak_job& job : replaced)
     {
         adapted.jobs[job.id] = &job;
@@ -190,6 +239,12 @@
     {
         throw std::runtime_error("long-running jobs were not accepted");
     }
+    if (options.store_ms > 0)
+    {
+        cluster.command(
+            fmt::format(R"({{"what":"store","action":"slow","delay_ms":{}}})",
+                        options.store_ms));
+    }
     client_list clients = start_clients(options, cluster);
     soak_record record;
     record.faults = inject_faults(options, cluster);
@@ -203,6 +258,7 @@
         failures = check_losses(cluster, lasting, record);
     }
     record.runs = read_history(cluster.directory().file("journal"));
+    record.boots = read_boots(cluster.directory().file("journal"));
     print_summary(options, record);
     for (check_failure& item : check_record(options, record))
     {
@@ -212,11 +268,7 @@
     {
         failures.push_back({"no unexpected host exits", text});
     }
-    for (const check_failure& item : failures)
-    {
-        fmt::print("FAILED seed {}: {}: {}\n", options.seed, item.check,
-                   item.what);
-    }
+    print_failures(options, failures);
     if (!failures.empty() || options.keeps_logs)
     {
         setenv("EGRETSPINDLE_KEEP_LOGS", "1", 1);
--- a/bench/soak/options.cpp
+++ b/bench/soak/options.cpp
@@ -30,6 +30,9 @@
   --short-tasks  run many short tasks, and inject only late orders
   --power-loss   kill all hosts at once again and again, among faults of
                  targets, links and the store
+  --planned-work inject only planned stops, reloads and new configurations
+  --quiet S      keep long-running jobs for S seconds after the faults
+  --store-ms N   duration of each call to the store (default 0)
   --keep-logs    keep the logs after a pass as well
 )";
 
@@ -38,6 +41,9 @@
 constexpr int max_targets = 64;
 constexpr int max_clients = 32;
 constexpr int max_seconds = 3'600;
+// Accepted jobs have 60 s to end after the faults.
+constexpr int max_quiet_seconds = 30;
+constexpr int max_store_ms = 200;
 
 } // namespace
 
@@ -49,6 +55,7 @@
     int has_restarts = 0;
     int has_short_tasks = 0;
     int has_power_losses = 0;
+    int has_planned_work = 0;
     int keeps_logs = 0;
     int* const numbers[] = {&seed, &result.seconds, &result.hosts,
                             &result.targets, &result.clients};
@@ -63,6 +70,9 @@
                             {"restarts", no_argument, &has_restarts, 1},
                             {"short-tasks", no_argument, &has_short_tasks, 1},
                             {"power-loss", no_argument, &has_power_losses, 1},
+                            {"planned-work", no_argument, &has_planned_work, 1},
+                            {"quiet", required_argument, nullptr, 6},
+                            {"store-ms", required_argument, nullptr, 7},
                             {"keep-logs", no_argument, &keeps_logs, 1},
                             {nullptr, 0, nullptr, 0}};
     int c = 0;
@@ -80,6 +90,13 @@
             result.host_program = optarg;
             is_valid &= result.host_program.front() == '/';
         }
+        else if (c == 6 || c == 7)
+        {
+            int& value = c == 6 ? result.quiet_seconds : result.store_ms;
+            value = std::atoi(optarg);
+            is_valid &= value >= 0 &&
+                        value <= (c == 6 ? max_quiet_seconds : max_store_ms);
+        }
         else
         {
             *numbers[c] = std::atoi(optarg);
@@ -91,6 +108,7 @@
     result.has_restarts_only = has_restarts != 0;
     result.has_short_tasks = has_short_tasks != 0;
     result.has_power_losses = has_power_losses != 0;
+    result.has_planned_work_only = has_planned_work != 0;
     result.keeps_logs = keeps_logs != 0;
     const int bounds[] = {std::max(seed, 0), max_seconds, max_hosts,
                           max_targets, max_clients};
--- a/bench/soak/soak_job.hpp
+++ b/bench/soak/soak_job.hpp
@@ -49,6 +49,7 @@
     std::int64_t cancelled_ms = 0; ///< first 2xx with `cancelled`; 0: none
     std::int64_t cancel_due_ms = 0; ///< when the client cancels it; 0: never
     std::string last_state;
+    bool is_known_at_end = false; ///< a query after the load was answered
 };
 
 /// Returns whether the job was shown in a final state.
@@ -75,6 +76,8 @@
 /// fail in each run, or in one run less than makes the job fail. One of eight
 /// runs several times, from a later time on.
 [[nodiscard]] soak_job choose_failing_or_timed_job(std::mt19937& random);
+/// Chooses a job of one or two small tasks.
+[[nodiscard]] soak_job choose_small_job(std::mt19937& random);
 
 /// Chooses the next job of a client.
 using job_chooser = soak_job (*)(std::mt19937& random);
