--- a/include/egretspindle/cluster/planned_stop.hpp
+++ b/include/egretspindle/cluster/planned_stop.hpp
@@ -7,6 +7,7 @@
 #include "egretspindle/core/clock.hpp"
 
 #include <cstddef>
+#include <optional>
 
 namespace egretspindle
 {
@@ -42,6 +43,9 @@
     /// Part of the time to hand over that is kept for writing releases to the
     /// store, for racks that nobody has claimed until then.
     milliseconds release_time{800};
+    /// A call gets at least this long, with the time for sending its response,
+    /// or is refused: the slowest responses in regular operation take 0.3 s.
+    milliseconds shortest_call{500};
 };
 
 /// Returns the time from the request to stop after which the host ends, even if
@@ -49,6 +53,15 @@
 /// of a grace time that is too short for the margin.
 [[nodiscard]] milliseconds time_to_hand_over(const stop_limits& limits);
 
+/// Returns the longest time of a call that begins before the host is told to
+/// stop, so that it has ended when the time to hand over is over.
+[[nodiscard]] milliseconds longest_call(const stop_limits& limits);
+
+/// Returns the longest time of a call that begins while the host stops, or
+/// nothing if it has to be refused, because too little time is left.
+[[nodiscard]] std::optional<milliseconds>
+time_for_call(milliseconds elapsed, const stop_limits& limits);
+
 /// Returns whether a host that has been told to stop gives up the racks that it
 /// still owns and writes their releases to the store, which it can do only as
 /// long as the time to hand over lasts.
--- a/include/egretspindle/net/http_server.hpp
+++ b/include/egretspindle/net/http_server.hpp
@@ -11,6 +11,7 @@
 #include <absl/status/status.h>
 
 #include <chrono>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
@@ -21,6 +22,16 @@
 /// Handles one request. Called from several threads concurrently.
 using http_handler = std::function<http_response(const http_request&)>;
 
+/// Requests that a server has read whole since its start.
+struct http_server_counts
+{
+    std::uint64_t answered = 0;
+    /// Ended without a complete response, since the caller has closed the
+    /// connection or does not read.
+    std::uint64_t unanswered = 0;
+    std::uint64_t in_progress = 0;
+};
+
 /// Serves HTTP on one address until stopped.
 ///
 /// \code
@@ -30,7 +41,10 @@
 class http_server
 {
 public:
-    http_server(const http_limits& limits, http_handler handler);
+    /// \param on_unanswered  called when the response to a request could not be
+    ///                       sent whole
+    http_server(const http_limits& limits, http_handler handler,
+                std::function<void()> on_unanswered = {});
     ~http_server();
     http_server(const http_server&) = delete;
     http_server& operator=(const http_server&) = delete;
@@ -58,6 +72,8 @@
     /// not sent.
     [[nodiscard]] int in_progress() const;
 
+    [[nodiscard]] http_server_counts counts() const;
+
 private:
     struct impl;
     std::unique_ptr<impl> impl_;
--- a/src/cluster/planned_stop.cpp
+++ b/src/cluster/planned_stop.cpp
@@ -10,6 +10,23 @@
     return limits.grace - std::min(limits.margin, limits.grace / 4);
 }
 
+milliseconds longest_call(const stop_limits& limits)
+{
+    return std::max(limits.shortest_call,
+                    time_to_hand_over(limits) - limits.shortest_call);
+}
+
+std::optional<milliseconds> time_for_call(milliseconds elapsed,
+                                          const stop_limits& limits)
+{
+    const milliseconds left = time_to_hand_over(limits) - elapsed;
+    if (left < limits.shortest_call)
+    {
+        return std::nullopt;
+    }
+    return std::min(left, longest_call(limits));
+}
+
 bool must_release(const stop_progress& progress, const stop_limits& limits)
 {
     const milliseconds end = time_to_hand_over(limits);
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -3,6 +3,7 @@
 #include "egretspindle/codec/json.hpp"
 #include "egretspindle/core/error.hpp"
 #include "egretspindle/logging/log.hpp"
+#include "egretspindle/logging/log_rate_limit.hpp"
 #include "egretspindle/net/error_reply.hpp"
 
 #include "http_connection.hpp"
@@ -17,6 +18,7 @@
 #include <mutex>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <optional>
 #include <sys/socket.h>
 #include <system_error>
 #include <thread>
@@ -32,6 +34,9 @@
 // Delay after a failed accept, which fails at once again while the process has
 // no free descriptors.
 constexpr std::chrono::milliseconds accept_retry{20};
+// Callers determine the number and the texts of these lines.
+constexpr std::chrono::milliseconds unanswered_log_period{200};
+constexpr std::size_t max_logged_length = 120;
 
 http_response error_response(int status, std::string_view kind,
                              std::string_view message)
@@ -43,6 +48,20 @@
     return response;
 }
 
+void log_unanswered(const http_request& request, const http_response& response)
+{
+    static log_rate_limit rate_limit(unanswered_log_period);
+    const std::optional<std::int64_t> suppressed = rate_limit.try_acquire();
+    if (suppressed)
+    {
+        log_info("response could not be sent",
+                 {{"method", request.method.substr(0, max_logged_length)},
+                  {"path", request.path.substr(0, max_logged_length)},
+                  {"status", response.status},
+                  {"left_out", *suppressed}});
+    }
+}
+
 /// Becomes readable, for all who poll it, when the server stops.
 class stop_pipe
 {
@@ -89,8 +108,10 @@
 // response after the responder has returned, so that a stop cannot wait for it.
 struct http_server::impl
 {
-    impl(const http_limits& server_limits, http_handler request_handler)
-        : limits(server_limits), handler(std::move(request_handler))
+    impl(const http_limits& server_limits, http_handler request_handler,
+         std::function<void()> unanswered_hook)
+        : limits(server_limits), handler(std::move(request_handler)),
+          on_unanswered(std::move(unanswered_hook))
     {
     }
 
@@ -98,11 +119,13 @@
     void open(std::shared_ptr<cxxtools::net::TcpSocket> socket);
     void serve(int fd);
     http_response handle(const http_request& request);
-    void end_request(bool is_answered);
+    void end_request(const http_request& request, const http_response& response,
+                     bool is_answered);
     void end_connection();
 
     http_limits limits;
     http_handler handler;
+    std::function<void()> on_unanswered;
     cxxtools::net::TcpServer listener;
     stop_pipe stopping;
     std::atomic<bool> is_closing{false};
@@ -110,7 +133,7 @@
     std::mutex mutex;
     std::condition_variable changed;
     std::size_t connections = 0;
-    int in_progress = 0;
+    http_server_counts counts;
     std::size_t in_service = 0;
 };
 
@@ -185,7 +208,7 @@
             const http_response response = handle(request);
             is_last = !peer.keeps_alive() || (is_closing && !peer.has_next());
             const bool is_answered = peer.write(response, is_last);
-            end_request(is_answered);
+            end_request(request, response, is_answered);
             is_last = is_last || !is_answered;
             break;
         }
@@ -227,7 +250,7 @@
 {
     {
         std::unique_lock<std::mutex> lock(mutex);
-        ++in_progress;
+        ++counts.in_progress;
         changed.wait(lock,
                      [this] { return in_service < limits.max_in_service; });
         ++in_service;
@@ -256,10 +279,21 @@
     return response;
 }
 
-void http_server::impl::end_request(bool /*is_answered*/)
+void http_server::impl::end_request(const http_request& request,
+                                    const http_response& response,
+                                    bool is_answered)
 {
+    if (!is_answered)
+    {
+        log_unanswered(request, response);
+        if (on_unanswered)
+        {
+            on_unanswered();
+        }
+    }
     const std::lock_guard<std::mutex> lock(mutex);
-    if (--in_progress == 0)
+    ++(is_answered ? counts.answered : counts.unanswered);
+    if (--counts.in_progress == 0)
     {
         changed.notify_all();
     }
@@ -276,8 +310,10 @@
     }
 }
 
-http_server::http_server(const http_limits& limits, http_handler handler)
-    : impl_(std::make_unique<impl>(limits, std::move(handler)))
+http_server::http_server(const http_limits& limits, http_handler handler,
+                         std::function<void()> on_unanswered)
+    : impl_(std::make_unique<impl>(limits, std::move(handler),
+                                   std::move(on_unanswered)))
 {
 }
 
@@ -311,8 +347,8 @@
 bool http_server::wait_idle(std::chrono::milliseconds timeout)
 {
     std::unique_lock<std::mutex> lock(impl_->mutex);
-    return impl_->changed.wait_for(lock, timeout,
-                                   [this] { return impl_->in_progress == 0; });
+    return impl_->changed.wait_for(
+        lock, timeout, [this] { return impl_->counts.in_progress == 0; });
 }
 
 void http_server::stop()
@@ -332,7 +368,13 @@
 int http_server::in_progress() const
 {
     const std::lock_guard<std::mutex> lock(impl_->mutex);
-    return impl_->in_progress;
+    return static_cast<int>(impl_->counts.in_progress);
+}
+
+http_server_counts http_server::counts() const
+{
+    const std::lock_guard<std::mutex> lock(impl_->mutex);
+    return impl_->counts;
 }
 
 } // namespace egretspindle
--- a/src/scheduler/job_scheduler.cpp
+++ b/src/scheduler/job_scheduler.cpp
@@ -59,6 +59,8 @@
 constexpr milliseconds max_report_wait{2'000};
 // Delay before a request is forwarded again or reports are sent again.
 constexpr milliseconds retry_delay{100};
+// A query whose time is over still tries to read the store, for this long.
+constexpr milliseconds shortest_read{50};
 // Timeout of one attempt to forward a request; then the owner is looked up
 // again.
 constexpr milliseconds forward_timeout{1'200};
@@ -123,8 +125,10 @@
                       const request_trace& trace, time_point begun_at);
     job_reply handle_request(std::string_view message,
                              const job_request& request);
-    std::optional<job_answer> read_state(const std::string& id);
-    absl::StatusOr<std::optional<job>> read_job(const std::string& id);
+    std::optional<job_answer> read_state(const std::string& id,
+                                         milliseconds timeout);
+    absl::StatusOr<std::optional<job>> read_job(const std::string& id,
+                                                milliseconds timeout);
     std::optional<run_racks> read_assignments(const std::string& id);
     order_sender_hooks make_order_hooks();
     void deliver_handovers(const std::string& host,
@@ -649,15 +653,14 @@
 
 // Reads a job from the store; no value when it has no record.
 absl::StatusOr<std::optional<job>>
-job_scheduler::impl::read_job(const std::string& id)
+job_scheduler::impl::read_job(const std::string& id, milliseconds timeout)
 {
     row_range range;
     range.table = std::string(jobs_table);
     range.part = shard_of(id);
     range.from = id;
     range.limit = 1;
-    const absl::StatusOr<table_page> page =
-        store.read(range, options.coordinator.read_timeout);
+    const absl::StatusOr<table_page> page = store.read(range, timeout);
     if (!page.ok())
     {
         return page.status();
@@ -678,9 +681,10 @@
 }
 
 // Returns the state of a job from the store; no value if it cannot be read.
-std::optional<job_answer> job_scheduler::impl::read_state(const std::string& id)
+std::optional<job_answer> job_scheduler::impl::read_state(const std::string& id,
+                                                          milliseconds timeout)
 {
-    const absl::StatusOr<std::optional<job>> value = read_job(id);
+    const absl::StatusOr<std::optional<job>> value = read_job(id, timeout);
     if (!value.ok())
     {
         return std::nullopt;
@@ -697,7 +701,8 @@
 std::optional<run_racks>
 job_scheduler::impl::read_assignments(const std::string& id)
 {
-    const absl::StatusOr<std::optional<job>> value = read_job(id);
+    const absl::StatusOr<std::optional<job>> value =
+        read_job(id, options.coordinator.read_timeout);
     if (!value.ok())
     {
         return std::nullopt;
@@ -1300,7 +1305,10 @@
         impl_->count_lookup(id, "absent", trace, begun_at);
         return {lookup_verdict::absent, ""};
     }
-    const std::optional<job_answer> recorded = impl_->read_state(id);
+    const milliseconds left(remaining_ms(begun_at + budget));
+    const std::optional<job_answer> recorded = impl_->read_state(
+        id, std::clamp(left, shortest_read,
+                       impl_->options.coordinator.read_timeout));
     if (!recorded || recorded->verdict == lookup_verdict::absent)
     {
         impl_->count_lookup(id, recorded ? "absent" : "unknown", trace,
--- a/tests/net/http_pipelining_test.cpp
+++ b/tests/net/http_pipelining_test.cpp
@@ -1,7 +1,7 @@
 #include "egretspindle/net/http_server.hpp"
 
-#include "raw_connection.hpp"
 #include "support/free_port.hpp"
+#include "support/raw_connection.hpp"
 
 #include <catch2/catch.hpp>
 
--- a/tests/platform/platform_test.cpp
+++ b/tests/platform/platform_test.cpp
@@ -35,13 +35,15 @@
         return {submitted, 4'000};
     }
     job_answer query(const std::string& /*id*/,
-                     std::chrono::milliseconds /*budget*/) override
+                     std::chrono::milliseconds time) override
     {
+        budget = time;
         return {looked_up, "running"};
     }
     job_answer cancel(const std::string& /*id*/,
-                      std::chrono::milliseconds /*budget*/) override
+                      std::chrono::milliseconds time) override
     {
+        budget = time;
         return {looked_up, "cancelled"};
     }
     std::int64_t pending(const std::string& /*queue*/) override
@@ -171,3 +173,29 @@
     static_cast<void>(handle_caller_request(post, config, port));
     REQUIRE(port.budget <= std::chrono::milliseconds(3'000));
 }
+
+// Guards against a call that waits for its owner until its host has ended.
+TEST_CASE("the time of a call is limited by the time of its host", "[platform]")
+{
+    const fleet_config config = *decode_config(config_text);
+    const std::string method = GENERATE("POST", "GET", "DELETE");
+    CAPTURE(method);
+    fake_caller_port port;
+    http_request request = make_request(method, job_path, job_body);
+    request.headers["egretspindle-deadline-ms"] = "60000";
+    const std::chrono::milliseconds limit(700);
+    static_cast<void>(handle_caller_request(request, config, port, limit));
+    CHECK(port.budget > std::chrono::milliseconds(0));
+    CHECK(port.budget < limit);
+}
+
+// Guards against a refusal that tells callers that their job may run, or not to
+// try another host.
+TEST_CASE("a host that stops refuses with advice to retry", "[platform]")
+{
+    const http_response refused = make_stopping_reply();
+    CHECK(refused.status == 503);
+    REQUIRE(refused.headers.size() == 1);
+    CHECK(refused.headers.front().first == "Retry-After");
+    CHECK(refused.headers.front().second == "1");
+}
--- a/tests/net/raw_connection.cpp
+++ b/tests/support/raw_connection.cpp
@@ -1,4 +1,4 @@
-#include "raw_connection.hpp"
+#include "support/raw_connection.hpp"
 
 #include <fmt/format.h>
 
--- a/tests/net/raw_connection.hpp
+++ b/tests/support/raw_connection.hpp
@@ -1,8 +1,8 @@
 /// \file
 /// Connection on which a test writes and reads HTTP byte by byte.
 
-#ifndef EGRETSPINDLE_TESTS_NET_RAW_CONNECTION_HPP
-#define EGRETSPINDLE_TESTS_NET_RAW_CONNECTION_HPP
+#ifndef EGRETSPINDLE_TESTS_SUPPORT_RAW_CONNECTION_HPP
+#define EGRETSPINDLE_TESTS_SUPPORT_RAW_CONNECTION_HPP
 
 #include <chrono>
 #include <optional>
