Ignore placements that load reports include, on hosts that place nothing

Callers would see accepted jobs that stay queued for good beside idle targets, above all at the end of the traffic.

Cause: the placements that a host has just made are subtracted from the free capacity until reports include them. Only `choose_racks` removed those that do, and it runs only when the host assigns something. On a host that had none to assign, `hand_back_quota` counted its last placements for ever, so that racks of that host kept what they had queued; and `has_room_for_long_running` refused jobs because of them, while each refusal left them in place.

Both now leave out the placements that reports include. Hosts that assign steps behave as before, since `choose_racks` removes the same placements first.

--- a/src/rack/fleet_load.cpp
+++ b/src/rack/fleet_load.cpp
@@ -79,8 +79,10 @@
                             static_cast<double>(cpu_milli) / milli_per_core);
 }
 
-// Recent placements sorted by target. Under load there are hundreds, and a
-// linear search for each target would compare its name with all of them.
+// Recent placements on targets that no report includes yet, sorted by target.
+// A host that chooses no racks does not remove the others from
+// `fleet_load::recent`. Under load there are hundreds, and a linear search for
+// each target would compare its name with all of them.
 using recent_by_target = std::vector<const recent_placement*>;
 
 bool is_before(const recent_placement* lhs, const recent_placement* rhs)
@@ -88,13 +90,13 @@
     return lhs->target < rhs->target;
 }
 
-recent_by_target sort_recent(const fleet_load& fleet)
+recent_by_target sort_recent(const fleet_load& fleet, time_point now)
 {
     recent_by_target sorted;
     sorted.reserve(fleet.recent.size());
     for (const recent_placement& item : fleet.recent)
     {
-        if (!item.target.empty())
+        if (!item.target.empty() && !is_in_reports(fleet, item, now))
         {
             sorted.push_back(&item);
         }
@@ -245,7 +247,7 @@
                                       const step_terms& terms, time_point now)
 {
     std::vector<rack_option> options;
-    const recent_by_target recent = sort_recent(fleet);
+    const recent_by_target recent = sort_recent(fleet, now);
     for (const auto& [name, view] : fleet.racks)
     {
         rack_option item;
@@ -811,7 +813,7 @@
     }
     for (const recent_placement& item : fleet.recent)
     {
-        usable -= item.size.cpu_milli;
+        usable -= is_in_reports(fleet, item, now) ? 0 : item.size.cpu_milli;
     }
     const bool is_known = reported * 4 >= capacity * 3;
     return !is_known ||
