Split a gang among racks if no single one can hold it

Cause: all members went to one rack, whether or not its targets could ever hold them, and a rack places a gang as a whole. A single member could also be handed back alone, when the owner of its job asked for it; the others then waited in the queue for one that never came.

A gang still goes to one rack if one can hold it. If none could even when empty, it is split among as few racks as possible that have reported room for all of it, and waits without a rack, with a log line, until there is. The same holds for a gang that a rack has handed back within the last 5 s, unless its tasks are slower across racks (`rackLocal`). Each rack learns the size of its part and places it as a whole. The targets end members that wait 3 s for the others (`gangWaitMs`), so a rack hands back a part that it has not placed within 1 s, and the owner of the job then stops the rest and starts the gang again with the next run number. Queued members whose others are gone are handed back after 2 s, and an overdue gang as a whole.

Not done: racks do not hold their part until all have room, so that a part whose start is delayed by more than 2 s (a store that is overloaded) can still end as `alone`; nothing is reserved for a gang while it waits, as before; a `rackLocal` gang that a rack could hold only without its long-running tasks still waits for them.

Ruled out: a first phase that reserves all parts before any start, which needs a message, its repetition and its loss on takeovers of racks.

--- a/include/egretspindle/rack/fleet_load.hpp
+++ b/include/egretspindle/rack/fleet_load.hpp
@@ -91,16 +91,20 @@
 /// Chooses a rack for each of `count` tasks of a step.
 ///
 /// As many tasks as fit go to a rack with free capacity, the others to further
-/// racks. Callers use only the first result of a gang, for all of its tasks.
-/// The first choice is `data_rack`, if it has free capacity. All hosts choose
-/// the same rack for serving tasks of one image, so each host uses only its
-/// share of the free capacity there. For other tasks a rack is drawn at random,
-/// weighted by the idle processors of its suitable targets, so that hosts with
-/// the same reports do not all choose the same one.
+/// racks. The first choice is `data_rack`, if it has free capacity. All hosts
+/// choose the same rack for serving tasks of one image, so each host uses only
+/// its share of the free capacity there. For other tasks a rack is drawn at
+/// random, weighted by the idle processors of its suitable targets, so that
+/// hosts with the same reports do not all choose the same one.
 ///
 /// Tasks that fit nowhere go in groups of up to 8 (`max_queued_at_once`) to the
 /// less loaded queue of two drawn at random. Adds the choices to `recent`.
 ///
+/// A gang goes to one rack as a whole. If no rack could hold it even when empty
+/// (or, with `step_terms::prefers_split_gang`, none has room for it now), it is
+/// split among as few racks as possible that have reported room for all of it;
+/// otherwise it waits without a rack until there is such room.
+///
 /// \param data_rack  preferred rack, where the data is; empty: none
 /// \returns a rack for each task; empty text when no rack with a recent report
 ///          can take it, because no target matches or the limit of tasks of the
--- a/include/egretspindle/rack/queued_start.hpp
+++ b/include/egretspindle/rack/queued_start.hpp
@@ -35,8 +35,10 @@
     std::int64_t latest_start_ms = 0;
     std::string required_label;
     std::int64_t max_per_target = 0; ///< 0: no limit
-    bool is_gang = false;       ///< its tasks start all together or not at all
-    std::int64_t gang_size = 0; ///< number of tasks of a gang
+    bool is_gang = false; ///< its tasks start all together or not at all
+    /// Number of tasks of a gang that run in this rack.
+    std::int64_t gang_size = 0;
+    bool is_part_of_gang = false; ///< other tasks of the gang run elsewhere
     bool is_long_running = false;
     bool is_checkpointing = false;
     /// Objective for the tail latency of the requests that a serving task
@@ -51,6 +53,9 @@
     std::int64_t max_absent = 0;
     // The members below are used only to choose a rack, and are not part of the
     // message to the owner of the rack.
+    /// A gang that a rack has handed back may be split among racks even if one
+    /// may have room for it later.
+    bool prefers_split_gang = false;
     /// Rack that the first of the tasks to assign was last assigned to, for
     /// example one whose owner handed it back unstarted because another rack
     /// had free capacity; empty for a new task. Chosen only if no other rack
@@ -82,6 +87,7 @@
     visit("max_per_target", value.max_per_target);
     visit("gang", value.is_gang);
     visit("gang_size", value.gang_size);
+    visit("gang_part", value.is_part_of_gang);
     visit("long_running", value.is_long_running);
     visit("checkpointing", value.is_checkpointing);
     visit("response_target_ms", value.response_target_ms);
--- a/include/egretspindle/scheduler/job_coordinator.hpp
+++ b/include/egretspindle/scheduler/job_coordinator.hpp
@@ -35,7 +35,7 @@
     /// Current configuration; never null.
     std::function<std::shared_ptr<const fleet_config>()> config;
     /// Returns a rack for each of `count` tasks of a step; empty: no rack has
-    /// capacity. A gang uses only the first.
+    /// capacity. A gang gets racks for all of its tasks or for none.
     std::function<std::vector<std::string>(const step_terms& terms,
                                            std::size_t count,
                                            const std::string& data_rack)>
--- a/src/rack/fleet_load.cpp
+++ b/src/rack/fleet_load.cpp
@@ -683,6 +683,118 @@
     }
 }
 
+// Returns how many tasks of a step fit on a target when it is empty.
+std::int64_t tasks_when_empty(const target_entry& entry,
+                              const step_terms& terms)
+{
+    if (!can_take_when_empty(entry, terms))
+    {
+        return 0;
+    }
+    const task_size size = reservation_of(terms);
+    std::int64_t tasks = terms.max_per_target > 0
+                             ? terms.max_per_target
+                             : std::numeric_limits<std::int64_t>::max();
+    const auto limit_by = [&tasks](std::int64_t capacity, std::int64_t wanted)
+    {
+        tasks = wanted > 0 ? std::min(tasks, capacity / wanted) : tasks;
+    };
+    limit_by(entry.capacity.cpu_milli, size.cpu_milli);
+    limit_by(entry.capacity.memory_mb, size.memory_mb);
+    limit_by(entry.capacity.accelerators, size.accelerators);
+    return tasks;
+}
+
+// Returns whether any rack could hold a whole gang if its targets were empty.
+bool has_rack_for_gang(const fleet_load& fleet, const step_terms& terms,
+                       std::size_t count)
+{
+    std::map<std::string_view, std::size_t> places;
+    for (const auto& [id, entry] : fleet.targets)
+    {
+        std::size_t& sum = places[entry.rack];
+        sum += std::min(
+            count, static_cast<std::size_t>(tasks_when_empty(entry, terms)));
+        if (sum >= count)
+        {
+            return true;
+        }
+    }
+    return false;
+}
+
+/// Targets of one rack that have reported room for members of a gang, one entry
+/// for each member.
+struct gang_part
+{
+    std::string rack;
+    std::vector<std::string> targets;
+};
+
+// Returns the parts of a gang that fit into the reported free capacity of each
+// rack, the largest first.
+std::vector<gang_part> find_gang_parts(const fleet_load& fleet,
+                                       const step_terms& terms,
+                                       std::size_t count, time_point now)
+{
+    // The reported room of a rack that has handed back the gang is as good as
+    // that of others: the report is newer.
+    step_terms any_rack = terms;
+    any_rack.earlier_rack.clear();
+    any_rack.avoided_racks.clear();
+    std::vector<gang_part> parts;
+    for (rack_option& item : find_options(fleet, any_rack, now))
+    {
+        gang_part part{item.rack, {}};
+        candidate* target = best_candidate(fleet, item.targets, any_rack);
+        while (target != nullptr && part.targets.size() < count)
+        {
+            subtract_from(target->room, reservation_of(any_rack));
+            ++target->placed_of_step;
+            part.targets.push_back(target->entry->id);
+            target = best_candidate(fleet, item.targets, any_rack);
+        }
+        parts.push_back(std::move(part));
+    }
+    std::stable_sort(parts.begin(), parts.end(),
+                     [](const gang_part& lhs, const gang_part& rhs)
+                     { return lhs.targets.size() > rhs.targets.size(); });
+    return parts;
+}
+
+// Splits a gang among as few racks as possible, if no single one has reported
+// room for it and all together have. Returns whether it did.
+bool place_split_gang(fleet_load& fleet, const step_terms& terms,
+                      std::size_t count, time_point now,
+                      std::vector<std::string>& chosen)
+{
+    const std::vector<gang_part> parts =
+        find_gang_parts(fleet, terms, count, now);
+    std::size_t places = 0;
+    for (const gang_part& part : parts)
+    {
+        places += part.targets.size();
+    }
+    const bool has_whole_part =
+        !parts.empty() && parts.front().targets.size() >= count;
+    if (has_whole_part || places < count)
+    {
+        return false;
+    }
+    for (const gang_part& part : parts)
+    {
+        for (const std::string& target : part.targets)
+        {
+            if (chosen.size() < count)
+            {
+                add_recent(fleet, terms, part.rack, target, now);
+                chosen.push_back(part.rack);
+            }
+        }
+    }
+    return true;
+}
+
 // Returns whether a rack reports room for a long-running task of the step once
 // its short tasks have ended.
 bool reports_eventual_room(const fleet_load& fleet, const rack_view& view,
@@ -741,6 +853,19 @@
     drop_reported_placements(fleet, now);
     record_short_size(fleet, terms);
     std::vector<std::string> chosen;
+    if (terms.is_gang)
+    {
+        const bool has_rack = has_rack_for_gang(fleet, terms, count);
+        if ((!has_rack || terms.prefers_split_gang) &&
+            place_split_gang(fleet, terms, count, now, chosen))
+        {
+            return chosen;
+        }
+        if (!has_rack)
+        {
+            return std::vector<std::string>(count);
+        }
+    }
     place_on_reported_room(fleet, terms, count, data_rack, now, random,
                            room_use::own_share, chosen);
     // A task that was at work or has waited before goes wherever there is room.
@@ -754,6 +879,10 @@
     {
         add_queued(fleet, terms, count, now, random, chosen);
     }
+    if (terms.is_gang)
+    {
+        std::fill(chosen.begin(), chosen.end(), std::string(chosen.front()));
+    }
     return chosen;
 }
 
--- a/src/scheduler/job_coordinator_runs.cpp
+++ b/src/scheduler/job_coordinator_runs.cpp
@@ -347,6 +347,10 @@
     terms.tasks_in_rack = count_by_rack(tasks);
     terms.avoided_racks =
         racks_that_handed_back(*entry, terms.step, steady_clock::now());
+    // Tasks of a gang that depends on one rack are slower when it is split, so
+    // it waits for a rack that can hold it whenever there is one.
+    terms.prefers_split_gang =
+        spec.is_gang && !spec.is_rack_local && !terms.avoided_racks.empty();
     const std::vector<std::string> racks =
         hooks.choose_racks(terms, due.tasks.size(), spec.data_rack);
     const bool has_rack = spec.is_gang ? !racks.front().empty()
@@ -363,7 +367,7 @@
     std::int64_t gang_run = 0;
     if (spec.is_gang)
     {
-        gang_run = assign_gang(entry->value, due, racks.front());
+        gang_run = assign_gang(entry->value, due, racks);
     }
     mark_changed(entry);
     for (std::size_t n = 0; n < due.tasks.size(); ++n)
@@ -458,8 +462,13 @@
     job_entry& entry, const assigned_run& run, sent_run& sent,
     std::map<std::string, rack_orders>& orders, time_point now)
 {
-    const step_terms terms =
-        terms_of(entry.value, run.key.occurrence, run.key.step);
+    step_terms terms = terms_of(entry.value, run.key.occurrence, run.key.step);
+    if (terms.is_gang)
+    {
+        const std::int64_t whole = terms.gang_size;
+        terms.gang_size = tasks_in_same_rack(entry.value, run.key);
+        terms.is_part_of_gang = terms.gang_size < whole;
+    }
     if (terms.service.empty())
     {
         return; // the terms of the job are not known yet
@@ -571,11 +580,25 @@
 {
     const std::string overdue = find_overdue_start(entry, now);
     const std::vector<assigned_run> runs = assigned_runs(entry.value);
+    const std::set<std::string> without_gang = runs_without_gang(entry.value);
     std::vector<std::string> stop_racks; // of each stop
     for (const assigned_run& run : runs)
     {
         const std::string task = to_string(run.key);
         sent_run& sent = entry.sent[task];
+        if (entry.value.outcome == job_outcome::open &&
+            without_gang.count(task) > 0)
+        {
+            // The run ends in any case, so its stop waits for no record.
+            if (sent.change <= entry.durable_change &&
+                may_send_again(run.rack, sent.stop_sent_at, now))
+            {
+                orders_for(orders, run.rack, now)
+                    .stops.push_back({task, run.run});
+                sent.stop_sent_at = now;
+            }
+            continue;
+        }
         const bool is_stop = entry.value.outcome != job_outcome::open;
         const time_point last = is_stop ? sent.stop_sent_at : sent.sent_at;
         // The end of a job that was read from the store is durable before this
--- a/src/scheduler/merge_orders.cpp
+++ b/src/scheduler/merge_orders.cpp
@@ -21,7 +21,8 @@
     for (start_batch& batch : added.starts)
     {
         if (orders.starts.empty() ||
-            orders.starts.back().terms.step != batch.terms.step)
+            orders.starts.back().terms.step != batch.terms.step ||
+            orders.starts.back().terms.gang_size != batch.terms.gang_size)
         {
             orders.starts.push_back(std::move(batch));
             continue;
--- a/src/scheduler/rack_agent.cpp
+++ b/src/scheduler/rack_agent.cpp
@@ -1,6 +1,7 @@
 #include "egretspindle/scheduler/rack_agent.hpp"
 
 #include "egretspindle/logging/log.hpp"
+#include "egretspindle/rack/gang_queue.hpp"
 #include "egretspindle/rack/queue_summary.hpp"
 #include "egretspindle/rack/start_intents.hpp"
 
@@ -639,6 +640,8 @@
             impl_->sync_targets(rack);
             impl_->move_off_draining_targets(rack);
             impl_->place(rack);
+            const std::vector<run_event> gangs = hand_back_gangs(rack, now);
+            list.insert(list.end(), gangs.begin(), gangs.end());
             const std::vector<run_event> returned = hand_back(
                 rack, impl_->limits.max_queue_wait,
                 [&, &rack_name = name](const step_terms& terms, room_kind room)
