Keep a job that is larger than a row from stopping all writes

Cause: a job is one row, and nothing compared its record with the 65,536 bytes of a row (`rowBytes`). The store refuses the whole transaction for good, which the writer took for a write that may have been done, and repeated without end, with up to 15 other jobs in the batch.

A submission is rejected with 400, as other jobs that are out of range, if its specification and the shortest text of all its tasks and occurrences do not fit. The bound is a lower one, so no job is rejected that could be recorded. A record that turns out larger is left out of the transaction: a new job is refused, an accepted one is logged and written again with its next change, and its reports do not make others wait. Records no longer have the checkpoints of tasks that are done or of jobs that have ended, so that they grow less and a cancellation makes them small.

Not done: an accepted job can still outgrow its row, by names of racks, numbers of runs and the checkpoints of its open tasks.

--- a/include/egretspindle/jobs/job_spec.hpp
+++ b/include/egretspindle/jobs/job_spec.hpp
@@ -42,7 +42,8 @@
 /// Validates the number, sizes and order of the steps and the schedule.
 ///
 /// \returns `invalid_argument`; for a fault of a step, the message gives its
-///          index
+///          index. `too_large` if the job cannot be recorded; see
+///          `min_record_bytes`
 [[nodiscard]] absl::Status check_job(const job_spec& spec);
 
 } // namespace egretspindle
--- a/src/jobs/check_job.cpp
+++ b/src/jobs/check_job.cpp
@@ -1,4 +1,5 @@
 #include "egretspindle/core/error.hpp"
+#include "egretspindle/jobs/job_record.hpp"
 #include "egretspindle/jobs/job_spec.hpp"
 
 #include <fmt/format.h>
@@ -93,6 +94,14 @@
                                       "tasks; correct it or split the job",
                                       max_tasks));
     }
+    if (min_record_bytes(spec) > max_record_bytes)
+    {
+        return make_error(
+            error_kind::too_large,
+            fmt::format("the state of the steps and tasks takes more than {} "
+                        "bytes; split the job",
+                        max_record_bytes));
+    }
     return absl::OkStatus();
 }
 
--- a/src/jobs/job_record.cpp
+++ b/src/jobs/job_record.cpp
@@ -139,6 +139,13 @@
     return false;
 }
 
+// Returns whether a task has a checkpoint that a later run may start from.
+bool may_resume(const job& value, const job_task& task)
+{
+    return !task.checkpoint.empty() && value.outcome == job_outcome::open &&
+           task.phase != job_task_phase::done;
+}
+
 // Returns the task with a name of the form `occurrence.step.index`, or null.
 job_task* find_named_task(job& value, const std::string& name)
 {
@@ -180,6 +187,20 @@
     return to_json(spec);
 }
 
+std::size_t min_record_bytes(const job_spec& spec)
+{
+    // A task is at least `w0.0.0 `.
+    constexpr std::size_t task_bytes = 7;
+    std::size_t tasks = 0;
+    for (const step_spec& step : spec.steps)
+    {
+        tasks += static_cast<std::size_t>(step.count);
+    }
+    const std::size_t occurrences =
+        static_cast<std::size_t>(std::max<std::int64_t>(1, spec.repeat_count));
+    return encode_spec(spec).size() + occurrences * tasks * task_bytes;
+}
+
 std::string encode_job(const job& value, std::string_view encoded_spec)
 {
     record_state state;
@@ -213,7 +234,7 @@
                     state.failed_runs[fmt::format("{}.{}.{}", k, n, i)] =
                         tasks[i].last_failed_run;
                 }
-                if (!tasks[i].checkpoint.empty())
+                if (may_resume(value, tasks[i]))
                 {
                     state.checkpoints[fmt::format("{}.{}.{}", k, n, i)] =
                         tasks[i].checkpoint;
--- a/src/scheduler/job_coordinator.cpp
+++ b/src/scheduler/job_coordinator.cpp
@@ -247,7 +247,7 @@
             lock, deadline,
             [&]
             {
-                return impl_->is_stopping ||
+                return impl_->is_stopping || entry->is_too_large ||
                        entry->durable_change >= changes[n] ||
                        impl_->find_job(entry->value.id) != entry;
             });
--- a/src/scheduler/job_coordinator_impl.hpp
+++ b/src/scheduler/job_coordinator_impl.hpp
@@ -156,6 +156,7 @@
     void write_loop();
     bool wait_for_turn(std::unique_lock<std::mutex>& lock);
     record_batch take_batch();
+    void leave_out_large_job(const entry_ptr& entry, std::size_t bytes);
     void add_job(const entry_ptr& entry, std::string record,
                  record_batch& batch) const;
     void write_batch(const record_batch& batch);
--- a/src/scheduler/job_coordinator_records.cpp
+++ b/src/scheduler/job_coordinator_records.cpp
@@ -154,6 +154,12 @@
             continue;
         }
         std::string record = encode_job(entry->value, entry->encoded_spec);
+        if (record.size() > max_record_bytes)
+        {
+            write_queue.pop_front();
+            leave_out_large_job(entry, record.size());
+            continue;
+        }
         bytes += base64_size(record.size());
         if (!batch.jobs.empty() && bytes > max_transaction_bytes)
         {
@@ -173,6 +179,28 @@
     return batch;
 }
 
+// Removes a job from the write queue whose record is larger than a row: the
+// store refuses every transaction with it, and the other jobs of the batch
+// would wait for ever. A new job is refused. Another one is written again with
+// its next change, which may make the record smaller, for example its
+// cancellation.
+void job_coordinator::impl::leave_out_large_job(const entry_ptr& entry,
+                                                std::size_t bytes)
+{
+    entry->is_in_write_queue = false;
+    entry->is_too_large = true;
+    entry->changed.notify_all();
+    log_error("job record is too large for the store",
+              {{"job", entry->value.id},
+               {"bytes", bytes},
+               {"max_bytes", max_record_bytes},
+               {"new", entry->version == 0}});
+    if (entry->version == 0 && !entry->has_unanswered_write)
+    {
+        refuse_job(entry);
+    }
+}
+
 void job_coordinator::impl::add_job(const entry_ptr& entry, std::string record,
                                     record_batch& batch) const
 {
@@ -192,6 +220,7 @@
     // result tells only for a write that is sent once.
     transaction.is_sent_once |= entry->version == 0;
     entry->is_in_write_queue = false;
+    entry->is_too_large = false;
     entry->is_writing = true;
     entry->write_begun_at = steady_clock::now();
     batch.changes.push_back(entry->last_change);
@@ -204,6 +233,10 @@
     while (wait_for_turn(lock))
     {
         const record_batch batch = take_batch();
+        if (batch.jobs.empty())
+        {
+            continue; // no job has a record that the store can take
+        }
         note_call(pace, steady_clock::now(), draw_spread());
         lock.unlock();
         write_batch(batch);
--- a/src/scheduler/job_entry.hpp
+++ b/src/scheduler/job_entry.hpp
@@ -75,6 +75,7 @@
     std::uint64_t refused_change = 0;
     bool is_refused = false; ///< not stored and never will be
     bool is_in_write_queue = false;
+    bool is_too_large = false; ///< its latest record does not fit into a row
     /// The job was submitted to this host, not read from the store.
     bool is_accepted_here = false;
     time_point created_at; ///< of this entry, by a submission or a read
--- a/tests/jobs/job_machine_test.cpp
+++ b/tests/jobs/job_machine_test.cpp
@@ -293,6 +293,67 @@
                             { it.steps.assign(1'000, make_step(100'000)); }));
 }
 
+// Guards against records that grow with each task that is done.
+TEST_CASE("a record has no checkpoints that no run can start from", "[jobs]")
+{
+    job value = make_two_step_job();
+    value.spec.steps[0].is_checkpointing = true;
+    for (const std::size_t index : {0, 1})
+    {
+        assign_run(value, {value.id, 0, 0, index}, "r1");
+        end_task(value, 0, index, 1, run_end::stopped, "half");
+        assign_run(value, {value.id, 0, 0, index}, "r1");
+    }
+    end_task(value, 0, 0, 2, run_end::done, "all");
+    const auto reload = [&value]
+    {
+        return *decode_job(value.id,
+                           encode_job(value, encode_spec(value.spec)));
+    };
+    CHECK(find_task(reload(), {value.id, 0, 0, 0})->checkpoint.empty());
+    CHECK(find_task(reload(), {value.id, 0, 0, 1})->checkpoint == "half");
+    cancel_job(value, now_ms);
+    CHECK(find_task(reload(), {value.id, 0, 0, 1})->checkpoint.empty());
+    CHECK(assigned_runs(reload()).size() == 1);
+}
+
+// Guards against jobs that are accepted although no row of the store can hold
+// their state.
+TEST_CASE("a job whose record cannot fit into a row is rejected", "[jobs]")
+{
+    job_spec spec;
+    spec.steps = {make_step(9'000)};
+    REQUIRE(check_job(spec).ok());
+    spec.steps = {make_step(10'000)};
+    CHECK_FALSE(check_job(spec).ok());
+    spec.steps = {make_step(100)};
+    spec.repeat_count = 90;
+    CHECK(check_job(spec).ok());
+    spec.repeat_count = 100;
+    CHECK_FALSE(check_job(spec).ok());
+    spec.repeat_count = 0;
+    spec.steps.assign(100, make_step(1));
+    CHECK(check_job(spec).ok());
+    spec.steps.assign(300, make_step(1));
+    CHECK_FALSE(check_job(spec).ok());
+}
+
+// Guards against a bound that rejects jobs whose record fits.
+TEST_CASE("no record of a job is smaller than its lower bound", "[jobs]")
+{
+    for (const std::int64_t count : {1, 7, 500})
+    {
+        job_spec spec;
+        spec.steps = {make_step(count), make_step(2 * count, {0})};
+        spec.repeat_count = 3;
+        spec.start_at_ms = now_ms;
+        const job value = make_job("0123456789abcdef", "queue", spec, now_ms);
+        REQUIRE(value.occurrences.size() == 3);
+        CHECK(encode_job(value, encode_spec(spec)).size() >=
+              min_record_bytes(spec));
+    }
+}
+
 // Reports random ends, some of outdated runs, and reloads the record at random.
 // At any time a task has at most one run that may be executing, and a task that
 // is done never starts again.
