--- a/src/scheduler/job_coordinator_runs.cpp
+++ b/src/scheduler/job_coordinator_runs.cpp
@@ -1,3 +1,4 @@
+#include "egretspindle/jobs/gang.hpp"
 #include "egretspindle/logging/log.hpp"
 #include "egretspindle/scheduler/shard.hpp"
 
--- a/tests/jobs/split_gang_test.cpp
+++ b/tests/jobs/split_gang_test.cpp
@@ -1,3 +1,4 @@
+#include "egretspindle/jobs/gang.hpp"
 #include "egretspindle/jobs/job_machine.hpp"
 #include "egretspindle/jobs/job_record.hpp"
 
