Answer requests that are on their way when the server stops

Callers that connected or sent a request within some ms before the end of a host's service were reset or got no answer: 5, 24 and 20 of 24 callers in 3 stops, none later than 4 ms after the last byte, which the platform allows. The server closed its listening socket with connections in its queue, and connections on which it had not read a request yet.

The stop accepts what is waiting in the queue (256 at most), and reads for another 0.1 s before it ends connections without a request; the last answer says that the connection ends.

--- a/include/egretspindle/net/http_server.hpp
+++ b/include/egretspindle/net/http_server.hpp
@@ -64,8 +64,9 @@
     /// \returns false if requests are still in progress after the timeout
     bool wait_idle(std::chrono::milliseconds timeout);
 
-    /// Stops listening, responds to the requests that have arrived whole and
-    /// ends the connections. Takes as long as the handler does.
+    /// Stops listening, responds to the requests that have arrived whole or do
+    /// so within 0.1 s, and ends the connections. Takes as long as the handler
+    /// does.
     void stop();
 
     /// Returns the number of requests in progress: read whole, and the response
--- a/src/net/http_connection.cpp
+++ b/src/net/http_connection.cpp
@@ -26,6 +26,9 @@
 using request_parser = beast::http::request_parser<beast::http::string_body>;
 
 constexpr std::size_t chunk_bytes = 16 * 1024;
+// Time in which requests that are on their way when the server stops are still
+// read.
+constexpr std::chrono::milliseconds stop_time{100};
 // Time for the caller to read the last response and to close the connection.
 constexpr std::chrono::milliseconds linger_time{100};
 
@@ -186,33 +189,40 @@
     }
 }
 
+// Notes when the server stops, and returns whether it does.
+bool http_connection::is_stopping()
+{
+    pollfd item{stop_fd_, POLLIN, 0};
+    if (!stop_deadline_ && ::poll(&item, 1, 0) > 0)
+    {
+        stop_deadline_ = clock::now() + stop_time;
+    }
+    return stop_deadline_.has_value();
+}
+
 // Waits for bytes and appends them to the buffer.
 bool http_connection::receive(clock::time_point deadline)
 {
     while (!is_ended_)
     {
+        const clock::time_point end =
+            std::min(deadline, stop_deadline_.value_or(deadline));
         pollfd items[] = {{fd_, POLLIN, 0}, {stop_fd_, POLLIN, 0}};
-        const int n = ::poll(items, 2, poll_timeout(deadline));
+        const int n = ::poll(items, stop_deadline_ ? 1 : 2, poll_timeout(end));
         if (n < 0 && errno == EINTR)
         {
             continue;
         }
         if (n <= 0)
         {
-            return false;
-        }
-        if (items[1].revents != 0)
-        {
-            // A caller that goes on sending must not delay the stop, so this is
-            // the last time that bytes are received.
-            const bool has_received = receive_available();
             is_ended_ = true;
-            return has_received;
+            return false;
         }
-        if (receive_available())
+        if (items[0].revents != 0 && receive_available())
         {
             return true;
         }
+        (void)is_stopping();
     }
     return false;
 }
@@ -220,6 +230,9 @@
 // Appends the bytes that have arrived to the buffer, if any.
 bool http_connection::receive_available()
 {
+    // A caller that goes on sending must not delay the stop.
+    is_ended_ =
+        is_ended_ || (stop_deadline_ && clock::now() >= *stop_deadline_);
     if (is_ended_)
     {
         return false;
@@ -241,6 +254,7 @@
 
 bool http_connection::has_next()
 {
+    (void)is_stopping();
     return !buf_.empty() || receive_available();
 }
 
@@ -304,6 +318,7 @@
     ::shutdown(fd_, SHUT_WR);
     const clock::time_point deadline = clock::now() + linger_time;
     is_ended_ = false;
+    stop_deadline_.reset();
     while (!is_ended_ && clock::now() < deadline)
     {
         pollfd item{fd_, POLLIN, 0};
--- a/src/net/http_connection.hpp
+++ b/src/net/http_connection.hpp
@@ -9,6 +9,7 @@
 #include "egretspindle/net/http_response.hpp"
 
 #include <chrono>
+#include <optional>
 #include <string>
 
 namespace egretspindle
@@ -33,8 +34,8 @@
     /// \param stop_fd  becomes readable when the server stops
     http_connection(int fd, int stop_fd, const http_limits& limits);
 
-    /// Reads the next request. Once the server stops, only bytes that have
-    /// arrived by then are read.
+    /// Reads the next request. Once the server stops, only bytes that arrive
+    /// within a short time are read.
     [[nodiscard]] read_result read(http_request& request);
 
     /// Returns whether the caller keeps the connection open after the request
@@ -61,6 +62,7 @@
 private:
     using clock = std::chrono::steady_clock;
 
+    bool is_stopping();
     bool receive(clock::time_point deadline);
     bool receive_available();
     bool send_all(std::string_view text);
@@ -70,6 +72,8 @@
     const http_limits& limits_;
     std::string buf_;
     bool is_ended_ = false; ///< nothing more can be received
+    /// Until which bytes are received although the server stops.
+    std::optional<clock::time_point> stop_deadline_;
     bool is_head_ = false;
     bool is_version_10_ = false;
     bool keeps_alive_ = false;
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -7,9 +7,8 @@
 #include "egretspindle/net/error_reply.hpp"
 
 #include "http_connection.hpp"
+#include "listener.hpp"
 
-#include <cxxtools/net/tcpserver.h>
-#include <cxxtools/net/tcpsocket.h>
 #include <fmt/format.h>
 
 #include <atomic>
@@ -30,7 +29,6 @@
 namespace
 {
 
-constexpr int listen_backlog = 256;
 // Delay after a failed accept, which fails at once again while the process has
 // no free descriptors.
 constexpr std::chrono::milliseconds accept_retry{20};
@@ -116,7 +114,7 @@
     }
 
     void accept_loop();
-    void open(std::shared_ptr<cxxtools::net::TcpSocket> socket);
+    void open(int fd);
     void serve(int fd);
     http_response handle(const http_request& request);
     void end_request(const http_request& request, const http_response& response,
@@ -126,7 +124,8 @@
     http_limits limits;
     http_handler handler;
     std::function<void()> on_unanswered;
-    cxxtools::net::TcpServer listener;
+    listener incoming;
+    stop_pipe accept_stopping;
     stop_pipe stopping;
     std::atomic<bool> is_closing{false};
     std::thread thread;
@@ -141,16 +140,14 @@
 {
     for (;;)
     {
-        const std::shared_ptr<cxxtools::net::TcpSocket> socket =
-            std::make_shared<cxxtools::net::TcpSocket>();
         try
         {
-            socket->accept(listener);
-            open(socket);
-        }
-        catch (const cxxtools::net::AcceptTerminated&)
-        {
-            return;
+            const int fd = incoming.accept(accept_stopping.fd());
+            if (fd < 0)
+            {
+                return;
+            }
+            open(fd);
         }
         catch (const std::exception& ex)
         {
@@ -161,17 +158,18 @@
     }
 }
 
-void http_server::impl::open(std::shared_ptr<cxxtools::net::TcpSocket> socket)
+// Starts the thread of a connection, which closes it.
+void http_server::impl::open(int fd)
 {
     const int enabled = 1;
-    ::setsockopt(socket->getFd(), IPPROTO_TCP, TCP_NODELAY, &enabled,
-                 sizeof enabled);
+    ::setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &enabled, sizeof enabled);
     {
         const std::lock_guard<std::mutex> lock(mutex);
         if (connections >= limits.max_connections)
         {
             log_warning("too many HTTP connections",
                         {{"limit", limits.max_connections}});
+            ::close(fd);
             return;
         }
         ++connections;
@@ -179,16 +177,17 @@
     try
     {
         std::thread(
-            [this, socket]() mutable
+            [this, fd]
             {
-                serve(socket->getFd());
-                socket.reset();
+                serve(fd);
+                ::close(fd);
                 end_connection();
             })
             .detach();
     }
     catch (const std::system_error&)
     {
+        ::close(fd);
         end_connection();
         throw;
     }
@@ -326,7 +325,7 @@
 {
     try
     {
-        impl_->listener.listen(address, port, listen_backlog);
+        impl_->incoming.open(address, port);
     }
     catch (const std::exception& ex)
     {
@@ -357,9 +356,10 @@
     {
         return;
     }
-    impl_->listener.terminateAccept();
+    impl_->is_closing = true;
+    impl_->accept_stopping.trigger();
     impl_->thread.join();
-    impl_->listener.close();
+    impl_->incoming.close();
     impl_->stopping.trigger();
     std::unique_lock<std::mutex> lock(impl_->mutex);
     impl_->changed.wait(lock, [this] { return impl_->connections == 0; });
