--- a/tests/integration/open_connections_stop_test.cpp
+++ b/tests/integration/open_connections_stop_test.cpp
@@ -372,6 +372,51 @@
     play(cases[GENERATE(range(0, 10))]);
 }
 
+// Guards against a new configuration or SIGHUP that cuts a request or delays it
+// until its time is over.
+TEST_CASE("configurations and SIGHUP cut no request", "[open_connections_stop]")
+{
+    open_connections_fixture fixture;
+    for (const std::string name : {"h1", "h2"})
+    {
+        fixture.start(name);
+        REQUIRE(wait_until([&] { return fixture.is_ready(name); }));
+    }
+    std::vector<std::thread> callers;
+    for (std::uint32_t n = 0; n < 12; ++n)
+    {
+        callers.emplace_back(
+            [&, n] {
+                fixture.call("h1", 700 + n, {n % 3 == 0, n % 3 == 1});
+            });
+    }
+    for (int version = 2; version < 12; ++version)
+    {
+        std::this_thread::sleep_for(milliseconds(300));
+        fixture.hosts["h1"]->signal(SIGHUP);
+        post_control(fixture.control,
+                     fmt::format(R"({{"what":"config","version":{},)"
+                                 R"("second_queue":{}}})",
+                                 version, version % 2 == 0));
+    }
+    fixture.is_over = true;
+    for (std::thread& caller : callers)
+    {
+        caller.join();
+    }
+    const std::string log = read_file(fixture.directory.file("h1.log"));
+    CHECK(log.find("applied configuration\" version=11 ") != std::string::npos);
+    CHECK(log.find("settings file checked") != std::string::npos);
+    REQUIRE(!fixture.requests.empty());
+    for (const sent_request& request : fixture.requests)
+    {
+        CAPTURE(request.method);
+        CAPTURE(request.job);
+        CHECK(request.status != 0);
+        CHECK(request.took < call_deadline);
+    }
+}
+
 // Guards against a host that ends at once with calls that wait for an owner,
 // because it has not joined the cluster.
 TEST_CASE("a host that stops before it has joined answers its callers",
