Limit chunk extensions and trailers of requests

A caller could send chunk extensions or trailers of any length within the 10 s that a request may take: the parser leaves them unread until they are complete, so they stayed in the buffer of the connection, and each piece made the parser look at them again. Header lines are limited by the parser.

Unread bytes of a request are now limited to `max_header_bytes`, and more are answered with 431.

The test case on the limit fails without it in 2 of its 4 forms; the one on headers below the limit passed before and guards against a limit that is too strict.

--- a/src/net/http_connection.cpp
+++ b/src/net/http_connection.cpp
@@ -165,6 +165,12 @@
                 request = to_http_request(parser);
                 return read_result::request;
             }
+            // The parser has no limit on chunk extensions and trailers, which
+            // it leaves in the buffer until they are complete.
+            if (buf_.size() > limits_.max_header_bytes)
+            {
+                return read_result::header_too_large;
+            }
             if (parser.is_header_done() && !is_continue_sent &&
                 beast::iequals(parser.get()[beast::http::field::expect],
                                "100-continue"))
--- a/tests/net/http_pipelining_test.cpp
+++ b/tests/net/http_pipelining_test.cpp
@@ -196,6 +196,74 @@
     CHECK(response->status == 413);
 }
 
+// Guards against chunk extensions and trailers that are read into memory
+// without a limit, and against headers that are when they arrive in pieces.
+TEST_CASE("header lines, chunk extensions and trailers are limited",
+          "[net][pipelining]")
+{
+    const auto [head, line] = GENERATE(table<std::string, std::string>({
+        {"GET / HTTP/1.1\r\n", "a: b\r\n"},
+        {"GET / HTTP/1.1\r\na: ", "b"},
+        {"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n3;", "a"},
+        {"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n",
+         "a: b\r\n"},
+    }));
+    CAPTURE(head, line);
+    http_limits limits;
+    limits.max_header_bytes = 4'000;
+    const unsigned short port = test::free_port();
+    http_server server(limits, echo);
+    REQUIRE(server.start("127.0.0.1", port).ok());
+    raw_connection caller(port);
+    REQUIRE(caller.send(head));
+    // Pieces below the limit that arrive one by one, and few enough to wait in
+    // the sockets until the response is read.
+    std::string piece;
+    while (piece.size() < 1'500)
+    {
+        piece += line;
+    }
+    for (int n = 0; n < 12; ++n)
+    {
+        (void)caller.send(piece);
+        std::this_thread::sleep_for(std::chrono::milliseconds(5));
+    }
+    const std::optional<raw_response> response =
+        caller.read(std::chrono::seconds(3));
+    REQUIRE(response.has_value());
+    CHECK(response->status == 431);
+}
+
+// Guards against a header below the limit that is refused because the body or
+// the next request has arrived with it.
+TEST_CASE("a header below its limit is accepted with what follows it",
+          "[net][pipelining]")
+{
+    http_limits limits;
+    limits.max_header_bytes = 1'000;
+    const unsigned short port = test::free_port();
+    http_server server(limits, echo);
+    REQUIRE(server.start("127.0.0.1", port).ok());
+    raw_connection caller(port);
+    const std::string body(5'000, 'x');
+    constexpr int count = 3;
+    std::string text;
+    for (int n = 0; n < count; ++n)
+    {
+        text += "POST / HTTP/1.1\r\nX-Long: " + std::string(900, 'l') +
+                "\r\nContent-Length: 5000\r\n\r\n" + body;
+    }
+    REQUIRE(caller.send(text));
+    for (int n = 0; n < count; ++n)
+    {
+        CAPTURE(n);
+        const std::optional<raw_response> response = caller.read();
+        REQUIRE(response.has_value());
+        CHECK(response->status == 200);
+        CHECK(response->body == "POST / " + body);
+    }
+}
+
 // Guards against a path or a query that reaches the handler in another form
 // than before.
 TEST_CASE("the handler receives path, query and headers decoded alike",
