Answer all requests that have arrived when the server stops

A server that stops received at most 16 KiB more on each connection.

All bytes that have arrived by then are now received, up to 256 KiB. A caller that goes on sending still cannot delay the stop, since nothing is received later.

--- a/src/net/http_connection.cpp
+++ b/src/net/http_connection.cpp
@@ -26,6 +26,9 @@
 using request_parser = beast::http::request_parser<beast::http::string_body>;
 
 constexpr std::size_t chunk_bytes = 16 * 1024;
+// Bytes of a connection that are still received when the server stops: many
+// requests, as callers send them early, and few enough to be handled at once.
+constexpr std::size_t max_bytes_at_stop = 256 * 1024;
 // Time for the caller to read the last response and to close the connection.
 constexpr std::chrono::milliseconds linger_time{100};
 
@@ -211,9 +214,12 @@
         {
             // A caller that goes on sending must not delay the stop, so this is
             // the last time that bytes are received.
-            const bool has_received = receive_available();
+            const std::size_t size = buf_.size();
+            while (buf_.size() < max_bytes_at_stop && receive_available())
+            {
+            }
             is_ended_ = true;
-            return has_received;
+            return buf_.size() > size;
         }
         if (receive_available())
         {
--- a/tests/net/http_pipelining_test.cpp
+++ b/tests/net/http_pipelining_test.cpp
@@ -6,8 +6,11 @@
 #include <catch2/catch.hpp>
 
 #include <future>
+#include <linux/sockios.h>
 #include <random>
+#include <stdexcept>
 #include <string>
+#include <sys/ioctl.h>
 #include <thread>
 #include <vector>
 
@@ -173,6 +176,72 @@
     CHECK(response->is_last());
 }
 
+// Guards against requests that had arrived when the server was stopped and are
+// discarded since they wait behind a slow one.
+TEST_CASE("a server that stops answers all requests that wait in a connection",
+          "[net][pipelining]")
+{
+    const unsigned short port = test::free_port();
+    std::promise<void> is_begun;
+    std::promise<void> may_answer;
+    http_server server({},
+                       [&](const http_request& request)
+                       {
+                           if (request.path == "/0")
+                           {
+                               is_begun.set_value();
+                               may_answer.get_future().wait();
+                           }
+                           http_response response;
+                           response.body = request.path;
+                           return response;
+                       });
+    REQUIRE(server.start("127.0.0.1", port).ok());
+    raw_connection caller(port);
+    REQUIRE(caller.send(make_raw_request("GET", "/0")));
+    is_begun.get_future().wait();
+    constexpr int count = 20;
+    std::string text;
+    for (int n = 1; n < count; ++n)
+    {
+        text += make_raw_request("POST", "/" + std::to_string(n),
+                                 std::string(4'000, 'x'));
+    }
+    REQUIRE(caller.send(text));
+    // The kernel has the bytes at the server once it has acknowledged them.
+    int unsent = 1;
+    while (unsent > 0 && ::ioctl(caller.fd(), SIOCOUTQ, &unsent) == 0)
+    {
+        std::this_thread::yield();
+    }
+    REQUIRE(unsent == 0);
+    std::thread stopper([&] { server.stop(); });
+    // The server stops its connections right after it has closed the listener.
+    // If the answer is given before, the other requests are read as usual.
+    bool is_listening = true;
+    while (is_listening)
+    {
+        try
+        {
+            const raw_connection other(port);
+        }
+        catch (const std::runtime_error&)
+        {
+            is_listening = false;
+        }
+    }
+    std::this_thread::sleep_for(std::chrono::milliseconds(20));
+    may_answer.set_value();
+    int answered = 0;
+    for (int n = 0; n < count; ++n)
+    {
+        const std::optional<raw_response> response = caller.read();
+        answered += response && response->body == "/" + std::to_string(n);
+    }
+    stopper.join();
+    CHECK(answered == count);
+}
+
 // Guards against a malformed request without an answer, and against one whose
 // answer is lost since the server closes a connection with unread bytes.
 TEST_CASE("a malformed request and a large one get an answer",
