Judge standing jobs in the soak also under load

The check of jobs that stand still began 14 s after the load, when hardly a job is open. It now holds from 14 s after the start of the load and after the last fault, which contains the bound that users state.

--- a/bench/soak/standing_jobs.cpp
+++ b/bench/soak/standing_jobs.cpp
@@ -11,10 +11,10 @@
 namespace
 {
 
-// Bounds of the platform: the time from the end of the load until jobs are
-// judged (`finish_s`), the longest time that a job may stand still, the time
-// for a long-running task to be at work again, and the time without faults
-// before it is judged.
+// Bounds of the platform: the time from the end of the load and of all faults
+// until jobs are judged (`finish_s`), the longest time that a job may stand
+// still, the time for a long-running task to be at work again, and the time
+// without faults before it is judged.
 constexpr std::int64_t finish_ms = 14'000;
 constexpr std::int64_t standstill_ms = 3'000;
 constexpr std::int64_t restart_ms = 6'000;
@@ -139,9 +139,10 @@
     }
 }
 
-// Returns whether a fault is in effect at a time or ended less than `calm_ms`
+// Returns whether a fault is in effect at a time or ended less than `after_ms`
 // before. New configurations and reloads are no faults.
-bool is_disturbed(const soak_record& record, std::int64_t at_ms)
+bool is_disturbed(const soak_record& record, std::int64_t at_ms,
+                  std::int64_t after_ms)
 {
     const bool is_faulty =
         std::any_of(record.faults.begin(), record.faults.end(),
@@ -150,12 +151,12 @@
                         return fault.kind != fault_kind::config &&
                                fault.kind != fault_kind::reload &&
                                fault.started_ms <= at_ms &&
-                               fault.ended_ms + calm_ms >= at_ms;
+                               fault.ended_ms + after_ms >= at_ms;
                     });
     const auto is_stopping = [&](const planned_stop& stop)
     {
         return stop.started_ms <= at_ms &&
-               (stop.exited_ms == 0 || stop.exited_ms + calm_ms >= at_ms);
+               (stop.exited_ms == 0 || stop.exited_ms + after_ms >= at_ms);
     };
     return is_faulty ||
            std::any_of(record.stops.begin(), record.stops.end(),
@@ -181,6 +182,21 @@
     return since;
 }
 
+std::int64_t first_call_ms(const soak_record& record)
+{
+    std::int64_t first = record.finished_ms;
+    for (const auto& [id, job] : record.jobs)
+    {
+        if (!job->calls.empty())
+        {
+            first = std::min(first, job->calls.front().sent_ms);
+        }
+    }
+    return first;
+}
+
+// The platform judges jobs from `finish_ms` after the load. Here they are also
+// judged in the load, once no fault has been in effect for as long.
 void check_standing_job(const soak_record& record, const soak_job& job,
                         capacity_cache& cache,
                         std::vector<check_failure>& failures)
@@ -189,7 +205,8 @@
     const auto stands_still = [&](std::int64_t at)
     {
         const target_capacity& capacity = cached_capacity(record, cache, at);
-        if (capacity.used_milli * 2 >= capacity.total_milli)
+        if (is_disturbed(record, at, finish_ms) ||
+            capacity.used_milli * 2 >= capacity.total_milli)
         {
             return false;
         }
@@ -197,7 +214,7 @@
         return !task.empty();
     };
     find_standstill(
-        std::max(job.accepted_ms, record.faults_ended_ms + finish_ms),
+        std::max(job.accepted_ms, first_call_ms(record) + finish_ms),
         std::min(record.finished_ms, cancel_sent_ms(job)), stands_still,
         [&](std::int64_t since, std::int64_t until)
         {
@@ -217,7 +234,7 @@
     const auto is_absent = [&](std::int64_t at)
     {
         return at - away_since(runs, job.accepted_ms, at) >= restart_ms &&
-               !is_disturbed(record, at) &&
+               !is_disturbed(record, at, calm_ms) &&
                cached_capacity(record, cache, at).count_places(cpu_milli) >= 2;
     };
     find_standstill(
--- a/tests/soak/standing_jobs_test.cpp
+++ b/tests/soak/standing_jobs_test.cpp
@@ -66,20 +66,31 @@
     {
         CHECK(standing(record.value) == stands_still);
     }
-    SECTION("for over 3 s, from 14 s after the load")
+    SECTION("for over 3 s, from 14 s after the last fault")
     {
-        record.add_run(first_task, "t00", 2'000, 40'000, "failed");
+        record.add_run(first_task, "t00", 2'000, 29'000, "failed");
         record.add_run(first_task, "t00", 47'500, 59'900, "done");
         CHECK(standing(record.value) == stands_still);
+        record.add_fault("target-t09", 20'000, 30'200);
+        CHECK(standing(record.value) == stands_still);
+        record.value.faults.back().ended_ms = soak_begun_ms + 30'600;
+        CHECK(standing(record.value).empty());
+    }
+    SECTION("also in the load, when there is no fault")
+    {
+        record.add_run(first_task, "t00", 2'000, 16'000, "failed");
+        record.add_run(first_task, "t00", 19'500, 59'900, "done");
+        CHECK(standing(record.value) == stands_still);
     }
     SECTION("but not for less")
     {
-        record.add_run(first_task, "t00", 2'000, 40'000, "failed");
-        record.add_run(first_task, "t00", 46'500, 59'900, "done");
+        record.add_run(first_task, "t00", 2'000, 43'500, "failed");
+        record.add_run(first_task, "t00", 46'400, 59'900, "done");
         CHECK(standing(record.value).empty());
     }
     SECTION("but not when it has been cancelled")
     {
+        record.add_run(first_task, "t00", 2'000, 39'000, "failed");
         job.calls.push_back(
             {"DELETE", "h0", 200, "cancelled", soak_begun_ms + 40'000, 0});
         CHECK(standing(record.value).empty());
