--- a/cmake/packages.cmake
+++ b/cmake/packages.cmake
@@ -195,7 +195,8 @@
 endforeach()
 
 # Randomized faults against the job scheduler, see docs/OPERATIONS.md. Together
-# the tests take about two minutes on an idle machine.
+# the tests take about two minutes on an idle machine, and soak_power_loss
+# another 35 s.
 if(TARGET soak)
   add_dependencies(soak standin_platform fault_proxy egretspindle)
   add_test(NAME soak_jobs COMMAND ${CMAKE_SOURCE_DIR}/tests/soak/play_seeds
