Accept no job whose terms are not known

A job could still be accepted without the terms of its queue, and would then stand still for good: `handle_caller_request` finds the queue in one configuration, and after the body is decoded `job_scheduler::submit` looks up the terms in the present one. If that has removed the queue, the submission brings no terms, and an owner of the shard with the same configuration took it for one of a former version.

The owner now refuses a new job without terms if its own configuration does not have the queue either. Submissions of hosts of a former version are refused in this case too: their jobs waited without a bound before.

The new test fails before the change ("accepted", with a record).

--- a/src/scheduler/job_coordinator_runs.cpp
+++ b/src/scheduler/job_coordinator_runs.cpp
@@ -154,12 +154,14 @@
 }
 
 // Returns whether the configuration of this host has removed the queue of a
-// submission since the version that it was received under.
+// submission since the version that it was received under. Without any terms,
+// the receiver has applied such a configuration too, or does not send terms:
+// the job could not be started.
 bool job_coordinator::impl::is_queue_removed(const job_request& request) const
 {
     const std::shared_ptr<const fleet_config> config = hooks.config();
-    return !request.terms.service.empty() &&
-           config->version > request.terms.config_version &&
+    return (request.terms.service.empty() ||
+            config->version > request.terms.config_version) &&
            find_queue_named(*config, request.queue) == nullptr;
 }
 
--- a/tests/scheduler/removed_queue_test.cpp
+++ b/tests/scheduler/removed_queue_test.cpp
@@ -299,11 +299,17 @@
           "[scheduler]")
 {
     fake_store store;
-    {
-        lone_owner first(store, make_config(1, {}));
-        REQUIRE(first.coordinator().submit(make_request()).verdict ==
-                "accepted");
-    }
+    const job_request request = make_request();
+    table_row row;
+    row.table = std::string(jobs_table);
+    row.part = shard_of(job_id);
+    row.key = job_id;
+    row.value =
+        encode_job(make_job(job_id, request.queue, request.spec, unix_ms()),
+                   encode_spec(request.spec));
+    row_transaction transaction;
+    transaction.writes = {row};
+    REQUIRE(store.commit(transaction, milliseconds(1'000)).ok());
     REQUIRE(read_record(store).terms.service.empty());
     lone_owner second(store, make_config(2, {make_queue("svc")}));
     REQUIRE(second.wait_for_start(first_task, 1).service == "svc");
@@ -338,3 +344,15 @@
     CHECK(store.row(std::string(jobs_table), shard_of(job_id), job_id)
               .value.empty());
 }
+
+// Guards against accepted jobs that never start: the receiver may apply a
+// configuration without the queue after it has found the queue in the former
+// one, and hosts of a former version send no terms.
+TEST_CASE("a new job without known terms is not accepted", "[scheduler]")
+{
+    fake_store store;
+    lone_owner owner(store, make_config(3, {}));
+    CHECK(owner.coordinator().submit(make_request()).verdict == "uncertain");
+    CHECK(store.row(std::string(jobs_table), shard_of(job_id), job_id)
+              .value.empty());
+}
