Bound the queue of load reports

By review: while sendto blocks, each round of reports adds to the queue, and old reports are sent before new ones, which receivers take for recent. At most one former round stays queued now. The test found 160 waiting datagrams of 20 rounds before, 16 now.

--- a/include/egretspindle/scheduler/datagram_queue.hpp
+++ b/include/egretspindle/scheduler/datagram_queue.hpp
@@ -45,7 +45,8 @@
 
 /// Adds each message for each peer, each time beginning with another datagram:
 /// if a link drops the last ones, no peer misses the reports of a rack many
-/// times in a row.
+/// times in a row. Of earlier datagrams, the oldest are dropped if more wait
+/// than are added, so that a socket that blocks does not let the queue grow.
 void add_datagrams(datagram_queue& queue, const std::vector<std::string>& texts,
                    const std::vector<std::string>& peers);
 
--- a/src/scheduler/datagram_queue.cpp
+++ b/src/scheduler/datagram_queue.cpp
@@ -36,6 +36,12 @@
     const auto first = static_cast<std::ptrdiff_t>(
         queue.turn * static_cast<double>(items.size()));
     std::rotate(items.begin(), items.begin() + first, items.end());
+    if (queue.waiting.size() > items.size())
+    {
+        queue.waiting.erase(queue.waiting.begin(),
+                            queue.waiting.end() -
+                                static_cast<std::ptrdiff_t>(items.size()));
+    }
     queue.waiting.insert(queue.waiting.end(),
                          std::make_move_iterator(items.begin()),
                          std::make_move_iterator(items.end()));
--- a/tests/scheduler/datagram_queue_test.cpp
+++ b/tests/scheduler/datagram_queue_test.cpp
@@ -179,3 +179,20 @@
     add_datagrams(queue, make_messages(2), {});
     CHECK(take_burst(queue, start_time).empty());
 }
+
+// Guards against a queue that grows while the socket blocks, and whose old
+// reports delay the new ones.
+TEST_CASE("a queue that is not sent keeps the latest datagrams", "[scheduler]")
+{
+    datagram_queue queue;
+    const std::vector<std::string> peers = make_peers(8);
+    constexpr int calls = 20;
+    for (int n = 0; n < calls; ++n)
+    {
+        add_datagrams(queue, {std::to_string(n)}, peers);
+    }
+    REQUIRE(queue.waiting.size() == 2 * peers.size());
+    CHECK(std::all_of(queue.waiting.begin(), queue.waiting.end(),
+                      [](const queued_datagram& item)
+                      { return std::stoi(*item.text) >= calls - 2; }));
+}
