Move the admission of calls during a stop to the package of the stop

It decides which calls are admitted, so it does not belong to the adapter of the platform. The disruptions of the soak get the usual word. Only moves and renames; test_cluster, test_platform and test_soak pass.

--- a/bench/soak/checks.cpp
+++ b/bench/soak/checks.cpp
@@ -248,9 +248,9 @@
             continue;
         }
         const std::int64_t at = it->second->cancelled_ms;
-        const bool is_undisturbed =
+        const bool is_undisrupted =
             !has_fault_in_effect(record, at, at + cancel_bound_ms);
-        const std::int64_t limit = is_undisturbed
+        const std::int64_t limit = is_undisrupted
                                        ? at + cancel_bound_ms
                                        : std::max(at, record.faults_ended_ms) +
                                              cancel_bound_after_faults_ms;
--- a/bench/soak/disturbances.cpp
+++ b/bench/soak/disruptions.cpp
@@ -1,4 +1,4 @@
-#include "disturbances.hpp"
+#include "disruptions.hpp"
 
 #include <algorithm>
 #include <string_view>
@@ -29,7 +29,7 @@
 
 } // namespace
 
-bool is_disturbed(const soak_record& record, const std::string& host,
+bool is_disrupted(const soak_record& record, const std::string& host,
                   std::int64_t from_ms, std::int64_t until_ms)
 {
     return std::any_of(record.faults.begin(), record.faults.end(),
--- a/bench/soak/request_checks.cpp
+++ b/bench/soak/request_checks.cpp
@@ -1,6 +1,6 @@
 #include "request_checks.hpp"
 
-#include "disturbances.hpp"
+#include "disruptions.hpp"
 
 #include <algorithm>
 #include <map>
@@ -192,7 +192,7 @@
     const std::int64_t soak_ms = duration_of(record);
     for (const unanswered_call& call : record.unanswered_calls)
     {
-        if (is_disturbed(record, call.host, call.sent_ms, call.ended_ms))
+        if (is_disrupted(record, call.host, call.sent_ms, call.ended_ms))
         {
             continue;
         }
--- a/bench/soak/standing_jobs.cpp
+++ b/bench/soak/standing_jobs.cpp
@@ -141,7 +141,7 @@
 
 // Returns whether a fault is in effect at a time or ended less than `after_ms`
 // before. New configurations and reloads are no faults.
-bool is_disturbed(const soak_record& record, std::int64_t at_ms,
+bool is_disrupted(const soak_record& record, std::int64_t at_ms,
                   std::int64_t after_ms)
 {
     const bool is_faulty =
@@ -205,7 +205,7 @@
     const auto stands_still = [&](std::int64_t at)
     {
         const target_capacity& capacity = cached_capacity(record, cache, at);
-        if (is_disturbed(record, at, finish_ms) ||
+        if (is_disrupted(record, at, finish_ms) ||
             capacity.used_milli * 2 >= capacity.total_milli)
         {
             return false;
@@ -234,7 +234,7 @@
     const auto is_absent = [&](std::int64_t at)
     {
         return at - away_since(runs, job.accepted_ms, at) >= restart_ms &&
-               !is_disturbed(record, at, calm_ms) &&
+               !is_disrupted(record, at, calm_ms) &&
                cached_capacity(record, cache, at).count_places(cpu_milli) >= 2;
     };
     find_standstill(
--- a/bench/soak/state_checks.cpp
+++ b/bench/soak/state_checks.cpp
@@ -1,6 +1,6 @@
 #include "state_checks.hpp"
 
-#include "disturbances.hpp"
+#include "disruptions.hpp"
 
 #include <algorithm>
 
@@ -62,7 +62,7 @@
         }
         if (final_call != nullptr && call.sent_ms >= final_call->answered_ms &&
             !call.state.empty() && call.state != final_call->state &&
-            !is_disturbed(record, call.host, call.sent_ms, call.answered_ms))
+            !is_disrupted(record, call.host, call.sent_ms, call.answered_ms))
         {
             add_failure(failures, "final states stay",
                         "job {}: '{}' at {} by {}, '{}' at {} by {}", job.id,
--- a/cmake/packages.cmake
+++ b/cmake/packages.cmake
@@ -201,7 +201,7 @@
   add_executable(
     test_soak
     ${soak_tests}
-    ${CMAKE_SOURCE_DIR}/bench/soak/disturbances.cpp
+    ${CMAKE_SOURCE_DIR}/bench/soak/disruptions.cpp
     ${CMAKE_SOURCE_DIR}/bench/soak/history.cpp
     ${CMAKE_SOURCE_DIR}/bench/soak/http_channel.cpp
     ${CMAKE_SOURCE_DIR}/bench/soak/request_checks.cpp
--- a/platform/call_gate.hpp
+++ b/include/egretspindle/cluster/call_gate.hpp
@@ -1,8 +1,8 @@
 /// \file
 /// Admission of calls while a host stops.
 
-#ifndef EGRETSPINDLE_PLATFORM_CALL_GATE_HPP
-#define EGRETSPINDLE_PLATFORM_CALL_GATE_HPP
+#ifndef EGRETSPINDLE_CLUSTER_CALL_GATE_HPP
+#define EGRETSPINDLE_CLUSTER_CALL_GATE_HPP
 
 #include "egretspindle/cluster/planned_stop.hpp"
 #include "egretspindle/core/boot_clock.hpp"
@@ -11,7 +11,7 @@
 #include <mutex>
 #include <optional>
 
-namespace egretspindle::platform
+namespace egretspindle
 {
 
 /// Limits the time of calls such that all have ended when the host ends, and
@@ -45,6 +45,6 @@
     std::uint64_t refused_ = 0;
 };
 
-} // namespace egretspindle::platform
+} // namespace egretspindle
 
 #endif
--- a/platform/call_gate.cpp
+++ b/src/cluster/call_gate.cpp
@@ -1,8 +1,8 @@
-#include "call_gate.hpp"
+#include "egretspindle/cluster/call_gate.hpp"
 
 #include <chrono>
 
-namespace egretspindle::platform
+namespace egretspindle
 {
 
 call_gate::call_gate(const stop_limits& limits) : limits_(limits) {}
@@ -49,4 +49,4 @@
     return refused_;
 }
 
-} // namespace egretspindle::platform
+} // namespace egretspindle
--- a/tests/platform/call_gate_test.cpp
+++ b/tests/cluster/call_gate_test.cpp
@@ -1,13 +1,12 @@
-#include "call_gate.hpp"
+#include "egretspindle/cluster/call_gate.hpp"
 
 #include <catch2/catch.hpp>
 
 using namespace egretspindle;
-using namespace egretspindle::platform;
 
 // Guards against calls that are still open when the host that has taken them
 // ends.
-TEST_CASE("admitted calls end within the time to hand over", "[platform]")
+TEST_CASE("admitted calls end within the time to hand over", "[cluster]")
 {
     const milliseconds grace = GENERATE(
         milliseconds(2'000), milliseconds(6'000), milliseconds(30'000));
@@ -46,7 +45,7 @@
 }
 
 // Guards against calls that are taken after the host has decided to end.
-TEST_CASE("a closed gate refuses all calls of a host that stops", "[platform]")
+TEST_CASE("a closed gate refuses all calls of a host that stops", "[cluster]")
 {
     const boot_time_point begun{std::chrono::seconds(100)};
     call_gate gate(stop_limits{});
