Split the client of the soak, and read states in one place

The calls of a client move to a file of their own, and its parser of states, which job_query.cpp repeated, goes. A list in a comment is whole again.

--- a/bench/soak/client.cpp
+++ b/bench/soak/client.cpp
@@ -16,9 +16,6 @@
 using standin::steady_ms;
 using std::chrono::milliseconds;
 
-constexpr std::string_view path_prefix = "/jobs/";
-constexpr int submit_timeout_ms = 3'000;
-constexpr int query_timeout_ms = 2'000;
 // Pause between two calls: up to 14 calls a second for each client.
 constexpr int min_pause_ms = 20;
 constexpr int max_pause_ms = 120;
@@ -33,43 +30,12 @@
 constexpr int percent = 100;
 // Percentage of the calls before which a client switches to another host.
 constexpr int switch_host_percent = 2;
-// Percentages of the submissions that send their body late or in pieces, and of
-// the queries that are sent with others before the first response.
-constexpr int late_body_percent = 25;
+// Percentage of the queries that are sent with others before the first
+// response.
 constexpr int pipelined_percent = 6;
-constexpr int max_pipelined = 4;
-constexpr int max_body_pieces = 4;
-constexpr int max_body_pause_ms = 150;
 // Time between two jobs of a pressing client.
 constexpr int min_job_interval_ms = 50;
 constexpr int max_job_interval_ms = 300;
-// Older jobs have mostly ended, so that one of the last is chosen.
-constexpr int recent_jobs = 30;
-
-std::string state_of(const std::string& body)
-{
-    const std::string key = R"("state":")";
-    const std::size_t at = body.find(key);
-    if (at == std::string::npos)
-    {
-        return "";
-    }
-    const std::size_t first = at + key.size();
-    return body.substr(first, body.find('"', first) - first);
-}
-
-channel_request make_request(const soak_job& job, const std::string& method)
-{
-    return {method, std::string(path_prefix) + job.id,
-            method == "POST" ? submission_of(job) : ""};
-}
-
-milliseconds timeout_of(const std::string& method)
-{
-    return milliseconds(method == "POST" ? submit_timeout_ms
-                                         : query_timeout_ms);
-}
-
 } // namespace
 
 client::client(int number, unsigned seed, job_chooser choose_job,
@@ -103,22 +69,6 @@
     return std::uniform_int_distribution<int>(min_value, max_value)(random_);
 }
 
-int client::choose_transport(int min_value, int max_value)
-{
-    return std::uniform_int_distribution<int>(min_value,
-                                              max_value)(transport_random_);
-}
-
-body_pacing client::choose_pacing()
-{
-    if (choose_transport(0, percent - 1) >= late_body_percent)
-    {
-        return {};
-    }
-    return {choose_transport(1, max_body_pieces),
-            milliseconds(choose_transport(1, max_body_pause_ms))};
-}
-
 void client::choose_endpoint()
 {
     const host_endpoint& item = host_endpoints_[static_cast<std::size_t>(
@@ -127,88 +77,6 @@
     channel_ = std::make_unique<http_channel>(item.address);
 }
 
-const job_call& client::call(soak_job& job, const std::string& method)
-{
-    const channel_request request = make_request(job, method);
-    const milliseconds timeout = timeout_of(method);
-    const bool is_submission = method == "POST";
-    const channel_reply reply = channel_->send(
-        request, timeout, is_submission ? choose_pacing() : body_pacing{});
-    const job_call& item = record_call(job, request, reply, timeout, 0);
-    if (reply.status == 0)
-    {
-        choose_endpoint();
-    }
-    return item;
-}
-
-const job_call& client::record_call(soak_job& job,
-                                    const channel_request& request,
-                                    const channel_reply& reply,
-                                    milliseconds timeout, int answered_before)
-{
-    job_call item{request.method,       host_,         reply.status,
-                  state_of(reply.body), reply.sent_ms, reply.answered_ms};
-    log_.append(fmt::format(
-        "{} client={} host={} {} job={} status={} state={} took_ms={}{}{}{}",
-        item.answered_ms, number_, host_, item.method, job.id, item.status,
-        item.state, item.answered_ms - item.sent_ms,
-        reply.is_closed ? (reply.was_reused ? " closed keep-alive" : " closed")
-                        : "",
-        answered_before > 0 ? " pipelined" : "",
-        reply.is_sent ? "" : " not sent"));
-    if (reply.status == 0 && reply.is_sent)
-    {
-        unanswered_calls_.push_back({host_, item.method, job.id, reply.sent_ms,
-                                     reply.answered_ms, timeout.count(),
-                                     reply.is_closed, reply.was_reused,
-                                     answered_before});
-    }
-    job.calls.push_back(std::move(item));
-    last_status_ = reply.status;
-    return job.calls.back();
-}
-
-// Asks for several jobs at once, after a repeated submission at times.
-void client::call_pipelined(soak_job& first)
-{
-    std::vector<soak_job*> asked{&first};
-    std::vector<channel_request> requests{
-        make_request(first, choose_transport(0, 3) == 0 ? "POST" : "GET")};
-    const int count = choose_transport(2, max_pipelined);
-    const int last = static_cast<int>(jobs_.size()) - 1;
-    while (static_cast<int>(asked.size()) < count)
-    {
-        soak_job& job = jobs_[static_cast<std::size_t>(
-            choose_transport(std::max(0, last - recent_jobs), last))];
-        // The first one is accepted, and so is each job that is asked for.
-        asked.push_back(job.accepted_ms > 0 ? &job : &first);
-        requests.push_back(make_request(*asked.back(), "GET"));
-    }
-    const milliseconds timeout = timeout_of("GET");
-    const std::vector<channel_reply> replies =
-        channel_->send_pipelined(requests, timeout);
-    int answered_before = 0;
-    for (std::size_t n = 0; n < replies.size(); ++n)
-    {
-        if (replies[n].is_not_taken)
-        {
-            break;
-        }
-        const job_call& item = record_call(*asked[n], requests[n], replies[n],
-                                           timeout, answered_before);
-        answered_before += item.status != 0 ? 1 : 0;
-        if (item.method == "GET" && !item.state.empty())
-        {
-            asked[n]->last_state = item.state;
-        }
-    }
-    if (last_status_ == 0)
-    {
-        choose_endpoint();
-    }
-}
-
 void client::submit(soak_job& job)
 {
     apply_submission(job, call(job, "POST"));
@@ -298,7 +166,7 @@
 {
     const int count = static_cast<int>(jobs_.size());
     return jobs_[static_cast<std::size_t>(
-        choose(std::max(0, count - recent_jobs), count - 1))];
+        choose(std::max(0, count - recent_job_count), count - 1))];
 }
 
 void client::run_load_step()
--- a/bench/soak/client.hpp
+++ b/bench/soak/client.hpp
@@ -87,6 +87,9 @@
     }
 
 private:
+    // Older jobs have mostly ended, so that one of the last is chosen.
+    static constexpr int recent_job_count = 30;
+
     void run();
     void run_load_step();
     void run_pressing_step();
--- a/bench/soak/job_query.cpp
+++ b/bench/soak/job_query.cpp
@@ -10,7 +10,8 @@
 
 constexpr std::chrono::milliseconds call_timeout{3'000};
 
-// Returns the state in a body, or an empty text.
+} // namespace
+
 std::string state_in(const std::string& body)
 {
     const std::string key = R"("state":")";
@@ -21,8 +22,6 @@
                              body.find('"', at + key.size()) - at - key.size());
 }
 
-} // namespace
-
 job_call call_host(const host_endpoint& host, const soak_job& job,
                    const std::string& method)
 {
--- a/bench/soak/job_query.hpp
+++ b/bench/soak/job_query.hpp
@@ -12,6 +12,9 @@
 namespace egretspindle::bench
 {
 
+/// Returns the state of a job in the body of a response, or an empty text.
+[[nodiscard]] std::string state_in(const std::string& body);
+
 /// Sends a request about a job on a connection of its own.
 ///
 /// \param method  `POST`, `GET` or `DELETE`
--- a/include/egretspindle/rack/gang_queue.hpp
+++ b/include/egretspindle/rack/gang_queue.hpp
@@ -19,9 +19,8 @@
 ///   3 s (`gangWaitMs` of the platform);
 /// - a gang of which only some members are queued, after 2 s. The others were
 ///   started, handed back or stopped, and a gang is only placed as a whole;
-/// - a gang that the owner of its job has asked for
-/// (`queued_start::is_overdue`)
-///   after 2 s, while its service is lightly used.
+/// - a gang that the owner of its job has asked for, see
+///   `queued_start::is_overdue`, after 2 s, while its service is lightly used.
 ///
 /// Starts that may have been carried out (`queued_start::is_repeated`) are left
 /// in the queue, with their gang.
