Date load reports by their measurement, not by their arrival

Reports wait up to 0.5 s in the queue of their sender since they are paced, and receivers dated them by their arrival. Two decisions rest on that date:

- A host subtracts its own placements from the reported room until a report includes them, which it assumed of any report that arrived 300 ms later.
A report that had waited was measured before the placement, so that the same room was used twice.
- Leases are extended without the store while all other hosts report that they do not reach it either.
Such a report counts for 2 s, but counted for up to 2.5 s after it was true.

A message now carries the time from its measurement until its datagram is sent (field `a`, optional: earlier versions neither send nor need it), and receivers subtract it. An older report no longer replaces a newer one of the same rack: the last report of a former owner may be sent after the first one of the next owner.

"a load message that was queued carries its age" fails if the age is not set; "reports that were measured before a placement do not include it" and "a report does not replace one that was measured later" guard its use.

--- a/include/egretspindle/cluster/store_contact.hpp
+++ b/include/egretspindle/cluster/store_contact.hpp
@@ -16,7 +16,9 @@
 /// Latest report of another host on whether it reaches the store.
 struct contact_report
 {
-    boot_time_point received_at;    ///< on the clock of this host
+    /// When the other host found it out, by the clock of this host and without
+    /// the delay of the network.
+    boot_time_point measured_at;
     bool has_store_contact = false; ///< see `contact_timeout`
 };
 
@@ -27,7 +29,7 @@
 /// contact. The store is read every second.
 constexpr milliseconds contact_timeout{1'500};
 
-/// A report is valid for this long after its receipt. Hosts report at least
+/// A report is valid up to this age. Hosts report at least
 /// once a second, and datagrams may be lost.
 constexpr milliseconds contact_report_lifetime{2'000};
 
--- a/include/egretspindle/rack/fleet_load.hpp
+++ b/include/egretspindle/rack/fleet_load.hpp
@@ -38,8 +38,10 @@
 /// Latest load report of a rack, as received by the owners of jobs.
 struct rack_view
 {
-    rack_load_report room;  ///< the whole report, with the queue of the rack
-    time_point reported_at; ///< when this host received it
+    rack_load_report room; ///< the whole report, with the queue of the rack
+    /// When the owner of the rack measured it, by the clock of this host and
+    /// without the delay of the network.
+    time_point measured_at;
 };
 
 /// Fleet as known to the owners of jobs.
@@ -67,10 +69,12 @@
 bool update_host_boot(fleet_load& fleet, const std::string& host,
                       std::int64_t boot);
 
-/// Stores the reports of a message. `reports` then holds the replaced reports,
-/// so that the caller can free them after releasing its lock.
+/// Stores the reports of a message, unless there are newer ones of their racks.
+/// `reports` then holds those that are not used, so that the caller can free
+/// them after releasing its lock.
 void apply_load_reports(fleet_load& fleet,
-                        std::vector<rack_load_report>& reports, time_point now);
+                        std::vector<rack_load_report>& reports,
+                        time_point measured_at);
 
 /// Computes which share of its suitable targets to reserve for each image
 /// whose starts wait for idle processors. A target is suitable when the image
--- a/include/egretspindle/rack/load_message.hpp
+++ b/include/egretspindle/rack/load_message.hpp
@@ -70,6 +70,9 @@
 {
     std::string host;
     std::int64_t boot = 0; ///< boot id of the host
+    /// Time from the measurement until the datagram was sent, in milliseconds;
+    /// see `age_of`.
+    std::int64_t age_ms = 0;
     /// The host's last read of the store was at least `contact_timeout`
     /// (1.5 s) ago.
     bool is_without_store = false;
@@ -82,13 +85,18 @@
 };
 
 /// Visits the fields of `load_message` for the codec. `racks` and `pairs` are
-/// not written when empty, `is_without_store` not when false.
+/// not written when empty, `is_without_store` not when false and `age_ms` not
+/// when zero: earlier versions do not send it.
 template <typename Visitor, typename Value>
 void visit_fields(Visitor&& visit, Value& value, const load_message* /*tag*/)
 {
     constexpr bool is_reading = !std::is_const_v<Value>;
     visit("h", value.host);
     visit("b", value.boot);
+    if (is_reading || value.age_ms != 0)
+    {
+        visit("a", value.age_ms);
+    }
     visit("i", value.images);
     if (is_reading || value.is_without_store)
     {
@@ -107,6 +115,9 @@
 /// Maximum number of pairs in a message, so that it fits into one datagram.
 constexpr std::size_t max_pairs_per_message = 40;
 
+/// Above this age no content of a message is used.
+constexpr milliseconds max_message_age{60'000};
+
 /// Packs load reports into messages of at most `max_datagram_bytes` bytes. The
 /// report of one rack is not split: if it alone exceeds the limit, it gets a
 /// message of its own, which is larger.
@@ -120,6 +131,10 @@
 pair_message(const std::string& host, std::int64_t boot,
              const std::vector<pair_interference>& pairs);
 
+/// Returns how long before it was sent the content of a message was measured:
+/// at least 0, at most `max_message_age`.
+[[nodiscard]] milliseconds age_of(const load_message& message) noexcept;
+
 /// Returns the load reports of a message. Those with an index out of range or
 /// without numbers for each target are left out.
 [[nodiscard]] std::vector<rack_load_report>
--- a/include/egretspindle/rack/load_period.hpp
+++ b/include/egretspindle/rack/load_period.hpp
@@ -62,8 +62,8 @@
 [[nodiscard]] bool advance_if_due(send_schedule& schedule, milliseconds period,
                                   time_point now) noexcept;
 
-/// Returns the age, since its receipt, above which a load report is no longer
-/// used: 5 report periods (`max_missed_reports`), at least 3 s.
+/// Returns the age, since its measurement, above which a load report is no
+/// longer used: 5 report periods (`max_missed_reports`), at least 3 s.
 ///
 /// \param period  see `report_period`
 [[nodiscard]] milliseconds report_age(milliseconds period) noexcept;
--- a/include/egretspindle/scheduler/cluster_agent.hpp
+++ b/include/egretspindle/scheduler/cluster_agent.hpp
@@ -165,7 +165,9 @@
     ///
     /// \param has_store_contact  the host has read the store within
     ///                           `contact_timeout`
-    void record_store_contact(const std::string& host, bool has_store_contact);
+    /// \param age  time since the other host found it out
+    void record_store_contact(const std::string& host, bool has_store_contact,
+                              milliseconds age);
 
     /// Returns whether the last successful read of the store is at least
     /// `contact_timeout` (1.5 s) ago.
--- a/include/egretspindle/scheduler/datagram_queue.hpp
+++ b/include/egretspindle/scheduler/datagram_queue.hpp
@@ -5,6 +5,7 @@
 #define EGRETSPINDLE_SCHEDULER_DATAGRAM_QUEUE_HPP
 
 #include "egretspindle/core/clock.hpp"
+#include "egretspindle/rack/load_message.hpp"
 
 #include <cstddef>
 #include <deque>
@@ -28,8 +29,9 @@
 /// Message that is to be sent to a host.
 struct queued_datagram
 {
-    std::shared_ptr<const std::string> text;
+    std::shared_ptr<const load_message> message;
     std::string peer; ///< address of the host, as `ip:port`
+    time_point queued_at;
 };
 
 /// Datagrams that wait to be sent. Not synchronized.
@@ -47,8 +49,9 @@
 /// if a link drops the last ones, no peer misses the reports of a rack many
 /// times in a row. Of earlier datagrams, the oldest are dropped if more wait
 /// than are added, so that a socket that blocks does not let the queue grow.
-void add_datagrams(datagram_queue& queue, const std::vector<std::string>& texts,
-                   const std::vector<std::string>& peers);
+void add_datagrams(datagram_queue& queue,
+                   const std::vector<load_message>& messages,
+                   const std::vector<std::string>& peers, time_point now);
 
 /// Removes and returns the datagrams to send now; empty until `burst_interval`
 /// has passed since the latest burst.
--- a/include/egretspindle/scheduler/load_exchange.hpp
+++ b/include/egretspindle/scheduler/load_exchange.hpp
@@ -50,9 +50,10 @@
     /// the pace at which they are sent. Errors are ignored, and a datagram of
     /// more than 60'000 bytes is not sent.
     ///
+    /// \param messages  measured just now; sent with their `age_ms`
     /// \param peers  addresses of the hosts, as `ip:port`
-    /// \returns the size in bytes of the datagram of each message, which is the
-    ///          same for all peers
+    /// \returns the size in bytes of the datagram of each message without its
+    ///          age, which is the same for all peers
     std::vector<std::size_t> send(const std::vector<load_message>& messages,
                                   const std::vector<std::string>& peers);
 
--- a/src/cluster/store_contact.cpp
+++ b/src/cluster/store_contact.cpp
@@ -11,7 +11,7 @@
 {
     const auto is_recent = [now](const contact_report& report)
     {
-        return now - report.received_at < contact_report_lifetime;
+        return now - report.measured_at < contact_report_lifetime;
     };
     // A host that the view does not show may have read the store, too.
     const bool is_contradicted =
--- a/src/rack/fleet_load.cpp
+++ b/src/rack/fleet_load.cpp
@@ -49,15 +49,16 @@
 };
 
 // Returns whether the load reports include a placement. Reports arrive at
-// irregular intervals, so this depends on the report of the rack; only without
-// reports does a placement expire after `report_age`.
+// irregular intervals and some time after they were measured, so this depends
+// on the report of the rack; only without reports does a placement expire after
+// `report_age`.
 bool is_in_reports(const fleet_load& fleet, const recent_placement& item,
                    time_point now)
 {
     const auto view = fleet.racks.find(item.rack);
     const bool is_reported =
         view != fleet.racks.end() &&
-        view->second.reported_at >= item.at + assignment_delay;
+        view->second.measured_at >= item.at + assignment_delay;
     return is_reported || now - item.at > report_age(fleet.period);
 }
 
@@ -834,13 +835,19 @@
 }
 
 void apply_load_reports(fleet_load& fleet,
-                        std::vector<rack_load_report>& reports, time_point now)
+                        std::vector<rack_load_report>& reports,
+                        time_point measured_at)
 {
     for (rack_load_report& report : reports)
     {
         rack_view& view = fleet.racks[report.rack];
-        std::swap(view.room, report);
-        view.reported_at = now;
+        // A former owner may have sent its last report later than the next
+        // owner its first one.
+        if (view.measured_at <= measured_at)
+        {
+            std::swap(view.room, report);
+            view.measured_at = measured_at;
+        }
     }
 }
 
--- a/src/rack/load_message.cpp
+++ b/src/rack/load_message.cpp
@@ -29,7 +29,7 @@
 constexpr std::size_t numbers_per_pair = 4;
 // Fixed overhead in bytes: UDP and IP headers, tag and field names of a
 // message; field names of a rack; quotes and comma of a string.
-constexpr std::size_t frame_bytes = 120;
+constexpr std::size_t frame_bytes = 130;
 constexpr std::size_t rack_bytes = 68;
 constexpr std::size_t string_bytes = 3;
 
@@ -277,6 +277,12 @@
     return message;
 }
 
+milliseconds age_of(const load_message& message) noexcept
+{
+    return milliseconds(
+        std::clamp<std::int64_t>(message.age_ms, 0, max_message_age.count()));
+}
+
 std::vector<rack_load_report> load_reports_of(const load_message& message)
 {
     std::vector<rack_load_report> reports;
--- a/src/rack/recent_view.hpp
+++ b/src/rack/recent_view.hpp
@@ -14,7 +14,7 @@
 [[nodiscard]] inline bool is_recent(const fleet_load& fleet,
                                     const rack_view& view, time_point now)
 {
-    return now - view.reported_at <= report_age(fleet.period);
+    return now - view.measured_at <= report_age(fleet.period);
 }
 
 } // namespace egretspindle
--- a/src/scheduler/cluster_agent.cpp
+++ b/src/scheduler/cluster_agent.cpp
@@ -951,10 +951,11 @@
 }
 
 void cluster_agent::record_store_contact(const std::string& host,
-                                         bool has_store_contact)
+                                         bool has_store_contact,
+                                         milliseconds age)
 {
     const std::lock_guard<std::mutex> lock(impl_->mutex);
-    impl_->contacts[host] = {boot_clock::now(), has_store_contact};
+    impl_->contacts[host] = {boot_clock::now() - age, has_store_contact};
 }
 
 bool cluster_agent::is_without_store() const
--- a/src/scheduler/datagram_queue.cpp
+++ b/src/scheduler/datagram_queue.cpp
@@ -18,17 +18,18 @@
 
 } // namespace
 
-void add_datagrams(datagram_queue& queue, const std::vector<std::string>& texts,
-                   const std::vector<std::string>& peers)
+void add_datagrams(datagram_queue& queue,
+                   const std::vector<load_message>& messages,
+                   const std::vector<std::string>& peers, time_point now)
 {
     std::vector<queued_datagram> items;
-    items.reserve(texts.size() * peers.size());
-    for (const std::string& text : texts)
+    items.reserve(messages.size() * peers.size());
+    for (const load_message& message : messages)
     {
-        const auto shared = std::make_shared<const std::string>(text);
+        const auto shared = std::make_shared<const load_message>(message);
         for (const std::string& peer : peers)
         {
-            items.push_back({shared, peer});
+            items.push_back({shared, peer, now});
         }
     }
     queue.turn += golden_share;
--- a/src/scheduler/job_scheduler.cpp
+++ b/src/scheduler/job_scheduler.cpp
@@ -870,7 +870,8 @@
 // Applies a load message of another host.
 void job_scheduler::impl::apply_peer_load(const load_message& message)
 {
-    agent.record_store_contact(message.host, !message.is_without_store);
+    const milliseconds age = age_of(message);
+    agent.record_store_contact(message.host, !message.is_without_store, age);
     std::vector<rack_load_report> load_reports = load_reports_of(message);
     const std::vector<pair_interference> pairs = pairs_of(message);
     if (!pairs.empty())
@@ -878,7 +879,7 @@
         racks.update_peer_interference(message.host, message.boot, pairs);
     }
     const std::lock_guard<std::mutex> lock(load_mutex);
-    apply_load_reports(load, load_reports, steady_clock::now());
+    apply_load_reports(load, load_reports, steady_clock::now() - age);
     if (update_host_boot(load, message.host, message.boot))
     {
         has_new_peer = true;
--- a/src/scheduler/load_exchange.cpp
+++ b/src/scheduler/load_exchange.cpp
@@ -52,7 +52,11 @@
 {
     void receive_all();
     void send_all();
-    void send_datagram(const queued_datagram& item) const;
+    void send_burst(const std::vector<queued_datagram>& burst,
+                    time_point now) const;
+    void send_datagram(const std::string& text, const std::string& peer) const;
+    [[nodiscard]] std::string encode(load_message message,
+                                     milliseconds age) const;
     void log_rejected(std::string_view error);
 
     log_rate_limit log_limit{log_period};
@@ -115,29 +119,55 @@
             queue_changed.wait(lock);
             continue;
         }
-        const std::vector<queued_datagram> burst =
-            take_burst(queue, steady_clock::now());
+        const time_point now = steady_clock::now();
+        const std::vector<queued_datagram> burst = take_burst(queue, now);
         lock.unlock();
-        for (const queued_datagram& item : burst)
-        {
-            send_datagram(item);
-        }
+        send_burst(burst, now);
         lock.lock();
         queue_changed.wait_until(lock, queue.burst_at + burst_interval,
                                  [this] { return is_stopping.load(); });
     }
 }
 
-void load_exchange::impl::send_datagram(const queued_datagram& item) const
+void load_exchange::impl::send_burst(const std::vector<queued_datagram>& burst,
+                                     time_point now) const
+{
+    std::shared_ptr<const load_message> encoded;
+    std::string text;
+    for (const queued_datagram& item : burst)
+    {
+        if (item.message != encoded)
+        {
+            encoded = item.message;
+            text = encode(*encoded, std::chrono::duration_cast<milliseconds>(
+                                        now - item.queued_at));
+        }
+        send_datagram(text, item.peer);
+    }
+}
+
+// Returns a datagram with a message that was measured `age` ago.
+std::string load_exchange::impl::encode(load_message message,
+                                        milliseconds age) const
+{
+    message.age_ms = age.count();
+    const std::string payload = to_json(message);
+    return reply_tag(
+               message_mac(authentication_key, message_type, "", payload)) +
+           payload;
+}
+
+void load_exchange::impl::send_datagram(const std::string& text,
+                                        const std::string& peer) const
 {
-    const absl::StatusOr<endpoint> server = parse_endpoint(item.peer);
+    const absl::StatusOr<endpoint> server = parse_endpoint(peer);
     if (!server.ok())
     {
         return;
     }
     const sockaddr_in address = to_address(*server);
     // Errors are ignored: a later message has newer values.
-    static_cast<void>(::sendto(socket, item.text->data(), item.text->size(), 0,
+    static_cast<void>(::sendto(socket, text.data(), text.size(), 0,
                                reinterpret_cast<const sockaddr*>(&address),
                                sizeof address));
 }
@@ -213,22 +243,20 @@
                     const std::vector<std::string>& peers)
 {
     std::vector<std::size_t> sizes;
-    std::vector<std::string> texts;
+    std::vector<load_message> sendable;
     for (const load_message& message : messages)
     {
-        const std::string payload = to_json(message);
-        std::string text = reply_tag(message_mac(impl_->authentication_key,
-                                                 message_type, "", payload)) +
-                           payload;
-        sizes.push_back(text.size());
-        if (text.size() <= max_datagram_size)
+        const std::size_t bytes =
+            impl_->encode(message, milliseconds(0)).size();
+        sizes.push_back(bytes);
+        if (bytes <= max_datagram_size)
         {
-            texts.push_back(std::move(text));
+            sendable.push_back(message);
         }
     }
     {
         const std::lock_guard<std::mutex> lock(impl_->queue_mutex);
-        add_datagrams(impl_->queue, texts, peers);
+        add_datagrams(impl_->queue, sendable, peers, steady_clock::now());
     }
     impl_->queue_changed.notify_all();
     return sizes;
--- a/src/scheduler/load_summary.cpp
+++ b/src/scheduler/load_summary.cpp
@@ -21,7 +21,7 @@
             continue;
         }
         summary.oldest_report_ms = std::max(
-            summary.oldest_report_ms, elapsed_ms(it->second.reported_at, now));
+            summary.oldest_report_ms, elapsed_ms(it->second.measured_at, now));
         summary.queued += it->second.room.queued;
         for (const target_load_report& target : it->second.room.targets)
         {
@@ -46,7 +46,7 @@
     }
     for (const auto& [name, view] : fleet.racks)
     {
-        if (now - view.reported_at > report_age(fleet.period))
+        if (now - view.measured_at > report_age(fleet.period))
         {
             ++summary.old_reports;
             continue;
@@ -66,7 +66,7 @@
             summary.usable_milli +=
                 usable_by_short_tasks(fleet, it->second, target.room.cpu_milli);
             summary.oldest_report_ms = std::max(
-                summary.oldest_report_ms, elapsed_ms(view.reported_at, now));
+                summary.oldest_report_ms, elapsed_ms(view.measured_at, now));
         }
     }
     for (const recent_placement& item : fleet.recent)
--- a/tests/rack/backfill_wait_test.cpp
+++ b/tests/rack/backfill_wait_test.cpp
@@ -174,7 +174,7 @@
             const time_point now = start_time + at;
             for (auto& [name, view] : fleet.racks)
             {
-                view.reported_at = now;
+                view.measured_at = now;
             }
             REQUIRE(place_starts(rack, model, now, 0).empty());
             handed_back += hand_back(
--- a/tests/rack/eventual_room_test.cpp
+++ b/tests/rack/eventual_room_test.cpp
@@ -54,7 +54,7 @@
     view.room.queued_cpu_milli = 6'000;
     view.room.eventual_cpu_milli = eventual_cpu;
     view.room.targets = {report};
-    view.reported_at = now;
+    view.measured_at = now;
     fleet.racks[rack] = view;
 }
 
--- a/tests/rack/fleet_load_test.cpp
+++ b/tests/rack/fleet_load_test.cpp
@@ -21,7 +21,7 @@
     {
         rack_view view;
         view.room.rack = "r" + std::to_string(n);
-        view.reported_at = now;
+        view.measured_at = now;
         for (int i = 0; i < 2; ++i)
         {
             target_entry entry;
--- a/tests/rack/interference_test.cpp
+++ b/tests/rack/interference_test.cpp
@@ -330,7 +330,7 @@
                               {"b", "easy", 0.01, 5'000}});
     merge_interference(fleet.interference);
     rack_view view;
-    view.reported_at = start_time;
+    view.measured_at = start_time;
     view.room.rack = "r1";
     view.room.waiting["picky"] = 5;
     std::vector<rack_target> suitable(targets);
--- a/tests/rack/load_message_test.cpp
+++ b/tests/rack/load_message_test.cpp
@@ -8,7 +8,10 @@
 
 #include <algorithm>
 #include <cmath>
+#include <cstdint>
+#include <limits>
 #include <random>
+#include <string>
 
 using namespace egretspindle;
 
@@ -168,14 +171,14 @@
         if (it != host.load.racks.end())
         {
             const milliseconds age = std::chrono::duration_cast<milliseconds>(
-                now - it->second.reported_at);
+                now - it->second.measured_at);
             host.oldest = std::max(host.oldest, age);
             ++host.reports_replaced;
             host.reports_replaced_late +=
                 age > report_age(report_period(fleet)) ? 1 : 0;
         }
     }
-    apply_load_reports(host.load, reports, now);
+    apply_load_reports(host.load, reports, now - age_of(message));
     const std::vector<pair_interference> pairs = pairs_of(message);
     if (!pairs.empty())
     {
@@ -478,3 +481,18 @@
     REQUIRE(hand_back_quota(fleet, terms, "none", next, random) == 0);
     REQUIRE(fleet.recent.size() == 2);
 }
+
+// Guards against a peer whose message would make reports look newer than they
+// are, or overflows the clock.
+TEST_CASE("the age of a load message is bounded", "[rack]")
+{
+    load_message message;
+    CHECK(age_of(message) == milliseconds(0));
+    message.age_ms = 480;
+    CHECK(age_of(message) == milliseconds(480));
+    CHECK(to_json(message).find("\"a\":480") != std::string::npos);
+    message.age_ms = -1;
+    CHECK(age_of(message) == milliseconds(0));
+    message.age_ms = std::numeric_limits<std::int64_t>::max();
+    CHECK(age_of(message) == max_message_age);
+}
--- a/tests/rack/long_running_packing_test.cpp
+++ b/tests/rack/long_running_packing_test.cpp
@@ -49,7 +49,7 @@
     rack_view view;
     view.room.rack = rack;
     view.room.targets = {report};
-    view.reported_at = start_time;
+    view.measured_at = start_time;
     fleet.racks[rack] = view;
 }
 
--- a/tests/rack/recent_placement_test.cpp
+++ b/tests/rack/recent_placement_test.cpp
@@ -28,7 +28,7 @@
         rack_view view;
         view.room.rack = rack;
         view.room.targets = {report};
-        view.reported_at = at;
+        view.measured_at = at;
         fleet.racks[rack] = view;
     }
 }
@@ -79,3 +79,48 @@
     report_empty_racks(fleet, later);
     CHECK(has_room_for_long_running(fleet, "svc", 16'000, later));
 }
+
+// Guards against tasks that are placed twice on the same room: reports that
+// waited in the queue of their sender were measured before the latest
+// placements but arrive after them.
+TEST_CASE("reports that were measured before a placement do not include it",
+          "[rack]")
+{
+    std::minstd_rand random(1);
+    step_terms terms;
+    fleet_load fleet = make_filled_fleet(terms, random);
+    const time_point later = now + milliseconds(500);
+    const bool is_included = GENERATE(false, true);
+    const milliseconds age(is_included ? 10 : 500);
+    std::vector<rack_load_report> reports;
+    for (const auto& [name, view] : fleet.racks)
+    {
+        reports.push_back(view.room);
+    }
+    apply_load_reports(fleet, reports, later - age);
+    const std::size_t quota =
+        hand_back_quota(fleet, terms, "r1", later, random, room_kind::free);
+    CHECK((quota > 0) == is_included);
+}
+
+// Guards against the last report of a former owner that arrives after the first
+// one of the next owner.
+TEST_CASE("a report does not replace one that was measured later", "[rack]")
+{
+    fleet_load fleet;
+    std::vector<rack_load_report> reports(1);
+    reports.front().rack = "r0";
+    reports.front().queued = 1;
+    apply_load_reports(fleet, reports, now);
+    reports.front() = {};
+    reports.front().rack = "r0";
+    reports.front().queued = 2;
+    apply_load_reports(fleet, reports, now - milliseconds(400));
+    CHECK(fleet.racks["r0"].room.queued == 1);
+    CHECK(fleet.racks["r0"].measured_at == now);
+    reports.front() = {};
+    reports.front().rack = "r0";
+    reports.front().queued = 3;
+    apply_load_reports(fleet, reports, now + milliseconds(400));
+    CHECK(fleet.racks["r0"].room.queued == 3);
+}
--- a/tests/rack/split_gang_test.cpp
+++ b/tests/rack/split_gang_test.cpp
@@ -22,7 +22,7 @@
     {
         rack_view view;
         view.room.rack = "r" + std::to_string(n);
-        view.reported_at = now;
+        view.measured_at = now;
         for (int i = 0; i < targets[n]; ++i)
         {
             target_entry entry;
--- a/tests/scheduler/datagram_queue_test.cpp
+++ b/tests/scheduler/datagram_queue_test.cpp
@@ -53,17 +53,24 @@
     }
 };
 
-std::vector<std::string> make_messages(std::size_t count)
+load_message make_message(const std::string& host)
 {
-    std::vector<std::string> messages;
+    load_message message;
+    message.host = host;
+    return message;
+}
+
+std::vector<load_message> make_messages(std::size_t count)
+{
+    std::vector<load_message> messages;
     for (std::size_t n = 0; n < count; ++n)
     {
-        messages.push_back("reports " + std::to_string(n));
+        messages.push_back(make_message("h" + std::to_string(n)));
     }
     return messages;
 }
 
-/// Message and the peer that receives it.
+/// Host of a message and the peer that receives it.
 using delivery = std::pair<std::string, std::string>;
 
 } // namespace
@@ -86,8 +93,8 @@
             for (milliseconds at{0}; at < std::chrono::seconds(60);
                  at += period)
             {
-                add_datagrams(queue, make_messages(messages),
-                              make_peers(count));
+                add_datagrams(queue, make_messages(messages), make_peers(count),
+                              start_time + at);
                 std::size_t sent = 0;
                 for (milliseconds in{0}; in < period; ++in)
                 {
@@ -96,7 +103,7 @@
                     {
                         if (++sent <= total / 2)
                         {
-                            received[{*item.text, item.peer}] = at + in;
+                            received[{item.message->host, item.peer}] = at + in;
                         }
                     }
                 }
@@ -134,7 +141,8 @@
         {
             if (at % period == milliseconds(0))
             {
-                add_datagrams(queue, make_messages(1), make_peers(count));
+                add_datagrams(queue, make_messages(1), make_peers(count),
+                              start_time + at);
             }
             for (std::size_t n = take_burst(queue, start_time + at).size();
                  n > 0; --n)
@@ -155,14 +163,14 @@
 {
     datagram_queue queue;
     const std::vector<std::string> peers = make_peers(96);
-    add_datagrams(queue, make_messages(6), peers);
-    add_datagrams(queue, make_messages(6), peers);
+    add_datagrams(queue, make_messages(6), peers, start_time);
+    add_datagrams(queue, make_messages(6), peers, start_time);
     std::map<delivery, int> received;
     for (milliseconds at{0}; at < milliseconds(500); ++at)
     {
         for (const queued_datagram& item : take_burst(queue, start_time + at))
         {
-            ++received[{*item.text, item.peer}];
+            ++received[{item.message->host, item.peer}];
         }
     }
     CHECK(queue.waiting.empty());
@@ -176,7 +184,7 @@
 TEST_CASE("messages without peers queue nothing", "[scheduler]")
 {
     datagram_queue queue;
-    add_datagrams(queue, make_messages(2), {});
+    add_datagrams(queue, make_messages(2), {}, start_time);
     CHECK(take_burst(queue, start_time).empty());
 }
 
@@ -189,10 +197,11 @@
     constexpr int calls = 20;
     for (int n = 0; n < calls; ++n)
     {
-        add_datagrams(queue, {std::to_string(n)}, peers);
+        add_datagrams(queue, {make_message(std::to_string(n))}, peers,
+                      start_time);
     }
     REQUIRE(queue.waiting.size() == 2 * peers.size());
     CHECK(std::all_of(queue.waiting.begin(), queue.waiting.end(),
                       [](const queued_datagram& item)
-                      { return std::stoi(*item.text) >= calls - 2; }));
+                      { return std::stoi(item.message->host) >= calls - 2; }));
 }
--- a/tests/scheduler/load_exchange_test.cpp
+++ b/tests/scheduler/load_exchange_test.cpp
@@ -1,9 +1,11 @@
+#include "egretspindle/scheduler/datagram_queue.hpp"
 #include "egretspindle/scheduler/load_exchange.hpp"
 
 #include "support/free_port.hpp"
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
 #include <chrono>
 #include <condition_variable>
 #include <map>
@@ -66,3 +68,53 @@
         item->stop();
     }
 }
+
+// Guards against reports that wait in the queue and count as measured when they
+// arrive: a host then takes its own recent placements for included, and places
+// others on the same room.
+TEST_CASE("a load message that was queued carries its age", "[scheduler]")
+{
+    constexpr std::size_t count = 60;
+    std::mutex mutex;
+    std::condition_variable changed;
+    std::map<std::string, milliseconds> ages; // by host
+    const auto receive = [&](const load_message& message, std::size_t /*bytes*/)
+    {
+        const std::lock_guard<std::mutex> lock(mutex);
+        ages[message.host] = age_of(message);
+        changed.notify_all();
+    };
+    load_exchange sender("key", [](const load_message&, std::size_t) {});
+    load_exchange receiver("key", receive);
+    const unsigned short port = test::free_port();
+    REQUIRE(sender.start("127.0.0.1", test::free_port()).ok());
+    REQUIRE(receiver.start("127.0.0.1", port).ok());
+    std::vector<load_message> messages(count);
+    for (std::size_t n = 0; n < count; ++n)
+    {
+        messages[n].host = "h" + std::to_string(n);
+    }
+    const time_point begun_at = steady_clock::now();
+    static_cast<void>(
+        sender.send(messages, {"127.0.0.1:" + std::to_string(port)}));
+    {
+        std::unique_lock<std::mutex> lock(mutex);
+        REQUIRE(changed.wait_for(lock, std::chrono::seconds(30),
+                                 [&] { return ages.size() == count; }));
+    }
+    const milliseconds taken = std::chrono::duration_cast<milliseconds>(
+        steady_clock::now() - begun_at);
+    std::vector<milliseconds> sorted;
+    for (const auto& [host, age] : ages)
+    {
+        sorted.push_back(age);
+    }
+    std::sort(sorted.begin(), sorted.end());
+    // Bursts are sent `burst_interval` apart.
+    constexpr std::size_t bursts = count / datagrams_per_burst;
+    CHECK(sorted.back() >= (bursts - 1) * burst_interval);
+    CHECK(sorted.back() <= taken);
+    CHECK(sorted.front() < sorted.back());
+    sender.stop();
+    receiver.stop();
+}
--- a/tests/scheduler/load_summary_test.cpp
+++ b/tests/scheduler/load_summary_test.cpp
@@ -18,7 +18,7 @@
 
 rack_view view_of(const std::string& rack, const std::string& target,
                   std::int64_t free_milli, std::int64_t queued,
-                  time_point reported_at)
+                  time_point measured_at)
 {
     rack_view view;
     view.room.rack = rack;
@@ -28,7 +28,7 @@
     room.room.cpu_milli = free_milli;
     room.is_open = true;
     view.room.targets = {room};
-    view.reported_at = reported_at;
+    view.measured_at = measured_at;
     return view;
 }
 
@@ -88,7 +88,7 @@
     CHECK(summary.oldest_report_ms == 40);
     CHECK(summary.old_reports == 1);
     // All reports are recent now, so the free capacity is known and decides.
-    fleet.racks["r2"].reported_at = now;
+    fleet.racks["r2"].measured_at = now;
     const service_load_summary with_all_reports =
         summarize_service_load(fleet, "svc", now);
     CHECK(with_all_reports.free_milli == 3'000);
