Send load reports to a part of the hosts in each tick

Cause, shown in the simulation of racks: all hosts got the reports of a period at once, chose the same racks until the next one, and those racks handed back what they could not take. Pacing added up to 0.5 s to the age of the reports on top.

Hosts now measure and send reports in each tick, to the peers whose turn it is: each peer still gets them once in a report period, but they are new, and the others get theirs at other times. A tick's datagrams are sent within 0.2 s.

The simulation delivers reports without delay.

The two tests of paced datagrams now take the peers from `take_due_peers` in each tick, as the scheduler does; what the link drops and the bounds are the same but that the last half of each tick is dropped instead of each period.

--- a/include/egretspindle/rack/load_period.hpp
+++ b/include/egretspindle/rack/load_period.hpp
@@ -8,6 +8,8 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <string>
+#include <vector>
 
 namespace egretspindle
 {
@@ -41,8 +43,8 @@
     std::size_t targets = 0;
 };
 
-/// Returns the period at which a host reports the load of its racks: 250 ms in
-/// small fleets, longer where all hosts together would exceed
+/// Returns the period at which each host gets the load of the racks of a host:
+/// 250 ms in small fleets, longer where all hosts together would exceed
 /// `max_report_messages_per_s` or `max_report_bytes_per_s`, and at most 1 s.
 [[nodiscard]] milliseconds report_period(const fleet_size& size) noexcept;
 
@@ -62,6 +64,25 @@
 [[nodiscard]] bool advance_if_due(send_schedule& schedule, milliseconds period,
                                   time_point now) noexcept;
 
+/// Turns in which the other hosts get load reports; see `take_due_peers`.
+struct peer_turns
+{
+    time_point taken_at; ///< of the latest call
+    /// Address of the peer that had the latest turn.
+    std::string last;
+    double remainder = 0; ///< part of a turn that was due and not taken
+};
+
+/// Returns the peers whose turn it is now: each one has a turn in a period, and
+/// they follow each other in the order of the list. The first call returns all
+/// of them. Turns that a late call missed are not made up for.
+///
+/// \param peers  addresses of the other hosts, each once
+/// \param period  see `report_period`
+[[nodiscard]] std::vector<std::string>
+take_due_peers(peer_turns& turns, const std::vector<std::string>& peers,
+               milliseconds period, time_point now);
+
 /// Returns the age, since its measurement, above which a load report is no
 /// longer used: 5 report periods (`max_missed_reports`), at least 3 s.
 ///
--- a/include/egretspindle/scheduler/datagram_queue.hpp
+++ b/include/egretspindle/scheduler/datagram_queue.hpp
@@ -9,6 +9,7 @@
 
 #include <cstddef>
 #include <deque>
+#include <map>
 #include <memory>
 #include <string>
 #include <vector>
@@ -22,9 +23,9 @@
 constexpr std::size_t datagrams_per_burst = 2;
 /// Time between two bursts.
 constexpr milliseconds burst_interval{10};
-/// Bursts in which a queue is sent, half a second: load reports are used for
-/// 3 s at least, and those of large fleets are sent each second.
-constexpr std::size_t max_bursts = 50;
+/// Bursts in which a queue is sent, 0.2 s: the next load reports are queued
+/// with the next tick of the scheduler, 250 ms later.
+constexpr std::size_t max_bursts = 20;
 
 /// Message that is to be sent to a host.
 struct queued_datagram
@@ -38,16 +39,16 @@
 struct datagram_queue
 {
     std::deque<queued_datagram> waiting;
-    /// Position of the datagram that was first in the latest call of
-    /// `add_datagrams`, as a share of all of its datagrams.
-    double turn = 0;
+    /// Positions of the peers' first datagrams in the latest calls of
+    /// `add_datagrams`, from 0 (first) to 1 (last).
+    std::map<std::string, double> positions;
     std::size_t burst_size = datagrams_per_burst;
     time_point burst_at; ///< when the latest burst was taken
 };
 
-/// Adds each message for each peer, each time beginning with another datagram:
-/// if a link drops the last ones, no peer misses the reports of a rack many
-/// times in a row. Of earlier datagrams, the oldest are dropped if more wait
+/// Adds each message for each peer, each time at another position: if a link
+/// drops the last datagrams of a call, no peer misses the same ones many times
+/// in a row. Of earlier datagrams, the oldest are dropped if more wait
 /// than are added, so that a socket that blocks does not let the queue grow.
 void add_datagrams(datagram_queue& queue,
                    const std::vector<load_message>& messages,
--- a/src/rack/load_period.cpp
+++ b/src/rack/load_period.cpp
@@ -60,6 +60,36 @@
     return true;
 }
 
+std::vector<std::string> take_due_peers(peer_turns& turns,
+                                        const std::vector<std::string>& peers,
+                                        milliseconds period, time_point now)
+{
+    const std::chrono::duration<double> elapsed = now - turns.taken_at;
+    const std::chrono::duration<double> whole = period;
+    const auto size = static_cast<double>(peers.size());
+    const double due =
+        std::min(size, turns.remainder + size * (elapsed / whole));
+    const auto count = static_cast<std::size_t>(due);
+    turns.taken_at = now;
+    turns.remainder = due - static_cast<double>(count);
+    // A peer that has left is not found; the turns begin anew then.
+    const auto last = std::find(peers.begin(), peers.end(), turns.last);
+    std::size_t next = last == peers.end()
+                           ? 0
+                           : static_cast<std::size_t>(last - peers.begin()) + 1;
+    std::vector<std::string> chosen;
+    chosen.reserve(count);
+    for (std::size_t n = 0; n < count; ++n, ++next)
+    {
+        chosen.push_back(peers[next % peers.size()]);
+    }
+    if (!chosen.empty())
+    {
+        turns.last = chosen.back();
+    }
+    return chosen;
+}
+
 milliseconds report_age(milliseconds period) noexcept
 {
     return std::max(min_report_age, max_missed_reports * period);
--- a/src/scheduler/datagram_queue.cpp
+++ b/src/scheduler/datagram_queue.cpp
@@ -12,9 +12,17 @@
 namespace
 {
 
-// Share of the datagrams by which the first one moves on with each call. By the
-// golden ratio, the positions of a peer in consecutive calls are far apart.
-constexpr double golden_share = 0.6180339887;
+// Part of all datagrams by which the position of one moves on with each call.
+// By the golden ratio, its positions in consecutive calls are far apart.
+constexpr double golden_part = 0.6180339887;
+// Above this number, positions of peers are forgotten: most of them have left.
+constexpr std::size_t max_known_peers = 4'096;
+
+double advance(double position)
+{
+    const double next = position + golden_part;
+    return next - std::floor(next);
+}
 
 } // namespace
 
@@ -22,21 +30,39 @@
                    const std::vector<load_message>& messages,
                    const std::vector<std::string>& peers, time_point now)
 {
-    std::vector<queued_datagram> items;
-    items.reserve(messages.size() * peers.size());
+    std::vector<std::shared_ptr<const load_message>> shared;
+    shared.reserve(messages.size());
     for (const load_message& message : messages)
     {
-        const auto shared = std::make_shared<const load_message>(message);
-        for (const std::string& peer : peers)
+        shared.push_back(std::make_shared<const load_message>(message));
+    }
+    if (queue.positions.size() > max_known_peers)
+    {
+        queue.positions.clear();
+    }
+    std::vector<std::pair<double, queued_datagram>> ordered;
+    ordered.reserve(messages.size() * peers.size());
+    for (const std::string& peer : peers)
+    {
+        const auto [it, is_new] = queue.positions.try_emplace(
+            peer, golden_part * static_cast<double>(queue.positions.size()));
+        it->second = advance(it->second);
+        double position = it->second;
+        for (const std::shared_ptr<const load_message>& message : shared)
         {
-            items.push_back({shared, peer, now});
+            ordered.emplace_back(position, queued_datagram{message, peer, now});
+            position = advance(position);
         }
     }
-    queue.turn += golden_share;
-    queue.turn -= std::floor(queue.turn);
-    const auto first = static_cast<std::ptrdiff_t>(
-        queue.turn * static_cast<double>(items.size()));
-    std::rotate(items.begin(), items.begin() + first, items.end());
+    std::sort(ordered.begin(), ordered.end(),
+              [](const auto& lhs, const auto& rhs)
+              { return lhs.first < rhs.first; });
+    std::vector<queued_datagram> items;
+    items.reserve(ordered.size());
+    for (auto& [position, item] : ordered)
+    {
+        items.push_back(std::move(item));
+    }
     if (queue.waiting.size() > items.size())
     {
         queue.waiting.erase(queue.waiting.begin(),
--- a/src/scheduler/job_scheduler.cpp
+++ b/src/scheduler/job_scheduler.cpp
@@ -174,7 +174,7 @@
     fleet_load load;
     std::minstd_rand random{std::random_device{}()};
     // Used only by the thread of `tick_loop`.
-    send_schedule report_schedule;
+    peer_turns report_turns;
     send_schedule pair_schedule;
     send_schedule reservation_schedule;
     pair_outbox sent_pair_log; ///< learned pairs sent to the other hosts
@@ -978,7 +978,9 @@
     {
         racks.extend_authority();
     }
-    if (advance_if_due(report_schedule, report_period(size), now))
+    const std::vector<std::string> due_peers =
+        take_due_peers(report_turns, peers, report_period(size), now);
+    if (!due_peers.empty())
     {
         std::vector<load_message> messages =
             load_report_messages(options.host, boot, load_reports);
@@ -989,7 +991,7 @@
             messages.front().boot = boot;
             messages.front().is_without_store = true;
         }
-        send_load(messages, peers);
+        send_load(messages, due_peers);
     }
     if (advance_if_due(pair_schedule, pair_period(size), now))
     {
--- a/tests/rack/fleet_simulation.cpp
+++ b/tests/rack/fleet_simulation.cpp
@@ -51,17 +51,34 @@
     return target;
 }
 
-// Applies the load reports of a host's racks at all hosts, without delay.
+// Returns names by which `take_due_peers` knows the hosts: their positions.
+std::vector<std::string> names_of_hosts(const simulation& sim)
+{
+    std::vector<std::string> names;
+    for (std::size_t n = 0; n < sim.hosts.size(); ++n)
+    {
+        names.push_back(std::to_string(n));
+    }
+    return names;
+}
+
+// Applies the load reports of a host's racks at the host itself and at the
+// hosts whose turn it is, without delay.
 void send_reports(simulation& sim, simulated_host& host)
 {
+    const std::vector<std::string> due = take_due_peers(
+        host.report_turns, names_of_hosts(sim), host.load.period, sim.now);
     for (const std::string& name : host.racks)
     {
         const rack_load_report load_report =
             make_load_report(sim.racks.at(name), sim.model, sim.now);
-        for (simulated_host& other : sim.hosts)
+        std::vector<rack_load_report> own_reports{load_report};
+        apply_load_reports(host.load, own_reports, sim.now);
+        for (const std::string& peer : due)
         {
             std::vector<rack_load_report> load_reports{load_report};
-            apply_load_reports(other.load, load_reports, sim.now);
+            apply_load_reports(sim.hosts[std::stoul(peer)].load, load_reports,
+                               sim.now);
         }
     }
 }
@@ -353,8 +370,6 @@
         host.load.period = period;
         host.load.hosts = sim.hosts.size();
         host.next_tick = start_time + limits.tick * any_ms(random) / 1'000;
-        host.report_schedule.due_at =
-            start_time + period * any_ms(random) / 1'000;
     }
     for (simulated_host& host : sim.hosts)
     {
@@ -491,11 +506,7 @@
             {
                 host.next_tick += sim.limits.tick;
                 tick(sim, host);
-                if (advance_if_due(host.report_schedule, host.load.period,
-                                   sim.now))
-                {
-                    send_reports(sim, host);
-                }
+                send_reports(sim, host);
             }
         }
     }
--- a/tests/rack/fleet_simulation.hpp
+++ b/tests/rack/fleet_simulation.hpp
@@ -65,7 +65,7 @@
     fleet_load load;
     std::minstd_rand random;
     time_point next_tick;
-    send_schedule report_schedule;
+    peer_turns report_turns;
     std::vector<std::string> racks;
 };
 
--- a/tests/rack/load_message_test.cpp
+++ b/tests/rack/load_message_test.cpp
@@ -89,7 +89,7 @@
     interference_model model;
     pair_outbox pairs;
     fleet_load load;
-    send_schedule report_schedule;
+    peer_turns report_turns;
     send_schedule pair_schedule;
     std::size_t bytes_in = 0;
     std::size_t reports_in = 0;
@@ -119,29 +119,58 @@
     }
 }
 
+std::string host_name(int n)
+{
+    return "entry-host-" + std::to_string(n);
+}
+
 std::vector<sim_host> make_cluster(time_point now)
 {
     std::vector<sim_host> cluster(hosts);
     for (int n = 0; n < hosts; ++n)
     {
         sim_host& host = cluster[static_cast<std::size_t>(n)];
-        host.name = "entry-host-" + std::to_string(n);
+        host.name = host_name(n);
         host.reports = make_reports(n);
-        // Hosts do not send at the same moment.
-        host.report_schedule.due_at = now + tick * (n % 4);
+        // Hosts do not send pairs at the same moment.
         host.pair_schedule.due_at = now + tick * (n % 12);
         learn(host, 0);
     }
     return cluster;
 }
 
+/// Message and the names of the hosts to which it is sent.
+struct sim_message
+{
+    load_message message;
+    std::vector<std::string> peers;
+};
+
+std::vector<std::string> names_of_others(const sim_host& host)
+{
+    std::vector<std::string> names;
+    for (int n = 0; n < hosts; ++n)
+    {
+        const std::string name = host_name(n);
+        if (name != host.name)
+        {
+            names.push_back(name);
+        }
+    }
+    return names;
+}
+
 // Returns the messages that a host sends now, and schedules the next ones.
-std::vector<load_message> due_messages(sim_host& host, time_point now)
+std::vector<sim_message> due_messages(sim_host& host, time_point now)
 {
-    std::vector<load_message> messages;
-    if (advance_if_due(host.report_schedule, report_period(fleet), now))
+    const std::vector<std::string> peers = names_of_others(host);
+    const std::vector<std::string> due =
+        take_due_peers(host.report_turns, peers, report_period(fleet), now);
+    std::vector<sim_message> messages;
+    for (load_message& message :
+         load_report_messages(host.name, 1, host.reports))
     {
-        messages = load_report_messages(host.name, 1, host.reports);
+        messages.push_back({std::move(message), due});
     }
     if (advance_if_due(host.pair_schedule, pair_period(fleet), now))
     {
@@ -149,7 +178,7 @@
             select_due_pairs(host.pairs, host.model, now);
         if (!pairs.empty())
         {
-            messages.push_back(pair_message(host.name, 1, pairs));
+            messages.push_back({pair_message(host.name, 1, pairs), peers});
         }
     }
     return messages;
@@ -212,9 +241,9 @@
             {
                 learn(host, round / 8);
             }
-            for (const load_message& sent : due_messages(host, now))
+            for (const sim_message& sent : due_messages(host, now))
             {
-                const std::string text = to_json(sent);
+                const std::string text = to_json(sent.message);
                 const std::size_t bytes = text.size() + overhead_bytes;
                 result.largest = std::max(result.largest, bytes);
                 const absl::StatusOr<load_message> message =
@@ -222,7 +251,8 @@
                 REQUIRE(message.ok());
                 for (sim_host& other : result.cluster)
                 {
-                    if (other.name != host.name)
+                    if (std::find(sent.peers.begin(), sent.peers.end(),
+                                  other.name) != sent.peers.end())
                     {
                         receive(other, *message, bytes, is_lost(random), now);
                     }
--- a/tests/scheduler/datagram_queue_test.cpp
+++ b/tests/scheduler/datagram_queue_test.cpp
@@ -16,6 +16,8 @@
 {
 
 const time_point start_time = time_point{} + milliseconds(1'000'000);
+// Time between two ticks of the scheduler.
+constexpr milliseconds tick{250};
 
 std::vector<std::string> make_peers(std::size_t count)
 {
@@ -78,25 +80,28 @@
 // Guards against peers that are always at the end of a burst and get no load
 // report at all: they assign no job for as long as that lasts.
 TEST_CASE("each peer gets recent reports of all racks over a link that drops "
-          "the last half of the datagrams of each report period",
+          "the last half of the datagrams of each tick",
           "[scheduler]")
 {
-    for (const std::size_t count : {17, 42, 96})
+    for (const std::size_t count : {8, 17, 42, 96})
     {
         for (const std::size_t messages : {1, 2, 3, 8, 13})
         {
             CAPTURE(count, messages);
+            const std::vector<std::string> peers = make_peers(count);
             const milliseconds period = report_period({count, 12 * count});
-            const std::size_t total = count * messages;
             datagram_queue queue;
+            peer_turns turns;
             std::map<delivery, milliseconds> received;
-            for (milliseconds at{0}; at < std::chrono::seconds(60);
-                 at += period)
+            for (milliseconds at{0}; at < std::chrono::seconds(60); at += tick)
             {
-                add_datagrams(queue, make_messages(messages), make_peers(count),
+                const std::vector<std::string> due =
+                    take_due_peers(turns, peers, period, start_time + at);
+                add_datagrams(queue, make_messages(messages), due,
                               start_time + at);
+                const std::size_t total = due.size() * messages;
                 std::size_t sent = 0;
-                for (milliseconds in{0}; in < period; ++in)
+                for (milliseconds in{0}; in < tick; ++in)
                 {
                     for (const queued_datagram& item :
                          take_burst(queue, start_time + at + in))
@@ -111,13 +116,13 @@
                 {
                     continue;
                 }
-                REQUIRE(received.size() == total);
+                REQUIRE(received.size() == count * messages);
                 const auto oldest =
                     std::min_element(received.begin(), received.end(),
                                      [](const auto& lhs, const auto& rhs)
                                      { return lhs.second < rhs.second; });
                 CAPTURE(oldest->first.first, oldest->first.second);
-                REQUIRE((at + period - oldest->second).count() <
+                REQUIRE((at + tick - oldest->second).count() <
                         report_age(period).count());
             }
         }
@@ -131,18 +136,23 @@
     for (const std::size_t count : {17, 42, 96})
     {
         CAPTURE(count);
+        const std::vector<std::string> peers = make_peers(count);
         const milliseconds period = report_period({count, 12 * count});
         datagram_queue queue;
+        peer_turns turns;
+        turns.taken_at = start_time - tick;
         simulated_link link;
         link.buffer = 4;
         link.per_datagram = milliseconds(2); // a full packet at 6 Mbit/s
         std::size_t sent = 0;
         for (milliseconds at{0}; at < std::chrono::seconds(20); ++at)
         {
-            if (at % period == milliseconds(0))
+            if (at % tick == milliseconds(0))
             {
-                add_datagrams(queue, make_messages(1), make_peers(count),
-                              start_time + at);
+                add_datagrams(
+                    queue, make_messages(1),
+                    take_due_peers(turns, peers, period, start_time + at),
+                    start_time + at);
             }
             for (std::size_t n = take_burst(queue, start_time + at).size();
                  n > 0; --n)
