Count the time for which a load report waited to be read

Found by review; no caller has reported it. A host that is paused, or whose receiving thread is busy, finds datagrams in its socket that arrived long before, and dated their content by the time at which it read them. It then counts placements as included in reports that are older, and extends its right to grant leases on reports of an outage of the store that may have ended: its racks may have another owner by then.

The kernel now records when it receives a datagram (SO_TIMESTAMPNS), and the time until it is read is added to the age of the message. The stamp is on the real-time clock, which includes a suspension of the machine; if that clock is set back meanwhile, the wait counts as shorter.

--- a/include/egretspindle/rack/load_message.hpp
+++ b/include/egretspindle/rack/load_message.hpp
@@ -70,8 +70,9 @@
 {
     std::string host;
     std::int64_t boot = 0; ///< boot id of the host
-    /// Time from the measurement until the datagram was sent, in milliseconds;
-    /// see `age_of`.
+    /// Time from the measurement until the datagram was sent, in milliseconds.
+    /// In a received message it includes the time for which the datagram waited
+    /// to be read; see `age_of`.
     std::int64_t age_ms = 0;
     /// The host's last read of the store was at least `contact_timeout`
     /// (1.5 s) ago.
@@ -131,8 +132,8 @@
 pair_message(const std::string& host, std::int64_t boot,
              const std::vector<pair_interference>& pairs);
 
-/// Returns how long before it was sent the content of a message was measured:
-/// at least 0, at most `max_message_age`.
+/// Returns how long ago the content of a message was measured, without the
+/// delay of the network: at least 0, at most `max_message_age`.
 [[nodiscard]] milliseconds age_of(const load_message& message) noexcept;
 
 /// Returns the load reports of a message. Those with an index out of range or
--- a/src/scheduler/load_exchange.cpp
+++ b/src/scheduler/load_exchange.cpp
@@ -10,9 +10,13 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <arpa/inet.h>
+#include <array>
 #include <atomic>
 #include <condition_variable>
+#include <cstring>
+#include <ctime>
 #include <mutex>
 #include <optional>
 #include <sys/socket.h>
@@ -46,6 +50,47 @@
     return address;
 }
 
+// Returns how long ago the kernel received a datagram; 0 if it does not say so.
+milliseconds time_in_socket(msghdr& header)
+{
+    for (const cmsghdr* item = CMSG_FIRSTHDR(&header); item != nullptr;
+         item = CMSG_NXTHDR(&header, const_cast<cmsghdr*>(item)))
+    {
+        if (item->cmsg_level != SOL_SOCKET ||
+            item->cmsg_type != SCM_TIMESTAMPNS)
+        {
+            continue;
+        }
+        timespec received_at{};
+        std::memcpy(&received_at, CMSG_DATA(item), sizeof received_at);
+        timespec now{};
+        ::clock_gettime(CLOCK_REALTIME, &now);
+        const std::chrono::nanoseconds waited =
+            std::chrono::seconds(now.tv_sec - received_at.tv_sec) +
+            std::chrono::nanoseconds(now.tv_nsec - received_at.tv_nsec);
+        // Negative if the clock was set back.
+        return std::clamp(std::chrono::duration_cast<milliseconds>(waited),
+                          milliseconds(0), max_message_age);
+    }
+    return milliseconds(0);
+}
+
+// Receives a datagram. Returns its size, and sets how long it has waited to be
+// read.
+ssize_t receive_datagram(int socket, std::string& buf, milliseconds& waited)
+{
+    iovec part{buf.data(), buf.size()};
+    alignas(cmsghdr) std::array<char, CMSG_SPACE(sizeof(timespec))> control{};
+    msghdr header{};
+    header.msg_iov = &part;
+    header.msg_iovlen = 1;
+    header.msg_control = control.data();
+    header.msg_controllen = control.size();
+    const ssize_t n = ::recvmsg(socket, &header, 0);
+    waited = n < 0 ? milliseconds(0) : time_in_socket(header);
+    return n;
+}
+
 } // namespace
 
 struct load_exchange::impl
@@ -77,7 +122,8 @@
     std::string buf(max_datagram_size, '\0');
     while (!is_stopping)
     {
-        const ssize_t n = ::recv(socket, buf.data(), buf.size(), 0);
+        milliseconds waited{0};
+        const ssize_t n = receive_datagram(socket, buf, waited);
         if (n <= static_cast<ssize_t>(tag_size))
         {
             continue;
@@ -90,13 +136,13 @@
         {
             continue; // not signed with the key of this cluster
         }
-        const absl::StatusOr<load_message> message =
-            from_json<load_message>(payload);
+        absl::StatusOr<load_message> message = from_json<load_message>(payload);
         if (!message.ok())
         {
             log_rejected(std::string(message.status().message()));
             continue;
         }
+        message->age_ms = (age_of(*message) + waited).count();
         try
         {
             on_receive(*message, text.size());
@@ -211,6 +257,10 @@
     }
     ::setsockopt(impl_->socket, SOL_SOCKET, SO_RCVTIMEO, &receive_timeout,
                  sizeof receive_timeout);
+    // A process that was paused finds datagrams that arrived long before.
+    const int has_timestamps = 1;
+    ::setsockopt(impl_->socket, SOL_SOCKET, SO_TIMESTAMPNS, &has_timestamps,
+                 sizeof has_timestamps);
     impl_->thread = std::thread([this] { impl_->receive_all(); });
     impl_->sender = std::thread([this] { impl_->send_all(); });
     return absl::OkStatus();
--- a/tests/scheduler/cluster_agent_test.cpp
+++ b/tests/scheduler/cluster_agent_test.cpp
@@ -1,10 +1,13 @@
+#include "egretspindle/cluster/store_contact.hpp"
 #include "egretspindle/codec/json.hpp"
 #include "egretspindle/core/error.hpp"
 #include "egretspindle/scheduler/cluster_agent.hpp"
 #include "egretspindle/scheduler/cluster_rows.hpp"
+#include "egretspindle/scheduler/load_exchange.hpp"
 #include "egretspindle/scheduler/shard.hpp"
 
 #include "fake_store.hpp"
+#include "support/free_port.hpp"
 
 #include <catch2/catch.hpp>
 
@@ -660,3 +663,60 @@
     REQUIRE(host.released.front().targets.size() == 1);
     CHECK(host.released.front().targets.front().remaining_ms <= 700);
 }
+
+// Guards against a host that was paused, and then extends its right to grant
+// leases on reports that waited in its socket: the store may be back, and
+// another host may have claimed its racks.
+TEST_CASE("reports of an outage that waited to be read do not count as new",
+          "[scheduler]")
+{
+    fake_store store;
+    agent_fixture host(store);
+    REQUIRE(wait_until([&] { return store.watches() >= 1; }));
+    write_heartbeat(store, "h2");
+    REQUIRE(wait_until([&] { return host.agent.peers().size() == 1; }));
+    store.set_unreadable(true);
+    REQUIRE(wait_until([&] { return host.agent.is_without_store(); }));
+    std::atomic<bool> is_paused{false};
+    std::atomic<bool> may_continue{false};
+    std::atomic<int> received{0};
+    const auto receive = [&](const load_message& message, std::size_t /*bytes*/)
+    {
+        if (message.host == "h3")
+        {
+            is_paused = true;
+            wait_until([&] { return may_continue.load(); });
+            return;
+        }
+        host.agent.record_store_contact(message.host, !message.is_without_store,
+                                        age_of(message));
+        ++received;
+    };
+    load_exchange sender("key", [](const load_message&, std::size_t) {});
+    load_exchange receiver("key", receive);
+    const unsigned short port = test::free_port();
+    REQUIRE(sender.start("127.0.0.1", test::free_port()).ok());
+    REQUIRE(receiver.start("127.0.0.1", port).ok());
+    const std::vector<std::string> peers{"127.0.0.1:" + std::to_string(port)};
+    load_message message;
+    message.host = "h3";
+    static_cast<void>(sender.send({message}, peers));
+    REQUIRE(wait_until([&] { return is_paused.load(); }));
+    message.host = "h2";
+    message.is_without_store = true;
+    static_cast<void>(sender.send({message}, peers));
+    std::this_thread::sleep_for(2 * contact_report_lifetime);
+    may_continue = true;
+    REQUIRE(wait_until([&] { return received == 1; }));
+    CHECK_FALSE(host.agent.is_outage());
+    // A new report counts.
+    CHECK(wait_until(
+        [&]
+        {
+            static_cast<void>(sender.send({message}, peers));
+            return host.agent.is_outage();
+        }));
+    sender.stop();
+    receiver.stop();
+    host.agent.stop();
+}
--- a/tests/scheduler/load_exchange_test.cpp
+++ b/tests/scheduler/load_exchange_test.cpp
@@ -105,6 +105,7 @@
     const milliseconds taken = std::chrono::duration_cast<milliseconds>(
         steady_clock::now() - begun_at);
     std::vector<milliseconds> sorted;
+    sorted.reserve(ages.size());
     for (const auto& [host, age] : ages)
     {
         sorted.push_back(age);
@@ -118,3 +119,54 @@
     sender.stop();
     receiver.stop();
 }
+
+// Guards against a host that was paused and takes the datagrams that arrived
+// meanwhile for new ones: it would extend its right to grant leases on reports
+// of an outage of the store that has ended.
+TEST_CASE("the age of a load message includes the time it waited to be read",
+          "[scheduler]")
+{
+    constexpr milliseconds pause{1'500};
+    std::mutex mutex;
+    std::condition_variable changed;
+    bool is_paused = true;
+    std::map<std::string, milliseconds> ages; // by host
+    const auto receive = [&](const load_message& message, std::size_t /*bytes*/)
+    {
+        std::unique_lock<std::mutex> lock(mutex);
+        ages[message.host] = age_of(message);
+        changed.notify_all();
+        changed.wait_for(lock, std::chrono::seconds(30),
+                         [&] { return !is_paused; });
+    };
+    load_exchange sender("key", [](const load_message&, std::size_t) {});
+    load_exchange receiver("key", receive);
+    const unsigned short port = test::free_port();
+    REQUIRE(sender.start("127.0.0.1", test::free_port()).ok());
+    REQUIRE(receiver.start("127.0.0.1", port).ok());
+    const std::vector<std::string> peers{"127.0.0.1:" + std::to_string(port)};
+    load_message message;
+    message.host = "h1";
+    static_cast<void>(sender.send({message}, peers));
+    std::unique_lock<std::mutex> lock(mutex);
+    REQUIRE(changed.wait_for(lock, std::chrono::seconds(30),
+                             [&] { return ages.count("h1") > 0; }));
+    const time_point sent_at = steady_clock::now();
+    message.host = "h2";
+    message.age_ms = 0;
+    static_cast<void>(sender.send({message}, peers));
+    changed.wait_for(lock, pause, [] { return false; });
+    is_paused = false;
+    changed.notify_all();
+    REQUIRE(changed.wait_for(lock, std::chrono::seconds(30),
+                             [&] { return ages.count("h2") > 0; }));
+    const milliseconds taken =
+        std::chrono::duration_cast<milliseconds>(steady_clock::now() - sent_at);
+    // The age lacks the short time from its computation until the datagram
+    // reaches the socket.
+    CHECK(ages["h2"].count() >= pause.count() / 2);
+    CHECK(ages["h2"].count() <= taken.count());
+    lock.unlock();
+    sender.stop();
+    receiver.stop();
+}
