Say in each load message that the host does not reach the store

Found by review; no caller has reported it. In an outage of the store that concerns all hosts, owners extend their right to grant leases only while no host reports that it reaches the store. If the load reports of a host did not fit into one datagram, only the first one said that the store does not answer; receivers took the others, and those with learned pairs, for reports of a host that reaches it. Each replaced what the first one had said, so that leases were not extended and running tasks stop after 7 s without the store.

All messages now say so.

--- a/src/scheduler/job_scheduler.cpp
+++ b/src/scheduler/job_scheduler.cpp
@@ -978,18 +978,24 @@
     {
         racks.extend_authority();
     }
+    // Receivers take a message that does not say so for one of a host that
+    // reaches the store.
+    const bool is_without_store = agent.is_without_store();
     const std::vector<std::string> due_peers =
         take_due_peers(report_turns, peers, report_period(size), now);
     if (!due_peers.empty())
     {
         std::vector<load_message> messages =
             load_report_messages(options.host, boot, load_reports);
-        if (agent.is_without_store())
+        if (is_without_store && messages.empty())
         {
-            messages.resize(std::max<std::size_t>(1, messages.size()));
+            messages.emplace_back();
             messages.front().host = options.host;
             messages.front().boot = boot;
-            messages.front().is_without_store = true;
+        }
+        for (load_message& message : messages)
+        {
+            message.is_without_store = is_without_store;
         }
         send_load(messages, due_peers);
     }
@@ -1003,7 +1009,9 @@
             racks.select_due_pairs(sent_pair_log);
         if (!pairs.empty())
         {
-            send_load({pair_message(options.host, boot, pairs)}, peers);
+            load_message message = pair_message(options.host, boot, pairs);
+            message.is_without_store = is_without_store;
+            send_load({message}, peers);
         }
     }
     if (elapsed(activity_logged_at) >= activity_period)
