Count the age of a load report from the start of its measurement

Found by review; no caller has reported it. The age of a load message began when it was queued, after the load of the racks had been measured, applied to the own view and encoded, between which the thread waits for two locks. A host that is paused in between reports loads and learned pairs from before the pause as new, so that others count what they have placed meanwhile as included.

The age now begins before the measurement. That a pause falls into this time was not played.

--- a/include/egretspindle/scheduler/datagram_queue.hpp
+++ b/include/egretspindle/scheduler/datagram_queue.hpp
@@ -31,8 +31,8 @@
 struct queued_datagram
 {
     std::shared_ptr<const load_message> message;
-    std::string peer; ///< address of the host, as `ip:port`
-    time_point queued_at;
+    std::string peer;       ///< address of the host, as `ip:port`
+    time_point measured_at; ///< of the content of the message
 };
 
 /// Datagrams that wait to be sent. Not synchronized.
@@ -52,7 +52,8 @@
 /// than are added, so that a socket that blocks does not let the queue grow.
 void add_datagrams(datagram_queue& queue,
                    const std::vector<load_message>& messages,
-                   const std::vector<std::string>& peers, time_point now);
+                   const std::vector<std::string>& peers,
+                   time_point measured_at);
 
 /// Removes and returns the datagrams to send now; empty until `burst_interval`
 /// has passed since the latest burst.
--- a/include/egretspindle/scheduler/load_exchange.hpp
+++ b/include/egretspindle/scheduler/load_exchange.hpp
@@ -4,6 +4,7 @@
 #ifndef EGRETSPINDLE_SCHEDULER_LOAD_EXCHANGE_HPP
 #define EGRETSPINDLE_SCHEDULER_LOAD_EXCHANGE_HPP
 
+#include "egretspindle/core/clock.hpp"
 #include "egretspindle/rack/load_message.hpp"
 
 #include <absl/status/status.h>
@@ -50,11 +51,13 @@
     /// the pace at which they are sent. Errors are ignored, and a datagram of
     /// more than 60'000 bytes is not sent.
     ///
-    /// \param messages  measured just now; sent with their `age_ms`
+    /// \param messages  sent with their `age_ms`
+    /// \param measured_at  start of the measurement of their content
     /// \param peers  addresses of the hosts, as `ip:port`
     /// \returns the size in bytes of the datagram of each message without its
     ///          age, which is the same for all peers
     std::vector<std::size_t> send(const std::vector<load_message>& messages,
+                                  time_point measured_at,
                                   const std::vector<std::string>& peers);
 
 private:
--- a/src/scheduler/datagram_queue.cpp
+++ b/src/scheduler/datagram_queue.cpp
@@ -28,7 +28,8 @@
 
 void add_datagrams(datagram_queue& queue,
                    const std::vector<load_message>& messages,
-                   const std::vector<std::string>& peers, time_point now)
+                   const std::vector<std::string>& peers,
+                   time_point measured_at)
 {
     std::vector<std::shared_ptr<const load_message>> shared;
     shared.reserve(messages.size());
@@ -50,7 +51,8 @@
         double position = it->second;
         for (const std::shared_ptr<const load_message>& message : shared)
         {
-            ordered.emplace_back(position, queued_datagram{message, peer, now});
+            ordered.emplace_back(position,
+                                 queued_datagram{message, peer, measured_at});
             position = advance(position);
         }
     }
--- a/src/scheduler/job_scheduler.cpp
+++ b/src/scheduler/job_scheduler.cpp
@@ -138,8 +138,10 @@
     void deliver_reports(const std::string& host,
                          std::vector<run_report> reports, milliseconds waited);
     void apply_peer_load(const load_message& message);
-    void apply_own_load(std::vector<rack_load_report> load_reports);
+    void apply_own_load(std::vector<rack_load_report> load_reports,
+                        time_point measured_at);
     void send_load(const std::vector<load_message>& messages,
+                   time_point measured_at,
                    const std::vector<std::string>& peers);
     void add_handlers();
     void tick_loop();
@@ -888,7 +890,7 @@
 
 // Applies the load of this host's racks to its own view of the fleet.
 void job_scheduler::impl::apply_own_load(
-    std::vector<rack_load_report> load_reports)
+    std::vector<rack_load_report> load_reports, time_point measured_at)
 {
     std::optional<interference_model> changed_model =
         racks.copy_changed_model();
@@ -897,7 +899,7 @@
     {
         const std::lock_guard<std::mutex> lock(load_mutex);
         const time_point now = steady_clock::now();
-        apply_load_reports(load, load_reports, now);
+        apply_load_reports(load, load_reports, measured_at);
         if (advance_if_due(reservation_schedule, reservation_period, now))
         {
             shares = reserved_shares(load, now);
@@ -918,9 +920,11 @@
 }
 
 void job_scheduler::impl::send_load(const std::vector<load_message>& messages,
+                                    time_point measured_at,
                                     const std::vector<std::string>& peers)
 {
-    for (const std::size_t bytes : load_exchanger->send(messages, peers))
+    for (const std::size_t bytes :
+         load_exchanger->send(messages, measured_at, peers))
     {
         count_datagram(racks.activity().reports_out, bytes * peers.size());
     }
@@ -960,8 +964,9 @@
 // to the other hosts as far as they are due.
 void job_scheduler::impl::share_load()
 {
+    const time_point measured_at = steady_clock::now();
     const std::vector<rack_load_report> load_reports = racks.measure();
-    apply_own_load(load_reports);
+    apply_own_load(load_reports, measured_at);
     const std::vector<std::string> peers = agent.peers();
     fleet_size size;
     size.peers = peers.size();
@@ -997,7 +1002,7 @@
         {
             message.is_without_store = is_without_store;
         }
-        send_load(messages, due_peers);
+        send_load(messages, measured_at, due_peers);
     }
     if (advance_if_due(pair_schedule, pair_period(size), now))
     {
@@ -1011,7 +1016,7 @@
         {
             load_message message = pair_message(options.host, boot, pairs);
             message.is_without_store = is_without_store;
-            send_load({message}, peers);
+            send_load({message}, measured_at, peers);
         }
     }
     if (elapsed(activity_logged_at) >= activity_period)
--- a/src/scheduler/load_exchange.cpp
+++ b/src/scheduler/load_exchange.cpp
@@ -186,7 +186,7 @@
         {
             encoded = item.message;
             text = encode(*encoded, std::chrono::duration_cast<milliseconds>(
-                                        now - item.queued_at));
+                                        now - item.measured_at));
         }
         send_datagram(text, item.peer);
     }
@@ -290,6 +290,7 @@
 
 std::vector<std::size_t>
 load_exchange::send(const std::vector<load_message>& messages,
+                    time_point measured_at,
                     const std::vector<std::string>& peers)
 {
     std::vector<std::size_t> sizes;
@@ -306,7 +307,7 @@
     }
     {
         const std::lock_guard<std::mutex> lock(impl_->queue_mutex);
-        add_datagrams(impl_->queue, sendable, peers, steady_clock::now());
+        add_datagrams(impl_->queue, sendable, peers, measured_at);
     }
     impl_->queue_changed.notify_all();
     return sizes;
--- a/tests/scheduler/cluster_agent_test.cpp
+++ b/tests/scheduler/cluster_agent_test.cpp
@@ -700,11 +700,11 @@
     const std::vector<std::string> peers{"127.0.0.1:" + std::to_string(port)};
     load_message message;
     message.host = "h3";
-    static_cast<void>(sender.send({message}, peers));
+    static_cast<void>(sender.send({message}, steady_clock::now(), peers));
     REQUIRE(wait_until([&] { return is_paused.load(); }));
     message.host = "h2";
     message.is_without_store = true;
-    static_cast<void>(sender.send({message}, peers));
+    static_cast<void>(sender.send({message}, steady_clock::now(), peers));
     std::this_thread::sleep_for(2 * contact_report_lifetime);
     may_continue = true;
     REQUIRE(wait_until([&] { return received == 1; }));
@@ -713,7 +713,8 @@
     CHECK(wait_until(
         [&]
         {
-            static_cast<void>(sender.send({message}, peers));
+            static_cast<void>(
+                sender.send({message}, steady_clock::now(), peers));
             return host.agent.is_outage();
         }));
     sender.stop();
--- a/tests/scheduler/load_exchange_test.cpp
+++ b/tests/scheduler/load_exchange_test.cpp
@@ -47,7 +47,7 @@
         messages[n].host = "h" + std::to_string(n);
     }
     const std::vector<std::size_t> sizes =
-        exchanges.front()->send(messages, peers);
+        exchanges.front()->send(messages, steady_clock::now(), peers);
     CHECK(sizes.size() == messages.size());
     {
         std::unique_lock<std::mutex> lock(mutex);
@@ -62,7 +62,8 @@
                                    return count == peer_count * messages.size();
                                }));
     }
-    static_cast<void>(exchanges.front()->send(messages, peers));
+    static_cast<void>(
+        exchanges.front()->send(messages, steady_clock::now(), peers));
     for (const std::unique_ptr<load_exchange>& item : exchanges)
     {
         item->stop();
@@ -95,8 +96,8 @@
         messages[n].host = "h" + std::to_string(n);
     }
     const time_point begun_at = steady_clock::now();
-    static_cast<void>(
-        sender.send(messages, {"127.0.0.1:" + std::to_string(port)}));
+    static_cast<void>(sender.send(messages, steady_clock::now(),
+                                  {"127.0.0.1:" + std::to_string(port)}));
     {
         std::unique_lock<std::mutex> lock(mutex);
         REQUIRE(changed.wait_for(lock, std::chrono::seconds(30),
@@ -147,14 +148,14 @@
     const std::vector<std::string> peers{"127.0.0.1:" + std::to_string(port)};
     load_message message;
     message.host = "h1";
-    static_cast<void>(sender.send({message}, peers));
+    static_cast<void>(sender.send({message}, steady_clock::now(), peers));
     std::unique_lock<std::mutex> lock(mutex);
     REQUIRE(changed.wait_for(lock, std::chrono::seconds(30),
                              [&] { return ages.count("h1") > 0; }));
     const time_point sent_at = steady_clock::now();
     message.host = "h2";
     message.age_ms = 0;
-    static_cast<void>(sender.send({message}, peers));
+    static_cast<void>(sender.send({message}, steady_clock::now(), peers));
     changed.wait_for(lock, pause, [] { return false; });
     is_paused = false;
     changed.notify_all();
@@ -170,3 +171,35 @@
     sender.stop();
     receiver.stop();
 }
+
+// Guards against a host that is paused between the measurement and the sending
+// of its load, and then reports it as new.
+TEST_CASE("the age of a load message begins with its measurement",
+          "[scheduler]")
+{
+    std::mutex mutex;
+    std::condition_variable changed;
+    std::int64_t age_ms = -1;
+    load_exchange sender("key", [](const load_message&, std::size_t) {});
+    load_exchange receiver("key",
+                           [&](const load_message& message, std::size_t)
+                           {
+                               const std::lock_guard<std::mutex> lock(mutex);
+                               age_ms = age_of(message).count();
+                               changed.notify_all();
+                           });
+    const unsigned short port = test::free_port();
+    REQUIRE(sender.start("127.0.0.1", test::free_port()).ok());
+    REQUIRE(receiver.start("127.0.0.1", port).ok());
+    static_cast<void>(sender.send({load_message{}},
+                                  steady_clock::now() - milliseconds(3'000),
+                                  {"127.0.0.1:" + std::to_string(port)}));
+    {
+        std::unique_lock<std::mutex> lock(mutex);
+        REQUIRE(changed.wait_for(lock, std::chrono::seconds(30),
+                                 [&] { return age_ms >= 0; }));
+        CHECK(age_ms >= 3'000);
+    }
+    sender.stop();
+    receiver.stop();
+}
