Extend the right to grant leases from the check for an outage on

Found by review; no caller has reported it. `rack_agent::extend_authority` read the clock itself, after `cluster_agent::is_outage` had returned and after a wait for the lock of the racks. A host that is paused in between extended its right for 1 s from its return on, by a check of before the pause.

The time is now read before the check. That a pause falls into this time was not played.

--- a/include/egretspindle/scheduler/rack_agent.hpp
+++ b/include/egretspindle/scheduler/rack_agent.hpp
@@ -4,6 +4,7 @@
 #ifndef EGRETSPINDLE_SCHEDULER_RACK_AGENT_HPP
 #define EGRETSPINDLE_SCHEDULER_RACK_AGENT_HPP
 
+#include "egretspindle/core/boot_clock.hpp"
 #include "egretspindle/core/clock.hpp"
 #include "egretspindle/fleet/target_port.hpp"
 #include "egretspindle/metrics/metric_registry.hpp"
@@ -170,9 +171,11 @@
                      const clock_reading& read_at);
 
     /// Lets this host grant leases in its racks for `lease_limits::outage_step`
-    /// from now, where its right to do so has not ended. Called during an
-    /// outage of the store for all hosts.
-    void extend_authority();
+    /// from `checked_at`, where its right to do so had not ended by then.
+    /// Called during an outage of the store for all hosts.
+    ///
+    /// \param checked_at  before the look whether there is such an outage
+    void extend_authority(boot_time_point checked_at);
 
     /// Replaces the platform's list of targets, by id.
     void set_targets(const std::map<std::string, target_entry>& targets);
--- a/src/scheduler/job_scheduler.cpp
+++ b/src/scheduler/job_scheduler.cpp
@@ -979,9 +979,10 @@
     const time_point now = steady_clock::now();
     // Others count on a host that leaves to grant no leases when the time after
     // its last heartbeat is over.
+    const boot_time_point checked_at = boot_clock::now();
     if (!is_leaving && agent.is_outage())
     {
-        racks.extend_authority();
+        racks.extend_authority(checked_at);
     }
     // Receivers take a message that does not say so for one of a host that
     // reaches the store.
--- a/src/scheduler/rack_agent.cpp
+++ b/src/scheduler/rack_agent.cpp
@@ -178,13 +178,12 @@
     }
 }
 
-void rack_agent::extend_authority()
+void rack_agent::extend_authority(boot_time_point checked_at)
 {
     const std::lock_guard<std::mutex> lock(impl_->mutex);
-    const boot_time_point now = boot_clock::now();
     for (auto& [name, rack] : impl_->racks)
     {
-        egretspindle::extend_authority(rack, now, impl_->limits.lease);
+        egretspindle::extend_authority(rack, checked_at, impl_->limits.lease);
     }
 }
 
--- a/tests/scheduler/rack_agent_test.cpp
+++ b/tests/scheduler/rack_agent_test.cpp
@@ -1351,6 +1351,32 @@
     REQUIRE(env.targets.starts.size() == starts);
 }
 
+// Guards against an owner that is paused after it has found that no host
+// reaches the store, and then extends its right to grant leases from its return
+// on.
+TEST_CASE("the right to grant leases is extended from the check on",
+          "[scheduler]")
+{
+    rack_agent_limits limits = fixture::make_limits();
+    limits.lease.authority = milliseconds(1'000);
+    fixture env(limits);
+    REQUIRE(env.targets.wait_until([&] { return !env.targets.polls.empty(); }));
+    const auto end = steady_clock::now() + std::chrono::seconds(20);
+    bool is_expired = false;
+    while (!is_expired && steady_clock::now() < end)
+    {
+        env.agent.extend_authority(boot_clock::now() -
+                                   limits.lease.outage_step);
+        std::this_thread::sleep_for(milliseconds(20));
+        const std::lock_guard<std::mutex> lock(env.targets.mutex);
+        is_expired =
+            std::count_if(env.targets.polls.begin(), env.targets.polls.end(),
+                          [](const poll_request& request)
+                          { return request.lease_until_ms == 0; }) > 10;
+    }
+    CHECK(is_expired);
+}
+
 // A start that is delayed until the owner may grant leases again must be
 // checked against the current list before it is sent. Otherwise it may reach a
 // target seconds after the platform has listed it as draining.
