Wait for leases that a former owner granted while this host had no store

Found by review; no caller has reported it. While no host reaches the store, owners go on granting leases: up to 3 s (`contact_report_lifetime` and `outage_step`) after the last report that says so. A host reports it once 1.5 s have passed since its last read, but heartbeats count anew only after reads that are 2.5 s apart (`max_read_gap`). After a gap between the two, the host took racks of an owner that it found silent, and counted the 4 s for which that one may grant leases from its last heartbeat, before the report. The former owner, if it still does not reach the store and the first reports to the contrary are late or lost, grants leases for longer than that; on targets that only it reaches, a run could be started twice.

The last heartbeat of a former owner now counts as not before the first read after this host was without the store. Claims are not delayed.

The overlap of leases itself was derived, not played.

--- a/src/scheduler/cluster_agent.cpp
+++ b/src/scheduler/cluster_agent.cpp
@@ -127,6 +127,9 @@
     cluster_view view;
     std::int64_t read_version = 0; ///< of the store, by the last read
     contact_reports contacts;
+    /// First read after this host was without the store; see
+    /// `contact_timeout`.
+    time_point contact_since;
     /// Tokens of the owned resources that `hooks.taken` was called for.
     std::map<std::string, std::int64_t> announced;
     std::size_t losing = 0; ///< lost resources whose hook has not returned
@@ -189,8 +192,9 @@
     else if (!is_live(view, item.owner.host, limits, now))
     {
         // Until its claim, the owner before it granted leases.
-        former.last_heartbeat =
-            std::max(host->second.changed_at, item.owned_since);
+        // So did this owner while this host reported an outage of the store.
+        former.last_heartbeat = std::max(
+            {host->second.changed_at, item.owned_since, contact_since});
     }
     return former;
 }
@@ -317,12 +321,17 @@
         row = own->version > row.version ? *own : row;
     }
     const std::lock_guard<std::mutex> lock(mutex);
+    const time_point now = steady_clock::now();
+    if (now - view.last_read >= contact_timeout)
+    {
+        contact_since = now;
+    }
     if (std::exchange(has_lost_changes, false))
     {
         // The heartbeats among the lost changes do not count as missed.
         view.last_read = {};
     }
-    apply_rows(view, rows, limits, steady_clock::now());
+    apply_rows(view, rows, limits, now);
     read_version = std::max(read_version, rows.version);
     update_releases(rows);
     list_resources();
--- a/tests/scheduler/cluster_agent_test.cpp
+++ b/tests/scheduler/cluster_agent_test.cpp
@@ -59,6 +59,7 @@
 {
     table_store& store;
     milliseconds whole_read_interval;
+    milliseconds heartbeat_timeout;
     std::mutex mutex;
     std::condition_variable changed;
     std::map<std::string, former_ownership> taken;
@@ -69,9 +70,12 @@
                         host_row{"h1", 2, "127.0.0.1:1", "dc", false, 0, {}},
                         hooks(), limits()};
 
-    explicit agent_fixture(table_store& rows, milliseconds whole_read_interval =
-                                                  milliseconds(30'000))
-        : store(rows), whole_read_interval(whole_read_interval)
+    explicit agent_fixture(
+        table_store& rows,
+        milliseconds whole_read_interval = milliseconds(30'000),
+        milliseconds heartbeat_timeout = milliseconds(60'000))
+        : store(rows), whole_read_interval(whole_read_interval),
+          heartbeat_timeout(heartbeat_timeout)
     {
         agent.set_racks({{"r1", "dc"}});
         agent.start();
@@ -81,7 +85,7 @@
     {
         liveness_limits result;
         result.whole_read_interval = whole_read_interval;
-        result.heartbeat_timeout = milliseconds(60'000);
+        result.heartbeat_timeout = heartbeat_timeout;
         result.first_claim_delay = milliseconds(1);
         return result;
     }
@@ -529,6 +533,30 @@
     CHECK(*former.last_heartbeat >= claimed_at);
 }
 
+// While no host reaches the store, owners grant leases beyond the time that
+// follows from their last heartbeat. Guards against counting from that
+// heartbeat after this host has reported that it does not reach the store.
+TEST_CASE("a former owner does not count as stopped from before an outage",
+          "[scheduler]")
+{
+    fake_store store;
+    write_owner(store, {"h9", 1});
+    write_host(store, "h9", 1);
+    agent_fixture host(store, milliseconds(30'000), milliseconds(3'000));
+    REQUIRE(wait_until([&] { return store.reads() >= 1; }));
+    write_host(store, "h9", 2);
+    const int end = store.watches() + 2;
+    REQUIRE(wait_until([&] { return store.watches() >= end; }));
+    store.set_unreadable(true);
+    REQUIRE(wait_until([&] { return host.agent.is_without_store(); }));
+    const time_point reported_at = steady_clock::now();
+    store.set_unreadable(false);
+    const former_ownership former = host.wait_for_rack();
+    CHECK(former.kind == former_owner::other);
+    REQUIRE(former.last_heartbeat.has_value());
+    CHECK(elapsed_ms(reported_at, *former.last_heartbeat) >= 0);
+}
+
 // Guards against waiting for leases that a process cannot have granted after
 // its end.
 TEST_CASE("a restarted owner is known to have ended", "[scheduler]")
