Let no late message hide that a host has reached the store again

Found by review; no caller has reported it. A load message that is overtaken on its way replaced a newer report on whether its sender reaches the store, so that this host could extend its right to grant leases for up to 3 s after another one had reached the store again.

A report of an outage now replaces only older reports; one that the store was reached is always taken, which is the safe side.

--- a/src/scheduler/cluster_agent.cpp
+++ b/src/scheduler/cluster_agent.cpp
@@ -964,7 +964,13 @@
                                          milliseconds age)
 {
     const std::lock_guard<std::mutex> lock(impl_->mutex);
-    impl_->contacts[host] = {boot_clock::now() - age, has_store_contact};
+    const boot_time_point measured_at = boot_clock::now() - age;
+    contact_report& known = impl_->contacts[host];
+    // A late message must not hide that the host has reached the store since.
+    if (has_store_contact || measured_at >= known.measured_at)
+    {
+        known = {measured_at, has_store_contact};
+    }
 }
 
 bool cluster_agent::is_without_store() const
--- a/tests/scheduler/cluster_agent_test.cpp
+++ b/tests/scheduler/cluster_agent_test.cpp
@@ -749,3 +749,23 @@
     receiver.stop();
     host.agent.stop();
 }
+
+// Guards against a message that is overtaken on its way, and hides that its
+// sender has reached the store again.
+TEST_CASE("a late report of an outage does not replace a newer one",
+          "[scheduler]")
+{
+    fake_store store;
+    agent_fixture host(store);
+    REQUIRE(wait_until([&] { return store.watches() >= 1; }));
+    write_heartbeat(store, "h2");
+    REQUIRE(wait_until([&] { return host.agent.peers().size() == 1; }));
+    store.set_unreadable(true);
+    REQUIRE(wait_until([&] { return host.agent.is_without_store(); }));
+    host.agent.record_store_contact("h2", true, milliseconds(0));
+    host.agent.record_store_contact("h2", false, milliseconds(1'000));
+    CHECK_FALSE(host.agent.is_outage());
+    host.agent.record_store_contact("h2", false, milliseconds(0));
+    CHECK(host.agent.is_outage());
+    host.agent.stop();
+}
