Compare the time of an idle job with the clock of its test

"a job with nothing at work for over 3 s shows with its reason" failed now and then: 3000.0 > 3000. A job counts as idle once more than 3 s have passed, measured exactly, while the gauge of the longest time shows whole milliseconds. A tick within the first millisecond after the limit therefore shows 3,000, which is correct; the test was wrong.

The test reads the clock before and after each tick now. The gauge has to lie between the times that these allow, and the job must show in the first tick that begins over 3 s after it became idle, and in none that ends before. This is stricter than the former check, which had no upper bound.

--- a/tests/scheduler/job_metrics_test.cpp
+++ b/tests/scheduler/job_metrics_test.cpp
@@ -401,7 +401,9 @@
 }
 
 // Guards against accepted jobs that stand still and do not show in the metrics,
-// or not with what they wait for.
+// or too early, too late or not with what they wait for. The test reads the
+// clock before and after each tick, so that a delay of its thread cannot fail
+// it.
 TEST_CASE("a job with nothing at work for over 3 s shows with its reason",
           "[metrics]")
 {
@@ -421,7 +423,9 @@
     REQUIRE(
         fixture.coordinator->query(job_fixture::make_request(false)).verdict ==
         "known");
+    const time_point first_begin = steady_clock::now();
     fixture.coordinator->tick();
+    const time_point first_end = steady_clock::now();
     if (reason == "rack")
     {
         rack_orders orders;
@@ -437,8 +441,28 @@
         fixture.coordinator->confirm(orders, reply);
     }
     CHECK(fixture.value(jobs) == 0);
-    REQUIRE(fixture.reaches(jobs, 1));
-    CHECK(fixture.value(longest) > 3'000);
+    constexpr time_point::duration limit = milliseconds(3'000);
+    time_point begin;
+    time_point end;
+    for (;;)
+    {
+        begin = steady_clock::now();
+        fixture.coordinator->tick();
+        end = steady_clock::now();
+        if (fixture.value(jobs) != 0)
+        {
+            break;
+        }
+        CHECK(fixture.value(longest) == 0);
+        REQUIRE((begin - first_end).count() <= limit.count());
+        std::this_thread::sleep_for(milliseconds(20));
+    }
+    CHECK((end - first_begin).count() > limit.count());
+    // The gauge shows whole milliseconds: 3,000 in the first one after the
+    // limit.
+    CHECK(fixture.value(longest) >= 3'000);
+    CHECK(fixture.value(longest) >= elapsed_ms(first_end, begin));
+    CHECK(fixture.value(longest) <= elapsed_ms(first_begin, end));
     for (const char* other : {"no_queue", "no_target", "order", "rack"})
     {
         CHECK(fixture.value(std::string("egretspindle_idle_jobs{for=\"") +
