Let the kernel choose the UDP port of a load exchange in its test

"a load exchange sends each message to each peer" failed now and then because start() could not bind. The test asked the kernel for a free TCP port, closed that socket and bound a UDP socket to the number. Until then another process, or the next exchange of the same test, can get the same port, and a port that is free for TCP may be in use for UDP.

The exchange binds port 0 now, and `port` returns the port that the kernel chose, so that no time passes between the choice and the use. A further test shows that a second exchange cannot bind the port of the first one; it fails if the socket sets SO_REUSEPORT.

--- a/include/egretspindle/scheduler/load_exchange.hpp
+++ b/include/egretspindle/scheduler/load_exchange.hpp
@@ -39,10 +39,14 @@
 
     /// Binds the UDP socket and starts the receiving and the sending thread.
     ///
+    /// \param port  0: the kernel chooses a free one, see `port`
     /// \returns `unavailable` when the address cannot be bound
     [[nodiscard]] absl::Status start(const std::string& address,
                                      unsigned short port);
 
+    /// Returns the port of the socket, 0 unless it is bound.
+    [[nodiscard]] unsigned short port() const noexcept;
+
     /// Joins the threads, within 0.5 s, and closes the socket. Datagrams that
     /// are still queued are not sent.
     void stop();
--- a/src/scheduler/load_exchange.cpp
+++ b/src/scheduler/load_exchange.cpp
@@ -266,6 +266,18 @@
     return absl::OkStatus();
 }
 
+unsigned short load_exchange::port() const noexcept
+{
+    sockaddr_in address{};
+    socklen_t size = sizeof address;
+    if (::getsockname(impl_->socket, reinterpret_cast<sockaddr*>(&address),
+                      &size) != 0)
+    {
+        return 0;
+    }
+    return ntohs(address.sin_port);
+}
+
 void load_exchange::stop()
 {
     {
--- a/tests/scheduler/cluster_agent_test.cpp
+++ b/tests/scheduler/cluster_agent_test.cpp
@@ -7,7 +7,6 @@
 #include "egretspindle/scheduler/shard.hpp"
 
 #include "fake_store.hpp"
-#include "support/free_port.hpp"
 
 #include <catch2/catch.hpp>
 
@@ -722,10 +721,10 @@
     };
     load_exchange sender("key", [](const load_message&, std::size_t) {});
     load_exchange receiver("key", receive);
-    const unsigned short port = test::free_port();
-    REQUIRE(sender.start("127.0.0.1", test::free_port()).ok());
-    REQUIRE(receiver.start("127.0.0.1", port).ok());
-    const std::vector<std::string> peers{"127.0.0.1:" + std::to_string(port)};
+    REQUIRE(sender.start("127.0.0.1", 0).ok());
+    REQUIRE(receiver.start("127.0.0.1", 0).ok());
+    const std::vector<std::string> peers{"127.0.0.1:" +
+                                         std::to_string(receiver.port())};
     load_message message;
     message.host = "h3";
     static_cast<void>(sender.send({message}, steady_clock::now(), peers));
--- a/tests/scheduler/load_exchange_test.cpp
+++ b/tests/scheduler/load_exchange_test.cpp
@@ -1,8 +1,6 @@
 #include "egretspindle/scheduler/datagram_queue.hpp"
 #include "egretspindle/scheduler/load_exchange.hpp"
 
-#include "support/free_port.hpp"
-
 #include <catch2/catch.hpp>
 
 #include <algorithm>
@@ -29,8 +27,6 @@
     std::vector<std::string> peers;
     for (std::size_t n = 0; n < peer_count; ++n)
     {
-        const unsigned short port = test::free_port();
-        peers.push_back("127.0.0.1:" + std::to_string(port));
         exchanges.push_back(std::make_unique<load_exchange>(
             "key",
             [&, n](const load_message& message, std::size_t /*bytes*/)
@@ -39,7 +35,9 @@
                 received[n].insert(message.host);
                 changed.notify_all();
             }));
-        REQUIRE(exchanges.back()->start("127.0.0.1", port).ok());
+        REQUIRE(exchanges.back()->start("127.0.0.1", 0).ok());
+        peers.push_back("127.0.0.1:" +
+                        std::to_string(exchanges.back()->port()));
     }
     std::vector<load_message> messages(3);
     for (std::size_t n = 0; n < messages.size(); ++n)
@@ -75,7 +73,7 @@
 // others on the same room.
 TEST_CASE("a load message that was queued carries its age", "[scheduler]")
 {
-    constexpr std::size_t count = 60;
+    constexpr std::size_t count = datagrams_per_burst * max_bursts;
     std::mutex mutex;
     std::condition_variable changed;
     std::map<std::string, milliseconds> ages; // by host
@@ -87,17 +85,17 @@
     };
     load_exchange sender("key", [](const load_message&, std::size_t) {});
     load_exchange receiver("key", receive);
-    const unsigned short port = test::free_port();
-    REQUIRE(sender.start("127.0.0.1", test::free_port()).ok());
-    REQUIRE(receiver.start("127.0.0.1", port).ok());
+    REQUIRE(sender.start("127.0.0.1", 0).ok());
+    REQUIRE(receiver.start("127.0.0.1", 0).ok());
     std::vector<load_message> messages(count);
     for (std::size_t n = 0; n < count; ++n)
     {
         messages[n].host = "h" + std::to_string(n);
     }
     const time_point begun_at = steady_clock::now();
-    static_cast<void>(sender.send(messages, steady_clock::now(),
-                                  {"127.0.0.1:" + std::to_string(port)}));
+    static_cast<void>(
+        sender.send(messages, steady_clock::now(),
+                    {"127.0.0.1:" + std::to_string(receiver.port())}));
     {
         std::unique_lock<std::mutex> lock(mutex);
         REQUIRE(changed.wait_for(lock, std::chrono::seconds(30),
@@ -113,8 +111,7 @@
     }
     std::sort(sorted.begin(), sorted.end());
     // Bursts are sent `burst_interval` apart.
-    constexpr std::size_t bursts = count / datagrams_per_burst;
-    CHECK(sorted.back() >= (bursts - 1) * burst_interval);
+    CHECK(sorted.back() >= (max_bursts - 1) * burst_interval);
     CHECK(sorted.back() <= taken);
     CHECK(sorted.front() < sorted.back());
     sender.stop();
@@ -142,10 +139,10 @@
     };
     load_exchange sender("key", [](const load_message&, std::size_t) {});
     load_exchange receiver("key", receive);
-    const unsigned short port = test::free_port();
-    REQUIRE(sender.start("127.0.0.1", test::free_port()).ok());
-    REQUIRE(receiver.start("127.0.0.1", port).ok());
-    const std::vector<std::string> peers{"127.0.0.1:" + std::to_string(port)};
+    REQUIRE(sender.start("127.0.0.1", 0).ok());
+    REQUIRE(receiver.start("127.0.0.1", 0).ok());
+    const std::vector<std::string> peers{"127.0.0.1:" +
+                                         std::to_string(receiver.port())};
     load_message message;
     message.host = "h1";
     static_cast<void>(sender.send({message}, steady_clock::now(), peers));
@@ -188,12 +185,11 @@
                                age_ms = age_of(message).count();
                                changed.notify_all();
                            });
-    const unsigned short port = test::free_port();
-    REQUIRE(sender.start("127.0.0.1", test::free_port()).ok());
-    REQUIRE(receiver.start("127.0.0.1", port).ok());
-    static_cast<void>(sender.send({load_message{}},
-                                  steady_clock::now() - milliseconds(3'000),
-                                  {"127.0.0.1:" + std::to_string(port)}));
+    REQUIRE(sender.start("127.0.0.1", 0).ok());
+    REQUIRE(receiver.start("127.0.0.1", 0).ok());
+    static_cast<void>(
+        sender.send({load_message{}}, steady_clock::now() - milliseconds(3'000),
+                    {"127.0.0.1:" + std::to_string(receiver.port())}));
     {
         std::unique_lock<std::mutex> lock(mutex);
         REQUIRE(changed.wait_for(lock, std::chrono::seconds(30),
@@ -203,3 +199,20 @@
     sender.stop();
     receiver.stop();
 }
+
+// Guards against two exchanges on one port, of which one gets the datagrams
+// of both.
+TEST_CASE("a load exchange has its port for itself", "[scheduler]")
+{
+    const auto ignore = [](const load_message&, std::size_t) {
+    };
+    load_exchange first("key", ignore);
+    load_exchange second("key", ignore);
+    CHECK(first.port() == 0);
+    REQUIRE(first.start("127.0.0.1", 0).ok());
+    REQUIRE(first.port() != 0);
+    CHECK_FALSE(second.start("127.0.0.1", first.port()).ok());
+    CHECK(second.port() == 0);
+    first.stop();
+    CHECK(first.port() == 0);
+}
--- a/tests/scheduler/store_contact_report_test.cpp
+++ b/tests/scheduler/store_contact_report_test.cpp
@@ -6,7 +6,6 @@
 
 #include "fake_store.hpp"
 #include "metric_value.hpp"
-#include "support/free_port.hpp"
 
 #include <catch2/catch.hpp>
 
@@ -141,8 +140,7 @@
                  message.racks.empty() ? "" : message.racks.front().rack});
             changed.notify_all();
         });
-    const unsigned short port = test::free_port();
-    REQUIRE(peer.start("127.0.0.1", port).ok());
+    REQUIRE(peer.start("127.0.0.1", 0).ok());
     bool has_all_racks = false;
     for (int n = 0; n < 1'000 && !has_all_racks; ++n)
     {
@@ -155,7 +153,7 @@
     other.name = "h2";
     other.boot = 1;
     other.data_center = "dc";
-    other.peer = "127.0.0.1:" + std::to_string(port);
+    other.peer = "127.0.0.1:" + std::to_string(peer.port());
     write_cluster_row(store, std::string(host_prefix) + other.name,
                       to_json(other));
     std::unique_lock<std::mutex> lock(mutex);
