Read the store for a query or cancelling only while its caller waits

What callers saw: a query or a cancelling of a job that is not in memory, asked of the owner of its shard while the store is slow, could be answered after the time of the caller (egretspindle-deadline-ms), which counts as no answer.

Cause: fetch_job read with the fixed timeout of 0.7 s whatever was left. The wait for the shard to be loaded comes before it and may take half of the time of a query and all of that of a cancelling. Only a read by the caller's host itself, when the owner does not answer, was bounded.

The read now ends with the time of the request. On the host that the caller asked, that is the whole time of a query, not the half for which it is forwarded: a second read of the same store gains nothing, and with half of the time a store that takes 0.6 s would no longer answer callers who wait 1.15 s. The reply stays what it was, 504. Reads for reports keep 0.7 s.

The case of a shard that becomes ready late is bounded by the same line and has no test of its own.

--- a/include/egretspindle/scheduler/job_coordinator.hpp
+++ b/include/egretspindle/scheduler/job_coordinator.hpp
@@ -143,10 +143,19 @@
     /// job that exists already is accepted unchanged.
     [[nodiscard]] job_reply submit(const job_request& request);
 
-    /// Returns the state of a job as shown to callers. Reads a job from the
-    /// store that is not in memory.
+    /// Returns the state of a job as shown to callers. Waits at most
+    /// `job_request::budget_ms` for its shard to be loaded and for the write of
+    /// its state. Reads a job from the store that is not in memory; `unknown`
+    /// if this has not succeeded after `job_request::budget_ms`.
     [[nodiscard]] job_reply query(const job_request& request);
 
+    /// The same with another limit for the read, for callers on this host that
+    /// wait longer for the reply than for the shard.
+    ///
+    /// \param read_until  time at which the read is given up
+    [[nodiscard]] job_reply query(const job_request& request,
+                                  time_point read_until);
+
     /// Cancels a job and returns its state once the cancellation is durable;
     /// `unknown` if it is not within `job_request::budget_ms`.
     [[nodiscard]] job_reply cancel(const job_request& request);
--- a/src/scheduler/job_coordinator.cpp
+++ b/src/scheduler/job_coordinator.cpp
@@ -158,6 +158,13 @@
 }
 
 job_reply job_coordinator::query(const job_request& request)
+{
+    return query(request,
+                 steady_clock::now() + milliseconds(request.budget_ms));
+}
+
+job_reply job_coordinator::query(const job_request& request,
+                                 time_point read_until)
 {
     const time_point deadline =
         steady_clock::now() + milliseconds(request.budget_ms);
@@ -173,7 +180,10 @@
     bool is_reachable = true;
     if (!entry)
     {
-        entry = impl_->fetch_job(request.id, is_reachable);
+        const milliseconds left(elapsed_ms(steady_clock::now(), read_until));
+        entry = impl_->fetch_job(request.id,
+                                 std::min(left, impl_->limits.read_timeout),
+                                 is_reachable);
     }
     std::unique_lock<std::mutex> lock(impl_->mutex);
     if (!entry)
--- a/src/scheduler/job_coordinator_impl.hpp
+++ b/src/scheduler/job_coordinator_impl.hpp
@@ -93,7 +93,8 @@
     bool remove_shard(const std::string& shard);
     void insert_job(const table_row& row, const std::string& shard);
     entry_ptr find_job(const std::string& id);
-    entry_ptr fetch_job(const std::string& id, bool& is_reachable);
+    entry_ptr fetch_job(const std::string& id, milliseconds timeout,
+                        bool& is_reachable);
     bool wait_until_ready(std::unique_lock<std::mutex>& lock,
                           const std::string& shard, time_point deadline);
 
--- a/src/scheduler/job_coordinator_runs.cpp
+++ b/src/scheduler/job_coordinator_runs.cpp
@@ -671,7 +671,7 @@
     bool is_reachable = true;
     if (!found)
     {
-        found = fetch_job(key.job, is_reachable);
+        found = fetch_job(key.job, limits.read_timeout, is_reachable);
     }
     if (!is_reachable)
     {
--- a/src/scheduler/job_coordinator_shards.cpp
+++ b/src/scheduler/job_coordinator_shards.cpp
@@ -264,18 +264,23 @@
 
 // Returns a job that was not in memory, read from the store; null if it has no
 // record. Sets `is_reachable` to false if that is not certain: the store did
-// not answer, the record cannot be decoded, or this host no longer owns the
-// shard.
+// not answer within the timeout, the record cannot be decoded, or this host no
+// longer owns the shard.
 entry_ptr job_coordinator::impl::fetch_job(const std::string& id,
+                                           milliseconds timeout,
                                            bool& is_reachable)
 {
+    if (timeout.count() <= 0)
+    {
+        is_reachable = false;
+        return nullptr;
+    }
     row_range range;
     range.table = std::string(jobs_table);
     range.part = shard_of(id);
     range.from = id;
     range.limit = 1;
-    const absl::StatusOr<table_page> page =
-        store.read(range, limits.read_timeout);
+    const absl::StatusOr<table_page> page = store.read(range, timeout);
     is_reachable = page.ok();
     if (!page.ok())
     {
--- a/src/scheduler/job_scheduler.cpp
+++ b/src/scheduler/job_scheduler.cpp
@@ -93,6 +93,13 @@
     int attempts = 0;               ///< attempts with a known owner
 };
 
+/// Time limits of a request of a caller.
+struct request_limits
+{
+    time_point forward_until; ///< then the caller's host reads the record
+    time_point reply_by;      ///< when the caller must have the reply
+};
+
 /// Release of a rack that this host has given up while it leaves.
 struct kept_release
 {
@@ -119,13 +126,14 @@
     impl(table_store& rows, target_port& port, scheduler_options settings);
 
     job_reply forward_request(std::string_view message, job_request request,
-                              time_point deadline, request_trace& trace);
+                              const request_limits& limits,
+                              request_trace& trace);
     void count_submission(const submit_answer& answer,
                           const request_trace& trace);
     void count_lookup(const std::string& id, std::string_view verdict,
                       const request_trace& trace, time_point begun_at);
     job_reply handle_request(std::string_view message,
-                             const job_request& request);
+                             const job_request& request, time_point reply_by);
     std::optional<job_answer> read_state(const std::string& id,
                                          milliseconds timeout);
     absl::StatusOr<std::optional<job>> read_job(const std::string& id,
@@ -543,24 +551,28 @@
 
 // --- requests of callers ---------------------------------------------------
 
+// Handles a request as the owner of the job's shard. Waits for the shard for
+// `job_request::budget_ms`, and for the store until `reply_by`, which is not
+// earlier.
 job_reply job_scheduler::impl::handle_request(std::string_view message,
-                                              const job_request& request)
+                                              const job_request& request,
+                                              time_point reply_by)
 {
     if (message == submit_message)
     {
         return coordinator.submit(request);
     }
-    return message == query_message ? coordinator.query(request)
+    return message == query_message ? coordinator.query(request, reply_by)
                                     : coordinator.cancel(request);
 }
 
 // Forwards a request to the owner of the job's shard, and repeats this until an
-// owner answers or the deadline passes. Only a submission is repeated after the
-// reply `unknown`. The reply `refused` becomes `unknown` if an earlier attempt
-// may have stored the job.
+// owner answers or the time to forward it is over. Only a submission is
+// repeated after the reply `unknown`. The reply `refused` becomes `unknown` if
+// an earlier attempt may have stored the job.
 job_reply job_scheduler::impl::forward_request(std::string_view message,
                                                job_request request,
-                                               time_point deadline,
+                                               const request_limits& limits,
                                                request_trace& trace)
 {
     job_reply last{"unknown", "", unavailable_retry_ms};
@@ -568,7 +580,7 @@
     bool may_be_stored = false;
     for (;;)
     {
-        const std::int64_t remaining = remaining_ms(deadline);
+        const std::int64_t remaining = remaining_ms(limits.forward_until);
         if (remaining <= 0)
         {
             return last;
@@ -584,7 +596,7 @@
         {
             request.budget_ms = remaining;
             trace.was_forwarded = true;
-            last = handle_request(message, request);
+            last = handle_request(message, request, limits.reply_by);
         }
         else if (owner)
         {
@@ -838,7 +850,11 @@
             [this,
              message](const std::string& /*sender*/,
                       const job_request& request) -> absl::StatusOr<job_reply>
-            { return handle_request(message, request); });
+            {
+                return handle_request(message, request,
+                                      steady_clock::now() +
+                                          milliseconds(request.budget_ms));
+            });
     }
     router.on<rack_orders, rack_orders_reply>(
         orders_message,
@@ -1279,8 +1295,9 @@
     request.spec = std::move(spec);
     request_trace trace;
     const time_point begun_at = steady_clock::now();
+    const request_limits limits{begun_at + budget, begun_at + budget};
     const job_reply reply = impl_->forward_request(
-        submit_message, std::move(request), begun_at + budget, trace);
+        submit_message, std::move(request), limits, trace);
     submit_answer answer;
     answer.retry_after_ms = reply.retry_after_ms;
     if (reply.verdict == "accepted")
@@ -1312,8 +1329,9 @@
     request.id = id;
     request_trace trace;
     const time_point begun_at = steady_clock::now();
+    const request_limits limits{begun_at + budget / 2, begun_at + budget};
     const job_reply reply = impl_->forward_request(
-        query_message, std::move(request), begun_at + budget / 2, trace);
+        query_message, std::move(request), limits, trace);
     if (reply.verdict == "known")
     {
         return {lookup_verdict::known, reply.state};
@@ -1342,8 +1360,9 @@
     request.id = id;
     request_trace trace;
     const time_point begun_at = steady_clock::now();
+    const request_limits limits{begun_at + budget, begun_at + budget};
     const job_reply reply = impl_->forward_request(
-        cancel_message, std::move(request), begun_at + budget, trace);
+        cancel_message, std::move(request), limits, trace);
     log_info("handled job cancellation",
              {{"job", id},
               {"verdict", reply.verdict},
--- a/tests/scheduler/fake_store.hpp
+++ b/tests/scheduler/fake_store.hpp
@@ -130,7 +130,7 @@
     }
 
     absl::StatusOr<table_page> read(const row_range& range,
-                                    std::chrono::milliseconds) override
+                                    std::chrono::milliseconds timeout) override
     {
         if (before_read)
         {
@@ -141,6 +141,7 @@
             before_next_page();
         }
         const std::lock_guard<std::mutex> lock(mutex_);
+        last_read_timeout_ = timeout;
         if (is_unreadable_)
         {
             return make_error(error_kind::unavailable, "refused");
@@ -288,6 +289,13 @@
         return reads_;
     }
 
+    /// Returns the timeout of the last read.
+    std::chrono::milliseconds last_read_timeout()
+    {
+        const std::lock_guard<std::mutex> lock(mutex_);
+        return last_read_timeout_;
+    }
+
     /// Returns the number of watches while the store was readable.
     int watches()
     {
@@ -416,6 +424,7 @@
         0; ///< changes up to this version were dropped
     std::size_t page_size_ = 1'000;
     int reads_ = 0;
+    std::chrono::milliseconds last_read_timeout_{0};
     int watches_ = 0;
     int commits_ = 0;
     write_fault fault_ = write_fault::none;
--- a/tests/scheduler/job_coordinator_test.cpp
+++ b/tests/scheduler/job_coordinator_test.cpp
@@ -1266,6 +1266,28 @@
     REQUIRE(coordinator.query(request).verdict == "unknown");
 }
 
+// Guards against a reply that comes after the caller or its host have given up:
+// the owner read the store for 0.7 s whatever was left.
+TEST_CASE(
+    "the read for a query or cancellation ends in the time of the request",
+    "[scheduler]")
+{
+    fake_store store;
+    fake_environment environment;
+    job_coordinator coordinator(store, environment.hooks(), {});
+    coordinator.take_shard(shard_of(job_id));
+    job_request request = make_request();
+    REQUIRE(coordinator.query(request).verdict == "absent");
+    request.budget_ms = 200;
+    REQUIRE(coordinator.query(request).verdict == "absent");
+    CHECK(store.last_read_timeout() <= milliseconds(200));
+    REQUIRE(coordinator.query(request, steady_clock::now() + milliseconds(400))
+                .verdict == "absent");
+    CHECK(store.last_read_timeout() <= milliseconds(400));
+    REQUIRE(coordinator.cancel(request).verdict == "absent");
+    CHECK(store.last_read_timeout() <= milliseconds(200));
+}
+
 // Guards against writes of an unchanged record in each tick while no rack can
 // take a task.
 // Guards against telling a caller that an accepted job does not exist.
