--- a/include/egretspindle/cluster/store_contact.hpp
+++ b/include/egretspindle/cluster/store_contact.hpp
@@ -29,8 +29,8 @@
 /// contact. The store is read every second.
 constexpr milliseconds contact_timeout{1'500};
 
-/// A report is valid up to this age. Hosts report at least
-/// once a second, and datagrams may be lost.
+/// A report is valid up to this age. Hosts report at least once a second, and
+/// datagrams may be lost.
 constexpr milliseconds contact_report_lifetime{2'000};
 
 /// Returns whether no other host that may claim resources reaches the store.
--- a/include/egretspindle/rack/load_message.hpp
+++ b/include/egretspindle/rack/load_message.hpp
@@ -116,7 +116,7 @@
 /// Maximum number of pairs in a message, so that it fits into one datagram.
 constexpr std::size_t max_pairs_per_message = 40;
 
-/// Above this age no content of a message is used.
+/// Highest age that a message can have; load reports of that age are not used.
 constexpr milliseconds max_message_age{60'000};
 
 /// Packs load reports into messages of at most `max_datagram_bytes` bytes. The
